--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock pyproject.toml 2>/dev/null | sha256sum | cut -c1-16)
+
+.PHONY: demo test bench format generate clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	rm -f $(VENV)/.installed-*
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo $(DEMO)
+
+test: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy mustardloom bench
+	$(BIN)/lint-imports
+	$(BIN)/python -m pytest
+
+bench: $(STAMP)
+	$(BIN)/python -m bench $(SCENARIO)
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+generate: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. mustardloom/relay/wire/peer.proto
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that measure mustardloom on one machine."""
--- /dev/null
+++ b/mustardloom/clock.py
@@ -0,0 +1,101 @@
+"""Time in whole milliseconds, with a fake for tests."""
+
+import asyncio
+import heapq
+import itertools
+import time
+
+__all__ = ["Clock", "FakeClock", "SystemClock"]
+
+_NS_PER_MS = 1_000_000
+_MS_PER_S = 1_000
+# Number of event loop turns granted to tasks after each fake wake-up.
+_SETTLE_TURNS = 20
+
+
+class Clock:
+    """Source of time and of delays, in milliseconds."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time that goes on while the VM is suspended."""
+        raise NotImplementedError
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch."""
+        raise NotImplementedError
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Suspends the calling task for `duration_ms`."""
+        raise NotImplementedError
+
+
+class SystemClock(Clock):
+    """Clock of the machine, based on CLOCK_BOOTTIME."""
+
+    def now_ms(self) -> int:
+        """See base class."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """See base class."""
+        return time.time_ns() // _NS_PER_MS
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """See base class."""
+        await asyncio.sleep(duration_ms / _MS_PER_S)
+
+
+class FakeClock(Clock):
+    """Clock that moves only when a test advances it.
+
+    Example:
+      >>> fake = FakeClock(now_ms=5)
+      >>> asyncio.run(fake.advance(10))
+      >>> fake.now_ms()
+      15
+    """
+
+    def __init__(self, now_ms: int = 1_000, wall_ms: int = 1_700_000_000_000):
+        self._now_ms = now_ms
+        self._wall_offset_ms = wall_ms - now_ms
+        self._order = itertools.count()
+        self._sleepers: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    def now_ms(self) -> int:
+        """See base class."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """See base class."""
+        return self._now_ms + self._wall_offset_ms
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """See base class."""
+        if duration_ms <= 0:
+            await asyncio.sleep(0)
+            return
+        wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        due_ms = self._now_ms + duration_ms
+        heapq.heappush(self._sleepers, (due_ms, next(self._order), wake))
+        await wake
+
+    def jump(self, duration_ms: int) -> None:
+        """Moves time without running sleepers, as a paused process sees it."""
+        self._now_ms += duration_ms
+
+    async def advance(self, duration_ms: int) -> None:
+        """Moves time forward, waking sleepers in order of their due time."""
+        end_ms = self._now_ms + duration_ms
+        await self._settle()
+        while self._sleepers and self._sleepers[0][0] <= end_ms:
+            due_ms, _, wake = heapq.heappop(self._sleepers)
+            self._now_ms = max(self._now_ms, due_ms)
+            if not wake.done():
+                wake.set_result(None)
+            await self._settle()
+        self._now_ms = max(self._now_ms, end_ms)
+        await self._settle()
+
+    async def _settle(self) -> None:
+        for _ in range(_SETTLE_TURNS):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/mustardloom/declarations/model.py
@@ -0,0 +1,163 @@
+"""Declarations of operators: services, routes, organisations."""
+
+import enum
+
+import msgspec
+
+from mustardloom import ids
+
+__all__ = [
+    "CONFIG_PREFIX",
+    "STOPS_PREFIX",
+    "AvailabilityZone",
+    "DeclarationSet",
+    "KeySource",
+    "KeySourceKind",
+    "Organisation",
+    "Route",
+    "Service",
+    "Stop",
+    "StopKind",
+    "config_key",
+    "stop_key",
+]
+
+CONFIG_PREFIX = "config/"
+STOPS_PREFIX = "stops/"
+
+
+def config_key(set_id: ids.SetId) -> str:
+    """Returns the store key of a declaration set.
+
+    Example:
+      >>> config_key(ids.SetId("kibanda"))
+      'config/kibanda'
+    """
+    return f"{CONFIG_PREFIX}{set_id}"
+
+
+def stop_key(kind: "StopKind", name: str) -> str:
+    """Returns the store key of a stop.
+
+    Example:
+      >>> stop_key(StopKind.AVAILABILITY_ZONE, "pwani-1")
+      'stops/availability-zone/pwani-1'
+    """
+    return f"{STOPS_PREFIX}{kind.value}/{name}"
+
+
+class KeySourceKind(enum.Enum):
+    """Where the key of a request is found."""
+
+    HEADER = "header"
+    PATH_SEGMENT = "path"
+
+
+class StopKind(enum.Enum):
+    """What a stop takes out of service."""
+
+    AVAILABILITY_ZONE = "availability-zone"
+    TARGET = "target"
+
+
+class KeySource(msgspec.Struct, frozen=True):
+    """Where the key of a request is found.
+
+    Attributes:
+      kind: Header or path segment.
+      name: Header name, or index of the path segment, starting at 0.
+    """
+
+    kind: KeySourceKind
+    name: str
+
+
+class AvailabilityZone(msgspec.Struct, frozen=True):
+    """An availability zone and its region."""
+
+    id: ids.AvailabilityZoneId
+    region: ids.RegionId
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """A service whose targets may own keys.
+
+    Attributes:
+      id: Name that targets announce.
+      keyed: Whether each key has an owner; otherwise any target serves.
+      slot_count: Hash ranges per placement group; fixed for life.
+      capacity: Usual number of concurrent requests of one target.
+      checks_fencing: Whether the targets check fencing tokens.
+      request_id_retention_ms: How long ids of non-idempotent requests are
+        remembered.
+    """
+
+    id: ids.ServiceId
+    keyed: bool = False
+    slot_count: int = 64
+    capacity: int = 1
+    checks_fencing: bool = True
+    request_id_retention_ms: int = 120_000
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """A path prefix that leads to a service.
+
+    Attributes:
+      id: Name of the route.
+      prefix: Path prefix, matched at segment borders.
+      service: Service that serves it.
+      key: Where the key is found; required for keyed services.
+      idempotent_methods: Methods that may run more than once.
+      deadline_ms: Longest time until the answer.
+      home_regions: Regions that may serve the route; empty means any.
+      organisations: Organisations that may use it; empty means all.
+    """
+
+    id: ids.RouteId
+    prefix: str
+    service: ids.ServiceId
+    key: KeySource | None = None
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
+    deadline_ms: int = 2_000
+    home_regions: tuple[ids.RegionId, ...] = ()
+    organisations: tuple[ids.OrganisationId, ...] = ()
+
+
+class Organisation(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer and the regions its requests are bound to.
+
+    Attributes:
+      id: Name that callers send.
+      home_regions: Regions that may serve and keep its requests; empty means
+        any.
+    """
+
+    id: ids.OrganisationId
+    home_regions: tuple[ids.RegionId, ...] = ()
+
+
+class DeclarationSet(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that one set of files declares; changed as a whole."""
+
+    id: ids.SetId
+    availability_zones: tuple[AvailabilityZone, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+
+
+class Stop(msgspec.Struct, frozen=True, kw_only=True):
+    """An availability zone or target that is out of service.
+
+    Attributes:
+      kind: What `name` names.
+      name: Availability zone id, or VM id of the target.
+      active: False after the stop was lifted.
+      since_wall_ms: Time of the last change.
+    """
+
+    kind: StopKind
+    name: str
+    active: bool
+    since_wall_ms: int
--- /dev/null
+++ b/mustardloom/ids.py
@@ -0,0 +1,72 @@
+"""Identifiers that are shared by all packages."""
+
+import secrets
+from typing import NewType
+
+__all__ = [
+    "NO_VERSION",
+    "AvailabilityZoneId",
+    "Epoch",
+    "GroupId",
+    "MemberId",
+    "OperationId",
+    "OrganisationId",
+    "RegionId",
+    "RequestId",
+    "RouteId",
+    "ServiceId",
+    "SetId",
+    "SlotIndex",
+    "Version",
+    "VmId",
+    "new_member_id",
+    "new_operation_id",
+    "vm_of",
+]
+
+ServiceId = NewType("ServiceId", str)
+RouteId = NewType("RouteId", str)
+OrganisationId = NewType("OrganisationId", str)
+RegionId = NewType("RegionId", str)
+AvailabilityZoneId = NewType("AvailabilityZoneId", str)
+VmId = NewType("VmId", str)
+MemberId = NewType("MemberId", str)
+GroupId = NewType("GroupId", str)
+SlotIndex = NewType("SlotIndex", int)
+Epoch = NewType("Epoch", int)
+Version = NewType("Version", int)
+RequestId = NewType("RequestId", str)
+OperationId = NewType("OperationId", str)
+SetId = NewType("SetId", str)
+
+NO_VERSION = Version(0)
+
+_MEMBER_SEPARATOR = "~"
+_MEMBER_SUFFIX_BYTES = 4
+_OPERATION_ID_BYTES = 12
+
+
+def new_member_id(vm: VmId) -> MemberId:
+    """Returns a fresh member id for one life of the daemon on `vm`.
+
+    Example:
+      >>> new_member_id(VmId("vm-1")).startswith("vm-1~")
+      True
+    """
+    suffix = secrets.token_hex(_MEMBER_SUFFIX_BYTES)
+    return MemberId(f"{vm}{_MEMBER_SEPARATOR}{suffix}")
+
+
+def vm_of(member: MemberId) -> VmId:
+    """Returns the VM on which `member` runs.
+
+    Example:
+      >>> vm_of(MemberId("vm-1~0a1b2c3d"))
+      'vm-1'
+    """
+    return VmId(member.rpartition(_MEMBER_SEPARATOR)[0])
+
+
+def new_operation_id() -> OperationId:
+    """Returns a unique id for one write to the platform's store."""
+    return OperationId(secrets.token_hex(_OPERATION_ID_BYTES))
--- /dev/null
+++ b/mustardloom/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Package membership."""
--- /dev/null
+++ b/mustardloom/ownership/slot_map.py
@@ -0,0 +1,151 @@
+"""Owners of slots, stored in chunks."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+
+import msgspec
+
+from mustardloom import ids
+from mustardloom.platform import objects
+from mustardloom.relay import replica as replicas
+
+__all__ = [
+    "CHUNK_SLOTS",
+    "SLOTS_PREFIX",
+    "Chunk",
+    "ChunkName",
+    "SlotEntry",
+    "SlotMap",
+    "chunk_key",
+    "decode_chunk",
+    "encode_chunk",
+    "parse_chunk_key",
+]
+
+SLOTS_PREFIX = "slots/"
+CHUNK_SLOTS = 256
+
+
+def chunk_key(name: "ChunkName") -> str:
+    """Returns the store key of a chunk.
+
+    Example:
+      >>> chunk_key(ChunkName(ids.GroupId("salio@*"), 0))
+      'slots/salio@*/0'
+    """
+    return f"{SLOTS_PREFIX}{name.group}/{name.index}"
+
+
+def parse_chunk_key(key: str) -> "ChunkName":
+    """Returns the chunk that a store key names."""
+    group, _, index = key.removeprefix(SLOTS_PREFIX).rpartition("/")
+    return ChunkName(ids.GroupId(group), int(index))
+
+
+def encode_chunk(entries: Iterable["SlotEntry"]) -> bytes:
+    """Returns the stored form of a chunk, with a table of member ids."""
+    table: dict[ids.MemberId | None, int] = {None: 0}
+    rows = [
+        (
+            table.setdefault(entry.owner, len(table)),
+            entry.epoch,
+            table.setdefault(entry.moving_to, len(table)),
+            entry.unknown_before_wall_ms,
+        )
+        for entry in entries
+    ]
+    members = tuple(member for member in table if member is not None)
+    return msgspec.json.encode(Chunk(members=members, rows=tuple(rows)))
+
+
+def decode_chunk(value: bytes) -> tuple["SlotEntry", ...]:
+    """Returns the entries of a stored chunk, in order of their slots.
+
+    Raises:
+      msgspec.ValidationError: The value is not a chunk.
+    """
+    chunk = msgspec.json.decode(value, type=Chunk)
+    table = (None, *chunk.members)
+    return tuple(
+        SlotEntry(table[owner], epoch, table[moving_to], unknown_before)
+        for owner, epoch, moving_to, unknown_before in chunk.rows
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChunkName:
+    """A run of CHUNK_SLOTS slots of a group, starting at 256 * index."""
+
+    group: ids.GroupId
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotEntry:
+    """Owner of one slot.
+
+    Attributes:
+      owner: Member that owns the slot, None before the first assignment.
+      epoch: Fencing token; grows with each change of owner.
+      moving_to: Receiver of a planned move that is under way.
+      unknown_before_wall_ms: Request ids stamped earlier may have run at a lost
+        owner.
+    """
+
+    owner: ids.MemberId | None = None
+    epoch: ids.Epoch = ids.Epoch(0)  # noqa: RUF009
+    moving_to: ids.MemberId | None = None
+    unknown_before_wall_ms: int = 0
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """Stored form: rows of (owner, epoch, moving_to, unknown_before_wall_ms).
+
+    Members are numbers: 0 is none, n is the n-th of `members`.
+    """
+
+    members: tuple[ids.MemberId, ...]
+    rows: tuple[tuple[int, ids.Epoch, int, int], ...]
+
+
+class SlotMap:
+    """View of all chunks of a replica.
+
+    Attributes:
+      by_group: Entries of each group, in order of their slots. A slot whose
+        chunk is not known yet has an empty entry.
+    """
+
+    def __init__(self, replica: replicas.Replica):
+        self.by_group: dict[ids.GroupId, list[SlotEntry]] = {}
+        replica.subscribe(SLOTS_PREFIX, self._on_event)
+
+    def entry(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> SlotEntry | None:
+        """Returns the entry of a slot, None if the group is not known."""
+        entries = self.by_group.get(group)
+        if entries is None or slot >= len(entries):
+            return None
+        return entries[slot]
+
+    def slots_of(
+        self, member: ids.MemberId
+    ) -> Iterator[tuple[ids.GroupId, ids.SlotIndex, SlotEntry]]:
+        """Yields the slots that `member` owns."""
+        for group, entries in self.by_group.items():
+            for index, entry in enumerate(entries):
+                if entry.owner == member:
+                    yield group, ids.SlotIndex(index), entry
+
+    def _on_event(self, event: objects.Event) -> None:
+        if event.value is None:
+            return
+        name = parse_chunk_key(event.key)
+        entries = self.by_group.setdefault(name.group, [])
+        start = name.index * CHUNK_SLOTS
+        chunk = decode_chunk(event.value)
+        missing = start + len(chunk) - len(entries)
+        entries.extend(SlotEntry() for _ in range(missing))
+        entries[start : start + len(chunk)] = chunk
--- /dev/null
+++ b/mustardloom/relay/peers.py
@@ -0,0 +1,445 @@
+"""Calls between daemons over one long-lived stream per peer."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from grpclib import client as grpc_client
+from grpclib import server as grpc_server
+from loguru import logger
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.relay import authentication
+from mustardloom.relay.wire import peer_grpc
+from mustardloom.relay.wire import peer_pb2
+
+__all__ = [
+    "AddressLookup",
+    "Body",
+    "Handler",
+    "PeerError",
+    "PeerLost",
+    "PeerServer",
+    "PeerUnreachable",
+    "Peers",
+]
+
+# Any message type of the oneof `Frame.body`; generated types share no base
+# that names it.
+Body = Any
+AddressLookup = Callable[[ids.MemberId], tuple[str, int] | None]
+Handler = Callable[[ids.MemberId, Body], Awaitable[Body | None]]
+
+_ONE_WAY = 0
+_CONNECT_TIMEOUT_MS = 500
+_RECONNECT_DELAY_MS = 200
+_MAX_BATCH_FRAMES = 256
+_MAX_QUEUED_FRAMES = 10_000
+_HELLO_AGE_LIMIT_MS = 60_000
+_MEMBER_FIELD = "x-mustardloom-member"
+_RECEIVER_FIELD = "x-mustardloom-receiver"
+_TIME_FIELD = "x-mustardloom-time"
+_CODE_FIELD = "x-mustardloom-code"
+
+
+def _hello(sender: str, receiver: str, wall_ms: str) -> bytes:
+    return "\0".join((sender, receiver, wall_ms)).encode()
+
+
+def _kind(body: Body) -> str:
+    return str(type(body).DESCRIPTOR.name).lower()
+
+
+def _frame(call: int, body: Body) -> peer_pb2.Frame:
+    frame = peer_pb2.Frame(call=call)
+    getattr(frame, _kind(body)).CopyFrom(body)
+    return frame
+
+
+class PeerError(Exception):
+    """A call to a peer got no reply."""
+
+
+class PeerUnreachable(PeerError):
+    """The frame was certainly not sent."""
+
+
+class PeerLost(PeerError):
+    """The frame was sent, but no reply came."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """A call that waits for its reply."""
+
+    reply: asyncio.Future[Body]
+    sent: bool = False
+
+
+class _Outbox:
+    """Frames that wait for the next batch of a stream."""
+
+    def __init__(self) -> None:
+        self.frames: list[peer_pb2.Frame] = []
+        self._filled = asyncio.Event()
+
+    def put(self, frame: peer_pb2.Frame) -> bool:
+        """Queues a frame; returns False if the queue is full."""
+        if len(self.frames) >= _MAX_QUEUED_FRAMES:
+            return False
+        self.frames.append(frame)
+        self._filled.set()
+        return True
+
+    async def take(self) -> list[peer_pb2.Frame]:
+        """Waits for frames and returns at most one batch of them."""
+        await self._filled.wait()
+        batch = self.frames[:_MAX_BATCH_FRAMES]
+        del self.frames[:_MAX_BATCH_FRAMES]
+        if not self.frames:
+            self._filled.clear()
+        return batch
+
+    def remove(self, call: int) -> None:
+        """Withdraws the frames of a call that were not sent yet."""
+        self.frames[:] = [f for f in self.frames if f.call != call]
+        if not self.frames:
+            self._filled.clear()
+
+
+class _Link:
+    """Outgoing stream to one peer, with a task that keeps it open."""
+
+    def __init__(self, owner: "Peers", member: ids.MemberId):
+        self._owner = owner
+        self._member = member
+        self._outbox = _Outbox()
+        self._calls: dict[int, _Call] = {}
+        self._last_call = 0
+        self._task = asyncio.create_task(self._run())
+
+    def notify(self, body: Body) -> None:
+        """Queues a one-way frame."""
+        if not self._outbox.put(_frame(_ONE_WAY, body)):
+            self._owner.metrics.increment("peer.frames_dropped")
+
+    async def call(self, body: Body, timeout_ms: int) -> Body:
+        """Sends a frame and returns the reply."""
+        self._last_call += 1
+        number = self._last_call
+        call = _Call(asyncio.get_running_loop().create_future())
+        self._calls[number] = call
+        try:
+            if not self._outbox.put(_frame(number, body)):
+                raise PeerUnreachable(f"queue to {self._member} is full")
+            return await asyncio.wait_for(call.reply, timeout_ms / 1_000)
+        except TimeoutError:
+            raise self._timeout(number, call) from None
+        except asyncio.CancelledError:
+            self._cancel(number, call)
+            raise
+        finally:
+            self._calls.pop(number, None)
+
+    async def close(self) -> None:
+        """Ends the stream; waiting calls fail."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._fail_calls(f"link to {self._member} was closed")
+
+    def _timeout(self, number: int, call: _Call) -> PeerError:
+        self._cancel(number, call)
+        if call.sent:
+            return PeerLost(f"no reply from {self._member} in time")
+        return PeerUnreachable(f"no connection to {self._member} in time")
+
+    def _cancel(self, number: int, call: _Call) -> None:
+        if call.sent:
+            self._outbox.put(_frame(number, peer_pb2.Cancel()))
+        else:
+            self._outbox.remove(number)
+
+    def _fail_calls(self, reason: str) -> None:
+        for number, call in list(self._calls.items()):
+            if call.reply.done():
+                continue
+            self._outbox.remove(number)
+            error = PeerLost if call.sent else PeerUnreachable
+            call.reply.set_exception(error(reason))
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._exchange()
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                # grpclib and h2 raise unrelated types on a broken
+                # connection; all of them mean that the stream is gone.
+                self._owner.metrics.increment("peer.streams_broken")
+                reason = f"stream to {self._member} broke: {error!r}"
+                logger.debug(reason)
+                self._fail_calls(reason)
+            await self._owner.clock.sleep_ms(_RECONNECT_DELAY_MS)
+
+    async def _exchange(self) -> None:
+        address = self._owner.lookup(self._member)
+        if address is None:
+            raise PeerUnreachable(f"no address of {self._member}")
+        channel = grpc_client.Channel(*address)
+        try:
+            stub = peer_grpc.PeerServiceStub(channel)
+            metadata = self._owner.hello(self._member)
+            async with stub.Exchange.open(metadata=metadata) as stream:
+                connect = stream.send_request()
+                await asyncio.wait_for(connect, _CONNECT_TIMEOUT_MS / 1_000)
+                await self._pump(stream)
+        finally:
+            channel.close()
+
+    async def _pump(self, stream: Any) -> None:
+        writer = asyncio.create_task(self._write(stream))
+        reader = asyncio.create_task(self._read(stream))
+        tasks = (writer, reader)
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _write(self, stream: Any) -> None:
+        while True:
+            frames = await self._outbox.take()
+            for frame in frames:
+                call = self._calls.get(frame.call)
+                if call is not None:
+                    call.sent = True
+            await stream.send_message(peer_pb2.Batch(frames=frames))
+
+    async def _read(self, stream: Any) -> None:
+        while True:
+            batch = await stream.recv_message()
+            if batch is None:
+                raise PeerLost(f"{self._member} ended the stream")
+            for frame in batch.frames:
+                self._resolve(frame)
+
+    def _resolve(self, frame: peer_pb2.Frame) -> None:
+        call = self._calls.get(frame.call)
+        if call is None or call.reply.done():
+            self._owner.metrics.increment("peer.late_replies")
+            return
+        kind = frame.WhichOneof("body")
+        if kind is None or kind == "failure":
+            error = PeerLost(f"{self._member}: {frame.failure.detail}")
+            call.reply.set_exception(error)
+            return
+        call.reply.set_result(getattr(frame, kind))
+
+
+class Peers:
+    """Calls and one-way messages to other daemons.
+
+    Attributes:
+      member: Own member id.
+      lookup: Returns the address of a member, None if it is not known.
+    """
+
+    def __init__(
+        self,
+        member: ids.MemberId,
+        lookup: AddressLookup,
+        authenticator: authentication.Authenticator,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.member = member
+        self.lookup = lookup
+        self.clock = clock
+        self.metrics = metrics
+        self.authenticator = authenticator
+        self._links: dict[ids.MemberId, _Link] = {}
+        self._handlers: dict[str, Handler] = {}
+
+    def handle(self, body_type: type, handler: Handler) -> None:
+        """Registers the handler of one message type."""
+        self._handlers[str(body_type.DESCRIPTOR.name).lower()] = handler  # type: ignore[attr-defined]
+
+    def handler(self, kind: str) -> Handler | None:
+        """Returns the handler of the field `kind` of a frame."""
+        return self._handlers.get(kind)
+
+    async def call(
+        self, member: ids.MemberId, body: Body, timeout_ms: int
+    ) -> Body:
+        """Sends `body` to a member and returns its reply.
+
+        A cancelled or timed-out call sends a Cancel to the peer.
+
+        Raises:
+          PeerUnreachable: The message was certainly not sent.
+          PeerLost: The message was sent, but no reply came.
+        """
+        return await self._link(member).call(body, timeout_ms)
+
+    def notify(self, member: ids.MemberId, body: Body) -> None:
+        """Sends `body` to a member without waiting for it."""
+        self._link(member).notify(body)
+
+    async def retain(self, members: set[ids.MemberId]) -> None:
+        """Closes the links to all members that are not in `members`."""
+        gone = [member for member in self._links if member not in members]
+        for member in gone:
+            await self._links.pop(member).close()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        await self.retain(set())
+
+    def hello(self, receiver: ids.MemberId) -> dict[str, str]:
+        """Returns the metadata that opens a stream to `receiver`."""
+        wall_ms = str(self.clock.wall_ms())
+        text = _hello(self.member, receiver, wall_ms)
+        return {
+            _MEMBER_FIELD: self.member,
+            _RECEIVER_FIELD: receiver,
+            _TIME_FIELD: wall_ms,
+            _CODE_FIELD: self.authenticator.sign(text).hex(),
+        }
+
+    def check_hello(self, metadata: Any) -> ids.MemberId | None:
+        """Returns the sender of a valid hello to this daemon, else None."""
+        sender = str(metadata.get(_MEMBER_FIELD, ""))
+        receiver = str(metadata.get(_RECEIVER_FIELD, ""))
+        wall_ms = str(metadata.get(_TIME_FIELD, ""))
+        code = str(metadata.get(_CODE_FIELD, ""))
+        try:
+            age_ms = abs(self.clock.wall_ms() - int(wall_ms))
+            code_bytes = bytes.fromhex(code)
+        except ValueError:
+            return None
+        text = _hello(sender, receiver, wall_ms)
+        if not self.authenticator.is_valid(text, code_bytes):
+            return None
+        if receiver != self.member or age_ms > _HELLO_AGE_LIMIT_MS:
+            return None
+        return ids.MemberId(sender)
+
+    def _link(self, member: ids.MemberId) -> _Link:
+        link = self._links.get(member)
+        if link is None:
+            link = _Link(self, member)
+            self._links[member] = link
+        return link
+
+
+class PeerServer(peer_grpc.PeerServiceBase):
+    """Accepts streams of peers and runs the handlers of `Peers`."""
+
+    def __init__(self, peers: Peers):
+        self._peers = peers
+        self._server = grpc_server.Server([self])
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens on an address.
+
+        Raises:
+          OSError: The address is in use or not available.
+        """
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Closes all streams."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        """Serves one stream; see peer.proto."""
+        sender = self._peers.check_hello(stream.metadata)
+        if sender is None:
+            self._peers.metrics.increment("peer.strangers_refused")
+            return
+        session = _Session(self._peers, sender, stream)
+        await session.run()
+
+
+class _Session:
+    """One incoming stream."""
+
+    def __init__(self, peers: Peers, sender: ids.MemberId, stream: Any):
+        self._peers = peers
+        self._sender = sender
+        self._stream = stream
+        self._outbox = _Outbox()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._one_way_tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Reads frames until the peer ends the stream."""
+        writer = asyncio.create_task(self._write())
+        try:
+            while True:
+                batch = await self._stream.recv_message()
+                if batch is None:
+                    return
+                for frame in batch.frames:
+                    self._accept(frame)
+        finally:
+            writer.cancel()
+            for task in self._tasks.values():
+                task.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+
+    def _accept(self, frame: peer_pb2.Frame) -> None:
+        kind = frame.WhichOneof("body")
+        if kind == "cancel":
+            task = self._tasks.get(frame.call)
+            if task is not None:
+                task.cancel()
+            return
+        handler = self._peers.handler(kind or "")
+        if handler is None:
+            self._peers.metrics.increment("peer.frames_unknown")
+            self._fail(frame.call, f"no handler for {kind}")
+            return
+        body = getattr(frame, kind)
+        task = asyncio.create_task(self._handle(frame.call, handler, body))
+        self._keep(frame.call, task)
+
+    def _keep(self, call: int, task: asyncio.Task[None]) -> None:
+        if call == _ONE_WAY:
+            self._one_way_tasks.add(task)
+            task.add_done_callback(self._one_way_tasks.discard)
+            return
+        self._tasks[call] = task
+        task.add_done_callback(lambda _: self._tasks.pop(call, None))
+
+    async def _handle(self, call: int, handler: Handler, body: Body) -> None:
+        try:
+            reply = await handler(self._sender, body)
+        except Exception:
+            # One faulty call must not end the stream of all others.
+            logger.exception("handler of a peer's call failed")
+            self._peers.metrics.increment("peer.handlers_failed")
+            self._fail(call, "the handler failed")
+            return
+        if call != _ONE_WAY and reply is not None:
+            self._outbox.put(_frame(call, reply))
+
+    def _fail(self, call: int, detail: str) -> None:
+        if call != _ONE_WAY:
+            self._outbox.put(_frame(call, peer_pb2.Failure(detail=detail)))
+
+    async def _write(self) -> None:
+        while True:
+            frames = await self._outbox.take()
+            await self._stream.send_message(peer_pb2.Batch(frames=frames))
--- /dev/null
+++ b/mustardloom/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Package standins."""
