--- /dev/null
+++ b/mustardloom/relay/dissemination.py
@@ -0,0 +1,287 @@
+"""Brings every change of the store to every daemon."""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Protocol
+
+from loguru import logger
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.relay import peers as peers_lib
+from mustardloom.relay import rendezvous
+from mustardloom.relay import replica as replicas
+from mustardloom.relay.wire import peer_pb2
+
+__all__ = ["Disseminator", "PeerInfo", "Topology"]
+
+WATCHERS_PER_ZONE = 2
+FAN_OUT = 8
+WATCH_WAIT_MS = 10_000
+REPAIR_INTERVAL_MS = 1_000
+
+_RETRY_DELAY_MS = 500
+_REPAIR_TIMEOUT_MS = 2_000
+# Share of repairs with a random member of the whole fleet, so that zones
+# without a working watcher still learn of changes.
+_REMOTE_REPAIR_SHARE = 0.25
+
+
+def split(
+    members: Sequence[ids.MemberId], parts: int
+) -> Iterator[Sequence[ids.MemberId]]:
+    """Yields at most `parts` runs of `members` of nearly equal length.
+
+    Example:
+      >>> [len(run) for run in split(["a", "b", "c"], 2)]
+      [2, 1]
+    """
+    count = min(parts, len(members))
+    for index in range(count):
+        yield members[index::count]
+
+
+def to_wire(events: Iterable[platform.Event]) -> list[peer_pb2.Event]:
+    """Returns the messages of `events`."""
+    return [
+        peer_pb2.Event(key=event.key, version=event.version, value=event.value)
+        for event in events
+    ]
+
+
+def from_wire(events: Iterable[peer_pb2.Event]) -> Iterator[platform.Event]:
+    """Yields the events of messages."""
+    for event in events:
+        value = event.value if event.HasField("value") else None
+        yield platform.Event(event.key, ids.Version(event.version), value)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerInfo:
+    """Where a member runs."""
+
+    member: ids.MemberId
+    zone: ids.AvailabilityZoneId
+
+
+class Topology(Protocol):
+    """Members that take part in the dissemination."""
+
+    def own_zone(self) -> ids.AvailabilityZoneId:
+        """Returns the availability zone of this daemon."""
+
+    def peer_infos(self) -> Iterable[PeerInfo]:
+        """Returns all live members, this one included."""
+
+
+class Channel(Protocol):
+    """The part of `relay.peers.Peers` that the dissemination uses."""
+
+    member: ids.MemberId
+
+    async def call(
+        self, member: ids.MemberId, body: peers_lib.Body, timeout_ms: int
+    ) -> peers_lib.Body:
+        """See `relay.peers.Peers.call`."""
+
+    def notify(self, member: ids.MemberId, body: peers_lib.Body) -> None:
+        """See `relay.peers.Peers.notify`."""
+
+
+class Disseminator:
+    """Keeps the replica up to date and passes changes on.
+
+    Two watchers per availability zone wait for changes at the store and push
+    them down a tree inside the zone. Once a second each daemon compares its
+    version with one random peer and fetches what it lacks.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        store: platform.PlatformClient,
+        peers: Channel,
+        topology: Topology,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        seed: int = 0,
+    ):
+        self._replica = replica
+        self._store = store
+        self._peers = peers
+        self._topology = topology
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random(seed)
+        self._store_is_up = True
+        self._repairs: set[asyncio.Task[None]] = set()
+
+    async def load(self, seeds: Sequence[ids.MemberId] = ()) -> bool:
+        """Fills the replica from the store, or else from a seed.
+
+        Returns:
+          Whether anything answered.
+        """
+        try:
+            self._replica.apply_listing(await self._store.list_objects())
+        except platform.PlatformUnavailable:
+            self._note_store(is_up=False)
+        else:
+            self._note_store(is_up=True)
+            return True
+        for seed in seeds:
+            if await self._repair_from(seed):
+                return True
+        return False
+
+    def publish(self, event: platform.Event) -> None:
+        """Adopts the event of an own write and pushes it to the fleet."""
+        since = ids.Version(event.version - 1)
+        self._replica.apply([event], since, event.version)
+        push = peer_pb2.Push(
+            since=since, up_to=event.version, events=to_wire([event])
+        )
+        for members in self._members_by_zone().values():
+            self._send_down(push, members)
+
+    async def watch(self) -> None:
+        """Waits for changes at the store while this daemon is a watcher."""
+        while True:
+            if not self.is_watcher():
+                await self._clock.sleep_ms(_RETRY_DELAY_MS)
+                continue
+            try:
+                await self._watch_once()
+            except platform.PlatformUnavailable:
+                self._note_store(is_up=False)
+                await self._clock.sleep_ms(_RETRY_DELAY_MS)
+
+    async def repair(self) -> None:
+        """Compares versions with a random peer once a second."""
+        while True:
+            await self._clock.sleep_ms(REPAIR_INTERVAL_MS)
+            peer = self._random_peer()
+            if peer is not None:
+                await self._repair_from(peer)
+
+    def is_watcher(self) -> bool:
+        """Tells whether this daemon watches the store for its zone."""
+        zone = self._topology.own_zone()
+        members = [
+            info.member
+            for info in self._topology.peer_infos()
+            if info.zone == zone
+        ]
+        if self._peers.member not in members:
+            return True
+        ranked = rendezvous.rank(f"watcher/{zone}", members)
+        return self._peers.member in ranked[:WATCHERS_PER_ZONE]
+
+    async def on_push(self, sender: ids.MemberId, push: peer_pb2.Push) -> None:
+        """Handles a push: adopts it and passes it on if it was new."""
+        result = self._adopt(push.events, push.since, push.up_to)
+        self._metrics.increment("relay.pushes_received")
+        if result.changed and push.members:
+            members = [ids.MemberId(member) for member in push.members]
+            self._send_down(push, members)
+        if result.gap:
+            self._metrics.increment("relay.gaps")
+            task = asyncio.create_task(self._repair_quietly(sender))
+            self._repairs.add(task)
+            task.add_done_callback(self._repairs.discard)
+
+    async def on_summary(
+        self, sender: ids.MemberId, summary: peer_pb2.Summary
+    ) -> peer_pb2.Changes:
+        """Handles a summary: returns what the sender lacks."""
+        del sender
+        since = ids.Version(summary.version)
+        return peer_pb2.Changes(
+            since=since,
+            up_to=self._replica.version,
+            events=to_wire(self._replica.changes_after(since)),
+            behind=self._replica.version < since,
+        )
+
+    async def _watch_once(self) -> None:
+        since = self._replica.version
+        batch = await self._store.watch(since, WATCH_WAIT_MS)
+        self._note_store(is_up=True)
+        self._replica.apply(batch.events, since, batch.version)
+        if not batch.events:
+            return
+        push = peer_pb2.Push(
+            since=since, up_to=batch.version, events=to_wire(batch.events)
+        )
+        zone = self._topology.own_zone()
+        self._send_down(push, self._members_by_zone().get(zone, []))
+
+    async def _repair_quietly(self, peer: ids.MemberId) -> None:
+        await self._repair_from(peer)
+
+    async def _repair_from(self, peer: ids.MemberId) -> bool:
+        summary = peer_pb2.Summary(version=self._replica.version)
+        try:
+            changes = await self._peers.call(peer, summary, _REPAIR_TIMEOUT_MS)
+        except peers_lib.PeerError:
+            self._metrics.increment("relay.repairs_failed")
+            return False
+        if not changes.behind:
+            result = self._adopt(changes.events, changes.since, changes.up_to)
+            self._metrics.increment("relay.repaired", len(result.changed))
+        return True
+
+    def _adopt(
+        self, events: Iterable[peer_pb2.Event], since: int, up_to: int
+    ) -> replicas.ApplyResult:
+        return self._replica.apply(
+            from_wire(events), ids.Version(since), ids.Version(up_to)
+        )
+
+    def _send_down(
+        self, push: peer_pb2.Push, members: Sequence[ids.MemberId]
+    ) -> None:
+        for run in split(members, FAN_OUT):
+            child = peer_pb2.Push(
+                since=push.since,
+                up_to=push.up_to,
+                events=push.events,
+                members=run[1:],
+            )
+            self._peers.notify(run[0], child)
+            self._metrics.increment("relay.pushes_sent")
+
+    def _members_by_zone(
+        self,
+    ) -> dict[ids.AvailabilityZoneId, list[ids.MemberId]]:
+        by_zone: dict[ids.AvailabilityZoneId, list[ids.MemberId]] = {}
+        for info in self._topology.peer_infos():
+            if info.member != self._peers.member:
+                by_zone.setdefault(info.zone, []).append(info.member)
+        for members in by_zone.values():
+            # Each push takes another tree, so that one lost member does not
+            # cut off the same subtree every time.
+            self._random.shuffle(members)
+        return by_zone
+
+    def _random_peer(self) -> ids.MemberId | None:
+        by_zone = self._members_by_zone()
+        own = by_zone.get(self._topology.own_zone(), [])
+        is_remote = self._random.random() < _REMOTE_REPAIR_SHARE
+        if own and not is_remote:
+            return self._random.choice(own)
+        everyone = [m for members in by_zone.values() for m in members]
+        return self._random.choice(everyone) if everyone else None
+
+    def _note_store(self, *, is_up: bool) -> None:
+        if is_up == self._store_is_up:
+            return
+        self._store_is_up = is_up
+        state = "answers again" if is_up else "does not answer"
+        logger.info(f"the platform's store {state}")
--- a/mustardloom/relay/peers.py
+++ b/mustardloom/relay/peers.py
@@ -18,6 +18,7 @@
 from mustardloom.relay.wire import peer_pb2
 
 __all__ = [
+    "ANY_MEMBER",
     "AddressLookup",
     "Body",
     "Handler",
@@ -26,6 +27,9 @@
     "PeerServer",
     "PeerUnreachable",
     "Peers",
+    "is_seed",
+    "seed_address",
+    "seed_member",
 ]
 
 # Any message type of the oneof `Frame.body`; generated types share no base
@@ -34,18 +38,43 @@
 AddressLookup = Callable[[ids.MemberId], tuple[str, int] | None]
 Handler = Callable[[ids.MemberId, Body], Awaitable[Body | None]]
 
+# Receiver of a hello to a daemon whose member id is not known yet.
+ANY_MEMBER = ids.MemberId("*")
+
 _ONE_WAY = 0
 _CONNECT_TIMEOUT_MS = 500
 _RECONNECT_DELAY_MS = 200
 _MAX_BATCH_FRAMES = 256
 _MAX_QUEUED_FRAMES = 10_000
 _HELLO_AGE_LIMIT_MS = 60_000
+_SEED_PREFIX = "seed/"
 _MEMBER_FIELD = "x-mustardloom-member"
 _RECEIVER_FIELD = "x-mustardloom-receiver"
 _TIME_FIELD = "x-mustardloom-time"
 _CODE_FIELD = "x-mustardloom-code"
 
 
+def is_seed(member: ids.MemberId) -> bool:
+    """Tells whether `member` stands for the daemon at a seed address."""
+    return member.startswith(_SEED_PREFIX)
+
+
+def seed_address(member: ids.MemberId) -> tuple[str, int]:
+    """Returns the host and port of a `seed_member`."""
+    host, _, port = member.removeprefix(_SEED_PREFIX).rpartition(":")
+    return host, int(port)
+
+
+def seed_member(host: str, port: int) -> ids.MemberId:
+    """Returns an id for the daemon at an address, whatever its member id.
+
+    Example:
+      >>> seed_address(seed_member("127.0.0.1", 7000))
+      ('127.0.0.1', 7000)
+    """
+    return ids.MemberId(f"{_SEED_PREFIX}{host}:{port}")
+
+
 def _hello(sender: str, receiver: str, wall_ms: str) -> bytes:
     return "\0".join((sender, receiver, wall_ms)).encode()
 
@@ -187,13 +216,19 @@
             await self._owner.clock.sleep_ms(_RECONNECT_DELAY_MS)
 
     async def _exchange(self) -> None:
-        address = self._owner.lookup(self._member)
+        if is_seed(self._member):
+            address: tuple[str, int] | None = seed_address(self._member)
+        else:
+            address = self._owner.lookup(self._member)
         if address is None:
             raise PeerUnreachable(f"no address of {self._member}")
         channel = grpc_client.Channel(*address)
         try:
             stub = peer_grpc.PeerServiceStub(channel)
-            metadata = self._owner.hello(self._member)
+            receiver = self._member
+            if is_seed(receiver):
+                receiver = ANY_MEMBER
+            metadata = self._owner.hello(receiver)
             async with stub.Exchange.open(metadata=metadata) as stream:
                 connect = stream.send_request()
                 await asyncio.wait_for(connect, _CONNECT_TIMEOUT_MS / 1_000)
@@ -330,7 +365,10 @@
         text = _hello(sender, receiver, wall_ms)
         if not self.authenticator.is_valid(text, code_bytes):
             return None
-        if receiver != self.member or age_ms > _HELLO_AGE_LIMIT_MS:
+        if (
+            receiver not in (self.member, ANY_MEMBER)
+            or age_ms > _HELLO_AGE_LIMIT_MS
+        ):
             return None
         return ids.MemberId(sender)
 
@@ -369,7 +407,13 @@
             self._peers.metrics.increment("peer.strangers_refused")
             return
         session = _Session(self._peers, sender, stream)
-        await session.run()
+        try:
+            await session.run()
+        except asyncio.CancelledError:
+            # Without a reset the peer would learn of the end of this server
+            # only from the timeouts of its calls.
+            await stream.cancel()
+            raise
 
 
 class _Session:
--- a/mustardloom/relay/replica.py
+++ b/mustardloom/relay/replica.py
@@ -44,6 +44,7 @@
     def __init__(self) -> None:
         self._by_key: dict[str, objects.Event] = {}
         self._subscribers: list[tuple[str, Subscriber]] = []
+        self._newest = ids.NO_VERSION
         self.version = ids.NO_VERSION
 
     def get(self, key: str) -> objects.Event | None:
@@ -66,7 +67,7 @@
 
     def changes_after(self, version: ids.Version) -> tuple[objects.Event, ...]:
         """Returns all changes after `version`, oldest first."""
-        if version >= self._newest():
+        if version >= self._newest:
             return ()
         newer = (e for e in self._by_key.values() if e.version > version)
         return tuple(sorted(newer, key=lambda event: event.version))
@@ -122,13 +123,10 @@
         if event.version <= self.version_of(event.key):
             return False
         self._by_key[event.key] = event
+        self._newest = max(self._newest, event.version)
         return True
 
     def _publish(self, event: objects.Event) -> None:
         for prefix, subscriber in self._subscribers:
             if event.key.startswith(prefix):
                 subscriber(event)
-
-    def _newest(self) -> ids.Version:
-        versions = (event.version for event in self._by_key.values())
-        return max(versions, default=ids.NO_VERSION)
--- /dev/null
+++ b/mustardloom/relay/tests/test_dissemination.py
@@ -0,0 +1,257 @@
+"""Tests of the dissemination over a fake network on a fake clock."""
+
+import asyncio
+import random
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.relay import dissemination
+from mustardloom.relay import peers as peers_lib
+from mustardloom.relay import replica as replicas
+
+_ZONES = [ids.AvailabilityZoneId(f"zone-{n}") for n in range(4)]
+
+
+class _Store:
+    """Store with a list of changes and an outage switch."""
+
+    def __init__(self, clock):
+        self.events = []
+        self.is_down = False
+        self.watches = 0
+        self._clock = clock
+
+    def write(self, key, value):
+        version = ids.Version(len(self.events) + 1)
+        self.events.append(platform.Event(key, version, value))
+        return self.events[-1]
+
+    async def list_objects(self, prefix=""):
+        self._check()
+        objects = {
+            e.key: platform.Versioned(e.key, e.version, e.value)
+            for e in self.events
+            if e.key.startswith(prefix)
+        }
+        version = ids.Version(len(self.events))
+        return platform.Listing(tuple(objects.values()), version)
+
+    async def watch(self, after, wait_ms):
+        self.watches += 1
+        end_ms = self._clock.now_ms() + wait_ms
+        while self._clock.now_ms() < end_ms:
+            self._check()
+            if len(self.events) > after:
+                break
+            await self._clock.sleep_ms(10)
+        self._check()
+        found = tuple(self.events[after:])
+        return platform.WatchBatch(found, ids.Version(len(self.events)))
+
+    def _check(self):
+        if self.is_down:
+            raise platform.PlatformUnavailable
+
+
+class _Network:
+    """Delivers messages between fake daemons, losing a share of them."""
+
+    def __init__(self, loss=0.0):
+        self.by_member = {}
+        self.cut = set()
+        self._loss = loss
+        self._random = random.Random(7)
+        self._tasks = set()
+
+    def deliver(self, sender, receiver, push):
+        lost = self._random.random() < self._loss
+        if lost or self.cut & {sender, receiver}:
+            return
+        node = self.by_member[receiver]
+        task = asyncio.ensure_future(node.on_push(sender, push))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _Channel:
+    def __init__(self, member, network):
+        self.member = member
+        self._network = network
+
+    def notify(self, member, body):
+        self._network.deliver(self.member, member, body)
+
+    async def call(self, member, body, timeout_ms):
+        if self._network.cut & {self.member, member}:
+            raise peers_lib.PeerUnreachable
+        node = self._network.by_member[member]
+        return await node.on_summary(self.member, body)
+
+
+class _Topology:
+    def __init__(self, zone, infos):
+        self._zone = zone
+        self._infos = infos
+
+    def own_zone(self):
+        return self._zone
+
+    def peer_infos(self):
+        return self._infos
+
+
+class _Fleet:
+    """Daemons in four zones with one store."""
+
+    def __init__(self, size, loss=0.0):
+        self.clock = clocks.FakeClock()
+        self.store = _Store(self.clock)
+        self.network = _Network(loss)
+        self.replicas = {}
+        infos = [
+            dissemination.PeerInfo(
+                ids.MemberId(f"vm-{n}~0"), _ZONES[n % len(_ZONES)]
+            )
+            for n in range(size)
+        ]
+        self._tasks = []
+        for seed, info in enumerate(infos):
+            replica = replicas.Replica()
+            node = dissemination.Disseminator(
+                replica,
+                self.store,
+                _Channel(info.member, self.network),
+                _Topology(info.zone, infos),
+                self.clock,
+                metrics_lib.Metrics(),
+                seed,
+            )
+            self.replicas[info.member] = replica
+            self.network.by_member[info.member] = node
+
+    async def start(self):
+        for node in self.network.by_member.values():
+            self._tasks.append(asyncio.create_task(node.watch()))
+            self._tasks.append(asyncio.create_task(node.repair()))
+        await self.clock.advance(100)
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def lacking(self, key):
+        return [m for m, r in self.replicas.items() if r.get(key) is None]
+
+
+def _run(fleet, scenario):
+    async def main():
+        await fleet.start()
+        try:
+            await scenario()
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
+
+
+def test_only_two_daemons_of_a_zone_watch_the_store():
+    """Guards against a waiting call per daemon at the store."""
+    fleet = _Fleet(40)
+
+    async def scenario():
+        watchers = [
+            node
+            for node in fleet.network.by_member.values()
+            if node.is_watcher()
+        ]
+        assert len(watchers) == 2 * len(_ZONES)
+        assert fleet.store.watches == len(watchers)
+
+    _run(fleet, scenario)
+
+
+def test_change_reaches_every_daemon_through_the_tree():
+    """Guards against subtrees that get no push."""
+    fleet = _Fleet(60)
+
+    async def scenario():
+        fleet.store.write("config/a", b"1")
+        await fleet.clock.advance(50)
+        assert fleet.lacking("config/a") == []
+
+    _run(fleet, scenario)
+
+
+def test_lost_pushes_are_repaired_within_the_limit():
+    """Guards against a missed push that is never repaired (limit 4 s)."""
+    fleet = _Fleet(60, loss=0.5)
+
+    async def scenario():
+        for number in range(10):
+            fleet.store.write(f"config/{number}", b"1")
+            await fleet.clock.advance(100)
+        await fleet.clock.advance(4_000)
+        for number in range(10):
+            assert fleet.lacking(f"config/{number}") == []
+
+    _run(fleet, scenario)
+
+
+def test_cut_off_daemon_catches_up_from_a_peer_during_an_outage():
+    """Guards against repair that depends on the store."""
+    fleet = _Fleet(12)
+
+    async def scenario():
+        member = next(iter(fleet.replicas))
+        fleet.network.cut.add(member)
+        event = fleet.store.write("config/a", b"1")
+        await fleet.clock.advance(100)
+        fleet.store.is_down = True
+        fleet.network.cut.clear()
+        await fleet.clock.advance(3_000)
+        assert fleet.replicas[member].version_of("config/a") == event.version
+
+    _run(fleet, scenario)
+
+
+def test_own_write_is_pushed_without_waiting_for_the_store():
+    """Guards against a takeover that waits for a watch."""
+    fleet = _Fleet(30)
+
+    async def scenario():
+        event = fleet.store.write("slots/a/0", b"1")
+        fleet.store.is_down = True
+        writer = next(iter(fleet.network.by_member.values()))
+        writer.publish(event)
+        await fleet.clock.advance(1)
+        assert fleet.lacking("slots/a/0") == []
+
+    _run(fleet, scenario)
+
+
+def test_new_daemon_loads_from_a_seed_while_the_store_is_down():
+    """Guards against an ingress that cannot start during an outage."""
+    fleet = _Fleet(4)
+
+    async def scenario():
+        fleet.store.write("config/a", b"1")
+        await fleet.clock.advance(50)
+        fleet.store.is_down = True
+        members = list(fleet.replicas)
+        newcomer = replicas.Replica()
+        node = dissemination.Disseminator(
+            newcomer,
+            fleet.store,
+            _Channel(ids.MemberId("vm-9~0"), fleet.network),
+            _Topology(_ZONES[0], []),
+            fleet.clock,
+            metrics_lib.Metrics(),
+        )
+        assert await node.load(members[:1])
+        assert newcomer.get("config/a") is not None
+        assert not await node.load()
+
+    _run(fleet, scenario)
