--- a/mustardloom/platform/client.py
+++ b/mustardloom/platform/client.py
@@ -39,6 +39,16 @@
     ) -> objects.WriteResult:
         """Deletes the object if it still has version `expected`."""
 
+    async def resolve(
+        self, undecided: objects.Undecided
+    ) -> objects.WriteResult:
+        """Finds out whether an undecided write took effect.
+
+        The write is repeated under its old operation id while nothing else
+        has changed the object, so the answer becomes definite as soon as the
+        store answers.
+        """
+
     async def watch(
         self, after: ids.Version, wait_ms: int
     ) -> objects.WatchBatch:
--- /dev/null
+++ b/mustardloom/platform/memory.py
@@ -0,0 +1,199 @@
+"""In-process store with fault switches, for tests and the stand-in."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import dataclasses
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.platform import objects
+from mustardloom.platform import raw
+from mustardloom.platform import read_back
+
+__all__ = ["Faults", "MemoryPlatform", "MemoryStore"]
+
+_WriteAnswer = objects.Written | objects.Conflict
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults that a store shows until they are reset.
+
+    Attributes:
+      down: No call is answered, and none takes effect.
+      slow_ms: Time by which each call is delayed before it takes effect.
+      lose_answers: Number of writes from now on whose answers are lost after
+        they took effect.
+    """
+
+    down: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+
+
+class MemoryStore:
+    """A `RawStore` in memory.
+
+    Deleted objects leave a tombstone, which watches and repeated writes need.
+
+    Attributes:
+      faults: Faults to show; set them through `set_faults`.
+      calls: Number of calls by kind, including failed ones.
+      version: Version of the last change.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.version = ids.NO_VERSION
+        self._clock = clock
+        # In the order of the last changes, oldest first.
+        self._by_key: dict[str, objects.Snapshot] = {}
+        self._changed = asyncio.Event()
+        self._late_writes: set[asyncio.Task[_WriteAnswer]] = set()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replaces the faults and wakes waiting watches."""
+        self.faults = faults
+        self._wake()
+
+    async def read(self, key: str) -> objects.Snapshot:
+        """See `RawStore`."""
+        await self._arrive("get")
+        return self._by_key.get(key, objects.Snapshot(key))
+
+    async def list_objects(self, prefix: str) -> objects.Listing:
+        """See `RawStore`."""
+        await self._arrive("list")
+        found = (
+            live
+            for item in self._by_key.values()
+            if item.key.startswith(prefix) and (live := item.live())
+        )
+        return objects.Listing(tuple(found), self.version)
+
+    async def write(
+        self, write: objects.Write
+    ) -> objects.Written | objects.Conflict:
+        """See `RawStore`.
+
+        A caller that gives up does not stop its write, which takes effect
+        late instead.
+        """
+        task = asyncio.create_task(self._write(write))
+        self._late_writes.add(task)
+        task.add_done_callback(self._late_writes.discard)
+        return await asyncio.shield(task)
+
+    async def watch(
+        self, after: ids.Version, wait_ms: int
+    ) -> objects.WatchBatch:
+        """See `RawStore`."""
+        await self._arrive("watch")
+        timer = asyncio.create_task(self._clock.sleep_ms(wait_ms))
+        try:
+            while self.version <= after and not timer.done():
+                await self._wait_for_change(timer)
+        finally:
+            timer.cancel()
+        events = tuple(reversed(tuple(self._newest_first(after))))
+        return objects.WatchBatch(events, max(self.version, after))
+
+    async def _write(self, write: objects.Write) -> _WriteAnswer:
+        await self._arrive("update" if write.value is not None else "delete")
+        if write.value and len(write.value) > raw.MAX_VALUE_BYTES:
+            raise raw.ValueTooLarge(f"{write.key}: {len(write.value)} bytes")
+        found = self._by_key.get(write.key, objects.Snapshot(write.key))
+        made = found.version_made_by(write.operation)
+        if made is not None:
+            return self._answer(objects.Written(made))
+        current = found.version if found.value is not None else ids.NO_VERSION
+        if current != write.expected or _deletes_nothing(write):
+            return self._answer(objects.Conflict(found.live()))
+        return self._answer(self._store(found, write))
+
+    def _store(
+        self, found: objects.Snapshot, write: objects.Write
+    ) -> objects.Written:
+        self.version = ids.Version(self.version + 1)
+        record = objects.RecordedWrite(write.operation, self.version)
+        operations = (*found.operations, record)[-raw.MAX_RECORDED_WRITES :]
+        self._by_key.pop(write.key, None)
+        self._by_key[write.key] = objects.Snapshot(
+            write.key, self.version, write.value, operations
+        )
+        self._wake()
+        return objects.Written(self.version)
+
+    def _answer(self, answer: _WriteAnswer) -> _WriteAnswer:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise objects.PlatformUnavailable("answer lost")
+        return answer
+
+    async def _arrive(self, kind: str) -> None:
+        self.calls[kind] += 1
+        if self.faults.slow_ms:
+            await self._clock.sleep_ms(self.faults.slow_ms)
+        self._check_up()
+
+    def _check_up(self) -> None:
+        if self.faults.down:
+            raise objects.PlatformUnavailable("store is down")
+
+    async def _wait_for_change(self, timer: "asyncio.Task[None]") -> None:
+        changed = asyncio.create_task(self._changed.wait())
+        try:
+            await asyncio.wait(
+                (changed, timer), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            changed.cancel()
+        self._check_up()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _newest_first(self, after: ids.Version) -> Iterator[objects.Event]:
+        for item in reversed(self._by_key.values()):
+            if item.version <= after:
+                return
+            yield objects.Event(item.key, item.version, item.value)
+
+
+def _deletes_nothing(write: objects.Write) -> bool:
+    return write.value is None and write.expected == ids.NO_VERSION
+
+
+class MemoryPlatform(read_back.ReadBackClient):
+    """A `PlatformClient` over a `MemoryStore`.
+
+    Several platforms over the same store act as competing writers.
+
+    Example:
+      >>> platform = MemoryPlatform(clocks.FakeClock())
+      >>> asyncio.run(platform.update("a", b"{}", ids.NO_VERSION))
+      Written(version=1)
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        store: MemoryStore | None = None,
+        metrics: metrics_lib.Metrics | None = None,
+    ):
+        self.store = store or MemoryStore(clock)
+        super().__init__(self.store, clock, metrics or metrics_lib.Metrics())
+
+    @property
+    def faults(self) -> Faults:
+        """The faults that the store shows."""
+        return self.store.faults
+
+    @property
+    def calls(self) -> collections.Counter[str]:
+        """The number of calls to the store by kind."""
+        return self.store.calls
--- a/mustardloom/platform/objects.py
+++ b/mustardloom/platform/objects.py
@@ -9,9 +9,12 @@
     "Event",
     "Listing",
     "PlatformUnavailable",
+    "RecordedWrite",
+    "Snapshot",
     "Undecided",
     "Versioned",
     "WatchBatch",
+    "Write",
     "WriteResult",
     "Written",
 ]
@@ -21,6 +24,14 @@
     """The store did not answer; for a read, nothing is known."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedWrite:
+    """A write that took effect, and the version that it made."""
+
+    operation: ids.OperationId
+    version: ids.Version
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Versioned:
     """An object of the store.
@@ -29,13 +40,60 @@
       key: Name of the object.
       version: Store-wide version of its last change.
       value: JSON.
-      operations: Operation ids of its last writes, oldest first.
+      operations: Its last writes, oldest first.
     """
 
     key: str
     version: ids.Version
     value: bytes
-    operations: tuple[ids.OperationId, ...] = ()
+    operations: tuple[RecordedWrite, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What the store knows of a key, also of one that was deleted.
+
+    Attributes:
+      key: Name of the object.
+      version: Version of the last change; `ids.NO_VERSION` if there was none.
+      value: JSON, or None if there is no such object now.
+      operations: The last writes, oldest first, including deletions.
+    """
+
+    key: str
+    version: ids.Version = ids.NO_VERSION
+    value: bytes | None = None
+    operations: tuple[RecordedWrite, ...] = ()
+
+    def live(self) -> Versioned | None:
+        """Returns the object, or None if there is none now."""
+        if self.value is None:
+            return None
+        return Versioned(self.key, self.version, self.value, self.operations)
+
+    def version_made_by(self, operation: ids.OperationId) -> ids.Version | None:
+        """Returns the version that `operation` made, if it is recorded."""
+        for write in self.operations:
+            if write.operation == operation:
+                return write.version
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """A conditional write; every attempt carries the same operation id.
+
+    Attributes:
+      key: Name of the object.
+      value: JSON, or None to delete the object.
+      expected: Version that the object must have; `ids.NO_VERSION` creates.
+      operation: Unique id by which the store recognises repetitions.
+    """
+
+    key: str
+    value: bytes | None
+    expected: ids.Version
+    operation: ids.OperationId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,9 +137,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecided:
-    """The write may or may not take effect; resolve it by read-back."""
+    """The write may or may not take effect, now or later.
+
+    Attributes:
+      operation: Id of the write.
+      write: The write itself, which `PlatformClient.resolve` needs.
+    """
 
     operation: ids.OperationId
+    write: Write | None = None
 
 
 WriteResult = Written | Conflict | Undecided
--- /dev/null
+++ b/mustardloom/platform/read_back.py
@@ -0,0 +1,178 @@
+"""Writes whose lost answers are recovered by reading the object back."""
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.platform import objects
+from mustardloom.platform import raw
+from mustardloom.platform import timeouts
+
+__all__ = ["ReadBackClient", "judge"]
+
+READ_TIMEOUT_MS = 2_000
+WRITE_ATTEMPT_TIMEOUT_MS = 1_000
+WRITE_DEADLINE_MS = 3_000
+# Time beyond the requested wait until a watch counts as unanswered.
+WATCH_GRACE_MS = 2_000
+_FIRST_PAUSE_MS = 25
+_LONGEST_PAUSE_MS = 400
+
+
+def judge(write: objects.Write, found: objects.Snapshot) -> objects.WriteResult:
+    """Returns what a read-back tells about a write without an answer.
+
+    While the object is unchanged the write may still be under way, so it is
+    `Undecided`. So it is if the record of the write may have been dropped,
+    that is, if all recorded writes are newer than the expected version.
+
+    Example:
+      >>> write = objects.Write("a", b"", ids.Version(3), ids.OperationId("x"))
+      >>> judge(write, objects.Snapshot("a", ids.Version(4), b""))
+      Conflict(current=Versioned(key='a', version=4, value=b'', operations=()))
+    """
+    made = found.version_made_by(write.operation)
+    if made is not None:
+        return objects.Written(made)
+    if not _changed(write, found) or _may_be_dropped(write, found):
+        return objects.Undecided(write.operation, write)
+    return objects.Conflict(found.live())
+
+
+def _changed(write: objects.Write, found: objects.Snapshot) -> bool:
+    if write.expected == ids.NO_VERSION:
+        return found.value is not None
+    return found.version != write.expected
+
+
+def _may_be_dropped(write: objects.Write, found: objects.Snapshot) -> bool:
+    if len(found.operations) < raw.MAX_RECORDED_WRITES:
+        return False
+    return found.operations[0].version > write.expected
+
+
+class ReadBackClient:
+    """A `PlatformClient` over a raw store.
+
+    A write without an answer is read back. Its own operation id means
+    `Written`; another change means `Conflict`; an unchanged object means that
+    the write is repeated under the same operation id. `Undecided` is returned
+    if the deadline passes first.
+    """
+
+    def __init__(
+        self,
+        store: raw.RawStore,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+
+    async def get(self, key: str) -> objects.Versioned | None:
+        """See `PlatformClient`."""
+        return (await self._read(key, READ_TIMEOUT_MS)).live()
+
+    async def list_objects(self, prefix: str = "") -> objects.Listing:
+        """See `PlatformClient`."""
+        self._count("list")
+        call = self._store.list_objects(prefix)
+        try:
+            return await timeouts.within(self._clock, call, READ_TIMEOUT_MS)
+        except TimeoutError as error:
+            raise _timed_out("list", prefix) from error
+
+    async def update(
+        self, key: str, value: bytes, expected: ids.Version
+    ) -> objects.WriteResult:
+        """See `PlatformClient`.
+
+        Raises:
+          raw.ValueTooLarge: The value exceeds MAX_VALUE_BYTES.
+        """
+        if len(value) > raw.MAX_VALUE_BYTES:
+            raise raw.ValueTooLarge(f"{key}: {len(value)} bytes")
+        operation = ids.new_operation_id()
+        return await self._decide(
+            objects.Write(key, value, expected, operation)
+        )
+
+    async def delete(
+        self, key: str, expected: ids.Version
+    ) -> objects.WriteResult:
+        """See `PlatformClient`."""
+        operation = ids.new_operation_id()
+        return await self._decide(objects.Write(key, None, expected, operation))
+
+    async def resolve(
+        self, undecided: objects.Undecided
+    ) -> objects.WriteResult:
+        """See `PlatformClient`."""
+        if undecided.write is None:
+            return undecided
+        return await self._decide(undecided.write, read_first=True)
+
+    async def watch(
+        self, after: ids.Version, wait_ms: int
+    ) -> objects.WatchBatch:
+        """See `PlatformClient`."""
+        self._count("watch")
+        call = self._store.watch(after, wait_ms)
+        limit_ms = wait_ms + WATCH_GRACE_MS
+        try:
+            return await timeouts.within(self._clock, call, limit_ms)
+        except TimeoutError as error:
+            raise _timed_out("watch", str(after)) from error
+
+    async def _decide(
+        self, write: objects.Write, read_first: bool = False
+    ) -> objects.WriteResult:
+        deadline_ms = self._clock.now_ms() + WRITE_DEADLINE_MS
+        pause_ms = _FIRST_PAUSE_MS
+        must_read = read_first
+        while (left_ms := deadline_ms - self._clock.now_ms()) > 0:
+            try:
+                if must_read:
+                    found = await self._read(write.key, left_ms)
+                    result = judge(write, found)
+                    if not isinstance(result, objects.Undecided):
+                        return result
+                    if _changed(write, found):
+                        # The record of the write may have been dropped, and
+                        # no later read can tell.
+                        return result
+                    must_read = False
+                    continue
+                limit_ms = min(left_ms, WRITE_ATTEMPT_TIMEOUT_MS)
+                return await self._attempt(write, limit_ms)
+            except objects.PlatformUnavailable:
+                must_read = True
+            await self._clock.sleep_ms(pause_ms)
+            pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+        self._count("undecided")
+        return objects.Undecided(write.operation, write)
+
+    async def _attempt(
+        self, write: objects.Write, limit_ms: int
+    ) -> objects.WriteResult:
+        self._count("delete" if write.value is None else "update")
+        call = self._store.write(write)
+        try:
+            return await timeouts.within(self._clock, call, limit_ms)
+        except TimeoutError as error:
+            raise _timed_out("write", write.key) from error
+
+    async def _read(self, key: str, limit_ms: int) -> objects.Snapshot:
+        self._count("get")
+        call = self._store.read(key)
+        try:
+            return await timeouts.within(self._clock, call, limit_ms)
+        except TimeoutError as error:
+            raise _timed_out("get", key) from error
+
+    def _count(self, kind: str) -> None:
+        self._metrics.increment(f"platform.{kind}")
+
+
+def _timed_out(kind: str, name: str) -> objects.PlatformUnavailable:
+    return objects.PlatformUnavailable(f"{kind} {name}: timed out")
--- /dev/null
+++ b/mustardloom/platform/timeouts.py
@@ -0,0 +1,37 @@
+"""Time limits on the project's own clock, so that tests can fake them."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+
+from mustardloom import clock as clocks
+
+__all__ = ["within"]
+
+_T = TypeVar("_T")
+
+
+async def within(
+    clock: clocks.Clock, call: Coroutine[Any, Any, _T], limit_ms: int
+) -> _T:
+    """Returns the result of `call`, which is cancelled at the limit.
+
+    Args:
+      clock: Clock that measures the limit.
+      call: What to wait for.
+      limit_ms: Longest time to wait.
+
+    Raises:
+      TimeoutError: The limit passed first.
+    """
+    task = asyncio.ensure_future(call)
+    timer = asyncio.ensure_future(clock.sleep_ms(limit_ms))
+    try:
+        await asyncio.wait((task, timer), return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
+        task.cancel()
+        timer.cancel()
