--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,82 @@
+"""Deployments of the examples: availability zones, targets, load."""
+
+import dataclasses
+import pathlib
+
+__all__ = ["BY_NAME", "Deployment", "Placement", "placements"]
+
+_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+def placements(deployment: "Deployment") -> list["Placement"]:
+    """Returns one placement per target, spread over all zones."""
+    zones = [
+        (region, f"{region}-{number}")
+        for region in deployment.regions
+        for number in (1, 2)
+    ]
+    return [
+        Placement(region, zone, service)
+        for service in deployment.services
+        for region, zone in zones
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """An example deployment.
+
+    Attributes:
+      name: Name of the example and of its declaration set.
+      regions: Regions, each with two availability zones.
+      services: Services with one target per zone.
+      capacity: Concurrent requests that a target bears.
+      service_ms: Mean service time of a target.
+      caller_mix: Arguments of the caller's request mix, one per service.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    services: tuple[str, ...]
+    capacity: int
+    service_ms: int
+    caller_mix: tuple[str, ...]
+
+    @property
+    def declarations(self) -> pathlib.Path:
+        """File of the example's declarations."""
+        return _EXAMPLES / f"{self.name}.yaml"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a target runs and what it serves."""
+
+    region: str
+    zone: str
+    service: str
+
+    @property
+    def vm(self) -> str:
+        """Name of its VM."""
+        return f"{self.service}-{self.zone}"
+
+
+BY_NAME = {
+    "kibanda": Deployment(
+        name="kibanda",
+        regions=("pwani", "kaskazini", "ziwa"),
+        services=("salio", "malipo", "bidhaa"),
+        capacity=6,
+        service_ms=20,
+        caller_mix=("salio", "malipo", "bidhaa"),
+    ),
+    "sagarmatha": Deployment(
+        name="sagarmatha",
+        regions=("bagmati", "gandaki", "koshi"),
+        services=("catalogue", "orders", "fittings"),
+        capacity=12,
+        service_ms=20,
+        caller_mix=("catalogue", "orders", "fittings"),
+    ),
+}
--- a/mustardloom/relay/tests/test_dissemination.py
+++ b/mustardloom/relay/tests/test_dissemination.py
@@ -7,6 +7,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import platform
+from mustardloom.platform import memory
 from mustardloom.relay import dissemination
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay import replica as replicas
@@ -14,47 +15,6 @@
 _ZONES = [ids.AvailabilityZoneId(f"zone-{n}") for n in range(4)]
 
 
-class _Store:
-    """Store with a list of changes and an outage switch."""
-
-    def __init__(self, clock):
-        self.events = []
-        self.is_down = False
-        self.watches = 0
-        self._clock = clock
-
-    def write(self, key, value):
-        version = ids.Version(len(self.events) + 1)
-        self.events.append(platform.Event(key, version, value))
-        return self.events[-1]
-
-    async def list_objects(self, prefix=""):
-        self._check()
-        objects = {
-            e.key: platform.Versioned(e.key, e.version, e.value)
-            for e in self.events
-            if e.key.startswith(prefix)
-        }
-        version = ids.Version(len(self.events))
-        return platform.Listing(tuple(objects.values()), version)
-
-    async def watch(self, after, wait_ms):
-        self.watches += 1
-        end_ms = self._clock.now_ms() + wait_ms
-        while self._clock.now_ms() < end_ms:
-            self._check()
-            if len(self.events) > after:
-                break
-            await self._clock.sleep_ms(10)
-        self._check()
-        found = tuple(self.events[after:])
-        return platform.WatchBatch(found, ids.Version(len(self.events)))
-
-    def _check(self):
-        if self.is_down:
-            raise platform.PlatformUnavailable
-
-
 class _Network:
     """Delivers messages between fake daemons, losing a share of them."""
 
@@ -107,7 +67,7 @@
 
     def __init__(self, size, loss=0.0):
         self.clock = clocks.FakeClock()
-        self.store = _Store(self.clock)
+        self.store = memory.MemoryPlatform(self.clock)
         self.network = _Network(loss)
         self.replicas = {}
         infos = [
@@ -137,6 +97,14 @@
             self._tasks.append(asyncio.create_task(node.repair()))
         await self.clock.advance(100)
 
+    async def write(self, key):
+        result = await self.store.update(key, b"1", ids.NO_VERSION)
+        assert isinstance(result, platform.Written)
+        return platform.Event(key, result.version, b"1")
+
+    def set_store_down(self):
+        self.store.store.set_faults(memory.Faults(down=True))
+
     async def stop(self):
         for task in self._tasks:
             task.cancel()
@@ -168,7 +136,7 @@
             if node.is_watcher()
         ]
         assert len(watchers) == 2 * len(_ZONES)
-        assert fleet.store.watches == len(watchers)
+        assert fleet.store.calls["watch"] == len(watchers)
 
     _run(fleet, scenario)
 
@@ -178,7 +146,7 @@
     fleet = _Fleet(60)
 
     async def scenario():
-        fleet.store.write("config/a", b"1")
+        await fleet.write("config/a")
         await fleet.clock.advance(50)
         assert fleet.lacking("config/a") == []
 
@@ -191,7 +159,7 @@
 
     async def scenario():
         for number in range(10):
-            fleet.store.write(f"config/{number}", b"1")
+            await fleet.write(f"config/{number}")
             await fleet.clock.advance(100)
         await fleet.clock.advance(4_000)
         for number in range(10):
@@ -207,9 +175,9 @@
     async def scenario():
         member = next(iter(fleet.replicas))
         fleet.network.cut.add(member)
-        event = fleet.store.write("config/a", b"1")
+        event = await fleet.write("config/a")
         await fleet.clock.advance(100)
-        fleet.store.is_down = True
+        fleet.set_store_down()
         fleet.network.cut.clear()
         await fleet.clock.advance(3_000)
         assert fleet.replicas[member].version_of("config/a") == event.version
@@ -222,8 +190,8 @@
     fleet = _Fleet(30)
 
     async def scenario():
-        event = fleet.store.write("slots/a/0", b"1")
-        fleet.store.is_down = True
+        event = await fleet.write("slots/a/0")
+        fleet.set_store_down()
         writer = next(iter(fleet.network.by_member.values()))
         writer.publish(event)
         await fleet.clock.advance(1)
@@ -237,9 +205,9 @@
     fleet = _Fleet(4)
 
     async def scenario():
-        fleet.store.write("config/a", b"1")
+        await fleet.write("config/a")
         await fleet.clock.advance(50)
-        fleet.store.is_down = True
+        fleet.set_store_down()
         members = list(fleet.replicas)
         newcomer = replicas.Replica()
         node = dissemination.Disseminator(
