Pass known pushes on in the dissemination tree

Cause: test_change_reaches_every_daemon_through_the_tree found one of 60 daemons without a push. A member that got the event first as a leaf of one watcher's tree did not pass it on as an inner node of the other's. Change: a push is always passed on to its list of members.

--- a/mustardloom/relay/dissemination.py
+++ b/mustardloom/relay/dissemination.py
@@ -184,10 +184,15 @@
         return self._peers.member in ranked[:WATCHERS_PER_ZONE]
 
     async def on_push(self, sender: ids.MemberId, push: peer_pb2.Push) -> None:
-        """Handles a push: adopts it and passes it on if it was new."""
+        """Handles a push: adopts it and passes it on.
+
+        It is passed on even if it was known: the two watchers of a zone build
+        different trees, and a member may be a leaf of the first and an inner
+        node of the second.
+        """
         result = self._adopt(push.events, push.since, push.up_to)
         self._metrics.increment("relay.pushes_received")
-        if result.changed and push.members:
+        if push.members:
             members = [ids.MemberId(member) for member in push.members]
             self._send_down(push, members)
         if result.gap:
