--- /dev/null
+++ b/mustardloom/declarations/diff.py
@@ -0,0 +1,134 @@
+"""Typed changes between two versions of a declaration set."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import enum
+from typing import Any
+
+import msgspec
+
+from mustardloom.declarations import model
+
+__all__ = ["Added", "Change", "Changed", "Kind", "Removed", "describe", "diff"]
+
+
+class Kind(enum.Enum):
+    """What a change concerns."""
+
+    REGION = "region"
+    AVAILABILITY_ZONE = "availability zone"
+    SERVICE = "service"
+    ROUTE = "route"
+    ORGANISATION = "organisation"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Added:
+    """A declaration that was not there before."""
+
+    kind: Kind
+    name: str
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """A declaration that is no longer there."""
+
+    kind: Kind
+    name: str
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """A field of a declaration with another value than before."""
+
+    kind: Kind
+    name: str
+    field: str
+    before: Any
+    after: Any
+
+
+Change = Added | Removed | Changed
+
+
+def diff(
+    before: model.DeclarationSet | None, after: model.DeclarationSet
+) -> Iterator[Change]:
+    """Yields what must change to get from `before` to `after`.
+
+    The order of declarations does not matter.
+
+    Example:
+      >>> service = model.Service(id="salio", capacity=6)
+      >>> after = model.DeclarationSet(id="kibanda", services=(service,))
+      >>> [describe(change) for change in diff(None, after)]
+      ['+ service salio']
+    """
+    old = before or model.DeclarationSet(id=after.id)
+    yield from _diff_regions(old.regions, after.regions)
+    sections: tuple[tuple[Kind, Iterable[Any], Iterable[Any]], ...] = (
+        (
+            Kind.AVAILABILITY_ZONE,
+            old.availability_zones,
+            after.availability_zones,
+        ),
+        (Kind.SERVICE, old.services, after.services),
+        (Kind.ROUTE, old.routes, after.routes),
+        (Kind.ORGANISATION, old.organisations, after.organisations),
+    )
+    for kind, old_items, new_items in sections:
+        yield from _diff_section(kind, old_items, new_items)
+
+
+def describe(change: Change) -> str:
+    """Returns one line for operators."""
+    match change:
+        case Added(kind, name):
+            return f"+ {kind.value} {name}"
+        case Removed(kind, name):
+            return f"- {kind.value} {name}"
+        case Changed(kind, name, field, before, after):
+            values = f"{_text(before)} -> {_text(after)}"
+            return f"~ {kind.value} {name}: {field} {values}"
+
+
+def _diff_regions(
+    before: Iterable[str], after: Iterable[str]
+) -> Iterator[Change]:
+    old = set(before)
+    new = set(after)
+    for name in sorted(new - old):
+        yield Added(Kind.REGION, name, name)
+    for name in sorted(old - new):
+        yield Removed(Kind.REGION, name, name)
+
+
+def _diff_section(
+    kind: Kind, before: Iterable[Any], after: Iterable[Any]
+) -> Iterator[Change]:
+    old_by_id = {item.id: item for item in before}
+    new_by_id = {item.id: item for item in after}
+    for name in sorted(new_by_id.keys() - old_by_id.keys()):
+        yield Added(kind, name, new_by_id[name])
+    for name in sorted(old_by_id.keys() - new_by_id.keys()):
+        yield Removed(kind, name, old_by_id[name])
+    for name in sorted(old_by_id.keys() & new_by_id.keys()):
+        yield from _diff_fields(kind, name, old_by_id[name], new_by_id[name])
+
+
+def _diff_fields(
+    kind: Kind, name: str, before: Any, after: Any
+) -> Iterator[Change]:
+    for info in msgspec.structs.fields(before):
+        old = getattr(before, info.name)
+        new = getattr(after, info.name)
+        if old != new:
+            yield Changed(kind, name, info.name, old, new)
+
+
+def _text(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
--- a/mustardloom/declarations/model.py
+++ b/mustardloom/declarations/model.py
@@ -138,9 +138,19 @@
 
 
 class DeclarationSet(msgspec.Struct, frozen=True, kw_only=True):
-    """Everything that one set of files declares; changed as a whole."""
+    """Everything that one set of files declares; changed as a whole.
+
+    Attributes:
+      id: Name of the set.
+      regions: All regions; zones, routes and organisations refer to them.
+      availability_zones: All availability zones with their regions.
+      services: Services that targets may announce.
+      routes: Path prefixes that lead to services.
+      organisations: Customers and their home regions.
+    """
 
     id: ids.SetId
+    regions: tuple[ids.RegionId, ...] = ()
     availability_zones: tuple[AvailabilityZone, ...] = ()
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
