--- /dev/null
+++ b/mustardloom/ownership/holdings.py
@@ -0,0 +1,636 @@
+"""Which slots this daemon may serve now."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import enum
+from typing import Protocol
+
+from loguru import logger
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.ownership import slot_map
+
+__all__ = [
+    "EnterResult",
+    "Entered",
+    "Grants",
+    "Holdings",
+    "Incoming",
+    "Interval",
+    "LeaseLapsed",
+    "LeaseView",
+    "NotOwner",
+    "PlannedMove",
+]
+
+_GRANT_INTERVAL_MS = 500
+_GRANT_RETRY_MS = 50
+_ANNOUNCEMENT_MS = 5_000
+_MAX_INTERVALS = 100_000
+
+_SlotKey = tuple[ids.GroupId, ids.SlotIndex]
+
+
+class LeaseView(Protocol):
+    """What is known of this member's own lease."""
+
+    def is_held(self) -> bool:
+        """Returns whether the lease is held now."""
+
+    def expires_ms(self) -> int:
+        """Returns its expiry on the own clock."""
+
+
+class Grants(Protocol):
+    """Grants of slots to the target.
+
+    Both methods may raise any error of the transport; the call is repeated.
+    """
+
+    async def grant(
+        self,
+        group: ids.GroupId,
+        slots_with_epochs: Mapping[ids.SlotIndex, ids.Epoch],
+        expires_ms: int,
+    ) -> None:
+        """Permits the target to serve the slots until `expires_ms`."""
+
+    async def release(
+        self, group: ids.GroupId, slots: Iterable[ids.SlotIndex]
+    ) -> None:
+        """Withdraws the permission before it expires."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entered:
+    """The request may run; `Holdings.leave` must follow its end."""
+
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotOwner:
+    """Not served here; `hint` is the likely owner, None if unknown."""
+
+    hint: ids.MemberId | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseLapsed:
+    """Nothing is served here until the lease is held."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """The slot will be served here soon.
+
+    Attributes:
+      wait: Waits until `deadline_ms` at most and enters again. The result is
+        `Incoming` only if the deadline passed.
+    """
+
+    wait: Callable[[int], "asyncio.Future[EnterResult]"]
+
+
+EnterResult = Entered | NotOwner | Incoming | LeaseLapsed
+
+
+@dataclasses.dataclass(slots=True)
+class Interval:
+    """A time during which this member served a slot.
+
+    Attributes:
+      group: Placement group.
+      slot: Slot of the group.
+      epoch: Epoch at which it was served.
+      from_wall_ms: Start.
+      to_wall_ms: End, None while it lasts. It is never after the expiry of the
+        lease, which a paused process notices late.
+    """
+
+    group: ids.GroupId
+    slot: ids.SlotIndex
+    epoch: ids.Epoch
+    from_wall_ms: int
+    to_wall_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedMove:
+    """A planned move of an own slot that has not been sent.
+
+    Attributes:
+      group: Placement group.
+      slot: Slot of the group.
+      receiver: Member that shall have it.
+    """
+
+    group: ids.GroupId
+    slot: ids.SlotIndex
+    receiver: ids.MemberId
+
+
+class _State(enum.Enum):
+    """State of a slot at this member.
+
+    GRANTING slots wait for the first grant of the target. STOPPING slots admit
+    nothing because of a planned move. SENT slots may be active at the receiver.
+    GONE slots belong to another member; their epoch is kept, so that an old
+    transfer is recognised.
+    """
+
+    GRANTING = enum.auto()
+    SERVING = enum.auto()
+    STOPPING = enum.auto()
+    SENT = enum.auto()
+    GONE = enum.auto()
+
+
+_OWNED = frozenset({_State.GRANTING, _State.SERVING, _State.STOPPING})
+
+
+@dataclasses.dataclass(slots=True)
+class _Holding:
+    """State of one slot.
+
+    Attributes:
+      epoch: Highest epoch of the slot that this member held or saw.
+      served_epoch: Epoch that the target granted last.
+      unknown_before_wall_ms: Cut-off of request ids that applies here.
+      receiver: Receiver of the move, while STOPPING or SENT.
+      running: Requests that run in the slot.
+      interval: Open entry of the log.
+    """
+
+    state: _State
+    epoch: ids.Epoch
+    served_epoch: ids.Epoch = ids.Epoch(0)  # noqa: RUF009
+    unknown_before_wall_ms: int = 0
+    receiver: ids.MemberId | None = None
+    running: int = 0
+    interval: Interval | None = None
+
+
+class Holdings:
+    """Follows the slot map and transfers; admits requests to owned slots.
+
+    Attributes:
+      member: Own member id.
+      intervals: Log of what was served when, empty if it is off; the oldest
+        entries are dropped first.
+    """
+
+    def __init__(
+        self,
+        member: ids.MemberId,
+        slots: slot_map.SlotMap,
+        lease: LeaseView,
+        grants: Grants,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        log_intervals: bool = False,
+    ):
+        self.member = member
+        self.intervals: collections.deque[Interval] = collections.deque(
+            maxlen=_MAX_INTERVALS
+        )
+        self._map = slots
+        self._lease = lease
+        self._grants = grants
+        self._clock = clock
+        self._metrics = metrics
+        self._logs_intervals = log_intervals
+        self._has_ended = False
+        self._by_slot: dict[_SlotKey, _Holding] = {}
+        self._announced_until_ms: dict[_SlotKey, int] = {}
+        self._waiters: dict[_SlotKey, list[asyncio.Future[None]]] = {}
+        self._grant_wanted = asyncio.Event()
+        self._changed: list[Callable[[], None]] = []
+        slots.subscribe(self._on_chunk)
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Calls `callback` when planned moves may have appeared or ended.
+
+        Returns:
+          A function that ends the subscription.
+        """
+        self._changed.append(callback)
+        return lambda: self._changed.remove(callback)
+
+    def enter(self, group: ids.GroupId, slot: ids.SlotIndex) -> EnterResult:
+        """Admits a request to a slot, or says why not."""
+        if self._has_ended or not self._lease.is_held():
+            return LeaseLapsed()
+        key = (group, slot)
+        holding = self._by_slot.get(key)
+        if holding is not None:
+            match holding.state:
+                case _State.SERVING:
+                    holding.running += 1
+                    return Entered(holding.served_epoch)
+                case _State.GRANTING:
+                    return self._incoming(key)
+                case _State.STOPPING | _State.SENT:
+                    return NotOwner(holding.receiver)
+                case _State.GONE:
+                    pass
+        return self._enter_unheld(key)
+
+    def leave(self, group: ids.GroupId, slot: ids.SlotIndex) -> None:
+        """Counts the end of a request that had entered."""
+        holding = self._by_slot.get((group, slot))
+        if holding is None or not holding.running:
+            return
+        holding.running -= 1
+        if not holding.running and holding.state is _State.STOPPING:
+            self._notify()
+
+    def running(self, group: ids.GroupId, slot: ids.SlotIndex) -> int:
+        """Returns the number of requests that run in a slot."""
+        holding = self._by_slot.get((group, slot))
+        return holding.running if holding else 0
+
+    def unknown_before_wall_ms(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> int:
+        """Returns the stamp below which a request id may have run elsewhere.
+
+        It can be lower than that of the slot map: a member that has all ids of
+        the slot needs no cut-off, whatever happened to another member.
+        """
+        holding = self._by_slot.get((group, slot))
+        return holding.unknown_before_wall_ms if holding else 0
+
+    def owned(self) -> Iterator[tuple[ids.GroupId, ids.SlotIndex, ids.Epoch]]:
+        """Yields the slots that this member serves, will serve or stops."""
+        for (group, slot), holding in self._by_slot.items():
+            if holding.state in _OWNED:
+                yield group, slot, holding.epoch
+
+    def unsettled_count(self) -> int:
+        """Returns how many slots are owned here or sent without an end.
+
+        A member that leaves has to wait until it is 0.
+        """
+        return sum(
+            holding.state is not _State.GONE
+            for holding in self._by_slot.values()
+        )
+
+    def end_life(self) -> None:
+        """Drops all slots at once; this object serves nothing afterwards."""
+        self._has_ended = True
+        for key, holding in self._by_slot.items():
+            self._close_interval(holding)
+            holding.state = _State.GONE
+            self._wake(key)
+        self._notify()
+
+    async def run(self) -> None:
+        """Keeps the grants of the target fresh until cancelled."""
+        while True:
+            delay_ms = _GRANT_INTERVAL_MS
+            self._grant_wanted.clear()
+            if not await self.refresh_grants():
+                delay_ms = _GRANT_RETRY_MS
+            await self._sleep_until_wanted(delay_ms)
+
+    async def refresh_grants(self) -> bool:
+        """Grants all owned slots to the target once.
+
+        Returns:
+          Whether the target acknowledged all of them.
+        """
+        if self._has_ended or not self._lease.is_held():
+            return True
+        by_group: dict[ids.GroupId, dict[ids.SlotIndex, ids.Epoch]] = {}
+        for group, slot, epoch in self.owned():
+            by_group.setdefault(group, {})[slot] = epoch
+        is_complete = True
+        for group, epoch_by_slot in by_group.items():
+            if not await self._grant(group, epoch_by_slot):
+                is_complete = False
+        return is_complete
+
+    def planned(self) -> Iterator[PlannedMove]:
+        """Yields the planned moves of own slots that were not sent yet."""
+        for (group, slot), holding in self._by_slot.items():
+            if holding.state not in _OWNED:
+                continue
+            entry = self._map.entry(group, slot)
+            if entry is None or entry.owner != self.member:
+                continue
+            if entry.epoch != holding.epoch or entry.moving_to is None:
+                continue
+            yield PlannedMove(group, slot, entry.moving_to)
+
+    def stop(self, move: PlannedMove) -> None:
+        """Stops admitting requests to a slot that is about to move."""
+        holding = self._by_slot[move.group, move.slot]
+        if holding.state in (_State.SERVING, _State.GRANTING):
+            holding.state = _State.STOPPING
+            holding.receiver = move.receiver
+            self._wake((move.group, move.slot))
+
+    def resume(self, group: ids.GroupId, slot: ids.SlotIndex) -> None:
+        """Serves a stopped or sent slot again.
+
+        For a sent slot only if the transfer certainly did not leave.
+        """
+        holding = self._by_slot[group, slot]
+        if holding.state not in (_State.STOPPING, _State.SENT):
+            return
+        holding.receiver = None
+        if holding.served_epoch:
+            holding.state = _State.SERVING
+            self._open_interval(group, slot, holding)
+        else:
+            holding.state = _State.GRANTING
+            self._grant_wanted.set()
+        self._wake((group, slot))
+
+    def is_drained(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
+        """Returns whether a stopped slot has no running request."""
+        holding = self._by_slot[group, slot]
+        return holding.state is _State.STOPPING and not holding.running
+
+    def is_stopped(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
+        """Returns whether a slot admits nothing and was not sent yet."""
+        return self._by_slot[group, slot].state is _State.STOPPING
+
+    def send(self, group: ids.GroupId, slot: ids.SlotIndex) -> ids.Epoch | None:
+        """Marks a drained slot as sent, or returns None if it may not be.
+
+        Returns:
+          The epoch for the receiver. From now on only an entry with a higher
+          epoch brings the slot back.
+        """
+        if not self._lease.is_held() or not self.is_drained(group, slot):
+            return None
+        holding = self._by_slot[group, slot]
+        holding.state = _State.SENT
+        self._close_interval(holding)
+        return ids.Epoch(holding.epoch + 1)
+
+    def is_sent(
+        self, group: ids.GroupId, slot: ids.SlotIndex, epoch: ids.Epoch
+    ) -> bool:
+        """Returns whether a transfer to `epoch` still lacks its end."""
+        holding = self._by_slot[group, slot]
+        return holding.state is _State.SENT and holding.epoch + 1 == epoch
+
+    async def release(
+        self, group: ids.GroupId, slots: Iterable[ids.SlotIndex]
+    ) -> None:
+        """Withdraws the grants of slots that moved away."""
+        try:
+            await self._grants.release(group, slots)
+        except Exception as error:
+            # Grants expire with the lease; nothing else depends on this call.
+            self._metrics.increment("ownership.releases_failed")
+            logger.debug(f"release of slots of {group} failed: {error!r}")
+
+    def announce(self, group: ids.GroupId, slot: ids.SlotIndex) -> None:
+        """Expects a transfer of a slot soon, before the map says so."""
+        until_ms = self._clock.now_ms() + _ANNOUNCEMENT_MS
+        self._announced_until_ms[group, slot] = until_ms
+
+    def has_received(
+        self, group: ids.GroupId, slot: ids.SlotIndex, epoch: ids.Epoch
+    ) -> bool:
+        """Returns whether a transfer to `epoch` was accepted earlier."""
+        holding = self._by_slot.get((group, slot))
+        if holding is None or holding.state is _State.GONE:
+            return False
+        return holding.epoch >= epoch
+
+    def may_receive(
+        self,
+        sender: ids.MemberId,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+        epoch: ids.Epoch,
+    ) -> bool:
+        """Returns whether a transfer is valid.
+
+        Only the owner of the epoch before may send it, and no epoch that was
+        seen here may be as high.
+        """
+        if self._has_ended or not self._lease.is_held():
+            return False
+        holding = self._by_slot.get((group, slot))
+        if holding is not None and holding.epoch >= epoch:
+            return False
+        entry = self._map.entry(group, slot)
+        if entry is None or entry.epoch + 1 < epoch:
+            return True
+        return entry.epoch + 1 == epoch and entry.owner == sender
+
+    def receive(
+        self,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+        epoch: ids.Epoch,
+        unknown_before_wall_ms: int,
+    ) -> None:
+        """Takes a transferred slot; it is served once it is granted."""
+        self._acquire((group, slot), epoch, unknown_before_wall_ms)
+
+    async def until_served(
+        self,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+        epoch: ids.Epoch,
+    ) -> bool:
+        """Waits for the first grant of a slot at `epoch` or a higher one.
+
+        Returns:
+          False if the slot was lost meanwhile.
+        """
+        key = (group, slot)
+        while True:
+            holding = self._by_slot.get(key)
+            if holding is None or holding.state is _State.GONE:
+                return False
+            if holding.served_epoch >= epoch:
+                return True
+            await self._waiter(key)
+
+    def _enter_unheld(self, key: _SlotKey) -> EnterResult:
+        entry = self._map.entry(*key)
+        if entry is not None and entry.moving_to == self.member:
+            return self._incoming(key)
+        if self._announced_until_ms.get(key, 0) > self._clock.now_ms():
+            return self._incoming(key)
+        if entry is None or entry.owner == self.member:
+            return NotOwner(None)
+        return NotOwner(entry.owner)
+
+    def _incoming(self, key: _SlotKey) -> Incoming:
+        def wait(deadline_ms: int) -> "asyncio.Future[EnterResult]":
+            return asyncio.ensure_future(self._wait(key, deadline_ms))
+
+        return Incoming(wait)
+
+    async def _wait(self, key: _SlotKey, deadline_ms: int) -> EnterResult:
+        left_ms = deadline_ms - self._clock.now_ms()
+        deadline = asyncio.ensure_future(self._clock.sleep_ms(left_ms))
+        try:
+            while True:
+                result = self.enter(*key)
+                if not isinstance(result, Incoming) or deadline.done():
+                    return result
+                waiter = self._waiter(key)
+                await asyncio.wait(
+                    (waiter, deadline), return_when=asyncio.FIRST_COMPLETED
+                )
+        finally:
+            deadline.cancel()
+
+    def _waiter(self, key: _SlotKey) -> asyncio.Future[None]:
+        waiter: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters.setdefault(key, []).append(waiter)
+        return waiter
+
+    def _wake(self, key: _SlotKey) -> None:
+        for waiter in self._waiters.pop(key, ()):
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _notify(self) -> None:
+        for callback in list(self._changed):
+            callback()
+
+    def _on_chunk(self, name: slot_map.ChunkName) -> None:
+        if self._has_ended:
+            return
+        start = name.index * slot_map.CHUNK_SLOTS
+        for index, entry in enumerate(self._map.chunk(name), start):
+            key = (name.group, ids.SlotIndex(index))
+            holding = self._by_slot.get(key)
+            if entry.owner == self.member:
+                self._on_own(key, holding, entry)
+            elif holding is not None:
+                self._on_foreign(key, holding, entry)
+            elif key in self._waiters and entry.moving_to != self.member:
+                self._wake(key)
+        self._notify()
+
+    def _on_own(
+        self,
+        key: _SlotKey,
+        holding: _Holding | None,
+        entry: slot_map.SlotEntry,
+    ) -> None:
+        if holding is None or holding.state in (_State.SENT, _State.GONE):
+            # A slot that was sent may have run requests at the receiver. Their
+            # ids were lost with it, so the cut-off applies here.
+            if holding is None or entry.epoch > holding.epoch:
+                cut_off_ms = entry.unknown_before_wall_ms
+                self._acquire(key, entry.epoch, cut_off_ms)
+            return
+        if entry.epoch > holding.epoch:
+            # Another member of the move was fenced, and this one kept all ids
+            # of the slot: the cut-off of the entry does not apply.
+            holding.epoch = entry.epoch
+            self._grant_wanted.set()
+        if holding.state is _State.STOPPING and entry.moving_to is None:
+            self.resume(*key)
+
+    def _on_foreign(
+        self,
+        key: _SlotKey,
+        holding: _Holding,
+        entry: slot_map.SlotEntry,
+    ) -> None:
+        # After a transfer the map still names the old owner, at a lower epoch
+        # than the one held here.
+        if entry.epoch <= holding.epoch:
+            return
+        self._close_interval(holding)
+        holding.state = _State.GONE
+        holding.epoch = entry.epoch
+        holding.receiver = None
+        self._wake(key)
+
+    def _acquire(
+        self, key: _SlotKey, epoch: ids.Epoch, unknown_before_wall_ms: int
+    ) -> None:
+        earlier = self._by_slot.get(key)
+        self._by_slot[key] = _Holding(
+            state=_State.GRANTING,
+            epoch=epoch,
+            unknown_before_wall_ms=unknown_before_wall_ms,
+            running=earlier.running if earlier else 0,
+        )
+        self._announced_until_ms.pop(key, None)
+        self._grant_wanted.set()
+
+    async def _grant(
+        self,
+        group: ids.GroupId,
+        epoch_by_slot: Mapping[ids.SlotIndex, ids.Epoch],
+    ) -> bool:
+        expires_ms = self._lease.expires_ms()
+        try:
+            await self._grants.grant(group, epoch_by_slot, expires_ms)
+        except Exception as error:
+            # The target may be down or its answer malformed; either way the
+            # slots are not granted yet.
+            self._metrics.increment("ownership.grants_failed")
+            logger.debug(f"grant of slots of {group} failed: {error!r}")
+            return False
+        for slot, epoch in epoch_by_slot.items():
+            self._on_granted((group, slot), epoch)
+        return True
+
+    def _on_granted(self, key: _SlotKey, epoch: ids.Epoch) -> None:
+        holding = self._by_slot[key]
+        if holding.epoch != epoch or holding.state not in _OWNED:
+            return
+        if holding.served_epoch == epoch:
+            return
+        holding.served_epoch = epoch
+        if holding.state is _State.GRANTING:
+            holding.state = _State.SERVING
+        self._close_interval(holding)
+        self._open_interval(*key, holding)
+        self._wake(key)
+        self._notify()
+
+    def _open_interval(
+        self, group: ids.GroupId, slot: ids.SlotIndex, holding: _Holding
+    ) -> None:
+        if not self._logs_intervals or holding.interval is not None:
+            return
+        epoch = holding.served_epoch
+        holding.interval = Interval(group, slot, epoch, self._clock.wall_ms())
+        self.intervals.append(holding.interval)
+
+    def _close_interval(self, holding: _Holding) -> None:
+        if holding.interval is None:
+            return
+        now_ms = self._clock.now_ms()
+        late_ms = max(0, now_ms - self._lease.expires_ms())
+        holding.interval.to_wall_ms = self._clock.wall_ms() - late_ms
+        holding.interval = None
+
+    async def _sleep_until_wanted(self, delay_ms: int) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep_ms(delay_ms))
+        wanted = asyncio.ensure_future(self._grant_wanted.wait())
+        try:
+            await asyncio.wait(
+                (timer, wanted), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+            wanted.cancel()
--- /dev/null
+++ b/mustardloom/ownership/moves.py
@@ -0,0 +1,371 @@
+"""Planned moves of slots from their owner to a receiver."""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import functools
+from typing import Protocol
+
+from loguru import logger
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.ownership import chunk_writer
+from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.ownership import slot_map
+from mustardloom.relay import peers as peers_lib
+from mustardloom.relay.wire import peer_pb2
+
+__all__ = ["ANNOUNCEMENT_EPOCH", "Mover", "PeerCalls", "RequestRecords"]
+
+# A slot with this epoch in a Transfer only announces the move: the owner goes
+# on serving it, and the receiver holds requests that already reach it.
+ANNOUNCEMENT_EPOCH = ids.Epoch(0)
+
+_CALL_TIMEOUT_MS = 1_000
+_RETRY_MS = 100
+_UNREACHABLE_RETRY_MS = 500
+_STORE_RETRY_MS = 500
+
+_Batch = tuple[ids.MemberId, ids.GroupId]
+_SlotKey = tuple[ids.GroupId, ids.SlotIndex]
+
+
+class PeerCalls(Protocol):
+    """The part of `relay.peers.Peers` that moves need."""
+
+    def handle(self, body_type: type, handler: peers_lib.Handler) -> None:
+        """Registers the handler of one message type."""
+
+    async def call(
+        self, member: ids.MemberId, body: peers_lib.Body, timeout_ms: int
+    ) -> peers_lib.Body:
+        """Sends `body` to a member and returns its reply.
+
+        Raises:
+          peers_lib.PeerUnreachable: The message was certainly not sent.
+          peers_lib.PeerLost: The message was sent, but no reply came.
+        """
+
+
+class RequestRecords(Protocol):
+    """Request ids of slots, kept by the deduplication."""
+
+    def export(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> list[peer_pb2.RequestRecord]:
+        """Returns the records of a slot."""
+
+    def import_(
+        self,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+        records: Sequence[peer_pb2.RequestRecord],
+        unknown_before_wall_ms: int,
+    ) -> None:
+        """Adopts the records of a slot before it is served."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Moved:
+    """An acknowledged transfer whose entry is not written yet."""
+
+    receiver: ids.MemberId
+    epoch: ids.Epoch
+
+
+class Mover:
+    """Carries out planned moves, as the owner and as the receiver.
+
+    One task per receiver and group moves slots; one task writes entries.
+    """
+
+    def __init__(
+        self,
+        holdings: holdings_lib.Holdings,
+        slots: slot_map.SlotMap,
+        records: RequestRecords,
+        peers: PeerCalls,
+        writer: chunk_writer.ChunkWriter,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._holdings = holdings
+        self._map = slots
+        self._records = records
+        self._peers = peers
+        self._writer = writer
+        self._clock = clock
+        self._metrics = metrics
+        self._work = asyncio.Event()
+        self._entries_due = asyncio.Event()
+        self._tasks: dict[_Batch, asyncio.Task[None]] = {}
+        self._moved: dict[_SlotKey, _Moved] = {}
+        holdings.subscribe(self._work.set)
+        peers.handle(peer_pb2.Transfer, self.on_transfer)
+
+    async def run(self) -> None:
+        """Moves slots until cancelled."""
+        writer = asyncio.create_task(self._write_entries())
+        try:
+            while True:
+                self._start_batches()
+                await self._work.wait()
+                self._work.clear()
+        finally:
+            for task in (writer, *self._tasks.values()):
+                task.cancel()
+
+    async def on_transfer(
+        self, sender: ids.MemberId, transfer: peer_pb2.Transfer
+    ) -> peer_pb2.Transferred:
+        """Takes slots of `sender`; names those that are served here."""
+        group = ids.GroupId(transfer.group)
+        accepted = []
+        for slot in transfer.slots:
+            if self._accept(sender, group, slot):
+                accepted.append(slot)
+        served = []
+        for slot in accepted:
+            if await self._until_served(group, slot):
+                served.append(slot.slot)
+        return peer_pb2.Transferred(group=group, slots=served)
+
+    def _accept(
+        self,
+        sender: ids.MemberId,
+        group: ids.GroupId,
+        moved: peer_pb2.TransferredSlot,
+    ) -> bool:
+        slot = ids.SlotIndex(moved.slot)
+        epoch = ids.Epoch(moved.epoch)
+        if epoch == ANNOUNCEMENT_EPOCH:
+            self._holdings.announce(group, slot)
+            return True
+        if self._holdings.has_received(group, slot, epoch):
+            return True
+        if not self._holdings.may_receive(sender, group, slot, epoch):
+            self._metrics.increment("ownership.transfers_refused")
+            return False
+        cut_off_ms = moved.unknown_before_wall_ms
+        self._records.import_(group, slot, moved.requests, cut_off_ms)
+        self._holdings.receive(group, slot, epoch, cut_off_ms)
+        return True
+
+    async def _until_served(
+        self, group: ids.GroupId, moved: peer_pb2.TransferredSlot
+    ) -> bool:
+        epoch = ids.Epoch(moved.epoch)
+        if epoch == ANNOUNCEMENT_EPOCH:
+            return True
+        slot = ids.SlotIndex(moved.slot)
+        return await self._holdings.until_served(group, slot, epoch)
+
+    def _start_batches(self) -> None:
+        for move in self._holdings.planned():
+            batch = (move.receiver, move.group)
+            if batch not in self._tasks:
+                task = asyncio.create_task(self._move_batch(batch))
+                self._tasks[batch] = task
+                task.add_done_callback(functools.partial(self._end, batch))
+
+    def _end(self, batch: _Batch, task: asyncio.Task[None]) -> None:
+        del self._tasks[batch]
+        if not task.cancelled() and task.exception() is not None:
+            self._metrics.increment("ownership.moves_failed")
+            logger.error(f"move to {batch} failed: {task.exception()!r}")
+        self._work.set()
+
+    async def _move_batch(self, batch: _Batch) -> None:
+        """Moves the slots of one group that are planned for one receiver."""
+        planned = self._planned(batch)
+        if not await self._announce(batch, planned):
+            await self._clock.sleep_ms(_UNREACHABLE_RETRY_MS)
+            return
+        for move in planned:
+            self._holdings.stop(move)
+        remaining = {move.slot for move in planned}
+        while remaining:
+            # Slots are sent as soon as they are drained, so that one long
+            # request delays only its own slot.
+            await self._until_any_drained(batch, remaining)
+            drained = self._drained(batch, remaining)
+            remaining.difference_update(drained)
+            if drained and not await self._transfer(batch, drained):
+                self._resume(batch, remaining)
+                return
+
+    def _planned(self, batch: _Batch) -> list[holdings_lib.PlannedMove]:
+        receiver, group = batch
+        return [
+            move
+            for move in self._holdings.planned()
+            if move.receiver == receiver and move.group == group
+        ]
+
+    async def _announce(
+        self, batch: _Batch, planned: Iterable[holdings_lib.PlannedMove]
+    ) -> bool:
+        """Returns whether the receiver answers, before anything is stopped."""
+        receiver, group = batch
+        transfer = peer_pb2.Transfer(group=group)
+        for move in planned:
+            transfer.slots.add(slot=move.slot, epoch=ANNOUNCEMENT_EPOCH)
+        try:
+            await self._peers.call(receiver, transfer, _CALL_TIMEOUT_MS)
+        except peers_lib.PeerError:
+            self._metrics.increment("ownership.receivers_unreachable")
+            return False
+        return True
+
+    async def _until_any_drained(
+        self, batch: _Batch, remaining: set[ids.SlotIndex]
+    ) -> None:
+        changed = asyncio.Event()
+        unsubscribe = self._holdings.subscribe(changed.set)
+        try:
+            while True:
+                changed.clear()
+                self._forget_resumed(batch, remaining)
+                if not remaining or self._drained(batch, remaining):
+                    return
+                await changed.wait()
+        finally:
+            unsubscribe()
+
+    def _forget_resumed(
+        self, batch: _Batch, remaining: set[ids.SlotIndex]
+    ) -> None:
+        _, group = batch
+        stopped = {s for s in remaining if self._holdings.is_stopped(group, s)}
+        remaining.intersection_update(stopped)
+
+    def _drained(
+        self, batch: _Batch, slots: Iterable[ids.SlotIndex]
+    ) -> list[ids.SlotIndex]:
+        _, group = batch
+        return [s for s in slots if self._holdings.is_drained(group, s)]
+
+    def _resume(self, batch: _Batch, slots: Iterable[ids.SlotIndex]) -> None:
+        _, group = batch
+        for slot in slots:
+            self._holdings.resume(group, slot)
+
+    async def _transfer(
+        self, batch: _Batch, drained: Iterable[ids.SlotIndex]
+    ) -> bool:
+        """Sends slots until they are acknowledged or the map decides.
+
+        Returns:
+          False if nothing left this daemon, and the slots are served again.
+        """
+        receiver, group = batch
+        epoch_by_slot: dict[ids.SlotIndex, ids.Epoch] = {}
+        for slot in drained:
+            epoch = self._holdings.send(group, slot)
+            if epoch is not None:
+                epoch_by_slot[slot] = epoch
+        transfer = self._message(group, epoch_by_slot)
+        may_have_left = False
+        while epoch_by_slot:
+            try:
+                reply = await self._peers.call(
+                    receiver, transfer, _CALL_TIMEOUT_MS
+                )
+            except peers_lib.PeerUnreachable:
+                if not may_have_left:
+                    self._resume(batch, epoch_by_slot)
+                    return False
+                reply = peer_pb2.Transferred()
+            except peers_lib.PeerLost:
+                reply = peer_pb2.Transferred()
+            may_have_left = True
+            await self._acknowledge(batch, epoch_by_slot, reply.slots)
+            if epoch_by_slot:
+                await self._clock.sleep_ms(_RETRY_MS)
+                self._forget_ended(group, epoch_by_slot)
+                transfer = self._message(group, epoch_by_slot)
+        return True
+
+    def _message(
+        self, group: ids.GroupId, epoch_by_slot: dict[ids.SlotIndex, ids.Epoch]
+    ) -> peer_pb2.Transfer:
+        transfer = peer_pb2.Transfer(group=group)
+        for slot, epoch in epoch_by_slot.items():
+            transfer.slots.add(
+                slot=slot,
+                epoch=epoch,
+                unknown_before_wall_ms=self._holdings.unknown_before_wall_ms(
+                    group, slot
+                ),
+                requests=self._records.export(group, slot),
+            )
+        return transfer
+
+    async def _acknowledge(
+        self,
+        batch: _Batch,
+        epoch_by_slot: dict[ids.SlotIndex, ids.Epoch],
+        acknowledged: Iterable[int],
+    ) -> None:
+        receiver, group = batch
+        released = []
+        for number in acknowledged:
+            slot = ids.SlotIndex(number)
+            epoch = epoch_by_slot.pop(slot, None)
+            if epoch is not None:
+                self._moved[group, slot] = _Moved(receiver, epoch)
+                released.append(slot)
+        if released:
+            self._entries_due.set()
+            await self._holdings.release(group, released)
+
+    def _forget_ended(
+        self, group: ids.GroupId, epoch_by_slot: dict[ids.SlotIndex, ids.Epoch]
+    ) -> None:
+        for slot, epoch in list(epoch_by_slot.items()):
+            if not self._holdings.is_sent(group, slot, epoch):
+                del epoch_by_slot[slot]
+
+    async def _write_entries(self) -> None:
+        """Writes the new owners; each chunk once for all its moved slots."""
+        while True:
+            await self._entries_due.wait()
+            self._entries_due.clear()
+            is_complete = True
+            for name in self._chunks_due():
+                is_complete &= await self._write_chunk(name)
+            if not is_complete:
+                self._entries_due.set()
+                await self._clock.sleep_ms(_STORE_RETRY_MS)
+
+    def _chunks_due(self) -> set[slot_map.ChunkName]:
+        return {slot_map.chunk_of(*key) for key in self._moved}
+
+    async def _write_chunk(self, name: slot_map.ChunkName) -> bool:
+        """Returns whether nothing is left to write in the chunk."""
+        changes = self._changes(name)
+        if not changes:
+            return True
+        await self._writer.write(name, changes)
+        return not self._changes(name)
+
+    def _changes(self, name: slot_map.ChunkName) -> slot_map.Changes:
+        """Returns the entries still to be written, dropping ended moves."""
+        changes: slot_map.Changes = {}
+        for key, moved in list(self._moved.items()):
+            if slot_map.chunk_of(*key) != name:
+                continue
+            entry = self._map.entry(*key)
+            if entry is None or entry.epoch >= moved.epoch:
+                # Written, or the reconciler decided otherwise.
+                del self._moved[key]
+                continue
+            changes[key[1]] = slot_map.SlotEntry(
+                owner=moved.receiver,
+                epoch=moved.epoch,
+                unknown_before_wall_ms=entry.unknown_before_wall_ms,
+            )
+        return changes
--- /dev/null
+++ b/mustardloom/ownership/reconciler.py
@@ -0,0 +1,287 @@
+"""Keeps the slot map in line with the members."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+import xxhash
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.membership import records
+from mustardloom.ownership import assignment
+from mustardloom.ownership import chunk_writer
+from mustardloom.ownership import slot_map
+from mustardloom.relay import replica as replicas
+
+__all__ = ["GroupLoad", "Groups", "IsStopped", "Reconciler", "ranked"]
+
+Groups = Callable[[], Iterable[tuple[ids.GroupId, int]]]
+IsStopped = Callable[[records.MemberRecord], bool]
+GroupLoad = Callable[[ids.GroupId], assignment.SlotLoad]
+
+_TICK_MS = 100
+_FULL_PASS_MS = 1_000
+_RANK_DELAY_MS = 300
+# Daemons of a worse rank plan nothing, which bounds the work of a large fleet.
+# A lost candidate is fenced by others and then leaves the ranking.
+_MAX_CANDIDATES = 8
+_STORE_RETRY_MS = 500
+# 500 ms accepted clock lead of request ids, 250 ms clock skew of the fleet.
+_CUT_OFF_LEAD_MS = 750
+
+
+def equal_group_load(group: ids.GroupId) -> assignment.SlotLoad:
+    """Returns equal loads for all slots of a group."""
+    del group
+    return assignment.equal_load
+
+
+def ranked(
+    group: ids.GroupId, members: Iterable[records.MemberRecord]
+) -> list[ids.MemberId]:
+    """Returns the candidates of a group, best rank first.
+
+    The best member of each availability zone comes before the second best of
+    any, so that the loss of one zone leaves the next rank alive.
+    """
+    by_score = sorted(
+        members,
+        key=lambda r: xxhash.xxh64_intdigest(f"{group}/{r.member}".encode()),
+    )
+    seen_by_zone: dict[ids.AvailabilityZoneId, int] = {}
+    rounds = []
+    for position, record in enumerate(by_score):
+        zone = record.availability_zone
+        count = seen_by_zone.get(zone, 0)
+        seen_by_zone[zone] = count + 1
+        rounds.append((count, position, record.member))
+    return [member for _, _, member in sorted(rounds)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Due:
+    """Since when a chunk of a certain version needs a change."""
+
+    version: ids.Version
+    since_ms: int
+
+
+class Reconciler:
+    """Creates chunks, replaces lost owners and plans moves.
+
+    Any number of reconcilers may act at once: each write is conditional on the
+    version of the chunk that the plan was made from.
+    """
+
+    def __init__(
+        self,
+        member: ids.MemberId,
+        groups: Groups,
+        replica: replicas.Replica,
+        members: records.Members,
+        slots: slot_map.SlotMap,
+        writer: chunk_writer.ChunkWriter,
+        is_stopped: IsStopped,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        load: GroupLoad = equal_group_load,
+    ):
+        self._member = member
+        self._groups = groups
+        self._replica = replica
+        self._members = members
+        self._map = slots
+        self._writer = writer
+        self._is_stopped = is_stopped
+        self._clock = clock
+        self._metrics = metrics
+        self._load = load
+        self._has_changes = True
+        self._ranks: dict[ids.GroupId, int] = {}
+        self._due: dict[slot_map.ChunkName, _Due] = {}
+        self._active_since_ms: dict[ids.MemberId, int] = {}
+        self._retry_at_ms = 0
+        replica.subscribe("", self._on_event)
+
+    async def run(self) -> None:
+        """Reconciles after changes and once a second until cancelled."""
+        next_pass_ms = 0
+        while True:
+            now_ms = self._clock.now_ms()
+            if self._has_changes or self._due or now_ms >= next_pass_ms:
+                next_pass_ms = now_ms + _FULL_PASS_MS
+                await self.reconcile()
+            await self._clock.sleep_ms(_TICK_MS)
+
+    async def reconcile(self) -> None:
+        """Makes one pass over all groups."""
+        self._has_changes = False
+        self._note_active()
+        for group, slot_count in self._groups():
+            rank = self._rank(group)
+            if rank < _MAX_CANDIDATES:
+                await self._reconcile_group(group, slot_count, rank)
+
+    def _on_event(self, event: object) -> None:
+        del event
+        self._has_changes = True
+
+    def _note_active(self) -> None:
+        now_ms = self._clock.now_ms()
+        active = {
+            record.member
+            for record in self._members.live()
+            if record.state is records.MemberState.ACTIVE
+        }
+        self._active_since_ms = {
+            member: self._active_since_ms.get(member, now_ms)
+            for member in active
+        }
+
+    def _rank(self, group: ids.GroupId) -> int:
+        order = ranked(group, self._members.live())
+        if self._member not in order:
+            return _MAX_CANDIDATES
+        return order.index(self._member)
+
+    async def _reconcile_group(
+        self, group: ids.GroupId, slot_count: int, rank: int
+    ) -> None:
+        changes = self._plan(group, slot_count)
+        by_chunk: dict[slot_map.ChunkName, slot_map.Changes] = {}
+        for slot, entry in changes.items():
+            name = slot_map.chunk_of(group, slot)
+            by_chunk.setdefault(name, {})[slot] = entry
+        for name in list(self._due):
+            if name.group == group and name not in by_chunk:
+                del self._due[name]
+        for name, chunk_changes in by_chunk.items():
+            if self._is_due(name, rank):
+                await self._write(name, chunk_changes, slot_count)
+
+    def _is_due(self, name: slot_map.ChunkName, rank: int) -> bool:
+        """Returns whether better ranks had their time without any effect."""
+        now_ms = self._clock.now_ms()
+        version = self._map.version_by_chunk.get(name, ids.NO_VERSION)
+        due = self._due.get(name)
+        if due is None or due.version != version:
+            due = _Due(version, now_ms)
+            self._due[name] = due
+        if now_ms < self._retry_at_ms:
+            return False
+        return now_ms >= due.since_ms + rank * _RANK_DELAY_MS
+
+    async def _write(
+        self,
+        name: slot_map.ChunkName,
+        changes: slot_map.Changes,
+        slot_count: int,
+    ) -> None:
+        left = slot_count - name.index * slot_map.CHUNK_SLOTS
+        size = min(left, slot_map.CHUNK_SLOTS)
+        if not await self._writer.write(name, changes, size):
+            self._retry_at_ms = self._clock.now_ms() + _STORE_RETRY_MS
+
+    def _plan(self, group: ids.GroupId, slot_count: int) -> slot_map.Changes:
+        """Returns the new entries of a group."""
+        known = self._map.by_group.get(group, [])
+        entries = list(known[:slot_count])
+        missing = slot_count - len(entries)
+        entries.extend(slot_map.SlotEntry() for _ in range(missing))
+        changes = self._replace_lost(group, entries)
+        for slot, entry in changes.items():
+            entries[slot] = entry
+        receivers = list(self._receivers(group))
+        load = self._load(group)
+        ownerless = self._ownerless(group, entries)
+        chosen = assignment.assign(group, entries, ownerless, receivers, load)
+        for slot, member in chosen.items():
+            entries[slot] = changes[slot] = self._given(entries[slot], member)
+        moves = assignment.plan_moves(group, entries, receivers, load)
+        for slot, member in moves.items():
+            if slot in ownerless:
+                continue
+            entry = dataclasses.replace(entries[slot], moving_to=member)
+            entries[slot] = changes[slot] = entry
+        return changes
+
+    def _receivers(self, group: ids.GroupId) -> Iterable[assignment.Receiver]:
+        under_way = self._under_way()
+        now_ms = self._clock.now_ms()
+        live = self._members.live()
+        for record in assignment.eligible(live, group, self._is_stopped):
+            since_ms = self._active_since_ms.get(record.member, now_ms)
+            yield assignment.receiver_of(
+                record,
+                now_ms - since_ms,
+                under_way.get(record.member, 0),
+            )
+
+    def _under_way(self) -> Mapping[ids.MemberId, int]:
+        count: dict[ids.MemberId, int] = {}
+        for entries in self._map.by_group.values():
+            for entry in entries:
+                if entry.moving_to is not None:
+                    count[entry.moving_to] = count.get(entry.moving_to, 0) + 1
+        return count
+
+    def _replace_lost(
+        self, group: ids.GroupId, entries: Sequence[slot_map.SlotEntry]
+    ) -> slot_map.Changes:
+        """Ends the planned moves that lost one of their members."""
+        changes: slot_map.Changes = {}
+        for index, entry in enumerate(entries):
+            slot = ids.SlotIndex(index)
+            if entry.owner is None or entry.moving_to is None:
+                continue
+            is_owner_lost = self._is_lost(group, slot, entry.owner)
+            is_receiver_lost = self._is_lost(group, slot, entry.moving_to)
+            if is_owner_lost and not is_receiver_lost:
+                changes[slot] = self._given(entry, entry.moving_to)
+            elif is_receiver_lost and not is_owner_lost:
+                changes[slot] = self._given(entry, entry.owner)
+        return changes
+
+    def _ownerless(
+        self, group: ids.GroupId, entries: Sequence[slot_map.SlotEntry]
+    ) -> set[ids.SlotIndex]:
+        found = set()
+        for index, entry in enumerate(entries):
+            slot = ids.SlotIndex(index)
+            if entry.owner is None or self._is_lost(group, slot, entry.owner):
+                found.add(slot)
+        return found
+
+    def _is_lost(
+        self, group: ids.GroupId, slot: ids.SlotIndex, member: ids.MemberId
+    ) -> bool:
+        record = self._members.by_id.get(member)
+        if record is not None:
+            return record.state is records.MemberState.FENCED
+        # A record is written before any chunk names its member. The replica can
+        # receive the chunk first, so an absent record means a deleted one only
+        # once all changes up to the version of the chunk are included.
+        name = slot_map.chunk_of(group, slot)
+        version = self._map.version_by_chunk.get(name, ids.NO_VERSION)
+        return self._replica.version >= version
+
+    def _given(
+        self, entry: slot_map.SlotEntry, member: ids.MemberId
+    ) -> slot_map.SlotEntry:
+        """Returns the entry with a new owner, or one that keeps it again."""
+        if entry.owner is None:
+            return slot_map.SlotEntry(member, ids.Epoch(entry.epoch + 1))
+        # The receiver of a move may have served at the next epoch already.
+        step = 2 if entry.moving_to is not None else 1
+        cut_off_ms = self._clock.wall_ms() + _CUT_OFF_LEAD_MS
+        return slot_map.SlotEntry(
+            owner=member,
+            epoch=ids.Epoch(entry.epoch + step),
+            unknown_before_wall_ms=max(
+                cut_off_ms, entry.unknown_before_wall_ms
+            ),
+        )
--- a/mustardloom/ownership/slot_map.py
+++ b/mustardloom/ownership/slot_map.py
@@ -1,5 +1,6 @@
 """Owners of slots, stored in chunks."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -13,11 +14,13 @@
 __all__ = [
     "CHUNK_SLOTS",
     "SLOTS_PREFIX",
+    "Changes",
     "Chunk",
     "ChunkName",
     "SlotEntry",
     "SlotMap",
     "chunk_key",
+    "chunk_of",
     "decode_chunk",
     "encode_chunk",
     "parse_chunk_key",
@@ -43,6 +46,11 @@
     return ChunkName(ids.GroupId(group), int(index))
 
 
+def chunk_of(group: ids.GroupId, slot: ids.SlotIndex) -> "ChunkName":
+    """Returns the chunk that holds a slot."""
+    return ChunkName(group, slot // CHUNK_SLOTS)
+
+
 def encode_chunk(entries: Iterable["SlotEntry"]) -> bytes:
     """Returns the stored form of a chunk, with a table of member ids."""
     table: dict[ids.MemberId | None, int] = {None: 0}
@@ -99,6 +107,9 @@
     unknown_before_wall_ms: int = 0
 
 
+Changes = dict[ids.SlotIndex, SlotEntry]
+
+
 class Chunk(msgspec.Struct, frozen=True):
     """Stored form: rows of (owner, epoch, moving_to, unknown_before_wall_ms).
 
@@ -115,12 +126,31 @@
     Attributes:
       by_group: Entries of each group, in order of their slots. A slot whose
         chunk is not known yet has an empty entry.
+      version_by_chunk: Version of each known chunk in the store.
     """
 
     def __init__(self, replica: replicas.Replica):
         self.by_group: dict[ids.GroupId, list[SlotEntry]] = {}
+        self.version_by_chunk: dict[ChunkName, ids.Version] = {}
+        self._subscribers: list[Callable[[ChunkName], None]] = []
         replica.subscribe(SLOTS_PREFIX, self._on_event)
 
+    def subscribe(self, subscriber: Callable[[ChunkName], None]) -> None:
+        """Calls `subscriber` after each change of a chunk.
+
+        The chunks that are already known are passed at once.
+        """
+        self._subscribers.append(subscriber)
+        for name in list(self.version_by_chunk):
+            subscriber(name)
+
+    def chunk(self, name: ChunkName) -> tuple[SlotEntry, ...]:
+        """Returns the entries of a chunk, none if it is not known."""
+        if name not in self.version_by_chunk:
+            return ()
+        start = name.index * CHUNK_SLOTS
+        return tuple(self.by_group[name.group][start : start + CHUNK_SLOTS])
+
     def entry(
         self, group: ids.GroupId, slot: ids.SlotIndex
     ) -> SlotEntry | None:
@@ -149,3 +179,6 @@
         missing = start + len(chunk) - len(entries)
         entries.extend(SlotEntry() for _ in range(missing))
         entries[start : start + len(chunk)] = chunk
+        self.version_by_chunk[name] = event.version
+        for subscriber in self._subscribers:
+            subscriber(name)
