--- /dev/null
+++ b/mustardloom/admission/deduplication.py
@@ -0,0 +1,362 @@
+"""At-most-once: the ids of non-idempotent requests, by slot."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
+import uuid
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.relay.wire import peer_pb2
+
+__all__ = [
+    "RequestIds",
+    "SlotRecords",
+    "new_request_id",
+    "stamp_wall_ms",
+]
+
+DEFAULT_RETENTION_MS = 120_000
+_MAX_LEAD_MS = 500
+_MAX_IDS = 500_000
+_MAX_ANSWER_BYTES = 16_384
+_MAX_TOTAL_ANSWER_BYTES = 16 * 1024 * 1024
+_BUCKET_MS = 1_000
+_UUID_VERSION = 7
+_STAMP_SHIFT = 80
+
+
+def new_request_id(wall_ms: int) -> ids.RequestId:
+    """Returns a UUIDv7 with the given stamp.
+
+    Example:
+      >>> stamp_wall_ms(new_request_id(1_700_000_000_123))
+      1700000000123
+    """
+    random = uuid.uuid4().int & ((1 << _STAMP_SHIFT) - 1)
+    number = wall_ms << _STAMP_SHIFT | random
+    number = number & ~(0xF << 76) | _UUID_VERSION << 76
+    number = number & ~(0x3 << 62) | 0x2 << 62
+    return ids.RequestId(str(uuid.UUID(int=number)))
+
+
+def stamp_wall_ms(request_id: ids.RequestId) -> int | None:
+    """Returns the stamp of a UUIDv7, None if the id is none.
+
+    Example:
+      >>> stamp_wall_ms(ids.RequestId("7")) is None
+      True
+    """
+    number = _number(request_id)
+    return None if number is None else number >> _STAMP_SHIFT
+
+
+def _number(request_id: ids.RequestId) -> int | None:
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != _UUID_VERSION:
+        return None
+    return parsed.int
+
+
+def _size(outcome: "outcomes.Outcome") -> int:
+    match outcome:
+        case outcomes.Answered(headers=headers, body=body):
+            return len(body) + sum(len(n) + len(v) for n, v in headers)
+    return 0
+
+
+def _to_record(number: int, state: "_State") -> peer_pb2.RequestRecord:
+    record = peer_pb2.RequestRecord(request_id=str(uuid.UUID(int=number)))
+    if isinstance(state, outcomes.Answered):
+        answered = record.outcome.answered
+        answered.status = state.status
+        answered.body = state.body
+        for name, value in state.headers:
+            answered.headers.extend((name, value))
+    return record
+
+
+def _from_record(record: peer_pb2.RequestRecord) -> "_State":
+    if not record.HasField("outcome"):
+        return _Mark.UNRESOLVED
+    if record.outcome.WhichOneof("outcome") != "answered":
+        return _Mark.UNRESOLVED
+    answered = record.outcome.answered
+    names = answered.headers[::2]
+    values = answered.headers[1::2]
+    return outcomes.Answered(
+        status=answered.status,
+        headers=tuple(zip(names, values, strict=True)),
+        body=answered.body,
+    )
+
+
+class _Mark(enum.Enum):
+    UNRESOLVED = "unresolved"
+
+
+# RUNNING is the future of the outcome.
+_State = asyncio.Future[outcomes.Outcome] | outcomes.Answered | _Mark
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRecords:
+    """What the next owner of a slot must know.
+
+    Attributes:
+      unknown_before_wall_ms: Ids stamped earlier may have run.
+      requests: One record per id; without outcome it is unknown.
+    """
+
+    unknown_before_wall_ms: int
+    requests: tuple[peer_pb2.RequestRecord, ...]
+
+
+class _Slot:
+    """Ids of one slot, in buckets by the second of their stamp."""
+
+    def __init__(self, unknown_before_wall_ms: int):
+        self.unknown_before_wall_ms = unknown_before_wall_ms
+        # Ids stamped before were dropped. The floor never falls, so that a
+        # wall clock that is set back does not revive a dropped id.
+        self.floor_wall_ms = 0
+        self.by_bucket: dict[int, dict[int, _State]] = {}
+
+    def find(self, number: int) -> "_State | None":
+        """Returns the state of an id."""
+        bucket = self.by_bucket.get(_bucket(number))
+        return None if bucket is None else bucket.get(number)
+
+    def put(self, number: int, state: "_State") -> None:
+        """Sets the state of an id."""
+        self.by_bucket.setdefault(_bucket(number), {})[number] = state
+
+    def remove(self, number: int) -> None:
+        """Forgets an id that was certainly not run."""
+        self.by_bucket.get(_bucket(number), {}).pop(number, None)
+
+    def states(self) -> "Iterable[tuple[int, _State]]":
+        """Yields all ids with their states."""
+        for bucket in self.by_bucket.values():
+            yield from bucket.items()
+
+
+def _bucket(number: int) -> int:
+    return (number >> _STAMP_SHIFT) // _BUCKET_MS
+
+
+class RequestIds:
+    """Remembers which ids were dispatched, by slot.
+
+    Example:
+      ids = RequestIds(clock, metrics)
+      ids.open_slot(placement, unknown_before_wall_ms=0)
+      outcome = await ids.run(placement, request, dispatch)
+
+    Attributes:
+      count: Ids that are kept.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        retention_ms: int = DEFAULT_RETENTION_MS,
+        max_ids: int = _MAX_IDS,
+        max_total_answer_bytes: int = _MAX_TOTAL_ANSWER_BYTES,
+    ):
+        self.count = 0
+        self._clock = clock
+        self._metrics = metrics
+        self._retention_ms = retention_ms
+        self._max_ids = max_ids
+        self._max_total_answer_bytes = max_total_answer_bytes
+        self._answer_bytes = 0
+        self._slots: dict[dispatches.Placement, _Slot] = {}
+
+    def open_slot(
+        self,
+        placement: dispatches.Placement,
+        unknown_before_wall_ms: int,
+        records: Iterable[peer_pb2.RequestRecord] = (),
+    ) -> None:
+        """Starts to serve a slot, with the records of a planned move."""
+        self.close_slot(placement)
+        slot = _Slot(unknown_before_wall_ms)
+        self._slots[placement] = slot
+        for record in records:
+            number = _number(ids.RequestId(record.request_id))
+            if number is not None:
+                self._put(slot, number, _from_record(record))
+
+    def export_slot(self, placement: dispatches.Placement) -> SlotRecords:
+        """Returns the records for the next owner of a slot."""
+        slot = self._slots.get(placement)
+        if slot is None:
+            return SlotRecords(0, ())
+        self._drop_old(slot)
+        unknown_before = max(slot.unknown_before_wall_ms, slot.floor_wall_ms)
+        records = tuple(_to_record(*item) for item in slot.states())
+        return SlotRecords(unknown_before, records)
+
+    def close_slot(self, placement: dispatches.Placement) -> None:
+        """Stops serving a slot and forgets its ids."""
+        slot = self._slots.pop(placement, None)
+        if slot is None:
+            return
+        for _, state in slot.states():
+            self._uncount(state)
+
+    async def run(
+        self,
+        placement: dispatches.Placement,
+        request: requests.Request,
+        dispatch: Callable[[], Awaitable[outcomes.Outcome]],
+    ) -> outcomes.Outcome:
+        """Calls `dispatch` unless the id may have been dispatched before."""
+        if request.request_id is None:
+            return await dispatch()
+        number = _number(request.request_id)
+        if number is None:
+            return _bad_id("the request id is not a UUIDv7")
+        slot = self._slots.get(placement)
+        if slot is None:
+            return outcomes.Refused(
+                outcomes.RefusalReason.NOT_OWNER,
+                "this member does not serve the slot",
+            )
+        self._drop_old(slot)
+        known = slot.find(number)
+        if known is not None:
+            return await self._resend(known, request.deadline_ms)
+        rejected = self._check_stamp(slot, number >> _STAMP_SHIFT)
+        if rejected is not None:
+            return rejected
+        return await self._first(placement, slot, number, dispatch)
+
+    def _check_stamp(
+        self, slot: _Slot, stamp_ms: int
+    ) -> outcomes.Outcome | None:
+        now_ms = self._clock.wall_ms()
+        if stamp_ms > now_ms + _MAX_LEAD_MS:
+            return _bad_id("the request id is stamped in the future")
+        if stamp_ms < max(now_ms - self._retention_ms, slot.floor_wall_ms):
+            return outcomes.Unknown(
+                outcomes.UnknownReason.ID_TOO_OLD,
+                "the request id is older than the retention",
+            )
+        if stamp_ms < slot.unknown_before_wall_ms:
+            return outcomes.Unknown(
+                outcomes.UnknownReason.OWNER_LOST,
+                "an earlier owner may have run the request id",
+            )
+        if self.count >= self._max_ids:
+            return outcomes.Refused(
+                outcomes.RefusalReason.OVERLOADED,
+                "too many request ids are remembered",
+            )
+        return None
+
+    async def _first(
+        self,
+        placement: dispatches.Placement,
+        slot: _Slot,
+        number: int,
+        dispatch: Callable[[], Awaitable[outcomes.Outcome]],
+    ) -> outcomes.Outcome:
+        running: asyncio.Future[outcomes.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._put(slot, number, running)
+        outcome: outcomes.Outcome = outcomes.Unknown(
+            outcomes.UnknownReason.CANCELLED, "the first send was cancelled"
+        )
+        try:
+            outcome = await dispatch()
+        finally:
+            if self._slots.get(placement) is slot:
+                self._resolve(slot, number, outcome)
+            running.set_result(outcome)
+        return outcome
+
+    def _resolve(
+        self, slot: _Slot, number: int, outcome: outcomes.Outcome
+    ) -> None:
+        if slot.find(number) is None:
+            return  # Dropped when its stamp left the retention.
+        slot.remove(number)
+        self.count -= 1
+        match outcome:
+            case outcomes.Refused():
+                return
+            case outcomes.Answered():
+                self._put(slot, number, outcome)
+            case outcomes.Unknown():
+                self._put(slot, number, _Mark.UNRESOLVED)
+
+    async def _resend(
+        self, state: _State, deadline_ms: int
+    ) -> outcomes.Outcome:
+        match state:
+            case outcomes.Answered():
+                self._metrics.increment("deduplication.repeated")
+                return state
+            case _Mark.UNRESOLVED:
+                return outcomes.Unknown(
+                    outcomes.UnknownReason.ID_UNRESOLVED,
+                    "the outcome of the first send is not known",
+                )
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        sleep = asyncio.ensure_future(self._clock.sleep_ms(remaining_ms))
+        try:
+            await asyncio.wait(
+                (state, sleep), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            sleep.cancel()
+        if state.done():
+            return state.result()
+        return outcomes.Unknown(
+            outcomes.UnknownReason.ID_RUNNING,
+            "the first send is still running",
+        )
+
+    def _put(self, slot: _Slot, number: int, state: _State) -> None:
+        if isinstance(state, outcomes.Answered):
+            size = _size(state)
+            total = self._answer_bytes + size
+            if size > _MAX_ANSWER_BYTES or total > self._max_total_answer_bytes:
+                self._metrics.increment("deduplication.answers_not_kept")
+                state = _Mark.UNRESOLVED
+            else:
+                self._answer_bytes = total
+        slot.put(number, state)
+        self.count += 1
+
+    def _uncount(self, state: _State) -> None:
+        self.count -= 1
+        if isinstance(state, outcomes.Answered):
+            self._answer_bytes -= _size(state)
+
+    def _drop_old(self, slot: _Slot) -> None:
+        cutoff_ms = self._clock.wall_ms() - self._retention_ms
+        last = cutoff_ms // _BUCKET_MS
+        old = [bucket for bucket in slot.by_bucket if bucket < last]
+        for bucket in old:
+            for state in slot.by_bucket.pop(bucket).values():
+                self._uncount(state)
+        slot.floor_wall_ms = max(slot.floor_wall_ms, last * _BUCKET_MS)
+
+
+def _bad_id(detail: str) -> outcomes.Refused:
+    return outcomes.Refused(outcomes.RefusalReason.REQUEST_ID, detail)
--- /dev/null
+++ b/mustardloom/admission/gate.py
@@ -0,0 +1,509 @@
+"""The only path by which work reaches the local target."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+import itertools
+import secrets
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.admission import limits
+from mustardloom.admission import presence
+from mustardloom.admission import quarantine as quarantines
+from mustardloom.admission import waiting
+from mustardloom.admission import warmup as warmups
+
+__all__ = ["Gate", "GateLoad"]
+
+_QUEUE_PER_CAPACITY = 2
+_SERVICE_QUANTILE = 0.9
+# Statuses from here on do not show that the target is warm or unharmed.
+_SERVER_ERROR_STATUS = 500
+
+
+class _State(enum.Enum):
+    WAITING = "waiting"
+    STARTED = "started"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Ticket:
+    """One request at the gate."""
+
+    request: requests.Request
+    turn: asyncio.Future[outcomes.Refused | None]
+    state: _State = _State.WAITING
+    generation: int = 0
+
+    @property
+    def deadline_ms(self) -> int:
+        return self.request.deadline_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateLoad:
+    """Load of the gate.
+
+    Attributes:
+      running: Requests that the target may be running.
+      queued: Requests that wait.
+      limit: Current concurrency limit.
+    """
+
+    running: int
+    queued: int
+    limit: int
+
+
+class Gate:
+    """Holds the exact concurrency limit of one target.
+
+    At any time at most min(capacity, adaptive limit, warm-up limit) requests
+    are dispatched. A request counts as dispatched until the target answered,
+    confirmed its cancellation, was lost, or the deadline that it was given
+    has passed.
+
+    Example:
+      gate = Gate(clock, target_client, lease, capacity=6, ...)
+      outcome = await gate.run(request, placement, entry)
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        target: dispatches.Dispatcher,
+        lease: dispatches.LeaseView,
+        capacity: int,
+        metrics: metrics_lib.Metrics,
+        on_suspect: quarantines.SuspectCallback = lambda *_: None,
+        on_target_down: Callable[[bool], None] = lambda _: None,
+    ):
+        """Creates an open gate for a target that counts as cold.
+
+        Args:
+          clock: Source of time.
+          target: Client of the target.
+          lease: Lease of this member.
+          capacity: Concurrent requests that the target bears when warm.
+          metrics: Receives the counters `gate.*`.
+          on_suspect: Called with a fingerprint and its crashes, to tell the
+            other gates of the service; 0 crashes clears the suspect.
+          on_target_down: Called with True when the target has been away too
+            long, and with False when it is back.
+        """
+        self.quarantine = quarantines.Quarantine(clock, on_suspect)
+        self.presence = presence.Presence(
+            clock, target, self._on_presence, self._on_instance
+        )
+        self._clock = clock
+        self._target = target
+        self._lease = lease
+        self._metrics = metrics
+        self._on_target_down = on_target_down
+        self._capacity = capacity
+        self._adaptive = limits.AdaptiveLimit(capacity)
+        self._warmup = warmups.Warmup(capacity)
+        self._times = limits.ServiceTimes()
+        self._queue: waiting.WaitingQueue[_Ticket] = waiting.WaitingQueue(
+            capacity * _QUEUE_PER_CAPACITY
+        )
+        self._running: set[_Ticket] = set()
+        self._alone: _Ticket | None = None
+        self._closed: outcomes.Refused | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._instance: str | None = None
+        # Grows with each crash, so that the lost requests of one crash are
+        # not counted as several crashes.
+        self._generation = 0
+        self._prefix = secrets.token_hex(4)
+        self._numbers = itertools.count(1)
+        self._expiry: asyncio.Task[None] | None = None
+        self._settling: set[asyncio.Task[None]] = set()
+
+    @property
+    def limit(self) -> int:
+        """Returns how many requests may be dispatched at once."""
+        return min(self._capacity, self._adaptive.value, self._warmup.value)
+
+    @property
+    def load(self) -> GateLoad:
+        """Returns the current load."""
+        return GateLoad(len(self._running), len(self._queue), self.limit)
+
+    def open(self) -> None:
+        """Admits requests again."""
+        self._closed = None
+
+    def close(self, reason: outcomes.RefusalReason, detail: str = "") -> None:
+        """Refuses all waiting and future requests; running ones finish."""
+        refusal = outcomes.Refused(reason, detail or "the gate is closed")
+        self._closed = refusal
+        for ticket in self._queue.take_all():
+            self._refuse(ticket, refusal)
+
+    async def wait_idle(self) -> None:
+        """Waits until the target runs none of our requests."""
+        await self._idle.wait()
+
+    def announced(self, capacity: int, instance: str) -> None:
+        """Adopts what the target announced about itself."""
+        if capacity != self._capacity:
+            self._capacity = capacity
+            self._adaptive.resize(capacity)
+            self._warmup.resize(capacity)
+            self._queue.bound = capacity * _QUEUE_PER_CAPACITY
+        self._on_instance(instance)
+
+    async def run(
+        self,
+        request: requests.Request,
+        placement: dispatches.Placement | None,
+        entry: dispatches.Entry,
+        cancellation: dispatches.Cancellation | None = None,
+    ) -> outcomes.Outcome:
+        """Runs a request on the target when its turn comes.
+
+        Args:
+          request: The request.
+          placement: Its slot, None for requests that need no slot.
+          entry: Asked right before dispatch whether the slot is still ours.
+          cancellation: Lets the sender take the request back.
+
+        Returns:
+          The outcome. A request cancelled while it waits is refused; one
+          cancelled while it runs is unknown.
+        """
+        cancellation = cancellation or dispatches.Cancellation()
+        refusal = self._check(request)
+        if refusal is None and cancellation.cancelled:
+            refusal = _cancelled()
+        if refusal is not None:
+            return self._counted(refusal)
+        ticket = _Ticket(request, asyncio.get_running_loop().create_future())
+        self._enqueue(ticket)
+        cancellation.on_cancel(lambda: self._withdraw(ticket, _cancelled()))
+        try:
+            refusal = await ticket.turn
+        except asyncio.CancelledError:
+            self._abandon(ticket)
+            raise
+        if refusal is not None:
+            return self._counted(refusal)
+        return self._counted(
+            await self._run_started(ticket, placement, entry, cancellation)
+        )
+
+    def _check(self, request: requests.Request) -> outcomes.Refused | None:
+        if self._closed is not None:
+            return self._closed
+        if self.quarantine.is_quarantined(request.fingerprint):
+            return _quarantined()
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        if remaining_ms <= 0 or self._expected_ms(request) > remaining_ms:
+            return outcomes.Refused(
+                outcomes.RefusalReason.DEADLINE,
+                "the request would not finish before its deadline",
+            )
+        if self._queue.is_full():
+            return outcomes.Refused(
+                outcomes.RefusalReason.OVERLOADED, "the queue is full"
+            )
+        return None
+
+    def _expected_ms(self, request: requests.Request) -> float:
+        ahead = self._queue.ahead_of(request.deadline_ms)
+        busy = len(self._running) + ahead + 1 - self.limit
+        rounds = max(0, busy) / self.limit
+        wait_ms = rounds * self._times.usual_ms()
+        return wait_ms + self._times.quantile_ms(_SERVICE_QUANTILE)
+
+    def _enqueue(self, ticket: _Ticket) -> None:
+        self._queue.push(ticket)
+        self._pump()
+        if self._queue.head() is ticket:
+            self._watch_expiry()
+
+    def _pump(self) -> None:
+        while (ticket := self._queue.head()) is not None:
+            fingerprint = ticket.request.fingerprint
+            if self.quarantine.is_quarantined(fingerprint):
+                self._withdraw(ticket, _quarantined())
+                continue
+            suspect = self.quarantine.is_suspect(fingerprint)
+            if not self._may_start(suspect):
+                return
+            self._queue.remove(ticket)
+            self._start(ticket, suspect)
+
+    def _may_start(self, suspect: bool) -> bool:
+        if suspect:
+            return not self._running
+        return self._alone is None and len(self._running) < self.limit
+
+    def _start(self, ticket: _Ticket, suspect: bool) -> None:
+        ticket.state = _State.STARTED
+        ticket.generation = self._generation
+        self._running.add(ticket)
+        self._idle.clear()
+        if suspect:
+            self._alone = ticket
+        ticket.turn.set_result(None)
+
+    def _finish(self, ticket: _Ticket) -> None:
+        self._running.discard(ticket)
+        if self._alone is ticket:
+            self._alone = None
+        if not self._running:
+            self._idle.set()
+        self._pump()
+
+    def _refuse(self, ticket: _Ticket, refusal: outcomes.Refused) -> None:
+        ticket.state = _State.REFUSED
+        if not ticket.turn.done():
+            ticket.turn.set_result(refusal)
+
+    def _withdraw(self, ticket: _Ticket, refusal: outcomes.Refused) -> None:
+        if self._queue.remove(ticket):
+            self._refuse(ticket, refusal)
+
+    def _abandon(self, ticket: _Ticket) -> None:
+        """Handles the cancellation of the task that waits for its turn."""
+        if self._queue.remove(ticket):
+            self._pump()
+        elif ticket.state is _State.STARTED:
+            self._finish(ticket)
+
+    def _watch_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._expiry = asyncio.create_task(self._expire())
+
+    async def _expire(self) -> None:
+        """Refuses waiting requests at their deadlines."""
+        while (head := self._queue.head()) is not None:
+            remaining_ms = head.deadline_ms - self._clock.now_ms()
+            if remaining_ms > 0:
+                await self._clock.sleep_ms(remaining_ms)
+                continue
+            refusal = outcomes.Refused(
+                outcomes.RefusalReason.DEADLINE,
+                "the deadline passed while the request waited",
+            )
+            self._withdraw(head, refusal)
+            self._pump()
+
+    async def _run_started(
+        self,
+        ticket: _Ticket,
+        placement: dispatches.Placement | None,
+        entry: dispatches.Entry,
+        cancellation: dispatches.Cancellation,
+    ) -> outcomes.Outcome:
+        """Dispatches a request that holds its place under the limit."""
+        try:
+            entered = self._enter(ticket, entry, cancellation)
+        except BaseException:
+            self._finish(ticket)
+            raise
+        if isinstance(entered, outcomes.Refused):
+            self._finish(ticket)
+            return entered
+        dispatch = dispatches.Dispatch(
+            dispatch_id=f"{self._prefix}-{next(self._numbers)}",
+            placement=placement,
+            epoch=entered,
+            deadline_ms=min(
+                ticket.request.deadline_ms, self._lease.expires_ms()
+            ),
+        )
+        return await self._dispatch(ticket, dispatch, entry, cancellation)
+
+    def _enter(
+        self,
+        ticket: _Ticket,
+        entry: dispatches.Entry,
+        cancellation: dispatches.Cancellation,
+    ) -> ids.Epoch | outcomes.Refused:
+        """Makes the last checks, with no suspension until the dispatch."""
+        if cancellation.cancelled:
+            return _cancelled()
+        if ticket.deadline_ms <= self._clock.now_ms():
+            return outcomes.Refused(
+                outcomes.RefusalReason.DEADLINE, "the deadline has passed"
+            )
+        lapsed = self._lease.expires_ms() <= self._clock.now_ms()
+        if lapsed or not self._lease.is_held():
+            return outcomes.Refused(
+                outcomes.RefusalReason.LEASE_LAPSED,
+                "this member does not hold its lease",
+            )
+        return entry.enter()
+
+    async def _dispatch(
+        self,
+        ticket: _Ticket,
+        dispatch: dispatches.Dispatch,
+        entry: dispatches.Entry,
+        cancellation: dispatches.Cancellation,
+    ) -> outcomes.Outcome:
+        started_ms = self._clock.now_ms()
+        call = asyncio.ensure_future(
+            self._target.dispatch(ticket.request, dispatch)
+        )
+
+        def cancel_call() -> None:
+            call.cancel()
+
+        cancellation.on_cancel(cancel_call)
+        try:
+            result = await call
+        except asyncio.CancelledError:
+            call.cancel()
+            self._settle(ticket, dispatch, entry)
+            if cancellation.cancelled and not _task_is_cancelled():
+                return outcomes.Unknown(
+                    outcomes.UnknownReason.CANCELLED,
+                    "the request was cancelled while it ran",
+                )
+            raise
+        except Exception:
+            self._settle(ticket, dispatch, entry)
+            raise
+        finally:
+            cancellation.on_cancel(None)
+        self._observe(ticket, result, self._clock.now_ms() - started_ms)
+        if isinstance(result.outcome, outcomes.Unknown) and not result.crashed:
+            self._settle(ticket, dispatch, entry)
+        else:
+            entry.leave()
+            self._finish(ticket)
+        return result.outcome
+
+    def _settle(
+        self,
+        ticket: _Ticket,
+        dispatch: dispatches.Dispatch,
+        entry: dispatches.Entry,
+    ) -> None:
+        """Frees the place once the target certainly does not run the request.
+
+        The target stops at the deadline by itself, so that the wait is bounded
+        also when it does not answer the cancellation.
+        """
+        task = asyncio.create_task(self._settled(dispatch))
+        self._settling.add(task)
+
+        def done(task: asyncio.Task[None]) -> None:
+            self._settling.discard(task)
+            entry.leave()
+            self._finish(ticket)
+
+        task.add_done_callback(done)
+
+    async def _settled(self, dispatch: dispatches.Dispatch) -> None:
+        if dispatch.deadline_ms <= self._clock.now_ms():
+            return
+        if await self._target.cancel(dispatch.dispatch_id):
+            return
+        remaining_ms = dispatch.deadline_ms - self._clock.now_ms()
+        if remaining_ms > 0:
+            await self._clock.sleep_ms(remaining_ms)
+
+    def _observe(
+        self,
+        ticket: _Ticket,
+        result: dispatches.DispatchResult,
+        service_ms: int,
+    ) -> None:
+        if result.instance is not None:
+            self._on_instance(result.instance)
+        if result.crashed:
+            self._on_crash(ticket)
+            return
+        match result.outcome:
+            case outcomes.Answered(status=status):
+                self.presence.seen()
+                if status < _SERVER_ERROR_STATUS:
+                    self._on_success(ticket, service_ms)
+            case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_DOWN):
+                self.presence.missed()
+
+    def _on_success(self, ticket: _Ticket, service_ms: int) -> None:
+        self.quarantine.succeeded(ticket.request.fingerprint)
+        if ticket.generation != self._generation:
+            return
+        usual_ms = self._times.usual_ms()
+        if self._warmup.succeeded(service_ms, usual_ms):
+            self._metrics.increment("gate.cold_by_service_time")
+            # The slow times become the usual ones; otherwise a target that
+            # stays slow would be treated as cold again and again.
+            self._times.clear()
+        self._times.add(service_ms)
+        self._adaptive.observe(self._times)
+
+    def _on_crash(self, ticket: _Ticket) -> None:
+        self.presence.missed()
+        if ticket.generation != self._generation:
+            return
+        in_flight = [
+            running.request.fingerprint
+            for running in self._running
+            if running.generation == self._generation
+        ]
+        self._generation += 1
+        self._metrics.increment("gate.target_crashes")
+        self._turned_cold()
+        self.quarantine.crashed(in_flight)
+
+    def _on_instance(self, instance: str) -> None:
+        if instance == self._instance:
+            return
+        if self._instance is not None:
+            self._metrics.increment("gate.target_instances")
+            self._turned_cold()
+        self._instance = instance
+
+    def _on_presence(self, down: bool) -> None:
+        if not down:
+            self._turned_cold()
+        self._on_target_down(down)
+
+    def _turned_cold(self) -> None:
+        self._warmup.restart()
+        self._times.clear()
+
+    def _counted(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
+        match outcome:
+            case outcomes.Answered():
+                self._metrics.increment("gate.answered")
+            case outcomes.Refused(reason=refusal):
+                self._metrics.increment(f"gate.refused.{refusal.value}")
+            case outcomes.Unknown(reason=unknown):
+                self._metrics.increment(f"gate.unknown.{unknown.value}")
+        return outcome
+
+
+def _task_is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _cancelled() -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.CANCELLED, "the request was cancelled"
+    )
+
+
+def _quarantined() -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.QUARANTINED,
+        "the request crashed targets and is in quarantine",
+    )
--- /dev/null
+++ b/mustardloom/admission/quarantine.py
@@ -0,0 +1,90 @@
+"""Requests that may crash the targets which run them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from mustardloom import clock as clocks
+
+__all__ = ["Quarantine", "SuspectCallback"]
+
+# Called with the fingerprint and the number of crashes; 0 clears a suspect.
+SuspectCallback = Callable[[int, int], None]
+
+QUARANTINE_MS = 600_000
+_CRASHES_TO_QUARANTINE = 2
+_MAX_SUSPECTS = 10_000
+
+
+class Quarantine:
+    """Counts target crashes by request fingerprint.
+
+    Example:
+      >>> quarantine = Quarantine(clocks.FakeClock(), lambda *_: None)
+      >>> quarantine.crashed([7])
+      >>> quarantine.is_suspect(7), quarantine.is_quarantined(7)
+      (True, False)
+    """
+
+    def __init__(self, clock: clocks.Clock, notify: SuspectCallback):
+        self._clock = clock
+        self._notify = notify
+        self._crashes_by_fingerprint: dict[int, int] = {}
+        self._since_ms_by_fingerprint: dict[int, int] = {}
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Returns whether a request with this fingerprint must run alone."""
+        self._forget_expired()
+        return fingerprint in self._crashes_by_fingerprint
+
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Returns whether a request with this fingerprint must not run."""
+        self._forget_expired()
+        crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
+        return crashes >= _CRASHES_TO_QUARANTINE
+
+    def crashed(self, fingerprints: Iterable[int]) -> None:
+        """Records one crash of the target with these requests in flight."""
+        for fingerprint in set(fingerprints):
+            crashes = self._crashes_by_fingerprint.get(fingerprint, 0) + 1
+            self._record(fingerprint, crashes)
+            self._notify(fingerprint, crashes)
+
+    def succeeded(self, fingerprint: int) -> None:
+        """Clears a suspect whose request was answered."""
+        crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
+        if 0 < crashes < _CRASHES_TO_QUARANTINE:
+            self._forget(fingerprint)
+            self._notify(fingerprint, 0)
+
+    def learn(self, fingerprint: int, crashes: int) -> None:
+        """Adopts one report of another gate of the service.
+
+        Each report of a crash stands for a crash of its own: two targets that
+        crash at the same time both report a first crash, which makes two.
+        """
+        known = self._crashes_by_fingerprint.get(fingerprint, 0)
+        if crashes == 0:
+            if known < _CRASHES_TO_QUARANTINE:
+                self._forget(fingerprint)
+        else:
+            self._record(fingerprint, max(known + 1, crashes))
+
+    def _record(self, fingerprint: int, crashes: int) -> None:
+        # Reinsertion keeps the dict in order of time.
+        self._forget(fingerprint)
+        self._crashes_by_fingerprint[fingerprint] = crashes
+        self._since_ms_by_fingerprint[fingerprint] = self._clock.now_ms()
+        if len(self._since_ms_by_fingerprint) > _MAX_SUSPECTS:
+            self._forget(next(iter(self._since_ms_by_fingerprint)))
+
+    def _forget(self, fingerprint: int) -> None:
+        self._crashes_by_fingerprint.pop(fingerprint, None)
+        self._since_ms_by_fingerprint.pop(fingerprint, None)
+
+    def _forget_expired(self) -> None:
+        cutoff_ms = self._clock.now_ms() - QUARANTINE_MS
+        while self._since_ms_by_fingerprint:
+            fingerprint = next(iter(self._since_ms_by_fingerprint))
+            if self._since_ms_by_fingerprint[fingerprint] > cutoff_ms:
+                return
+            self._forget(fingerprint)
--- /dev/null
+++ b/mustardloom/forwarding/connections.py
@@ -0,0 +1,303 @@
+"""Keep-alive HTTP/1 connections to one address."""
+
+import asyncio
+import dataclasses
+import enum
+import socket
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+from mustardloom import outcomes
+
+__all__ = [
+    "Address",
+    "Call",
+    "ConnectError",
+    "ConnectionLost",
+    "ConnectionPool",
+    "Message",
+    "TruncatedError",
+    "UnsendableError",
+]
+
+Address = tuple[str, int]
+
+# The target is on the same VM; only a full backlog delays a connection.
+_CONNECT_TIMEOUT_S = 0.25
+_MAX_HEADER_BYTES = 65_536
+_CONTINUE_BELOW = 200
+_NO_BODY_STATUSES = (204, 304)
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+def _is_usable(stream: "_Stream") -> bool:
+    """Returns whether an idle connection is open and has nothing to read."""
+    if stream.closed() or stream.has_unread():
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    # Either the end of the stream or bytes that no request asked for.
+    return False
+
+
+class ConnectError(Exception):
+    """No connection could be opened; nothing was sent."""
+
+
+class UnsendableError(Exception):
+    """The request is not valid HTTP; nothing was sent."""
+
+
+class ConnectionLost(Exception):
+    """The connection was lost before any byte of the answer.
+
+    Attributes:
+      reused: The connection had served an earlier request.
+    """
+
+    def __init__(self, reused: bool):
+        super().__init__("the connection was closed before the answer")
+        self.reused = reused
+
+
+class TruncatedError(Exception):
+    """The answer is incomplete or not valid HTTP."""
+
+
+class _Phase(enum.Enum):
+    SENT = "sent"
+    HEADERS = "headers"
+    FINISHED = "finished"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A request as it goes over the wire."""
+
+    method: str
+    path: str
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """A complete answer."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+    def end_to_end_headers(self) -> tuple[outcomes.Header, ...]:
+        """Returns the headers that concern more than this connection."""
+        return tuple(
+            (name, value)
+            for name, value in self.headers.get_all()
+            if name.lower() not in _HOP_BY_HOP
+        )
+
+
+class _Stream(iostream.IOStream):
+    """Stream that tells whether unread bytes are buffered."""
+
+    reused = False
+
+    def has_unread(self) -> bool:
+        """Returns whether bytes beyond the last answer were received."""
+        return self._read_buffer_size > 0
+
+
+class _Receiver(httputil.HTTPMessageDelegate):
+    """Collects one answer."""
+
+    def __init__(self, method: str):
+        self.phase = _Phase.SENT
+        self.keep_alive = False
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self._method = method
+        self._chunks: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Returns the body received so far."""
+        return b"".join(self._chunks)
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """See base class."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code < _CONTINUE_BELOW:
+            return
+        self.phase = _Phase.HEADERS
+        self.status = start_line.code
+        self.headers = headers
+        connection = headers.get("Connection", "").lower()
+        self.keep_alive = (
+            start_line.version == "HTTP/1.1" and connection != "close"
+        )
+        if not self._is_delimited():
+            # A body that ends with the connection may be cut anywhere.
+            raise httputil.HTTPInputError("answer without length")
+
+    def data_received(self, chunk: bytes) -> None:
+        """See base class."""
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """See base class."""
+        if self.phase is _Phase.HEADERS:
+            self.phase = _Phase.FINISHED
+
+    def on_connection_close(self) -> None:
+        """See base class."""
+
+    def _is_delimited(self) -> bool:
+        return (
+            self._method == "HEAD"
+            or self.status in _NO_BODY_STATUSES
+            or "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+        )
+
+
+class ConnectionPool:
+    """Connections to one address, each with at most one request at a time.
+
+    A connection returns to the pool only after a complete answer; whatever
+    else happens to it, it is closed.
+
+    Attributes:
+      opened: Connections opened so far.
+    """
+
+    def __init__(self, address: Address, max_idle: int, max_body_bytes: int):
+        self.opened = 0
+        self._address = address
+        self._max_idle = max_idle
+        self._parameters = http1connection.HTTP1ConnectionParameters(
+            max_header_size=_MAX_HEADER_BYTES, max_body_size=max_body_bytes
+        )
+        # The buffer holds one chunk more than the longest body.
+        self._max_buffer_bytes = max_body_bytes + 2 * _MAX_HEADER_BYTES
+        self._idle: list[_Stream] = []
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def call(self, call: Call, fresh: bool = False) -> Message:
+        """Sends a request and returns its complete answer.
+
+        Args:
+          call: The request.
+          fresh: Opens a new connection even if there is an idle one.
+
+        Raises:
+          ConnectError: Nothing was sent.
+          UnsendableError: Nothing was sent, and nothing can be.
+          ConnectionLost: The request was sent and no byte came back.
+          TruncatedError: The answer is incomplete or malformed.
+        """
+        stream = await self._connect() if fresh else await self._acquire()
+        keep = False
+        try:
+            message, keep = await self._exchange(stream, call)
+            return message
+        finally:
+            self._release(stream, keep)
+
+    async def _acquire(self) -> _Stream:
+        while self._idle:
+            stream = self._idle.pop()
+            if _is_usable(stream):
+                stream.reused = True
+                return stream
+            stream.close()
+        return await self._connect()
+
+    async def _connect(self) -> _Stream:
+        stream = _Stream(
+            socket.socket(), max_buffer_size=self._max_buffer_bytes
+        )
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                await stream.connect(self._address)
+        except OSError as error:
+            stream.close()
+            raise ConnectError(str(error) or "time-out") from error
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        stream.set_nodelay(True)
+        self.opened += 1
+        return stream
+
+    def _release(self, stream: _Stream, keep: bool) -> None:
+        if keep and len(self._idle) < self._max_idle and _is_usable(stream):
+            self._idle.append(stream)
+        else:
+            stream.close()
+
+    async def _exchange(
+        self, stream: _Stream, call: Call
+    ) -> tuple[Message, bool]:
+        connection = http1connection.HTTP1Connection(
+            stream, is_client=True, params=self._parameters
+        )
+        receiver = _Receiver(call.method)
+        self._send(connection, call)
+        closed = False
+        try:
+            await connection.read_response(receiver)
+        except iostream.StreamClosedError:
+            closed = True
+        except iostream.UnsatisfiableReadError:
+            pass  # The headers are too long.
+        if receiver.phase is _Phase.FINISHED:
+            message = Message(receiver.status, receiver.headers, receiver.body)
+            return message, receiver.keep_alive
+        silent = receiver.phase is _Phase.SENT and not stream.has_unread()
+        if closed and silent:
+            raise ConnectionLost(stream.reused)
+        raise TruncatedError("the answer is incomplete or malformed")
+
+    def _send(
+        self, connection: http1connection.HTTP1Connection, call: Call
+    ) -> None:
+        headers = httputil.HTTPHeaders()
+        for name, value in call.headers:
+            if name.lower() not in _HOP_BY_HOP:
+                headers.add(name, value)
+        if "Host" not in headers:
+            headers["Host"] = f"{self._address[0]}:{self._address[1]}"
+        headers["Content-Length"] = str(len(call.body))
+        start_line = httputil.RequestStartLine(
+            call.method, call.path, "HTTP/1.1"
+        )
+        # The futures of the writes fail with the stream; the read sees it too.
+        try:
+            connection.write_headers(start_line, headers, call.body)
+        except ValueError as error:
+            raise UnsendableError(str(error)) from error
+        connection.finish()
--- /dev/null
+++ b/mustardloom/standins/runs.py
@@ -0,0 +1,105 @@
+"""Record of what a stand-in target ran."""
+
+import collections
+from collections.abc import Iterator
+import enum
+
+import msgspec
+
+__all__ = ["Run", "RunOutcome", "RunPage", "RunRecord"]
+
+_MAX_RUNS = 100_000
+_MAX_PAGE = 10_000
+
+
+class RunOutcome(enum.Enum):
+    """How a run ended.
+
+    NOT_RUN, EXPIRED and CANCELLED had no effect; CRASHED may have had one.
+    """
+
+    COMMITTED = "committed"
+    NOT_RUN = "not-run"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    CRASHED = "crashed"
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that reached the target.
+
+    Attributes:
+      number: Position in the record, starting at 1.
+      request_id: Value of Idempotency-Key, empty if there was none.
+      dispatch_id: Value of X-Mustardloom-Dispatch.
+      key_hash: 64-bit hash of the key, None if there was none.
+      group: Placement group, empty if none was named.
+      slot: Slot, None if none was named.
+      epoch: Fencing token, None if none was sent.
+      path: Path of the request.
+      instance: Run of the target process.
+      region: Region of the target.
+      zone: Availability zone of the target.
+      start_wall_ms: When it started or was rejected.
+      end_wall_ms: When it ended.
+      outcome: How it ended.
+    """
+
+    number: int
+    request_id: str
+    dispatch_id: str
+    key_hash: int | None
+    group: str
+    slot: int | None
+    epoch: int | None
+    path: str
+    instance: str
+    region: str
+    zone: str
+    start_wall_ms: int
+    end_wall_ms: int
+    outcome: RunOutcome
+
+
+class RunPage(msgspec.Struct, frozen=True):
+    """Part of the record.
+
+    Attributes:
+      first: Lowest number that is still kept, 0 if none is.
+      last: Highest number of the record.
+      runs: The runs of the page, in order.
+    """
+
+    first: int
+    last: int
+    runs: tuple[Run, ...]
+
+
+class RunRecord:
+    """The last runs of a target, in order of their ends."""
+
+    def __init__(self) -> None:
+        self._runs: collections.deque[Run] = collections.deque(maxlen=_MAX_RUNS)
+        self._last = 0
+
+    def next_number(self) -> int:
+        """Returns the number for the next run that ends."""
+        self._last += 1
+        return self._last
+
+    def add(self, run: Run) -> None:
+        """Adds a run that ended."""
+        self._runs.append(run)
+
+    def page(self, after: int) -> RunPage:
+        """Returns the runs with a number above `after`, up to a bound."""
+        first = self._runs[0].number if self._runs else 0
+        return RunPage(first, self._last, tuple(self._after(after)))
+
+    def _after(self, after: int) -> Iterator[Run]:
+        if not self._runs:
+            return
+        start = max(0, after + 1 - self._runs[0].number)
+        stop = min(len(self._runs), start + _MAX_PAGE)
+        for index in range(start, stop):
+            yield self._runs[index]
--- /dev/null
+++ b/mustardloom/standins/service.py
@@ -0,0 +1,85 @@
+"""Behaviour of a stand-in target: service times, cold starts, faults."""
+
+import math
+import random
+
+import msgspec
+
+__all__ = ["Bearing", "Faults", "ServiceTime"]
+
+_COLD_DIVISOR = 3
+
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults that `POST /_target/faults` sets.
+
+    Attributes:
+      slow_factor: Multiplies the service times.
+      freeze_ms: Stops the whole process once, for this time.
+      cold: Makes the target cold once, without a new instance.
+      cold_grace_ms: How long a target turned cold by `cold` bears too much
+        work before it crashes.
+      misleading_load: Lets /_target/load report an idle target.
+      unhealthy: Lets /_target/health report failure while work goes on.
+    """
+
+    slow_factor: float = 1.0
+    freeze_ms: int = 0
+    cold: bool = False
+    cold_grace_ms: int = 1_000
+    misleading_load: bool = False
+    unhealthy: bool = False
+
+
+class ServiceTime:
+    """Lognormal service times with a given mean.
+
+    Example:
+      >>> ServiceTime(mean_ms=10, sigma=0, seed=1).draw_ms()
+      10.0
+    """
+
+    def __init__(self, mean_ms: float, sigma: float, seed: int):
+        self._random = random.Random(seed)
+        # The mean of a lognormal distribution is exp(mu + sigma^2 / 2).
+        self._scale_ms = mean_ms * math.exp(-(sigma**2) / 2)
+        self._sigma = sigma
+
+    def draw_ms(self) -> float:
+        """Returns the service time of the next request."""
+        return self._scale_ms * self._random.lognormvariate(0, self._sigma)
+
+
+class Bearing:
+    """Concurrent requests that a target bears while it warms up.
+
+    Example:
+      >>> bearing = Bearing(capacity=6)
+      >>> bearing.limit
+      2
+    """
+
+    def __init__(self, capacity: int):
+        self._capacity = capacity
+        self._completed = 0
+        self._grace_until_ms = 0
+        self.limit = capacity
+        self.turn_cold()
+
+    def turn_cold(self, grace_until_ms: int = 0) -> None:
+        """Makes the target cold; overload is borne until the given time."""
+        self.limit = max(1, self._capacity // _COLD_DIVISOR)
+        self._completed = 0
+        self._grace_until_ms = grace_until_ms
+
+    def completed(self) -> None:
+        """Warms the target: one more for each `limit` completed requests."""
+        self._completed += 1
+        if self._completed >= self.limit and self.limit < self._capacity:
+            self.limit += 1
+            self._completed = 0
+
+    def breaks(self, running: int, now_ms: int) -> bool:
+        """Returns whether a cold target crashes with this many running."""
+        cold = self.limit < self._capacity
+        return cold and running > self.limit and now_ms >= self._grace_until_ms
