Route, forward and accept requests, and add a load tool

Callers need one path from an ingress to the target that answers them.

Adds the route table, home regions, choice of targets, hedges, retries and the router; the ingress and the forwarder between daemons; and the load tool mustardloom-caller.

A request that had an unknown attempt stays unknown when a later attempt is refused.

--- /dev/null
+++ b/mustardloom/forwarding/tests/test_forwarder.py
@@ -0,0 +1,228 @@
+"""Tests of forwarding between two daemons."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.forwarding import codec
+from mustardloom.forwarding import forwarder as forwarder_lib
+from mustardloom.relay import authentication
+from mustardloom.relay import peers as peers_lib
+from mustardloom.relay.wire import peer_pb2
+from mustardloom.routing import forwarders
+
+A = ids.MemberId("a~1")
+B = ids.MemberId("b~1")
+GROUP = ids.GroupId("salio@pwani")
+SLOT = ids.SlotIndex(3)
+GATE = forwarders.Destination.GATE
+OK = outcomes.Answered(200, (("X-A", "1"), ("X-A", "2")), b"body")
+
+
+def make_request(deadline_ms, request_id=None):
+    """Returns a request in which every field has a value of its own."""
+    return requests.Request(
+        method="POST",
+        path="/salio/7?x=1",
+        headers=(("X-A", "1"), ("X-A", "é")),
+        body=b"\0body",
+        route=ids.RouteId("salio"),
+        service=ids.ServiceId("salio"),
+        organisation=ids.OrganisationId("o"),
+        regions=frozenset({ids.RegionId("pwani"), ids.RegionId("ziwa")}),
+        key="7",
+        request_id=request_id,
+        idempotent=False,
+        deadline_ms=deadline_ms,
+        fingerprint=2**64 - 1,
+    )
+
+
+class Daemon:
+    def __init__(self, member, ports):
+        self.clock = clocks.SystemClock()
+        self.metrics = metrics_lib.Metrics()
+        self.peers = peers_lib.Peers(
+            member,
+            lambda other: (
+                ("127.0.0.1", ports[other]) if other in ports else None
+            ),
+            authentication.Authenticator(b"key"),
+            self.clock,
+            self.metrics,
+        )
+        self.server = peers_lib.PeerServer(self.peers)
+        self.forwarder = forwarder_lib.PeerForwarder(
+            self.peers, self.clock, self.metrics
+        )
+
+
+def run_pair(scenario, handler):
+    """Runs `scenario(a, b)` on two connected daemons; b serves `handler`."""
+
+    async def main():
+        ports: dict[ids.MemberId, int] = {}
+        a, b = Daemon(A, ports), Daemon(B, ports)
+        await b.server.start("127.0.0.1", 0)
+        listener: Any = b.server._server._server
+        ports[B] = listener.sockets[0].getsockname()[1]
+        b.forwarder.serve(GATE, handler)
+        try:
+            return await scenario(a, b)
+        finally:
+            await a.peers.close()
+            await b.peers.close()
+            await b.server.stop()
+
+    return asyncio.run(asyncio.wait_for(main(), 20))
+
+
+def forward(daemon, member, wait_ms=5_000):
+    """Forwards a request from `daemon` to `member`."""
+    request = make_request(daemon.clock.now_ms() + wait_ms)
+    return daemon.forwarder.forward(member, GATE, request, GROUP, SLOT)
+
+
+def test_request_survives_the_wire_and_keeps_its_remaining_time():
+    """Guards against fields lost between daemons and foreign clocks."""
+    sent = make_request(1_500, ids.RequestId("id"))
+    message = codec.encode_request(sent, GATE, GROUP, SLOT, now_ms=1_000)
+    wire = peer_pb2.Forward.FromString(message.SerializeToString())
+    received = codec.decode_request(wire, now_ms=77_000)
+    assert received.deadline_ms == 77_500
+    expected = make_request(77_500, ids.RequestId("id"))
+    assert received == expected
+    assert codec.destination_of(wire) is GATE
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        OK,
+        outcomes.Refused(
+            outcomes.RefusalReason.MOVED, "x", (ids.RegionId("r"),), B
+        ),
+        outcomes.Refused(outcomes.RefusalReason.OVERLOADED, "x"),
+        outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "x"),
+    ],
+)
+def test_outcomes_survive_the_wire(outcome):
+    """Guards against hints and reasons lost between daemons."""
+    sent = forwarders.Forwarded(outcome, forwarders.Load(1, 2, 3))
+    wire = codec.encode_answer(sent).SerializeToString()
+    assert codec.decode_answer(peer_pb2.Answer.FromString(wire)) == sent
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        peer_pb2.Answer(),
+        peer_pb2.Answer(refused=peer_pb2.Refused(reason="from the future")),
+        peer_pb2.Answer(answered=peer_pb2.Answered(headers=["odd"])),
+    ],
+)
+def test_answers_that_are_not_understood_are_unknown(answer):
+    """Guards against calling a request not run without a statement of that."""
+    outcome = codec.decode_answer(answer).outcome
+    assert isinstance(outcome, outcomes.Unknown)
+
+
+def test_forward_reaches_the_handler_of_the_peer():
+    """Guards against a handler that gets another request or slot."""
+    seen = []
+
+    async def handler(request, group, slot):
+        seen.append((request.body, group, slot))
+        return forwarders.Forwarded(OK, forwarders.Load(1, 2, 3))
+
+    async def scenario(a, b):
+        return await forward(a, B), await forward(b, B)
+
+    remote, local = run_pair(scenario, handler)
+    assert remote == local == forwarders.Forwarded(OK, forwarders.Load(1, 2, 3))
+    assert seen == [(b"\0body", GROUP, SLOT)] * 2
+
+
+def test_peer_without_address_is_a_refusal():
+    """Guards against reporting a request that was never sent as unknown."""
+
+    async def scenario(a, _):
+        return await forward(a, ids.MemberId("nobody~1"))
+
+    outcome = run_pair(scenario, None).outcome
+    assert isinstance(outcome, outcomes.Refused)
+    assert outcome.reason is outcomes.RefusalReason.PEER_UNREACHABLE
+
+
+def test_loss_after_sending_is_unknown():
+    """Guards against calling a request that was sent not run."""
+    entered = asyncio.Event()
+
+    async def handler(request, group, slot):
+        entered.set()
+        await asyncio.Event().wait()
+
+    async def scenario(a, b):
+        call = asyncio.create_task(forward(a, B))
+        await entered.wait()
+        await a.peers.close()
+        return await call
+
+    outcome = run_pair(scenario, handler).outcome
+    assert isinstance(outcome, outcomes.Unknown)
+    assert outcome.reason is outcomes.UnknownReason.PEER_LOST
+
+
+def test_deadline_after_sending_is_unknown():
+    """Guards against a caller that waits for ever for a frozen peer."""
+
+    async def handler(request, group, slot):
+        await asyncio.Event().wait()
+
+    async def scenario(a, _):
+        return await forward(a, B, wait_ms=300)
+
+    outcome = run_pair(scenario, handler).outcome
+    assert isinstance(outcome, outcomes.Unknown)
+    assert outcome.reason is outcomes.UnknownReason.DEADLINE
+
+
+def test_cancelling_a_forward_cancels_the_handler():
+    """Guards against targets that work for callers which are gone."""
+    entered, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def handler(request, group, slot):
+        entered.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async def scenario(a, _):
+        call = asyncio.create_task(forward(a, B))
+        await entered.wait()
+        call.cancel()
+        await cancelled.wait()
+        return True
+
+    assert run_pair(scenario, handler)
+
+
+def test_fault_of_a_handler_is_unknown():
+    """Guards against a fault in the gate that is reported as not run."""
+
+    async def handler(request, group, slot):
+        raise ZeroDivisionError
+
+    async def scenario(a, _):
+        return await forward(a, B)
+
+    outcome = run_pair(scenario, handler).outcome
+    assert isinstance(outcome, outcomes.Unknown)
--- a/mustardloom/routing/__init__.py
+++ b/mustardloom/routing/__init__.py
@@ -1,1 +1,19 @@
-"""Package routing."""
+"""Choice of the member that serves a request."""
+
+from mustardloom.routing.candidates import TargetChooser
+from mustardloom.routing.forwarders import Destination
+from mustardloom.routing.forwarders import Forwarded
+from mustardloom.routing.forwarders import Forwarder
+from mustardloom.routing.forwarders import Load
+from mustardloom.routing.router import Router
+from mustardloom.routing.routes import RouteTable
+
+__all__ = [
+    "Destination",
+    "Forwarded",
+    "Forwarder",
+    "Load",
+    "RouteTable",
+    "Router",
+    "TargetChooser",
+]
--- /dev/null
+++ b/mustardloom/routing/budgets.py
@@ -0,0 +1,40 @@
+"""Budget that limits extra attempts to a share of the requests."""
+
+__all__ = ["TokenBudget"]
+
+
+class TokenBudget:
+    """Tokens that requests earn and extra attempts spend.
+
+    The budget starts empty, so that extra attempts never exceed `ratio` times
+    the requests seen so far.
+
+    Example:
+      >>> budget = TokenBudget(ratio=0.5, burst=10)
+      >>> budget.earn()
+      >>> budget.take()
+      False
+      >>> budget.earn()
+      >>> budget.take()
+      True
+    """
+
+    def __init__(self, ratio: float, burst: float):
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = 0.0
+
+    def earn(self) -> None:
+        """Adds the share of one request."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def can_take(self) -> bool:
+        """Tells whether `take` would succeed."""
+        return self._tokens >= 1.0
+
+    def take(self) -> bool:
+        """Spends one token; returns False if there is none."""
+        if not self.can_take():
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/mustardloom/routing/hedging.py
@@ -0,0 +1,116 @@
+"""When to send a second attempt of a slow idempotent request."""
+
+import bisect
+
+from mustardloom import ids
+from mustardloom.routing import budgets
+
+__all__ = ["HEDGE_RATIO", "DecayingHistogram", "Hedger"]
+
+HEDGE_RATIO = 0.05
+
+_HEDGE_BURST = 20.0
+_HEDGE_QUANTILE = 0.95
+_MIN_SAMPLES = 20
+_MIN_DELAY_MS = 2
+_HALVE_AFTER_SAMPLES = 1_000
+_BUCKET_GROWTH = 1.12
+_LONGEST_MS = 120_000
+
+
+def _bucket_edges() -> list[float]:
+    edges = [1.0]
+    while edges[-1] < _LONGEST_MS:
+        edges.append(max(edges[-1] + 1.0, edges[-1] * _BUCKET_GROWTH))
+    return edges
+
+
+_EDGES_MS = _bucket_edges()
+
+
+class DecayingHistogram:
+    """Latencies in ms; older samples lose half their weight repeatedly.
+
+    Example:
+      >>> histogram = DecayingHistogram()
+      >>> for _ in range(30):
+      ...     histogram.record(10)
+      >>> histogram.quantile(0.95)
+      10
+    """
+
+    def __init__(self) -> None:
+        self._counts = [0.0] * (len(_EDGES_MS) + 1)
+        self._total = 0.0
+        self._since_halving = 0
+
+    def record(self, latency_ms: int) -> None:
+        """Adds one sample."""
+        self._counts[bisect.bisect_left(_EDGES_MS, latency_ms)] += 1.0
+        self._total += 1.0
+        self._since_halving += 1
+        if self._since_halving >= _HALVE_AFTER_SAMPLES:
+            self._halve()
+
+    def quantile(self, share: float) -> int | None:
+        """Returns the upper edge of the quantile's bucket, in ms.
+
+        Returns None while there are too few samples.
+        """
+        if self._total < _MIN_SAMPLES:
+            return None
+        wanted = share * self._total
+        for index, count in enumerate(self._counts[:-1]):
+            wanted -= count
+            if wanted <= 0:
+                return int(_EDGES_MS[index])
+        return _LONGEST_MS
+
+    def _halve(self) -> None:
+        self._counts = [count / 2 for count in self._counts]
+        self._total /= 2
+        self._since_halving = 0
+
+
+class Hedger:
+    """Delay and budget of hedged attempts, for all routes of an ingress."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[ids.RouteId, DecayingHistogram] = {}
+        self._delays_ms: dict[ids.RouteId, int | None] = {}
+        self._budget = budgets.TokenBudget(HEDGE_RATIO, _HEDGE_BURST)
+
+    def record(self, route: ids.RouteId, latency_ms: int) -> None:
+        """Adds the latency of one answered request."""
+        histogram = self._histograms.get(route)
+        if histogram is None:
+            histogram = self._histograms[route] = DecayingHistogram()
+        histogram.record(latency_ms)
+        self._delays_ms.pop(route, None)
+
+    def earn(self) -> None:
+        """Counts one request that may be hedged."""
+        self._budget.earn()
+
+    def delay_ms(self, route: ids.RouteId) -> int | None:
+        """Returns after how long to hedge; None: not yet known."""
+        if route not in self._delays_ms:
+            self._delays_ms[route] = self._compute_delay_ms(route)
+        return self._delays_ms[route]
+
+    def may_hedge(self) -> bool:
+        """Tells whether the budget has a token."""
+        return self._budget.can_take()
+
+    def take(self) -> bool:
+        """Spends one token; returns False if there is none."""
+        return self._budget.take()
+
+    def _compute_delay_ms(self, route: ids.RouteId) -> int | None:
+        histogram = self._histograms.get(route)
+        if histogram is None:
+            return None
+        quantile_ms = histogram.quantile(_HEDGE_QUANTILE)
+        if quantile_ms is None:
+            return None
+        return max(_MIN_DELAY_MS, quantile_ms)
--- /dev/null
+++ b/mustardloom/routing/homes.py
@@ -0,0 +1,71 @@
+"""Regions in which a request may be served, sent and kept."""
+
+from collections.abc import Iterable
+from collections.abc import Set
+
+from mustardloom import ids
+from mustardloom import outcomes
+from mustardloom.declarations import model
+from mustardloom.membership import records
+
+__all__ = ["ingress_addresses", "permits", "permitted_regions", "refusal"]
+
+
+def permitted_regions(
+    route: model.Route, organisation: model.Organisation | None
+) -> frozenset[ids.RegionId] | None:
+    """Returns the regions common to a route and an organisation.
+
+    Returns:
+      The permitted regions; empty means any. None if both are restricted and
+      have no region in common, so that the request may be served nowhere.
+    """
+    by_route = frozenset(route.home_regions)
+    by_organisation = frozenset(
+        organisation.home_regions if organisation else ()
+    )
+    if not by_route or not by_organisation:
+        return by_route | by_organisation
+    return (by_route & by_organisation) or None
+
+
+def permits(regions: Set[ids.RegionId], region: ids.RegionId) -> bool:
+    """Tells whether `region` is permitted; empty `regions` permit any.
+
+    Example:
+      >>> permits(frozenset(), ids.RegionId("pwani"))
+      True
+    """
+    return not regions or region in regions
+
+
+def ingress_addresses(
+    members: records.Members, regions: Iterable[ids.RegionId]
+) -> dict[ids.RegionId, records.Address]:
+    """Returns the address of one serving ingress for each region."""
+    found: dict[ids.RegionId, records.Address] = {}
+    wanted = set(regions)
+    for record in members.live():
+        if record.region not in wanted:
+            continue
+        if record.state is records.MemberState.LEAVING:
+            continue
+        found.setdefault(record.region, record.caller_address)
+    return found
+
+
+def refusal(
+    members: records.Members, regions: Set[ids.RegionId]
+) -> outcomes.Refused:
+    """Returns the refusal of an ingress outside the permitted regions."""
+    ordered = tuple(sorted(regions))
+    addresses = ingress_addresses(members, ordered)
+    places = [
+        f"{region} ({addresses[region]})" if region in addresses else region
+        for region in ordered
+    ]
+    return outcomes.Refused(
+        outcomes.RefusalReason.HOME_REGION,
+        f"served only in {', '.join(places) or 'no region'}",
+        regions=ordered,
+    )
--- /dev/null
+++ b/mustardloom/standins/caller.py
@@ -0,0 +1,602 @@
+"""Callers that generate load and check what they get back.
+
+Latencies are measured from the time at which a request was due, so that a
+slow answer does not hide the requests that wait behind it.
+"""
+
+import asyncio
+import bisect
+import collections
+import dataclasses
+import enum
+import itertools
+import random
+import socket
+import time
+from typing import IO
+
+from hdrh import histogram as hdr
+import msgspec
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+__all__ = [
+    "Caller",
+    "Load",
+    "Report",
+    "Result",
+    "Traffic",
+    "ZipfKeys",
+    "new_request_id",
+]
+
+_US_PER_S = 1_000_000
+_MS_PER_S = 1_000
+_LONGEST_US = 120 * _US_PER_S
+_DIGITS = 3
+# The ingress answers by the deadline; the time of the way back is added.
+_ANSWER_GRACE_S = 0.5
+_RESEND_PAUSE_S = 0.05
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_PERCENTILES = {"p50": 50.0, "p99": 99.0, "p999": 99.9}
+
+
+def new_request_id(wall_ms: int, source: random.Random) -> str:
+    """Returns a UUID of version 7.
+
+    Example:
+      >>> new_request_id(1_700_000_000_000, random.Random(1))[:14]
+      '018bcfe5-6800-'
+    """
+    high = (wall_ms & (2**48 - 1)) << 16 | 7 << 12 | source.getrandbits(12)
+    text = f"{high << 64 | 2 << 62 | source.getrandbits(62):032x}"
+    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+    return "-".join(parts)
+
+
+class Result(enum.Enum):
+    """What a caller knows at the end of a request."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    CROSSED = "crossed"
+
+
+class Traffic(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests to one service.
+
+    Attributes:
+      service: Name in the report.
+      path: Path; `{key}` is replaced by the key.
+      weight: Share of the requests relative to other services.
+      key_header: Header that carries the key, if any.
+      organisation: Organisation that the requests name, if any.
+    """
+
+    service: str
+    path: str
+    weight: float = 1.0
+    key_header: str | None = None
+    organisation: str | None = None
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """What a run sends.
+
+    Attributes:
+      ingresses: Host and port of each ingress.
+      traffic: Services and their shares.
+      rate: Requests per second of an open loop; 0 for a closed loop.
+      callers: Concurrent callers of a closed loop.
+      count: Largest number of requests.
+      duration_s: Longest time in which requests are started.
+      connections: Largest number of connections to one ingress.
+      post_share: Share of non-idempotent requests.
+      resends: How often a request without an answer is sent again.
+      deadline_ms: Deadline of each request.
+      keys: Number of keys.
+      zipf_exponent: Skew of the keys; 0 is uniform.
+      hot_change_s: After how long other keys become hot; 0 is never.
+      body_bytes: Size of the body of a non-idempotent request.
+      seed: Seed of all random choices.
+    """
+
+    ingresses: tuple[tuple[str, int], ...]
+    traffic: tuple[Traffic, ...]
+    rate: float = 0.0
+    callers: int = 16
+    count: int = 1_000
+    duration_s: float = 10.0
+    connections: int = 120
+    post_share: float = 0.0
+    resends: int = 0
+    deadline_ms: int = 1_000
+    keys: int = 10_000
+    zipf_exponent: float = 1.0
+    hot_change_s: float = 0.0
+    body_bytes: int = 16
+    seed: int = 1
+
+
+class RequestLog(msgspec.Struct, frozen=True):
+    """Line of the request log, for a checker."""
+
+    id: str
+    service: str
+    method: str
+    key: str
+    outcome: str
+    reason: str
+    status: int
+    sends: int
+    started_wall_ms: int
+    latency_us: int
+
+
+class Second(msgspec.Struct):
+    """Results of requests that ended in one second of the run."""
+
+    answered: int = 0
+    refused: int = 0
+    unknown: int = 0
+    crossed: int = 0
+    max_us: int = 0
+
+
+class Latencies(msgspec.Struct, frozen=True):
+    """Latencies in microseconds, with the encoded histogram."""
+
+    count: int
+    p50: int
+    p99: int
+    p999: int
+    max: int
+    encoded: str
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Result of a run.
+
+    Attributes:
+      counts: Requests by result.
+      reasons: Requests without an answer, by result and reason.
+      sends: Requests sent, resends included.
+      duration_s: Time from the first request to the last result.
+      latencies: By service, then by `<result>.<idempotent|once>`.
+      seconds: Results by second.
+    """
+
+    counts: dict[str, int]
+    reasons: dict[str, int]
+    sends: int
+    duration_s: float
+    latencies: dict[str, dict[str, Latencies]]
+    seconds: list[Second]
+
+
+class ZipfKeys:
+    """Keys drawn by a Zipf distribution whose hot keys change.
+
+    Example:
+      >>> keys = ZipfKeys(100, 1.0, 0.0, random.Random(1))
+      >>> keys.draw(0.0).startswith("key-")
+      True
+    """
+
+    def __init__(
+        self,
+        count: int,
+        exponent: float,
+        change_s: float,
+        source: random.Random,
+    ):
+        weights = (1.0 / rank**exponent for rank in range(1, count + 1))
+        self._cumulative = list(itertools.accumulate(weights))
+        self._change_s = change_s
+        self._random = source
+        self._order = list(range(count))
+        self._random.shuffle(self._order)
+
+    def draw(self, elapsed_s: float) -> str:
+        """Returns the key of a request at `elapsed_s` of the run."""
+        point = self._random.random() * self._cumulative[-1]
+        rank = bisect.bisect_left(self._cumulative, point)
+        count = len(self._order)
+        shift = 0
+        if self._change_s > 0:
+            # An odd stride near a third moves every hot rank to a cold key.
+            shift = int(elapsed_s / self._change_s) * (count // 3 | 1)
+        return f"key-{self._order[(rank + shift) % count]}"
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """One request of the load, over all its sends."""
+
+    traffic: Traffic
+    method: str
+    path: str
+    key: str
+    nonce: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    due_s: float
+    wall_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Outcome:
+    """Result of one send, or of all sends together."""
+
+    result: Result
+    reason: str = ""
+    status: int = 0
+
+
+def _merge(earlier: _Outcome | None, latest: _Outcome) -> _Outcome:
+    # A refused resend does not undo an earlier send that may have run.
+    if earlier is None or latest.result is not Result.REFUSED:
+        return latest
+    return earlier if earlier.result is Result.UNKNOWN else latest
+
+
+class _Response(httputil.HTTPMessageDelegate):
+    """Collects a response."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.body = b""
+        self.is_complete = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """See base class."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """See base class."""
+        self.body += chunk
+
+    def finish(self) -> None:
+        """See base class."""
+        self.is_complete = True
+
+    def on_connection_close(self) -> None:
+        """See base class."""
+
+
+class _Connection:
+    """Connection that is kept alive between requests."""
+
+    _PARAMETERS = http1connection.HTTP1ConnectionParameters(
+        max_body_size=_MAX_RESPONSE_BYTES
+    )
+
+    def __init__(self, address: tuple[str, int]):
+        self._address = address
+        self._stream: iostream.IOStream | None = None
+
+    async def connect(self) -> None:
+        """Opens the connection unless it is open.
+
+        Raises:
+          OSError: The ingress does not accept connections.
+        """
+        if self._stream is not None and not self._stream.closed():
+            return
+        raw = socket.socket(socket.AF_INET)
+        stream = iostream.IOStream(raw)
+        await stream.connect(self._address)
+        self._stream = stream
+
+    async def send(self, call: _Call, timeout_s: float) -> _Response:
+        """Returns the response, incomplete if the connection was lost."""
+        stream = self._stream
+        assert stream is not None
+        response = _Response()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_s, stream.close)
+        try:
+            connection = http1connection.HTTP1Connection(
+                stream, True, self._PARAMETERS
+            )
+            start_line = httputil.RequestStartLine(
+                call.method, call.path, "HTTP/1.1"
+            )
+            written = connection.write_headers(
+                start_line, call.headers, call.body
+            )
+            connection.finish()
+            await connection.read_response(response)
+            await written
+        except iostream.StreamClosedError:
+            response.is_complete = False
+        finally:
+            timer.cancel()
+        self._after(response)
+        return response
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def _after(self, response: _Response) -> None:
+        wants_close = response.headers.get("Connection", "").lower() == "close"
+        if wants_close or not response.is_complete:
+            self.close()
+
+
+class _Pool:
+    """Connections to one ingress; the last one used is used first."""
+
+    def __init__(self, address: tuple[str, int], limit: int):
+        self._address = address
+        self._free: list[_Connection] = []
+        self._waiting: collections.deque[asyncio.Future[_Connection]] = (
+            collections.deque()
+        )
+        self._room = limit
+
+    async def take(self) -> _Connection:
+        """Returns a connection, waiting while all are in use."""
+        if self._free:
+            return self._free.pop()
+        if self._room > 0:
+            self._room -= 1
+            return _Connection(self._address)
+        waiter: asyncio.Future[_Connection] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting.append(waiter)
+        return await waiter
+
+    def give_back(self, connection: _Connection) -> None:
+        """Makes a connection available to the next request."""
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(connection)
+                return
+        self._free.append(connection)
+
+    def close(self) -> None:
+        """Closes all free connections."""
+        for connection in self._free:
+            connection.close()
+
+
+class _Tally:
+    """Counts results and latencies."""
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.reasons: collections.Counter[str] = collections.Counter()
+        self.sends = 0
+        self._histograms: dict[tuple[str, str], hdr.HdrHistogram] = {}
+        self._seconds: dict[int, Second] = {}
+
+    def add(
+        self, call: _Call, outcome: _Outcome, latency_us: int, elapsed_s: float
+    ) -> None:
+        """Adds the final outcome of one request."""
+        name = outcome.result.value
+        self.counts[name] += 1
+        if outcome.reason:
+            self.reasons[f"{name}.{outcome.reason}"] += 1
+        kind = "idempotent" if call.method == "GET" else "once"
+        histogram = self._histogram(call.traffic.service, f"{name}.{kind}")
+        histogram.record_value(min(max(1, latency_us), _LONGEST_US))
+        second = self._seconds.setdefault(int(elapsed_s), Second())
+        setattr(second, name, getattr(second, name) + 1)
+        second.max_us = max(second.max_us, latency_us)
+
+    def report(self, duration_s: float) -> Report:
+        """Returns everything that was counted."""
+        latencies: dict[str, dict[str, Latencies]] = {}
+        for (service, kind), histogram in self._histograms.items():
+            latencies.setdefault(service, {})[kind] = _latencies(histogram)
+        length = max(self._seconds, default=-1) + 1
+        counts = {each.value: self.counts[each.value] for each in Result}
+        return Report(
+            counts=counts,
+            reasons=dict(self.reasons),
+            sends=self.sends,
+            duration_s=duration_s,
+            latencies=latencies,
+            seconds=[self._seconds.get(i, Second()) for i in range(length)],
+        )
+
+    def _histogram(self, service: str, kind: str) -> hdr.HdrHistogram:
+        histogram = self._histograms.get((service, kind))
+        if histogram is None:
+            histogram = hdr.HdrHistogram(1, _LONGEST_US, _DIGITS)
+            self._histograms[service, kind] = histogram
+        return histogram
+
+
+def _latencies(histogram: hdr.HdrHistogram) -> Latencies:
+    values = {
+        name: int(histogram.get_value_at_percentile(percentile))
+        for name, percentile in _PERCENTILES.items()
+    }
+    return Latencies(
+        count=int(histogram.get_total_count()),
+        max=int(histogram.get_max_value()),
+        encoded=histogram.encode().decode(),
+        **values,
+    )
+
+
+class Caller:
+    """Sends one load and reports the results.
+
+    Args:
+      load: What to send.
+      log: Receives one JSON line per request, if given.
+    """
+
+    def __init__(self, load: Load, log: IO[bytes] | None = None):
+        self._load = load
+        self._log = log
+        self._random = random.Random(load.seed)
+        self._nonce_prefix = f"{load.seed:x}-{self._random.getrandbits(32):x}"
+        self._keys = ZipfKeys(
+            load.keys, load.zipf_exponent, load.hot_change_s, self._random
+        )
+        self._pools = [
+            _Pool(address, load.connections) for address in load.ingresses
+        ]
+        self._tally = _Tally()
+        self._weights = [each.weight for each in load.traffic]
+        self._sent = 0
+        self._started_s = 0.0
+
+    async def run(self) -> Report:
+        """Runs the load to its end in count or time."""
+        self._started_s = time.monotonic()
+        try:
+            if self._load.rate > 0:
+                await self._open_loop()
+            else:
+                await self._closed_loop()
+        finally:
+            for pool in self._pools:
+                pool.close()
+        return self._tally.report(self._elapsed_s())
+
+    def _elapsed_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def _has_more(self) -> bool:
+        if self._sent >= self._load.count:
+            return False
+        return self._elapsed_s() < self._load.duration_s
+
+    async def _closed_loop(self) -> None:
+        callers = (self._one_caller() for _ in range(self._load.callers))
+        await asyncio.gather(*callers)
+
+    async def _one_caller(self) -> None:
+        while self._has_more():
+            await self._complete(self._next_call(time.monotonic()))
+
+    async def _open_loop(self) -> None:
+        running: set[asyncio.Task[None]] = set()
+        due_s = self._started_s
+        while self._has_more():
+            due_s += self._random.expovariate(self._load.rate)
+            pause_s = due_s - time.monotonic()
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+            task = asyncio.create_task(self._complete(self._next_call(due_s)))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        await asyncio.gather(*running)
+
+    def _next_call(self, due_s: float) -> _Call:
+        self._sent += 1
+        load = self._load
+        traffic = load.traffic[0]
+        if len(load.traffic) > 1:
+            traffic = self._random.choices(load.traffic, self._weights)[0]
+        key = self._keys.draw(due_s - self._started_s)
+        nonce = f"{self._nonce_prefix}-{self._sent}."
+        wall_ms = time.time_ns() // _US_PER_S
+        is_post = self._random.random() < load.post_share
+        headers = httputil.HTTPHeaders()
+        headers["Host"] = "mustardloom"
+        headers["X-Echo"] = nonce
+        headers["X-Mustardloom-Deadline-Ms"] = str(load.deadline_ms)
+        if traffic.key_header is not None:
+            headers[traffic.key_header] = key
+        if traffic.organisation is not None:
+            headers["X-Mustardloom-Organisation"] = traffic.organisation
+        body = b""
+        if is_post:
+            body = b"x" * load.body_bytes
+            request_id = new_request_id(wall_ms, self._random)
+            headers["Idempotency-Key"] = request_id
+            headers["Content-Length"] = str(len(body))
+        return _Call(
+            traffic=traffic,
+            method="POST" if is_post else "GET",
+            path=traffic.path.replace("{key}", key),
+            key=key,
+            nonce=nonce,
+            headers=headers,
+            body=body,
+            due_s=due_s,
+            wall_ms=wall_ms,
+        )
+
+    async def _complete(self, call: _Call) -> None:
+        outcome: _Outcome | None = None
+        sends = 0
+        while True:
+            sends += 1
+            outcome = _merge(outcome, await self._send(call))
+            is_final = outcome.result in (Result.ANSWERED, Result.CROSSED)
+            if is_final or sends > self._load.resends:
+                break
+            await asyncio.sleep(_RESEND_PAUSE_S * sends)
+        latency_us = int((time.monotonic() - call.due_s) * _US_PER_S)
+        self._tally.add(call, outcome, latency_us, self._elapsed_s())
+        if self._log is not None:
+            self._write_log(call, outcome, sends, latency_us)
+
+    async def _send(self, call: _Call) -> _Outcome:
+        self._tally.sends += 1
+        pool = self._pools[self._random.randrange(len(self._pools))]
+        connection = await pool.take()
+        try:
+            await connection.connect()
+            timeout_s = self._load.deadline_ms / _MS_PER_S + _ANSWER_GRACE_S
+            response = await connection.send(call, timeout_s)
+        except OSError:
+            return _Outcome(Result.REFUSED, "connect")
+        finally:
+            pool.give_back(connection)
+        return _classify(call, response)
+
+    def _write_log(
+        self, call: _Call, outcome: _Outcome, sends: int, latency_us: int
+    ) -> None:
+        assert self._log is not None
+        line = RequestLog(
+            id=call.headers.get("Idempotency-Key", call.nonce),
+            service=call.traffic.service,
+            method=call.method,
+            key=call.key,
+            outcome=outcome.result.value,
+            reason=outcome.reason,
+            status=outcome.status,
+            sends=sends,
+            started_wall_ms=call.wall_ms,
+            latency_us=latency_us,
+        )
+        self._log.write(msgspec.json.encode(line) + b"\n")
+
+
+def _classify(call: _Call, response: _Response) -> _Outcome:
+    if not response.is_complete:
+        return _Outcome(Result.UNKNOWN, "connection")
+    status = response.status
+    name = response.headers.get("X-Mustardloom-Outcome", "answered")
+    reason = response.headers.get("X-Mustardloom-Reason", "")
+    match name:
+        case "refused":
+            return _Outcome(Result.REFUSED, reason, status)
+        case "unknown":
+            return _Outcome(Result.UNKNOWN, reason, status)
+    if call.nonce.encode() not in response.body:
+        return _Outcome(Result.CROSSED, "nonce", status)
+    return _Outcome(Result.ANSWERED, "", status)
