--- a/mustardloom/forwarding/__init__.py
+++ b/mustardloom/forwarding/__init__.py
@@ -1,7 +1,17 @@
-"""Forwarding of requests to targets."""
+"""Transport of requests: from callers, between daemons and to targets."""
 
+from mustardloom.forwarding.forwarder import LocalHandler
+from mustardloom.forwarding.forwarder import PeerForwarder
+from mustardloom.forwarding.ingress import Ingress
 from mustardloom.forwarding.target_client import Grant
 from mustardloom.forwarding.target_client import TargetClient
 from mustardloom.forwarding.target_client import TargetLoad
 
-__all__ = ["Grant", "TargetClient", "TargetLoad"]
+__all__ = [
+    "Grant",
+    "Ingress",
+    "LocalHandler",
+    "PeerForwarder",
+    "TargetClient",
+    "TargetLoad",
+]
