--- /dev/null
+++ b/mustardloom/membership/announcer.py
@@ -0,0 +1,126 @@
+"""Announces a member and its target in the store."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.membership import own_record
+from mustardloom.membership import records
+from mustardloom.membership import renewal as renewals
+
+__all__ = ["Announcer", "TargetAnnouncement"]
+
+_RETRY_MS = 500
+_POLL_INTERVAL_MS = 50
+
+
+class TargetAnnouncement(msgspec.Struct, frozen=True, kw_only=True):
+    """What a target tells the daemon beside it.
+
+    Attributes:
+      service: Its service.
+      capacity: Concurrent requests that it bears when warm.
+      instance: Name of its running life.
+      checks_fencing: Whether it checks fencing tokens.
+    """
+
+    service: ids.ServiceId
+    capacity: int
+    instance: str
+    checks_fencing: bool = False
+
+
+class Announcer:
+    """Writes the changes of state of the own member record.
+
+    Each method waits until the store has confirmed the change, through
+    outages of the store if need be, and raises `own_record.LifeEnded` if the
+    member was fenced.
+    """
+
+    def __init__(
+        self,
+        own: own_record.OwnRecord,
+        renewal: renewals.Renewal,
+        clock: clocks.Clock,
+    ):
+        self._own = own
+        self._renewal = renewal
+        self._clock = clock
+
+    async def create(self) -> None:
+        """Creates the record, in state JOINING, with first witnesses.
+
+        `renewal.run` has to be active.
+        """
+        witnesses = await self._renewal.introduce()
+        await self._write(
+            lambda record: msgspec.structs.replace(record, witnesses=witnesses)
+        )
+
+    async def register_target(self, target: TargetAnnouncement) -> None:
+        """Announces a target, or new facts about it; the state is ACTIVE.
+
+        Waits for a witness first, unless there is no other daemon: a member
+        without witnesses cannot be fenced, so it must not get slots.
+        """
+        while not self._own.record.witnesses and not self._renewal.is_alone():
+            await self._clock.sleep_ms(_POLL_INTERVAL_MS)
+        await self._write(
+            lambda record: msgspec.structs.replace(
+                record,
+                state=_unless_leaving(record, records.MemberState.ACTIVE),
+                service=target.service,
+                capacity=target.capacity,
+                target_instance=target.instance,
+                checks_fencing=target.checks_fencing,
+            )
+        )
+
+    async def set_target_down(self) -> None:
+        """Announces that the target does not answer."""
+        await self._set_state(records.MemberState.TARGET_DOWN)
+
+    async def set_target_up(self) -> None:
+        """Announces that the target answers again."""
+        await self._set_state(records.MemberState.ACTIVE)
+
+    async def leave(self) -> None:
+        """Announces that this member stops; it gets no new slots."""
+        await self._set_state(records.MemberState.LEAVING)
+
+    async def remove(self, is_empty: Callable[[], bool]) -> None:
+        """Deletes the record once `is_empty`, i.e. all slots have gone.
+
+        The lease ends before the deletion.
+        """
+        while not is_empty():
+            await self._clock.sleep_ms(_POLL_INTERVAL_MS)
+        while await self._own.delete() is own_record.WriteState.UNDECIDED:
+            await self._clock.sleep_ms(_RETRY_MS)
+
+    async def _set_state(self, state: records.MemberState) -> None:
+        await self._write(
+            lambda record: msgspec.structs.replace(
+                record, state=_unless_leaving(record, state)
+            )
+        )
+
+    async def _write(self, change: own_record.Change) -> None:
+        undecided = own_record.WriteState.UNDECIDED
+        try:
+            while await self._own.write(change) is undecided:
+                await self._clock.sleep_ms(_RETRY_MS)
+        except own_record.LifeEnded as error:
+            self._renewal.end(error.reason)
+            raise
+
+
+def _unless_leaving(
+    record: records.MemberRecord, state: records.MemberState
+) -> records.MemberState:
+    if record.state is records.MemberState.LEAVING:
+        return record.state
+    return state
--- /dev/null
+++ b/mustardloom/membership/fencing.py
@@ -0,0 +1,376 @@
+"""Ends the lives of lost members, with statements of their witnesses."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+
+from loguru import logger
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.membership import datagrams
+from mustardloom.membership import lease as leases
+from mustardloom.membership import records
+from mustardloom.membership import witness_choice
+from mustardloom.relay import replica as replicas
+
+__all__ = [
+    "RANK_DELAY_MS",
+    "FenceResult",
+    "Fenced",
+    "Fencer",
+    "FencingUndecided",
+    "NotEnoughStatements",
+    "RecordGone",
+    "StillHeld",
+    "TooYoung",
+    "Unfenceable",
+    "fencing_candidates",
+    "statements_needed",
+]
+
+# Candidate of rank r acts after r times this delay.
+RANK_DELAY_MS = 300
+_QUERY_INTERVAL_MS = 100
+_POLL_INTERVAL_MS = 10
+_ATTEMPT_MS = 2_000
+_MIN_RECORD_AGE_MS = 5_000
+_NEAR_CANDIDATES = 2
+_FAR_CANDIDATES = 1
+
+
+def statements_needed(witness_count: int) -> int:
+    """Returns how many witnesses have to state that a lease has ended.
+
+    Together with the quorum that confirms a lease they exceed the number of
+    witnesses, so that the two sets share a witness.
+
+    Example:
+      >>> [statements_needed(n) for n in (1, 2, 3)]
+      [1, 1, 2]
+    """
+    return witness_count - leases.quorum(witness_count) + 1
+
+
+def fencing_candidates(
+    members: Iterable[records.MemberRecord], lost: records.MemberRecord
+) -> list[records.MemberRecord]:
+    """Returns the members that shall fence `lost`, best rank first.
+
+    The first two are in its region but not in its zone, the third is in
+    another region; all others follow, those of its own zone last.
+    """
+    near: list[records.MemberRecord] = []
+    far: list[records.MemberRecord] = []
+    own_zone: list[records.MemberRecord] = []
+    by_role = {
+        witness_choice.Role.OTHER_ZONE: near,
+        witness_choice.Role.OTHER_REGION: far,
+        witness_choice.Role.OWN_ZONE: own_zone,
+    }
+    for record in sorted(
+        _able(members, lost),
+        key=lambda r: witness_choice.spread(lost.member, r.member),
+        reverse=True,
+    ):
+        by_role[witness_choice.role_of(lost, record)].append(record)
+    return [
+        *near[:_NEAR_CANDIDATES],
+        *far[:_FAR_CANDIDATES],
+        *near[_NEAR_CANDIDATES:],
+        *far[_FAR_CANDIDATES:],
+        *own_zone,
+    ]
+
+
+def _able(
+    members: Iterable[records.MemberRecord], lost: records.MemberRecord
+) -> Iterator[records.MemberRecord]:
+    unable = (records.MemberState.FENCED, records.MemberState.LEAVING)
+    for record in members:
+        if record.vm != lost.vm and record.state not in unable:
+            yield record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fenced:
+    """The member is fenced, by this fencer or by another."""
+
+    record: records.MemberRecord
+    version: ids.Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StillHeld:
+    """A quorum of the witnesses goes on to confirm the lease."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotEnoughStatements:
+    """Too few witnesses have made a statement."""
+
+    stated: int
+    needed: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordGone:
+    """There is no record of the member."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooYoung:
+    """The member was first seen too recently."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unfenceable:
+    """The member has no witnesses; only an operator can fence it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FencingUndecided:
+    """The store did not answer; the member may or may not be fenced."""
+
+
+FenceResult = (
+    Fenced
+    | StillHeld
+    | NotEnoughStatements
+    | RecordGone
+    | TooYoung
+    | Unfenceable
+    | FencingUndecided
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Poll:
+    """Statements about one version of a record."""
+
+    record: records.MemberRecord
+    latest_by_witness: dict[ids.MemberId, datagrams.Statement] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    def count(self, *statements: datagrams.Statement) -> int:
+        """Returns how many witnesses made one of the statements."""
+        latest = self.latest_by_witness.values()
+        return sum(statement in statements for statement in latest)
+
+    def ended(self) -> int:
+        """Returns how many witnesses state that the lease has ended."""
+        return self.count(datagrams.Statement.REFUSED, datagrams.Statement.GONE)
+
+    def is_complete(self) -> bool:
+        """Tells whether the member can be fenced."""
+        return self.ended() >= statements_needed(len(self.record.witnesses))
+
+
+class Fencer:
+    """Fences members; any number of fencers may act at the same time."""
+
+    def __init__(
+        self,
+        store: platform.PlatformClient,
+        replica: replicas.Replica,
+        members: records.Members,
+        endpoint: datagrams.DatagramEndpoint,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        publish: records.Publish,
+    ):
+        """Starts to note when members are seen first."""
+        self._store = store
+        self._members = members
+        self._endpoint = endpoint
+        self._clock = clock
+        self._metrics = metrics
+        self._publish = publish
+        self._seen_ms_by_key: dict[str, int] = {}
+        self._poll_by_query: dict[int, tuple[_Poll, ids.MemberId]] = {}
+        replica.subscribe(records.MEMBERS_PREFIX, self._on_event)
+        endpoint.handle(datagrams.FenceStatement, self._on_statement)
+
+    async def fence(self, member: ids.MemberId) -> FenceResult:
+        """Fences `member` if enough of its witnesses state that it is lost.
+
+        Takes 2 s at most for the statements, and as long as the store needs
+        for the write.
+        """
+        record = self._members.by_id.get(member)
+        version = self._members.version_by_id.get(member)
+        deadline_ms = self._clock.now_ms() + _ATTEMPT_MS
+        if record is None or version is None:
+            return RecordGone()
+        if self._is_young(member):
+            return TooYoung()
+        while True:
+            if record.state is records.MemberState.FENCED:
+                return Fenced(record, version)
+            if not record.witnesses:
+                return Unfenceable()
+            failure = await self._collect(record, deadline_ms)
+            if failure is not None:
+                return failure
+            result = await self._write(record, version, deadline_ms)
+            if not isinstance(result, platform.Versioned):
+                return result
+            record = records.decode(result.value)
+            version = result.version
+
+    async def confirm_lost(self, vm: ids.VmId) -> list[FenceResult]:
+        """Fences all members of a VM on the word of an operator.
+
+        No witness is asked: the operator vouches that no process of the VM
+        runs any more.
+        """
+        lost = [r.member for r in self._members.live() if r.vm == vm]
+        return [await self._confirm_lost(member) for member in lost]
+
+    async def _confirm_lost(self, member: ids.MemberId) -> FenceResult:
+        deadline_ms = self._clock.now_ms() + _ATTEMPT_MS
+        try:
+            found = await self._store.get(records.member_key(member))
+        except platform.PlatformUnavailable:
+            return FencingUndecided()
+        if found is None:
+            return RecordGone()
+        while True:
+            record = records.decode(found.value)
+            if record.state is records.MemberState.FENCED:
+                return Fenced(record, found.version)
+            result = await self._write(record, found.version, deadline_ms)
+            if not isinstance(result, platform.Versioned):
+                return result
+            found = result
+
+    def _is_young(self, member: ids.MemberId) -> bool:
+        now_ms = self._clock.now_ms()
+        seen_ms = self._seen_ms_by_key.get(records.member_key(member), now_ms)
+        return now_ms - seen_ms < _MIN_RECORD_AGE_MS
+
+    async def _collect(
+        self, record: records.MemberRecord, deadline_ms: int
+    ) -> FenceResult | None:
+        """Asks the witnesses; returns None if enough statements came."""
+        poll = _Poll(record)
+        queries: list[int] = []
+        try:
+            while self._clock.now_ms() < deadline_ms:
+                queries.extend(self._ask(poll))
+                if await self._wait(poll):
+                    return None
+        finally:
+            for query in queries:
+                del self._poll_by_query[query]
+        needed = statements_needed(len(record.witnesses))
+        held = poll.count(datagrams.Statement.HELD)
+        if held > len(record.witnesses) - needed:
+            return StillHeld()
+        return NotEnoughStatements(poll.ended(), needed)
+
+    def _ask(self, poll: _Poll) -> Iterator[int]:
+        final = (datagrams.Statement.REFUSED, datagrams.Statement.GONE)
+        for witness in poll.record.witnesses:
+            known = self._members.by_id.get(witness)
+            if known is None or poll.latest_by_witness.get(witness) in final:
+                continue
+            message = datagrams.FenceQuery(
+                sender=self._endpoint.member,
+                receiver=witness,
+                member=poll.record.member,
+            )
+            query = self._endpoint.send(known.peer_address, message)
+            self._poll_by_query[query] = (poll, witness)
+            yield query
+
+    async def _wait(self, poll: _Poll) -> bool:
+        for _ in range(_QUERY_INTERVAL_MS // _POLL_INTERVAL_MS):
+            await self._clock.sleep_ms(_POLL_INTERVAL_MS)
+            if poll.is_complete():
+                return True
+        return False
+
+    def _on_statement(
+        self,
+        message: datagrams.FenceStatement,
+        sequence: int,
+        source: records.Address,
+    ) -> None:
+        poll, witness = self._poll_by_query.get(message.query, (None, None))
+        if (
+            poll is None
+            or message.witness != witness
+            or message.member != poll.record.member
+        ):
+            self._metrics.increment("membership.statements_unexpected")
+            return
+        poll.latest_by_witness[message.witness] = message.statement
+
+    async def _write(
+        self,
+        record: records.MemberRecord,
+        version: ids.Version,
+        deadline_ms: int,
+    ) -> FenceResult | platform.Versioned:
+        """Writes FENCED if the record still has `version`.
+
+        Returns the object that was found instead if it is another version.
+        """
+        fenced = msgspec.structs.replace(
+            record,
+            state=records.MemberState.FENCED,
+            fenced_wall_ms=self._clock.wall_ms(),
+        )
+        key = records.member_key(record.member)
+        while True:
+            result = await self._update(key, records.encode(fenced), version)
+            match result:
+                case platform.Written(written):
+                    return self._announce(key, fenced, written)
+                case platform.Conflict(None):
+                    return RecordGone()
+                case platform.Conflict(platform.Versioned() as current):
+                    return current
+            match await self._read_back(key):
+                case None:
+                    return RecordGone()
+                case platform.Versioned() as found if found.version != version:
+                    return found
+            if self._clock.now_ms() >= deadline_ms:
+                return FencingUndecided()
+            await self._clock.sleep_ms(_QUERY_INTERVAL_MS)
+
+    async def _update(
+        self, key: str, value: bytes, version: ids.Version
+    ) -> platform.WriteResult:
+        try:
+            return await self._store.update(key, value, version)
+        except platform.PlatformUnavailable:
+            return platform.Undecided(ids.new_operation_id())
+
+    async def _read_back(
+        self, key: str
+    ) -> platform.Versioned | FencingUndecided | None:
+        try:
+            return await self._store.get(key)
+        except platform.PlatformUnavailable:
+            return FencingUndecided()
+
+    def _announce(
+        self, key: str, fenced: records.MemberRecord, version: ids.Version
+    ) -> Fenced:
+        self._metrics.increment("membership.members_fenced")
+        logger.warning(f"{fenced.member} is fenced")
+        self._publish(platform.Event(key, version, records.encode(fenced)))
+        return Fenced(fenced, version)
+
+    def _on_event(self, event: platform.Event) -> None:
+        if event.value is None:
+            self._seen_ms_by_key.pop(event.key, None)
+            return
+        self._seen_ms_by_key.setdefault(event.key, self._clock.now_ms())
--- /dev/null
+++ b/mustardloom/membership/lapses.py
@@ -0,0 +1,100 @@
+"""Brings lapsed leases to the members that fence."""
+
+import asyncio
+from collections.abc import Callable
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.membership import datagrams
+from mustardloom.membership import fencing
+from mustardloom.membership import records
+
+__all__ = ["LapseHandler"]
+
+# Members told by one notice; each further notice tells as many more, in case
+# the best ranks are lost too.
+_NOTIFIED_STEP = 3
+_MAX_NOTIFIED = 9
+
+
+class LapseHandler:
+    """Tells the candidates of a lapse, and fences when it is one itself.
+
+    Results other than `Fenced` need no retry here, since the witnesses repeat
+    their notices while the member's record is live.
+    """
+
+    def __init__(
+        self,
+        fencer: fencing.Fencer,
+        members: records.Members,
+        endpoint: datagrams.DatagramEndpoint,
+        clock: clocks.Clock,
+        on_fenced: Callable[[fencing.Fenced], None],
+    ):
+        """Starts to accept notices; `on_fenced` gets each fenced member."""
+        self._fencer = fencer
+        self._members = members
+        self._endpoint = endpoint
+        self._clock = clock
+        self._on_fenced = on_fenced
+        self._task_by_member: dict[ids.MemberId, asyncio.Task[None]] = {}
+        endpoint.handle(datagrams.LapseNotice, self._on_notice)
+
+    def report(self, member: ids.MemberId, number: int) -> None:
+        """Sends notice `number` (from 0) of a lapse to the candidates."""
+        notified = min(_NOTIFIED_STEP * (number + 1), _MAX_NOTIFIED)
+        for record in self._candidates(member)[:notified]:
+            if record.member in self._endpoint.own_ids:
+                self.suspect(member)
+                continue
+            notice = datagrams.LapseNotice(
+                sender=self._endpoint.member,
+                receiver=record.member,
+                member=member,
+            )
+            self._endpoint.send(record.peer_address, notice)
+
+    def suspect(self, member: ids.MemberId) -> None:
+        """Starts to fence `member` after the delay of the own rank."""
+        if member in self._task_by_member:
+            return
+        task = asyncio.create_task(self._fence(member))
+        self._task_by_member[member] = task
+        task.add_done_callback(lambda _: self._task_by_member.pop(member))
+
+    async def close(self) -> None:
+        """Stops all attempts."""
+        tasks = list(self._task_by_member.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_notice(
+        self,
+        message: datagrams.LapseNotice,
+        sequence: int,
+        source: records.Address,
+    ) -> None:
+        self.suspect(message.member)
+
+    async def _fence(self, member: ids.MemberId) -> None:
+        await self._clock.sleep_ms(self._rank(member) * fencing.RANK_DELAY_MS)
+        record = self._members.by_id.get(member)
+        if record is None or record.state is records.MemberState.FENCED:
+            return
+        result = await self._fencer.fence(member)
+        if isinstance(result, fencing.Fenced):
+            self._on_fenced(result)
+
+    def _rank(self, member: ids.MemberId) -> int:
+        candidates = self._candidates(member)
+        own = self._endpoint.own_ids
+        ranks = (i for i, r in enumerate(candidates) if r.member in own)
+        return next(ranks, len(candidates))
+
+    def _candidates(self, member: ids.MemberId) -> list[records.MemberRecord]:
+        lost = self._members.by_id.get(member)
+        if lost is None:
+            return []
+        return fencing.fencing_candidates(self._members.live(), lost)
--- a/mustardloom/membership/records.py
+++ b/mustardloom/membership/records.py
@@ -1,5 +1,6 @@
 """Member records in the store and a view of them."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import enum
 
@@ -15,6 +16,7 @@
     "MemberRecord",
     "MemberState",
     "Members",
+    "Publish",
     "decode",
     "encode",
     "member_key",
@@ -22,6 +24,9 @@
 
 MEMBERS_PREFIX = "members/"
 
+# Applies an own successful write to the replica and pushes it to peers.
+Publish = Callable[[objects.Event], None]
+
 
 def member_key(member: ids.MemberId) -> str:
     """Returns the store key of a member record."""
--- /dev/null
+++ b/mustardloom/membership/witness.py
@@ -0,0 +1,211 @@
+"""What a daemon knows as a witness of the leases of other members."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.membership import datagrams
+from mustardloom.membership import lease as leases
+from mustardloom.membership import records
+
+__all__ = ["WITNESS_LEASE_MS", "LapseCallback", "WitnessTable"]
+
+# Bounds the difference between the clocks of two VMs over one lease.
+_DRIFT_MARGIN_MS = 50
+WITNESS_LEASE_MS = leases.LEASE_MS + _DRIFT_MARGIN_MS
+_SWEEP_INTERVAL_MS = 50
+# A sweep this late shows that the process was paused; renewals that wait in
+# the socket are read before anything is declared lapsed.
+_LATE_SWEEP_MS = 250
+# A lapse is reported again while the record of the member stays live, since
+# candidates may be lost and notices may be dropped.
+_FIRST_NOTICE_INTERVAL_MS = 2_000
+_MAX_NOTICE_INTERVAL_MS = 30_000
+# Forgetting is safe at any time, since a forgotten member says that it was
+# acknowledged before and is refused. Retention only saves needless refusals.
+_RETENTION_MS = 24 * 3_600 * 1_000
+_UNKNOWN_RETENTION_MS = 60 * 1_000
+
+# Receives the member and the number of the notice, from 0.
+LapseCallback = Callable[[ids.MemberId, int], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """What is known of one member.
+
+    Attributes:
+      received_ms: Own time of the last renewal, or of the refusal.
+      refused: Whether a lapse was stated.
+      notices: Number of lapse callbacks since the last renewal.
+      next_notice_ms: Own time of the next lapse callback.
+    """
+
+    received_ms: int
+    refused: bool = False
+    notices: int = 0
+    next_notice_ms: int = 0
+
+
+class WitnessTable:
+    """Confirms leases of members, and states when they have lapsed.
+
+    There is one table per process. It outlives the lives (member ids) of the
+    process and answers for all of them.
+    """
+
+    def __init__(
+        self,
+        endpoint: datagrams.DatagramEndpoint,
+        members: records.Members,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        on_lapse: LapseCallback,
+    ):
+        """Starts to answer; the address must have been bound before.
+
+        Args:
+          endpoint: Endpoint of the process.
+          members: View of all members.
+          clock: Clock of the process.
+          metrics: Receives counters.
+          on_lapse: Called when a lease has lapsed here, and again at growing
+            intervals (2 s to 30 s) while the record of the member is live
+            and names this witness.
+        """
+        self._endpoint = endpoint
+        self._members = members
+        self._clock = clock
+        self._metrics = metrics
+        self._on_lapse = on_lapse
+        self._bound_ms = clock.now_ms()
+        self._swept_ms = clock.now_ms()
+        self._by_member: dict[ids.MemberId, _Entry] = {}
+        endpoint.handle(datagrams.Renew, self._on_renew)
+        endpoint.handle(datagrams.FenceQuery, self._on_query)
+
+    def __len__(self) -> int:
+        return len(self._by_member)
+
+    async def run(self) -> None:
+        """Looks for lapsed leases until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_SWEEP_INTERVAL_MS)
+            self.sweep()
+            # Gives the event loop a turn after a burst of lapses.
+            await asyncio.sleep(0)
+
+    def sweep(self) -> None:
+        """Reports lapsed leases and forgets what is no longer needed."""
+        now_ms = self._clock.now_ms()
+        late = now_ms - self._swept_ms >= _LATE_SWEEP_MS
+        self._swept_ms = now_ms
+        if late:
+            self._metrics.increment("membership.witness_pauses")
+            return
+        for member, entry in list(self._by_member.items()):
+            if now_ms - entry.received_ms >= WITNESS_LEASE_MS:
+                self._on_lapsed(member, entry, now_ms)
+
+    def state(
+        self, witness: ids.MemberId, member: ids.MemberId
+    ) -> datagrams.Statement | None:
+        """Makes a statement about the lease of `member`.
+
+        REFUSED binds this process for good. None means that nothing can be
+        stated: `witness` is not of this process, which has not run for long
+        enough to vouch that the leases of its predecessor have ended.
+        """
+        now_ms = self._clock.now_ms()
+        if witness not in self._endpoint.own_ids:
+            if now_ms - self._bound_ms <= WITNESS_LEASE_MS:
+                return None
+            return datagrams.Statement.GONE
+        entry = self._by_member.get(member)
+        if entry is None:
+            entry = _Entry(now_ms, refused=True)
+            self._by_member[member] = entry
+        if entry.refused:
+            return datagrams.Statement.REFUSED
+        if now_ms - entry.received_ms < WITNESS_LEASE_MS:
+            return datagrams.Statement.HELD
+        entry.refused = True
+        return datagrams.Statement.REFUSED
+
+    def _on_renew(
+        self, message: datagrams.Renew, sequence: int, source: records.Address
+    ) -> None:
+        refused = not self._renew(message)
+        if refused:
+            self._metrics.increment("membership.renewals_refused")
+        reply = datagrams.Renewed(
+            sender=message.receiver,
+            receiver=message.sender,
+            renewal=sequence,
+            refused=refused,
+        )
+        self._endpoint.send(source, reply)
+
+    def _renew(self, message: datagrams.Renew) -> bool:
+        now_ms = self._clock.now_ms()
+        entry = self._by_member.get(message.sender)
+        if entry is None:
+            # Forgotten members had lapsed, and may have been fenced.
+            refused = message.acknowledged
+            entry = _Entry(now_ms, refused=refused)
+            self._by_member[message.sender] = entry
+            return not refused
+        if entry.refused:
+            return False
+        entry.received_ms = now_ms
+        entry.notices = 0
+        return True
+
+    def _on_query(
+        self,
+        message: datagrams.FenceQuery,
+        sequence: int,
+        source: records.Address,
+    ) -> None:
+        statement = self.state(message.receiver, message.member)
+        if statement is None:
+            return
+        reply = datagrams.FenceStatement(
+            sender=self._endpoint.member,
+            receiver=message.sender,
+            query=sequence,
+            witness=message.receiver,
+            member=message.member,
+            statement=statement,
+        )
+        self._endpoint.send(source, reply)
+
+    def _on_lapsed(
+        self, member: ids.MemberId, entry: _Entry, now_ms: int
+    ) -> None:
+        silent_ms = now_ms - entry.received_ms
+        known = member in self._members.by_id
+        if silent_ms >= (_RETENTION_MS if known else _UNKNOWN_RETENTION_MS):
+            del self._by_member[member]
+            return
+        if entry.notices and now_ms < entry.next_notice_ms:
+            return
+        if not self._is_witness_of(member):
+            return
+        number = entry.notices
+        interval_ms = _FIRST_NOTICE_INTERVAL_MS * 2**number
+        entry.notices += 1
+        entry.next_notice_ms = now_ms + min(
+            interval_ms, _MAX_NOTICE_INTERVAL_MS
+        )
+        self._metrics.increment("membership.lapses")
+        self._on_lapse(member, number)
+
+    def _is_witness_of(self, member: ids.MemberId) -> bool:
+        record = self._members.by_id.get(member)
+        if record is None or record.state is records.MemberState.FENCED:
+            return False
+        return not self._endpoint.own_ids.isdisjoint(record.witnesses)
