Wire the daemon: one life, handlers of owner and gate, admin endpoint

Cause: the packages were not connected yet. Change: Daemon wires network, membership, ownership and the request path; a Life holds everything that ends with a lost lease; non-idempotent requests finish when their caller is gone; replicas keep no audit entries; ids that were never dispatched are not handed on as unresolved.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -5,7 +5,8 @@
 
 __all__ = ["BY_NAME", "Deployment", "Placement", "placements"]
 
-_EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+_ROOT = pathlib.Path(__file__).parent.parent
+_EXAMPLES = _ROOT / "mustardloom" / "declarations" / "examples"
 
 
 def placements(deployment: "Deployment") -> list["Placement"]:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,6 @@
 """Starts a fleet of real processes on loopback addresses."""
 
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import json
@@ -17,7 +18,7 @@
 
 __all__ = ["Fleet", "Node", "http_json"]
 
-_BIN = pathlib.Path(sys.executable).parent
+_ROOT = pathlib.Path(__file__).parent.parent
 _CALLER_PORT = 7000
 _PEER_PORT = 7001
 _ADMIN_PORT = 7002
@@ -48,6 +49,11 @@
     return json.loads(text) if text else None
 
 
+def _command(program: str, arguments: Sequence[str]) -> list[str]:
+    """Returns the command line of one of the project's binaries."""
+    return [sys.executable, "-m", f"mustardloom.cli.{program}", *arguments]
+
+
 def _try_json(url: str) -> Any:
     try:
         return http_json(url)
@@ -141,9 +147,13 @@
 
     def start_platform(self) -> None:
         """Starts the stand-in platform and waits until it answers."""
-        address = f"{self.platform_host}:{_PLATFORM_PORT}"
         self.platform = self._spawn(
-            "platform", "mustardloom-platform", "--listen", address
+            "platform",
+            "platform",
+            "--address",
+            self.platform_host,
+            "--port",
+            str(_PLATFORM_PORT),
         )
         self.wait_until(
             lambda: _try_json(f"{self.platform_url}/calls") is not None,
@@ -155,7 +165,7 @@
         """Starts the daemon of a VM."""
         node.daemon = self._spawn(
             f"daemon-{node.vm}",
-            "mustardloomd",
+            "daemon",
             "--vm",
             node.vm,
             "--region",
@@ -170,6 +180,7 @@
             f"{node.host}:{_PEER_PORT}",
             "--admin-address",
             f"{node.host}:{_ADMIN_PORT}",
+            "--log-intervals",
         )
 
     def start_target(self, node: Node) -> None:
@@ -177,29 +188,32 @@
         service = node.placement.service
         node.target = self._spawn(
             f"target-{node.vm}",
-            "mustardloom-target",
-            "--listen",
-            f"{node.host}:{_TARGET_PORT}",
-            "--daemon",
-            node.admin_url,
+            "target",
+            "--host",
+            node.host,
+            "--port",
+            str(_TARGET_PORT),
+            "--daemon-admin",
+            f"{node.host}:{_ADMIN_PORT}",
             "--service",
             service,
             "--region",
             node.placement.region,
-            "--availability-zone",
+            "--zone",
             node.placement.zone,
             "--capacity",
             str(self.deployment.capacity),
-            "--service-ms",
+            "--mean-ms",
             str(self.deployment.service_ms),
             *self._target_options.get(service, []),
         )
 
     def ctl(self, arguments: list[str], check: bool = True) -> str:
         """Runs mustardloomctl and returns what it printed."""
-        command = [str(_BIN / "mustardloomctl"), *arguments]
+        command = _command("ctl", arguments)
         done = subprocess.run(
             command,
+            cwd=_ROOT,
             env=self._environment(),
             capture_output=True,
             text=True,
@@ -262,7 +276,7 @@
         """Starts a caller; its result is on standard output."""
         return self._spawn(
             f"caller-{name}",
-            "mustardloom-caller",
+            "caller",
             *arguments,
             stdout=subprocess.PIPE,
         )
@@ -319,7 +333,8 @@
             path = self._log_dir / f"{name}.log"
             log = self._stack.enter_context(path.open("ab"))
         process = subprocess.Popen(
-            [str(_BIN / program), *arguments],
+            _command(program, arguments),
+            cwd=_ROOT,
             env=self._environment(),
             stdin=subprocess.DEVNULL,
             stdout=log if stdout is None else stdout,
--- a/mustardloom/admission/deduplication.py
+++ b/mustardloom/admission/deduplication.py
@@ -199,14 +199,39 @@
             if number is not None:
                 self._put(slot, number, _from_record(record))
 
+    def ensure_slot(
+        self, placement: dispatches.Placement, unknown_before_wall_ms: int
+    ) -> None:
+        """Opens a slot that is served without records of an earlier owner.
+
+        Known ids stay; the cut-off never falls.
+        """
+        slot = self._slots.get(placement)
+        if slot is None:
+            self.open_slot(placement, unknown_before_wall_ms)
+        elif slot.unknown_before_wall_ms < unknown_before_wall_ms:
+            slot.unknown_before_wall_ms = unknown_before_wall_ms
+
+    def placements(self) -> tuple[dispatches.Placement, ...]:
+        """Returns the slots that are open."""
+        return tuple(self._slots)
+
     def export_slot(self, placement: dispatches.Placement) -> SlotRecords:
-        """Returns the records for the next owner of a slot."""
+        """Returns the records for the next owner of a slot.
+
+        The slot must be drained. An id that still waits for its first
+        dispatch is left out: it was not run, and is refused here.
+        """
         slot = self._slots.get(placement)
         if slot is None:
             return SlotRecords(0, ())
         self._drop_old(slot)
         unknown_before = max(slot.unknown_before_wall_ms, slot.floor_wall_ms)
-        records = tuple(_to_record(*item) for item in slot.states())
+        records = tuple(
+            _to_record(number, state)
+            for number, state in slot.states()
+            if not isinstance(state, asyncio.Future)
+        )
         return SlotRecords(unknown_before, records)
 
     def close_slot(self, placement: dispatches.Placement) -> None:
--- /dev/null
+++ b/mustardloom/cli/daemon.py
@@ -0,0 +1,132 @@
+"""Binary `mustardloomd`: the daemon beside a target."""
+
+import asyncio
+import signal
+from typing import Annotated
+
+from loguru import logger
+import typer
+
+from mustardloom import findings
+from mustardloom.cli import common
+from mustardloom.daemon import daemon as daemons
+from mustardloom.daemon import settings as settings_lib
+
+__all__ = ["main"]
+
+EXIT_START = 1
+EXIT_SETTINGS = 3
+
+_app = typer.Typer()
+
+
+def _setting(name: str, text: str) -> typer.models.OptionInfo:
+    option: typer.models.OptionInfo = typer.Option(
+        help=text, envvar=f"MUSTARDLOOM_{name}"
+    )
+    return option
+
+
+@_app.command()
+def run(
+    vm: Annotated[str, _setting("VM", "Name of this VM.")] = "",
+    region: Annotated[str, _setting("REGION", "Region of this VM.")] = "",
+    availability_zone: Annotated[
+        str, _setting("AVAILABILITY_ZONE", "Availability zone of this VM.")
+    ] = "",
+    platform: Annotated[
+        str, _setting("PLATFORM", "Base address of the platform.")
+    ] = "",
+    caller_address: Annotated[
+        str, _setting("CALLER_ADDRESS", "IP:PORT for callers.")
+    ] = "127.0.0.1:7000",
+    peer_address: Annotated[
+        str, _setting("PEER_ADDRESS", "IP:PORT for daemons, TCP and UDP.")
+    ] = "127.0.0.1:7001",
+    admin_address: Annotated[
+        str, _setting("ADMIN_ADDRESS", "IP:PORT for target and operators.")
+    ] = "127.0.0.1:7002",
+    fleet_key: Annotated[
+        str, _setting("FLEET_KEY", "Key shared by all daemons of the fleet.")
+    ] = "",
+    seed: Annotated[
+        list[str] | None,
+        _setting("SEEDS", "IP:PORT of a peer to load from; may be repeated."),
+    ] = None,
+    statsd: Annotated[
+        str, _setting("STATSD", "IP:PORT for metrics; empty: none.")
+    ] = "",
+    drain_timeout_ms: Annotated[
+        int, _setting("DRAIN_TIMEOUT_MS", "Longest time to stop, in ms.")
+    ] = 30_000,
+    log_intervals: Annotated[
+        bool, _setting("LOG_INTERVALS", "Keep a log of owner intervals.")
+    ] = False,
+    log_format: Annotated[
+        common.LogFormat, _setting("LOG_FORMAT", "Form of log lines.")
+    ] = common.LogFormat.HUMAN,
+    version: common.VersionFlag = False,
+) -> None:
+    """Runs the daemon until SIGTERM, then drains.
+
+    Exit codes: 0 after a drain, 1 if it cannot start, 2 for unknown flags, 3
+    for settings that are not valid.
+    """
+    del version
+    common.set_up_logs(log_format)
+    raw = settings_lib.RawSettings(
+        vm=vm,
+        region=region,
+        availability_zone=availability_zone,
+        platform=platform,
+        caller_address=caller_address,
+        peer_address=peer_address,
+        admin_address=admin_address,
+        fleet_key=fleet_key,
+        seeds=tuple(seed or ()),
+        statsd=statsd,
+        drain_timeout_ms=drain_timeout_ms,
+        log_intervals=log_intervals,
+    )
+    try:
+        settings = settings_lib.check(raw)
+    except findings.FindingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_SETTINGS) from error
+    try:
+        asyncio.run(_serve(settings))
+    except daemons.StartError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_START) from error
+
+
+async def _serve(settings: settings_lib.DaemonSettings) -> None:
+    daemon = daemons.Daemon(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    start = asyncio.create_task(daemon.start())
+    stopped = asyncio.create_task(stop.wait())
+    try:
+        await asyncio.wait(
+            (start, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not start.done():
+            logger.info("stopped before the start was complete")
+            start.cancel()
+            return
+        start.result()
+        await stop.wait()
+        await daemon.drain()
+    finally:
+        stopped.cancel()
+
+
+def main() -> None:
+    """Runs the binary."""
+    _app()
+
+
+if __name__ == "__main__":
+    main()
--- a/mustardloom/cli/platform.py
+++ b/mustardloom/cli/platform.py
@@ -35,3 +35,7 @@
 def main() -> None:
     """Runs the binary."""
     _app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardloom/daemon/adapters.py
@@ -0,0 +1,185 @@
+"""Connects the packages that know each other only by protocols."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from mustardloom import ids
+from mustardloom import outcomes
+from mustardloom.admission import deduplication
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.forwarding import target_client
+from mustardloom.membership import lease as leases
+from mustardloom.membership import records
+from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.relay import dissemination
+from mustardloom.relay.wire import peer_pb2
+
+__all__ = [
+    "CurrentLease",
+    "GrantError",
+    "MemberTopology",
+    "SlotEntry",
+    "SlotIds",
+    "TargetGrants",
+    "refusal_of",
+]
+
+
+def refusal_of(result: holdings_lib.EnterResult) -> outcomes.Refused | None:
+    """Returns the refusal for a slot that was not entered."""
+    reason = outcomes.RefusalReason
+    match result:
+        case holdings_lib.Entered():
+            return None
+        case holdings_lib.NotOwner(None):
+            return outcomes.Refused(
+                reason.NOT_OWNER, "another member owns the slot"
+            )
+        case holdings_lib.NotOwner(hint):
+            return outcomes.Refused(
+                reason.MOVED, "the slot has moved", owner=hint
+            )
+        case holdings_lib.Incoming():
+            return outcomes.Refused(
+                reason.NO_OWNER, "the slot is not served here yet"
+            )
+        case holdings_lib.LeaseLapsed():
+            return outcomes.Refused(
+                reason.LEASE_LAPSED, "this member does not hold its lease"
+            )
+
+
+class CurrentLease:
+    """Lease of the present life of the daemon."""
+
+    def __init__(self, lease: leases.Lease):
+        self.lease = lease
+
+    def is_held(self) -> bool:
+        """See `membership.lease.Lease`."""
+        return self.lease.is_held()
+
+    def expires_ms(self) -> int:
+        """See `membership.lease.Lease`."""
+        return self.lease.expires_ms()
+
+
+class SlotEntry:
+    """Entry of one request into its slot, for the gate."""
+
+    def __init__(
+        self,
+        holdings: holdings_lib.Holdings,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+    ):
+        self._holdings = holdings
+        self._group = group
+        self._slot = slot
+
+    def enter(self) -> ids.Epoch | outcomes.Refused:
+        """See `admission.dispatch.Entry`."""
+        result = self._holdings.enter(self._group, self._slot)
+        if isinstance(result, holdings_lib.Entered):
+            return result.epoch
+        refusal = refusal_of(result)
+        assert refusal is not None
+        return refusal
+
+    def leave(self) -> None:
+        """See `admission.dispatch.Entry`."""
+        self._holdings.leave(self._group, self._slot)
+
+
+class GrantError(Exception):
+    """The target did not acknowledge a grant."""
+
+
+class TargetGrants:
+    """Grants of slots to the local target, if there is one.
+
+    Attributes:
+      client: Client of the target, None before its first announcement.
+    """
+
+    def __init__(self) -> None:
+        self.client: target_client.TargetClient | None = None
+
+    async def grant(
+        self,
+        group: ids.GroupId,
+        slots_with_epochs: Mapping[ids.SlotIndex, ids.Epoch],
+        expires_ms: int,
+    ) -> None:
+        """See `ownership.holdings.Grants`.
+
+        Raises:
+          GrantError: The target did not acknowledge.
+        """
+        grants = (
+            target_client.Grant(group, slot, epoch)
+            for slot, epoch in slots_with_epochs.items()
+        )
+        if self.client is None or not await self.client.grant(
+            grants, expires_ms
+        ):
+            raise GrantError(f"the target did not take slots of {group}")
+
+    async def release(
+        self, group: ids.GroupId, slots: Iterable[ids.SlotIndex]
+    ) -> None:
+        """See `ownership.holdings.Grants`.
+
+        Raises:
+          GrantError: The target did not acknowledge.
+        """
+        released = (
+            target_client.Grant(group, slot, ids.Epoch(0)) for slot in slots
+        )
+        if self.client is None or not await self.client.release(released):
+            raise GrantError(f"the target did not release slots of {group}")
+
+
+class SlotIds:
+    """Request ids of slots that move, for the mover."""
+
+    def __init__(self, request_ids: deduplication.RequestIds):
+        self._request_ids = request_ids
+
+    def export(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> list[peer_pb2.RequestRecord]:
+        """See `ownership.moves.RequestRecords`."""
+        placement = dispatches.Placement(group, slot)
+        return list(self._request_ids.export_slot(placement).requests)
+
+    def import_(
+        self,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+        records: Sequence[peer_pb2.RequestRecord],
+        unknown_before_wall_ms: int,
+    ) -> None:
+        """See `ownership.moves.RequestRecords`."""
+        placement = dispatches.Placement(group, slot)
+        self._request_ids.open_slot(placement, unknown_before_wall_ms, records)
+
+
+class MemberTopology:
+    """Members as the dissemination sees them."""
+
+    def __init__(self, members: records.Members, zone: ids.AvailabilityZoneId):
+        self._members = members
+        self._zone = zone
+
+    def own_zone(self) -> ids.AvailabilityZoneId:
+        """See `relay.dissemination.Topology`."""
+        return self._zone
+
+    def peer_infos(self) -> Iterable[dissemination.PeerInfo]:
+        """See `relay.dissemination.Topology`."""
+        return (
+            dissemination.PeerInfo(record.member, record.availability_zone)
+            for record in self._members.live()
+        )
--- /dev/null
+++ b/mustardloom/daemon/configuration.py
@@ -0,0 +1,119 @@
+"""Accepted configuration and stops, as the replica has them."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from loguru import logger
+import msgspec
+
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.declarations import catalog
+from mustardloom.declarations import model
+from mustardloom.membership import records
+from mustardloom.ownership import slots
+from mustardloom.relay import replica as replicas
+from mustardloom.routing import homes
+from mustardloom.routing import routes
+
+__all__ = ["Configuration"]
+
+
+class Configuration:
+    """Routes, services, organisations and stops that are in force.
+
+    A stored object that cannot be decoded leaves the former one in force.
+
+    Attributes:
+      table: Look-up for the request path.
+      version_by_set: Version in force of each declaration set.
+    """
+
+    def __init__(self, replica: replicas.Replica, metrics: metrics_lib.Metrics):
+        self.table = routes.RouteTable()
+        self.version_by_set: dict[ids.SetId, ids.Version] = {}
+        self._metrics = metrics
+        self._sets: dict[str, model.DeclarationSet] = {}
+        self._stops: dict[str, model.Stop] = {}
+        self._subscribers: list[Callable[[], None]] = []
+        replica.subscribe(model.CONFIG_PREFIX, self._on_set)
+        replica.subscribe(model.STOPS_PREFIX, self._on_stop)
+
+    def subscribe(self, subscriber: Callable[[], None]) -> None:
+        """Calls `subscriber` after each change."""
+        self._subscribers.append(subscriber)
+
+    def is_stopped(self, record: records.MemberRecord) -> bool:
+        """Tells whether a stop covers a member."""
+        zone = model.StopKind.AVAILABILITY_ZONE
+        keys = (
+            model.stop_key(zone, record.availability_zone),
+            model.stop_key(model.StopKind.TARGET, record.vm),
+        )
+        stops = (self._stops.get(key) for key in keys)
+        return any(stop is not None and stop.active for stop in stops)
+
+    def groups(self) -> Iterator[tuple[ids.GroupId, int]]:
+        """Yields the placement groups and their numbers of slots."""
+        seen = set()
+        for declared in self._sets.values():
+            for route in declared.routes:
+                service = self.table.services.get(route.service)
+                if service is None:
+                    continue
+                for regions in self._region_sets(route):
+                    group = slots.group_of(service.id, regions)
+                    if group not in seen:
+                        seen.add(group)
+                        yield group, service.slot_count
+
+    def _region_sets(
+        self, route: model.Route
+    ) -> Iterator[frozenset[ids.RegionId]]:
+        """Yields the sets of regions that requests of a route may have."""
+        allowed = route.organisations or tuple(self.table.organisations)
+        organisations = [self.table.organisations.get(o) for o in allowed]
+        if not route.organisations:
+            organisations.append(None)
+        for organisation in organisations:
+            regions = homes.permitted_regions(route, organisation)
+            if regions is not None:
+                yield regions
+
+    def _on_set(self, event: platform.Event) -> None:
+        set_id = ids.SetId(event.key.removeprefix(model.CONFIG_PREFIX))
+        if event.value is None:
+            self._sets.pop(event.key, None)
+            self.version_by_set.pop(set_id, None)
+        else:
+            try:
+                stored = catalog.decode_set(event.value)
+            except msgspec.DecodeError as error:
+                self._reject(event, error)
+                return
+            self._sets[event.key] = stored.value
+            self.version_by_set[set_id] = event.version
+        self.table = routes.RouteTable(self._sets.values())
+        logger.info(f"{event.key} is in force at version {event.version}")
+        self._notify()
+
+    def _on_stop(self, event: platform.Event) -> None:
+        if event.value is None:
+            self._stops.pop(event.key, None)
+        else:
+            try:
+                stored = catalog.decode_stop(event.value)
+            except msgspec.DecodeError as error:
+                self._reject(event, error)
+                return
+            self._stops[event.key] = stored.value
+        self._notify()
+
+    def _reject(self, event: platform.Event, error: Exception) -> None:
+        self._metrics.increment("configuration.not_decoded")
+        logger.error(f"{event.key} version {event.version}: {error}")
+
+    def _notify(self) -> None:
+        for subscriber in self._subscribers:
+            subscriber()
--- /dev/null
+++ b/mustardloom/daemon/serving.py
@@ -0,0 +1,175 @@
+"""Runs forwarded requests: as the owner of a slot, or at the own gate."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.admission import gate as gates
+from mustardloom.daemon import adapters
+from mustardloom.daemon import configuration as configurations
+from mustardloom.daemon import life as lives
+from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.ownership import slots
+from mustardloom.routing import forwarders
+
+__all__ = ["Serving"]
+
+DispatchOnce = Callable[[requests.Request], Awaitable[outcomes.Outcome]]
+
+_NO_TARGET = outcomes.Refused(
+    outcomes.RefusalReason.NO_TARGET, "no target has announced itself here"
+)
+
+
+class Serving:
+    """Handlers of requests that reach this daemon as owner or gate.
+
+    Attributes:
+      gate: Gate of the local target, None before its first announcement.
+    """
+
+    def __init__(
+        self,
+        life: Callable[[], lives.Life],
+        configuration: configurations.Configuration,
+        dispatch_once: DispatchOnce,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.gate: gates.Gate | None = None
+        self._life = life
+        self._configuration = configuration
+        self._dispatch_once = dispatch_once
+        self._metrics = metrics
+        self._detached: set[asyncio.Task[outcomes.Outcome]] = set()
+
+    async def on_gate(
+        self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> forwarders.Forwarded:
+        """Runs a request at the local target."""
+        del group, slot
+        if self.gate is None:
+            return forwarders.Forwarded(_NO_TARGET)
+        outcome = await self._run(request, None, dispatches.OpenEntry())
+        return forwarders.Forwarded(outcome, self._load())
+
+    async def on_owner(
+        self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> forwarders.Forwarded:
+        """Runs a request of an own slot, once if it is not idempotent."""
+        service = self._configuration.table.services.get(request.service)
+        if service is None or slots.group_service(group) != request.service:
+            refusal = outcomes.Refused(
+                outcomes.RefusalReason.NO_ROUTE,
+                f"service {request.service!r} is not declared here",
+            )
+            return forwarders.Forwarded(refusal)
+        work: Awaitable[outcomes.Outcome]
+        if service.keyed:
+            work = self._run_keyed(request, group, slot)
+        else:
+            work = self._run_at_home(request, group, slot)
+        if request.idempotent:
+            outcome = await work
+        else:
+            outcome = await self._detach(work)
+        return forwarders.Forwarded(outcome, self._load())
+
+    async def _detach(
+        self, work: Awaitable[outcomes.Outcome]
+    ) -> outcomes.Outcome:
+        """Lets a non-idempotent request finish when its caller is gone.
+
+        A resend then gets the recorded answer; a cancelled run would leave its
+        id unresolved for good.
+        """
+        task = asyncio.ensure_future(work)
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return await asyncio.shield(task)
+
+    async def _run_keyed(
+        self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> outcomes.Outcome:
+        life = self._life()
+        refusal = await self._await_slot(life, request, group, slot)
+        if refusal is not None:
+            return refusal
+        if self.gate is None:
+            return _NO_TARGET
+        placement = dispatches.Placement(group, slot)
+        entry = adapters.SlotEntry(life.holdings, group, slot)
+        if request.idempotent:
+            return await self._run(request, placement, entry)
+        self._open_ids(life, placement)
+        return await life.request_ids.run(
+            placement, request, lambda: self._run(request, placement, entry)
+        )
+
+    async def _run_at_home(
+        self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> outcomes.Outcome:
+        """Runs an unkeyed request once, as the home of its id.
+
+        The slot stays entered until the end, so that a planned move waits for
+        the outcome.
+        """
+        life = self._life()
+        refusal = await self._await_slot(life, request, group, slot)
+        if refusal is not None:
+            return refusal
+        entry = adapters.SlotEntry(life.holdings, group, slot)
+        entered = entry.enter()
+        if isinstance(entered, outcomes.Refused):
+            return entered
+        placement = dispatches.Placement(group, slot)
+        try:
+            self._open_ids(life, placement)
+            return await life.request_ids.run(
+                placement, request, lambda: self._dispatch_once(request)
+            )
+        finally:
+            entry.leave()
+
+    async def _await_slot(
+        self,
+        life: lives.Life,
+        request: requests.Request,
+        group: ids.GroupId,
+        slot: ids.SlotIndex,
+    ) -> outcomes.Refused | None:
+        """Waits while the slot is on its way here; returns why it is not."""
+        result = life.holdings.enter(group, slot)
+        if isinstance(result, holdings_lib.Incoming):
+            self._metrics.increment("serving.waits_for_slot")
+            result = await result.wait(request.deadline_ms)
+        if isinstance(result, holdings_lib.Entered):
+            life.holdings.leave(group, slot)
+        return adapters.refusal_of(result)
+
+    def _open_ids(
+        self, life: lives.Life, placement: dispatches.Placement
+    ) -> None:
+        cut_off_ms = life.holdings.unknown_before_wall_ms(
+            placement.group, placement.slot
+        )
+        life.request_ids.ensure_slot(placement, cut_off_ms)
+
+    async def _run(
+        self,
+        request: requests.Request,
+        placement: dispatches.Placement | None,
+        entry: dispatches.Entry,
+    ) -> outcomes.Outcome:
+        assert self.gate is not None
+        return await self.gate.run(request, placement, entry)
+
+    def _load(self) -> forwarders.Load | None:
+        if self.gate is None:
+            return None
+        load = self.gate.load
+        return forwarders.Load(load.running, load.queued, load.limit)
--- /dev/null
+++ b/mustardloom/ownership/cleanup.py
@@ -0,0 +1,78 @@
+"""Removes records of fenced members that nothing refers to any more."""
+
+from collections.abc import Iterator
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.membership import records
+from mustardloom.ownership import slot_map
+from mustardloom.relay import rendezvous
+
+__all__ = ["Cleanup"]
+
+# Keeps the record for readers of the audit trail, and longer than any request.
+_RETENTION_MS = 60_000
+
+
+class Cleanup:
+    """Deletes FENCED records whose slots have all been given away.
+
+    A member that was fenced finds its record FENCED or gone; both end its
+    life, so the deletion is safe.
+    """
+
+    def __init__(
+        self,
+        store: platform.PlatformClient,
+        members: records.Members,
+        slots: slot_map.SlotMap,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._store = store
+        self._members = members
+        self._slots = slots
+        self._clock = clock
+        self._metrics = metrics
+
+    async def remove_fenced(self, own: ids.MemberId) -> None:
+        """Deletes the records that fall to this member by rank."""
+        due = [record.member for record in self._removable()]
+        if not due:
+            return
+        live = [record.member for record in self._members.live()]
+        for member in due:
+            ranked = rendezvous.rank(f"cleanup/{member}", live)
+            if ranked and ranked[0] == own:
+                await self._remove(member)
+
+    def _removable(self) -> Iterator[records.MemberRecord]:
+        cutoff_ms = self._clock.wall_ms() - _RETENTION_MS
+        fenced = [
+            record
+            for record in self._members.by_id.values()
+            if record.state is records.MemberState.FENCED
+            and record.fenced_wall_ms < cutoff_ms
+        ]
+        if not fenced:
+            return
+        named = set(self._named())
+        yield from (r for r in fenced if r.member not in named)
+
+    def _named(self) -> Iterator[ids.MemberId]:
+        for entries in self._slots.by_group.values():
+            for entry in entries:
+                if entry.owner is not None:
+                    yield entry.owner
+                if entry.moving_to is not None:
+                    yield entry.moving_to
+
+    async def _remove(self, member: ids.MemberId) -> None:
+        version = self._members.version_by_id[member]
+        try:
+            await self._store.delete(records.member_key(member), version)
+        except platform.PlatformUnavailable:
+            return
+        self._metrics.increment("ownership.records_removed")
--- a/mustardloom/ownership/holdings.py
+++ b/mustardloom/ownership/holdings.py
@@ -274,6 +274,11 @@
             if holding.state in _OWNED:
                 yield group, slot, holding.epoch
 
+    def is_held(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
+        """Returns whether a slot is owned here or sent without an end."""
+        holding = self._by_slot.get((group, slot))
+        return holding is not None and holding.state is not _State.GONE
+
     def unsettled_count(self) -> int:
         """Returns how many slots are owned here or sent without an end.
 
--- a/mustardloom/relay/dissemination.py
+++ b/mustardloom/relay/dissemination.py
@@ -19,13 +19,17 @@
 from mustardloom.relay import replica as replicas
 from mustardloom.relay.wire import peer_pb2
 
-__all__ = ["Disseminator", "PeerInfo", "Topology"]
+__all__ = ["Disseminator", "PeerInfo", "Topology", "is_replicated"]
 
 WATCHERS_PER_ZONE = 2
 FAN_OUT = 8
 WATCH_WAIT_MS = 10_000
 REPAIR_INTERVAL_MS = 1_000
 
+# Audit entries that left their objects stay in the store alone; replicas
+# would grow without bound.
+REPLICATED_PREFIXES = ("config/", "stops/", "members/", "slots/")
+
 _RETRY_DELAY_MS = 500
 _REPAIR_TIMEOUT_MS = 2_000
 # Share of repairs with a random member of the whole fleet, so that zones
@@ -33,6 +37,11 @@
 _REMOTE_REPAIR_SHARE = 0.25
 
 
+def is_replicated(event: platform.Event) -> bool:
+    """Tells whether daemons keep copies of the object of `event`."""
+    return event.key.startswith(REPLICATED_PREFIXES)
+
+
 def split(
     members: Sequence[ids.MemberId], parts: int
 ) -> Iterator[Sequence[ids.MemberId]]:
@@ -129,7 +138,7 @@
           Whether anything answered.
         """
         try:
-            self._replica.apply_listing(await self._store.list_objects())
+            await self._load_from_store()
         except platform.PlatformUnavailable:
             self._note_store(is_up=False)
         else:
@@ -214,15 +223,26 @@
             behind=self._replica.version < since,
         )
 
+    async def _load_from_store(self) -> None:
+        listings = [
+            (prefix, await self._store.list_objects(prefix))
+            for prefix in REPLICATED_PREFIXES
+        ]
+        # Changes after the first listing may be missing from it.
+        up_to = listings[0][1].version
+        for prefix, listing in listings:
+            self._replica.apply_listing(listing, prefix, up_to)
+
     async def _watch_once(self) -> None:
         since = self._replica.version
         batch = await self._store.watch(since, WATCH_WAIT_MS)
         self._note_store(is_up=True)
-        self._replica.apply(batch.events, since, batch.version)
-        if not batch.events:
+        events = [event for event in batch.events if is_replicated(event)]
+        self._replica.apply(events, since, batch.version)
+        if batch.version == since:
             return
         push = peer_pb2.Push(
-            since=since, up_to=batch.version, events=to_wire(batch.events)
+            since=since, up_to=batch.version, events=to_wire(events)
         )
         zone = self._topology.own_zone()
         self._send_down(push, self._members_by_zone().get(zone, []))
--- a/mustardloom/relay/replica.py
+++ b/mustardloom/relay/replica.py
@@ -103,8 +103,18 @@
             self._publish(event)
         return ApplyResult(changed, gap)
 
-    def apply_listing(self, listing: objects.Listing) -> ApplyResult:
-        """Adopts a complete listing; what it lacks was deleted."""
+    def apply_listing(
+        self, listing: objects.Listing, prefix: str, up_to: ids.Version
+    ) -> ApplyResult:
+        """Adopts a complete listing below `prefix`.
+
+        Known objects that the listing lacks were deleted.
+
+        Args:
+          listing: The listing.
+          prefix: Prefix that was listed.
+          up_to: New watermark; at most the version of the listing.
+        """
         live = {item.key for item in listing.objects}
         found = [
             objects.Event(item.key, item.version, item.value)
@@ -112,12 +122,10 @@
         ]
         deleted = [
             objects.Event(event.key, listing.version, None)
-            for event in self._by_key.values()
-            if event.key not in live
-            and event.value is not None
-            and event.version <= listing.version
+            for event in self.select(prefix)
+            if event.key not in live and event.version <= listing.version
         ]
-        return self.apply(found + deleted, ids.NO_VERSION, listing.version)
+        return self.apply(found + deleted, ids.NO_VERSION, up_to)
 
     def _adopt(self, event: objects.Event) -> bool:
         if event.version <= self.version_of(event.key):
--- a/mustardloom/relay/tests/test_replica.py
+++ b/mustardloom/relay/tests/test_replica.py
@@ -72,7 +72,8 @@
     replica = replicas.Replica()
     replica.apply(_history(2), ids.NO_VERSION, ids.Version(2))
     left = platform.Versioned("k/1", ids.Version(1), b"1")
-    replica.apply_listing(platform.Listing((left,), ids.Version(7)))
+    listing = platform.Listing((left,), ids.Version(7))
+    replica.apply_listing(listing, "k/", listing.version)
     assert replica.get("k/2") is None
     assert replica.get("k/1") is not None
     assert replica.version == 7
