Answer oversized requests before closing and notice callers that leave

Raw-socket tests showed two faults of the ingress. An early 413 was lost, because closing a socket with unread data resets the connection. A caller that disconnected while its request ran was not noticed, because tornado calls on_connection_close of the delegate only while it reads.

The ingress now detaches the stream of a body announced above the limit, answers, and discards input for at most 2 s; and it sets the close callback of the connection once the request has been read. Both tests failed before the change and pass with it.

--- a/mustardloom/forwarding/ingress.py
+++ b/mustardloom/forwarding/ingress.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from http import client as http_client
+import socket
 
 from loguru import logger
 import msgspec
+from tornado import http1connection
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
@@ -32,10 +34,12 @@
 
 _DEFAULT_MAX_BODY_BYTES = 1_000_000
 _MAX_HEADER_BYTES = 64 * 1024
-# A body above the limit is read and discarded up to this multiple of the
-# limit, because closing a socket with unread data resets the connection and
-# the caller may not see the answer.
+# A chunked body above the limit is read and discarded up to this multiple of
+# the limit. Closing a socket with unread data would reset the connection, and
+# the caller might not see the answer.
 _DISCARD_FACTOR = 8
+_LINGER_S = 2.0
+_LINGER_READ_BYTES = 64 * 1024
 _IDLE_TIMEOUT_S = 75.0
 _BODY_TIMEOUT_S = 10.0
 _RETRY_AFTER_S = "1"
@@ -132,13 +136,14 @@
         self.clock = clock
         self.metrics = metrics
         self.max_body_bytes = max_body_bytes
-        self.discard_limit_bytes = _DISCARD_FACTOR * max_body_bytes
+        discard_limit_bytes = _DISCARD_FACTOR * max_body_bytes
         self._exchanges: set[_Exchange] = set()
+        self._lingering: set[asyncio.Task[None]] = set()
         self._server = httpserver.HTTPServer(
             self,
             max_header_size=_MAX_HEADER_BYTES,
-            max_body_size=self.discard_limit_bytes,
-            max_buffer_size=self.discard_limit_bytes + _MAX_HEADER_BYTES,
+            max_body_size=discard_limit_bytes,
+            max_buffer_size=discard_limit_bytes + _MAX_HEADER_BYTES,
             idle_connection_timeout=_IDLE_TIMEOUT_S,
             body_timeout=_BODY_TIMEOUT_S,
         )
@@ -160,6 +165,8 @@
     async def stop(self) -> None:
         """Accepts no more connections and closes the open ones."""
         self._server.stop()
+        for task in self._lingering:
+            task.cancel()
         await self._server.close_all_connections()
 
     def start_request(
@@ -168,8 +175,15 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """See base class."""
+        assert isinstance(request_conn, http1connection.HTTP1Connection)
         return _Exchange(self, request_conn)
 
+    def linger(self, stream: iostream.IOStream, answer: bytes) -> None:
+        """Writes an answer, then discards what the caller still sends."""
+        task = asyncio.create_task(_linger(stream, answer))
+        self._lingering.add(task)
+        task.add_done_callback(self._lingering.discard)
+
     def on_exchange_start(self, exchange: "_Exchange") -> None:
         """Counts a request that was read completely."""
         self._exchanges.add(exchange)
@@ -182,7 +196,9 @@
 class _Exchange(httputil.HTTPMessageDelegate):
     """One request of a caller and its answer."""
 
-    def __init__(self, ingress: Ingress, connection: httputil.HTTPConnection):
+    def __init__(
+        self, ingress: Ingress, connection: http1connection.HTTP1Connection
+    ):
         self._ingress = ingress
         self._connection = connection
         self._started_ms = ingress.clock.now_ms()
@@ -204,8 +220,8 @@
         self._start_line = start_line
         self._headers = headers
         length = headers.get("Content-Length", "")
-        if length.isdecimal() and int(length) > self._largest_read(headers):
-            self._answer(self._too_large())
+        if length.isdecimal() and int(length) > self._ingress.max_body_bytes:
+            self._refuse_unread()
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -225,6 +241,8 @@
             self._answer(self._too_large())
             return
         self._ingress.on_exchange_start(self)
+        # tornado tells the delegate of a close only while it reads.
+        self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._run())
 
     def on_connection_close(self) -> None:
@@ -234,12 +252,13 @@
             self._ingress.metrics.increment("ingress.disconnected")
             self._task.cancel()
 
-    def _largest_read(self, headers: httputil.HTTPHeaders) -> int:
-        # A caller that waits for "100 Continue" has not sent its body yet,
-        # so it can be answered at once.
-        if headers.get("Expect"):
-            return self._ingress.max_body_bytes
-        return self._ingress.discard_limit_bytes
+    def _refuse_unread(self) -> None:
+        """Answers before the body has arrived, and ends the connection."""
+        self._is_answered = True
+        self._ingress.metrics.increment("ingress.refused")
+        reply = reply_of(self._too_large())
+        answer = _raw_answer(reply)
+        self._ingress.linger(self._connection.detach(), answer)
 
     def _too_large(self) -> outcomes.Outcome:
         limit = self._ingress.max_body_bytes
@@ -324,6 +343,29 @@
         headers["Content-Length"] = str(len(body))
 
 
+def _raw_answer(reply: Reply) -> bytes:
+    reason = http_client.responses[reply.status]
+    lines = [f"HTTP/1.1 {reply.status} {reason}"]
+    lines.extend(f"{name}: {value}" for name, value in reply.headers)
+    lines.append(f"Content-Length: {len(reply.body)}")
+    lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin1") + reply.body
+
+
+async def _linger(stream: iostream.IOStream, answer: bytes) -> None:
+    timer = asyncio.get_running_loop().call_later(_LINGER_S, stream.close)
+    try:
+        await stream.write(answer)
+        stream.socket.shutdown(socket.SHUT_WR)
+        while True:
+            await stream.read_bytes(_LINGER_READ_BYTES, partial=True)
+    except (iostream.StreamClosedError, OSError):
+        return
+    finally:
+        timer.cancel()
+        stream.close()
+
+
 def _ignore_closed(written: "asyncio.Future[None]") -> None:
     if written.cancelled():
         return
