Add the demo, the invariant checker and the key to fingerprints

Cause: two requests that differ only in the key header had one fingerprint, so one poison request would have put a whole route in quarantine. Change: the key is hashed too. The demo drives a deployment with a loss and a stop; the checker compares what targets ran with what callers were told.

--- /dev/null
+++ b/bench/checker.py
@@ -0,0 +1,147 @@
+"""Checks what a run did against the invariants.
+
+The evidence comes from the targets (which requests they ran) and from the
+callers (what they were told), not from the daemons under test.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import pathlib
+
+import msgspec
+
+from mustardloom.standins import caller as callers
+from mustardloom.standins import runs as run_records
+
+__all__ = ["Evidence", "Verdict", "check", "read_log"]
+
+_EFFECTIVE = frozenset(
+    {run_records.RunOutcome.COMMITTED, run_records.RunOutcome.CRASHED}
+)
+_STARTED = _EFFECTIVE | {run_records.RunOutcome.CANCELLED}
+_ANY_REGION = "*"
+
+
+def read_log(path: pathlib.Path) -> list[callers.RequestLog]:
+    """Returns the lines of a caller's request log."""
+    decoder = msgspec.json.Decoder(callers.RequestLog)
+    return [decoder.decode(line) for line in path.read_bytes().splitlines()]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnedRun:
+    """A run and the target that ran it."""
+
+    target: str
+    run: run_records.Run
+
+
+@dataclasses.dataclass(slots=True)
+class Evidence:
+    """What targets and callers recorded.
+
+    Attributes:
+      runs: Runs of all targets.
+      log: Final outcomes of all callers.
+      bound_ids: Ids of requests that are bound to regions, with the regions.
+    """
+
+    runs: list[OwnedRun]
+    log: list[callers.RequestLog]
+    bound_ids: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Number of breaches of each invariant; all must be 0.
+
+    Attributes:
+      double_runs: Non-idempotent requests that took effect more than once.
+      false_not_run: Refused requests that took effect.
+      double_owner: Runs in a slot beside, or after, runs of a newer owner.
+      region_breaches: Runs outside the permitted regions.
+      crossed: Answers that belonged to another request.
+    """
+
+    double_runs: int
+    false_not_run: int
+    double_owner: int
+    region_breaches: int
+    crossed: int
+
+    def is_clean(self) -> bool:
+        """Tells whether no invariant was broken."""
+        return not any(dataclasses.astuple(self))
+
+
+def check(evidence: Evidence) -> Verdict:
+    """Returns the breaches that the evidence shows."""
+    effective = [o for o in evidence.runs if o.run.outcome in _EFFECTIVE]
+    runs_by_id = collections.Counter(
+        owned.run.request_id for owned in effective if owned.run.request_id
+    )
+    refused = (
+        line.id
+        for line in evidence.log
+        if line.outcome == callers.Result.REFUSED.value
+    )
+    crossed = sum(
+        line.outcome == callers.Result.CROSSED.value for line in evidence.log
+    )
+    return Verdict(
+        double_runs=sum(count > 1 for count in runs_by_id.values()),
+        false_not_run=sum(id_ in runs_by_id for id_ in refused),
+        double_owner=sum(1 for _ in _double_owners(evidence.runs)),
+        region_breaches=sum(1 for _ in _breaches(evidence)),
+        crossed=crossed,
+    )
+
+
+def _double_owners(owned: Iterable[OwnedRun]) -> Iterator[OwnedRun]:
+    """Yields runs that started although a newer owner had started one."""
+    by_slot: dict[tuple[str, int], list[OwnedRun]] = {}
+    for item in owned:
+        run = item.run
+        if run.slot is None or run.outcome not in _STARTED:
+            continue
+        by_slot.setdefault((run.group, run.slot), []).append(item)
+    for items in by_slot.values():
+        yield from _stale(items)
+
+
+def _stale(items: list[OwnedRun]) -> Iterator[OwnedRun]:
+    """Yields runs of one slot that overlap or follow a newer owner's run.
+
+    Wall-clock milliseconds of one machine: a run that ends in the same
+    millisecond in which the next owner starts is not an overlap.
+    """
+    first_by_target_epoch: dict[tuple[str, int], int] = {}
+    for item in items:
+        key = (item.target, item.run.epoch or 0)
+        start_ms = item.run.start_wall_ms
+        known_ms = first_by_target_epoch.get(key, start_ms)
+        first_by_target_epoch[key] = min(known_ms, start_ms)
+    for item in items:
+        epoch = item.run.epoch or 0
+        newer = (
+            start_ms
+            for (target, other), start_ms in first_by_target_epoch.items()
+            if other > epoch and target != item.target
+        )
+        if item.run.end_wall_ms > min(newer, default=item.run.end_wall_ms):
+            yield item
+
+
+def _breaches(evidence: Evidence) -> Iterator[OwnedRun]:
+    for item in evidence.runs:
+        regions = item.run.group.partition("@")[2]
+        permitted = frozenset(regions.split("+")) - {"", _ANY_REGION}
+        bound = evidence.bound_ids.get(item.run.request_id, frozenset())
+        for allowed in (permitted, bound):
+            if allowed and item.run.region not in allowed:
+                yield item
+                break
--- /dev/null
+++ b/bench/collector.py
@@ -0,0 +1,81 @@
+"""Collects the runs of targets while a scenario goes on."""
+
+import http.client
+import threading
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from bench import checker
+from bench import fleet as fleets
+from mustardloom.standins import runs as run_records
+
+__all__ = ["RunCollector"]
+
+_INTERVAL_S = 0.5
+_TIMEOUT_S = 1.0
+
+
+class RunCollector:
+    """Polls all targets, so that the runs of a killed one are not lost.
+
+    Use as a context manager. `collect` just before a kill takes the rest.
+    """
+
+    def __init__(self, fleet: fleets.Fleet):
+        self._fleet = fleet
+        self._by_number: dict[tuple[str, str, int], checker.OwnedRun] = {}
+        self._after: dict[tuple[str, str], int] = {}
+        self._instance: dict[str, str] = {}
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._poll, daemon=True)
+
+    def __enter__(self) -> "RunCollector":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def collect(self, node: fleets.Node) -> None:
+        """Takes the new runs of one target."""
+        with self._lock:
+            while self._take_page(node):
+                pass
+
+    def runs(self) -> list[checker.OwnedRun]:
+        """Returns all runs seen, after a last look at each target."""
+        for node in self._fleet.nodes:
+            self.collect(node)
+        return list(self._by_number.values())
+
+    def _poll(self) -> None:
+        while not self._stop.wait(_INTERVAL_S):
+            for node in self._fleet.nodes:
+                self.collect(node)
+
+    def _take_page(self, node: fleets.Node) -> bool:
+        """Returns whether there may be more."""
+        life = (node.vm, str(node.target.pid if node.target else ""))
+        after = self._after.get(life, 0)
+        url = f"{node.target_url}/_target/runs?after={after}"
+        try:
+            with urllib.request.urlopen(url, timeout=_TIMEOUT_S) as answer:
+                page = msgspec.json.decode(
+                    answer.read(), type=run_records.RunPage
+                )
+        except (
+            urllib.error.URLError,
+            OSError,
+            http.client.HTTPException,
+            msgspec.DecodeError,
+        ):
+            return False
+        for run in page.runs:
+            owned = checker.OwnedRun(node.vm, run)
+            self._by_number[(*life, run.number)] = owned
+            self._after[life] = run.number
+        return bool(page.runs)
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,184 @@
+"""The demo: a whole deployment on one machine, with a loss and a stop."""
+
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+from bench import checker
+from bench import collector as collectors
+from bench import deployments
+from bench import fleet as fleets
+from bench import results
+from mustardloom.standins import caller as callers_lib
+
+__all__ = ["main"]
+
+_RATE_PER_CALLER = 150.0
+_DURATION_S = 40.0
+_DEADLINE_MS = 2_000
+_POST_SHARE = 0.25
+_RESENDS = 3
+# Seconds after the start of the callers.
+_KILL_AT_S = 6.0
+_ZONE_OUT_AT_S = 14.0
+_ZONE_BACK_AT_S = 24.0
+_SERVED_AGAIN_LIMIT_S = 10.0
+
+
+def main() -> None:
+    """Runs the demo; exits with 1 if an invariant was broken."""
+    name = sys.argv[1] if len(sys.argv) > 1 else "kibanda"
+    deployment = deployments.BY_NAME.get(name)
+    if deployment is None:
+        known = ", ".join(deployments.BY_NAME)
+        sys.exit(f"no example {name!r}; there are: {known}")
+    with tempfile.TemporaryDirectory() as directory:
+        sys.exit(_Demo(deployment, pathlib.Path(directory)).run())
+
+
+class _Demo:
+    """One run of the demo."""
+
+    def __init__(
+        self, deployment: deployments.Deployment, directory: pathlib.Path
+    ):
+        self._deployment = deployment
+        self._directory = directory
+        self._fleet = fleets.Fleet(deployment)
+        self._served_again_s = -1.0
+        self._zone = f"{deployment.regions[0]}-2"
+        self._victim = self._fleet.by_vm[
+            f"{deployment.services[0]}-{deployment.regions[1]}-1"
+        ]
+        self._started_s = 0.0
+
+    def run(self) -> int:
+        """Returns the exit code."""
+        with self._fleet:
+            self._say("starting platform, daemons and targets")
+            self._fleet.start()
+            self._say("every slot has an owner")
+            with collectors.RunCollector(self._fleet) as collector:
+                reports = self._run_callers(collector)
+                evidence = checker.Evidence(
+                    collector.runs(),
+                    [
+                        line
+                        for path in sorted(self._directory.glob("*.log"))
+                        for line in checker.read_log(path)
+                    ],
+                )
+        return self._report(results.Combined(reports), evidence)
+
+    def _run_callers(
+        self, collector: collectors.RunCollector
+    ) -> list[callers_lib.Report]:
+        self._started_s = time.monotonic()
+        callers = [
+            self._fleet.caller(region, self._caller_arguments(region, seed))
+            for seed, region in enumerate(self._deployment.regions)
+        ]
+        script = threading.Thread(target=self._script, args=(collector,))
+        script.start()
+        reports = [results.finish(caller) for caller in callers]
+        script.join()
+        return reports
+
+    def _script(self, collector: collectors.RunCollector) -> None:
+        self._wait_until(_KILL_AT_S)
+        collector.collect(self._victim)
+        self._say(f"killing VM {self._victim.vm}, which owns slots")
+        self._fleet.kill(self._victim)
+        self._served_again_s = self._fleet.wait_until(
+            self._is_served_again, _SERVED_AGAIN_LIMIT_S, "slots have no owner"
+        )
+        self._say(f"its slots are served again ({self._served_again_s:.2f} s)")
+        self._wait_until(_ZONE_OUT_AT_S)
+        self._say(f"taking availability zone {self._zone} out")
+        self._fleet.ctl(["do", f"stop availability-zone {self._zone}"])
+        self._wait_until(_ZONE_BACK_AT_S)
+        self._say(f"bringing availability zone {self._zone} back")
+        self._fleet.ctl(["do", f"start availability-zone {self._zone}"])
+
+    def _is_served_again(self) -> bool:
+        statuses = [
+            self._fleet.status(node)
+            for node in self._fleet.nodes
+            if node is not self._victim
+        ]
+        return all(s is not None and s["settled"] for s in statuses)
+
+    def _caller_arguments(self, region: str, seed: int) -> list[str]:
+        ingresses = [
+            node.caller_address
+            for node in self._fleet.nodes
+            if node.placement.region == region and node is not self._victim
+        ]
+        arguments = [
+            f"--rate={_RATE_PER_CALLER}",
+            f"--duration-s={_DURATION_S}",
+            "--count=1000000",
+            f"--post-share={_POST_SHARE}",
+            f"--resends={_RESENDS}",
+            f"--deadline-ms={_DEADLINE_MS}",
+            "--hot-change-s=10",
+            f"--seed={seed + 1}",
+            f"--log={self._directory / region}.log",
+        ]
+        arguments.extend(f"--ingress={address}" for address in ingresses)
+        arguments.extend(
+            f"--service={item}" for item in self._deployment.caller_mix
+        )
+        return arguments
+
+    def _report(
+        self, combined: results.Combined, evidence: checker.Evidence
+    ) -> int:
+        verdict = checker.check(evidence)
+        rows: list[tuple[object, ...]] = [
+            ("service", "kind", "answered", "median ms", "99th ms", "99.9th ms")
+        ]
+        rows.extend(
+            (r.service, r.kind, r.answered, r.p50_ms, r.p99_ms, r.p999_ms)
+            for r in combined.rows()
+        )
+        print()
+        results.print_table(rows)
+        print()
+        counts = combined.counts
+        results.print_table(
+            [
+                ("what", "value"),
+                ("answered", counts.get("answered", 0)),
+                ("refused (not run)", counts.get("refused", 0)),
+                ("unknown", counts.get("unknown", 0)),
+                ("run twice", verdict.double_runs),
+                ("refused but run", verdict.false_not_run),
+                ("two owners", verdict.double_owner),
+                ("outside home regions", verdict.region_breaches),
+                ("answers swapped", verdict.crossed),
+                ("killed keys served again", f"{self._served_again_s:.2f} s"),
+            ]
+        )
+        for reason, count in sorted(combined.reasons.items()):
+            print(f"  {reason}: {count}")
+        if verdict.is_clean() and self._served_again_s >= 0:
+            print("\nno invariant was broken")
+            return 0
+        print("\nan invariant was broken")
+        return 1
+
+    def _wait_until(self, at_s: float) -> None:
+        time.sleep(max(0.0, self._started_s + at_s - time.monotonic()))
+
+    def _say(self, text: str) -> None:
+        at = ""
+        if self._started_s:
+            at = f"{time.monotonic() - self._started_s:5.1f} s "
+        print(f"{at}{text}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -70,7 +70,11 @@
         services=("salio", "malipo", "bidhaa"),
         capacity=6,
         service_ms=20,
-        caller_mix=("salio", "malipo", "bidhaa"),
+        caller_mix=(
+            "salio=/salio/{key},key=X-Account",
+            "malipo=/malipo/{key}",
+            "bidhaa=/bidhaa/{key}",
+        ),
     ),
     "sagarmatha": Deployment(
         name="sagarmatha",
@@ -78,6 +82,10 @@
         services=("catalogue", "orders", "fittings"),
         capacity=12,
         service_ms=20,
-        caller_mix=("catalogue", "orders", "fittings"),
+        caller_mix=(
+            "catalogue=/catalogue/{key}/stock",
+            "orders=/orders/{key}",
+            "fittings=/fittings/{key}",
+        ),
     ),
 }
--- a/mustardloom/forwarding/parsing.py
+++ b/mustardloom/forwarding/parsing.py
@@ -113,6 +113,7 @@
     idempotent = method in route.idempotent_methods
     request_id = _request_id(headers, idempotent, clock)
     organisation_id = organisation.id if organisation else None
+    key = _key(route, path, headers)
     return requests.Request(
         method=method,
         path=path,
@@ -122,12 +123,12 @@
         service=route.service,
         organisation=organisation_id,
         regions=regions,
-        key=_key(route, path, headers),
+        key=key,
         request_id=request_id,
         idempotent=idempotent,
         deadline_ms=started_ms + _deadline_ms(route, headers),
         fingerprint=requests.fingerprint(
-            route.id, method, path, organisation_id, body
+            route.id, method, path, organisation_id, key, body
         ),
     )
 
--- a/mustardloom/requests.py
+++ b/mustardloom/requests.py
@@ -15,17 +15,21 @@
     method: str,
     path: str,
     organisation: ids.OrganisationId | None,
+    key: str | None,
     body: bytes,
 ) -> int:
     """Returns a 64-bit hash that is equal for resends of the same request.
 
+    The key is part of it, since it can come from a header: requests for other
+    keys must not be taken for resends of one that crashed a target.
+
     Example:
-      >>> a = fingerprint(ids.RouteId("r"), "GET", "/a", None, b"")
-      >>> a == fingerprint(ids.RouteId("r"), "GET", "/b", None, b"")
+      >>> a = fingerprint(ids.RouteId("r"), "GET", "/a", None, None, b"")
+      >>> a == fingerprint(ids.RouteId("r"), "GET", "/a", None, "k", b"")
       False
     """
     digest = xxhash.xxh64()
-    parts = (route, method, path, organisation or "")
+    parts = (route, method, path, organisation or "", key or "")
     digest.update("\0".join(parts).encode())
     digest.update(b"\0")
     digest.update(body)
