--- a/mustardloom/membership/datagrams.py
+++ b/mustardloom/membership/datagrams.py
@@ -47,7 +47,7 @@
     GONE = "gone"
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Message(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Base of all messages.
 
     Attributes:
--- a/mustardloom/membership/renewal.py
+++ b/mustardloom/membership/renewal.py
@@ -122,7 +122,7 @@
         try:
             while self.ended is None:
                 self._step()
-                await self._clock.sleep_ms(_STEP_MS)
+                await self._clock.sleep_ms(self._pause_ms())
         finally:
             if self._writing is not None:
                 self._writing.cancel()
@@ -167,6 +167,16 @@
         logger.warning(f"{self._own.record.member} ended: {reason.value}")
         self._on_ended(reason)
 
+    def _pause_ms(self) -> int:
+        """Returns the time to the next renewal, or a step if more is due."""
+        links = self._links.values()
+        is_idle = self._own.is_created and self._trial is None
+        if not is_idle or any(link.open_by_sequence for link in links):
+            return _STEP_MS
+        now_ms = self._clock.now_ms()
+        due_ms = (link.sent_ms + _RENEW_INTERVAL_MS - now_ms for link in links)
+        return max(_STEP_MS, min(due_ms, default=_RENEW_INTERVAL_MS))
+
     def _find_end(self) -> own_record.EndReason | None:
         if self._own.is_deleted:
             return None
@@ -317,7 +327,7 @@
         """Returns the witnesses of the trial without those that failed it.
 
         Failed ones are avoided for a while. Former witnesses fill their
-        places, since a smaller set is never safer, unless they are gone.
+        places, unless they are gone or the lease would then depend on them.
         """
         trial = self._trial
         recorded = self._own.record.witnesses
@@ -327,13 +337,21 @@
         until_ms = self._clock.now_ms() + _AVOIDANCE_MS
         for member in failed:
             self._avoided_until_ms[member] = until_ms
-        chosen = [m for m in trial.witnesses if m not in failed]
-        spare = (m for m in recorded if m not in chosen)
-        chosen.extend(m for m in spare if not self._is_gone(m))
-        del chosen[witness_choice.MAX_WITNESSES :]
+        chosen = tuple(
+            member
+            for member in trial.witnesses
+            if member not in failed and self._acknowledges(member)
+        )
         if not chosen and not self.is_alone():
             return recorded
-        return tuple(chosen)
+        spare = tuple(
+            member
+            for member in recorded
+            if member not in chosen and not self._is_gone(member)
+        )
+        filled = (chosen + spare)[: witness_choice.MAX_WITNESSES]
+        is_safe = len(chosen) >= leases.quorum(len(filled))
+        return filled if is_safe else chosen
 
     async def _name(self, witnesses: leases.WitnessSet) -> None:
         try:
--- /dev/null
+++ b/mustardloom/membership/tests/simulation.py
@@ -0,0 +1,354 @@
+"""Fleet of in-process daemons on a fake clock, network and store."""
+
+import asyncio
+import dataclasses
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.membership import announcer as announcers
+from mustardloom.membership import fake_network
+from mustardloom.membership import fencing
+from mustardloom.membership import lapses
+from mustardloom.membership import lease as leases
+from mustardloom.membership import own_record
+from mustardloom.membership import records
+from mustardloom.membership import renewal as renewals
+from mustardloom.membership import witness
+from mustardloom.relay import authentication
+from mustardloom.relay import replica as replicas
+
+CHECK_INTERVAL_MS = 25
+STORE_DELAY_MS = 5
+LATE_MS = 3_000
+TARGET = announcers.TargetAnnouncement(
+    service=ids.ServiceId("salio"), capacity=6, instance="i-1"
+)
+
+
+class FakeStore:
+    """Object store with outages, lost answers and late writes."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.by_key = {}
+        self.version = ids.NO_VERSION
+        self.is_up = True
+        self.lost_answers = 0
+        self.late_writes = 0
+        self.writes = 0
+        self.listeners = []
+        self._tasks = set()
+
+    def apply(self, key, value, expected):
+        current = self.by_key.get(key)
+        if (current.version if current else 0) != expected:
+            return platform.Conflict(current)
+        self.version = ids.Version(self.version + 1)
+        self.writes += 1
+        if value is None:
+            del self.by_key[key]
+        else:
+            self.by_key[key] = platform.Versioned(key, self.version, value)
+        for listener in self.listeners:
+            listener(platform.Event(key, self.version, value))
+        return platform.Written(self.version)
+
+    def apply_late(self, key, value, expected):
+        async def run():
+            await self.clock.sleep_ms(LATE_MS)
+            self.apply(key, value, expected)
+
+        task = asyncio.create_task(run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def record(self, member):
+        found = self.by_key.get(records.member_key(member))
+        return records.decode(found.value) if found else None
+
+
+class ProcessStore:
+    """Client of one process; it waits while the process is paused."""
+
+    def __init__(self, store, process):
+        self.store = store
+        self.process = process
+
+    async def get(self, key):
+        await self._call()
+        found = self.store.by_key.get(key)
+        await self.process.clock.sleep_ms(STORE_DELAY_MS)
+        return found
+
+    async def update(self, key, value, expected):
+        await self._call()
+        if self.store.late_writes:
+            self.store.late_writes -= 1
+            self.store.apply_late(key, value, expected)
+            return platform.Undecided(ids.OperationId("late"))
+        result = self.store.apply(key, value, expected)
+        if self.store.lost_answers:
+            self.store.lost_answers -= 1
+            result = platform.Undecided(ids.OperationId("lost"))
+        await self.process.clock.sleep_ms(STORE_DELAY_MS)
+        return result
+
+    async def delete(self, key, expected):
+        return await self.update(key, None, expected)
+
+    async def list_objects(self, prefix=""):
+        raise platform.PlatformUnavailable
+
+    async def watch(self, after, wait_ms):
+        raise platform.PlatformUnavailable
+
+    async def _call(self):
+        await self.process.clock.sleep_ms(STORE_DELAY_MS)
+        if not self.store.is_up or not self.process.reaches_store:
+            raise platform.PlatformUnavailable
+
+
+class ProcessClock(clocks.Clock):
+    """Clock whose sleepers do not wake while the process is paused."""
+
+    def __init__(self, clock):
+        self.running = asyncio.Event()
+        self.running.set()
+        self._clock = clock
+
+    def now_ms(self):
+        return self._clock.now_ms()
+
+    def wall_ms(self):
+        return self._clock.wall_ms()
+
+    async def sleep_ms(self, duration_ms):
+        await self._clock.sleep_ms(duration_ms)
+        await self.running.wait()
+
+
+@dataclasses.dataclass
+class Life:
+    member: ids.MemberId
+    lease: leases.Lease
+    own: own_record.OwnRecord
+    renewal: renewals.Renewal
+    announcer: announcers.Announcer
+
+
+class Process:
+    """One daemon process; `Fleet.restart` puts another at its address."""
+
+    def __init__(self, fleet, vm, zone, region, address):
+        self.fleet = fleet
+        self.vm = vm
+        self.zone = zone
+        self.region = region
+        self.address = address
+        self.clock = ProcessClock(fleet.clock)
+        self.metrics = metrics_lib.Metrics()
+        self.reaches_store = True
+        self.lives = []
+        self.tasks = set()
+        self.waiting_events = []
+        self.client = ProcessStore(fleet.store, self)
+        self.replica = replicas.Replica()
+        self.members = records.Members(self.replica)
+        self.endpoint = fake_network.FakeEndpoint(
+            fleet.network,
+            address,
+            fleet.new_member(vm),
+            authentication.Authenticator(b"key"),
+            self.metrics,
+        )
+        self.fencer = fencing.Fencer(
+            self.client,
+            self.replica,
+            self.members,
+            self.endpoint,
+            self.clock,
+            self.metrics,
+            self.adopt,
+        )
+        self.lapses = lapses.LapseHandler(
+            self.fencer,
+            self.members,
+            self.endpoint,
+            self.clock,
+            lambda fenced: None,
+        )
+        self.table = witness.WitnessTable(
+            self.endpoint,
+            self.members,
+            self.clock,
+            self.metrics,
+            self.lapses.report,
+        )
+        fleet.store.listeners.append(self.on_store_event)
+        self.catch_up()
+        self.spawn(self.table.run())
+        self.start_life(self.endpoint.member)
+
+    @property
+    def life(self):
+        return self.lives[-1]
+
+    @property
+    def member(self):
+        return self.life.member
+
+    def spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def start_life(self, member):
+        record = records.MemberRecord(
+            member=member,
+            region=self.region,
+            availability_zone=self.zone,
+            caller_address=self.address,
+            peer_address=self.address,
+        )
+        lease = leases.Lease(self.clock)
+        own = own_record.OwnRecord(
+            record, self.client, lease, self.metrics, self.adopt
+        )
+        renewal = renewals.Renewal(
+            own,
+            lease,
+            self.members,
+            self.endpoint,
+            self.clock,
+            self.metrics,
+            lambda _: self.start_life(self.fleet.new_member(self.vm)),
+        )
+        announcer = announcers.Announcer(own, renewal, self.clock)
+        self.lives.append(Life(member, lease, own, renewal, announcer))
+        self.spawn(renewal.run())
+        self.spawn(self.announce(announcer))
+
+    async def announce(self, announcer):
+        try:
+            await announcer.create()
+            await announcer.register_target(TARGET)
+        except own_record.LifeEnded:
+            pass
+
+    def adopt(self, event):
+        self.replica.apply([event], ids.NO_VERSION, ids.NO_VERSION)
+
+    def on_store_event(self, event):
+        if not self.reaches_store:
+            return
+        if self.clock.running.is_set():
+            self.adopt(event)
+        else:
+            self.waiting_events.append(event)
+
+    def catch_up(self):
+        store = self.fleet.store
+        listing = platform.Listing(tuple(store.by_key.values()), store.version)
+        self.replica.apply_listing(listing)
+
+    def pause(self):
+        self.clock.running.clear()
+        self.endpoint.pause()
+
+    def resume(self):
+        self.clock.running.set()
+        self.endpoint.resume()
+        for event in self.waiting_events:
+            self.adopt(event)
+        self.waiting_events = []
+
+    def kill(self):
+        self.endpoint.close()
+        self.fleet.store.listeners.remove(self.on_store_event)
+        for task in self.tasks:
+            task.cancel()
+
+
+class Fleet:
+    """All processes by VM, and the check that fenced means not held."""
+
+    def __init__(self, layout):
+        """Takes pairs of region and zone, one for each VM."""
+        self.clock = clocks.FakeClock()
+        self.network = fake_network.FakeNetwork(self.clock)
+        self.store = FakeStore(self.clock)
+        self.store.listeners.append(lambda _: self.check())
+        self.all_lives = []
+        self.by_vm = {}
+        self._members = 0
+        self._layout = layout
+
+    def new_member(self, vm):
+        self._members += 1
+        return ids.MemberId(f"{vm}~{self._members:08x}")
+
+    async def start(self, settle_ms=8_000):
+        for number in range(len(self._layout)):
+            self.start_vm(number)
+            await self.advance(20)
+        await self.advance(settle_ms)
+        return self
+
+    def start_vm(self, number):
+        region, zone = self._layout[number]
+        address = records.Address("127.0.0.1", 1_000 + number)
+        vm = ids.VmId(f"vm-{number}")
+        self.by_vm[vm] = Process(self, vm, zone, region, address)
+        self.all_lives.append(self.by_vm[vm].lives)
+        return self.by_vm[vm]
+
+    def process_of(self, member):
+        return self.by_vm[ids.vm_of(member)]
+
+    def in_region(self, region):
+        return [p for p in self.by_vm.values() if p.region == region]
+
+    def kill(self, process):
+        process.kill()
+        del self.by_vm[process.vm]
+
+    def cut(self, processes):
+        """Cuts processes from the others and from the store."""
+        self.network.partition({p.address for p in processes})
+        for process in processes:
+            process.reaches_store = False
+
+    def heal(self):
+        self.network.heal()
+        for process in self.by_vm.values():
+            if not process.reaches_store:
+                process.reaches_store = True
+                process.catch_up()
+
+    async def close(self):
+        for process in list(self.by_vm.values()):
+            self.kill(process)
+        await asyncio.sleep(0)
+
+    def check(self):
+        """Asserts that no fenced or deleted member holds a lease."""
+        for lives in self.all_lives:
+            for life in lives:
+                if not life.lease.is_held():
+                    continue
+                record = self.store.record(life.member)
+                assert record is not None, life.member
+                assert record.state is not records.MemberState.FENCED
+
+    async def advance(self, duration_ms):
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            left_ms = end_ms - self.clock.now_ms()
+            await self.clock.advance(min(left_ms, CHECK_INTERVAL_MS))
+            self.check()
+
+    def is_fenced(self, member):
+        record = self.store.record(member)
+        return record.state is records.MemberState.FENCED
--- a/mustardloom/membership/witness.py
+++ b/mustardloom/membership/witness.py
@@ -1,6 +1,5 @@
 """What a daemon knows as a witness of the leases of other members."""
 
-import asyncio
 from collections.abc import Callable
 import dataclasses
 
@@ -16,10 +15,12 @@
 # Bounds the difference between the clocks of two VMs over one lease.
 _DRIFT_MARGIN_MS = 50
 WITNESS_LEASE_MS = leases.LEASE_MS + _DRIFT_MARGIN_MS
-_SWEEP_INTERVAL_MS = 50
+# The next sweep is due when the first lease can lapse, within these bounds.
+_MIN_SWEEP_INTERVAL_MS = 10
+_MAX_SWEEP_INTERVAL_MS = 500
 # A sweep this late shows that the process was paused; renewals that wait in
 # the socket are read before anything is declared lapsed.
-_LATE_SWEEP_MS = 250
+_LATE_SWEEP_MS = 200
 # A lapse is reported again while the record of the member stays live, since
 # candidates may be lost and notices may be dropped.
 _FIRST_NOTICE_INTERVAL_MS = 2_000
@@ -82,7 +83,7 @@
         self._metrics = metrics
         self._on_lapse = on_lapse
         self._bound_ms = clock.now_ms()
-        self._swept_ms = clock.now_ms()
+        self._sweep_due_ms = clock.now_ms()
         self._by_member: dict[ids.MemberId, _Entry] = {}
         endpoint.handle(datagrams.Renew, self._on_renew)
         endpoint.handle(datagrams.FenceQuery, self._on_query)
@@ -93,17 +94,16 @@
     async def run(self) -> None:
         """Looks for lapsed leases until cancelled."""
         while True:
-            await self._clock.sleep_ms(_SWEEP_INTERVAL_MS)
+            self._sweep_due_ms = self._next_sweep_ms()
+            await self._clock.sleep_ms(
+                self._sweep_due_ms - self._clock.now_ms()
+            )
             self.sweep()
-            # Gives the event loop a turn after a burst of lapses.
-            await asyncio.sleep(0)
 
     def sweep(self) -> None:
         """Reports lapsed leases and forgets what is no longer needed."""
         now_ms = self._clock.now_ms()
-        late = now_ms - self._swept_ms >= _LATE_SWEEP_MS
-        self._swept_ms = now_ms
-        if late:
+        if now_ms - self._sweep_due_ms >= _LATE_SWEEP_MS:
             self._metrics.increment("membership.witness_pauses")
             return
         for member, entry in list(self._by_member.items()):
@@ -135,6 +135,14 @@
         entry.refused = True
         return datagrams.Statement.REFUSED
 
+    def _next_sweep_ms(self) -> int:
+        now_ms = self._clock.now_ms()
+        entries = self._by_member.values()
+        lapses_ms = (e.received_ms + WITNESS_LEASE_MS for e in entries)
+        latest_ms = now_ms + _MAX_SWEEP_INTERVAL_MS
+        next_ms = min((t for t in lapses_ms if t > now_ms), default=latest_ms)
+        return max(now_ms + _MIN_SWEEP_INTERVAL_MS, min(next_ms, latest_ms))
+
     def _on_renew(
         self, message: datagrams.Renew, sequence: int, source: records.Address
     ) -> None:
