Dispatch without a pause after the last checks; test the gate

Cause: the state machine of the gate lost a request that was cancelled between its start and the first step of its task; its place was never freed. Change: the gate checks lease, slot and deadline and creates the dispatch in one step, and frees the place in a callback of the task. Answers of request ids are kept packed and make room for newer ones.

--- a/mustardloom/admission/deduplication.py
+++ b/mustardloom/admission/deduplication.py
@@ -8,6 +8,8 @@
 import enum
 import uuid
 
+import msgspec
+
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
@@ -68,45 +70,51 @@
     return parsed.int
 
 
-def _size(outcome: "outcomes.Outcome") -> int:
-    match outcome:
-        case outcomes.Answered(headers=headers, body=body):
-            return len(body) + sum(len(n) + len(v) for n, v in headers)
-    return 0
+def _pack(answer: outcomes.Answered) -> bytes:
+    """Returns an answer in the form in which it is kept."""
+    return msgspec.msgpack.encode(answer)
+
+
+def _unpack(packed: bytes) -> outcomes.Answered:
+    return msgspec.msgpack.decode(packed, type=outcomes.Answered)
 
 
 def _to_record(number: int, state: "_State") -> peer_pb2.RequestRecord:
     record = peer_pb2.RequestRecord(request_id=str(uuid.UUID(int=number)))
-    if isinstance(state, outcomes.Answered):
+    if isinstance(state, bytes):
+        answer = _unpack(state)
         answered = record.outcome.answered
-        answered.status = state.status
-        answered.body = state.body
-        for name, value in state.headers:
-            answered.headers.extend((name, value))
+        answered.status = answer.status
+        answered.body = answer.body
+        for header in answer.headers:
+            answered.headers.extend(header)
     return record
 
 
 def _from_record(record: peer_pb2.RequestRecord) -> "_State":
-    if not record.HasField("outcome"):
-        return _Mark.UNRESOLVED
     if record.outcome.WhichOneof("outcome") != "answered":
         return _Mark.UNRESOLVED
     answered = record.outcome.answered
     names = answered.headers[::2]
     values = answered.headers[1::2]
-    return outcomes.Answered(
-        status=answered.status,
-        headers=tuple(zip(names, values, strict=True)),
-        body=answered.body,
-    )
+    headers = tuple(zip(names, values, strict=True))
+    return _pack(outcomes.Answered(answered.status, headers, answered.body))
+
+
+def _bad_id(detail: str) -> outcomes.Refused:
+    return outcomes.Refused(outcomes.RefusalReason.REQUEST_ID, detail)
+
+
+def _bucket(number: int) -> int:
+    return (number >> _STAMP_SHIFT) // _BUCKET_MS
 
 
 class _Mark(enum.Enum):
     UNRESOLVED = "unresolved"
 
 
-# RUNNING is the future of the outcome.
-_State = asyncio.Future[outcomes.Outcome] | outcomes.Answered | _Mark
+# A running id has the future of its outcome, an answered one its packed answer.
+_State = asyncio.Future[outcomes.Outcome] | bytes | _Mark
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,10 +159,6 @@
             yield from bucket.items()
 
 
-def _bucket(number: int) -> int:
-    return (number >> _STAMP_SHIFT) // _BUCKET_MS
-
-
 class RequestIds:
     """Remembers which ids were dispatched, by slot.
 
@@ -217,6 +221,11 @@
         for _, state in slot.states():
             self._uncount(state)
 
+    def drop_old(self) -> None:
+        """Drops all ids older than the retention; call it every second."""
+        for slot in self._slots.values():
+            self._drop_old(slot)
+
     async def run(
         self,
         placement: dispatches.Placement,
@@ -293,14 +302,14 @@
         self, slot: _Slot, number: int, outcome: outcomes.Outcome
     ) -> None:
         if slot.find(number) is None:
-            return  # Dropped when its stamp left the retention.
+            return  # Its stamp left the retention while it ran.
         slot.remove(number)
         self.count -= 1
         match outcome:
             case outcomes.Refused():
                 return
             case outcomes.Answered():
-                self._put(slot, number, outcome)
+                self._put(slot, number, _pack(outcome))
             case outcomes.Unknown():
                 self._put(slot, number, _Mark.UNRESOLVED)
 
@@ -308,9 +317,9 @@
         self, state: _State, deadline_ms: int
     ) -> outcomes.Outcome:
         match state:
-            case outcomes.Answered():
+            case bytes():
                 self._metrics.increment("deduplication.repeated")
-                return state
+                return _unpack(state)
             case _Mark.UNRESOLVED:
                 return outcomes.Unknown(
                     outcomes.UnknownReason.ID_UNRESOLVED,
@@ -332,31 +341,47 @@
         )
 
     def _put(self, slot: _Slot, number: int, state: _State) -> None:
-        if isinstance(state, outcomes.Answered):
-            size = _size(state)
-            total = self._answer_bytes + size
-            if size > _MAX_ANSWER_BYTES or total > self._max_total_answer_bytes:
-                self._metrics.increment("deduplication.answers_not_kept")
-                state = _Mark.UNRESOLVED
-            else:
-                self._answer_bytes = total
+        if isinstance(state, bytes) and not self._reserve(slot, len(state)):
+            self._metrics.increment("deduplication.answers_not_kept")
+            state = _Mark.UNRESOLVED
+        if isinstance(state, bytes):
+            self._answer_bytes += len(state)
         slot.put(number, state)
         self.count += 1
 
+    def _reserve(self, slot: _Slot, size: int) -> bool:
+        """Makes room for an answer; returns whether it may be kept."""
+        if size > min(_MAX_ANSWER_BYTES, self._max_total_answer_bytes):
+            return False
+        free = self._max_total_answer_bytes - self._answer_bytes
+        for bucket in sorted(slot.by_bucket):
+            if free >= size:
+                break
+            free += self._strip(slot.by_bucket[bucket])
+        return free >= size
+
+    def _strip(self, states: dict[int, _State]) -> int:
+        """Drops the answers of old ids but not the ids; returns the bytes."""
+        freed = 0
+        for number, state in states.items():
+            if isinstance(state, bytes):
+                freed += len(state)
+                states[number] = _Mark.UNRESOLVED
+        self._answer_bytes -= freed
+        return freed
+
     def _uncount(self, state: _State) -> None:
         self.count -= 1
-        if isinstance(state, outcomes.Answered):
-            self._answer_bytes -= _size(state)
+        if isinstance(state, bytes):
+            self._answer_bytes -= len(state)
 
     def _drop_old(self, slot: _Slot) -> None:
         cutoff_ms = self._clock.wall_ms() - self._retention_ms
         last = cutoff_ms // _BUCKET_MS
+        if last * _BUCKET_MS <= slot.floor_wall_ms:
+            return
         old = [bucket for bucket in slot.by_bucket if bucket < last]
         for bucket in old:
             for state in slot.by_bucket.pop(bucket).values():
                 self._uncount(state)
-        slot.floor_wall_ms = max(slot.floor_wall_ms, last * _BUCKET_MS)
-
-
-def _bad_id(detail: str) -> outcomes.Refused:
-    return outcomes.Refused(outcomes.RefusalReason.REQUEST_ID, detail)
+        slot.floor_wall_ms = last * _BUCKET_MS
--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import enum
 import itertools
 import secrets
 
+from loguru import logger
+
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
@@ -27,25 +28,52 @@
 _SERVER_ERROR_STATUS = 500
 
 
-class _State(enum.Enum):
-    WAITING = "waiting"
-    STARTED = "started"
-    REFUSED = "refused"
+def _cancelled() -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.CANCELLED, "the request was cancelled"
+    )
+
+
+def _failed() -> outcomes.Unknown:
+    return outcomes.Unknown(
+        outcomes.UnknownReason.INTERNAL, "the dispatch failed"
+    )
+
+
+def _quarantined() -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.QUARANTINED,
+        "the request crashed targets and is in quarantine",
+    )
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Ticket:
-    """One request at the gate."""
+    """One request at the gate.
+
+    Attributes:
+      outcome: What the sender gets.
+      call: The dispatch, None while the request waits.
+      generation: Crashes that the gate had seen before the dispatch.
+      sent: Whether the target may have got the request.
+    """
 
     request: requests.Request
-    turn: asyncio.Future[outcomes.Refused | None]
-    state: _State = _State.WAITING
+    placement: dispatches.Placement | None
+    entry: dispatches.Entry
+    outcome: asyncio.Future[outcomes.Outcome]
+    call: asyncio.Task[None] | None = None
     generation: int = 0
+    sent: bool = False
 
     @property
     def deadline_ms(self) -> int:
         return self.request.deadline_ms
 
+    def resolve(self, outcome: outcomes.Outcome) -> None:
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateLoad:
@@ -126,7 +154,6 @@
         self._prefix = secrets.token_hex(4)
         self._numbers = itertools.count(1)
         self._expiry: asyncio.Task[None] | None = None
-        self._settling: set[asyncio.Task[None]] = set()
 
     @property
     def limit(self) -> int:
@@ -147,7 +174,7 @@
         refusal = outcomes.Refused(reason, detail or "the gate is closed")
         self._closed = refusal
         for ticket in self._queue.take_all():
-            self._refuse(ticket, refusal)
+            ticket.resolve(refusal)
 
     async def wait_idle(self) -> None:
         """Waits until the target runs none of our requests."""
@@ -183,23 +210,21 @@
         """
         cancellation = cancellation or dispatches.Cancellation()
         refusal = self._check(request)
-        if refusal is None and cancellation.cancelled:
+        if cancellation.cancelled:
             refusal = _cancelled()
         if refusal is not None:
             return self._counted(refusal)
-        ticket = _Ticket(request, asyncio.get_running_loop().create_future())
+        outcome = asyncio.get_running_loop().create_future()
+        ticket = _Ticket(request, placement, entry, outcome)
+        cancellation.on_cancel(lambda: self._cancel(ticket))
         self._enqueue(ticket)
-        cancellation.on_cancel(lambda: self._withdraw(ticket, _cancelled()))
         try:
-            refusal = await ticket.turn
+            return self._counted(await outcome)
         except asyncio.CancelledError:
-            self._abandon(ticket)
+            self._cancel(ticket)
             raise
-        if refusal is not None:
-            return self._counted(refusal)
-        return self._counted(
-            await self._run_started(ticket, placement, entry, cancellation)
-        )
+        finally:
+            cancellation.on_cancel(None)
 
     def _check(self, request: requests.Request) -> outcomes.Refused | None:
         if self._closed is not None:
@@ -249,37 +274,72 @@
         return self._alone is None and len(self._running) < self.limit
 
     def _start(self, ticket: _Ticket, suspect: bool) -> None:
-        ticket.state = _State.STARTED
+        """Dispatches a request; nothing is awaited after the last checks."""
+        entered = self._enter(ticket)
+        if isinstance(entered, outcomes.Refused):
+            ticket.resolve(entered)
+            return
+        dispatch = dispatches.Dispatch(
+            dispatch_id=f"{self._prefix}-{next(self._numbers)}",
+            placement=ticket.placement,
+            epoch=entered,
+            deadline_ms=min(ticket.deadline_ms, self._lease.expires_ms()),
+        )
         ticket.generation = self._generation
         self._running.add(ticket)
         self._idle.clear()
         if suspect:
             self._alone = ticket
-        ticket.turn.set_result(None)
+        ticket.call = asyncio.create_task(self._dispatch(ticket, dispatch))
+        # A callback and not a `finally`: the body of a task that is cancelled
+        # before its first step never runs.
+        ticket.call.add_done_callback(lambda _: self._finish(ticket))
+
+    def _enter(self, ticket: _Ticket) -> ids.Epoch | outcomes.Refused:
+        now_ms = self._clock.now_ms()
+        if ticket.deadline_ms <= now_ms:
+            return outcomes.Refused(
+                outcomes.RefusalReason.DEADLINE, "the deadline has passed"
+            )
+        if not self._lease.is_held() or self._lease.expires_ms() <= now_ms:
+            return outcomes.Refused(
+                outcomes.RefusalReason.LEASE_LAPSED,
+                "this member does not hold its lease",
+            )
+        try:
+            return ticket.entry.enter()
+        except Exception as error:
+            logger.opt(exception=error).error("slot entry failed")
+            return outcomes.Refused(
+                outcomes.RefusalReason.NOT_OWNER, "the slot cannot be entered"
+            )
 
     def _finish(self, ticket: _Ticket) -> None:
+        if ticket.sent:
+            ticket.resolve(_failed())
+        else:
+            ticket.resolve(_cancelled())
         self._running.discard(ticket)
         if self._alone is ticket:
             self._alone = None
         if not self._running:
             self._idle.set()
-        self._pump()
-
-    def _refuse(self, ticket: _Ticket, refusal: outcomes.Refused) -> None:
-        ticket.state = _State.REFUSED
-        if not ticket.turn.done():
-            ticket.turn.set_result(refusal)
+        try:
+            ticket.entry.leave()
+        finally:
+            self._pump()
 
     def _withdraw(self, ticket: _Ticket, refusal: outcomes.Refused) -> None:
         if self._queue.remove(ticket):
-            self._refuse(ticket, refusal)
-
-    def _abandon(self, ticket: _Ticket) -> None:
-        """Handles the cancellation of the task that waits for its turn."""
-        if self._queue.remove(ticket):
-            self._pump()
-        elif ticket.state is _State.STARTED:
-            self._finish(ticket)
+            ticket.resolve(refusal)
+
+    def _cancel(self, ticket: _Ticket) -> None:
+        """Takes a request back, also when the task of its sender ended."""
+        self._withdraw(ticket, _cancelled())
+        resolved = ticket.outcome.done() and not ticket.outcome.cancelled()
+        if ticket.call is not None and not resolved:
+            ticket.call.cancel()
+        self._pump()
 
     def _watch_expiry(self) -> None:
         if self._expiry is not None:
@@ -298,117 +358,43 @@
                 "the deadline passed while the request waited",
             )
             self._withdraw(head, refusal)
+            # The next one may be startable where a suspect had to wait.
             self._pump()
 
-    async def _run_started(
-        self,
-        ticket: _Ticket,
-        placement: dispatches.Placement | None,
-        entry: dispatches.Entry,
-        cancellation: dispatches.Cancellation,
-    ) -> outcomes.Outcome:
-        """Dispatches a request that holds its place under the limit."""
-        try:
-            entered = self._enter(ticket, entry, cancellation)
-        except BaseException:
-            self._finish(ticket)
-            raise
-        if isinstance(entered, outcomes.Refused):
-            self._finish(ticket)
-            return entered
-        dispatch = dispatches.Dispatch(
-            dispatch_id=f"{self._prefix}-{next(self._numbers)}",
-            placement=placement,
-            epoch=entered,
-            deadline_ms=min(
-                ticket.request.deadline_ms, self._lease.expires_ms()
-            ),
-        )
-        return await self._dispatch(ticket, dispatch, entry, cancellation)
-
-    def _enter(
-        self,
-        ticket: _Ticket,
-        entry: dispatches.Entry,
-        cancellation: dispatches.Cancellation,
-    ) -> ids.Epoch | outcomes.Refused:
-        """Makes the last checks, with no suspension until the dispatch."""
-        if cancellation.cancelled:
-            return _cancelled()
-        if ticket.deadline_ms <= self._clock.now_ms():
-            return outcomes.Refused(
-                outcomes.RefusalReason.DEADLINE, "the deadline has passed"
-            )
-        lapsed = self._lease.expires_ms() <= self._clock.now_ms()
-        if lapsed or not self._lease.is_held():
-            return outcomes.Refused(
-                outcomes.RefusalReason.LEASE_LAPSED,
-                "this member does not hold its lease",
-            )
-        return entry.enter()
-
     async def _dispatch(
-        self,
-        ticket: _Ticket,
-        dispatch: dispatches.Dispatch,
-        entry: dispatches.Entry,
-        cancellation: dispatches.Cancellation,
-    ) -> outcomes.Outcome:
+        self, ticket: _Ticket, dispatch: dispatches.Dispatch
+    ) -> None:
+        """Runs one dispatch and holds its place until it is certainly over."""
+        ticket.sent = True
         started_ms = self._clock.now_ms()
-        call = asyncio.ensure_future(
-            self._target.dispatch(ticket.request, dispatch)
-        )
-
-        def cancel_call() -> None:
-            call.cancel()
-
-        cancellation.on_cancel(cancel_call)
+        result = await self._call(ticket, dispatch)
+        self._observe(ticket, result, self._clock.now_ms() - started_ms)
+        ticket.resolve(result.outcome)
+        unresolved = isinstance(result.outcome, outcomes.Unknown)
+        if unresolved and not result.crashed:
+            await self._settle(dispatch)
+
+    async def _call(
+        self, ticket: _Ticket, dispatch: dispatches.Dispatch
+    ) -> dispatches.DispatchResult:
         try:
-            result = await call
+            return await self._target.dispatch(ticket.request, dispatch)
         except asyncio.CancelledError:
-            call.cancel()
-            self._settle(ticket, dispatch, entry)
-            if cancellation.cancelled and not _task_is_cancelled():
-                return outcomes.Unknown(
-                    outcomes.UnknownReason.CANCELLED,
-                    "the request was cancelled while it ran",
-                )
-            raise
-        except Exception:
-            self._settle(ticket, dispatch, entry)
-            raise
-        finally:
-            cancellation.on_cancel(None)
-        self._observe(ticket, result, self._clock.now_ms() - started_ms)
-        if isinstance(result.outcome, outcomes.Unknown) and not result.crashed:
-            self._settle(ticket, dispatch, entry)
-        else:
-            entry.leave()
-            self._finish(ticket)
-        return result.outcome
+            unknown = outcomes.Unknown(
+                outcomes.UnknownReason.CANCELLED,
+                "the request was cancelled while it ran",
+            )
+        except Exception as error:
+            logger.opt(exception=error).error("dispatch failed")
+            unknown = _failed()
+        return dispatches.DispatchResult(unknown)
 
-    def _settle(
-        self,
-        ticket: _Ticket,
-        dispatch: dispatches.Dispatch,
-        entry: dispatches.Entry,
-    ) -> None:
-        """Frees the place once the target certainly does not run the request.
+    async def _settle(self, dispatch: dispatches.Dispatch) -> None:
+        """Waits until the target certainly does not run the request.
 
         The target stops at the deadline by itself, so that the wait is bounded
-        also when it does not answer the cancellation.
+        also when it does not confirm the cancellation.
         """
-        task = asyncio.create_task(self._settled(dispatch))
-        self._settling.add(task)
-
-        def done(task: asyncio.Task[None]) -> None:
-            self._settling.discard(task)
-            entry.leave()
-            self._finish(ticket)
-
-        task.add_done_callback(done)
-
-    async def _settled(self, dispatch: dispatches.Dispatch) -> None:
         if dispatch.deadline_ms <= self._clock.now_ms():
             return
         if await self._target.cancel(dispatch.dispatch_id):
@@ -435,6 +421,8 @@
                     self._on_success(ticket, service_ms)
             case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_DOWN):
                 self.presence.missed()
+            case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_REFUSED):
+                self.presence.seen()
 
     def _on_success(self, ticket: _Ticket, service_ms: int) -> None:
         self.quarantine.succeeded(ticket.request.fingerprint)
@@ -478,6 +466,7 @@
 
     def _turned_cold(self) -> None:
         self._warmup.restart()
+        self._adaptive.resize(self._capacity)
         self._times.clear()
 
     def _counted(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
@@ -489,21 +478,3 @@
             case outcomes.Unknown(reason=unknown):
                 self._metrics.increment(f"gate.unknown.{unknown.value}")
         return outcome
-
-
-def _task_is_cancelled() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
-def _cancelled() -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.CANCELLED, "the request was cancelled"
-    )
-
-
-def _quarantined() -> outcomes.Refused:
-    return outcomes.Refused(
-        outcomes.RefusalReason.QUARANTINED,
-        "the request crashed targets and is in quarantine",
-    )
--- a/mustardloom/admission/limits.py
+++ b/mustardloom/admission/limits.py
@@ -2,12 +2,12 @@
 
 import collections
 import itertools
-import statistics
 
 __all__ = ["AdaptiveLimit", "ServiceTimes"]
 
 _WINDOW = 128
 _RECENT = 8
+_MEDIAN = 0.5
 _MIN_SAMPLES = 16
 _SLOWDOWN_FACTOR = 2.0
 _DECREASE_FACTOR = 0.9
@@ -28,6 +28,8 @@
         self._window: collections.deque[float] = collections.deque(
             maxlen=_WINDOW
         )
+        self._ordered: list[float] = []
+        self._added = 0
 
     def __len__(self) -> int:
         return len(self._window)
@@ -35,27 +37,34 @@
     def add(self, duration_ms: float) -> None:
         """Adds the service time of a finished request."""
         self._window.append(duration_ms)
+        self._added += 1
+        # Sorting for each request would cost more than the request itself.
+        if len(self._window) < _RECENT or self._added >= _RECENT:
+            self._ordered = sorted(self._window)
+            self._added = 0
 
     def clear(self) -> None:
         """Forgets all service times."""
         self._window.clear()
+        self._ordered = []
+        self._added = 0
 
     def usual_ms(self) -> float:
         """Returns the median of the window, 0 without samples."""
-        return statistics.median(self._window) if self._window else 0
+        return self.quantile_ms(_MEDIAN)
 
     def recent_ms(self) -> float:
         """Returns the median of the last few samples, 0 without samples."""
         start = max(0, len(self._window) - _RECENT)
-        recent = list(itertools.islice(self._window, start, None))
-        return statistics.median(recent) if recent else 0
+        recent = sorted(itertools.islice(self._window, start, None))
+        return recent[len(recent) // 2] if recent else 0
 
     def quantile_ms(self, fraction: float) -> float:
         """Returns a quantile of the window, 0 without samples."""
-        if not self._window:
+        if not self._ordered:
             return 0
-        ordered = sorted(self._window)
-        return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+        last = len(self._ordered) - 1
+        return self._ordered[min(last, int(fraction * len(self._ordered)))]
 
 
 class AdaptiveLimit:
--- /dev/null
+++ b/mustardloom/admission/tests/test_deduplication.py
@@ -0,0 +1,262 @@
+"""Tests of at-most-once."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.admission import deduplication
+from mustardloom.admission import dispatch as dispatches
+
+RETENTION_MS = 10_000
+FENCE_MARGIN_MS = 750
+CLOCK_SKEW_MS = 250
+PLACEMENT = dispatches.Placement(ids.GroupId("salio@*"), ids.SlotIndex(3))
+UNKNOWN = outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "")
+REFUSED = outcomes.Refused(outcomes.RefusalReason.OVERLOADED, "")
+
+
+def make_request(clock, request_id, deadline_ms=100):
+    """Returns a request that is due after `deadline_ms`."""
+    return requests.Request(
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"",
+        route=ids.RouteId("r"),
+        service=ids.ServiceId("salio"),
+        organisation=None,
+        regions=frozenset(),
+        key=None,
+        request_id=request_id,
+        idempotent=False,
+        deadline_ms=clock.now_ms() + deadline_ms,
+        fingerprint=1,
+    )
+
+
+def make_ids(clock, **settings):
+    """Returns a table that serves one slot."""
+    table = deduplication.RequestIds(
+        clock, metrics_lib.Metrics(), retention_ms=RETENTION_MS, **settings
+    )
+    table.open_slot(PLACEMENT, 0)
+    return table
+
+
+def answer_to(request_id):
+    """Returns the answer that belongs to an id."""
+    return outcomes.Answered(200, (("X", "1"),), request_id.encode())
+
+
+def send(table, clock, request_id, outcome=None):
+    """Sends an id and returns its outcome and whether it was dispatched."""
+    ran = []
+
+    async def dispatch():
+        ran.append(request_id)
+        return outcome or answer_to(request_id)
+
+    request = make_request(clock, request_id)
+    result = asyncio.run(table.run(PLACEMENT, request, dispatch))
+    return result, bool(ran)
+
+
+class DeduplicationMachine(stateful.RuleBasedStateMachine):
+    """Guards against two runs of an id over resends, moves and fences.
+
+    The wall clock may be set back at any time. A fencer's clock is behind the
+    fastest one by as much as the fence margin allows for.
+    """
+
+    ids = stateful.Bundle("ids")
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = clocks.FakeClock()
+        self.table = make_ids(self.clock)
+        self._highest_ms = 0
+        self.running = {}
+        self.maybe_run = set()
+        self.answers = {}
+        self.tasks = []
+
+    @stateful.rule(target=ids, offset_ms=st.integers(-11_000, 700))
+    def make_id(self, offset_ms):
+        return deduplication.new_request_id(self.clock.wall_ms() + offset_ms)
+
+    @stateful.rule(request_id=ids, deadline_ms=st.integers(1, 2_000))
+    def send(self, request_id, deadline_ms):
+        assert self.highest_wall_ms
+        request = make_request(self.clock, request_id, deadline_ms)
+        task = self.table.run(
+            PLACEMENT, request, lambda: self.dispatch(request_id)
+        )
+
+        async def start():
+            self.tasks.append((request_id, asyncio.create_task(task)))
+            await self.clock.advance(0)
+
+        self.loop.run_until_complete(start())
+
+    async def dispatch(self, request_id):
+        assert request_id not in self.maybe_run, "dispatched twice"
+        self.maybe_run.add(request_id)
+        future = asyncio.get_running_loop().create_future()
+        self.running[request_id] = future
+        return await future
+
+    @stateful.rule(
+        number=st.integers(0, 9), kind=st.sampled_from(("ok", "lost", "not"))
+    )
+    def finish(self, number, kind):
+        hypothesis.assume(self.running)
+        request_id = list(self.running)[number % len(self.running)]
+        outcome: outcomes.Outcome = UNKNOWN
+        if kind == "ok":
+            outcome = self.answers[request_id] = answer_to(request_id)
+        elif kind == "not":
+            outcome = REFUSED
+            self.maybe_run.discard(request_id)
+        self.running.pop(request_id).set_result(outcome)
+        self.loop.run_until_complete(self.clock.advance(0))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def drop_sender(self, number):
+        hypothesis.assume(self.running)
+        request_id = list(self.running)[number % len(self.running)]
+        del self.running[request_id]
+        first = next(
+            task
+            for sent_id, task in self.tasks
+            if sent_id == request_id and not task.done()
+        )
+        first.cancel()
+        self.loop.run_until_complete(self.clock.advance(0))
+
+    @stateful.rule()
+    def move(self):
+        """Planned move: the records go to a new owner."""
+        exported = self.table.export_slot(PLACEMENT)
+        old, self.table = self.table, make_ids(self.clock)
+        old.close_slot(PLACEMENT)
+        assert old.count == 0
+        self.table.open_slot(
+            PLACEMENT, exported.unknown_before_wall_ms, exported.requests
+        )
+
+    @stateful.rule()
+    def fence(self):
+        """The owner is lost with its records."""
+        self.table = make_ids(self.clock)
+        fencer_wall_ms = self.highest_wall_ms - CLOCK_SKEW_MS
+        self.table.open_slot(PLACEMENT, fencer_wall_ms + FENCE_MARGIN_MS)
+
+    @stateful.rule(duration_ms=st.integers(1, 4_000))
+    def advance(self, duration_ms):
+        self.loop.run_until_complete(self.clock.advance(duration_ms))
+
+    @stateful.rule(duration_ms=st.integers(-15_000, 200))
+    def set_wall_clock(self, duration_ms):
+        self.clock._wall_offset_ms += duration_ms
+
+    @property
+    def highest_wall_ms(self):
+        self._highest_ms = max(self._highest_ms, self.clock.wall_ms())
+        return self._highest_ms
+
+    @stateful.invariant()
+    def outcomes_belong_to_their_id(self):
+        for request_id, task in self.tasks:
+            if not task.done() or task.cancelled():
+                continue
+            if isinstance(task.result(), outcomes.Answered):
+                assert task.result() == self.answers[request_id]
+
+    def teardown(self):
+        for future in self.running.values():
+            future.set_result(UNKNOWN)
+        self.advance(4_000)
+        assert all(task.done() for _, task in self.tasks), "lost"
+        self.advance(30_000)
+        self.table.drop_old()
+        self.loop.close()
+
+
+TestDeduplication = DeduplicationMachine.TestCase
+TestDeduplication.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_a_resend_gets_the_recorded_answer():
+    """Guards against a resend that is told Unknown although it ran."""
+    clock = clocks.FakeClock()
+    table = make_ids(clock)
+    request_id = deduplication.new_request_id(clock.wall_ms())
+    assert send(table, clock, request_id) == (answer_to(request_id), True)
+    assert send(table, clock, request_id) == (answer_to(request_id), False)
+
+
+@pytest.mark.parametrize(
+    ("offset_ms", "reason", "ran"),
+    [
+        (-RETENTION_MS - 1, outcomes.UnknownReason.ID_TOO_OLD, False),
+        (-1_001, outcomes.UnknownReason.OWNER_LOST, False),
+        (-1_000, None, True),
+        (500, None, True),
+        (501, outcomes.RefusalReason.REQUEST_ID, False),
+    ],
+)
+def test_stamps_decide_at_their_borders(offset_ms, reason, ran):
+    """Guards against ids that are run although an earlier owner may have."""
+    clock = clocks.FakeClock()
+    table = make_ids(clock)
+    table.open_slot(PLACEMENT, clock.wall_ms() - 1_000)
+    request_id = deduplication.new_request_id(clock.wall_ms() + offset_ms)
+    outcome, did_run = send(table, clock, request_id)
+    assert did_run == ran
+    assert getattr(outcome, "reason", None) == reason
+
+
+def test_ids_without_stamp_are_refused():
+    """Guards against ids whose retention cannot be told."""
+    clock = clocks.FakeClock()
+    outcome, ran = send(make_ids(clock), clock, "no-uuid")
+    assert outcome.reason is outcomes.RefusalReason.REQUEST_ID
+    assert not ran
+
+
+def test_memory_is_bounded():
+    """Guards against a table that grows with the traffic."""
+    clock = clocks.FakeClock()
+    table = make_ids(clock, max_ids=3, max_total_answer_bytes=160)
+    request_ids = []
+    for _ in range(3):
+        request_ids.append(deduplication.new_request_id(clock.wall_ms()))
+        assert send(table, clock, request_ids[-1])[1]
+        clock.jump(2_000)
+    # The oldest answer made room, but its id still prevents a second run.
+    first, ran = send(table, clock, request_ids[0])
+    assert first.reason is outcomes.UnknownReason.ID_UNRESOLVED
+    assert not ran
+    assert send(table, clock, request_ids[2])[0] == answer_to(request_ids[2])
+    extra = deduplication.new_request_id(clock.wall_ms())
+    refused, ran = send(table, clock, extra)
+    assert refused.reason is outcomes.RefusalReason.OVERLOADED
+    assert not ran
+    clock.jump(RETENTION_MS + 1_000)
+    table.drop_old()
+    assert table.count == 0
--- /dev/null
+++ b/mustardloom/admission/tests/test_gate.py
@@ -0,0 +1,303 @@
+"""Tests of the gate against a model of the target."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom import requests
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.admission import gate as gates
+
+CAPACITY = 4
+MAX_DEADLINE_MS = 300
+ANSWER = outcomes.Answered(200, (), b"")
+
+
+def make_request(clock, fingerprint=1, deadline_ms=100):
+    """Returns a request that is due after `deadline_ms`."""
+    return requests.Request(
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"",
+        route=ids.RouteId("r"),
+        service=ids.ServiceId("salio"),
+        organisation=None,
+        regions=frozenset(),
+        key=None,
+        request_id=None,
+        idempotent=False,
+        deadline_ms=clock.now_ms() + deadline_ms,
+        fingerprint=fingerprint,
+    )
+
+
+@dataclasses.dataclass(eq=False)
+class Sent:
+    """A request and what the model knows about it."""
+
+    request: requests.Request
+    owner: "Model"
+    cancellation: dispatches.Cancellation
+    task: Any = None
+    dispatches: int = 0
+    entered: int = 0
+    refused_by_target: bool = False
+
+    def enter(self):
+        if self.owner.moved:
+            return outcomes.Refused(outcomes.RefusalReason.MOVED, "")
+        self.entered += 1
+        return ids.Epoch(1)
+
+    def leave(self):
+        self.entered -= 1
+        assert self not in self.owner.active(), "slot left while work runs"
+
+
+@dataclasses.dataclass(eq=False)
+class Running:
+    """A dispatch that the model of the target runs."""
+
+    sent: Sent
+    dispatch: dispatches.Dispatch
+    result: asyncio.Future[dispatches.DispatchResult]
+
+
+class Model:
+    """Target, lease and slots as the gate sees them."""
+
+    def __init__(self):
+        self.clock = clocks.FakeClock()
+        self.by_dispatch = {}
+        self.by_request = {}
+        self.crashes = {}
+        self.successes = 0
+        self.held = True
+        self.moved = False
+        self.closed = False
+        self.confirms = True
+        self.lease_ms = 1_000
+        self.gate = gates.Gate(
+            self.clock, self, self, CAPACITY, metrics_lib.Metrics()
+        )
+
+    def is_held(self):
+        return self.held
+
+    def expires_ms(self):
+        return self.clock.now_ms() + self.lease_ms
+
+    def active(self):
+        """Returns the requests that the target may be running."""
+        now_ms = self.clock.now_ms()
+        return [
+            running.sent
+            for running in self.by_dispatch.values()
+            if running.dispatch.deadline_ms > now_ms
+        ]
+
+    def pending(self):
+        return [r for r in self.by_dispatch.values() if not r.result.done()]
+
+    async def dispatch(self, request, dispatch):
+        sent = self.by_request[id(request)]
+        self.check_dispatch(sent, dispatch)
+        result = asyncio.get_running_loop().create_future()
+        self.by_dispatch[dispatch.dispatch_id] = Running(sent, dispatch, result)
+        sleep = asyncio.ensure_future(
+            self.clock.sleep_ms(dispatch.deadline_ms - self.clock.now_ms())
+        )
+        await asyncio.wait((result, sleep), return_when="FIRST_COMPLETED")
+        sleep.cancel()
+        if result.done():
+            return result.result()
+        return dispatches.DispatchResult(
+            outcomes.Unknown(outcomes.UnknownReason.DEADLINE, "")
+        )
+
+    def check_dispatch(self, sent, dispatch):
+        sent.dispatches += 1
+        assert sent.dispatches == 1, "dispatched twice"
+        assert self.held and not self.moved and not self.closed
+        assert dispatch.deadline_ms <= sent.request.deadline_ms
+        assert dispatch.deadline_ms <= self.expires_ms()
+        others = self.active()
+        assert len(others) < min(CAPACITY, 1 + self.successes)
+        fingerprint = sent.request.fingerprint
+        assert self.crashes.get(fingerprint, 0) < 2, "ran in quarantine"
+        if others:
+            suspects = [s for s in (sent, *others) if self.is_suspect(s)]
+            assert not suspects, "a suspect does not run alone"
+
+    def is_suspect(self, sent):
+        return bool(self.crashes.get(sent.request.fingerprint))
+
+    async def cancel(self, dispatch_id):
+        if self.confirms:
+            self.by_dispatch.pop(dispatch_id, None)
+        return self.confirms
+
+    async def probe(self):
+        return dispatches.Probe(True, True)
+
+    def end(self, running, outcome, crashed=False):
+        self.by_dispatch.pop(running.dispatch.dispatch_id, None)
+        running.result.set_result(
+            dispatches.DispatchResult(outcome, None, crashed)
+        )
+
+
+class GateMachine(stateful.RuleBasedStateMachine):
+    """Guards against excess work, lost requests and false refusals."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.model = Model()
+        self.sent = []
+        self.now(lambda: None)
+
+    def now(self, action):
+        async def settle():
+            action()
+            await self.model.clock.advance(0)
+
+        self.loop.run_until_complete(settle())
+
+    def pick(self, number):
+        pending = self.model.pending()
+        hypothesis.assume(pending)
+        return pending[number % len(pending)]
+
+    @stateful.rule(
+        fingerprint=st.integers(0, 5),
+        deadline_ms=st.integers(1, MAX_DEADLINE_MS),
+        cancel_at_once=st.booleans(),
+    )
+    def send(self, fingerprint, deadline_ms, cancel_at_once):
+        request = make_request(self.model.clock, fingerprint, deadline_ms)
+        sent = Sent(request, self.model, dispatches.Cancellation())
+        self.model.by_request[id(request)] = sent
+        self.sent.append(sent)
+
+        async def start():
+            run = self.model.gate.run(request, None, sent, sent.cancellation)
+            sent.task = asyncio.create_task(run)
+            await asyncio.sleep(0)
+            if cancel_at_once:
+                sent.cancellation.cancel()
+            await self.model.clock.advance(0)
+
+        self.loop.run_until_complete(start())
+
+    @stateful.rule(number=st.integers(0, 9))
+    def answer(self, number):
+        running = self.pick(number)
+        fingerprint = running.sent.request.fingerprint
+        self.model.successes += 1
+        if self.model.crashes.get(fingerprint) == 1:
+            del self.model.crashes[fingerprint]
+        self.now(lambda: self.model.end(running, ANSWER))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def target_refuses(self, number):
+        running = self.pick(number)
+        running.sent.refused_by_target = True
+        refused = outcomes.Refused(outcomes.RefusalReason.TARGET_REFUSED, "")
+        self.now(lambda: self.model.end(running, refused))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def truncate(self, number):
+        """The connection breaks, but the target runs on."""
+        running = self.pick(number)
+        unknown = outcomes.Unknown(outcomes.UnknownReason.TRUNCATED, "")
+        result = dispatches.DispatchResult(unknown)
+        self.now(lambda: running.result.set_result(result))
+
+    @stateful.rule()
+    def crash(self):
+        hypothesis.assume(self.model.pending())
+        unknown = outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "")
+        model = self.model
+        for fingerprint in {s.request.fingerprint for s in model.active()}:
+            model.crashes[fingerprint] = model.crashes.get(fingerprint, 0) + 1
+        model.successes = 0
+
+        def lose_all():
+            for running in model.pending():
+                model.end(running, unknown, crashed=True)
+
+        self.now(lose_all)
+
+    @stateful.rule(number=st.integers(0, 99), hard=st.booleans())
+    def cancel(self, number, hard):
+        hypothesis.assume(self.sent)
+        sent = self.sent[number % len(self.sent)]
+        self.now(sent.task.cancel if hard else sent.cancellation.cancel)
+
+    @stateful.rule(duration_ms=st.integers(1, 100))
+    def advance(self, duration_ms):
+        self.loop.run_until_complete(self.model.clock.advance(duration_ms))
+
+    @stateful.rule(flag=st.sampled_from(("held", "moved", "confirms")))
+    def toggle(self, flag):
+        setattr(self.model, flag, not getattr(self.model, flag))
+
+    @stateful.rule(lease_ms=st.integers(1, 1_000))
+    def shorten_lease(self, lease_ms):
+        self.model.lease_ms = lease_ms
+
+    @stateful.rule()
+    def close_or_open(self):
+        self.model.closed = not self.model.closed
+        if self.model.closed:
+            self.model.gate.close(outcomes.RefusalReason.STOPPED)
+        else:
+            self.model.gate.open()
+        self.now(lambda: None)
+
+    @stateful.invariant()
+    def limit_holds(self):
+        assert len(self.model.active()) <= CAPACITY
+        assert self.model.gate.load.queued <= 2 * CAPACITY
+        assert sum(sent.entered for sent in self.sent) <= CAPACITY
+
+    @stateful.invariant()
+    def outcomes_are_honest(self):
+        for sent in self.sent:
+            if not sent.task.done() or sent.task.cancelled():
+                continue
+            match sent.task.result():
+                case outcomes.Refused():
+                    assert sent.dispatches == 0 or sent.refused_by_target
+                case _:
+                    assert sent.dispatches == 1
+
+    def teardown(self):
+        self.model.confirms = True
+        self.advance(MAX_DEADLINE_MS)
+        assert all(sent.task.done() for sent in self.sent), "lost"
+        assert not any(sent.entered for sent in self.sent), "slot not left"
+        load = self.model.gate.load
+        assert (load.running, load.queued) == (0, 0)
+        self.loop.run_until_complete(self.model.gate.wait_idle())
+        self.loop.close()
+
+
+TestGate = GateMachine.TestCase
+TestGate.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- a/mustardloom/forwarding/connections.py
+++ b/mustardloom/forwarding/connections.py
@@ -285,19 +285,23 @@
     def _send(
         self, connection: http1connection.HTTP1Connection, call: Call
     ) -> None:
-        headers = httputil.HTTPHeaders()
-        for name, value in call.headers:
-            if name.lower() not in _HOP_BY_HOP:
-                headers.add(name, value)
-        if "Host" not in headers:
-            headers["Host"] = f"{self._address[0]}:{self._address[1]}"
-        headers["Content-Length"] = str(len(call.body))
         start_line = httputil.RequestStartLine(
             call.method, call.path, "HTTP/1.1"
         )
         # The futures of the writes fail with the stream; the read sees it too.
         try:
+            headers = self._headers(call)
             connection.write_headers(start_line, headers, call.body)
-        except ValueError as error:
+        except (ValueError, httputil.HTTPInputError) as error:
             raise UnsendableError(str(error)) from error
         connection.finish()
+
+    def _headers(self, call: Call) -> httputil.HTTPHeaders:
+        headers = httputil.HTTPHeaders()
+        for name, value in call.headers:
+            if name.lower() not in _HOP_BY_HOP:
+                headers.add(name, value)
+        if "Host" not in headers:
+            headers["Host"] = f"{self._address[0]}:{self._address[1]}"
+        headers["Content-Length"] = str(len(call.body))
+        return headers
--- a/mustardloom/forwarding/target_client.py
+++ b/mustardloom/forwarding/target_client.py
@@ -79,6 +79,34 @@
     )
 
 
+def _target_down(error: Exception) -> dispatches.DispatchResult:
+    return dispatches.DispatchResult(
+        outcomes.Refused(outcomes.RefusalReason.TARGET_DOWN, str(error))
+    )
+
+
+def _malformed(error: Exception) -> dispatches.DispatchResult:
+    return dispatches.DispatchResult(
+        outcomes.Refused(outcomes.RefusalReason.MALFORMED, str(error))
+    )
+
+
+def _target_lost(crashed: bool) -> dispatches.DispatchResult:
+    return dispatches.DispatchResult(
+        outcomes.Unknown(
+            outcomes.UnknownReason.TARGET_LOST,
+            "the connection to the target was lost before the answer",
+        ),
+        crashed=crashed,
+    )
+
+
+def _truncated(error: Exception) -> dispatches.DispatchResult:
+    return dispatches.DispatchResult(
+        outcomes.Unknown(outcomes.UnknownReason.TRUNCATED, str(error))
+    )
+
+
 class Grant(msgspec.Struct, frozen=True):
     """Right of the target to run the requests of one slot."""
 
@@ -140,6 +168,13 @@
           Answered for every complete answer, TARGET_REFUSED and TARGET_DOWN
           for requests that certainly did not run, otherwise Unknown.
         """
+        remaining_ms = dispatch.deadline_ms - self._clock.now_ms()
+        if remaining_ms <= 0:
+            return dispatches.DispatchResult(
+                outcomes.Refused(
+                    outcomes.RefusalReason.DEADLINE, "the deadline has passed"
+                )
+            )
         call = connections.Call(
             request.method,
             request.path,
@@ -147,7 +182,7 @@
             request.body,
         )
         try:
-            async with asyncio.timeout(self._remaining_s(dispatch)):
+            async with asyncio.timeout(remaining_ms / _MS_PER_S):
                 result = await self._send(call, request.idempotent)
         except TimeoutError:
             return dispatches.DispatchResult(
@@ -302,35 +337,3 @@
             connections.TruncatedError,
         ):
             return None
-
-    def _remaining_s(self, dispatch: dispatches.Dispatch) -> float:
-        remaining_ms = dispatch.deadline_ms - self._clock.now_ms()
-        return max(0, remaining_ms) / _MS_PER_S
-
-
-def _target_down(error: Exception) -> dispatches.DispatchResult:
-    return dispatches.DispatchResult(
-        outcomes.Refused(outcomes.RefusalReason.TARGET_DOWN, str(error))
-    )
-
-
-def _malformed(error: Exception) -> dispatches.DispatchResult:
-    return dispatches.DispatchResult(
-        outcomes.Refused(outcomes.RefusalReason.MALFORMED, str(error))
-    )
-
-
-def _target_lost(crashed: bool) -> dispatches.DispatchResult:
-    return dispatches.DispatchResult(
-        outcomes.Unknown(
-            outcomes.UnknownReason.TARGET_LOST,
-            "the connection to the target was lost before the answer",
-        ),
-        crashed=crashed,
-    )
-
-
-def _truncated(error: Exception) -> dispatches.DispatchResult:
-    return dispatches.DispatchResult(
-        outcomes.Unknown(outcomes.UnknownReason.TRUNCATED, str(error))
-    )
