Test the protection of targets and the stand-in target

Cause: the model of the gate raised its faults inside the dispatch, where the gate turns any exception into an Unknown outcome, so that broken limits and leases went unnoticed. Change: the model records faults and an invariant checks them. Tests for warm-up, adaptive limit, quarantine, target-down detection, and the stand-in. Conclusion: breaking the limit, the lease check or the quarantine turns the state machine red.

--- a/mustardloom/admission/tests/test_gate.py
+++ b/mustardloom/admission/tests/test_gate.py
@@ -60,7 +60,8 @@
 
     def leave(self):
         self.entered -= 1
-        assert self not in self.owner.active(), "slot left while work runs"
+        active = self in self.owner.active()
+        self.owner.check(not active, "slot left while work runs")
 
 
 @dataclasses.dataclass(eq=False)
@@ -86,6 +87,7 @@
         self.closed = False
         self.confirms = True
         self.lease_ms = 1_000
+        self.faults = []
         self.gate = gates.Gate(
             self.clock, self, self, CAPACITY, metrics_lib.Metrics()
         )
@@ -126,17 +128,25 @@
 
     def check_dispatch(self, sent, dispatch):
         sent.dispatches += 1
-        assert sent.dispatches == 1, "dispatched twice"
-        assert self.held and not self.moved and not self.closed
-        assert dispatch.deadline_ms <= sent.request.deadline_ms
-        assert dispatch.deadline_ms <= self.expires_ms()
+        self.check(sent.dispatches == 1, "dispatched twice")
+        self.check(self.held, "dispatched without the lease")
+        self.check(not self.moved, "dispatched without the slot")
+        self.check(not self.closed, "dispatched by a closed gate")
+        latest_ms = min(sent.request.deadline_ms, self.expires_ms())
+        self.check(dispatch.deadline_ms <= latest_ms, "deadline too late")
         others = self.active()
-        assert len(others) < min(CAPACITY, 1 + self.successes)
+        limit = min(CAPACITY, 1 + self.successes)
+        self.check(len(others) < limit, "limit exceeded")
         fingerprint = sent.request.fingerprint
-        assert self.crashes.get(fingerprint, 0) < 2, "ran in quarantine"
+        self.check(self.crashes.get(fingerprint, 0) < 2, "quarantine broken")
         if others:
             suspects = [s for s in (sent, *others) if self.is_suspect(s)]
-            assert not suspects, "a suspect does not run alone"
+            self.check(not suspects, "a suspect does not run alone")
+
+    def check(self, condition, fault):
+        """Records a fault; the gate would survive an exception."""
+        if not condition:
+            self.faults.append(fault)
 
     def is_suspect(self, sent):
         return bool(self.crashes.get(sent.request.fingerprint))
@@ -265,6 +275,10 @@
             self.model.gate.open()
         self.now(lambda: None)
 
+    @stateful.invariant()
+    def no_faults(self):
+        assert not self.model.faults
+
     @stateful.invariant()
     def limit_holds(self):
         assert len(self.model.active()) <= CAPACITY
@@ -277,6 +291,10 @@
             if not sent.task.done() or sent.task.cancelled():
                 continue
             match sent.task.result():
+                case outcomes.Refused(
+                    reason=outcomes.RefusalReason.QUARANTINED
+                ):
+                    assert self.model.crashes[sent.request.fingerprint] == 2
                 case outcomes.Refused():
                     assert sent.dispatches == 0 or sent.refused_by_target
                 case _:
@@ -285,6 +303,7 @@
     def teardown(self):
         self.model.confirms = True
         self.advance(MAX_DEADLINE_MS)
+        self.no_faults()
         assert all(sent.task.done() for sent in self.sent), "lost"
         assert not any(sent.entered for sent in self.sent), "slot not left"
         load = self.model.gate.load
--- /dev/null
+++ b/mustardloom/admission/tests/test_protection.py
@@ -0,0 +1,210 @@
+"""Tests of warm-up, adaptive limit, quarantine and target-down detection."""
+
+import asyncio
+
+import pytest
+
+from mustardloom import clock as clocks
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom.admission import dispatch as dispatches
+from mustardloom.admission import gate as gates
+from mustardloom.admission import limits
+from mustardloom.admission import presence
+from mustardloom.admission import quarantine as quarantines
+from mustardloom.admission import warmup as warmups
+from mustardloom.admission.tests import test_gate
+
+CAPACITY = 6
+ALIVE = dispatches.Probe(True, True, "i1")
+SILENT = dispatches.Probe(False, True)
+ABSENT = dispatches.Probe(False, False)
+
+
+class Target:
+    """Answers at once, with settable service time, instance and probes."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.service_ms = 10
+        self.instance = "i1"
+        self.probes = ALIVE
+
+    async def dispatch(self, request, dispatch):
+        await self.clock.sleep_ms(self.service_ms)
+        answer = outcomes.Answered(200, (), b"")
+        return dispatches.DispatchResult(answer, self.instance)
+
+    async def cancel(self, dispatch_id):
+        return True
+
+    async def probe(self):
+        return self.probes
+
+    def is_held(self):
+        return True
+
+    def expires_ms(self):
+        return self.clock.now_ms() + 1_000
+
+
+class Bench:
+    """A gate with its target, driven by a fake clock."""
+
+    def __init__(self):
+        self.clock = clocks.FakeClock()
+        self.target = Target(self.clock)
+        self.down: list[bool] = []
+        self.gate = gates.Gate(
+            self.clock,
+            self.target,
+            self.target,
+            CAPACITY,
+            metrics_lib.Metrics(),
+            on_target_down=self.down.append,
+        )
+
+    async def serve(self, count, deadline_ms=1_000):
+        """Runs requests one after the other."""
+        results = []
+        for _ in range(count):
+            request = test_gate.make_request(self.clock, 1, deadline_ms)
+            task = asyncio.create_task(
+                self.gate.run(request, None, dispatches.OpenEntry())
+            )
+            await self.clock.advance(self.target.service_ms)
+            results.append(await task)
+        return results
+
+
+async def _warm_bench():
+    bench = Bench()
+    await bench.serve(40)
+    assert bench.gate.limit == CAPACITY
+    return bench
+
+
+def test_a_new_instance_is_cold():
+    """Guards against full load on a target that restarted unnoticed."""
+
+    async def scenario():
+        bench = await _warm_bench()
+        bench.target.instance = "i2"
+        await bench.serve(1)
+        return bench.gate.limit
+
+    assert asyncio.run(scenario()) <= 2
+
+
+def test_a_jump_of_the_service_time_means_cold():
+    """Guards against full load on a target that turned cold in place."""
+
+    async def scenario():
+        bench = await _warm_bench()
+        bench.target.service_ms = 31
+        await bench.serve(2)
+        before = bench.gate.limit
+        await bench.serve(1)
+        after = bench.gate.limit
+        # The new service time is the usual one now.
+        await bench.serve(40)
+        return before, after, bench.gate.limit
+
+    assert asyncio.run(scenario()) == (CAPACITY, 1, CAPACITY)
+
+
+def test_requests_that_cannot_finish_are_refused_at_once():
+    """Guards against work whose answer comes too late for its caller."""
+
+    async def scenario():
+        bench = await _warm_bench()
+        request = test_gate.make_request(bench.clock, 1, 9)
+        return await bench.gate.run(request, None, dispatches.OpenEntry())
+
+    refused = asyncio.run(scenario())
+    assert refused.reason is outcomes.RefusalReason.DEADLINE
+
+
+def test_the_adaptive_limit_follows_the_service_time():
+    """Guards against a limit that stays up while the target slows down."""
+    limit = limits.AdaptiveLimit(CAPACITY)
+    times = limits.ServiceTimes()
+    for service_ms, expected in ((10, CAPACITY), (25, CAPACITY // 2)):
+        for _ in range(40):
+            times.add(service_ms)
+            limit.observe(times)
+        assert limit.value == expected
+    for _ in range(300):
+        times.add(10)
+        limit.observe(times)
+    assert limit.value == CAPACITY
+
+
+def test_warmup_grows_by_one_for_each_limit_of_successes():
+    """Guards against a warm-up that outruns a cold target."""
+    warmup = warmups.Warmup(CAPACITY)
+    values = []
+    for _ in range(16):
+        warmup.succeeded(10, 0)
+        values.append(warmup.value)
+    assert values == [2, 2, 3, 3, 3, 4, 4, 4, 4, 5, 5, 5, 5, 5, 6, 6]
+
+
+def test_quarantine_ends():
+    """Guards against a request that is refused for ever."""
+    clock = clocks.FakeClock()
+    quarantine = quarantines.Quarantine(clock, lambda *_: None)
+    quarantine.crashed([1])
+    quarantine.crashed([1])
+    quarantine.succeeded(1)
+    clock.jump(quarantines.QUARANTINE_MS - 1)
+    assert quarantine.is_quarantined(1)
+    clock.jump(1)
+    assert not quarantine.is_suspect(1)
+
+
+def test_gates_share_their_suspects():
+    """Guards against a request that crashes each target of a service."""
+    clock = clocks.FakeClock()
+    here = quarantines.Quarantine(clock, lambda *_: None)
+    there = quarantines.Quarantine(clock, here.learn)
+    there.crashed([1, 2])
+    assert here.is_suspect(1)
+    # Crashes that two targets report at the same time count as two.
+    here.crashed([2])
+    assert here.is_quarantined(2)
+    there.succeeded(1)
+    assert not here.is_suspect(1)
+    here.crashed([3])
+    there.crashed([3])
+    assert here.is_quarantined(3)
+
+
+@pytest.mark.parametrize(
+    ("probe", "limit_ms"),
+    [(ABSENT, presence.DOWN_AFTER_MS), (SILENT, presence.SILENT_AFTER_MS)],
+)
+def test_a_target_that_is_away_too_long_is_down(probe, limit_ms):
+    """Guards against a lost or frozen target that keeps its slots."""
+
+    async def scenario():
+        bench = await _warm_bench()
+        watch = asyncio.create_task(bench.gate.presence.run())
+        await bench.clock.advance(2_000)
+        bench.target.probes = probe
+        if probe is ABSENT:
+            bench.gate.presence.missed()
+            await bench.clock.advance(limit_ms - 1)
+        else:
+            await bench.clock.advance(limit_ms)
+        early = list(bench.down)
+        await bench.clock.advance(700)
+        late = list(bench.down)
+        bench.target.probes = ALIVE
+        await bench.clock.advance(100)
+        watch.cancel()
+        return early, late, bench.down, bench.gate.limit
+
+    early, late, down, limit = asyncio.run(scenario())
+    assert (early, late, down) == ([], [True], [True, False])
+    assert limit == 1
--- /dev/null
+++ b/mustardloom/standins/tests/test_target.py
@@ -0,0 +1,221 @@
+"""Tests of the stand-in target."""
+
+import asyncio
+import socket
+from typing import Any
+
+import msgspec
+import pytest
+from tornado import httpclient
+from tornado import httpserver
+from tornado import simple_httpclient
+from tornado import web
+
+from mustardloom import clock as clocks
+from mustardloom.standins import runs
+from mustardloom.standins import service
+from mustardloom.standins import target as targets
+
+GRANTS = {
+    "expires_ms": 2**60,
+    "grants": [{"group": "g", "slot": 1, "epoch": 7}],
+}
+
+
+class Bench:
+    """A target on loopback with a controlled clock."""
+
+    def __init__(self, **settings: Any):
+        self.clock = clocks.FakeClock()
+        self.exits: list[int] = []
+        self.target = targets.Target(
+            targets.TargetSettings(
+                service="s", mean_ms=10, sigma=0, **settings
+            ),
+            self.clock,
+            exit_process=lambda: self.exits.append(1),
+        )
+        self.target.start()
+        self.client = httpclient.AsyncHTTPClient(
+            force_instance=True, defaults={"request_timeout": 60}
+        )
+
+    def post(self, path, body="", **headers):
+        names = {f"X-Mustardloom-{k.title()}": v for k, v in headers.items()}
+        return asyncio.ensure_future(
+            self.client.fetch(
+                f"http://127.0.0.1:{self.target.port}{path}",
+                method="POST",
+                body=body,
+                headers={"X-Echo": "nonce", **names},
+                raise_error=False,
+            )
+        )
+
+    async def work(self, body="", **headers):
+        """Sends work and lets it run to its end."""
+        answer = self.post("/a", body, **headers)
+        await self.until(lambda: self.busy() or answer.done())
+        await self.clock.advance(10)
+        return await answer
+
+    def busy(self):
+        return len(self.target._by_dispatch)
+
+    async def until(self, condition, step_ms=0):
+        """Lets the sockets work until a condition holds."""
+        while not condition():
+            await self.clock.advance(step_ms)
+
+    def outcomes(self):
+        return [run.outcome for run in self.target.record.page(0).runs]
+
+
+def _run(scenario, **settings):
+    async def inside():
+        bench = Bench(**settings)
+        result = await scenario(bench)
+        bench.client.close()
+        await bench.target.stop()
+        return result
+
+    return asyncio.run(asyncio.wait_for(inside(), 60))
+
+
+def test_only_the_granted_epoch_runs():
+    """Guards against a stand-in that hides missing fencing."""
+
+    async def scenario(bench):
+        slot = {"group": "g", "slot": "1"}
+        ungranted = await bench.work(epoch="7", **slot)
+        await bench.post("/_target/grants", msgspec.json.encode(GRANTS))
+        stale = await bench.work(epoch="6", **slot)
+        good = await bench.work(epoch="7", **slot)
+        release = {"released": GRANTS["grants"]}
+        await bench.post("/_target/grants", msgspec.json.encode(release))
+        released = await bench.work(epoch="7", **slot)
+        answers = (ungranted, stale, good, released)
+        return answers, bench.outcomes()
+
+    answers, record = _run(scenario)
+    assert [answer.code for answer in answers] == [503, 503, 200, 503]
+    run = ["no", "no", None, "no"]
+    assert [a.headers.get("X-Target-Run") for a in answers] == run
+    assert msgspec.json.decode(answers[2].body)["echo"] == "nonce"
+    not_run = runs.RunOutcome.NOT_RUN
+    assert record == [not_run, not_run, runs.RunOutcome.COMMITTED, not_run]
+
+
+def test_deadlines_are_checked_before_the_commit():
+    """Guards against work that takes effect after its slot moved."""
+
+    async def scenario(bench):
+        now_ms = bench.clock.now_ms()
+        headers = {"Deadline-Ms": str(now_ms + 5)}
+        late = await bench.work(**headers)
+        later = await bench.work(**headers)
+        return late.code, later.code, bench.outcomes()
+
+    assert _run(scenario) == (
+        503,
+        503,
+        [runs.RunOutcome.EXPIRED, runs.RunOutcome.NOT_RUN],
+    )
+
+
+def test_cancelled_work_does_not_commit():
+    """Guards against a confirmed cancellation of work that goes on."""
+
+    async def scenario(bench):
+        answer = bench.post("/a", Dispatch="d1")
+        await bench.until(bench.busy)
+        await bench.post("/_target/cancel", Dispatch="d1")
+        early = (await answer).code
+        await bench.post("/_target/cancel", Dispatch="d2")
+        return early, (await bench.work(Dispatch="d2")).code, bench.outcomes()
+
+    assert _run(scenario) == (
+        503,
+        503,
+        [runs.RunOutcome.CANCELLED, runs.RunOutcome.NOT_RUN],
+    )
+
+
+def test_a_full_queue_sheds_load():
+    """Guards against a stand-in that accepts any load."""
+
+    async def scenario(bench):
+        answers = [bench.post("/a") for _ in range(4)]
+        await bench.until(lambda: any(a.done() for a in answers))
+        shed = [a.result().code for a in answers if a.done()]
+        while not all(a.done() for a in answers):
+            await bench.clock.advance(10)
+        return shed, bench.outcomes().count(runs.RunOutcome.COMMITTED)
+
+    assert _run(scenario, capacity=1) == ([503], 3)
+
+
+def test_a_cold_target_crashes_under_load():
+    """Guards against a stand-in on which missing warm-up goes unnoticed."""
+    bearing = service.Bearing(6)
+    assert bearing.breaks(3, 0)
+    assert not bearing.breaks(2, 0)
+    for _ in range(2 + 3 + 4 + 5):
+        bearing.completed()
+    assert not bearing.breaks(7, 0)
+    bearing.turn_cold(grace_until_ms=5)
+    assert [bearing.breaks(3, now_ms) for now_ms in (4, 5)] == [False, True]
+
+
+def test_poison_crashes_and_the_target_comes_back():
+    """Guards against a crash that leaves the old instance in place."""
+
+    async def scenario(bench):
+        first = bench.target.instance
+        with pytest.raises(simple_httpclient.HTTPStreamClosedError):
+            await bench.work("POISON")
+        await bench.clock.advance(50)
+        await bench.until(lambda: bench.target._server is not None)
+        good = await bench.work("x")
+        instances = (first, good.headers["X-Target-Instance"])
+        return good.code, instances, bench.outcomes()
+
+    good, (first, second), record = _run(scenario, restart_after_ms=50)
+    assert good == 200
+    assert first != second
+    committed = runs.RunOutcome.COMMITTED
+    assert record == [runs.RunOutcome.CRASHED, committed]
+
+
+def test_announcements_survive_an_absent_daemon():
+    """Guards against a target that stays unknown after a daemon restart."""
+    seen = []
+
+    class Handler(web.RequestHandler):
+        def post(self):
+            seen.append(msgspec.json.decode(self.request.body))
+
+    async def scenario(bench):
+        task = asyncio.create_task(bench.target.run())
+        await bench.until(lambda: bench.clock.now_ms() > 3_000, 500)
+        listener.listen()
+        listener.setblocking(False)
+        server = httpserver.HTTPServer(web.Application([("/targets", Handler)]))
+        server.add_socket(listener)
+        await bench.until(lambda: seen, 500)
+        task.cancel()
+        server.stop()
+        return bench.target.instance, bench.target.port
+
+    # Bound but not listening, so that connections are refused.
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    instance, port = _run(scenario, daemon_admin=address)
+    assert seen[0] == {
+        "service": "s",
+        "address": f"127.0.0.1:{port}",
+        "capacity": 6,
+        "instance": instance,
+        "checks_fencing": True,
+    }
