--- /dev/null
+++ b/bench/scenarios/scale.py
@@ -0,0 +1,282 @@
+"""Control state and periodic work of one daemon at the planned size.
+
+One process holds the real classes with the state of 2,700 daemons; no other
+daemon runs. What it measures are the costs that grow with the fleet.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import os
+import time
+from typing import Any
+
+import msgspec
+import psutil
+
+from bench import measurement
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.daemon import adapters
+from mustardloom.membership import fencing
+from mustardloom.membership import records
+from mustardloom.ownership import assignment
+from mustardloom.ownership import chunk_writer
+from mustardloom.ownership import reconciler as reconcilers
+from mustardloom.ownership import slot_map
+from mustardloom.ownership import slots
+from mustardloom.platform import memory
+from mustardloom.relay import dissemination
+from mustardloom.relay import replica as replicas
+
+__all__ = ["DAEMONS", "Fleet", "build", "run"]
+
+DAEMONS = 2_700
+REGIONS = 4
+ZONES = 16
+SERVICES = 10
+# Slots per service: one group for any region, and one for each region.
+_SLOTS_ANYWHERE = 4_096
+_SLOTS_PER_REGION = 612
+
+_MS_PER_S = 1_000
+_BYTES_PER_MB = 1_000_000
+_REPEATS = 5
+_NS_PER_MS = 1_000_000
+_DEFINITION = (
+    f"One process with the real classes and the state of {DAEMONS} daemons, "
+    f"{ZONES} availability zones in {REGIONS} regions, {SERVICES} services and "
+    f"{SERVICES * (_SLOTS_ANYWHERE + REGIONS * _SLOTS_PER_REGION)} slots. Each "
+    f"time is the median of {_REPEATS} runs of one call, in milliseconds of "
+    "processor time. Memory is the growth of the resident set."
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """State of the planned fleet in one process."""
+
+    replica: replicas.Replica
+    members: records.Members
+    slots: slot_map.SlotMap
+    groups: list[tuple[ids.GroupId, int]]
+    zone: ids.AvailabilityZoneId
+    own: ids.MemberId
+
+
+def build(daemons: int = DAEMONS) -> Fleet:
+    """Returns a settled fleet of `daemons` daemons."""
+    replica = replicas.Replica()
+    fleet = Fleet(
+        replica,
+        records.Members(replica),
+        slot_map.SlotMap(replica),
+        list(_groups()),
+        ids.AvailabilityZoneId("zone-0"),
+        ids.MemberId("vm-0~00000000"),
+    )
+    events = [
+        _member_event(n, records.MemberState.ACTIVE) for n in range(daemons)
+    ]
+    versions = iter(range(1, 10_000_000))
+    for event in events:
+        _apply(replica, event, next(versions))
+    for group, slot_count in fleet.groups:
+        for event in _chunks(fleet, group, slot_count):
+            _apply(replica, event, next(versions))
+    return fleet
+
+
+def run() -> measurement.Measurement:
+    """Measures memory and the cost of each periodic step."""
+    process = psutil.Process(os.getpid())
+    before = process.memory_info().rss
+    fleet = build()
+    grown_mb = (process.memory_info().rss - before) / _BYTES_PER_MB
+    costs = asyncio.run(_costs(fleet))
+    figures = {f"scale_{name}_ms": value for name, value in costs.items()}
+    figures["scale_state_mb"] = grown_mb
+    figures["scale_stored_kb"] = _stored_bytes(fleet) / _MS_PER_S
+    return measurement.Measurement(
+        name="scale",
+        definition=_DEFINITION,
+        figures=figures,
+        table=(
+            ("step", "ms"),
+            *((name, f"{value:.2f}") for name, value in costs.items()),
+        ),
+    )
+
+
+async def _costs(fleet: Fleet) -> dict[str, float]:
+    clock = clocks.SystemClock()
+    reconciler = _reconciler(fleet, clock)
+    await reconciler.reconcile()
+    disseminator = _disseminator(fleet, clock)
+    member_event = _member_event(7, records.MemberState.ACTIVE)
+    chunk_event = next(fleet.replica.select(slot_map.SLOTS_PREFIX))
+    costs = {
+        "watcher_check": _median_ms(disseminator.is_watcher),
+        "repair_choice": _median_ms(disseminator._random_peer),
+        "apply_member": _median_ms(lambda: _bump(fleet, member_event)),
+        "apply_chunk": _median_ms(lambda: _bump(fleet, chunk_event)),
+        "fencing_candidates": _median_ms(
+            lambda: fencing.fencing_candidates(
+                fleet.members.live(), fleet.members.by_id[fleet.own]
+            )
+        ),
+        "reconcile_idle": await _median_async_ms(reconciler.reconcile),
+    }
+    _lose_zone(fleet)
+    lost_reconciler = _reconciler(fleet, clock)
+    costs["plan_after_zone_loss"] = _median_ms(
+        lambda: _plan_all(lost_reconciler, fleet), 1
+    )
+    return costs
+
+
+def _plan_all(reconciler: reconcilers.Reconciler, fleet: Fleet) -> None:
+    reconciler._note_active()
+    for group, slot_count in fleet.groups:
+        reconciler._plan(group, slot_count)
+
+
+def _groups() -> Any:
+    for number in range(SERVICES):
+        service = ids.ServiceId(f"service-{number}")
+        yield slots.group_of(service, ()), _SLOTS_ANYWHERE
+        for region in range(REGIONS):
+            name = ids.RegionId(f"region-{region}")
+            yield slots.group_of(service, [name]), _SLOTS_PER_REGION
+
+
+def _member_event(number: int, state: records.MemberState) -> platform.Event:
+    zone = number % ZONES
+    member = ids.MemberId(f"vm-{number}~00000000")
+    witnesses = tuple(
+        ids.MemberId(f"vm-{(number + step) % DAEMONS}~00000000")
+        for step in (ZONES, 4, 1)
+    )
+    record = records.MemberRecord(
+        member=member,
+        region=ids.RegionId(f"region-{zone % REGIONS}"),
+        availability_zone=ids.AvailabilityZoneId(f"zone-{zone}"),
+        caller_address=records.Address(f"10.0.{number // 250}.9", 7000),
+        peer_address=records.Address(f"10.0.{number // 250}.9", 7001),
+        state=state,
+        service=ids.ServiceId(f"service-{number // ZONES % SERVICES}"),
+        capacity=12,
+        checks_fencing=True,
+        target_instance="0123456789abcdef",
+        witnesses=witnesses,
+    )
+    key = records.member_key(member)
+    return platform.Event(key, ids.NO_VERSION, records.encode(record))
+
+
+def _chunks(fleet: Fleet, group: ids.GroupId, slot_count: int) -> Any:
+    live = assignment.eligible(fleet.members.live(), group, lambda _: False)
+    receivers = [assignment.receiver_of(r, 10**9, 0) for r in live]
+    entries = [slot_map.SlotEntry() for _ in range(slot_count)]
+    wanted = {ids.SlotIndex(index) for index in range(slot_count)}
+    load = assignment.equal_load
+    chosen = assignment.assign(group, entries, wanted, receivers, load)
+    for slot, member in chosen.items():
+        entries[slot] = slot_map.SlotEntry(member, ids.Epoch(1))
+    for start in range(0, slot_count, slot_map.CHUNK_SLOTS):
+        chunk = entries[start : start + slot_map.CHUNK_SLOTS]
+        name = slot_map.ChunkName(group, start // slot_map.CHUNK_SLOTS)
+        value = slot_map.encode_chunk(chunk)
+        yield platform.Event(slot_map.chunk_key(name), ids.NO_VERSION, value)
+
+
+def _apply(
+    replica: replicas.Replica, event: platform.Event, version: int
+) -> None:
+    numbered = platform.Event(event.key, ids.Version(version), event.value)
+    replica.apply([numbered], ids.Version(version - 1), ids.Version(version))
+
+
+def _bump(fleet: Fleet, event: platform.Event) -> None:
+    _apply(fleet.replica, event, fleet.replica.version + 1)
+
+
+def _lose_zone(fleet: Fleet) -> None:
+    for number in range(0, DAEMONS, ZONES):
+        _bump(fleet, _member_event(number, records.MemberState.FENCED))
+
+
+def _reconciler(fleet: Fleet, clock: clocks.Clock) -> reconcilers.Reconciler:
+    metrics = metrics_lib.Metrics()
+    store = memory.MemoryPlatform(clock)
+    writer = chunk_writer.ChunkWriter(
+        fleet.replica, store, lambda _: None, metrics
+    )
+    return reconcilers.Reconciler(
+        fleet.own,
+        lambda: fleet.groups,
+        fleet.replica,
+        fleet.members,
+        fleet.slots,
+        writer,
+        lambda _: False,
+        clock,
+        metrics,
+    )
+
+
+class _NoPeers:
+    """Channel that sends nothing."""
+
+    def __init__(self, member: ids.MemberId):
+        self.member = member
+
+    async def call(
+        self, member: ids.MemberId, body: Any, timeout_ms: int
+    ) -> Any:
+        """See `relay.peers.Peers`."""
+        raise NotImplementedError
+
+    def notify(self, member: ids.MemberId, body: Any) -> None:
+        """See `relay.peers.Peers`."""
+
+
+def _disseminator(
+    fleet: Fleet, clock: clocks.Clock
+) -> dissemination.Disseminator:
+    return dissemination.Disseminator(
+        fleet.replica,
+        memory.MemoryPlatform(clock),
+        _NoPeers(fleet.own),
+        adapters.MemberTopology(fleet.members, fleet.zone),
+        clock,
+        metrics_lib.Metrics(),
+    )
+
+
+def _median_ms(call: Callable[[], Any], repeats: int = _REPEATS) -> float:
+    times = []
+    for _ in range(repeats):
+        start_ns = time.process_time_ns()
+        call()
+        times.append(time.process_time_ns() - start_ns)
+    return sorted(times)[len(times) // 2] / _NS_PER_MS
+
+
+async def _median_async_ms(call: Callable[[], Any]) -> float:
+    times = []
+    for _ in range(_REPEATS):
+        start_ns = time.process_time_ns()
+        await call()
+        times.append(time.process_time_ns() - start_ns)
+    return sorted(times)[len(times) // 2] / _NS_PER_MS
+
+
+def _stored_bytes(fleet: Fleet) -> int:
+    return sum(len(event.value or b"") for event in fleet.replica.select(""))
+
+
+if __name__ == "__main__":
+    print(msgspec.json.encode(run().figures).decode())
