Add the operator language with stop and start

Operators had no way to take an availability zone out of service. The lark grammar covers all queries and commands; stop, start and the list of stops are carried out so far, over POST /operator of the admin server and the typer functions in cli/operate.py.

A change and its audit entry are one conditional write. The entry carries the operation id of the command, which decides whether a lost answer was applied.

--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -12,6 +12,7 @@
 from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import operators
 from mustardloom import outcomes
 from mustardloom.admission import gate as gates
 from mustardloom.daemon import adapters
@@ -235,7 +236,22 @@
             self._metrics,
         )
         self._admin = admin.AdminServer(
-            self._on_target_notice, self.status, self._intervals
+            self._on_target_notice,
+            self.status,
+            self._intervals,
+            operators.handlers(self._operator()),
+        )
+
+    def _operator(self) -> operators.Operator:
+        view = operators.View(
+            clock=self._clock,
+            replica=self._replica,
+            members=self._members,
+            slots=self._slots,
+            configuration=self._configuration,
+        )
+        return operators.Operator(
+            view, self._store, self._disseminator.publish, self._metrics
         )
 
     async def _listen(self) -> None:
--- a/mustardloom/operators/__init__.py
+++ b/mustardloom/operators/__init__.py
@@ -1,1 +1,9 @@
-"""Package operators."""
+"""Query and command language of operators, and what carries it out."""
+
+from mustardloom.operators.endpoint import handlers
+from mustardloom.operators.operator import Operator
+from mustardloom.operators.parser import parse
+from mustardloom.operators.results import Result
+from mustardloom.operators.views import View
+
+__all__ = ["Operator", "Result", "View", "handlers", "parse"]
--- a/mustardloom/operators/commands/__init__.py
+++ b/mustardloom/operators/commands/__init__.py
@@ -1,1 +1,8 @@
-"""Package commands."""
+"""Commands, which change stored objects."""
+
+from mustardloom.operators.commands.changes import Author
+from mustardloom.operators.commands.changes import Change
+from mustardloom.operators.commands.changes import Changer
+from mustardloom.operators.commands.stops import Stops
+
+__all__ = ["Author", "Change", "Changer", "Stops"]
--- /dev/null
+++ b/mustardloom/operators/commands/changes.py
@@ -0,0 +1,282 @@
+"""Conditional changes of stored objects that carry their audit trail."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+from loguru import logger
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.declarations import envelope
+from mustardloom.membership import records
+from mustardloom.operators import results
+from mustardloom.relay import replica as replicas
+
+__all__ = ["Author", "Change", "Changer"]
+
+_T = TypeVar("_T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Author:
+    """Who enters a command.
+
+    Attributes:
+      who: Operator.
+      line: The command as entered.
+      operation: Unique id of the command; the same if it is sent again.
+    """
+
+    who: str
+    line: str
+    operation: ids.OperationId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change(Generic[_T]):
+    """A change of one stored object.
+
+    Attributes:
+      key: Store key of the object.
+      type: Type of the value.
+      value: The new value.
+      is_in_force: Tells whether a stored value, None if there is none, is
+        already what the command asks for.
+      message: What is in force afterwards.
+    """
+
+    key: str
+    type: type[_T]
+    value: _T
+    is_in_force: Callable[[_T | None], bool]
+    message: str
+
+
+class Changer:
+    """Carries out changes; any number of daemons may do so at once.
+
+    The audit entry is part of the write of its change. It also tells whether
+    a command whose answer was lost took effect, so that none does twice.
+    """
+
+    def __init__(
+        self,
+        store: platform.PlatformClient,
+        replica: replicas.Replica,
+        publish: records.Publish,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._store = store
+        self._replica = replica
+        self._publish = publish
+        self._clock = clock
+        self._metrics = metrics
+
+    def seen(self, key: str) -> ids.Version:
+        """Returns the version of an object that queries here show."""
+        event = self._replica.get(key)
+        return event.version if event else ids.NO_VERSION
+
+    async def apply(
+        self, change: Change[_T], author: Author, seen: ids.Version
+    ) -> results.Result:
+        """Writes a change if the object still has the version `seen`.
+
+        Args:
+          change: The change.
+          author: Who makes it.
+          seen: Version of the object that the author saw.
+        """
+        try:
+            found = await self._store.get(change.key)
+            if found is not None:
+                self._adopt(found)
+            stored = self._decode(change, found)
+            if await self._is_recorded(change.key, stored, author):
+                return self._applied(change, found, author)
+            if change.is_in_force(stored.value if stored else None):
+                return _already_in_force(change, stored)
+            version = found.version if found else ids.NO_VERSION
+            if version != seen:
+                return self._conflict(change.key, stored)
+            return await self._write(change, author, stored, version)
+        except platform.PlatformUnavailable as error:
+            self._metrics.increment("operators.store_unavailable")
+            return results.Unavailable(
+                message=f"nothing was changed; the store: {error}"
+            )
+
+    async def _write(
+        self,
+        change: Change[_T],
+        author: Author,
+        stored: envelope.StoredObject[_T] | None,
+        version: ids.Version,
+    ) -> results.Result:
+        entry = envelope.AuditEntry(
+            who=author.who,
+            wall_ms=self._clock.wall_ms(),
+            command=author.line,
+            before=_json(stored.value) if stored else "",
+            after=_json(change.value),
+            operation=author.operation,
+        )
+        amended = envelope.amend(stored, change.value, entry)
+        for displaced in amended.displaced:
+            await self._keep(change.key, displaced)
+        value = msgspec.json.encode(amended.stored)
+        result = await self._store.update(change.key, value, version)
+        match result:
+            case platform.Written(written):
+                self._publish(platform.Event(change.key, written, value))
+                logger.info(f"{author.who}: {author.line}")
+                return _applied(change, written, author)
+            case platform.Conflict(current):
+                return self._lost_race(change, author, current)
+            case platform.Undecided():
+                return await self._read_back(change, author, version)
+
+    async def _keep(self, key: str, entry: envelope.AuditEntry) -> None:
+        """Stores an entry that the next write removes from its object."""
+        name = envelope.audit_key(key, entry.sequence)
+        value = msgspec.json.encode(entry)
+        result = await self._store.update(name, value, ids.NO_VERSION)
+        match result:
+            case platform.Written(version):
+                self._publish(platform.Event(name, version, value))
+            case platform.Undecided():
+                message = f"{name} may not have been written"
+                raise platform.PlatformUnavailable(message)
+            # An entry never changes, so one that exists is the same.
+
+    def _lost_race(
+        self,
+        change: Change[_T],
+        author: Author,
+        current: platform.Versioned | None,
+    ) -> results.Result:
+        if current is not None:
+            self._adopt(current)
+        stored = self._decode(change, current)
+        if stored is not None and _names(stored.audit, author.operation):
+            return self._applied(change, current, author)
+        return self._conflict(change.key, stored)
+
+    async def _read_back(
+        self, change: Change[_T], author: Author, version: ids.Version
+    ) -> results.Result:
+        """Decides a write without an answer by the object's audit entries.
+
+        While the object is unchanged, the write may still take effect.
+        """
+        undecided = results.Undecided(
+            message="the store did not answer; the command may take effect."
+            f" To repeat it safely, use --operation {author.operation}",
+            operation=author.operation,
+        )
+        self._metrics.increment("operators.undecided")
+        try:
+            current = await self._store.get(change.key)
+        except platform.PlatformUnavailable:
+            return undecided
+        found = current.version if current else ids.NO_VERSION
+        if found == version:
+            return undecided
+        return self._lost_race(change, author, current)
+
+    async def _is_recorded(
+        self,
+        key: str,
+        stored: envelope.StoredObject[Any] | None,
+        author: Author,
+    ) -> bool:
+        if stored is None:
+            return False
+        if _names(stored.audit, author.operation):
+            return True
+        if stored.sequence == len(stored.audit):
+            return False
+        listing = await self._store.list_objects(
+            envelope.audit_key(key, 0)[:-1]
+        )
+        entries = (
+            msgspec.json.decode(item.value, type=envelope.AuditEntry)
+            for item in listing.objects
+        )
+        return _names(tuple(entries), author.operation)
+
+    def _decode(
+        self, change: Change[_T], found: platform.Versioned | None
+    ) -> envelope.StoredObject[_T] | None:
+        if found is None:
+            return None
+        stored: envelope.StoredObject[_T] = msgspec.json.decode(
+            found.value,
+            type=envelope.StoredObject[change.type],  # type: ignore[name-defined]
+        )
+        return stored
+
+    def _adopt(self, found: platform.Versioned) -> None:
+        event = platform.Event(found.key, found.version, found.value)
+        watermark = self._replica.version
+        self._replica.apply([event], watermark, watermark)
+
+    def _applied(
+        self,
+        change: Change[_T],
+        found: platform.Versioned | None,
+        author: Author,
+    ) -> results.Applied:
+        version = found.version if found else ids.NO_VERSION
+        return _applied(change, version, author)
+
+    def _conflict(
+        self, key: str, stored: envelope.StoredObject[Any] | None
+    ) -> results.Conflict:
+        self._metrics.increment("operators.conflicts")
+        if stored is None or not stored.audit:
+            return results.Conflict(message=f"{key} was changed", key=key)
+        other = results.other_change(stored.audit[-1])
+        when = results.wall_text(other.wall_ms)
+        message = (
+            f"{key} was changed by {other.who} at {when} with"
+            f" {other.command!r}; nothing was changed"
+        )
+        return results.Conflict(message=message, key=key, other=other)
+
+
+def _json(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
+
+
+def _names(
+    audit: tuple[envelope.AuditEntry, ...], operation: ids.OperationId
+) -> bool:
+    return any(entry.operation == operation for entry in audit)
+
+
+def _applied(
+    change: Change[Any], version: ids.Version, author: Author
+) -> results.Applied:
+    return results.Applied(
+        message=change.message,
+        key=change.key,
+        version=version,
+        operation=author.operation,
+    )
+
+
+def _already_in_force(
+    change: Change[Any], stored: envelope.StoredObject[Any] | None
+) -> results.AlreadyInForce:
+    by = None
+    if stored is not None and stored.audit:
+        by = results.other_change(stored.audit[-1])
+    return results.AlreadyInForce(message=f"already: {change.message}", by=by)
--- /dev/null
+++ b/mustardloom/operators/endpoint.py
@@ -0,0 +1,58 @@
+"""HTTP endpoint of the operator language."""
+
+from typing import Any
+
+import msgspec
+from tornado import web
+
+from mustardloom import ids
+from mustardloom.operators import operator as operators
+from mustardloom.operators import results
+
+__all__ = ["PATH", "Order", "handlers"]
+
+PATH = "/operator"
+
+
+def handlers(operator: operators.Operator) -> list[Any]:
+    """Returns the request handlers for the admin server."""
+    return [(PATH, _OperatorHandler, {"operator": operator})]
+
+
+class Order(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of `POST /operator`.
+
+    Attributes:
+      line: A query or command.
+      who: Operator, for the audit trail.
+      operation: Unique id of the command, the same if it is sent again.
+    """
+
+    line: str
+    who: str
+    operation: ids.OperationId | None = None
+
+
+class _OperatorHandler(web.RequestHandler):
+    def initialize(self, operator: operators.Operator) -> None:
+        """Sets the operator service."""
+        self._operator = operator
+
+    async def post(self) -> None:
+        """Carries out a line."""
+        result = await self._result()
+        self.set_status(results.status_of(result))
+        self.set_header("Content-Type", "application/json")
+        self.finish(results.encode(result))
+
+    async def _result(self) -> results.Result:
+        try:
+            order = msgspec.json.decode(self.request.body, type=Order)
+        except msgspec.DecodeError as error:
+            return results.Malformed(message=str(error), findings=())
+        if not order.who.strip():
+            message = "'who' is empty; the audit trail needs a name"
+            return results.Malformed(message=message, findings=())
+        return await self._operator.execute(
+            order.line, order.who, order.operation
+        )
