Add all queries, moves, confirmed losses and the check of stops

Only stops could be listed and changed. The queries answer from the replica; figures of other daemons come over the new peer frames Inquiry and Report, since member records hold no admin address. Chunks and member records carry no audit trail, so moves and confirmed losses store an order with its audit entry first. A stop is refused if the active capacity that would remain in a placement group is below the running requests plus a fifth. The audit entry of a move by key names the slot only, since the store is in one region.

--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -180,7 +180,7 @@
         self._peers.handle(peer_pb2.Push, self._on_push)
         self._peers.handle(peer_pb2.Summary, self._disseminator.on_summary)
         self._peers.handle(peer_pb2.Suspect, self._on_suspect)
-        fencer = fencing.Fencer(
+        self._fencer = fencing.Fencer(
             self._store,
             self._replica,
             self._members,
@@ -190,7 +190,11 @@
             self._disseminator.publish,
         )
         self._lapses = lapses.LapseHandler(
-            fencer, self._members, self._endpoint, self._clock, lambda _: None
+            self._fencer,
+            self._members,
+            self._endpoint,
+            self._clock,
+            lambda _: None,
         )
         self._cleanup = cleanup.Cleanup(
             self._store,
@@ -249,11 +253,37 @@
             members=self._members,
             slots=self._slots,
             configuration=self._configuration,
+            figures=operators.Figures(
+                self._peers, self._report, self._clock, self._metrics
+            ),
+            history=operators.OwnerHistory(self._slots, self._clock),
         )
         return operators.Operator(
-            view, self._store, self._disseminator.publish, self._metrics
+            view,
+            self._store,
+            self._disseminator.publish,
+            self._fencer,
+            self._metrics,
         )
 
+    async def _report(self, target_report: bool) -> peer_pb2.Report:
+        """Returns the figures of this daemon for operators."""
+        report = peer_pb2.Report(replica_version=self._replica.version)
+        for set_id, version in self._configuration.version_by_set.items():
+            report.config_versions[set_id] = version
+        if self._serving.gate is not None:
+            load = self._serving.gate.load
+            report.gate.running = load.running
+            report.gate.queued = load.queued
+            report.gate.limit = load.limit
+        client = self._grants.client
+        if target_report and client is not None:
+            own = await client.load()
+            if own is not None:
+                report.target.running = own.running
+                report.target.queued = own.queued
+        return report
+
     async def _listen(self) -> None:
         settings = self._settings
         peer, caller = settings.peer_address, settings.caller_address
--- a/mustardloom/operators/commands/changes.py
+++ b/mustardloom/operators/commands/changes.py
@@ -84,6 +84,70 @@
         event = self._replica.get(key)
         return event.version if event else ids.NO_VERSION
 
+    async def refresh(self, prefix: str) -> None:
+        """Adopts what the store has below a prefix now.
+
+        Raises:
+          platform.PlatformUnavailable: The store did not answer.
+        """
+        listing = await self._store.list_objects(prefix)
+        for found in listing.objects:
+            self._adopt(found)
+
+    async def load(
+        self, key: str, value_type: type[_T]
+    ) -> envelope.StoredObject[_T] | None:
+        """Returns an object as the store has it now.
+
+        Raises:
+          platform.PlatformUnavailable: The store did not answer.
+        """
+        found = await self._store.get(key)
+        if found is None:
+            return None
+        self._adopt(found)
+        return _decode(found.value, value_type)
+
+    async def is_recorded(self, key: str, author: Author) -> bool:
+        """Tells whether the audit trail of an object has the command.
+
+        Raises:
+          platform.PlatformUnavailable: The store did not answer.
+        """
+        stored = await self.load(key, Any)
+        return await self._is_recorded(key, stored, author)
+
+    def is_settled(self, change: Change[Any], author: Author) -> bool:
+        """Tells whether a change would write nothing, as is known here."""
+        event = self._replica.get(change.key)
+        if event is None or event.value is None:
+            return change.is_in_force(None)
+        stored = _decode(event.value, change.type)
+        if _names(stored.audit, author.operation):
+            return True
+        return change.is_in_force(stored.value)
+
+    def unavailable(
+        self, error: platform.PlatformUnavailable
+    ) -> results.Unavailable:
+        """Returns the answer to a command when the store does not answer."""
+        self._metrics.increment("operators.store_unavailable")
+        message = f"nothing was changed; the store: {error}"
+        return results.Unavailable(message=message)
+
+    async def conflict(self, key: str, message: str) -> results.Conflict:
+        """Returns a conflict with the last change of an object, if any.
+
+        Raises:
+          platform.PlatformUnavailable: The store did not answer.
+        """
+        self._metrics.increment("operators.conflicts")
+        stored = await self.load(key, Any)
+        if stored is None or not stored.audit:
+            return results.Conflict(message=message, key=key)
+        other = results.other_change(stored.audit[-1])
+        return results.Conflict(message=message, key=key, other=other)
+
     async def apply(
         self, change: Change[_T], author: Author, seen: ids.Version
     ) -> results.Result:
@@ -98,7 +162,7 @@
             found = await self._store.get(change.key)
             if found is not None:
                 self._adopt(found)
-            stored = self._decode(change, found)
+            stored = _decode(found.value, change.type) if found else None
             if await self._is_recorded(change.key, stored, author):
                 return self._applied(change, found, author)
             if change.is_in_force(stored.value if stored else None):
@@ -108,10 +172,7 @@
                 return self._conflict(change.key, stored)
             return await self._write(change, author, stored, version)
         except platform.PlatformUnavailable as error:
-            self._metrics.increment("operators.store_unavailable")
-            return results.Unavailable(
-                message=f"nothing was changed; the store: {error}"
-            )
+            return self.unavailable(error)
 
     async def _write(
         self,
@@ -164,7 +225,7 @@
     ) -> results.Result:
         if current is not None:
             self._adopt(current)
-        stored = self._decode(change, current)
+        stored = _decode(current.value, change.type) if current else None
         if stored is not None and _names(stored.audit, author.operation):
             return self._applied(change, current, author)
         return self._conflict(change.key, stored)
@@ -212,17 +273,6 @@
         )
         return _names(tuple(entries), author.operation)
 
-    def _decode(
-        self, change: Change[_T], found: platform.Versioned | None
-    ) -> envelope.StoredObject[_T] | None:
-        if found is None:
-            return None
-        stored: envelope.StoredObject[_T] = msgspec.json.decode(
-            found.value,
-            type=envelope.StoredObject[change.type],  # type: ignore[name-defined]
-        )
-        return stored
-
     def _adopt(self, found: platform.Versioned) -> None:
         event = platform.Event(found.key, found.version, found.value)
         watermark = self._replica.version
@@ -252,6 +302,14 @@
         return results.Conflict(message=message, key=key, other=other)
 
 
+def _decode(value: bytes, value_type: type[_T]) -> envelope.StoredObject[_T]:
+    stored: envelope.StoredObject[_T] = msgspec.json.decode(
+        value,
+        type=envelope.StoredObject[value_type],  # type: ignore[valid-type]
+    )
+    return stored
+
+
 def _json(value: Any) -> str:
     return msgspec.json.encode(value).decode()
 
--- a/mustardloom/operators/commands/stops.py
+++ b/mustardloom/operators/commands/stops.py
@@ -3,11 +3,16 @@
 from collections.abc import Iterator
 
 from mustardloom import findings
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
 from mustardloom.declarations import model
+from mustardloom.membership import records
+from mustardloom.operators import figures as figures_lib
 from mustardloom.operators import parser
 from mustardloom.operators import results
 from mustardloom.operators import views
 from mustardloom.operators.commands import changes
+from mustardloom.operators.commands import fit
 
 __all__ = ["Stops"]
 
@@ -15,15 +20,23 @@
 class Stops:
     """Takes availability zones and targets out of service and back."""
 
-    def __init__(self, view: views.View, changer: changes.Changer):
+    def __init__(
+        self,
+        view: views.View,
+        changer: changes.Changer,
+        metrics: metrics_lib.Metrics,
+    ):
         self._view = view
         self._changer = changer
+        self._metrics = metrics
 
     async def stop(
         self, command: parser.Stop, author: changes.Author
     ) -> results.Result:
         """Takes an availability zone or a target out of service.
 
+        Without `force` it is refused if the rest cannot bear it.
+
         Raises:
           findings.FindingsError: There is no such zone or target.
         """
@@ -31,6 +44,15 @@
         seen = self._changer.seen(key)
         findings.raise_if_any(self._unknown(command.kind, command.name))
         change = self._change(command.kind, command.name, active=True)
+        try:
+            await self._changer.refresh(model.STOPS_PREFIX)
+        except platform.PlatformUnavailable as error:
+            return self._changer.unavailable(error)
+        may_apply = command.force or self._changer.is_settled(change, author)
+        if not may_apply:
+            refusal = await self._refusal(command)
+            if refusal is not None:
+                return refusal
         return await self._changer.apply(change, author, seen)
 
     async def start(
@@ -79,3 +101,54 @@
                 yield from self._view.unknown_zone(name)
             case model.StopKind.TARGET:
                 yield from self._view.unknown_vm(name)
+
+    async def _refusal(self, command: parser.Stop) -> results.Refused | None:
+        """Returns the refusal if the remaining targets cannot bear a stop."""
+
+        def covers(record: records.MemberRecord) -> bool:
+            if command.kind is model.StopKind.TARGET:
+                return record.vm == command.name.text
+            return record.availability_zone == command.name.text
+
+        view = self._view
+        affected = {r.service for r in view.members.live() if covers(r)}
+        asked = [r for r in view.members.live() if r.service in affected]
+        answers = await view.figures.of_all(r.member for r in asked)
+        found = tuple(
+            fit.shortfalls(
+                [group for group, _ in view.configuration.groups()],
+                view.members.live(),
+                view.configuration.is_stopped,
+                covers,
+                {member: _figures(answers[member]) for member in answers},
+            )
+        )
+        if not found:
+            return None
+        self._metrics.increment("operators.stops_refused")
+        return results.Refused(
+            message=_explain(command, found), shortfalls=found
+        )
+
+
+def _figures(received: figures_lib.Received | None) -> fit.GateFigures:
+    if received is None:
+        return fit.GateFigures(None)
+    gate = received.report.gate
+    return fit.GateFigures(gate.running + gate.queued)
+
+
+def _explain(command: parser.Stop, found: tuple[results.Shortfall, ...]) -> str:
+    name = f"{command.kind.value} {command.name.text}"
+    lines = [f"refused: the rest cannot bear the stop of {name}"]
+    for item in found:
+        line = (
+            f"  service {item.service}, group {item.group}: {item.remaining}"
+            f" requests at once would remain, {item.needed} are needed"
+            f" ({item.running} run or wait now, plus the margin)"
+        )
+        if item.silent:
+            line += f"; {item.silent} targets gave no figures, count as full"
+        lines.append(line)
+    lines.append("use 'force' to carry it out all the same")
+    return "\n".join(lines)
--- a/mustardloom/operators/operator.py
+++ b/mustardloom/operators/operator.py
@@ -4,12 +4,14 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import platform
+from mustardloom.membership import fencing
 from mustardloom.membership import records
 from mustardloom.operators import commands
 from mustardloom.operators import parser
 from mustardloom.operators import queries
 from mustardloom.operators import results
 from mustardloom.operators import views
+from mustardloom.ownership import chunk_writer
 
 __all__ = ["Operator"]
 
@@ -22,14 +24,27 @@
         view: views.View,
         store: platform.PlatformClient,
         publish: records.Publish,
+        fencer: fencing.Fencer,
         metrics: metrics_lib.Metrics,
     ):
+        """Creates the service.
+
+        Args:
+          view: What this daemon knows.
+          store: The platform's store.
+          publish: Pushes the event of an own write.
+          fencer: Fences members that an operator confirms as lost.
+          metrics: Receives counters.
+        """
         self._view = view
         changer = commands.Changer(
             store, view.replica, publish, view.clock, metrics
         )
         self._metrics = metrics
-        self._stops = commands.Stops(view, changer)
+        self._stops = commands.Stops(view, changer, metrics)
+        self._losses = commands.Losses(view, changer, fencer)
+        writer = chunk_writer.ChunkWriter(view.replica, store, publish, metrics)
+        self._moves = commands.Moves(view, changer, writer)
 
     async def execute(
         self, line: str, who: str, operation: ids.OperationId | None = None
@@ -54,18 +69,58 @@
             )
         except findings.FindingsError as error:
             return results.Findings(message=str(error), findings=_faults(error))
+        except platform.PlatformUnavailable as error:
+            # Commands report what they left undecided; this is from a read
+            # before the first write.
+            self._metrics.increment("operators.store_unavailable")
+            message = f"nothing was changed; the store: {error}"
+            return results.Unavailable(message=message)
 
     async def _execute(
         self, statement: parser.Statement, author: commands.Author
     ) -> results.Result:
-        match statement:
+        if isinstance(statement, parser.Command):
+            self._metrics.increment("operators.commands")
+            return await self._command(statement, author)
+        self._metrics.increment("operators.queries")
+        return await self._query(statement)
+
+    async def _command(
+        self, command: parser.Command, author: commands.Author
+    ) -> results.Result:
+        match command:
             case parser.Stop():
-                return await self._stops.stop(statement, author)
+                return await self._stops.stop(command, author)
             case parser.Start():
-                return await self._stops.start(statement, author)
+                return await self._stops.start(command, author)
+            case parser.MoveSlot():
+                return await self._moves.move_slot(command, author)
+            case parser.MoveKey():
+                return await self._moves.move_key(command, author)
+            case parser.ConfirmLost():
+                return await self._losses.confirm(command, author)
+
+    async def _query(self, query: parser.Query) -> results.Table:
+        view = self._view
+        match query:
+            case parser.Owner():
+                return queries.owner(view, query)
+            case parser.Load():
+                return await queries.load(view, query)
+            case parser.Targets():
+                return queries.targets(view, query)
+            case parser.Slots():
+                return queries.slots(view, query)
+            case parser.Moves():
+                return queries.moves(view)
             case parser.Stops():
-                return queries.stops(self._view)
-        return results.Refused(message="not available")
+                return queries.stops(view)
+            case parser.Configuration():
+                return await queries.configuration(view)
+            case parser.Audit():
+                return queries.audit(view, query)
+            case parser.Help():
+                return queries.usage()
 
 
 def _faults(
--- a/mustardloom/operators/views.py
+++ b/mustardloom/operators/views.py
@@ -1,5 +1,6 @@
 """What a daemon knows of the fleet, for queries and commands."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -12,9 +13,13 @@
 from mustardloom.declarations import catalog
 from mustardloom.declarations import model
 from mustardloom.membership import records
+from mustardloom.operators import figures as figures_lib
+from mustardloom.operators import history as histories
 from mustardloom.operators import parser
 from mustardloom.ownership import slot_map
+from mustardloom.ownership import slots as slots_lib
 from mustardloom.relay import replica as replicas
+from mustardloom.routing import homes
 from mustardloom.routing import routes
 
 __all__ = ["ConfigurationView", "View"]
@@ -43,6 +48,8 @@
       members: All members.
       slots: All owners.
       configuration: The accepted configuration.
+      figures: Figures of all daemons.
+      history: Last change of owner of each slot.
     """
 
     clock: clocks.Clock
@@ -50,6 +57,8 @@
     members: records.Members
     slots: slot_map.SlotMap
     configuration: ConfigurationView
+    figures: figures_lib.Figures
+    history: histories.OwnerHistory
 
     def catalog(self) -> catalog.Catalog:
         """Returns all declarations that are in force."""
@@ -65,6 +74,66 @@
         versions = self.members.version_by_id
         return max(found, key=lambda r: versions[r.member], default=None)
 
+    def slot_count_by_member(self) -> collections.Counter[ids.MemberId]:
+        """Returns how many slots each owner has."""
+        return collections.Counter(
+            entry.owner
+            for entries in self.slots.by_group.values()
+            for entry in entries
+            if entry.owner is not None
+        )
+
+    def placements(
+        self,
+        key: parser.Name,
+        service: parser.Name,
+        organisation: parser.Name | None = None,
+    ) -> list[tuple[ids.GroupId, ids.SlotIndex]]:
+        """Returns the groups that a key may belong to, and its slot in each.
+
+        Routes of a service may have different home regions, so there may be
+        several.
+
+        Raises:
+          findings.FindingsError: Names are unknown, the service has no keys, or
+            no route serves the organisation.
+        """
+        found = list(self.unknown_service(service))
+        if organisation is not None:
+            found.extend(self.unknown_organisation(organisation))
+        findings.raise_if_any(found)
+        table = self.configuration.table
+        declared = table.services[ids.ServiceId(service.text)]
+        if not declared.keyed:
+            message = f"keys of service {service.text!r} have no owner"
+            findings.raise_if_any([parser.finding(service, message)])
+        groups = self._groups(declared.id, organisation)
+        if not groups:
+            message = (
+                f"no route leads to service {service.text!r} for this"
+                " organisation or without one"
+            )
+            findings.raise_if_any([parser.finding(service, message)])
+        slot = slots_lib.slot_of(key.text, declared.slot_count)
+        return [(group, slot) for group in groups]
+
+    def _groups(
+        self, service: ids.ServiceId, name: parser.Name | None
+    ) -> list[ids.GroupId]:
+        """Returns the groups of the requests of an organisation, or of none."""
+        organisation = None
+        if name is not None:
+            known = self.configuration.table.organisations
+            organisation = known[ids.OrganisationId(name.text)]
+        found = set()
+        for route in self.catalog().routes_by_id.values():
+            if route.service != service or not _may_use(route, organisation):
+                continue
+            regions = homes.permitted_regions(route, organisation)
+            if regions is not None:
+                found.add(slots_lib.group_of(service, regions))
+        return sorted(found)
+
     def unknown_zone(self, name: parser.Name) -> Iterator[findings.Finding]:
         """Yields a finding if there is no such availability zone."""
         known = self.catalog().region_by_zone.keys()
@@ -80,6 +149,11 @@
         known = self.configuration.table.services.keys()
         yield from _unknown("service", name, known)
 
+    def unknown_group(self, name: parser.Name) -> Iterator[findings.Finding]:
+        """Yields a finding if no route makes such a placement group."""
+        known = (group for group, _ in self.configuration.groups())
+        yield from _unknown("placement group", name, known)
+
     def unknown_organisation(
         self, name: parser.Name
     ) -> Iterator[findings.Finding]:
@@ -88,6 +162,14 @@
         yield from _unknown("organisation", name, known)
 
 
+def _may_use(
+    route: model.Route, organisation: model.Organisation | None
+) -> bool:
+    if not route.organisations or organisation is None:
+        return not route.organisations
+    return organisation.id in route.organisations
+
+
 def _unknown(
     kind: str, name: parser.Name, known: Iterable[str]
 ) -> Iterator[findings.Finding]:
