Refuse while the target is down; keep probing with real requests

Cause: a gate whose learned service times exceeded every deadline refused all requests and never learned better. While the target was down, requests were still dispatched one by one. The state machine of the gate reaches deeper states, and two more tests cover idle connections.

--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -40,6 +40,12 @@
     )
 
 
+def _target_down() -> outcomes.Refused:
+    return outcomes.Refused(
+        outcomes.RefusalReason.TARGET_DOWN, "the target does not answer"
+    )
+
+
 def _quarantined() -> outcomes.Refused:
     return outcomes.Refused(
         outcomes.RefusalReason.QUARANTINED,
@@ -173,8 +179,7 @@
         """Refuses all waiting and future requests; running ones finish."""
         refusal = outcomes.Refused(reason, detail or "the gate is closed")
         self._closed = refusal
-        for ticket in self._queue.take_all():
-            ticket.resolve(refusal)
+        self._refuse_waiting(refusal)
 
     async def wait_idle(self) -> None:
         """Waits until the target runs none of our requests."""
@@ -229,6 +234,8 @@
     def _check(self, request: requests.Request) -> outcomes.Refused | None:
         if self._closed is not None:
             return self._closed
+        if self.presence.is_down:
+            return _target_down()
         if self.quarantine.is_quarantined(request.fingerprint):
             return _quarantined()
         remaining_ms = request.deadline_ms - self._clock.now_ms()
@@ -244,6 +251,10 @@
         return None
 
     def _expected_ms(self, request: requests.Request) -> float:
+        if not self._running:
+            # An idle target gets any request; otherwise past service times
+            # could refuse all requests for ever.
+            return 0
         ahead = self._queue.ahead_of(request.deadline_ms)
         busy = len(self._running) + ahead + 1 - self.limit
         rounds = max(0, busy) / self.limit
@@ -329,6 +340,10 @@
         finally:
             self._pump()
 
+    def _refuse_waiting(self, refusal: outcomes.Refused) -> None:
+        for ticket in self._queue.take_all():
+            ticket.resolve(refusal)
+
     def _withdraw(self, ticket: _Ticket, refusal: outcomes.Refused) -> None:
         if self._queue.remove(ticket):
             ticket.resolve(refusal)
@@ -419,6 +434,8 @@
                 self.presence.seen()
                 if status < _SERVER_ERROR_STATUS:
                     self._on_success(ticket, service_ms)
+            case outcomes.Unknown(reason=outcomes.UnknownReason.DEADLINE):
+                self._on_late(service_ms)
             case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_DOWN):
                 self.presence.missed()
             case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_REFUSED):
@@ -437,6 +454,12 @@
         self._times.add(service_ms)
         self._adaptive.observe(self._times)
 
+    def _on_late(self, waited_ms: int) -> None:
+        """Learns from a request whose service time is at least `waited_ms`."""
+        if waited_ms > self._times.usual_ms():
+            self._times.add(waited_ms)
+            self._adaptive.observe(self._times)
+
     def _on_crash(self, ticket: _Ticket) -> None:
         self.presence.missed()
         if ticket.generation != self._generation:
@@ -460,7 +483,9 @@
         self._instance = instance
 
     def _on_presence(self, down: bool) -> None:
-        if not down:
+        if down:
+            self._refuse_waiting(_target_down())
+        else:
             self._turned_cold()
         self._on_target_down(down)
 
--- a/mustardloom/admission/tests/test_gate.py
+++ b/mustardloom/admission/tests/test_gate.py
@@ -17,6 +17,8 @@
 from mustardloom.admission import gate as gates
 
 CAPACITY = 4
+# Conditions under which requests are sent and waiting ones may start.
+CONDITIONS = ("ok", "ok", "ok", "lapsed", "moved", "closed")
 MAX_DEADLINE_MS = 300
 ANSWER = outcomes.Answered(200, (), b"")
 
@@ -92,6 +94,15 @@
             self.clock, self, self, CAPACITY, metrics_lib.Metrics()
         )
 
+    def set_condition(self, condition):
+        self.held = condition != "lapsed"
+        self.moved = condition == "moved"
+        self.closed = condition == "closed"
+        if self.closed:
+            self.gate.close(outcomes.RefusalReason.STOPPED)
+        else:
+            self.gate.open()
+
     def is_held(self):
         return self.held
 
@@ -189,19 +200,20 @@
         return pending[number % len(pending)]
 
     @stateful.rule(
-        fingerprint=st.integers(0, 5),
+        fingerprint=st.integers(0, 3),
         deadline_ms=st.integers(1, MAX_DEADLINE_MS),
+        condition=st.sampled_from(CONDITIONS),
+        lease_ms=st.sampled_from((1_000, 100, 5)),
         cancel_at_once=st.booleans(),
     )
-    def send(self, fingerprint, deadline_ms, cancel_at_once):
-        request = make_request(self.model.clock, fingerprint, deadline_ms)
-        sent = Sent(request, self.model, dispatches.Cancellation())
-        self.model.by_request[id(request)] = sent
-        self.sent.append(sent)
+    def send(
+        self, fingerprint, deadline_ms, condition, lease_ms, cancel_at_once
+    ):
+        self.model.lease_ms = lease_ms
+        self.now(lambda: self.model.set_condition(condition))
 
         async def start():
-            run = self.model.gate.run(request, None, sent, sent.cancellation)
-            sent.task = asyncio.create_task(run)
+            sent = self.create(fingerprint, deadline_ms)
             await asyncio.sleep(0)
             if cancel_at_once:
                 sent.cancellation.cancel()
@@ -209,6 +221,32 @@
 
         self.loop.run_until_complete(start())
 
+    @stateful.rule(fingerprints=st.lists(st.integers(0, 9), max_size=8))
+    def send_many(self, fingerprints):
+        self.model.lease_ms = 1_000
+
+        def start():
+            self.model.set_condition("ok")
+            for fingerprint in fingerprints:
+                self.create(fingerprint, MAX_DEADLINE_MS)
+
+        self.now(start)
+
+    def create(self, fingerprint, deadline_ms):
+        request = make_request(self.model.clock, fingerprint, deadline_ms)
+        sent = Sent(request, self.model, dispatches.Cancellation())
+        self.model.by_request[id(request)] = sent
+        self.sent.append(sent)
+        sent.task = asyncio.create_task(
+            self.model.gate.run(request, None, sent, sent.cancellation)
+        )
+        return sent
+
+    @stateful.rule()
+    def answer_all(self):
+        for _ in range(len(self.model.pending())):
+            self.answer(0)
+
     @stateful.rule(number=st.integers(0, 9))
     def answer(self, number):
         running = self.pick(number)
@@ -258,22 +296,9 @@
     def advance(self, duration_ms):
         self.loop.run_until_complete(self.model.clock.advance(duration_ms))
 
-    @stateful.rule(flag=st.sampled_from(("held", "moved", "confirms")))
-    def toggle(self, flag):
-        setattr(self.model, flag, not getattr(self.model, flag))
-
-    @stateful.rule(lease_ms=st.integers(1, 1_000))
-    def shorten_lease(self, lease_ms):
-        self.model.lease_ms = lease_ms
-
     @stateful.rule()
-    def close_or_open(self):
-        self.model.closed = not self.model.closed
-        if self.model.closed:
-            self.model.gate.close(outcomes.RefusalReason.STOPPED)
-        else:
-            self.model.gate.open()
-        self.now(lambda: None)
+    def confirm_or_not(self):
+        self.model.confirms = not self.model.confirms
 
     @stateful.invariant()
     def no_faults(self):
--- a/mustardloom/admission/tests/test_protection.py
+++ b/mustardloom/admission/tests/test_protection.py
@@ -118,11 +118,27 @@
 
     async def scenario():
         bench = await _warm_bench()
-        request = test_gate.make_request(bench.clock, 1, 9)
-        return await bench.gate.run(request, None, dispatches.OpenEntry())
+        first, second = (
+            asyncio.create_task(
+                bench.gate.run(
+                    test_gate.make_request(bench.clock, 1, 9),
+                    None,
+                    dispatches.OpenEntry(),
+                )
+            )
+            for _ in range(2)
+        )
+        await bench.clock.advance(0)
+        refused_at_once = second.done() and not first.done()
+        await bench.clock.advance(20)
+        return refused_at_once, first.result(), second.result()
 
-    refused = asyncio.run(scenario())
-    assert refused.reason is outcomes.RefusalReason.DEADLINE
+    at_once, first, second = asyncio.run(scenario())
+    assert at_once
+    assert second.reason is outcomes.RefusalReason.DEADLINE
+    # An idle target gets the request all the same, or the estimate could
+    # never improve again.
+    assert isinstance(first, outcomes.Answered)
 
 
 def test_the_adaptive_limit_follows_the_service_time():
@@ -200,6 +216,8 @@
         early = list(bench.down)
         await bench.clock.advance(700)
         late = list(bench.down)
+        (refused,) = await bench.serve(1)
+        assert refused.reason is outcomes.RefusalReason.TARGET_DOWN
         bench.target.probes = ALIVE
         await bench.clock.advance(100)
         watch.cancel()
--- a/mustardloom/forwarding/tests/test_target_client.py
+++ b/mustardloom/forwarding/tests/test_target_client.py
@@ -55,6 +55,7 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
+        self.writer = writer
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -201,19 +202,32 @@
 def test_unasked_answers_reach_nobody():
     """Guards against crossed answers on a kept-alive connection."""
 
-    async def double_later(writer):
-        writer.write(ok(b"1"))
-        await writer.drain()
-        writer.write(ok(b"crossed"))
-        await writer.drain()
-        return True
+    async def scenario(server):
+        first = await server.send()
+        server.writer.write(ok(b"crossed"))
+        await server.writer.drain()
+        return first, await server.send(), server
 
     first, second, _ = run(send_twice, ok(b"1") + ok(b"crossed"), ok(b"2"))
     assert (first.outcome.body, second.outcome.body) == (b"1", b"2")
-    first, second, _ = run(send_twice, double_later, ok(b"2"))
+    first, second, _ = run(scenario, ok(b"1"), ok(b"2"))
     assert (first.outcome.body, second.outcome.body) == (b"1", b"2")
 
 
+def test_connections_that_closed_while_idle_are_not_used():
+    """Guards against Unknown for a request that was never sent."""
+
+    async def scenario(server):
+        await server.send()
+        server.writer.close()
+        await server.writer.wait_closed()
+        return await server.send(), server
+
+    second, server = run(scenario, ok(b"1"), ok(b"2"))
+    assert second.outcome.body == b"2"
+    assert len(server.seen) == 2
+
+
 def test_answers_to_another_dispatch_are_unknown():
     """Guards against answers that a target gives to the wrong request."""
     crossed = ok(b"1", extra="X-Mustardloom-Dispatch: d0\r\n")
