--- /dev/null
+++ b/mustardloom/operators/commands/stops.py
@@ -0,0 +1,201 @@
+"""Stops of availability zones and targets."""
+
+from collections.abc import Iterator
+
+from mustardloom import findings
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.declarations import model
+from mustardloom.membership import records
+from mustardloom.operators import figures as figures_lib
+from mustardloom.operators import parser
+from mustardloom.operators import results
+from mustardloom.operators import views
+from mustardloom.operators.commands import changes
+from mustardloom.operators.commands import fit
+from mustardloom.operators.commands import guard as guard_lib
+
+__all__ = ["Stops"]
+
+# Each further attempt means that another stop was recorded in between.
+_CHECK_ATTEMPTS = 5
+
+
+class Stops:
+    """Takes availability zones and targets out of service and back."""
+
+    def __init__(
+        self,
+        view: views.View,
+        changer: changes.Changer,
+        guard: guard_lib.StopGuard,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._view = view
+        self._changer = changer
+        self._guard = guard
+        self._metrics = metrics
+
+    async def stop(
+        self, command: parser.Stop, author: changes.Author
+    ) -> results.Result:
+        """Takes an availability zone or a target out of service.
+
+        Without `force` it is refused if the rest cannot bear it.
+
+        Raises:
+          findings.FindingsError: There is no such zone or target.
+        """
+        key = model.stop_key(command.kind, command.name.text)
+        seen = self._changer.seen(key)
+        findings.raise_if_any(self._unknown(command.kind, command.name))
+        change = self._change(command.kind, command.name, active=True)
+        try:
+            refusal = await self._check(command, change, author, seen)
+        except platform.PlatformUnavailable as error:
+            return self._changer.unavailable(error)
+        if refusal is not None:
+            return refusal
+        return await self._changer.apply(change, author, seen)
+
+    async def start(
+        self, command: parser.Start, author: changes.Author
+    ) -> results.Result:
+        """Brings an availability zone or a target back.
+
+        Raises:
+          findings.FindingsError: There is no such zone or target.
+        """
+        key = model.stop_key(command.kind, command.name.text)
+        seen = self._changer.seen(key)
+        if not seen:
+            # What was stopped may have vanished since.
+            findings.raise_if_any(self._unknown(command.kind, command.name))
+        change = self._change(command.kind, command.name, active=False)
+        return await self._changer.apply(change, author, seen)
+
+    def _change(
+        self, kind: model.StopKind, name: parser.Name, active: bool
+    ) -> changes.Change[model.Stop]:
+        stop = model.Stop(
+            kind=kind,
+            name=name.text,
+            active=active,
+            since_wall_ms=self._view.clock.wall_ms(),
+        )
+
+        def is_in_force(stored: model.Stop | None) -> bool:
+            return (stored is not None and stored.active) == active
+
+        state = "out of service" if active else "in service"
+        return changes.Change(
+            key=model.stop_key(kind, name.text),
+            type=model.Stop,
+            value=stop,
+            is_in_force=is_in_force,
+            message=f"{kind.value} {name.text} is {state}",
+        )
+
+    def _unknown(
+        self, kind: model.StopKind, name: parser.Name
+    ) -> Iterator[findings.Finding]:
+        match kind:
+            case model.StopKind.AVAILABILITY_ZONE:
+                yield from self._view.unknown_zone(name)
+            case model.StopKind.TARGET:
+                yield from self._view.unknown_vm(name)
+
+    async def _check(
+        self,
+        command: parser.Stop,
+        change: changes.Change[model.Stop],
+        author: changes.Author,
+        seen: ids.Version,
+    ) -> results.Refused | results.Unavailable | None:
+        """Returns the refusal if the remaining targets cannot bear a stop."""
+        for _ in range(_CHECK_ATTEMPTS):
+            found = await self._guard.read()
+            await self._changer.refresh(model.STOPS_PREFIX)
+            if self._changer.is_settled(change, author):
+                return None
+            if not command.force:
+                refusal = await self._refusal(command, found)
+                if refusal is not None:
+                    return refusal
+            stop = guard_lib.PendingStop(
+                kind=command.kind,
+                name=command.name.text,
+                seen=seen,
+                wall_ms=self._view.clock.wall_ms(),
+            )
+            if await self._guard.claim(found, stop):
+                return None
+        return results.Unavailable(
+            message="nothing was changed; other stops kept coming first"
+        )
+
+    async def _refusal(
+        self, command: parser.Stop, found: guard_lib.FoundGuard
+    ) -> results.Refused | None:
+        view = self._view
+        versions = {
+            event.key: event.version
+            for event in view.replica.select(model.STOPS_PREFIX)
+        }
+        # An earlier attempt at the same stop must not hide its own members.
+        pending = [
+            stop
+            for stop in self._guard.pending(found, versions)
+            if (stop.kind, stop.name) != (command.kind, command.name.text)
+        ]
+
+        def covers(record: records.MemberRecord) -> bool:
+            kind, name = command.kind, command.name.text
+            return guard_lib.covers(kind, name, record)
+
+        def is_stopped(record: records.MemberRecord) -> bool:
+            is_pending = any(stop.covers(record) for stop in pending)
+            return is_pending or view.configuration.is_stopped(record)
+
+        affected = {r.service for r in view.members.live() if covers(r)}
+        asked = [r for r in view.members.live() if r.service in affected]
+        answers = await view.figures.of_all(r.member for r in asked)
+        short = tuple(
+            fit.shortfalls(
+                [group for group, _ in view.configuration.groups()],
+                view.members.live(),
+                is_stopped,
+                covers,
+                {member: _figures(answers[member]) for member in answers},
+            )
+        )
+        if not short:
+            return None
+        self._metrics.increment("operators.stops_refused")
+        return results.Refused(
+            message=_explain(command, short), shortfalls=short
+        )
+
+
+def _figures(received: figures_lib.Received | None) -> fit.GateFigures:
+    if received is None:
+        return fit.GateFigures(None)
+    gate = received.report.gate
+    return fit.GateFigures(gate.running + gate.queued)
+
+
+def _explain(command: parser.Stop, found: tuple[results.Shortfall, ...]) -> str:
+    name = f"{command.kind.value} {command.name.text}"
+    lines = [f"refused: the rest cannot bear the stop of {name}"]
+    for item in found:
+        line = (
+            f"  service {item.service}, group {item.group}: {item.remaining}"
+            f" requests at once would remain, {item.needed} are needed"
+            f" ({item.running} run or wait now, plus the margin)"
+        )
+        if item.silent:
+            line += f"; {item.silent} targets gave no figures, count as full"
+        lines.append(line)
+    lines.append("use 'force' to carry it out all the same")
+    return "\n".join(lines)
