--- a/mustardloom/membership/tests/simulation.py
+++ b/mustardloom/membership/tests/simulation.py
@@ -251,7 +251,7 @@
     def catch_up(self):
         store = self.fleet.store
         listing = platform.Listing(tuple(store.by_key.values()), store.version)
-        self.replica.apply_listing(listing)
+        self.replica.apply_listing(listing, "", listing.version)
 
     def pause(self):
         self.clock.running.clear()
