Hand on ids of running requests with a planned move again

A drained slot has none, but that is not the table's to assume. Change: each first send tells whether it may have run; only those that were certainly not dispatched are left out.

--- a/mustardloom/admission/deduplication.py
+++ b/mustardloom/admission/deduplication.py
@@ -109,12 +109,25 @@
     return (number >> _STAMP_SHIFT) // _BUCKET_MS
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _Running:
+    """First send of an id.
+
+    Attributes:
+      outcome: Its outcome.
+      may_have_run: Tells whether it was dispatched.
+    """
+
+    outcome: asyncio.Future[outcomes.Outcome]
+    may_have_run: Callable[[], bool]
+
+
 class _Mark(enum.Enum):
     UNRESOLVED = "unresolved"
 
 
 # A running id has the future of its outcome, an answered one its packed answer.
-_State = asyncio.Future[outcomes.Outcome] | bytes | _Mark
+_State = _Running | bytes | _Mark
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,8 +236,8 @@
     def export_slot(self, placement: dispatches.Placement) -> SlotRecords:
         """Returns the records for the next owner of a slot.
 
-        The slot must be drained. An id that still waits for its first
-        dispatch is left out: it was not run, and is refused here.
+        An id that still waits for its first dispatch is left out: it was not
+        run, and the slot refuses it from now on.
         """
         slot = self._slots.get(placement)
         if slot is None:
@@ -234,7 +247,7 @@
         records = tuple(
             _to_record(number, state)
             for number, state in slot.states()
-            if not isinstance(state, asyncio.Future)
+            if not (isinstance(state, _Running) and not state.may_have_run())
         )
         return SlotRecords(unknown_before, records)
 
@@ -256,8 +269,17 @@
         placement: dispatches.Placement,
         request: requests.Request,
         dispatch: Callable[[], Awaitable[outcomes.Outcome]],
+        may_have_run: Callable[[], bool] = lambda: True,
     ) -> outcomes.Outcome:
-        """Calls `dispatch` unless the id may have been dispatched before."""
+        """Calls `dispatch` unless the id may have been dispatched before.
+
+        Args:
+          placement: Slot of the request.
+          request: The request.
+          dispatch: Runs the request.
+          may_have_run: Tells whether `dispatch` has sent the request to a
+            target; asked when the slot moves meanwhile.
+        """
         if request.request_id is None:
             return await dispatch()
         number = _number(request.request_id)
@@ -276,7 +298,9 @@
         rejected = self._check_stamp(slot, number >> _STAMP_SHIFT)
         if rejected is not None:
             return rejected
-        return await self._first(placement, slot, number, dispatch)
+        return await self._first(
+            placement, slot, number, dispatch, may_have_run
+        )
 
     def _check_stamp(
         self, slot: _Slot, stamp_ms: int
@@ -307,11 +331,12 @@
         slot: _Slot,
         number: int,
         dispatch: Callable[[], Awaitable[outcomes.Outcome]],
+        may_have_run: Callable[[], bool],
     ) -> outcomes.Outcome:
         running: asyncio.Future[outcomes.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self._put(slot, number, running)
+        self._put(slot, number, _Running(running, may_have_run))
         outcome: outcomes.Outcome = outcomes.Unknown(
             outcomes.UnknownReason.CANCELLED, "the first send was cancelled"
         )
@@ -350,16 +375,22 @@
                     outcomes.UnknownReason.ID_UNRESOLVED,
                     "the outcome of the first send is not known",
                 )
+            case _Running(outcome=outcome):
+                return await self._wait(outcome, deadline_ms)
+
+    async def _wait(
+        self, outcome: asyncio.Future[outcomes.Outcome], deadline_ms: int
+    ) -> outcomes.Outcome:
         remaining_ms = deadline_ms - self._clock.now_ms()
         sleep = asyncio.ensure_future(self._clock.sleep_ms(remaining_ms))
         try:
             await asyncio.wait(
-                (state, sleep), return_when=asyncio.FIRST_COMPLETED
+                (outcome, sleep), return_when=asyncio.FIRST_COMPLETED
             )
         finally:
             sleep.cancel()
-        if state.done():
-            return state.result()
+        if outcome.done():
+            return outcome.result()
         return outcomes.Unknown(
             outcomes.UnknownReason.ID_RUNNING,
             "the first send is still running",
--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -66,7 +66,11 @@
 
 
 class SlotEntry:
-    """Entry of one request into its slot, for the gate."""
+    """Entry of one request into its slot, for the gate.
+
+    Attributes:
+      has_entered: Whether the request was admitted to the slot.
+    """
 
     def __init__(
         self,
@@ -77,11 +81,13 @@
         self._holdings = holdings
         self._group = group
         self._slot = slot
+        self.has_entered = False
 
     def enter(self) -> ids.Epoch | outcomes.Refused:
         """See `admission.dispatch.Entry`."""
         result = self._holdings.enter(self._group, self._slot)
         if isinstance(result, holdings_lib.Entered):
+            self.has_entered = True
             return result.epoch
         refusal = refusal_of(result)
         assert refusal is not None
--- a/mustardloom/daemon/serving.py
+++ b/mustardloom/daemon/serving.py
@@ -107,7 +107,10 @@
             return await self._run(request, placement, entry)
         self._open_ids(life, placement)
         return await life.request_ids.run(
-            placement, request, lambda: self._run(request, placement, entry)
+            placement,
+            request,
+            lambda: self._run(request, placement, entry),
+            lambda: entry.has_entered,
         )
 
     async def _run_at_home(
