Keep the dissemination's view of members until they change

Cause: at 2,700 members the watcher check (twice a second) and the choice of a repair peer (once a second) walked all records each time.

--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -178,14 +178,21 @@
     def __init__(self, members: records.Members, zone: ids.AvailabilityZoneId):
         self._members = members
         self._zone = zone
+        self._revision = -1
+        self._infos: tuple[dissemination.PeerInfo, ...] = ()
 
     def own_zone(self) -> ids.AvailabilityZoneId:
         """See `relay.dissemination.Topology`."""
         return self._zone
 
-    def peer_infos(self) -> Iterable[dissemination.PeerInfo]:
+    def peer_infos(self) -> tuple[dissemination.PeerInfo, ...]:
         """See `relay.dissemination.Topology`."""
-        return (
-            dissemination.PeerInfo(record.member, record.availability_zone)
-            for record in self._members.live()
-        )
+        if self._revision != self._members.revision:
+            self._revision = self._members.revision
+            infos = tuple(
+                dissemination.PeerInfo(record.member, record.availability_zone)
+                for record in self._members.live()
+            )
+            if infos != self._infos:
+                self._infos = infos
+        return self._infos
--- a/mustardloom/membership/records.py
+++ b/mustardloom/membership/records.py
@@ -115,11 +115,13 @@
     Attributes:
       by_id: Records by member id, FENCED ones included.
       version_by_id: Version of each record in the store.
+      revision: Grows with each change, so that derived views can be kept.
     """
 
     def __init__(self, replica: replicas.Replica):
         self.by_id: dict[ids.MemberId, MemberRecord] = {}
         self.version_by_id: dict[ids.MemberId, ids.Version] = {}
+        self.revision = 0
         replica.subscribe(MEMBERS_PREFIX, self._on_event)
 
     def live(self) -> Iterator[MemberRecord]:
@@ -138,6 +140,7 @@
 
     def _on_event(self, event: objects.Event) -> None:
         member = ids.MemberId(event.key.removeprefix(MEMBERS_PREFIX))
+        self.revision += 1
         if event.value is None:
             self.by_id.pop(member, None)
             self.version_by_id.pop(member, None)
--- a/mustardloom/relay/dissemination.py
+++ b/mustardloom/relay/dissemination.py
@@ -85,8 +85,11 @@
     def own_zone(self) -> ids.AvailabilityZoneId:
         """Returns the availability zone of this daemon."""
 
-    def peer_infos(self) -> Iterable[PeerInfo]:
-        """Returns all live members, this one included."""
+    def peer_infos(self) -> tuple[PeerInfo, ...]:
+        """Returns all live members, this one included.
+
+        The same tuple is returned until the members change.
+        """
 
 
 class Channel(Protocol):
@@ -129,6 +132,7 @@
         self._metrics = metrics
         self._random = random.Random(seed)
         self._store_is_up = True
+        self._view = _View((), peers.member)
         self._repairs: set[asyncio.Task[None]] = set()
 
     async def load(self, seeds: Sequence[ids.MemberId] = ()) -> bool:
@@ -156,8 +160,8 @@
         push = peer_pb2.Push(
             since=since, up_to=event.version, events=to_wire([event])
         )
-        for members in self._members_by_zone().values():
-            self._send_down(push, members)
+        for members in self._current_view().others_by_zone.values():
+            self._send_down(push, self._shuffled(members))
 
     async def watch(self) -> None:
         """Waits for changes at the store while this daemon is a watcher."""
@@ -182,15 +186,7 @@
     def is_watcher(self) -> bool:
         """Tells whether this daemon watches the store for its zone."""
         zone = self._topology.own_zone()
-        members = [
-            info.member
-            for info in self._topology.peer_infos()
-            if info.zone == zone
-        ]
-        if self._peers.member not in members:
-            return True
-        ranked = rendezvous.rank(f"watcher/{zone}", members)
-        return self._peers.member in ranked[:WATCHERS_PER_ZONE]
+        return self._current_view().is_watcher(zone)
 
     async def on_push(self, sender: ids.MemberId, push: peer_pb2.Push) -> None:
         """Handles a push: adopts it and passes it on.
@@ -245,7 +241,8 @@
             since=since, up_to=batch.version, events=to_wire(events)
         )
         zone = self._topology.own_zone()
-        self._send_down(push, self._members_by_zone().get(zone, []))
+        members = self._current_view().others_by_zone.get(zone, ())
+        self._send_down(push, self._shuffled(members))
 
     async def _repair_quietly(self, peer: ids.MemberId) -> None:
         await self._repair_from(peer)
@@ -282,27 +279,30 @@
             self._peers.notify(run[0], child)
             self._metrics.increment("relay.pushes_sent")
 
-    def _members_by_zone(
-        self,
-    ) -> dict[ids.AvailabilityZoneId, list[ids.MemberId]]:
-        by_zone: dict[ids.AvailabilityZoneId, list[ids.MemberId]] = {}
-        for info in self._topology.peer_infos():
-            if info.member != self._peers.member:
-                by_zone.setdefault(info.zone, []).append(info.member)
-        for members in by_zone.values():
-            # Each push takes another tree, so that one lost member does not
-            # cut off the same subtree every time.
-            self._random.shuffle(members)
-        return by_zone
+    def _shuffled(
+        self, members: Sequence[ids.MemberId]
+    ) -> Sequence[ids.MemberId]:
+        """Returns members in another order.
+
+        Each push takes another tree, so that one lost member does not cut off
+        the same subtree every time.
+        """
+        return self._random.sample(members, len(members))
 
     def _random_peer(self) -> ids.MemberId | None:
-        by_zone = self._members_by_zone()
-        own = by_zone.get(self._topology.own_zone(), [])
+        view = self._current_view()
+        own = view.others_by_zone.get(self._topology.own_zone(), ())
         is_remote = self._random.random() < _REMOTE_REPAIR_SHARE
         if own and not is_remote:
             return self._random.choice(own)
-        everyone = [m for members in by_zone.values() for m in members]
-        return self._random.choice(everyone) if everyone else None
+        return self._random.choice(view.others) if view.others else None
+
+    def _current_view(self) -> "_View":
+        infos = self._topology.peer_infos()
+        member = self._peers.member
+        if infos is not self._view.infos or member != self._view.member:
+            self._view = _View(infos, member)
+        return self._view
 
     def _note_store(self, *, is_up: bool) -> None:
         if is_up == self._store_is_up:
@@ -310,3 +310,42 @@
         self._store_is_up = is_up
         state = "answers again" if is_up else "does not answer"
         logger.info(f"the platform's store {state}")
+
+
+class _View:
+    """What follows from one set of members.
+
+    Attributes:
+      infos: The members.
+      member: Own member id.
+      others: All other members.
+      others_by_zone: The same by availability zone.
+    """
+
+    def __init__(self, infos: tuple[PeerInfo, ...], member: ids.MemberId):
+        self.infos = infos
+        self.member = member
+        self.others = [i.member for i in infos if i.member != member]
+        self.others_by_zone: dict[
+            ids.AvailabilityZoneId, list[ids.MemberId]
+        ] = {}
+        for info in infos:
+            if info.member != member:
+                zone = self.others_by_zone.setdefault(info.zone, [])
+                zone.append(info.member)
+        self._watches_by_zone: dict[ids.AvailabilityZoneId, bool] = {}
+
+    def is_watcher(self, zone: ids.AvailabilityZoneId) -> bool:
+        """Tells whether the own member is a watcher of `zone`.
+
+        A member that is not listed yet watches, since nobody pushes to it.
+        """
+        if zone not in self._watches_by_zone:
+            self._watches_by_zone[zone] = self._ranks_as_watcher(zone)
+        return self._watches_by_zone[zone]
+
+    def _ranks_as_watcher(self, zone: ids.AvailabilityZoneId) -> bool:
+        members = [i.member for i in self.infos if i.zone == zone]
+        ranked = rendezvous.rank(f"watcher/{zone}", members)
+        best = ranked[:WATCHERS_PER_ZONE]
+        return self.member in best or self.member not in members
--- a/mustardloom/relay/tests/test_dissemination.py
+++ b/mustardloom/relay/tests/test_dissemination.py
@@ -83,7 +83,7 @@
                 replica,
                 self.store,
                 _Channel(info.member, self.network),
-                _Topology(info.zone, infos),
+                _Topology(info.zone, tuple(infos)),
                 self.clock,
                 metrics_lib.Metrics(),
                 seed,
@@ -214,7 +214,7 @@
             newcomer,
             fleet.store,
             _Channel(ids.MemberId("vm-9~0"), fleet.network),
-            _Topology(_ZONES[0], []),
+            _Topology(_ZONES[0], ()),
             fleet.clock,
             metrics_lib.Metrics(),
         )
