Keep store connections alive and test lost answers

Tornado's own client opens a connection per call and keeps a cancelled call running, so a hung store would exhaust its slots.

A small pool over tornado's HTTP/1 connections reuses them and closes those whose call failed or was cancelled. A write is now conditional on the version of a deletion, too: a create that arrived late could take effect after another object was created and deleted. A delete of nothing is a conflict at once instead of a loop until the deadline.

--- a/mustardloom/platform/http_client.py
+++ b/mustardloom/platform/http_client.py
@@ -5,11 +5,11 @@
 import urllib.parse
 
 import msgspec
-from tornado import httpclient
 
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom.platform import http_pool
 from mustardloom.platform import objects
 from mustardloom.platform import raw
 from mustardloom.platform import read_back
@@ -28,10 +28,6 @@
 VERSION_HEADER = "If-Match"
 OPERATION_HEADER = "X-Operation-Id"
 
-_MAX_CONNECTIONS = 32
-# Longer than every limit that the caller sets on the project's clock.
-_CONNECTION_LIMIT_S = 120.0
-
 _T = TypeVar("_T")
 
 
@@ -42,27 +38,31 @@
 
 
 class HttpStore:
-    """A `RawStore` that is reached over HTTP."""
+    """A `RawStore` that is reached over HTTP.
+
+    Args:
+      url: Base address, for example `http://127.0.0.1:7000`.
+
+    Raises:
+      ValueError: The address is not an HTTP URL.
+    """
 
     def __init__(self, url: str):
-        self._url = url.rstrip("/")
-        self._http = httpclient.AsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CONNECTIONS
-        )
+        self._pool = http_pool.HttpPool(url)
 
     def close(self) -> None:
         """Closes all connections."""
-        self._http.close()
+        self._pool.close()
 
     async def read(self, key: str) -> objects.Snapshot:
         """See `RawStore`."""
-        answer = await self._fetch(_object_path(key))
+        answer = await self._fetch("GET", _object_path(key))
         return _decode(answer, objects.Snapshot)
 
     async def list_objects(self, prefix: str) -> objects.Listing:
         """See `RawStore`."""
         query = urllib.parse.urlencode({"prefix": prefix})
-        answer = await self._fetch(f"{OBJECTS_PATH}?{query}")
+        answer = await self._fetch("GET", f"{OBJECTS_PATH}?{query}")
         return _decode(answer, objects.Listing)
 
     async def write(
@@ -70,15 +70,15 @@
     ) -> objects.Written | objects.Conflict:
         """See `RawStore`."""
         answer = await self._fetch(
+            "DELETE" if write.value is None else "PUT",
             _object_path(write.key),
-            method="DELETE" if write.value is None else "PUT",
-            headers={
+            {
                 VERSION_HEADER: str(write.expected),
                 OPERATION_HEADER: write.operation,
             },
-            body=write.value,
+            write.value or b"",
         )
-        match answer.code:
+        match answer.status:
             case _Status.CONFLICT:
                 return _decode(answer, objects.Conflict)
             case _Status.TOO_LARGE:
@@ -91,27 +91,19 @@
     ) -> objects.WatchBatch:
         """See `RawStore`."""
         query = urllib.parse.urlencode({"after": after, "wait_ms": wait_ms})
-        answer = await self._fetch(f"{WATCH_PATH}?{query}")
+        answer = await self._fetch("GET", f"{WATCH_PATH}?{query}")
         return _decode(answer, objects.WatchBatch)
 
     async def _fetch(
         self,
+        method: str,
         path: str,
-        method: str = "GET",
         headers: dict[str, str] | None = None,
-        body: bytes | None = None,
-    ) -> httpclient.HTTPResponse:
-        request = httpclient.HTTPRequest(
-            f"{self._url}{path}",
-            method=method,
-            headers=headers,
-            body=body,
-            connect_timeout=_CONNECTION_LIMIT_S,
-            request_timeout=_CONNECTION_LIMIT_S,
-        )
+        body: bytes = b"",
+    ) -> http_pool.HttpAnswer:
         try:
-            return await self._http.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
+            return await self._pool.fetch(method, path, headers, body)
+        except http_pool.NoAnswer as error:
             raise objects.PlatformUnavailable(str(error)) from error
 
 
@@ -119,9 +111,9 @@
     return f"{OBJECTS_PATH}/{urllib.parse.quote(key, safe='/')}"
 
 
-def _decode(answer: httpclient.HTTPResponse, kind: type[_T]) -> _T:
-    if answer.code not in (_Status.OK, _Status.CONFLICT):
-        raise objects.PlatformUnavailable(f"status {answer.code}")
+def _decode(answer: http_pool.HttpAnswer, kind: type[_T]) -> _T:
+    if answer.status not in (_Status.OK, _Status.CONFLICT):
+        raise objects.PlatformUnavailable(f"status {answer.status}")
     try:
         return msgspec.json.decode(answer.body, type=kind)
     except msgspec.DecodeError as error:
@@ -135,6 +127,9 @@
       url: Base address, for example `http://127.0.0.1:7000`.
       clock: Clock that measures all limits.
       metrics: Receives the number of calls by kind.
+
+    Raises:
+      ValueError: The address is not an HTTP URL.
     """
 
     def __init__(
--- a/mustardloom/platform/memory.py
+++ b/mustardloom/platform/memory.py
@@ -109,8 +109,8 @@
         made = found.version_made_by(write.operation)
         if made is not None:
             return self._answer(objects.Written(made))
-        current = found.version if found.value is not None else ids.NO_VERSION
-        if current != write.expected or _deletes_nothing(write):
+        nothing_to_delete = write.value is None and found.value is None
+        if found.version != write.expected or nothing_to_delete:
             return self._answer(objects.Conflict(found.live()))
         return self._answer(self._store(found, write))
 
@@ -164,10 +164,6 @@
             yield objects.Event(item.key, item.version, item.value)
 
 
-def _deletes_nothing(write: objects.Write) -> bool:
-    return write.value is None and write.expected == ids.NO_VERSION
-
-
 class MemoryPlatform(read_back.ReadBackClient):
     """A `PlatformClient` over a `MemoryStore`.
 
--- a/mustardloom/platform/objects.py
+++ b/mustardloom/platform/objects.py
@@ -86,7 +86,8 @@
     Attributes:
       key: Name of the object.
       value: JSON, or None to delete the object.
-      expected: Version that the object must have; `ids.NO_VERSION` creates.
+      expected: Version that the object must have; that of its deletion if it
+        was deleted, `ids.NO_VERSION` if it never was there.
       operation: Unique id by which the store recognises repetitions.
     """
 
--- a/mustardloom/platform/raw.py
+++ b/mustardloom/platform/raw.py
@@ -37,7 +37,10 @@
     async def write(
         self, write: objects.Write
     ) -> objects.Written | objects.Conflict:
-        """Attempts a conditional write.
+        """Attempts a write that is conditional on `expected`.
+
+        The version of a deleted object is that of its deletion, so that
+        `ids.NO_VERSION` matches only a key that never had an object.
 
         A repetition of a recorded write answers `Written` with the version
         that the first one made.
--- a/mustardloom/platform/read_back.py
+++ b/mustardloom/platform/read_back.py
@@ -1,5 +1,7 @@
 """Writes whose lost answers are recovered by reading the object back."""
 
+import dataclasses
+
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
@@ -33,17 +35,14 @@
     made = found.version_made_by(write.operation)
     if made is not None:
         return objects.Written(made)
-    if not _changed(write, found) or _may_be_dropped(write, found):
+    if write.value is None and found.value is None:
+        return objects.Conflict(None)
+    unchanged = found.version == write.expected
+    if unchanged or _may_be_dropped(write, found):
         return objects.Undecided(write.operation, write)
     return objects.Conflict(found.live())
 
 
-def _changed(write: objects.Write, found: objects.Snapshot) -> bool:
-    if write.expected == ids.NO_VERSION:
-        return found.value is not None
-    return found.version != write.expected
-
-
 def _may_be_dropped(write: objects.Write, found: objects.Snapshot) -> bool:
     if len(found.operations) < raw.MAX_RECORDED_WRITES:
         return False
@@ -93,9 +92,11 @@
         if len(value) > raw.MAX_VALUE_BYTES:
             raise raw.ValueTooLarge(f"{key}: {len(value)} bytes")
         operation = ids.new_operation_id()
-        return await self._decide(
-            objects.Write(key, value, expected, operation)
-        )
+        write = objects.Write(key, value, expected, operation)
+        result = await self._decide(write)
+        if expected == ids.NO_VERSION and result == objects.Conflict(None):
+            return await self._recreate(write)
+        return result
 
     async def delete(
         self, key: str, expected: ids.Version
@@ -124,37 +125,57 @@
         except TimeoutError as error:
             raise _timed_out("watch", str(after)) from error
 
+    async def _recreate(self, write: objects.Write) -> objects.WriteResult:
+        """Creates an object that was deleted before.
+
+        The write is conditional on the version of the deletion. A condition
+        of mere absence would let an attempt that arrives late take effect
+        after another object was created and deleted.
+        """
+        try:
+            found = await self._read(write.key, READ_TIMEOUT_MS)
+        except objects.PlatformUnavailable:
+            return objects.Conflict(None)
+        if found.value is not None:
+            return objects.Conflict(found.live())
+        return await self._decide(
+            dataclasses.replace(write, expected=found.version)
+        )
+
     async def _decide(
         self, write: objects.Write, read_first: bool = False
     ) -> objects.WriteResult:
         deadline_ms = self._clock.now_ms() + WRITE_DEADLINE_MS
         pause_ms = _FIRST_PAUSE_MS
-        must_read = read_first
+        repeated = read_first
         while (left_ms := deadline_ms - self._clock.now_ms()) > 0:
             try:
-                if must_read:
+                if repeated:
                     found = await self._read(write.key, left_ms)
                     result = judge(write, found)
-                    if not isinstance(result, objects.Undecided):
-                        return result
-                    if _changed(write, found):
-                        # The record of the write may have been dropped, and
-                        # no later read can tell.
+                    decided = not isinstance(result, objects.Undecided)
+                    if decided or found.version != write.expected:
                         return result
-                    must_read = False
-                    continue
-                limit_ms = min(left_ms, WRITE_ATTEMPT_TIMEOUT_MS)
-                return await self._attempt(write, limit_ms)
+                result = await self._attempt(write, deadline_ms)
             except objects.PlatformUnavailable:
-                must_read = True
+                result = objects.Undecided(write.operation, write)
+            # A conflict of a repeated write may be one with its own earlier
+            # attempt, which only a read-back can tell.
+            if isinstance(result, objects.Written) or (
+                isinstance(result, objects.Conflict) and not repeated
+            ):
+                return result
+            repeated = True
             await self._clock.sleep_ms(pause_ms)
             pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
         self._count("undecided")
         return objects.Undecided(write.operation, write)
 
     async def _attempt(
-        self, write: objects.Write, limit_ms: int
+        self, write: objects.Write, deadline_ms: int
     ) -> objects.WriteResult:
+        left_ms = deadline_ms - self._clock.now_ms()
+        limit_ms = min(left_ms, WRITE_ATTEMPT_TIMEOUT_MS)
         self._count("delete" if write.value is None else "update")
         call = self._store.write(write)
         try:
