Add mustardloomctl with validate, diff and apply

Operators put declarations in force from the command line, concurrently.

apply writes conditionally on the version that was compared, together with an audit entry that holds only the changed parts. A conflict names the other operator's change; a repeated apply reports what is in force. The pieces that all binaries need (version, log format, exit codes, faults of settings) are in cli/common. Places of findings now name the file: the C loader of PyYAML takes the name from its stream only.

--- /dev/null
+++ b/mustardloom/cli/common.py
@@ -0,0 +1,129 @@
+"""Pieces that the command lines of all binaries share."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import enum
+from importlib import metadata
+import sys
+from typing import Annotated
+
+from loguru import logger
+import typer
+
+from mustardloom import findings
+from mustardloom.platform import objects
+
+__all__ = [
+    "ExitCode",
+    "LogFormat",
+    "LogFormatOption",
+    "VersionOption",
+    "check_settings",
+    "fail",
+    "reporting_errors",
+    "run",
+    "set_up_logs",
+]
+
+_PACKAGE = "mustardloom"
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of all binaries."""
+
+    OK = 0
+    USAGE = 2
+    FINDINGS = 3
+    PLATFORM_UNAVAILABLE = 4
+    CONFLICT = 5
+
+
+class LogFormat(enum.Enum):
+    """Form of log lines."""
+
+    HUMAN = "human"
+    JSON = "json"
+
+
+def set_up_logs(log_format: LogFormat) -> None:
+    """Sends log lines to standard error in the given form."""
+    logger.remove()
+    is_json = log_format is LogFormat.JSON
+    logger.add(sys.stderr, level="INFO", serialize=is_json)
+
+
+def fail(message: str, code: ExitCode) -> typer.Exit:
+    """Prints `message` to standard error and returns the exception to raise.
+
+    Example:
+      raise common.fail("no answer", common.ExitCode.PLATFORM_UNAVAILABLE)
+    """
+    typer.echo(message, err=True)
+    return typer.Exit(code)
+
+
+def check_settings(
+    checks: Iterable[Callable[[], object]], source: str = "settings"
+) -> None:
+    """Runs all checks of settings and reports their faults together.
+
+    Args:
+      checks: Functions that raise ValueError with a message for the operator.
+      source: What the settings belong to.
+
+    Raises:
+      findings.FindingsError: At least one check failed.
+    """
+    place = findings.Place(source)
+    findings.raise_if_any(
+        findings.Finding(place, message) for message in _failures(checks)
+    )
+
+
+def _failures(checks: Iterable[Callable[[], object]]) -> Iterator[str]:
+    for check in checks:
+        try:
+            check()
+        except ValueError as error:
+            yield str(error)
+
+
+@contextlib.contextmanager
+def reporting_errors() -> Iterator[None]:
+    """Turns errors that every command may meet into messages and exit codes."""
+    try:
+        yield
+    except findings.FindingsError as error:
+        raise fail(str(error), ExitCode.FINDINGS) from error
+    except objects.PlatformUnavailable as error:
+        message = f"platform unavailable: {error}"
+        raise fail(message, ExitCode.PLATFORM_UNAVAILABLE) from error
+
+
+def run(app: typer.Typer) -> None:
+    """Runs a binary and exits."""
+    app()
+
+
+def _print_version(requested: bool) -> None:
+    if requested:
+        typer.echo(f"{_PACKAGE} {metadata.version(_PACKAGE)}")
+        raise typer.Exit(ExitCode.OK)
+
+
+VersionOption = Annotated[
+    bool,
+    typer.Option(
+        "--version",
+        callback=_print_version,
+        is_eager=True,
+        help="Print the version and exit.",
+    ),
+]
+
+LogFormatOption = Annotated[
+    LogFormat,
+    typer.Option(envvar="MUSTARDLOOM_LOG_FORMAT", help="Form of log lines."),
+]
--- /dev/null
+++ b/mustardloom/cli/configuration.py
@@ -0,0 +1,253 @@
+"""Subcommands of `mustardloomctl` that change declared configuration."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import getpass
+import pathlib
+from typing import Annotated
+from typing import TypeVar
+
+import msgspec
+import typer
+
+from mustardloom import clock as clocks
+from mustardloom import declarations
+from mustardloom import findings
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import platform
+from mustardloom.cli import common
+from mustardloom.declarations import diff as diffs
+
+__all__ = ["apply", "diff", "register", "validate"]
+
+_T = TypeVar("_T")
+_MS_PER_S = 1_000
+
+_Files = Annotated[
+    list[pathlib.Path],
+    typer.Argument(
+        envvar="MUSTARDLOOM_FILES",
+        help="YAML files or directories that together make one set.",
+    ),
+]
+_Platform = Annotated[
+    str,
+    typer.Option(
+        "--platform",
+        envvar="MUSTARDLOOM_PLATFORM",
+        help="Address of the platform's object API.",
+    ),
+]
+_Who = Annotated[
+    str,
+    typer.Option(
+        envvar="MUSTARDLOOM_WHO",
+        default_factory=getpass.getuser,
+        help="Operator named in the audit trail.",
+    ),
+]
+_IfVersion = Annotated[
+    int | None,
+    typer.Option(
+        envvar="MUSTARDLOOM_IF_VERSION",
+        min=0,
+        help="Apply only if this version, as printed by diff, is in force.",
+    ),
+]
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the subcommands to `app`."""
+    for command in (validate, diff, apply):
+        app.command()(command)
+
+
+def validate(files: _Files) -> None:
+    """Checks declaration files and reports all faults with their places."""
+    with common.reporting_errors():
+        declared = declarations.load_set(files)
+    typer.echo(f"set {declared.id} is valid")
+
+
+def diff(files: _Files, platform_url: _Platform) -> None:
+    """Shows what apply would change."""
+
+    async def show(client: platform.PlatformClient) -> None:
+        plan = await _plan(client, files)
+        _print_plan(plan)
+
+    _with_client(platform_url, show)
+
+
+def apply(
+    files: _Files,
+    platform_url: _Platform,
+    who: _Who,
+    if_version: _IfVersion = None,
+) -> None:
+    """Puts declaration files in force, unless they changed meanwhile."""
+
+    async def change(client: platform.PlatformClient) -> None:
+        plan = await _plan(client, files)
+        if not plan.changes:
+            _print_plan(plan)
+            return
+        if if_version is not None and if_version != plan.version:
+            raise _conflict(plan.declared, plan.stored, plan.version)
+        _print_plan(plan)
+        await _write(client, plan, _entry(plan, files, who))
+
+    _with_client(platform_url, change)
+
+
+class _Plan(msgspec.Struct, frozen=True):
+    """What is in force, what is declared, and the difference."""
+
+    declared: declarations.DeclarationSet
+    stored: declarations.StoredObject[declarations.DeclarationSet] | None
+    version: ids.Version
+    changes: tuple[declarations.Change, ...]
+
+
+def _with_client(
+    url: str, action: Callable[[platform.PlatformClient], Awaitable[_T]]
+) -> _T:
+    async def act() -> _T:
+        try:
+            client = platform.HttpPlatformClient(
+                url, clocks.SystemClock(), metrics_lib.Metrics()
+            )
+        except ValueError as error:
+            raise common.fail(str(error), common.ExitCode.USAGE) from error
+        try:
+            return await action(client)
+        finally:
+            client.close()
+
+    with common.reporting_errors():
+        return asyncio.run(act())
+
+
+async def _plan(
+    client: platform.PlatformClient, files: list[pathlib.Path]
+) -> _Plan:
+    loaded = declarations.load(files)
+    # Faults in the name of the set are reported without asking the store.
+    key = declarations.config_key(loaded.declaration_set().id)
+    found = await client.get(key) if loaded.sets else None
+    stored = _decode(found)
+    in_force = stored.value if stored else None
+    declared = declarations.validate(loaded, in_force)
+    changes = tuple(diffs.diff(in_force, declared))
+    version = found.version if found else ids.NO_VERSION
+    return _Plan(declared, stored, version, changes)
+
+
+def _decode(
+    found: platform.Versioned | None,
+) -> declarations.StoredObject[declarations.DeclarationSet] | None:
+    if found is None:
+        return None
+    try:
+        return declarations.decode_set(found.value)
+    except msgspec.DecodeError as error:
+        finding = findings.Finding(findings.Place(found.key), str(error))
+        raise findings.FindingsError([finding]) from error
+
+
+def _print_plan(plan: _Plan) -> None:
+    for change in plan.changes:
+        typer.echo(declarations.describe(change))
+    name = plan.declared.id
+    if plan.changes:
+        typer.echo(f"set {name}: {len(plan.changes)} changes")
+        typer.echo(f"version in force: {plan.version}")
+    else:
+        typer.echo(f"set {name} is already in force at version {plan.version}")
+
+
+def _entry(
+    plan: _Plan, files: list[pathlib.Path], who: str
+) -> declarations.AuditEntry:
+    names = " ".join(str(path) for path in files)
+    before, after = diffs.sides(plan.changes)
+    return declarations.AuditEntry(
+        who=who,
+        wall_ms=clocks.SystemClock().wall_ms(),
+        command=f"apply {names}",
+        before=before,
+        after=after,
+        operation=ids.new_operation_id(),
+    )
+
+
+async def _write(
+    client: platform.PlatformClient,
+    plan: _Plan,
+    entry: declarations.AuditEntry,
+) -> None:
+    amended = declarations.amend(plan.stored, plan.declared, entry)
+    key = declarations.config_key(plan.declared.id)
+    for displaced in amended.displaced:
+        await _archive(client, key, displaced)
+    value = declarations.encode(amended.stored)
+    try:
+        result = await client.update(key, value, plan.version)
+    except platform.ValueTooLarge as error:
+        finding = findings.Finding(findings.Place(key), f"too large: {error}")
+        raise findings.FindingsError([finding]) from error
+    match result:
+        case platform.Written(version):
+            typer.echo(f"set {plan.declared.id} in force at version {version}")
+        case platform.Conflict(current):
+            version = current.version if current else ids.NO_VERSION
+            raise _conflict(plan.declared, _decode(current), version)
+        case platform.Undecided():
+            raise common.fail(
+                "platform unavailable: it is unknown whether the change took"
+                " effect; run apply again",
+                common.ExitCode.PLATFORM_UNAVAILABLE,
+            )
+
+
+async def _archive(
+    client: platform.PlatformClient,
+    key: str,
+    entry: declarations.AuditEntry,
+) -> None:
+    """Writes an entry that its object drops.
+
+    A conflict means that an earlier attempt has already written it.
+    """
+    result = await client.update(
+        declarations.audit_key(key, entry.sequence),
+        msgspec.json.encode(entry),
+        ids.NO_VERSION,
+    )
+    if isinstance(result, platform.Undecided):
+        raise platform.PlatformUnavailable("audit entry was not written")
+
+
+def _conflict(
+    declared: declarations.DeclarationSet,
+    stored: declarations.StoredObject[declarations.DeclarationSet] | None,
+    version: ids.Version,
+) -> typer.Exit:
+    lines = [f"conflict: set {declared.id} is now at version {version}"]
+    if stored is None:
+        lines.append("it was deleted")
+    elif stored.audit:
+        other = stored.audit[-1]
+        lines.append(
+            f"changed by {other.who} with '{other.command}'"
+            f" at {_time(other.wall_ms)}"
+        )
+    return common.fail("\n".join(lines), common.ExitCode.CONFLICT)
+
+
+def _time(wall_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(wall_ms / _MS_PER_S, datetime.UTC)
+    return moment.isoformat(timespec="seconds")
--- a/mustardloom/cli/platform.py
+++ b/mustardloom/cli/platform.py
@@ -1,37 +1,63 @@
 """Binary `mustardloom-platform`: stand-in for the object API."""
 
 import asyncio
+import signal
 from typing import Annotated
 
+from loguru import logger
 import typer
 
 from mustardloom import clock as clocks
+from mustardloom.cli import common
 from mustardloom.standins import platform
 
-__all__ = ["main"]
+__all__ = ["app", "main"]
 
-_app = typer.Typer()
+app = typer.Typer(help="Stand-in for the platform's object API.")
 
 
-@_app.command()
+@app.command()
 def serve(
     address: Annotated[
-        str, typer.Option(envvar="MUSTARDLOOM_PLATFORM_ADDRESS")
+        str,
+        typer.Option(
+            envvar="MUSTARDLOOM_PLATFORM_ADDRESS", help="Address to bind."
+        ),
     ] = "127.0.0.1",
     port: Annotated[
-        int, typer.Option(envvar="MUSTARDLOOM_PLATFORM_PORT")
+        int,
+        typer.Option(
+            envvar="MUSTARDLOOM_PLATFORM_PORT",
+            min=0,
+            max=65_535,
+            help="Port to bind; 0 chooses a free one.",
+        ),
     ] = 7000,
+    log_format: common.LogFormatOption = common.LogFormat.HUMAN,
+    version: common.VersionOption = False,
 ) -> None:
-    """Serves an empty object store until it is stopped."""
-    asyncio.run(_serve(address, port))
+    """Serves an empty object store until SIGTERM or SIGINT."""
+    del version
+    common.set_up_logs(log_format)
+    try:
+        asyncio.run(_serve(address, port))
+    except OSError as error:
+        message = f"cannot bind {address}:{port}: {error}"
+        raise common.fail(message, common.ExitCode.USAGE) from error
 
 
 async def _serve(address: str, port: int) -> None:
     server = platform.PlatformServer(clocks.SystemClock())
     server.start(address, port)
-    await asyncio.Event().wait()
+    logger.info("listening on {}:{}", address, server.port)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await server.stop()
 
 
 def main() -> None:
     """Runs the binary."""
-    _app()
+    common.run(app)
--- a/mustardloom/declarations/diff.py
+++ b/mustardloom/declarations/diff.py
@@ -10,7 +10,16 @@
 
 from mustardloom.declarations import model
 
-__all__ = ["Added", "Change", "Changed", "Kind", "Removed", "describe", "diff"]
+__all__ = [
+    "Added",
+    "Change",
+    "Changed",
+    "Kind",
+    "Removed",
+    "describe",
+    "diff",
+    "sides",
+]
 
 
 class Kind(enum.Enum):
@@ -96,6 +105,32 @@
             return f"~ {kind.value} {name}: {field} {values}"
 
 
+def sides(changes: Iterable[Change]) -> tuple[str, str]:
+    """Returns what the changes replace and what they put in its place.
+
+    Returns:
+      Two JSON objects, by kind and name; without the parts that are equal, so
+      that audit entries stay small however large the set is.
+
+    Example:
+      >>> sides([Changed(Kind.SERVICE, "salio", "capacity", 6, 8)])
+      ('{"service salio capacity":6}', '{"service salio capacity":8}')
+    """
+    before: dict[str, Any] = {}
+    after: dict[str, Any] = {}
+    for change in changes:
+        name = f"{change.kind.value} {change.name}"
+        match change:
+            case Added(value=value):
+                after[name] = value
+            case Removed(value=value):
+                before[name] = value
+            case Changed(field=field, before=old, after=new):
+                before[f"{name} {field}"] = old
+                after[f"{name} {field}"] = new
+    return _text(before), _text(after)
+
+
 def _diff_regions(
     before: Iterable[str], after: Iterable[str]
 ) -> Iterator[Change]:
--- a/mustardloom/declarations/loading.py
+++ b/mustardloom/declarations/loading.py
@@ -160,14 +160,13 @@
 def _compose(reader: nodes.Reader, path: pathlib.Path) -> yaml.Node | None:
     source = str(path)
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reader.report(findings.Place(source), f"cannot be read: {error}")
+        # Marks take the name of their source from the stream.
+        with path.open("rb") as stream:
+            root: yaml.Node | None = _LOADER(stream).get_single_node()
+    except OSError as error:
+        message = f"cannot be read: {error.strerror}"
+        reader.report(findings.Place(source), message)
         return None
-    loader = _LOADER(text)
-    loader.name = source
-    try:
-        root: yaml.Node | None = loader.get_single_node()
     except yaml.MarkedYAMLError as error:
         place = _place_of_mark(source, error.problem_mark)
         reader.report(place, f"not YAML: {error.problem or error.context}")
--- a/mustardloom/declarations/tests/test_validation.py
+++ b/mustardloom/declarations/tests/test_validation.py
@@ -50,6 +50,8 @@
 def _faults(path, in_force=None):
     with pytest.raises(findings.FindingsError) as caught:
         declarations.load_set([path], in_force)
+    sources = {found.place.source for found in caught.value.findings}
+    assert sources == {str(path)}
     return [
         (found.place.line, found.place.column, found.message)
         for found in caught.value.findings
