--- a/mustardloom/platform/http_pool.py
+++ b/mustardloom/platform/http_pool.py
@@ -76,7 +76,7 @@
             answer = await self._exchange(stream, method, path, headers, body)
         except (OSError, iostream.StreamClosedError) as error:
             stream.close()
-            raise NoAnswer(str(error)) from error
+            raise _no_answer(error) from error
         except BaseException:
             stream.close()
             raise
@@ -91,7 +91,7 @@
         try:
             stream = await self._tcp.connect(self._host, self._port)
         except (OSError, iostream.StreamClosedError) as error:
-            raise NoAnswer(str(error)) from error
+            raise _no_answer(error) from error
         stream.set_nodelay(True)
         return stream
 
@@ -158,5 +158,10 @@
         self.complete = True
 
 
+def _no_answer(error: Exception) -> NoAnswer:
+    cause = getattr(error, "real_error", None) or error
+    return NoAnswer(str(cause))
+
+
 def _ignore_close() -> None:
     """Does nothing; the pool looks at `closed()` before reuse."""
--- a/mustardloom/platform/memory.py
+++ b/mustardloom/platform/memory.py
@@ -184,6 +184,10 @@
         self.store = store or MemoryStore(clock)
         super().__init__(self.store, clock, metrics or metrics_lib.Metrics())
 
+    def set_faults(self, faults: Faults) -> None:
+        """Replaces the faults of the store and wakes waiting watches."""
+        self.store.set_faults(faults)
+
     @property
     def faults(self) -> Faults:
         """The faults that the store shows."""
--- a/mustardloom/platform/tests/test_read_back.py
+++ b/mustardloom/platform/tests/test_read_back.py
@@ -29,7 +29,7 @@
 async def _finish(clock, call, limit_ms=30_000):
     task = asyncio.create_task(call)
     await clock.advance(limit_ms)
-    return await task
+    return task.result()
 
 
 def test_own_write_is_found_below_that_of_another_writer():
@@ -89,6 +89,71 @@
     assert version == 1
 
 
+def test_repeated_write_answers_as_the_first_one_did():
+    """Guards against a conflict between two attempts of one write."""
+
+    async def scenario(clock, store):
+        write = objects.Write("a", b"1", ids.NO_VERSION, ids.OperationId("x"))
+        first = await store.write(write)
+        other = memory.MemoryPlatform(clock, store)
+        await other.update("a", b"2", ids.Version(1))
+        return first, await store.write(write), store.version
+
+    first, second, version = _run(scenario)
+    assert first == second == objects.Written(ids.Version(1))
+    assert version == 2
+
+
+class _Scripted:
+    """Raw store with prepared answers."""
+
+    def __init__(self, reads, writes):
+        self._reads = iter(reads)
+        self._writes = iter(writes)
+
+    async def list_objects(self, prefix):
+        raise NotImplementedError
+
+    async def watch(self, after, wait_ms):
+        raise NotImplementedError
+
+    async def read(self, key):
+        del key
+        return next(self._reads)
+
+    async def write(self, write):
+        del write
+        answer = next(self._writes)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def test_conflict_of_a_repeated_write_is_read_back():
+    """Guards against "no effect" if the first attempt arrived meanwhile."""
+    version = ids.Version(3)
+    later = tuple(
+        objects.RecordedWrite(ids.OperationId(str(n)), ids.Version(n))
+        for n in range(5, 5 + raw.MAX_RECORDED_WRITES)
+    )
+    replaced = objects.Snapshot("a", later[-1].version, b"", later)
+    script = _Scripted(
+        reads=[objects.Snapshot("a", version, b""), replaced],
+        writes=[
+            objects.PlatformUnavailable("answer lost"),
+            objects.Conflict(replaced.live()),
+        ],
+    )
+
+    async def scenario(clock, store):
+        del store
+        metrics = metrics_lib.Metrics()
+        client = read_back.ReadBackClient(script, clock, metrics)
+        return await _finish(clock, client.update("a", b"1", version))
+
+    assert isinstance(_run(scenario), objects.Undecided)
+
+
 def test_dropped_record_is_not_taken_for_a_conflict():
     """Guards against "no effect" when 16 later writes hide our own."""
     write = objects.Write("a", b"", ids.Version(3), ids.OperationId("ours"))
@@ -284,7 +349,7 @@
         self._runner.close()
 
     async def _check(self, attempt):
-        result = await attempt.task
+        result = attempt.task.result()
         if isinstance(result, objects.Undecided):
             call = attempt.client.resolve(result)
             result = await _finish(self._clock, call)
--- a/mustardloom/standins/platform.py
+++ b/mustardloom/standins/platform.py
@@ -21,6 +21,7 @@
 # Bodies above MAX_VALUE_BYTES are read, so that the answer can be a 413.
 _MAX_BODY_BYTES = 16 * raw.MAX_VALUE_BYTES
 _DEFAULT_WAIT_MS = 10_000
+_LONGEST_WAIT_MS = 60_000
 
 
 class PlatformServer:
@@ -79,6 +80,9 @@
     def initialize(self, store: memory.MemoryStore) -> None:
         self.store = store
 
+    def log_exception(self, *details: Any) -> None:
+        """Logs nothing; the answer names the fault of the request."""
+
     async def _reply(self, call: Awaitable[Any]) -> None:
         try:
             result = await call
@@ -137,6 +141,7 @@
     async def get(self) -> None:
         after = self._argument("after", 0)
         wait_ms = self._argument("wait_ms", _DEFAULT_WAIT_MS)
+        wait_ms = min(wait_ms, _LONGEST_WAIT_MS)
         await self._reply(self.store.watch(ids.Version(after), wait_ms))
 
     def _argument(self, name: str, default: int) -> int:
