Refuse declarations that another set already makes

The catalogue of all sets can hold one declaration per id, so a second set with the same ids or prefixes would be accepted and stay hidden.

diff and apply now read all sets in one listing and report services, routes, prefixes and organisations of other sets, and zones that another set puts into a different region. Two sets applied at the same moment are not covered; the catalogue then prefers the set whose id sorts first.

The test of truncated HTTP answers covers four places of truncation.

--- a/mustardloom/cli/configuration.py
+++ b/mustardloom/cli/configuration.py
@@ -135,12 +135,16 @@
     client: platform.PlatformClient, files: list[pathlib.Path]
 ) -> _Plan:
     loaded = declarations.load(files)
-    # Faults in the name of the set are reported without asking the store.
     key = declarations.config_key(loaded.declaration_set().id)
-    found = await client.get(key) if loaded.sets else None
+    listing = await client.list_objects(declarations.CONFIG_PREFIX)
+    found_by_key = {found.key: found for found in listing.objects}
+    found = found_by_key.pop(key, None)
     stored = _decode(found)
+    others = (_decode(other) for other in found_by_key.values())
     in_force = stored.value if stored else None
-    declared = declarations.validate(loaded, in_force)
+    declared = declarations.validate(
+        loaded, in_force, [other.value for other in others if other]
+    )
     changes = tuple(diffs.diff(in_force, declared))
     version = found.version if found else ids.NO_VERSION
     return _Plan(declared, stored, version, changes)
--- a/mustardloom/cli/tests/test_ctl.py
+++ b/mustardloom/cli/tests/test_ctl.py
@@ -109,6 +109,22 @@
     assert server.store.version == 1
 
 
+def test_sets_do_not_declare_the_same_things(server, tmp_path):
+    """Guards against an accepted route that another set hides."""
+    _invoke(server, "apply", EXAMPLES / "kibanda.yaml")
+    path = _variant(tmp_path, "set: kibanda", "set: other")
+    moved = path.read_text().replace(
+        "ziwa-1, region: ziwa", "ziwa-1, region: pwani"
+    )
+    path.write_text(moved)
+    result = _invoke(server, "apply", path)
+    assert result.exit_code == 3, result.output
+    assert "service 'salio' belongs to set 'kibanda'" in result.output
+    assert "prefix '/malipo' belongs to set 'kibanda'" in result.output
+    assert "has availability zone 'ziwa-1' in region 'ziwa'" in result.output
+    assert server.store.version == 1
+
+
 def test_platform_that_is_down_has_its_own_exit_code(server):
     """Guards against scripts that take an outage for a fault of the files."""
     server.store.faults.down = True
--- a/mustardloom/declarations/catalog.py
+++ b/mustardloom/declarations/catalog.py
@@ -50,8 +50,9 @@
 def build(sets: Iterable[model.DeclarationSet]) -> "Catalog":
     """Returns the catalogue of several sets.
 
-    If two sets declare the same id, the set whose id sorts first counts, so
-    that all daemons agree whatever the order of arrival.
+    `mustardloomctl apply` refuses ids of other sets, but two sets may be
+    applied at once. The set whose id sorts first then counts, so that all
+    daemons agree whatever the order of arrival.
 
     Example:
       >>> zone = model.AvailabilityZone("pwani-1", "pwani")
--- a/mustardloom/declarations/validation.py
+++ b/mustardloom/declarations/validation.py
@@ -1,5 +1,6 @@
 """Checks of declarations; all findings are reported together."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -15,7 +16,7 @@
 from mustardloom.declarations import model
 from mustardloom.declarations import nodes
 
-__all__ = ["check", "load_set", "validate"]
+__all__ = ["check", "check_others", "load_set", "validate"]
 
 MAX_SLOT_COUNT = 65_536
 _MAX_NAME_LENGTH = 63
@@ -46,18 +47,88 @@
 
 
 def validate(
-    loaded: loading.Loaded, in_force: model.DeclarationSet | None = None
+    loaded: loading.Loaded,
+    in_force: model.DeclarationSet | None = None,
+    others: Iterable[model.DeclarationSet] = (),
 ) -> model.DeclarationSet:
     """Returns the declared set if it has no faults.
 
+    Args:
+      loaded: What was read from the files.
+      in_force: The same set as it is in force, if there is one.
+      others: Other sets in force, which must not declare the same things.
+
     Raises:
       findings.FindingsError: All faults of reading and of the checks.
     """
-    found = [*loaded.reader.found, *check(loaded, in_force)]
+    found = [
+        *loaded.reader.found,
+        *check(loaded, in_force),
+        *check_others(loaded, others),
+    ]
     findings.raise_if_any(sorted(found))
     return loaded.declaration_set()
 
 
+def check_others(
+    loaded: loading.Loaded, others: Iterable[model.DeclarationSet]
+) -> _Found:
+    """Yields what was read although another set declares it."""
+    for other in others:
+        services = {service.id for service in other.services}
+        routes = {route.id for route in other.routes}
+        prefixes = {route.prefix.rstrip("/") for route in other.routes}
+        organisations = {item.id for item in other.organisations}
+        yield from _check_free(
+            "service", _named(loaded.services), services, other
+        )
+        yield from _check_free("route", _named(loaded.routes), routes, other)
+        yield from _check_free(
+            "prefix", _prefixes(loaded.routes), prefixes, other
+        )
+        yield from _check_free(
+            "organisation", _named(loaded.organisations), organisations, other
+        )
+        yield from _check_zones_of(loaded, other)
+
+
+def _check_free(
+    kind: str,
+    items: Iterable[nodes.Item],
+    taken: Collection[str],
+    other: model.DeclarationSet,
+) -> _Found:
+    for item in items:
+        if item.value in taken:
+            message = f"{kind} '{item.value}' belongs to set '{other.id}'"
+            yield findings.Finding(item.place, message)
+
+
+def _prefixes(
+    routes: Iterable[nodes.Entry[model.Route]],
+) -> Iterator[nodes.Item]:
+    for entry in routes:
+        if entry.is_sound("prefix"):
+            prefix = entry.value.prefix.rstrip("/")
+            yield nodes.Item(prefix, entry.place_of("prefix"))
+
+
+def _check_zones_of(
+    loaded: loading.Loaded, other: model.DeclarationSet
+) -> _Found:
+    """Yields zones that `other` puts into another region."""
+    region_by_zone = {z.id: z.region for z in other.availability_zones}
+    for entry in loaded.availability_zones:
+        zone = entry.value
+        region = region_by_zone.get(zone.id, zone.region)
+        if entry.is_sound("region") and region != zone.region:
+            message = (
+                f"set '{other.id}' has availability zone '{zone.id}' in"
+                f" region '{region}'"
+            )
+            yield findings.Finding(entry.place_of("region"), message)
+
+
 def check(
     loaded: loading.Loaded, in_force: model.DeclarationSet | None = None
 ) -> _Found:
--- a/mustardloom/platform/tests/test_http_pool.py
+++ b/mustardloom/platform/tests/test_http_pool.py
@@ -54,12 +54,13 @@
     assert connections == 1
 
 
-def test_truncated_answer_is_no_answer():
+@pytest.mark.parametrize("sent", [b"", _OK[:20], _OK, _OK + b"ab"])
+def test_truncated_answer_is_no_answer(sent):
     """Guards against half an object that is taken for a whole one."""
 
     async def answer(path, writer):
         del path
-        writer.write(_OK + b"ab")
+        writer.write(sent)
         return False
 
     async def scenario(pool):
