--- a/mustardloom/cli/daemon.py
+++ b/mustardloom/cli/daemon.py
@@ -7,15 +7,12 @@
 from loguru import logger
 import typer
 
-from mustardloom import findings
 from mustardloom.cli import common
 from mustardloom.daemon import daemon as daemons
 from mustardloom.daemon import settings as settings_lib
 
 __all__ = ["main"]
 
-EXIT_START = 1
-EXIT_SETTINGS = 3
 
 _app = typer.Typer()
 
@@ -62,14 +59,12 @@
     log_intervals: Annotated[
         bool, _setting("LOG_INTERVALS", "Keep a log of owner intervals.")
     ] = False,
-    log_format: Annotated[
-        common.LogFormat, _setting("LOG_FORMAT", "Form of log lines.")
-    ] = common.LogFormat.HUMAN,
-    version: common.VersionFlag = False,
+    log_format: common.LogFormatOption = common.LogFormat.HUMAN,
+    version: common.VersionOption = False,
 ) -> None:
     """Runs the daemon until SIGTERM, then drains.
 
-    Exit codes: 0 after a drain, 1 if it cannot start, 2 for unknown flags, 3
+    Exit codes: 0 after a drain, 2 for unknown flags and if it cannot start, 3
     for settings that are not valid.
     """
     del version
@@ -88,16 +83,12 @@
         drain_timeout_ms=drain_timeout_ms,
         log_intervals=log_intervals,
     )
-    try:
+    with common.reporting_errors():
         settings = settings_lib.check(raw)
-    except findings.FindingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_SETTINGS) from error
     try:
         asyncio.run(_serve(settings))
     except daemons.StartError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_START) from error
+        raise common.fail(str(error), common.ExitCode.USAGE) from error
 
 
 async def _serve(settings: settings_lib.DaemonSettings) -> None:
--- a/mustardloom/cli/operate.py
+++ b/mustardloom/cli/operate.py
@@ -16,7 +16,7 @@
 from mustardloom.operators import parser
 from mustardloom.operators import results
 
-__all__ = ["ask", "do", "prompt"]
+__all__ = ["ask", "do", "prompt", "register"]
 
 EXIT_OK = 0
 EXIT_USAGE = 2
@@ -66,6 +66,12 @@
 ]
 
 
+def register(app: typer.Typer) -> None:
+    """Adds the subcommands of this module."""
+    for command in (do, ask, prompt):
+        app.command()(command)
+
+
 def do(
     line: _Line,
     daemon: _Daemons = None,
