Keep slots of unseen owners and bound the wait for a first grant

A reconciler whose replica lacked the record of an owner planned moves away from it. A receiver whose target stopped answering during a move never acknowledged, so that its slot could not move on.

Only members known to be ineligible are emptied. The receiver acknowledges after 500 ms at the latest. A receiver without a lease declines the announcement. Moves planned later no longer wait for an earlier batch with a long request. Ranks are kept until a member appears or is lost.

--- a/mustardloom/ownership/assignment.py
+++ b/mustardloom/ownership/assignment.py
@@ -1,6 +1,7 @@
 """Which member a slot should have; pure functions."""
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -120,27 +121,30 @@
     group: ids.GroupId,
     entries: Sequence[slot_map.SlotEntry],
     receivers: Iterable["Receiver"],
+    emptied: Container[ids.MemberId] = (),
     load: SlotLoad = equal_load,
 ) -> dict[ids.SlotIndex, ids.MemberId]:
     """Returns planned moves by slot, at most the room of each receiver.
 
-    Empties the owners that are not among `receivers`, then balances the rest if
-    the largest load is above MAX_OVER_MEAN. Slots that already move and slots
-    without an owner stay as they are.
+    Empties the members in `emptied`, then balances the receivers if the largest
+    load is above MAX_OVER_MEAN. Slots that already move, slots without an owner
+    and slots of other members stay as they are.
     """
     balance = _Balance(group, entries, receivers, load, ())
-    moves = _empty(entries, balance)
+    moves = _empty(entries, emptied, balance)
     if balance.largest_over_mean() > MAX_OVER_MEAN:
         moves |= _level(entries, balance, load)
     return moves
 
 
 def _empty(
-    entries: Sequence[slot_map.SlotEntry], balance: "_Balance"
+    entries: Sequence[slot_map.SlotEntry],
+    emptied: Container[ids.MemberId],
+    balance: "_Balance",
 ) -> dict[ids.SlotIndex, ids.MemberId]:
     moves: dict[ids.SlotIndex, ids.MemberId] = {}
     for slot, entry in _movable(entries):
-        if entry.owner in balance.receiver_by_id:
+        if entry.owner not in emptied:
             continue
         receiver = balance.least_loaded(limit_all=True)
         if receiver is None:
--- a/mustardloom/ownership/holdings.py
+++ b/mustardloom/ownership/holdings.py
@@ -32,6 +32,7 @@
 
 _GRANT_INTERVAL_MS = 500
 _GRANT_RETRY_MS = 50
+_FIRST_GRANT_WAIT_MS = 500
 _ANNOUNCEMENT_MS = 5_000
 _MAX_INTERVALS = 100_000
 
@@ -397,10 +398,17 @@
             self._metrics.increment("ownership.releases_failed")
             logger.debug(f"release of slots of {group} failed: {error!r}")
 
-    def announce(self, group: ids.GroupId, slot: ids.SlotIndex) -> None:
-        """Expects a transfer of a slot soon, before the map says so."""
+    def announce(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
+        """Expects a transfer of a slot soon, before the map says so.
+
+        Returns:
+          Whether this member could take it.
+        """
+        if self._has_ended or not self._lease.is_held():
+            return False
         until_ms = self._clock.now_ms() + _ANNOUNCEMENT_MS
         self._announced_until_ms[group, slot] = until_ms
+        return True
 
     def has_received(
         self, group: ids.GroupId, slot: ids.SlotIndex, epoch: ids.Epoch
@@ -451,17 +459,24 @@
     ) -> bool:
         """Waits for the first grant of a slot at `epoch` or a higher one.
 
+        The wait is bounded: the receiver owns the slot even if its target does
+        not answer. The acknowledgement lets the map name it, without which the
+        reconciler could not move the slot on.
+
         Returns:
           False if the slot was lost meanwhile.
         """
         key = (group, slot)
+        deadline_ms = self._clock.now_ms() + _FIRST_GRANT_WAIT_MS
         while True:
             holding = self._by_slot.get(key)
             if holding is None or holding.state is _State.GONE:
                 return False
             if holding.served_epoch >= epoch:
                 return True
-            await self._waiter(key)
+            if self._clock.now_ms() >= deadline_ms:
+                return True
+            await self._until_changed(key, deadline_ms)
 
     def _enter_unheld(self, key: _SlotKey) -> EnterResult:
         entry = self._map.entry(*key)
@@ -480,26 +495,30 @@
         return Incoming(wait)
 
     async def _wait(self, key: _SlotKey, deadline_ms: int) -> EnterResult:
+        while True:
+            result = self.enter(*key)
+            if not isinstance(result, Incoming):
+                return result
+            if self._clock.now_ms() >= deadline_ms:
+                return result
+            await self._until_changed(key, deadline_ms)
+
+    async def _until_changed(self, key: _SlotKey, deadline_ms: int) -> None:
+        """Waits for a change of a slot until `deadline_ms` at most."""
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[None] = loop.create_future()
+        self._waiters.setdefault(key, []).append(waiter)
         left_ms = deadline_ms - self._clock.now_ms()
         deadline = asyncio.ensure_future(self._clock.sleep_ms(left_ms))
         try:
-            while True:
-                result = self.enter(*key)
-                if not isinstance(result, Incoming) or deadline.done():
-                    return result
-                waiter = self._waiter(key)
-                await asyncio.wait(
-                    (waiter, deadline), return_when=asyncio.FIRST_COMPLETED
-                )
+            await asyncio.wait(
+                (waiter, deadline), return_when=asyncio.FIRST_COMPLETED
+            )
         finally:
             deadline.cancel()
-
-    def _waiter(self, key: _SlotKey) -> asyncio.Future[None]:
-        waiter: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiters.setdefault(key, []).append(waiter)
-        return waiter
+            waiters = self._waiters.get(key, [])
+            if waiter in waiters:
+                waiters.remove(waiter)
 
     def _wake(self, key: _SlotKey) -> None:
         for waiter in self._waiters.pop(key, ()):
--- a/mustardloom/ownership/moves.py
+++ b/mustardloom/ownership/moves.py
@@ -79,7 +79,8 @@
 class Mover:
     """Carries out planned moves, as the owner and as the receiver.
 
-    One task per receiver and group moves slots; one task writes entries.
+    One task for each batch of slots of one receiver and group, which are
+    planned at the same time; one task writes entries.
     """
 
     def __init__(
@@ -101,7 +102,8 @@
         self._metrics = metrics
         self._work = asyncio.Event()
         self._entries_due = asyncio.Event()
-        self._tasks: dict[_Batch, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._moving: set[_SlotKey] = set()
         self._moved: dict[_SlotKey, _Moved] = {}
         holdings.subscribe(self._work.set)
         peers.handle(peer_pb2.Transfer, self.on_transfer)
@@ -115,7 +117,7 @@
                 await self._work.wait()
                 self._work.clear()
         finally:
-            for task in (writer, *self._tasks.values()):
+            for task in (writer, *self._tasks):
                 task.cancel()
 
     async def on_transfer(
@@ -142,8 +144,7 @@
         slot = ids.SlotIndex(moved.slot)
         epoch = ids.Epoch(moved.epoch)
         if epoch == ANNOUNCEMENT_EPOCH:
-            self._holdings.announce(group, slot)
-            return True
+            return self._holdings.announce(group, slot)
         if self._holdings.has_received(group, slot, epoch):
             return True
         if not self._holdings.may_receive(sender, group, slot, epoch):
@@ -164,29 +165,45 @@
         return await self._holdings.until_served(group, slot, epoch)
 
     def _start_batches(self) -> None:
+        planned_by_batch: dict[_Batch, list[ids.SlotIndex]] = {}
         for move in self._holdings.planned():
-            batch = (move.receiver, move.group)
-            if batch not in self._tasks:
-                task = asyncio.create_task(self._move_batch(batch))
-                self._tasks[batch] = task
-                task.add_done_callback(functools.partial(self._end, batch))
-
-    def _end(self, batch: _Batch, task: asyncio.Task[None]) -> None:
-        del self._tasks[batch]
+            if (move.group, move.slot) not in self._moving:
+                batch = (move.receiver, move.group)
+                planned_by_batch.setdefault(batch, []).append(move.slot)
+        for batch, slots in planned_by_batch.items():
+            self._moving.update((batch[1], slot) for slot in slots)
+            task = asyncio.create_task(self._move_batch(batch, slots))
+            self._tasks.add(task)
+            task.add_done_callback(functools.partial(self._end, batch, slots))
+
+    def _end(
+        self,
+        batch: _Batch,
+        slots: Iterable[ids.SlotIndex],
+        task: asyncio.Task[None],
+    ) -> None:
+        self._tasks.discard(task)
+        self._moving.difference_update((batch[1], slot) for slot in slots)
         if not task.cancelled() and task.exception() is not None:
             self._metrics.increment("ownership.moves_failed")
             logger.error(f"move to {batch} failed: {task.exception()!r}")
         self._work.set()
 
-    async def _move_batch(self, batch: _Batch) -> None:
-        """Moves the slots of one group that are planned for one receiver."""
-        planned = self._planned(batch)
-        if not await self._announce(batch, planned):
+    async def _move_batch(
+        self, batch: _Batch, planned: Iterable[ids.SlotIndex]
+    ) -> None:
+        """Moves slots of one group that are planned for one receiver."""
+        receiver, group = batch
+        ready = await self._announce(batch, planned)
+        if not ready:
             await self._clock.sleep_ms(_UNREACHABLE_RETRY_MS)
             return
-        for move in planned:
-            self._holdings.stop(move)
-        remaining = {move.slot for move in planned}
+        remaining = set()
+        for move in self._holdings.planned():
+            is_own = move.group == group and move.receiver == receiver
+            if is_own and move.slot in ready:
+                self._holdings.stop(move)
+                remaining.add(move.slot)
         while remaining:
             # Slots are sent as soon as they are drained, so that one long
             # request delays only its own slot.
@@ -195,30 +212,23 @@
             remaining.difference_update(drained)
             if drained and not await self._transfer(batch, drained):
                 self._resume(batch, remaining)
+                await self._clock.sleep_ms(_UNREACHABLE_RETRY_MS)
                 return
 
-    def _planned(self, batch: _Batch) -> list[holdings_lib.PlannedMove]:
-        receiver, group = batch
-        return [
-            move
-            for move in self._holdings.planned()
-            if move.receiver == receiver and move.group == group
-        ]
-
     async def _announce(
-        self, batch: _Batch, planned: Iterable[holdings_lib.PlannedMove]
-    ) -> bool:
-        """Returns whether the receiver answers, before anything is stopped."""
+        self, batch: _Batch, planned: Iterable[ids.SlotIndex]
+    ) -> frozenset[int]:
+        """Returns the slots that the receiver is ready to take."""
         receiver, group = batch
         transfer = peer_pb2.Transfer(group=group)
-        for move in planned:
-            transfer.slots.add(slot=move.slot, epoch=ANNOUNCEMENT_EPOCH)
+        for slot in planned:
+            transfer.slots.add(slot=slot, epoch=ANNOUNCEMENT_EPOCH)
         try:
-            await self._peers.call(receiver, transfer, _CALL_TIMEOUT_MS)
+            reply = await self._peers.call(receiver, transfer, _CALL_TIMEOUT_MS)
         except peers_lib.PeerError:
             self._metrics.increment("ownership.receivers_unreachable")
-            return False
-        return True
+            return frozenset()
+        return frozenset(reply.slots)
 
     async def _until_any_drained(
         self, batch: _Batch, remaining: set[ids.SlotIndex]
--- a/mustardloom/ownership/reconciler.py
+++ b/mustardloom/ownership/reconciler.py
@@ -101,11 +101,16 @@
         self._metrics = metrics
         self._load = load
         self._has_changes = True
-        self._ranks: dict[ids.GroupId, int] = {}
+        self._has_member_changes = True
+        self._live: frozenset[ids.MemberId] = frozenset()
+        # Ranks are kept until a member appears or is lost: sorting all members
+        # in each pass would cost a large fleet too much processor time.
+        self._rank_by_group: dict[ids.GroupId, int | None] = {}
         self._due: dict[slot_map.ChunkName, _Due] = {}
         self._active_since_ms: dict[ids.MemberId, int] = {}
         self._retry_at_ms = 0
         replica.subscribe("", self._on_event)
+        replica.subscribe(records.MEMBERS_PREFIX, self._on_member_event)
 
     async def run(self) -> None:
         """Reconciles after changes and once a second until cancelled."""
@@ -120,17 +125,27 @@
     async def reconcile(self) -> None:
         """Makes one pass over all groups."""
         self._has_changes = False
-        self._note_active()
+        if self._has_member_changes:
+            self._has_member_changes = False
+            self._note_members()
         for group, slot_count in self._groups():
             rank = self._rank(group)
-            if rank < _MAX_CANDIDATES:
+            if rank is not None:
                 await self._reconcile_group(group, slot_count, rank)
 
     def _on_event(self, event: object) -> None:
         del event
         self._has_changes = True
 
-    def _note_active(self) -> None:
+    def _on_member_event(self, event: object) -> None:
+        del event
+        self._has_member_changes = True
+
+    def _note_members(self) -> None:
+        live = frozenset(record.member for record in self._members.live())
+        if live != self._live:
+            self._live = live
+            self._rank_by_group.clear()
         now_ms = self._clock.now_ms()
         active = {
             record.member
@@ -142,11 +157,14 @@
             for member in active
         }
 
-    def _rank(self, group: ids.GroupId) -> int:
-        order = ranked(group, self._members.live())
-        if self._member not in order:
-            return _MAX_CANDIDATES
-        return order.index(self._member)
+    def _rank(self, group: ids.GroupId) -> int | None:
+        """Returns the own rank, None if this member plans nothing."""
+        if group not in self._rank_by_group:
+            best = ranked(group, self._members.live())[:_MAX_CANDIDATES]
+            is_candidate = self._member in best
+            rank = best.index(self._member) if is_candidate else None
+            self._rank_by_group[group] = rank
+        return self._rank_by_group[group]
 
     async def _reconcile_group(
         self, group: ids.GroupId, slot_count: int, rank: int
@@ -201,7 +219,8 @@
         chosen = assignment.assign(group, entries, ownerless, receivers, load)
         for slot, member in chosen.items():
             entries[slot] = changes[slot] = self._given(entries[slot], member)
-        moves = assignment.plan_moves(group, entries, receivers, load)
+        emptied = self._emptied(receivers)
+        moves = assignment.plan_moves(group, entries, receivers, emptied, load)
         for slot, member in moves.items():
             if slot in ownerless:
                 continue
@@ -221,6 +240,16 @@
                 under_way.get(record.member, 0),
             )
 
+    def _emptied(
+        self, receivers: Iterable[assignment.Receiver]
+    ) -> set[ids.MemberId]:
+        """Returns the known members that may own nothing of a group.
+
+        An owner whose record the replica lacks is not one of them.
+        """
+        live = {record.member for record in self._members.live()}
+        return live.difference(receiver.member for receiver in receivers)
+
     def _under_way(self) -> Mapping[ids.MemberId, int]:
         count: dict[ids.MemberId, int] = {}
         for entries in self._map.by_group.values():
