--- a/mustardloom/ownership/reconciler.py
+++ b/mustardloom/ownership/reconciler.py
@@ -115,9 +115,13 @@
             if rank is not None and rank < _MAX_CANDIDATES:
                 await self._reconcile_group(group, slot_count, rank)
 
+    def wake(self) -> None:
+        """Makes a pass soon, since groups or stops may have changed."""
+        self._has_changes = True
+
     def _on_event(self, event: object) -> None:
         del event
-        self._has_changes = True
+        self.wake()
 
     def _note_active(self) -> None:
         if self._noted_revision == self._members.revision:
@@ -187,7 +191,8 @@
         chosen = assignment.assign(group, entries, ownerless, receivers, load)
         for slot, member in chosen.items():
             entries[slot] = changes[slot] = self._given(entries[slot], member)
-        moves = assignment.plan_moves(group, entries, receivers, load)
+        emptied = self._emptied(receivers)
+        moves = assignment.plan_moves(group, entries, receivers, emptied, load)
         for slot, member in moves.items():
             if slot in ownerless:
                 continue
@@ -207,6 +212,16 @@
                 under_way.get(record.member, 0),
             )
 
+    def _emptied(
+        self, receivers: Iterable[assignment.Receiver]
+    ) -> set[ids.MemberId]:
+        """Returns the known members that may own nothing of a group.
+
+        An owner whose record the replica lacks is not one of them.
+        """
+        live = {record.member for record in self._members.live()}
+        return live.difference(receiver.member for receiver in receivers)
+
     def _under_way(self) -> Mapping[ids.MemberId, int]:
         """Returns the planned moves under way by receiver, once per pass."""
         if self._moves_to is None:
--- a/mustardloom/ownership/tests/fleet.py
+++ b/mustardloom/ownership/tests/fleet.py
@@ -329,6 +329,12 @@
         self._tasks.extend(member.start())
         return member
 
+    def stop_zones(self, zones):
+        """Sets the stopped zones; every member learns of it."""
+        self.stopped_zones = set(zones)
+        for member in self.members:
+            member.reconciler.wake()
+
     def lapse(self, member):
         if member.lease.lapsed_ms is None:
             member.lease.lapsed_ms = self.clock.now_ms()
