--- a/mustardloom/admission/tests/test_deduplication.py
+++ b/mustardloom/admission/tests/test_deduplication.py
@@ -19,6 +19,8 @@
 FENCE_MARGIN_MS = 750
 CLOCK_SKEW_MS = 250
 PLACEMENT = dispatches.Placement(ids.GroupId("salio@*"), ids.SlotIndex(3))
+# Stamps of ids, relative to the wall clock.
+OFFSETS_MS = st.sampled_from((0, 0, -100, -5_000, -11_000, 500, 700))
 UNKNOWN = outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "")
 REFUSED = outcomes.Refused(outcomes.RefusalReason.OVERLOADED, "")
 
@@ -76,8 +78,6 @@
     fastest one by as much as the fence margin allows for.
     """
 
-    ids = stateful.Bundle("ids")
-
     def __init__(self):
         super().__init__()
         self.loop = asyncio.new_event_loop()
@@ -88,14 +88,22 @@
         self.maybe_run = set()
         self.answers = {}
         self.tasks = []
+        self.ids = {}
+        for number in range(4):
+            self.make_id(number, 0)
+
+    def make_id(self, number, offset_ms):
+        stamp_ms = self.clock.wall_ms() + offset_ms
+        self.ids[number] = deduplication.new_request_id(stamp_ms)
 
-    @stateful.rule(target=ids, offset_ms=st.integers(-11_000, 700))
-    def make_id(self, offset_ms):
-        return deduplication.new_request_id(self.clock.wall_ms() + offset_ms)
+    @stateful.rule(number=st.integers(0, 3), offset_ms=OFFSETS_MS)
+    def new_id(self, number, offset_ms):
+        self.make_id(number, offset_ms)
 
-    @stateful.rule(request_id=ids, deadline_ms=st.integers(1, 2_000))
-    def send(self, request_id, deadline_ms):
+    @stateful.rule(number=st.integers(0, 3), deadline_ms=st.integers(1, 2_000))
+    def send(self, number, deadline_ms):
         assert self.highest_wall_ms
+        request_id = self.ids[number]
         request = make_request(self.clock, request_id, deadline_ms)
         task = self.table.run(
             PLACEMENT, request, lambda: self.dispatch(request_id)
@@ -118,7 +126,8 @@
         number=st.integers(0, 9), kind=st.sampled_from(("ok", "lost", "not"))
     )
     def finish(self, number, kind):
-        hypothesis.assume(self.running)
+        if not self.running:
+            return
         request_id = list(self.running)[number % len(self.running)]
         outcome: outcomes.Outcome = UNKNOWN
         if kind == "ok":
@@ -131,7 +140,8 @@
 
     @stateful.rule(number=st.integers(0, 9))
     def drop_sender(self, number):
-        hypothesis.assume(self.running)
+        if not self.running:
+            return
         request_id = list(self.running)[number % len(self.running)]
         del self.running[request_id]
         first = next(
@@ -210,6 +220,39 @@
     assert send(table, clock, request_id) == (answer_to(request_id), False)
 
 
+@pytest.mark.parametrize(
+    ("outcome", "again"), [(REFUSED, True), (UNKNOWN, False)]
+)
+def test_only_refused_ids_may_run_again(outcome, again):
+    """Guards against a second run after an unknown outcome."""
+    clock = clocks.FakeClock()
+    table = make_ids(clock)
+    request_id = deduplication.new_request_id(clock.wall_ms())
+    ran = [send(table, clock, request_id, outcome)[1] for _ in range(3)]
+    assert ran == [True, again, again]
+
+
+@pytest.mark.parametrize("moved", [False, True])
+def test_dropped_ids_do_not_revive(moved):
+    """Guards against a second run after the wall clock is set back."""
+    clock = clocks.FakeClock()
+    table = make_ids(clock)
+    request_id = deduplication.new_request_id(clock.wall_ms())
+    assert send(table, clock, request_id)[1]
+    clock.jump(RETENTION_MS + 2_000)
+    table.drop_old()
+    clock.jump(-RETENTION_MS)
+    if moved:
+        exported = table.export_slot(PLACEMENT)
+        table = make_ids(clock)
+        table.open_slot(
+            PLACEMENT, exported.unknown_before_wall_ms, exported.requests
+        )
+    outcome, ran = send(table, clock, request_id)
+    assert isinstance(outcome, outcomes.Unknown)
+    assert not ran
+
+
 @pytest.mark.parametrize(
     ("offset_ms", "reason", "ran"),
     [
@@ -239,6 +282,27 @@
     assert not ran
 
 
+def test_running_ids_move_as_unknown():
+    """Guards against a second run of an id that ran while its slot moved."""
+
+    async def scenario():
+        clock = clocks.FakeClock()
+        table = make_ids(clock)
+        request_id = deduplication.new_request_id(clock.wall_ms())
+        request = make_request(clock, request_id)
+        first = table.run(PLACEMENT, request, lambda: clock.sleep_ms(10))
+        task = asyncio.create_task(first)
+        await clock.advance(0)
+        exported = table.export_slot(PLACEMENT)
+        task.cancel()
+        receiver = make_ids(clock)
+        receiver.open_slot(PLACEMENT, 0, exported.requests)
+        return await receiver.run(PLACEMENT, request, None)
+
+    outcome = asyncio.run(scenario())
+    assert outcome.reason is outcomes.UnknownReason.ID_UNRESOLVED
+
+
 def test_memory_is_bounded():
     """Guards against a table that grows with the traffic."""
     clock = clocks.FakeClock()
--- a/mustardloom/admission/tests/test_gate.py
+++ b/mustardloom/admission/tests/test_gate.py
@@ -195,16 +195,16 @@
         self.loop.run_until_complete(settle())
 
     def pick(self, number):
+        """Returns a running dispatch; a failed assumption would end the run."""
         pending = self.model.pending()
-        hypothesis.assume(pending)
-        return pending[number % len(pending)]
+        return pending[number % len(pending)] if pending else None
 
     @stateful.rule(
         fingerprint=st.integers(0, 3),
         deadline_ms=st.integers(1, MAX_DEADLINE_MS),
         condition=st.sampled_from(CONDITIONS),
         lease_ms=st.sampled_from((1_000, 100, 5)),
-        cancel_at_once=st.booleans(),
+        cancel_at_once=st.sampled_from((False, False, False, True)),
     )
     def send(
         self, fingerprint, deadline_ms, condition, lease_ms, cancel_at_once
@@ -250,6 +250,8 @@
     @stateful.rule(number=st.integers(0, 9))
     def answer(self, number):
         running = self.pick(number)
+        if running is None:
+            return
         fingerprint = running.sent.request.fingerprint
         self.model.successes += 1
         if self.model.crashes.get(fingerprint) == 1:
@@ -259,6 +261,8 @@
     @stateful.rule(number=st.integers(0, 9))
     def target_refuses(self, number):
         running = self.pick(number)
+        if running is None:
+            return
         running.sent.refused_by_target = True
         refused = outcomes.Refused(outcomes.RefusalReason.TARGET_REFUSED, "")
         self.now(lambda: self.model.end(running, refused))
@@ -267,13 +271,16 @@
     def truncate(self, number):
         """The connection breaks, but the target runs on."""
         running = self.pick(number)
+        if running is None:
+            return
         unknown = outcomes.Unknown(outcomes.UnknownReason.TRUNCATED, "")
         result = dispatches.DispatchResult(unknown)
         self.now(lambda: running.result.set_result(result))
 
     @stateful.rule()
     def crash(self):
-        hypothesis.assume(self.model.pending())
+        if not self.model.pending():
+            return
         unknown = outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "")
         model = self.model
         for fingerprint in {s.request.fingerprint for s in model.active()}:
@@ -288,7 +295,8 @@
 
     @stateful.rule(number=st.integers(0, 99), hard=st.booleans())
     def cancel(self, number, hard):
-        hypothesis.assume(self.sent)
+        if not self.sent:
+            return
         sent = self.sent[number % len(self.sent)]
         self.now(sent.task.cancel if hard else sent.cancellation.cancel)
 
@@ -310,6 +318,14 @@
         assert self.model.gate.load.queued <= 2 * CAPACITY
         assert sum(sent.entered for sent in self.sent) <= CAPACITY
 
+    @stateful.invariant()
+    def nothing_waits_in_vain(self):
+        if self.model.closed:
+            assert self.model.gate.load.queued == 0
+        now_ms = self.model.clock.now_ms()
+        for sent in self.sent:
+            assert sent.task.done() or sent.request.deadline_ms > now_ms
+
     @stateful.invariant()
     def outcomes_are_honest(self):
         for sent in self.sent:
