--- a/mustardloom/admission/tests/test_protection.py
+++ b/mustardloom/admission/tests/test_protection.py
@@ -13,7 +13,7 @@
 from mustardloom.admission import presence
 from mustardloom.admission import quarantine as quarantines
 from mustardloom.admission import warmup as warmups
-from mustardloom.admission.tests import test_gate
+from mustardloom.admission.tests import support
 
 CAPACITY = 6
 ALIVE = dispatches.Probe(True, True, "i1")
@@ -64,14 +64,18 @@
             on_target_down=self.down.append,
         )
 
-    async def serve(self, count, deadline_ms=1_000):
+    def send(self, deadline_ms=1_000):
+        """Starts one request."""
+        request = support.make_request(self.clock, deadline_ms)
+        return asyncio.create_task(
+            self.gate.run(request, None, dispatches.OpenEntry())
+        )
+
+    async def serve(self, count):
         """Runs requests one after the other."""
         results = []
         for _ in range(count):
-            request = test_gate.make_request(self.clock, 1, deadline_ms)
-            task = asyncio.create_task(
-                self.gate.run(request, None, dispatches.OpenEntry())
-            )
+            task = self.send()
             await self.clock.advance(self.target.service_ms)
             results.append(await task)
         return results
@@ -118,16 +122,7 @@
 
     async def scenario():
         bench = await _warm_bench()
-        first, second = (
-            asyncio.create_task(
-                bench.gate.run(
-                    test_gate.make_request(bench.clock, 1, 9),
-                    None,
-                    dispatches.OpenEntry(),
-                )
-            )
-            for _ in range(2)
-        )
+        first, second = bench.send(9), bench.send(9)
         await bench.clock.advance(0)
         refused_at_once = second.done() and not first.done()
         await bench.clock.advance(20)
