--- a/mustardloom/operators/commands/__init__.py
+++ b/mustardloom/operators/commands/__init__.py
@@ -3,8 +3,17 @@
 from mustardloom.operators.commands.changes import Author
 from mustardloom.operators.commands.changes import Change
 from mustardloom.operators.commands.changes import Changer
+from mustardloom.operators.commands.guard import StopGuard
 from mustardloom.operators.commands.losses import Losses
 from mustardloom.operators.commands.moves import Moves
 from mustardloom.operators.commands.stops import Stops
 
-__all__ = ["Author", "Change", "Changer", "Losses", "Moves", "Stops"]
+__all__ = [
+    "Author",
+    "Change",
+    "Changer",
+    "Losses",
+    "Moves",
+    "StopGuard",
+    "Stops",
+]
--- a/mustardloom/operators/commands/stops.py
+++ b/mustardloom/operators/commands/stops.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from mustardloom import findings
+from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import platform
 from mustardloom.declarations import model
@@ -13,9 +14,13 @@
 from mustardloom.operators import views
 from mustardloom.operators.commands import changes
 from mustardloom.operators.commands import fit
+from mustardloom.operators.commands import guard as guard_lib
 
 __all__ = ["Stops"]
 
+# Each further attempt means that another stop was recorded in between.
+_CHECK_ATTEMPTS = 5
+
 
 class Stops:
     """Takes availability zones and targets out of service and back."""
@@ -24,10 +29,12 @@
         self,
         view: views.View,
         changer: changes.Changer,
+        guard: guard_lib.StopGuard,
         metrics: metrics_lib.Metrics,
     ):
         self._view = view
         self._changer = changer
+        self._guard = guard
         self._metrics = metrics
 
     async def stop(
@@ -45,14 +52,11 @@
         findings.raise_if_any(self._unknown(command.kind, command.name))
         change = self._change(command.kind, command.name, active=True)
         try:
-            await self._changer.refresh(model.STOPS_PREFIX)
+            refusal = await self._check(command, change, author, seen)
         except platform.PlatformUnavailable as error:
             return self._changer.unavailable(error)
-        may_apply = command.force or self._changer.is_settled(change, author)
-        if not may_apply:
-            refusal = await self._refusal(command)
-            if refusal is not None:
-                return refusal
+        if refusal is not None:
+            return refusal
         return await self._changer.apply(change, author, seen)
 
     async def start(
@@ -102,32 +106,75 @@
             case model.StopKind.TARGET:
                 yield from self._view.unknown_vm(name)
 
-    async def _refusal(self, command: parser.Stop) -> results.Refused | None:
+    async def _check(
+        self,
+        command: parser.Stop,
+        change: changes.Change[model.Stop],
+        author: changes.Author,
+        seen: ids.Version,
+    ) -> results.Refused | results.Unavailable | None:
         """Returns the refusal if the remaining targets cannot bear a stop."""
+        for _ in range(_CHECK_ATTEMPTS):
+            found = await self._guard.read()
+            await self._changer.refresh(model.STOPS_PREFIX)
+            if self._changer.is_settled(change, author):
+                return None
+            if not command.force:
+                refusal = await self._refusal(command, found)
+                if refusal is not None:
+                    return refusal
+            stop = guard_lib.PendingStop(
+                kind=command.kind,
+                name=command.name.text,
+                seen=seen,
+                wall_ms=self._view.clock.wall_ms(),
+            )
+            if await self._guard.claim(found, stop):
+                return None
+        return results.Unavailable(
+            message="nothing was changed; other stops kept coming first"
+        )
+
+    async def _refusal(
+        self, command: parser.Stop, found: guard_lib.FoundGuard
+    ) -> results.Refused | None:
+        view = self._view
+        versions = {
+            event.key: event.version
+            for event in view.replica.select(model.STOPS_PREFIX)
+        }
+        # An earlier attempt at the same stop must not hide its own members.
+        pending = [
+            stop
+            for stop in self._guard.pending(found, versions)
+            if (stop.kind, stop.name) != (command.kind, command.name.text)
+        ]
 
         def covers(record: records.MemberRecord) -> bool:
-            if command.kind is model.StopKind.TARGET:
-                return record.vm == command.name.text
-            return record.availability_zone == command.name.text
+            kind, name = command.kind, command.name.text
+            return guard_lib.covers(kind, name, record)
+
+        def is_stopped(record: records.MemberRecord) -> bool:
+            is_pending = any(stop.covers(record) for stop in pending)
+            return is_pending or view.configuration.is_stopped(record)
 
-        view = self._view
         affected = {r.service for r in view.members.live() if covers(r)}
         asked = [r for r in view.members.live() if r.service in affected]
         answers = await view.figures.of_all(r.member for r in asked)
-        found = tuple(
+        short = tuple(
             fit.shortfalls(
                 [group for group, _ in view.configuration.groups()],
                 view.members.live(),
-                view.configuration.is_stopped,
+                is_stopped,
                 covers,
                 {member: _figures(answers[member]) for member in answers},
             )
         )
-        if not found:
+        if not short:
             return None
         self._metrics.increment("operators.stops_refused")
         return results.Refused(
-            message=_explain(command, found), shortfalls=found
+            message=_explain(command, short), shortfalls=short
         )
 
 
--- a/mustardloom/operators/endpoint.py
+++ b/mustardloom/operators/endpoint.py
@@ -13,12 +13,19 @@
 
 PATH = "/operator"
 
+_MAX_WHO_CHARACTERS = 100
+
 
 def handlers(operator: operators.Operator) -> list[Any]:
     """Returns the request handlers for the admin server."""
     return [(PATH, _OperatorHandler, {"operator": operator})]
 
 
+def _is_name(who: str) -> bool:
+    is_short = len(who) <= _MAX_WHO_CHARACTERS
+    return bool(who.strip()) and who.isprintable() and is_short
+
+
 class Order(msgspec.Struct, frozen=True, omit_defaults=True):
     """Body of `POST /operator`.
 
@@ -50,8 +57,11 @@
             order = msgspec.json.decode(self.request.body, type=Order)
         except msgspec.DecodeError as error:
             return results.Malformed(message=str(error), findings=())
-        if not order.who.strip():
-            message = "'who' is empty; the audit trail needs a name"
+        if not _is_name(order.who):
+            message = (
+                "'who' has to be a printable name of at most"
+                f" {_MAX_WHO_CHARACTERS} characters, for the audit trail"
+            )
             return results.Malformed(message=message, findings=())
         return await self._operator.execute(
             order.line, order.who, order.operation
--- a/mustardloom/operators/operator.py
+++ b/mustardloom/operators/operator.py
@@ -41,7 +41,8 @@
             store, view.replica, publish, view.clock, metrics
         )
         self._metrics = metrics
-        self._stops = commands.Stops(view, changer, metrics)
+        guard = commands.StopGuard(store, view.clock)
+        self._stops = commands.Stops(view, changer, guard, metrics)
         self._losses = commands.Losses(view, changer, fencer)
         writer = chunk_writer.ChunkWriter(view.replica, store, publish, metrics)
         self._moves = commands.Moves(view, changer, writer)
