--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,9 +1,9 @@
 """The demo: a whole deployment on one machine, with a loss and a stop."""
 
+from concurrent import futures
 import pathlib
 import sys
 import tempfile
-import threading
 import time
 
 from bench import checker
@@ -83,10 +83,10 @@
             self._fleet.caller(region, self._caller_arguments(region, seed))
             for seed, region in enumerate(self._deployment.regions)
         ]
-        script = threading.Thread(target=self._script, args=(collector,))
-        script.start()
-        reports = [results.finish(caller) for caller in callers]
-        script.join()
+        with futures.ThreadPoolExecutor(1) as executor:
+            script = executor.submit(self._script, collector)
+            reports = [results.finish(caller) for caller in callers]
+            script.result()
         return reports
 
     def _script(self, collector: collectors.RunCollector) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -314,7 +314,11 @@
                 process.send_signal(number)
 
     def _environment(self) -> dict[str, str]:
+        live = (node for node in self.nodes if node.processes())
         settings = {
+            "MUSTARDLOOM_DAEMON": " ".join(
+                f"{node.host}:{_ADMIN_PORT}" for node in live
+            ),
             "MUSTARDLOOM_FLEET_KEY": _FLEET_KEY,
             "MUSTARDLOOM_PLATFORM": self.platform_url,
         }
