--- a/mustardloom/admission/tests/test_protection.py
+++ b/mustardloom/admission/tests/test_protection.py
@@ -221,3 +221,18 @@
     early, late, down, limit = asyncio.run(scenario())
     assert (early, late, down) == ([], [True], [True, False])
     assert limit == 1
+
+
+def test_waiting_ends_at_the_deadline():
+    """Guards against a refusal that comes only when a place is free."""
+
+    async def scenario():
+        bench = Bench()
+        bench.target.service_ms = 500
+        sends = [bench.send(), bench.send(50), bench.send(20)]
+        await bench.clock.advance(50)
+        return [send.done() for send in sends], sends[1].result()
+
+    done, refused = asyncio.run(scenario())
+    assert done == [False, True, True]
+    assert refused.reason is outcomes.RefusalReason.DEADLINE
