Tell a refused connection from our own lack of sockets

Cause: any failure to connect counted as a target that is gone. With all file descriptors in use, a cancellation was taken for confirmed, and the place and the slot of a running request were freed. Change: ConnectError tells whether the connection was refused; only then is the target gone. Conclusion: the new test is red with the old rule.

--- a/mustardloom/forwarding/connections.py
+++ b/mustardloom/forwarding/connections.py
@@ -57,7 +57,17 @@
 
 
 class ConnectError(Exception):
-    """No connection could be opened; nothing was sent."""
+    """No connection could be opened; nothing was sent.
+
+    Attributes:
+      refused: Nobody listens on the address. Otherwise the cause may be on our
+        side, such as a lack of file descriptors, or a full backlog.
+    """
+
+    def __init__(self, error: OSError):
+        super().__init__(str(error) or "time-out")
+        cause = getattr(error, "real_error", None) or error
+        self.refused = isinstance(cause, ConnectionRefusedError)
 
 
 class UnsendableError(Exception):
@@ -237,15 +247,18 @@
         return await self._connect()
 
     async def _connect(self) -> _Stream:
-        stream = _Stream(
-            socket.socket(), max_buffer_size=self._max_buffer_bytes
-        )
+        try:
+            stream = _Stream(
+                socket.socket(), max_buffer_size=self._max_buffer_bytes
+            )
+        except OSError as error:
+            raise ConnectError(error) from error
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 await stream.connect(self._address)
         except OSError as error:
             stream.close()
-            raise ConnectError(str(error) or "time-out") from error
+            raise ConnectError(error) from error
         except asyncio.CancelledError:
             stream.close()
             raise
--- a/mustardloom/forwarding/target_client.py
+++ b/mustardloom/forwarding/target_client.py
@@ -205,8 +205,8 @@
         )
         try:
             message = await self._control(call)
-        except connections.ConnectError:
-            return True  # The process is gone and nothing runs.
+        except connections.ConnectError as error:
+            return error.refused  # The process is gone and nothing runs.
         return message is not None and message.status == _OK
 
     async def grant(self, grants: Iterable[Grant], expires_ms: int) -> bool:
@@ -230,8 +230,8 @@
         call = connections.Call("GET", "/_target/health", (), b"")
         try:
             message = await self._control(call)
-        except connections.ConnectError:
-            return dispatches.Probe(answered=False, connected=False)
+        except connections.ConnectError as error:
+            return dispatches.Probe(False, connected=not error.refused)
         if message is None:
             return dispatches.Probe(answered=False, connected=True)
         instance = message.headers.get(_INSTANCE_HEADER)
--- a/mustardloom/forwarding/tests/test_target_client.py
+++ b/mustardloom/forwarding/tests/test_target_client.py
@@ -1,6 +1,8 @@
 """Tests of the target client against a server that breaks the rules."""
 
 import asyncio
+import errno
+import socket
 
 import pytest
 
@@ -266,10 +268,30 @@
     async def scenario(server):
         server.server.close()
         await server.server.wait_closed()
-        return await server.send()
+        stopped = await server.client.cancel("d1")
+        return await server.send(), stopped, await server.client.probe()
 
-    result = run(scenario)
+    result, stopped, probe = run(scenario)
     assert result.outcome.reason is outcomes.RefusalReason.TARGET_DOWN
+    assert stopped
+    assert not probe.connected
+
+
+def test_our_own_lack_of_sockets_is_no_loss_of_the_target(monkeypatch):
+    """Guards against a slot that is left while a request runs in it."""
+
+    def no_socket(*_):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def scenario(server):
+        monkeypatch.setattr(socket, "socket", no_socket)
+        stopped = await server.client.cancel("d1")
+        return await server.send(), stopped, await server.client.probe()
+
+    result, stopped, probe = run(scenario)
+    assert result.outcome.reason is outcomes.RefusalReason.TARGET_DOWN
+    assert not stopped
+    assert probe.connected
 
 
 def test_refusals_of_the_target_need_their_header():
