Resume a stopped slot when its plan has ended

A replica may skip the entry that ends a move and show the plan of the next one. The owner then kept the slot stopped for the old receiver, sent it there, and nobody served it any more.

The owner resumes a stopped slot whenever the entry names another receiver. Failing grants are logged once, when they begin to fail.

--- a/mustardloom/ownership/holdings.py
+++ b/mustardloom/ownership/holdings.py
@@ -209,6 +209,7 @@
         self._metrics = metrics
         self._logs_intervals = log_intervals
         self._has_ended = False
+        self._is_target_silent = False
         self._by_slot: dict[_SlotKey, _Holding] = {}
         self._announced_until_ms: dict[_SlotKey, int] = {}
         self._waiters: dict[_SlotKey, list[asyncio.Future[None]]] = {}
@@ -393,10 +394,9 @@
         """Withdraws the grants of slots that moved away."""
         try:
             await self._grants.release(group, slots)
-        except Exception as error:
+        except Exception:
             # Grants expire with the lease; nothing else depends on this call.
             self._metrics.increment("ownership.releases_failed")
-            logger.debug(f"release of slots of {group} failed: {error!r}")
 
     def announce(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
         """Expects a transfer of a slot soon, before the map says so.
@@ -562,7 +562,9 @@
             # of the slot: the cut-off of the entry does not apply.
             holding.epoch = entry.epoch
             self._grant_wanted.set()
-        if holding.state is _State.STOPPING and entry.moving_to is None:
+        if entry.moving_to != holding.receiver:
+            # The move that the slot was stopped for has ended. The replica may
+            # have skipped that entry and show the plan of the next move.
             self.resume(*key)
 
     def _on_foreign(
@@ -606,8 +608,11 @@
             # The target may be down or its answer malformed; either way the
             # slots are not granted yet.
             self._metrics.increment("ownership.grants_failed")
-            logger.debug(f"grant of slots of {group} failed: {error!r}")
+            if not self._is_target_silent:
+                logger.warning(f"grants of {group} began to fail: {error!r}")
+            self._is_target_silent = True
             return False
+        self._is_target_silent = False
         for slot, epoch in epoch_by_slot.items():
             self._on_granted((group, slot), epoch)
         return True
--- a/mustardloom/ownership/tests/test_moves.py
+++ b/mustardloom/ownership/tests/test_moves.py
@@ -192,6 +192,29 @@
     _run(scenario)
 
 
+def test_stopped_slot_follows_the_next_plan():
+    """Guards against a transfer to a receiver of a plan that has ended."""
+
+    async def scenario(fleet):
+        owner, receiver = _pair(fleet)
+        _enter(owner)
+        fleet.plan(_SLOT, receiver)
+        await fleet.settle(500)
+        third = fleet.join()
+        fleet.fence(receiver)
+        for _ in range(40):
+            third.catch_up()
+            await fleet.clock.advance(100)
+        assert fleet.store.entries()[0].moving_to is None
+        fleet.plan(_SLOT, third)
+        owner.deliver_one(fleet.store.version - 1)
+        owner.holdings.leave(fleets.GROUP, _SLOT)
+        await fleet.settle(2_000)
+        assert fleet.servers(_SLOT) == [third]
+
+    _run(scenario)
+
+
 def test_old_transfer_is_refused():
     """Guards against a delayed transfer that brings back an old epoch."""
 
