Balance slots from 1.05 times the mean load

With the bound of 1.1, one of 16 availability zones got no slots back after its return: 170 of 2,700 members stayed empty.

The bound is 1.05 now, and balancing goes on until 1.02.

--- a/mustardloom/ownership/assignment.py
+++ b/mustardloom/ownership/assignment.py
@@ -29,11 +29,12 @@
 SlotLoad = Callable[[ids.SlotIndex], float]
 
 # Nothing moves for balance while the largest load per capacity is at most this
-# multiple of the mean. The goal for the measured imbalance is 1.2.
-MAX_OVER_MEAN = 1.1
+# multiple of the mean. The goal for the measured imbalance is 1.2. With 1.1,
+# one of 16 availability zones stayed empty after its return.
+MAX_OVER_MEAN = 1.05
 # Once balancing starts, it goes on below the bound that starts it, so that one
 # more slot does not start it again.
-_SETTLED_OVER_MEAN = 1.05
+_SETTLED_OVER_MEAN = 1.02
 
 # A target that became active more recently may still be cold.
 _COLD_MS = 10_000
--- a/mustardloom/ownership/tests/test_assignment.py
+++ b/mustardloom/ownership/tests/test_assignment.py
@@ -108,9 +108,9 @@
 
 
 def test_small_imbalance_moves_nothing():
-    """Guards against churn within the stated bound of 1.1 times the mean."""
+    """Guards against churn within the stated bound of 1.05 times the mean."""
     receivers = [_receiver(m) for m in _MEMBERS[:3]]
-    for counts, expected in (((22, 20, 18), 0), ((23, 20, 17), 2)):
+    for counts, expected in (((21, 20, 19), 0), ((22, 20, 18), 2)):
         owners = [
             m for m, n in zip(_MEMBERS, counts, strict=False) for _ in [0] * n
         ]
