Check that a member without a lease admits nothing

Removing the lease check passed the state machine after its rules had changed. The invariant now names lapsed members directly; removing the check makes it fail again.

--- a/mustardloom/ownership/tests/test_faults.py
+++ b/mustardloom/ownership/tests/test_faults.py
@@ -197,6 +197,7 @@
             busy = {m.id for m, at in self.running if at == slot}
             live = {member.id for member in self.fleet.live()}
             serving = {member.id for member in self.fleet.servers(slot)}
+            assert serving <= live
             assert len(serving | busy & live) <= 1
 
     @stateful.invariant()
