Tell only gates in a request's home regions about suspects

Cause: fingerprints of a bound organisation's requests went to all gates of the service; a moved slot did not carry the stamp up to which ids were dropped. Change: suspects carry their permitted regions; transfers carry the floor.

--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -442,7 +442,8 @@
                 self.presence.seen()
 
     def _on_success(self, ticket: _Ticket, service_ms: int) -> None:
-        self.quarantine.succeeded(ticket.request.fingerprint)
+        request = ticket.request
+        self.quarantine.succeeded(request.fingerprint, request.regions)
         if ticket.generation != self._generation:
             return
         usual_ms = self._times.usual_ms()
@@ -464,11 +465,11 @@
         self.presence.missed()
         if ticket.generation != self._generation:
             return
-        in_flight = [
-            running.request.fingerprint
+        in_flight = {
+            running.request.fingerprint: running.request.regions
             for running in self._running
             if running.generation == self._generation
-        ]
+        }
         self._generation += 1
         self._metrics.increment("gate.target_crashes")
         self._turned_cold()
--- a/mustardloom/admission/quarantine.py
+++ b/mustardloom/admission/quarantine.py
@@ -1,14 +1,17 @@
 """Requests that may crash the targets which run them."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from mustardloom import clock as clocks
+from mustardloom import ids
 
 __all__ = ["Quarantine", "SuspectCallback"]
 
-# Called with the fingerprint and the number of crashes; 0 clears a suspect.
-SuspectCallback = Callable[[int, int], None]
+Regions = frozenset[ids.RegionId]
+# Called with the fingerprint, the number of crashes, of which 0 clears a
+# suspect, and the regions in which the request may be known; empty means any.
+SuspectCallback = Callable[[int, int, Regions], None]
 
 QUARANTINE_MS = 600_000
 _CRASHES_TO_QUARANTINE = 2
@@ -20,7 +23,7 @@
 
     Example:
       >>> quarantine = Quarantine(clocks.FakeClock(), lambda *_: None)
-      >>> quarantine.crashed([7])
+      >>> quarantine.crashed({7: frozenset()})
       >>> quarantine.is_suspect(7), quarantine.is_quarantined(7)
       (True, False)
     """
@@ -42,19 +45,19 @@
         crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
         return crashes >= _CRASHES_TO_QUARANTINE
 
-    def crashed(self, fingerprints: Iterable[int]) -> None:
+    def crashed(self, regions_by_fingerprint: Mapping[int, Regions]) -> None:
         """Records one crash of the target with these requests in flight."""
-        for fingerprint in set(fingerprints):
+        for fingerprint, regions in regions_by_fingerprint.items():
             crashes = self._crashes_by_fingerprint.get(fingerprint, 0) + 1
             self._record(fingerprint, crashes)
-            self._notify(fingerprint, crashes)
+            self._notify(fingerprint, crashes, regions)
 
-    def succeeded(self, fingerprint: int) -> None:
+    def succeeded(self, fingerprint: int, regions: Regions) -> None:
         """Clears a suspect whose request was answered."""
         crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
         if 0 < crashes < _CRASHES_TO_QUARANTINE:
             self._forget(fingerprint)
-            self._notify(fingerprint, 0)
+            self._notify(fingerprint, 0, regions)
 
     def learn(self, fingerprint: int, crashes: int) -> None:
         """Adopts one report of another gate of the service.
--- a/mustardloom/admission/tests/test_protection.py
+++ b/mustardloom/admission/tests/test_protection.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardloom import clock as clocks
+from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import outcomes
 from mustardloom.admission import dispatch as dispatches
@@ -165,9 +166,9 @@
     """Guards against a request that is refused for ever."""
     clock = clocks.FakeClock()
     quarantine = quarantines.Quarantine(clock, lambda *_: None)
-    quarantine.crashed([1])
-    quarantine.crashed([1])
-    quarantine.succeeded(1)
+    quarantine.crashed(_anywhere(1))
+    quarantine.crashed(_anywhere(1))
+    quarantine.succeeded(1, frozenset())
     clock.jump(quarantines.QUARANTINE_MS - 1)
     assert quarantine.is_quarantined(1)
     clock.jump(1)
@@ -178,16 +179,18 @@
     """Guards against a request that crashes each target of a service."""
     clock = clocks.FakeClock()
     here = quarantines.Quarantine(clock, lambda *_: None)
-    there = quarantines.Quarantine(clock, here.learn)
-    there.crashed([1, 2])
+    there = quarantines.Quarantine(
+        clock, lambda fingerprint, crashes, _: here.learn(fingerprint, crashes)
+    )
+    there.crashed(_anywhere(1, 2))
     assert here.is_suspect(1)
     # Crashes that two targets report at the same time count as two.
-    here.crashed([2])
+    here.crashed(_anywhere(2))
     assert here.is_quarantined(2)
-    there.succeeded(1)
+    there.succeeded(1, frozenset())
     assert not here.is_suspect(1)
-    here.crashed([3])
-    there.crashed([3])
+    here.crashed(_anywhere(3))
+    there.crashed(_anywhere(3))
     assert here.is_quarantined(3)
 
 
@@ -236,3 +239,19 @@
     done, refused = asyncio.run(scenario())
     assert done == [False, True, True]
     assert refused.reason is outcomes.RefusalReason.DEADLINE
+
+
+def _anywhere(*fingerprints):
+    return dict.fromkeys(fingerprints, frozenset())
+
+
+def test_suspects_are_named_with_their_regions():
+    """Guards against fingerprints that leave the home regions."""
+    notes = []
+    quarantine = quarantines.Quarantine(
+        clocks.FakeClock(), lambda *note: notes.append(note)
+    )
+    home = frozenset({ids.RegionId("ziwa")})
+    quarantine.crashed({7: home})
+    quarantine.succeeded(7, home)
+    assert notes == [(7, 1, home), (7, 0, home)]
--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -160,6 +160,13 @@
         placement = dispatches.Placement(group, slot)
         return list(self._request_ids.export_slot(placement).requests)
 
+    def unknown_before_wall_ms(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> int:
+        """See `ownership.moves.RequestRecords`."""
+        placement = dispatches.Placement(group, slot)
+        return self._request_ids.export_slot(placement).unknown_before_wall_ms
+
     def import_(
         self,
         group: ids.GroupId,
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -42,6 +42,7 @@
 from mustardloom.relay.wire import peer_pb2
 from mustardloom.routing import candidates
 from mustardloom.routing import forwarders
+from mustardloom.routing import homes
 from mustardloom.routing import router as routers
 
 __all__ = ["Daemon", "StartError"]
@@ -452,7 +453,13 @@
         except own_record.LifeEnded:
             return
 
-    def _notify_suspect(self, fingerprint: int, crashes: int) -> None:
+    def _notify_suspect(
+        self,
+        fingerprint: int,
+        crashes: int,
+        regions: frozenset[ids.RegionId],
+    ) -> None:
+        """Tells the gates that may know the request about a suspect."""
         if self._target is None:
             return
         suspect = peer_pb2.Suspect(
@@ -461,7 +468,8 @@
             crashes=crashes,
         )
         for record in self._members.of_service(self._target.service):
-            if record.member != self._life.member:
+            is_permitted = homes.permits(regions, record.region)
+            if is_permitted and record.member != self._life.member:
                 self._peers.notify(record.member, suspect)
 
     async def _on_suspect(
@@ -510,6 +518,7 @@
 
     def _close_foreign_slots(self) -> None:
         life = self._life
+        life.request_ids.drop_old()
         for placement in life.request_ids.placements():
             if not life.holdings.is_held(placement.group, placement.slot):
                 life.request_ids.close_slot(placement)
--- a/mustardloom/ownership/moves.py
+++ b/mustardloom/ownership/moves.py
@@ -59,6 +59,11 @@
     ) -> list[peer_pb2.RequestRecord]:
         """Returns the records of a slot."""
 
+    def unknown_before_wall_ms(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> int:
+        """Returns the stamp below which ids of a slot are not remembered."""
+
     def import_(
         self,
         group: ids.GroupId,
@@ -305,12 +310,14 @@
     ) -> peer_pb2.Transfer:
         transfer = peer_pb2.Transfer(group=group)
         for slot, epoch in epoch_by_slot.items():
+            cut_off_ms = self._holdings.unknown_before_wall_ms(group, slot)
+            # The receiver's clock may be behind: without the stamp up to which
+            # ids were dropped here it could take a dropped id for a new one.
+            floor_ms = self._records.unknown_before_wall_ms(group, slot)
             transfer.slots.add(
                 slot=slot,
                 epoch=epoch,
-                unknown_before_wall_ms=self._holdings.unknown_before_wall_ms(
-                    group, slot
-                ),
+                unknown_before_wall_ms=max(cut_off_ms, floor_ms),
                 requests=self._records.export(group, slot),
             )
         return transfer
--- a/mustardloom/ownership/tests/fleet.py
+++ b/mustardloom/ownership/tests/fleet.py
@@ -215,6 +215,9 @@
         ids_of_slot = sorted(self.by_slot[group, slot])
         return [peer_pb2.RequestRecord(request_id=i) for i in ids_of_slot]
 
+    def unknown_before_wall_ms(self, group, slot):
+        return 0
+
     def import_(self, group, slot, records, unknown_before_wall_ms):
         del unknown_before_wall_ms
         found = {record.request_id for record in records}
