--- a/mustardloom/routing/candidates.py
+++ b/mustardloom/routing/candidates.py
@@ -23,6 +23,9 @@
 # request must be later than two must be.
 _ONE_LATE_RATIO = 6.0
 _TWO_LATE_RATIO = 3.0
+# The mean of a few answers varies by some tens of percent between equal
+# targets; without this band, idle targets with an unlucky mean get no requests.
+_USUAL_RATIO = 1.5
 # Differences of latency below this are noise of the clock and the event loop.
 _NOISE_MS = 5.0
 # A ten times slower target exceeds STRAGGLER_RATIO after three answers.
@@ -33,8 +36,9 @@
 _AVOID_AFTER_FAILURE_MS = 200
 _PROBE_INTERVAL_MS = 500
 _PROBE_SHARE = 0.03
-# Without idempotent requests no probe is sent; after this time the chooser
-# sends other requests as probes, so that a recovered target is used again.
+# A latency that is older than this proves little. Stragglers are then probed
+# with non-idempotent requests too, and other targets count as usual ones, so
+# that a recovered target is used again.
 _STALE_LATENCY_MS = 5_000
 # The queue of a gate holds twice its capacity; beyond half of that the wait
 # is longer than the way to another region.
@@ -95,12 +99,15 @@
             return
         self.log_latency += _LATENCY_WEIGHT * (sample - self.log_latency)
 
-    def ratio(self) -> float:
+    def ratio(self, now_ms: int) -> float:
         """Returns the latency relative to the median of the peers."""
         latency_ms = self.latency_ms()
+        if now_ms - self.answered_ms > _STALE_LATENCY_MS:
+            return 1.0
         if latency_ms is None or self.peers_ms is None:
             return 1.0
-        return (latency_ms + _NOISE_MS) / (self.peers_ms + _NOISE_MS)
+        ratio = (latency_ms + _NOISE_MS) / (self.peers_ms + _NOISE_MS)
+        return 1.0 if ratio < _USUAL_RATIO else ratio
 
     def is_straggler(self, now_ms: int) -> bool:
         """Tells whether answers or outstanding requests are late."""
@@ -424,4 +431,4 @@
     def _score(self, record: records.MemberRecord, now_ms: int) -> float:
         statistics = self._of(record.member)
         limit = statistics.limit(now_ms, record.capacity)
-        return (statistics.load(now_ms) + 1) / limit * statistics.ratio()
+        return (statistics.load(now_ms) + 1) / limit * statistics.ratio(now_ms)
--- /dev/null
+++ b/mustardloom/routing/tests/fleet.py
@@ -0,0 +1,103 @@
+"""A small fleet for tests of routing."""
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import requests
+from mustardloom.declarations import model
+from mustardloom.membership import records
+from mustardloom.ownership import slot_map as slot_maps
+from mustardloom.platform import objects
+from mustardloom.relay import replica as replicas
+from mustardloom.routing import candidates
+from mustardloom.routing import routes
+
+__all__ = ["KEYED", "NEAR", "SLOTS", "UNKEYED", "Fleet", "make_request"]
+
+NEAR = ids.RegionId("pwani")
+KEYED = ids.ServiceId("salio")
+UNKEYED = ids.ServiceId("bidhaa")
+SLOTS = 4
+_ADDRESS = records.Address("127.0.0.1", 1)
+
+
+def make_request(
+    name: str,
+    service: ids.ServiceId,
+    idempotent: bool,
+    deadline_ms: int,
+    regions: frozenset[ids.RegionId] = frozenset(),
+) -> requests.Request:
+    """Returns a request whose path is its unique name."""
+    return requests.Request(
+        method="GET" if idempotent else "POST",
+        path=name,
+        headers=(),
+        body=b"",
+        route=ids.RouteId(service),
+        service=service,
+        organisation=None,
+        regions=regions,
+        key=name if service == KEYED else None,
+        request_id=None if idempotent else ids.RequestId(name),
+        idempotent=idempotent,
+        deadline_ms=deadline_ms,
+        fingerprint=0,
+    )
+
+
+class Fleet:
+    """Views of members and slots, and a table with both kinds of service."""
+
+    def __init__(self, clock: clocks.Clock, seed: int = 1):
+        self.clock = clock
+        self.stopped: set[ids.MemberId] = set()
+        self._replica = replicas.Replica()
+        self.members = records.Members(self._replica)
+        self.slot_map = slot_maps.SlotMap(self._replica)
+        services = (
+            model.Service(id=KEYED, keyed=True, slot_count=SLOTS),
+            model.Service(id=UNKEYED, slot_count=SLOTS),
+        )
+        declared = model.DeclarationSet(id=ids.SetId("x"), services=services)
+        self.table = routes.RouteTable([declared])
+        self.chooser = candidates.TargetChooser(
+            NEAR,
+            self.members,
+            lambda record: record.member in self.stopped,
+            clock,
+            seed,
+        )
+
+    def put_member(
+        self,
+        name: str,
+        region: ids.RegionId = NEAR,
+        service: ids.ServiceId = UNKEYED,
+        state: records.MemberState = records.MemberState.ACTIVE,
+        capacity: int = 6,
+    ) -> ids.MemberId:
+        """Adds or replaces a member."""
+        member = ids.MemberId(name)
+        record = records.MemberRecord(
+            member=member,
+            region=region,
+            availability_zone=ids.AvailabilityZoneId(f"{region}-1"),
+            caller_address=_ADDRESS,
+            peer_address=_ADDRESS,
+            state=state,
+            service=service,
+            capacity=capacity,
+        )
+        self._put(records.member_key(member), records.encode(record))
+        return member
+
+    def put_owner(self, group: ids.GroupId, owner: ids.MemberId | None) -> None:
+        """Gives all slots of a group to one owner."""
+        key = slot_maps.chunk_key(slot_maps.ChunkName(group, 0))
+        entries = [slot_maps.SlotEntry(owner) for _ in range(SLOTS)]
+        self._put(key, slot_maps.encode_chunk(entries))
+
+    def _put(self, key: str, value: bytes) -> None:
+        version = ids.Version(self._replica.version + 1)
+        event = objects.Event(key, version, value)
+        self._replica.apply([event], ids.Version(version - 1), version)
