--- a/mustardloom/routing/tests/test_router.py
+++ b/mustardloom/routing/tests/test_router.py
@@ -313,3 +313,76 @@
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     stateful.run_state_machine_as_test(RouterMachine, settings=settings)
+
+
+def end_next(machine, outcome):
+    """Ends the oldest attempt that runs."""
+    machine.end(machine.forwarder.pending()[0], outcome)
+    machine.advance(0)
+
+
+def test_refusal_does_not_undo_an_unknown_attempt():
+    """Guards against "not run" after an attempt that may have run (I7)."""
+    machine = RouterMachine()
+    machine.start(fleets.UNKEYED, True, frozenset(), 1_000)
+    lost = outcomes.Unknown(outcomes.UnknownReason.TARGET_LOST, "")
+    end_next(machine, lost)
+    end_next(machine, outcomes.Refused(_Reason.QUARANTINED, ""))
+    _, task = machine.sent[-1]
+    assert task.result() == lost
+    machine.teardown()
+
+
+def test_budgets_bound_extra_attempts_when_all_targets_fail():
+    """Guards against retries and hedges that amplify an overload."""
+    machine = RouterMachine()
+    for _ in range(40):
+        machine.start(fleets.UNKEYED, True, frozenset(), 1_000)
+    machine.advance(20)
+    while machine.forwarder.pending():
+        end_next(machine, outcomes.Refused(_Reason.OVERLOADED, ""))
+    machine.budgets_hold()
+    hedges = machine.metrics.counters["router.hedges"]
+    extra = len(machine.forwarder.dispatches) - len(machine.sent)
+    assert hedges == 3
+    assert hedges < extra <= 3 + 6
+    machine.teardown()
+
+
+def test_loser_of_a_hedge_is_cancelled():
+    """Guards against hedges that leave extra work at targets."""
+    machine = RouterMachine()
+    machine.start(fleets.UNKEYED, True, frozenset(), 1_000)
+    machine.advance(20)
+    first, second = machine.forwarder.pending()
+    machine.end(second, answer(second))
+    machine.advance(0)
+    assert first.ended.cancelled()
+    machine.teardown()
+
+
+def test_fenced_owner_gets_no_request():
+    """Guards against waiting for a member that will never serve again."""
+    machine = RouterMachine()
+    owner = NAMES[0]
+    machine.put_state(owner, records.MemberState.FENCED)
+    machine.start(fleets.KEYED, True, frozenset(), 1_000)
+    machine.advance(500)
+    assert not machine.forwarder.pending()
+    for group in GROUPS:
+        machine.fleet.put_owner(group, ids.MemberId(NAMES[1]))
+    machine.advance(100)
+    end_next(machine, answer(machine.forwarder.pending()[0]))
+    assert isinstance(machine.sent[-1][1].result(), outcomes.Answered)
+    machine.teardown()
+
+
+def test_hint_of_a_moved_slot_is_followed_at_once():
+    """Guards against a pause in each planned move (50 ms goal)."""
+    machine = RouterMachine()
+    machine.start(fleets.KEYED, False, frozenset(), 1_000)
+    moved = outcomes.Refused(_Reason.MOVED, "", owner=ids.MemberId(NAMES[1]))
+    end_next(machine, moved)
+    end_next(machine, answer(machine.forwarder.pending()[0]))
+    assert isinstance(machine.sent[-1][1].result(), outcomes.Answered)
+    machine.teardown()
