Wait for the first grants of a transfer together

The receiver waited for one slot after another. With a target that does not answer, a batch of slots took longer than the sender's call and was never acknowledged.

The waits run at the same time. The test moves four slots to such a receiver; it fails with the waits in sequence. 26 tests pass in 5.4 s.

--- a/mustardloom/ownership/moves.py
+++ b/mustardloom/ownership/moves.py
@@ -130,10 +130,15 @@
         for slot in transfer.slots:
             if self._accept(sender, group, slot):
                 accepted.append(slot)
-        served = []
-        for slot in accepted:
-            if await self._until_served(group, slot):
-                served.append(slot.slot)
+        # Waits for all slots at the same time, so that one bounded wait is the
+        # longest that the sender sees.
+        waits = (self._until_served(group, slot) for slot in accepted)
+        results = await asyncio.gather(*waits)
+        served = [
+            slot.slot
+            for slot, is_served in zip(accepted, results, strict=True)
+            if is_served
+        ]
         return peer_pb2.Transferred(group=group, slots=served)
 
     def _accept(
