--- a/mustardloom/routing/tests/test_candidates.py
+++ b/mustardloom/routing/tests/test_candidates.py
@@ -158,14 +158,14 @@
         self.slow = slow
         self.attempts = 0
         self._random = random.Random(7)
-        self._rooms = collections.defaultdict(lambda: asyncio.Semaphore(6))
+        self._semaphores = collections.defaultdict(lambda: asyncio.Semaphore(6))
 
     async def forward(self, member, destination, request, group, slot):
         self.attempts += 1
         service_ms = self._random.lognormvariate(0.0, SIGMA) * MEDIAN_MS
         if member in self.slow:
             service_ms *= SLOWDOWN
-        async with self._rooms[member]:
+        async with self._semaphores[member]:
             await self.clock.sleep_ms(round(service_ms))
         return forwarders.Forwarded(OK, forwarders.Load(1, 0, 6))
 
--- a/mustardloom/standins/caller.py
+++ b/mustardloom/standins/caller.py
@@ -344,14 +344,14 @@
         self._waiting: collections.deque[asyncio.Future[_Connection]] = (
             collections.deque()
         )
-        self._room = limit
+        self._unopened = limit
 
     async def take(self) -> _Connection:
         """Returns a connection, waiting while all are in use."""
         if self._free:
             return self._free.pop()
-        if self._room > 0:
-            self._room -= 1
+        if self._unopened > 0:
+            self._unopened -= 1
             return _Connection(self._address)
         waiter: asyncio.Future[_Connection] = (
             asyncio.get_running_loop().create_future()
