--- a/mustardloom/membership/tests/test_state_machine.py
+++ b/mustardloom/membership/tests/test_state_machine.py
@@ -111,6 +111,8 @@
     derandomize=True,
     database=None,
     deadline=None,
+    # Shrinking takes minutes, and the generated steps are few.
+    phases=(hypothesis.Phase.generate,),
     max_examples=25,
     stateful_step_count=30,
     suppress_health_check=list(hypothesis.HealthCheck),
--- /dev/null
+++ b/mustardloom/membership/tests/test_witness.py
@@ -0,0 +1,68 @@
+"""Tests of what a witness confirms and states."""
+
+import asyncio
+
+from mustardloom.membership import datagrams
+from mustardloom.membership.tests import simulation
+
+DELAY_MS = 100
+
+
+async def _start():
+    return await simulation.Fleet([("pwani", "pwani-a")] * 3).start()
+
+
+def test_lease_counts_from_the_send_time():
+    """Guards against acknowledgements that renew a lease by their delay."""
+
+    async def scenario():
+        fleet = await _start()
+        fleet.network.delay_ms = DELAY_MS
+        await fleet.advance(2_000)
+        lease = fleet.by_vm["vm-0"].life.lease
+        for _ in range(40):
+            await fleet.advance(25)
+            left_ms = lease.expires_ms() - fleet.clock.now_ms()
+            assert left_ms <= 1_500 - 2 * DELAY_MS
+
+    asyncio.run(scenario())
+
+
+def test_forgotten_member_is_refused():
+    """Guards against a member that wakes after its refusal was dropped."""
+
+    async def scenario():
+        fleet = await _start()
+        asker, witness = fleet.by_vm["vm-0"], fleet.by_vm["vm-1"]
+        answers: list[datagrams.Renewed] = []
+        asker.endpoint.handle(
+            datagrams.Renewed, lambda message, *_: answers.append(message)
+        )
+        forgotten = fleet.new_member(asker.vm)
+        asker.endpoint.start_life(forgotten)
+        renew = datagrams.Renew(
+            sender=forgotten, receiver=witness.member, acknowledged=True
+        )
+        number = asker.endpoint.send(witness.address, renew)
+        await fleet.advance(25)
+        refused = {a.renewal: a.refused for a in answers}
+        assert refused[number]
+
+    asyncio.run(scenario())
+
+
+def test_new_life_answers_for_earlier_ones():
+    """Guards against GONE statements while the process still confirms."""
+
+    async def scenario():
+        fleet = await _start()
+        member, witness = fleet.by_vm["vm-0"], fleet.by_vm["vm-1"]
+        earlier = witness.member
+        witness.endpoint.start_life(fleet.new_member(witness.vm))
+        stated = witness.table.state(earlier, member.member)
+        assert stated is datagrams.Statement.HELD
+        stranger = fleet.new_member(witness.vm)
+        stated = witness.table.state(stranger, member.member)
+        assert stated is datagrams.Statement.GONE
+
+    asyncio.run(scenario())
