Test losses that need an operator, and candidate ranks

Cause: the path for a member that is lost with two of its witnesses, and the order of the candidates, had no test.

Change: one test for each; names for the cases of bad datagrams.

--- a/mustardloom/membership/tests/test_datagrams.py
+++ b/mustardloom/membership/tests/test_datagrams.py
@@ -58,6 +58,7 @@
             "misaddressed",
         ),
     ],
+    ids=("empty", "truncated", "stranger", "no-msgpack", "typed", "other"),
 )
 def test_bad_datagram_changes_nothing(data, counter):
     """Guards against leases renewed by strangers or for others."""
--- a/mustardloom/membership/tests/test_losses.py
+++ b/mustardloom/membership/tests/test_losses.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mustardloom import clock as clocks
+from mustardloom.membership import fencing
 from mustardloom.membership import records
 from mustardloom.membership.tests import simulation
 
@@ -57,6 +58,47 @@
     asyncio.run(scenario())
 
 
+def test_operator_confirms_a_loss_that_no_witness_can_state():
+    """Guards against slots that are lost for good with their witnesses."""
+
+    async def scenario():
+        fleet = await _start()
+        lost = fleet.by_vm["vm-0"]
+        witnesses = fleet.store.record(lost.member).witnesses
+        fencer = fleet.by_vm["vm-9"].fencer
+        for process in (lost, *map(fleet.process_of, witnesses[:2])):
+            fleet.kill(process)
+        attempt = asyncio.create_task(fencer.fence(lost.member))
+        await fleet.advance(10_000)
+        # Only the third witness is left to state the lapse.
+        assert attempt.result() == fencing.NotEnoughStatements(1, 2)
+        assert not fleet.is_fenced(lost.member)
+        confirmation = asyncio.create_task(fencer.confirm_lost(lost.vm))
+        await fleet.advance(100)
+        (result,) = confirmation.result()
+        assert isinstance(result, fencing.Fenced)
+        assert fleet.is_fenced(lost.member)
+
+    asyncio.run(scenario())
+
+
+def test_candidates_are_ranked_outside_the_lost_zone():
+    """Guards against candidates that are lost together with the member."""
+
+    async def scenario():
+        fleet = await _start()
+        lost = fleet.store.record(fleet.by_vm["vm-0"].member)
+        live = [fleet.store.record(p.member) for p in fleet.by_vm.values()]
+        ranked = fencing.fencing_candidates(live, lost)
+        zones = [record.availability_zone for record in ranked]
+        assert zones[:2] == ["pwani-b", "pwani-b"]
+        assert ranked[2].region != lost.region
+        assert zones[-1] == lost.availability_zone
+        assert len(ranked) == len(live) - 1
+
+    asyncio.run(scenario())
+
+
 def test_lost_zone_is_fenced_in_time():
     """Guards against fencing that depends on members of the lost zone."""
 
