--- a/mustardloom/daemon/admin.py
+++ b/mustardloom/daemon/admin.py
@@ -36,7 +36,8 @@
       state: State of its member record.
       lease_held: Whether its lease is held.
       slots_served: Slots that it serves.
-      settled: Whether no slot that it knows of lacks an owner or is moving.
+      settled: Whether no slot that it knows of lacks an owner or is moving, and
+        its lease has all its witnesses.
       replica_version: Changes up to this version are known here.
       config_versions: Version in force by declaration set.
       running: Requests at the target.
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -31,6 +31,7 @@
 from mustardloom.membership import own_record
 from mustardloom.membership import records
 from mustardloom.membership import witness
+from mustardloom.membership import witness_choice
 from mustardloom.ownership import cleanup
 from mustardloom.ownership import slot_map
 from mustardloom.ownership import slots
@@ -542,11 +543,19 @@
         groups = self._configuration.groups()
         if not groups or not self._life.lease.is_held():
             return False
+        if not self._has_witnesses():
+            return False
         return all(
             self._is_group_settled(group, slot_count)
             for group, slot_count in groups
         )
 
+    def _has_witnesses(self) -> bool:
+        """Tells whether this member could be fenced after a loss."""
+        others = {r.vm for r in self._members.live()} - {self._settings.vm}
+        wanted = min(witness_choice.MAX_WITNESSES, len(others))
+        return len(self._life.record.witnesses) >= wanted
+
     def _is_group_settled(self, group: ids.GroupId, slot_count: int) -> bool:
         if not self._has_targets(group):
             return True
--- a/mustardloom/relay/peers.py
+++ b/mustardloom/relay/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 from typing import Any
 
@@ -411,8 +412,10 @@
             await session.run()
         except asyncio.CancelledError:
             # Without a reset the peer would learn of the end of this server
-            # only from the timeouts of its calls.
-            await stream.cancel()
+            # only from the timeouts of its calls. If the connection is gone
+            # already, the reset fails, and nobody is left to be told.
+            with contextlib.suppress(Exception):
+                await stream.cancel()
             raise
 
 
