--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -248,17 +248,29 @@
     _run(scenario)
 
 
+async def _key_of(world, vm):
+    """Returns a key that the target of `vm` serves."""
+    record = world.target_by_vm[vm].record
+    for number in range(100):
+        before = len(record.page(0).runs)
+        await world.send("malipo-1", "/salio/1", X_Account=str(number))
+        if len(record.page(0).runs) > before:
+            return str(number)
+    raise AssertionError(f"{vm} serves no key")
+
+
 def test_drained_daemon_hands_its_slots_and_ids_on():
     """Guards against a planned stop that cuts requests or forgets ids."""
 
     async def scenario(world):
+        key = await _key_of(world, "salio-1")
         request_id = deduplication.new_request_id(world.clock.wall_ms())
         first = await world.send(
             "malipo-1",
             "/salio/1",
             "POST",
             b"pay",
-            X_Account="a",
+            X_Account=key,
             Idempotency_Key=request_id,
         )
         leaving = world.daemon_by_vm.pop("salio-1")
@@ -279,7 +291,7 @@
             "/salio/1",
             "POST",
             b"pay",
-            X_Account="a",
+            X_Account=key,
             Idempotency_Key=request_id,
         )
         assert again.body == first.body
@@ -288,17 +300,6 @@
     _run(scenario)
 
 
-async def _key_of(world, vm):
-    """Returns a key that the target of `vm` serves."""
-    record = world.target_by_vm[vm].record
-    for number in range(100):
-        before = len(record.page(0).runs)
-        await world.send("malipo-1", "/salio/1", X_Account=str(number))
-        if len(record.page(0).runs) > before:
-            return str(number)
-    raise AssertionError(f"{vm} serves no key")
-
-
 def test_lost_owner_is_replaced_and_its_ids_are_not_run_again():
     """Guards against keys without an owner, and a second run after a loss."""
 
