--- a/mustardloom/operators/tests/test_operator.py
+++ b/mustardloom/operators/tests/test_operator.py
@@ -362,6 +362,50 @@
     assert not catalog.decode_stop(stored).value.active
 
 
+def test_write_found_after_the_deadline_is_acknowledged(world):
+    """Guards against a conflict of a command with its own late success."""
+    faults = world.store.faults
+    faults.lose_answers = 1
+
+    async def outage():
+        while not world.objects("stops/"):
+            await world.clock.sleep_ms(1)
+        faults.down = True
+        # The write is given up at 3,175 ms, at the end of its last pause.
+        await world.clock.sleep_ms(3_100)
+        faults.down = False
+
+    line = "stop availability-zone ziwa-1"
+    command = world.nodes[0].operator.execute(line, "amina")
+    answer, _ = world.finish(command, outage())
+    assert isinstance(answer, results.Applied)
+
+
+def test_command_that_may_land_late_is_undecided(world):
+    """Guards against "nothing was changed" before a write that lands late."""
+    line = "start availability-zone ziwa-1"
+    world.do("stop availability-zone ziwa-1")
+    faults = world.store.faults
+    operation = ids.OperationId("late")
+
+    async def slow():
+        # Covers the read; the write that follows lands at 4,040 ms.
+        faults.slow_ms = 40
+        await world.clock.sleep_ms(20)
+        faults.slow_ms = 4_000
+        await world.clock.sleep_ms(3_000)
+        faults.slow_ms = 0
+
+    command = world.nodes[0].operator.execute(line, "amina", operation)
+    _, answer = world.finish(slow(), command)
+    assert isinstance(answer, results.Undecided)
+    world.finish(world.clock.sleep_ms(2_000))
+    again = world.do(line, operation=operation)
+    assert isinstance(again, results.Applied)
+    key = "stops/availability-zone/ziwa-1"
+    assert [e.operation for e in _trail(world, key)][1:] == [operation]
+
+
 def test_unknown_names_are_reported_together(world):
     """Guards against an operator who learns of one fault at a time."""
     for line, names in (
