Cover late pushes and a success found after the deadline

The test of a late success spent its lost answer on the guard write of a stop, so the fault that it guards against left it green; it now uses a start. The state machine gains late pushes of old events, without which a replica that goes back in version was not noticed.

--- a/mustardloom/operators/tests/test_operator.py
+++ b/mustardloom/operators/tests/test_operator.py
@@ -364,21 +364,24 @@
 
 def test_write_found_after_the_deadline_is_acknowledged(world):
     """Guards against a conflict of a command with its own late success."""
+    world.do("stop availability-zone ziwa-1")
     faults = world.store.faults
     faults.lose_answers = 1
+    version = world.store.version
 
     async def outage():
-        while not world.objects("stops/"):
+        while world.store.version == version:
             await world.clock.sleep_ms(1)
         faults.down = True
         # The write is given up at 3,175 ms, at the end of its last pause.
         await world.clock.sleep_ms(3_100)
         faults.down = False
 
-    line = "stop availability-zone ziwa-1"
+    line = "start availability-zone ziwa-1"
     command = world.nodes[0].operator.execute(line, "amina")
     answer, _ = world.finish(command, outage())
     assert isinstance(answer, results.Applied)
+    assert world.clock.now_ms() > 4_000
 
 
 def test_command_that_may_land_late_is_undecided(world):
@@ -524,6 +527,7 @@
         self._acknowledged = set()
         self._not_applied = set()
         self._open = {}
+        self._pushed: list[platform.Event] = []
         self._newest: list[dict[str, int]] = [{}, {}]
         self._entry_limit = envelope.MAX_AUDIT_ENTRIES
         # Few entries per object, so that displaced ones are common.
@@ -574,6 +578,13 @@
     def sync(self, node):
         self._world.finish(self._world.nodes[node].sync())
 
+    @stateful.precondition(lambda self: self._pushed)
+    @stateful.rule(data=strategies.data(), node=_NODE)
+    def late_push(self, data, node):
+        event = data.draw(strategies.sampled_from(self._pushed))
+        replica = self._world.nodes[node].replica
+        replica.apply([event], replica.version, replica.version)
+
     @stateful.rule()
     def wait(self):
         self._world.finish(self._world.clock.sleep_ms(4_000))
@@ -610,6 +621,8 @@
         for node, newest in zip(self._world.nodes, self._newest, strict=True):
             for event in node.replica.select("stops/"):
                 assert event.version >= newest.get(event.key, 0)
+                if event.version > newest.get(event.key, 0):
+                    self._pushed.append(event)
                 newest[event.key] = event.version
 
     def _new(self, verb, zone, node):
