--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/ruff check --fix .
 
 generate: $(STAMP)
-	PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. mustardloom/relay/wire/peer.proto
+	PATH="$(abspath $(BIN)):$$PATH" python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. mustardloom/relay/wire/peer.proto
 
 clean:
 	rm -rf $(VENV) build *.egg-info
