Share one module for request ids and one form of settings

Cause: UUIDv7 ids were made in three places; two binaries had flags without an environment variable; the declared retention of ids had no effect. Change: mustardloom.request_ids serves ingress, deduplication and callers; all binaries take their options from cli.common; the retention follows the service; long cells of operator tables are cut, JSON has them in full.

--- a/mustardloom/admission/__init__.py
+++ b/mustardloom/admission/__init__.py
@@ -1,9 +1,7 @@
 """Admission of requests to the local target."""
 
-from mustardloom.admission.deduplication import new_request_id
 from mustardloom.admission.deduplication import RequestIds
 from mustardloom.admission.deduplication import SlotRecords
-from mustardloom.admission.deduplication import stamp_wall_ms
 from mustardloom.admission.dispatch import Cancellation
 from mustardloom.admission.dispatch import Dispatch
 from mustardloom.admission.dispatch import Dispatcher
@@ -30,6 +28,4 @@
     "Probe",
     "RequestIds",
     "SlotRecords",
-    "new_request_id",
-    "stamp_wall_ms",
 ]
--- a/mustardloom/admission/deduplication.py
+++ b/mustardloom/admission/deduplication.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
-import uuid
 
 import msgspec
 
@@ -14,6 +13,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import outcomes
+from mustardloom import request_ids
 from mustardloom import requests
 from mustardloom.admission import dispatch as dispatches
 from mustardloom.relay.wire import peer_pb2
@@ -21,8 +21,6 @@
 __all__ = [
     "RequestIds",
     "SlotRecords",
-    "new_request_id",
-    "stamp_wall_ms",
 ]
 
 DEFAULT_RETENTION_MS = 120_000
@@ -31,45 +29,9 @@
 _MAX_ANSWER_BYTES = 16_384
 _MAX_TOTAL_ANSWER_BYTES = 16 * 1024 * 1024
 _BUCKET_MS = 1_000
-_UUID_VERSION = 7
 _STAMP_SHIFT = 80
 
 
-def new_request_id(wall_ms: int) -> ids.RequestId:
-    """Returns a UUIDv7 with the given stamp.
-
-    Example:
-      >>> stamp_wall_ms(new_request_id(1_700_000_000_123))
-      1700000000123
-    """
-    random = uuid.uuid4().int & ((1 << _STAMP_SHIFT) - 1)
-    number = wall_ms << _STAMP_SHIFT | random
-    number = number & ~(0xF << 76) | _UUID_VERSION << 76
-    number = number & ~(0x3 << 62) | 0x2 << 62
-    return ids.RequestId(str(uuid.UUID(int=number)))
-
-
-def stamp_wall_ms(request_id: ids.RequestId) -> int | None:
-    """Returns the stamp of a UUIDv7, None if the id is none.
-
-    Example:
-      >>> stamp_wall_ms(ids.RequestId("7")) is None
-      True
-    """
-    number = _number(request_id)
-    return None if number is None else number >> _STAMP_SHIFT
-
-
-def _number(request_id: ids.RequestId) -> int | None:
-    try:
-        parsed = uuid.UUID(request_id)
-    except ValueError:
-        return None
-    if parsed.version != _UUID_VERSION:
-        return None
-    return parsed.int
-
-
 def _pack(answer: outcomes.Answered) -> bytes:
     """Returns an answer in the form in which it is kept."""
     return msgspec.msgpack.encode(answer)
@@ -80,7 +42,7 @@
 
 
 def _to_record(number: int, state: "_State") -> peer_pb2.RequestRecord:
-    record = peer_pb2.RequestRecord(request_id=str(uuid.UUID(int=number)))
+    record = peer_pb2.RequestRecord(request_id=request_ids.text_of(number))
     if isinstance(state, bytes):
         answer = _unpack(state)
         answered = record.outcome.answered
@@ -212,7 +174,7 @@
         slot = _Slot(unknown_before_wall_ms)
         self._slots[placement] = slot
         for record in records:
-            number = _number(ids.RequestId(record.request_id))
+            number = request_ids.number_of(ids.RequestId(record.request_id))
             if number is not None:
                 self._put(slot, number, _from_record(record))
 
@@ -259,6 +221,10 @@
         for _, state in slot.states():
             self._uncount(state)
 
+    def set_retention(self, retention_ms: int) -> None:
+        """Adopts the declared retention; ids dropped before stay refused."""
+        self._retention_ms = retention_ms
+
     def drop_old(self) -> None:
         """Drops all ids older than the retention; call it every second."""
         for slot in self._slots.values():
@@ -282,7 +248,7 @@
         """
         if request.request_id is None:
             return await dispatch()
-        number = _number(request.request_id)
+        number = request_ids.number_of(request.request_id)
         if number is None:
             return _bad_id("the request id is not a UUIDv7")
         slot = self._slots.get(placement)
--- a/mustardloom/admission/tests/test_deduplication.py
+++ b/mustardloom/admission/tests/test_deduplication.py
@@ -11,6 +11,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import outcomes
+from mustardloom import request_ids
 from mustardloom.admission import deduplication
 from mustardloom.admission import dispatch as dispatches
 from mustardloom.admission.tests import support
@@ -75,7 +76,7 @@
 
     def make_id(self, number, offset_ms):
         stamp_ms = self.clock.wall_ms() + offset_ms
-        self.ids[number] = deduplication.new_request_id(stamp_ms)
+        self.ids[number] = request_ids.new_request_id(stamp_ms)
 
     @stateful.rule(number=st.integers(0, 3), offset_ms=OFFSETS_MS)
     def new_id(self, number, offset_ms):
@@ -198,7 +199,7 @@
     """Guards against a resend that is told Unknown although it ran."""
     clock = clocks.FakeClock()
     table = make_ids(clock)
-    request_id = deduplication.new_request_id(clock.wall_ms())
+    request_id = request_ids.new_request_id(clock.wall_ms())
     assert send(table, clock, request_id) == (answer_to(request_id), True)
     assert send(table, clock, request_id) == (answer_to(request_id), False)
 
@@ -210,7 +211,7 @@
     """Guards against a second run after an unknown outcome."""
     clock = clocks.FakeClock()
     table = make_ids(clock)
-    request_id = deduplication.new_request_id(clock.wall_ms())
+    request_id = request_ids.new_request_id(clock.wall_ms())
     ran = [send(table, clock, request_id, outcome)[1] for _ in range(3)]
     assert ran == [True, again, again]
 
@@ -220,7 +221,7 @@
     """Guards against a second run after the wall clock is set back."""
     clock = clocks.FakeClock()
     table = make_ids(clock)
-    request_id = deduplication.new_request_id(clock.wall_ms())
+    request_id = request_ids.new_request_id(clock.wall_ms())
     assert send(table, clock, request_id)[1]
     clock.jump(RETENTION_MS + 2_000)
     table.drop_old()
@@ -251,7 +252,7 @@
     clock = clocks.FakeClock()
     table = make_ids(clock)
     table.open_slot(PLACEMENT, clock.wall_ms() - 1_000)
-    request_id = deduplication.new_request_id(clock.wall_ms() + offset_ms)
+    request_id = request_ids.new_request_id(clock.wall_ms() + offset_ms)
     outcome, did_run = send(table, clock, request_id)
     assert did_run == ran
     assert getattr(outcome, "reason", None) == reason
@@ -271,7 +272,7 @@
     async def scenario():
         clock = clocks.FakeClock()
         table = make_ids(clock)
-        request_id = deduplication.new_request_id(clock.wall_ms())
+        request_id = request_ids.new_request_id(clock.wall_ms())
         request = support.make_request(clock, request_id=request_id)
         first = table.run(PLACEMENT, request, lambda: clock.sleep_ms(10))
         task = asyncio.create_task(first)
@@ -290,17 +291,17 @@
     """Guards against a table that grows with the traffic."""
     clock = clocks.FakeClock()
     table = make_ids(clock, max_ids=3, max_total_answer_bytes=160)
-    request_ids = []
+    sent_ids = []
     for _ in range(3):
-        request_ids.append(deduplication.new_request_id(clock.wall_ms()))
-        assert send(table, clock, request_ids[-1])[1]
+        sent_ids.append(request_ids.new_request_id(clock.wall_ms()))
+        assert send(table, clock, sent_ids[-1])[1]
         clock.jump(2_000)
     # The oldest answer made room, but its id still prevents a second run.
-    first, ran = send(table, clock, request_ids[0])
+    first, ran = send(table, clock, sent_ids[0])
     assert first.reason is outcomes.UnknownReason.ID_UNRESOLVED
     assert not ran
-    assert send(table, clock, request_ids[2])[0] == answer_to(request_ids[2])
-    extra = deduplication.new_request_id(clock.wall_ms())
+    assert send(table, clock, sent_ids[2])[0] == answer_to(sent_ids[2])
+    extra = request_ids.new_request_id(clock.wall_ms())
     refused, ran = send(table, clock, extra)
     assert refused.reason is outcomes.RefusalReason.OVERLOADED
     assert not ran
--- a/mustardloom/cli/caller.py
+++ b/mustardloom/cli/caller.py
@@ -1,4 +1,4 @@
-"""Command line of the load tool."""
+"""Binary `mustardloom-caller`: callers that generate load."""
 
 import asyncio
 import contextlib
@@ -8,9 +8,12 @@
 import msgspec
 import typer
 
+from mustardloom.cli import common
 from mustardloom.standins import caller
 
-__all__ = ["main"]
+__all__ = ["app", "main"]
+
+app = typer.Typer(help="Callers that generate load.")
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -37,58 +40,65 @@
     )
 
 
+@app.command()
 def run(
     ingress: Annotated[
         list[str],
-        typer.Option(
-            help="HOST:PORT of an ingress; repeat for several.",
-            envvar="MUSTARDLOOM_INGRESS",
-        ),
+        common.setting("INGRESS", "HOST:PORT of an ingress; may be repeated."),
     ],
     service: Annotated[
         list[str],
-        typer.Option(
-            help="SERVICE=/PATH[,weight=W][,key=HEADER][,organisation=ID];"
-            " {key} in the path is replaced."
+        common.setting(
+            "TRAFFIC",
+            "SERVICE=/PATH[,weight=W][,key=HEADER][,organisation=ID];"
+            " {key} in the path is replaced; may be repeated.",
         ),
     ],
     rate: Annotated[
-        float, typer.Option(help="Requests/s of an open loop; 0: closed loop.")
+        float, common.setting("RATE", "Requests/s; 0: closed loop.", 0)
     ] = 0.0,
     callers: Annotated[
-        int, typer.Option(help="Concurrent callers of a closed loop.")
+        int, common.setting("CALLERS", "Callers of a closed loop.", 1)
     ] = 16,
-    count: Annotated[int, typer.Option(help="Most requests.")] = 1_000,
+    count: Annotated[int, common.setting("COUNT", "Most requests.", 0)] = 1_000,
     duration_s: Annotated[
-        float, typer.Option(help="Longest time in which requests start.")
+        float,
+        common.setting("DURATION_S", "Longest time with new requests.", 0),
     ] = 10.0,
     connections: Annotated[
-        int, typer.Option(help="Most connections to one ingress.")
+        int, common.setting("CONNECTIONS", "Most connections each.", 1)
     ] = 120,
     post_share: Annotated[
-        float, typer.Option(help="Share of non-idempotent requests.")
+        float, common.setting("POST_SHARE", "Share of POST requests.", 0)
     ] = 0.0,
     resends: Annotated[
-        int, typer.Option(help="Resends of a request without an answer.")
+        int, common.setting("RESENDS", "Resends without an answer.", 0)
     ] = 0,
-    deadline_ms: Annotated[int, typer.Option(help="Deadline.")] = 1_000,
-    keys: Annotated[int, typer.Option(help="Number of keys.")] = 10_000,
+    deadline_ms: Annotated[
+        int, common.setting("DEADLINE_MS", "Deadline in ms.", 1)
+    ] = 1_000,
+    keys: Annotated[int, common.setting("KEYS", "Number of keys.", 1)] = 10_000,
     zipf_exponent: Annotated[
-        float, typer.Option(help="Skew of the keys; 0: uniform.")
+        float, common.setting("ZIPF_EXPONENT", "Skew of keys; 0: uniform.", 0)
     ] = 1.0,
     hot_change_s: Annotated[
-        float, typer.Option(help="Interval between hot sets; 0: no change.")
+        float, common.setting("HOT_CHANGE_S", "Time of a hot set; 0: all.", 0)
     ] = 0.0,
     body_bytes: Annotated[
-        int, typer.Option(help="Body size of non-idempotent requests.")
+        int, common.setting("BODY_BYTES", "Body size of POST requests.", 0)
     ] = 16,
-    seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 1,
+    seed: Annotated[int, common.setting("SEED", "Seed of random draws.")] = 1,
     log: Annotated[
         pathlib.Path | None,
-        typer.Option(help="File for one JSON line per request."),
+        common.setting("REQUEST_LOG", "File for one JSON line per request."),
     ] = None,
+    version: common.VersionOption = False,
 ) -> None:
-    """Sends load to ingresses and prints the result as JSON."""
+    """Sends load to ingresses and prints the result as JSON.
+
+    Exit codes: 0 after the run, whatever its results; 2 for unknown flags.
+    """
+    del version
     load = caller.Load(
         ingresses=tuple(map(_address, ingress)),
         traffic=tuple(map(_traffic, service)),
@@ -113,8 +123,8 @@
 
 
 def main() -> None:
-    """Runs the command line."""
-    typer.run(run)
+    """Runs the binary."""
+    common.run(app)
 
 
 if __name__ == "__main__":
--- a/mustardloom/cli/common.py
+++ b/mustardloom/cli/common.py
@@ -25,9 +25,11 @@
     "reporting_errors",
     "run",
     "set_up_logs",
+    "setting",
 ]
 
 _PACKAGE = "mustardloom"
+_ENVIRONMENT_PREFIX = "MUSTARDLOOM_"
 
 
 class ExitCode(enum.IntEnum):
@@ -54,6 +56,22 @@
     logger.add(sys.stderr, level="INFO", serialize=is_json)
 
 
+def setting(
+    name: str, text: str, least: float | None = None
+) -> typer.models.OptionInfo:
+    """Returns an option that can also be set as MUSTARDLOOM_`name`.
+
+    Args:
+      name: Name of the environment variable after the prefix.
+      text: Help text.
+      least: Smallest value, if any.
+    """
+    option: typer.models.OptionInfo = typer.Option(
+        help=text, envvar=f"{_ENVIRONMENT_PREFIX}{name}", min=least
+    )
+    return option
+
+
 def fail(message: str, code: ExitCode) -> typer.Exit:
     """Prints `message` to standard error and returns the exception to raise.
 
--- a/mustardloom/cli/daemon.py
+++ b/mustardloom/cli/daemon.py
@@ -17,47 +17,45 @@
 _app = typer.Typer()
 
 
-def _setting(name: str, text: str) -> typer.models.OptionInfo:
-    option: typer.models.OptionInfo = typer.Option(
-        help=text, envvar=f"MUSTARDLOOM_{name}"
-    )
-    return option
-
-
 @_app.command()
 def run(
-    vm: Annotated[str, _setting("VM", "Name of this VM.")] = "",
-    region: Annotated[str, _setting("REGION", "Region of this VM.")] = "",
+    vm: Annotated[str, common.setting("VM", "Name of this VM.")] = "",
+    region: Annotated[str, common.setting("REGION", "Region of this VM.")] = "",
     availability_zone: Annotated[
-        str, _setting("AVAILABILITY_ZONE", "Availability zone of this VM.")
+        str,
+        common.setting("AVAILABILITY_ZONE", "Availability zone of this VM."),
     ] = "",
     platform: Annotated[
-        str, _setting("PLATFORM", "Base address of the platform.")
+        str, common.setting("PLATFORM", "Base address of the platform.")
     ] = "",
     caller_address: Annotated[
-        str, _setting("CALLER_ADDRESS", "IP:PORT for callers.")
+        str, common.setting("CALLER_ADDRESS", "IP:PORT for callers.")
     ] = "127.0.0.1:7000",
     peer_address: Annotated[
-        str, _setting("PEER_ADDRESS", "IP:PORT for daemons, TCP and UDP.")
+        str, common.setting("PEER_ADDRESS", "IP:PORT for daemons, TCP and UDP.")
     ] = "127.0.0.1:7001",
     admin_address: Annotated[
-        str, _setting("ADMIN_ADDRESS", "IP:PORT for target and operators.")
+        str,
+        common.setting("ADMIN_ADDRESS", "IP:PORT for target and operators."),
     ] = "127.0.0.1:7002",
     fleet_key: Annotated[
-        str, _setting("FLEET_KEY", "Key shared by all daemons of the fleet.")
+        str,
+        common.setting("FLEET_KEY", "Key shared by all daemons of the fleet."),
     ] = "",
     seed: Annotated[
         list[str] | None,
-        _setting("SEEDS", "IP:PORT of a peer to load from; may be repeated."),
+        common.setting(
+            "SEEDS", "IP:PORT of a peer to load from; may be repeated."
+        ),
     ] = None,
     statsd: Annotated[
-        str, _setting("STATSD", "IP:PORT for metrics; empty: none.")
+        str, common.setting("STATSD", "IP:PORT for metrics; empty: none.")
     ] = "",
     drain_timeout_ms: Annotated[
-        int, _setting("DRAIN_TIMEOUT_MS", "Longest time to stop, in ms.")
+        int, common.setting("DRAIN_TIMEOUT_MS", "Longest time to stop, in ms.")
     ] = 30_000,
     log_intervals: Annotated[
-        bool, _setting("LOG_INTERVALS", "Keep a log of owner intervals.")
+        bool, common.setting("LOG_INTERVALS", "Keep a log of owner intervals.")
     ] = False,
     log_format: common.LogFormatOption = common.LogFormat.HUMAN,
     version: common.VersionOption = False,
@@ -116,7 +114,7 @@
 
 def main() -> None:
     """Runs the binary."""
-    _app()
+    common.run(_app)
 
 
 if __name__ == "__main__":
--- a/mustardloom/cli/operate.py
+++ b/mustardloom/cli/operate.py
@@ -31,6 +31,8 @@
 _HISTORY = pathlib.Path("~/.mustardloom_history")
 _HISTORY_LINES = 1_000
 _PROMPT = "mustardloom> "
+_MAX_CELL_LENGTH = 60
+_ELLIPSIS = "..."
 
 
 class Output(enum.Enum):
@@ -184,7 +186,11 @@
 
 
 def _cell(value: str | int | None) -> str:
-    return "-" if value is None or value == "" else str(value)
+    """Returns a value as shown in tables, which JSON output has in full."""
+    text = "-" if value is None or value == "" else str(value)
+    if len(text) <= _MAX_CELL_LENGTH:
+        return text
+    return text[: _MAX_CELL_LENGTH - len(_ELLIPSIS)] + _ELLIPSIS
 
 
 def _is_command(line: str) -> bool:
--- a/mustardloom/cli/target.py
+++ b/mustardloom/cli/target.py
@@ -1,4 +1,4 @@
-"""Command line of the stand-in target."""
+"""Binary `mustardloom-target`: stand-in for a target."""
 
 import asyncio
 import signal
@@ -7,37 +7,61 @@
 import typer
 
 from mustardloom import clock as clocks
+from mustardloom.cli import common
 from mustardloom.standins import target as targets
 
-__all__ = ["main"]
+__all__ = ["app", "main"]
 
-_app = typer.Typer(add_completion=False)
+app = typer.Typer(help="Stand-in target.")
 
 
-def main() -> None:
-    """Runs `mustardloom-target`."""
-    _app()
-
-
-@_app.command()
+@app.command()
 def serve(
-    service: Annotated[str, typer.Option(envvar="MUSTARDLOOM_SERVICE")],
-    host: Annotated[str, typer.Option(envvar="MUSTARDLOOM_HOST")] = "127.0.0.1",
-    port: Annotated[int, typer.Option(envvar="MUSTARDLOOM_PORT")] = 0,
-    capacity: Annotated[int, typer.Option(min=1)] = 6,
-    mean_ms: Annotated[float, typer.Option(min=0)] = 10.0,
-    sigma: Annotated[float, typer.Option(min=0)] = 0.3,
-    seed: int = 1,
-    checks_fencing: bool = True,
-    region: Annotated[str, typer.Option(envvar="MUSTARDLOOM_REGION")] = "",
-    zone: Annotated[str, typer.Option(envvar="MUSTARDLOOM_ZONE")] = "",
+    service: Annotated[str, common.setting("SERVICE", "Service it serves.")],
+    host: Annotated[
+        str, common.setting("HOST", "IP address to bind.")
+    ] = "127.0.0.1",
+    port: Annotated[
+        int, common.setting("PORT", "Port; 0 chooses a free one.", 0)
+    ] = 0,
+    capacity: Annotated[
+        int, common.setting("CAPACITY", "Requests at once when warm.", 1)
+    ] = 6,
+    mean_ms: Annotated[
+        float, common.setting("MEAN_MS", "Mean service time in ms.", 0)
+    ] = 10.0,
+    sigma: Annotated[
+        float, common.setting("SIGMA", "Spread of service times.", 0)
+    ] = 0.3,
+    seed: Annotated[int, common.setting("SEED", "Seed of random draws.")] = 1,
+    checks_fencing: Annotated[
+        bool, common.setting("CHECKS_FENCING", "Refuse old epochs.")
+    ] = True,
+    region: Annotated[
+        str, common.setting("REGION", "Region, for the record of runs.")
+    ] = "",
+    zone: Annotated[
+        str, common.setting("ZONE", "Zone, for the record of runs.")
+    ] = "",
     daemon_admin: Annotated[
-        str, typer.Option(envvar="MUSTARDLOOM_DAEMON_ADMIN")
+        str, common.setting("DAEMON_ADMIN", "IP:PORT of its daemon's admin.")
     ] = "",
-    stale_load_ms: Annotated[int, typer.Option(min=0)] = 1_000,
-    restart_after_ms: Annotated[int | None, typer.Option(min=0)] = None,
+    stale_load_ms: Annotated[
+        int, common.setting("STALE_LOAD_MS", "Lag of its load report.", 0)
+    ] = 1_000,
+    restart_after_ms: Annotated[
+        int | None,
+        common.setting("RESTART_AFTER_MS", "Restart in place after a crash."),
+    ] = None,
+    log_format: common.LogFormatOption = common.LogFormat.HUMAN,
+    version: common.VersionOption = False,
 ) -> None:
-    """Runs a stand-in target until SIGTERM."""
+    """Runs a stand-in target until SIGTERM.
+
+    Exit codes: 0 after SIGTERM, 2 if it cannot bind, 70 after a crash.
+    """
+    del version
+    common.set_up_logs(log_format)
     settings = targets.TargetSettings(
         service=service,
         host=host,
@@ -53,7 +77,11 @@
         stale_load_ms=stale_load_ms,
         restart_after_ms=restart_after_ms,
     )
-    asyncio.run(_serve(settings))
+    try:
+        asyncio.run(_serve(settings))
+    except OSError as error:
+        message = f"cannot bind {host}:{port}: {error}"
+        raise common.fail(message, common.ExitCode.USAGE) from error
 
 
 async def _serve(settings: targets.TargetSettings) -> None:
@@ -69,5 +97,10 @@
         await target.stop()
 
 
+def main() -> None:
+    """Runs the binary."""
+    common.run(app)
+
+
 if __name__ == "__main__":
     main()
--- a/mustardloom/daemon/serving.py
+++ b/mustardloom/daemon/serving.py
@@ -160,6 +160,11 @@
         cut_off_ms = life.holdings.unknown_before_wall_ms(
             placement.group, placement.slot
         )
+        service = self._configuration.table.services.get(
+            slots.group_service(placement.group)
+        )
+        if service is not None:
+            life.request_ids.set_retention(service.request_id_retention_ms)
         life.request_ids.ensure_slot(placement, cut_off_ms)
 
     async def _run(
--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -11,7 +11,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.admission import deduplication
+from mustardloom import request_ids
 from mustardloom.daemon import daemon as daemons
 from mustardloom.daemon import settings as settings_lib
 from mustardloom.declarations import catalog
@@ -207,7 +207,7 @@
 
     async def scenario(world):
         for path, key in (("/salio/1", "a"), ("/malipo/1", "")):
-            request_id = deduplication.new_request_id(world.clock.wall_ms())
+            request_id = request_ids.new_request_id(world.clock.wall_ms())
             answers = [
                 await world.send(
                     vm,
@@ -264,7 +264,7 @@
 
     async def scenario(world):
         key = await _key_of(world, "salio-1")
-        request_id = deduplication.new_request_id(world.clock.wall_ms())
+        request_id = request_ids.new_request_id(world.clock.wall_ms())
         first = await world.send(
             "malipo-1",
             "/salio/1",
@@ -305,7 +305,7 @@
 
     async def scenario(world):
         key = await _key_of(world, "salio-1")
-        request_id = deduplication.new_request_id(world.clock.wall_ms())
+        request_id = request_ids.new_request_id(world.clock.wall_ms())
         headers = {"X_Account": key, "Idempotency_Key": request_id}
         await world.send("malipo-1", "/salio/1", "POST", b"pay", **headers)
         lost = world.daemon_by_vm.pop("salio-1")
--- a/mustardloom/forwarding/parsing.py
+++ b/mustardloom/forwarding/parsing.py
@@ -9,9 +9,9 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import outcomes
+from mustardloom import request_ids
 from mustardloom import requests
 from mustardloom.declarations import model
-from mustardloom.forwarding import request_ids
 from mustardloom.routing import homes
 from mustardloom.routing import routes
 
--- a/mustardloom/forwarding/tests/test_ingress.py
+++ b/mustardloom/forwarding/tests/test_ingress.py
@@ -9,9 +9,9 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import outcomes
+from mustardloom import request_ids
 from mustardloom.declarations import model
 from mustardloom.forwarding import ingress as ingress_lib
-from mustardloom.forwarding import request_ids
 from mustardloom.routing import routes
 
 LIMIT = 1_000
--- a/mustardloom/forwarding/request_ids.py
+++ b/mustardloom/request_ids.py
@@ -1,11 +1,12 @@
 """Ids of non-idempotent requests: UUIDs of version 7."""
 
+from collections.abc import Callable
 import re
 import secrets
 
 from mustardloom import ids
 
-__all__ = ["new_request_id", "parse", "stamp_ms"]
+__all__ = ["new_request_id", "number_of", "parse", "stamp_ms", "text_of"]
 
 _VERSION = 7
 _VARIANT = 0b10
@@ -17,23 +18,47 @@
 )
 
 
-def new_request_id(wall_ms: int) -> ids.RequestId:
+def new_request_id(
+    wall_ms: int, random_bits: Callable[[int], int] = secrets.randbits
+) -> ids.RequestId:
     """Returns a fresh id that is stamped `wall_ms`.
 
+    Args:
+      wall_ms: Time in ms since the Unix epoch.
+      random_bits: Returns as many random bits as asked for.
+
     Example:
       >>> stamp_ms(new_request_id(1_700_000_000_000))
       1700000000000
     """
     number = wall_ms & ((1 << _TIME_BITS) - 1)
     number = number << 4 | _VERSION
-    number = number << _RANDOM_A_BITS | secrets.randbits(_RANDOM_A_BITS)
+    number = number << _RANDOM_A_BITS | random_bits(_RANDOM_A_BITS)
     number = number << 2 | _VARIANT
-    number = number << _RANDOM_B_BITS | secrets.randbits(_RANDOM_B_BITS)
+    number = number << _RANDOM_B_BITS | random_bits(_RANDOM_B_BITS)
+    return text_of(number)
+
+
+def text_of(number: int) -> ids.RequestId:
+    """Returns the id whose 128 bits are `number`."""
     text = f"{number:032x}"
     parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
     return ids.RequestId("-".join(parts))
 
 
+def number_of(request_id: ids.RequestId) -> int | None:
+    """Returns the 128 bits of an id, None if it is not valid.
+
+    Example:
+      >>> number_of(ids.RequestId("7")) is None
+      True
+    """
+    try:
+        return int(parse(request_id).replace("-", ""), 16)
+    except ValueError:
+        return None
+
+
 def parse(text: str) -> ids.RequestId:
     """Returns the id in lower case, so that equal ids have one spelling.
 
--- a/mustardloom/standins/caller.py
+++ b/mustardloom/standins/caller.py
@@ -21,6 +21,8 @@
 from tornado import httputil
 from tornado import iostream
 
+from mustardloom import request_ids
+
 __all__ = [
     "Caller",
     "Load",
@@ -28,7 +30,6 @@
     "Result",
     "Traffic",
     "ZipfKeys",
-    "new_request_id",
 ]
 
 _US_PER_S = 1_000_000
@@ -42,19 +43,6 @@
 _PERCENTILES = {"p50": 50.0, "p99": 99.0, "p999": 99.9}
 
 
-def new_request_id(wall_ms: int, source: random.Random) -> str:
-    """Returns a UUID of version 7.
-
-    Example:
-      >>> new_request_id(1_700_000_000_000, random.Random(1))[:14]
-      '018bcfe5-6800-'
-    """
-    high = (wall_ms & (2**48 - 1)) << 16 | 7 << 12 | source.getrandbits(12)
-    text = f"{high << 64 | 2 << 62 | source.getrandbits(62):032x}"
-    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
-    return "-".join(parts)
-
-
 class Result(enum.Enum):
     """What a caller knows at the end of a request."""
 
@@ -523,7 +511,9 @@
         body = b""
         if is_post:
             body = b"x" * load.body_bytes
-            request_id = new_request_id(wall_ms, self._random)
+            request_id = request_ids.new_request_id(
+                wall_ms, self._random.getrandbits
+            )
             headers["Idempotency-Key"] = request_id
             headers["Content-Length"] = str(len(body))
         return _Call(
