Count bytes of datagrams and peer streams, keep past intervals

The share of the network that control uses was not measurable. A codec counts encoded messages, which costs no second serialization. The interval log was lost with the life of a member, so a pause hid what the earlier life served.

--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -32,6 +32,7 @@
 from mustardloom.membership import records
 from mustardloom.membership import witness
 from mustardloom.ownership import cleanup
+from mustardloom.ownership import holdings as holdings_lib
 from mustardloom.ownership import slot_map
 from mustardloom.ownership import slots
 from mustardloom.platform import http_client
@@ -88,6 +89,7 @@
         self._is_stopped = False
         self._is_leaving = False
         self._has_ended_life = asyncio.Event()
+        self._past_intervals: list[holdings_lib.Interval] = []
         self._tasks: list[asyncio.Task[Any]] = []
         member = ids.new_member_id(settings.vm)
         self._wire_network(member)
@@ -361,6 +363,7 @@
             if self._is_leaving:
                 return
             await self._life.end()
+            self._past_intervals.extend(self._life.holdings.intervals)
             self._life = self._new_life(ids.new_member_id(self._settings.vm))
             self._current_lease.lease = self._life.lease
             self._life.start()
@@ -577,7 +580,10 @@
     def _intervals(self) -> Any:
         return {
             "member": self._life.member,
-            "intervals": list(self._life.holdings.intervals),
+            "intervals": [
+                *self._past_intervals,
+                *self._life.holdings.intervals,
+            ],
         }
 
     def _lookup(self, member: ids.MemberId) -> tuple[str, int] | None:
--- a/mustardloom/membership/datagrams.py
+++ b/mustardloom/membership/datagrams.py
@@ -234,11 +234,15 @@
 class _Protocol(asyncio.DatagramProtocol):
     """Passes datagrams of an asyncio transport to an endpoint."""
 
-    def __init__(self, endpoint: DatagramEndpoint):
+    def __init__(
+        self, endpoint: DatagramEndpoint, metrics: metrics_lib.Metrics
+    ):
         self._endpoint = endpoint
+        self._metrics = metrics
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """See base class."""
+        self._metrics.increment("membership.bytes_received", len(data))
         self._endpoint.receive(data, records.Address(addr[0], addr[1]))
 
 
@@ -262,7 +266,8 @@
         """
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Protocol(self), local_addr=(address.host, address.port)
+            lambda: _Protocol(self, self._metrics),
+            local_addr=(address.host, address.port),
         )
         self._transport = transport
         host, port = transport.get_extra_info("sockname")[:2]
@@ -278,4 +283,5 @@
         if self._transport is None:
             self._metrics.increment("membership.datagrams_unsent")
             return
+        self._metrics.increment("membership.bytes_sent", len(data))
         self._transport.sendto(data, (address.host, address.port))
--- a/mustardloom/relay/peers.py
+++ b/mustardloom/relay/peers.py
@@ -14,6 +14,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom.relay import authentication
+from mustardloom.relay import counting_codec
 from mustardloom.relay.wire import peer_grpc
 from mustardloom.relay.wire import peer_pb2
 
@@ -222,7 +223,7 @@
             address = self._owner.lookup(self._member)
         if address is None:
             raise PeerUnreachable(f"no address of {self._member}")
-        channel = grpc_client.Channel(*address)
+        channel = grpc_client.Channel(*address, codec=self._owner.codec)
         try:
             stub = peer_grpc.PeerServiceStub(channel)
             receiver = self._member
@@ -287,6 +288,7 @@
     Attributes:
       member: Own member id.
       lookup: Returns the address of a member, None if it is not known.
+      codec: Codec of all streams, which counts their bytes.
     """
 
     def __init__(
@@ -302,6 +304,7 @@
         self.clock = clock
         self.metrics = metrics
         self.authenticator = authenticator
+        self.codec = counting_codec.CountingCodec(metrics)
         self._links: dict[ids.MemberId, _Link] = {}
         self._handlers: dict[str, Handler] = {}
 
@@ -385,7 +388,7 @@
 
     def __init__(self, peers: Peers):
         self._peers = peers
-        self._server = grpc_server.Server([self])
+        self._server = grpc_server.Server([self], codec=peers.codec)
 
     async def start(self, host: str, port: int) -> None:
         """Listens on an address.
