--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -9,18 +9,29 @@
 _EXAMPLES = _ROOT / "mustardloom" / "declarations" / "examples"
 
 
-def placements(deployment: "Deployment") -> list["Placement"]:
-    """Returns one placement per target, spread over all zones."""
+def placements(
+    deployment: "Deployment", count: int | None = None
+) -> list["Placement"]:
+    """Returns `count` placements spread over all zones.
+
+    Without a count there is one target per service and zone.
+    """
     zones = [
         (region, f"{region}-{number}")
         for region in deployment.regions
         for number in (1, 2)
     ]
-    return [
+    once = [
         Placement(region, zone, service)
         for service in deployment.services
         for region, zone in zones
     ]
+    if count is None:
+        return once
+    return [
+        dataclasses.replace(once[index % len(once)], number=index // len(once))
+        for index in range(count)
+    ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,16 +62,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """Where a target runs and what it serves."""
+    """Where a target runs, what it serves, and its number among equals."""
 
     region: str
     zone: str
     service: str
+    number: int = 0
 
     @property
     def vm(self) -> str:
         """Name of its VM."""
-        return f"{self.service}-{self.zone}"
+        name = f"{self.service}-{self.zone}"
+        return f"{name}-{self.number}" if self.number else name
 
 
 BY_NAME = {
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -145,6 +145,15 @@
             self.start_target(node)
         self.wait_settled(settle_s)
 
+    def start_with_idle_targets(self, settle_s: float) -> None:
+        """Starts everything, with one process that serves all targets."""
+        self.start_platform()
+        self.ctl(["apply", str(self.deployment.declarations)])
+        for node in self.nodes:
+            self.start_daemon(node)
+        self._start_idle_targets()
+        self.wait_settled(settle_s)
+
     def start_platform(self) -> None:
         """Starts the stand-in platform and waits until it answers."""
         self.platform = self._spawn(
@@ -305,6 +314,30 @@
         """Ends all processes that this fleet started."""
         self._stack.close()
 
+    def _start_idle_targets(self) -> None:
+        idle = [
+            {
+                "service": node.placement.service,
+                "host": node.host,
+                "port": _TARGET_PORT,
+                "capacity": self.deployment.capacity,
+                "daemon_admin": f"{node.host}:{_ADMIN_PORT}",
+            }
+            for node in self.nodes
+        ]
+        process = subprocess.Popen(
+            [sys.executable, "-m", "bench.idle_targets"],
+            cwd=_ROOT,
+            env=self._environment(),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self._stack.callback(_end, process)
+        assert process.stdin is not None
+        process.stdin.write(json.dumps(idle).encode())
+        process.stdin.close()
+
     def _signal(
         self, node: Node, number: signal.Signals, daemon: bool, target: bool
     ) -> None:
--- /dev/null
+++ b/bench/idle_targets.py
@@ -0,0 +1,42 @@
+"""Many stand-in targets in one process, for fleets without load."""
+
+import asyncio
+import sys
+
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom.standins import target as targets
+
+__all__ = ["IdleTarget", "main"]
+
+
+class IdleTarget(msgspec.Struct, frozen=True):
+    """One target and the admin address of the daemon beside it."""
+
+    service: str
+    host: str
+    port: int
+    capacity: int
+    daemon_admin: str
+
+
+def main() -> None:
+    """Serves the targets that standard input names until it is killed."""
+    chosen = msgspec.json.decode(sys.stdin.buffer.read(), type=list[IdleTarget])
+    asyncio.run(_serve(chosen))
+
+
+async def _serve(chosen: list[IdleTarget]) -> None:
+    clock = clocks.SystemClock()
+    served = []
+    for idle in chosen:
+        settings = targets.TargetSettings(**msgspec.structs.asdict(idle))
+        target = targets.Target(settings, clock)
+        target.start()
+        served.append(target)
+    await asyncio.gather(*(target.run() for target in served))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/intervals.py
+++ b/bench/intervals.py
@@ -1,15 +1,149 @@
 """Reads from the daemons' interval logs when slots were served."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import itertools
 from typing import Any
 
 from bench import fleet as fleets
 
-__all__ = ["Slot", "open_slots", "reopened_ms", "wait_reopened"]
+__all__ = [
+    "Interval",
+    "Slot",
+    "by_slot",
+    "open_slots",
+    "overlaps",
+    "owner_changes",
+    "read",
+    "reopened_ms",
+    "unavailable_ms",
+    "unserved_ms",
+    "wait_reopened",
+]
 
 Slot = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interval:
+    """Time in which a VM served a slot.
+
+    Attributes:
+      vm: Name of the VM.
+      slot: The slot.
+      epoch: Epoch at which it was served.
+      from_wall_ms: When it began.
+      to_wall_ms: When it ended, None if it has not.
+    """
+
+    vm: str
+    slot: Slot
+    epoch: int
+    from_wall_ms: int
+    to_wall_ms: int | None = None
+
+    def ended(self, wall_ms: int) -> "Interval":
+        """Returns the interval with an end if it had none."""
+        if self.to_wall_ms is not None:
+            return self
+        return dataclasses.replace(self, to_wall_ms=wall_ms)
+
+
+def read(nodes: Iterable[fleets.Node]) -> list[Interval]:
+    """Returns the logged intervals of the nodes that answer."""
+    return [
+        Interval(
+            node.vm,
+            (item["group"], item["slot"]),
+            item["epoch"],
+            item["from_wall_ms"],
+            item["to_wall_ms"],
+        )
+        for node in nodes
+        for item in _intervals(node)
+    ]
+
+
+def by_slot(found: Iterable[Interval]) -> dict[Slot, list[Interval]]:
+    """Returns the intervals of each slot in the order of their starts."""
+    ordered = sorted(found, key=lambda i: (i.from_wall_ms, i.epoch))
+    grouped: dict[Slot, list[Interval]] = {}
+    for interval in ordered:
+        grouped.setdefault(interval.slot, []).append(interval)
+    return grouped
+
+
+def overlaps(found: Iterable[Interval]) -> int:
+    """Returns how often two VMs served a slot at the same time.
+
+    Example:
+      >>> slot = ("salio@*", 0)
+      >>> overlaps([Interval("a", slot, 1, 0, 9), Interval("b", slot, 2, 9)])
+      0
+    """
+    return sum(
+        first.vm != second.vm
+        and (first.to_wall_ms is None or first.to_wall_ms > second.from_wall_ms)
+        for slot_intervals in by_slot(found).values()
+        for first, second in itertools.combinations(slot_intervals, 2)
+    )
+
+
+def unavailable_ms(found: Iterable[Interval], since_wall_ms: int) -> list[int]:
+    """Returns the gaps between the intervals of two owners of a slot.
+
+    Only the gaps that began at `since_wall_ms` or later.
+    """
+    return [
+        second.from_wall_ms - first.to_wall_ms
+        for first, second in _changes(found)
+        if first.to_wall_ms is not None and first.to_wall_ms >= since_wall_ms
+    ]
+
+
+def owner_changes(
+    found: Iterable[Interval], since_wall_ms: int
+) -> dict[Slot, int]:
+    """Returns how often each slot changed its VM after a time."""
+    counts: dict[Slot, int] = {}
+    for _, second in _changes(found):
+        if second.from_wall_ms >= since_wall_ms:
+            counts[second.slot] = counts.get(second.slot, 0) + 1
+    return counts
+
+
+def unserved_ms(
+    found: Iterable[Interval], from_wall_ms: int, to_wall_ms: int
+) -> dict[Slot, int]:
+    """Returns how long each slot was not served within a window.
+
+    Slots that were served all the time are left out.
+    """
+    unserved: dict[Slot, int] = {}
+    for slot, slot_intervals in by_slot(found).items():
+        missing_ms = 0
+        served_until_ms = from_wall_ms
+        for interval in slot_intervals:
+            start_ms = min(interval.from_wall_ms, to_wall_ms)
+            missing_ms += max(0, start_ms - served_until_ms)
+            end_ms = interval.ended(to_wall_ms).to_wall_ms or 0
+            served_until_ms = max(served_until_ms, end_ms)
+        missing_ms += max(0, to_wall_ms - served_until_ms)
+        if missing_ms:
+            unserved[slot] = missing_ms
+    return unserved
+
+
+def _changes(
+    found: Iterable[Interval],
+) -> Iterator[tuple[Interval, Interval]]:
+    for slot_intervals in by_slot(found).values():
+        for first, second in itertools.pairwise(slot_intervals):
+            if first.vm != second.vm:
+                yield first, second
+
+
 def open_slots(node: fleets.Node) -> set[Slot]:
     """Returns the slots that a daemon serves now."""
     return {
--- /dev/null
+++ b/bench/scenarios/outage.py
@@ -0,0 +1,202 @@
+"""Service and ownership while the platform's store is down or slow."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from bench import deployments
+from bench import fleet as fleets
+from bench import intervals
+from bench import load as loads
+from bench import measurement
+from bench import orders
+
+__all__ = ["run"]
+
+_SETTLE_S = 60.0
+_RATE = 90.0
+_POST_SHARE = 0.25
+_SEED = 23
+_OUTAGE_S = 60.0
+_LOSS_OUTAGE_S = 15.0
+_KILL_AFTER_S = 3.0
+_SERVED_AGAIN_S = 20.0
+_ZONE_S = 6.0
+_SLOW_MS = 2_000
+_LOST_ANSWERS = 20
+_MARGIN_S = 1.0
+# A member younger than this cannot be fenced; see `membership.fencing`.
+_AGE_S = 6.0
+_MS_PER_S = 1_000
+_DEFINITION = (
+    "Kibanda example, 18 daemons and targets on loopback, "
+    f"{_RATE:g} requests/s, a quarter of them not idempotent, no resends. The "
+    f"store answers no call for {_OUTAGE_S:g} s. Unserved slots: those that no "
+    "daemon served at some moment of the outage, from the interval logs. Then "
+    f"an outage of {_LOSS_OUTAGE_S:g} s in which a VM is killed: how many "
+    "slots wait, and how long after the end of the outage until they are "
+    "served. Then an availability zone is taken out and brought back while "
+    f"each call of the store takes {_SLOW_MS} ms, and while the answers of "
+    f"{_LOST_ANSWERS} writes are lost."
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """What one run showed."""
+
+    name: str
+    loaded: loads.Loaded
+    unserved: dict[intervals.Slot, int]
+    overlaps: int
+    served_after_s: float | None = None
+
+    def row(self) -> tuple[str, ...]:
+        """Returns the row of the table."""
+        after = self.served_after_s
+        reasons = self.loaded.combined.reasons
+        return (
+            self.name,
+            f"{self.loaded.combined.answered_share():.5f}",
+            str(self.loaded.without_answer()),
+            str(len(self.unserved)),
+            str(max(self.unserved.values(), default=0)),
+            "" if after is None else f"{after:.2f}",
+            str(self.overlaps),
+            " ".join(f"{name}={n}" for name, n in sorted(reasons.items())),
+        )
+
+
+def run() -> measurement.Measurement:
+    """Stops and slows the store and returns what callers saw."""
+    with fleets.Fleet(deployments.BY_NAME["kibanda"]) as fleet:
+        fleet.start(_SETTLE_S)
+        down = _outage(fleet)
+        slow = _zone_out(fleet, f"store {_SLOW_MS} ms slow", slow_ms=_SLOW_MS)
+        lost = _zone_out(
+            fleet, f"{_LOST_ANSWERS} answers lost", lose_answers=_LOST_ANSWERS
+        )
+        killed = _outage_with_loss(fleet)
+    found = (down, killed, slow, lost)
+    return measurement.Measurement(
+        name="outage",
+        definition=_DEFINITION,
+        figures={
+            "store_down_60s_unserved_keys": len(down.unserved),
+            "store_down_60s_answered_share": (
+                down.loaded.combined.answered_share()
+            ),
+            "store_down_vm_lost_waiting_slots": len(killed.unserved),
+            "store_down_vm_lost_served_after_s": killed.served_after_s or 0.0,
+            "store_slow_az_out_answered_share": (
+                slow.loaded.combined.answered_share()
+            ),
+            "store_answers_lost_az_out_answered_share": (
+                lost.loaded.combined.answered_share()
+            ),
+        },
+        table=(
+            (
+                "run",
+                "answered",
+                "not answered",
+                "unserved slots",
+                "longest ms",
+                "served after s",
+                "double owner",
+                "reasons",
+            ),
+            *(result.row() for result in found),
+        ),
+    )
+
+
+def _load(duration_s: float) -> loads.Load:
+    return loads.Load(
+        rate=_RATE, duration_s=duration_s, post_share=_POST_SHARE, seed=_SEED
+    )
+
+
+def _outage(fleet: fleets.Fleet) -> _Result:
+    window: list[int] = []
+
+    def script(wait_until: Callable[[float], None]) -> None:
+        wait_until(_MARGIN_S)
+        fleet.set_platform_faults(down=True)
+        window.append(orders.wall_ms())
+        wait_until(_MARGIN_S + _OUTAGE_S)
+        window.append(orders.wall_ms())
+        fleet.set_platform_faults()
+
+    loaded = loads.run(fleet, _load(_OUTAGE_S + 2 * _MARGIN_S), script)
+    found = intervals.read(fleet.nodes)
+    unserved = intervals.unserved_ms(found, *window)
+    overlaps = intervals.overlaps(found)
+    return _Result("store down 60 s", loaded, unserved, overlaps)
+
+
+def _outage_with_loss(fleet: fleets.Fleet) -> _Result:
+    fleet.wait_settled(_SETTLE_S)
+    time.sleep(_AGE_S)
+    victim = fleet.by_vm["salio-kaskazini-1"]
+    rest = [node for node in fleet.nodes if node is not victim]
+    before = intervals.read(fleet.nodes)
+    slots = intervals.open_slots(victim)
+    window: list[int] = []
+    served_ms: list[int] = []
+
+    def script(wait_until: Callable[[float], None]) -> None:
+        wait_until(_MARGIN_S)
+        fleet.set_platform_faults(down=True)
+        wait_until(_MARGIN_S + _KILL_AFTER_S)
+        window.append(orders.wall_ms())
+        fleet.kill(victim)
+        wait_until(_MARGIN_S + _LOSS_OUTAGE_S)
+        window.append(orders.wall_ms())
+        fleet.set_platform_faults()
+        served = intervals.wait_reopened(
+            fleet, rest, slots, window[-1], _SERVED_AGAIN_S
+        )
+        served_ms.extend(served.values())
+
+    duration_s = 2 * _MARGIN_S + _LOSS_OUTAGE_S + _SERVED_AGAIN_S / 4
+    loaded = loads.run(fleet, _load(duration_s), script, victim)
+    # The log of the victim is lost with it.
+    own = [i.ended(window[0]) for i in before if i.vm == victim.vm]
+    found = [*own, *intervals.read(rest)]
+    return _Result(
+        "store down, VM killed",
+        loaded,
+        intervals.unserved_ms(found, *window),
+        intervals.overlaps(found),
+        max(served_ms, default=0) / _MS_PER_S,
+    )
+
+
+def _zone_out(fleet: fleets.Fleet, name: str, **faults: int) -> _Result:
+    """Takes a zone out under faults of the store, and back without."""
+    fleet.wait_settled(_SETTLE_S)
+    zone = f"{fleet.deployment.regions[0]}-2"
+    node = next(n for n in fleet.nodes if n.placement.zone != zone)
+    window: list[int] = []
+
+    def script(wait_until: Callable[[float], None]) -> None:
+        wait_until(_MARGIN_S)
+        window.append(orders.wall_ms())
+        fleet.set_platform_faults(**faults)
+        orders.stop_zone(node, zone)
+        wait_until(_MARGIN_S + _ZONE_S)
+        fleet.set_platform_faults()
+        orders.do(node, f"start availability-zone {zone}")
+        wait_until(_MARGIN_S + 2 * _ZONE_S)
+        window.append(orders.wall_ms())
+
+    loaded = loads.run(fleet, _load(2 * (_MARGIN_S + _ZONE_S)), script)
+    found = intervals.read(fleet.nodes)
+    unserved = intervals.unserved_ms(found, *window)
+    return _Result(
+        f"zone out and back, {name}",
+        loaded,
+        unserved,
+        intervals.overlaps(found),
+    )
--- /dev/null
+++ b/bench/scenarios/pause.py
@@ -0,0 +1,153 @@
+"""Safety while a daemon, a target or both are paused and resumed."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from bench import checker
+from bench import collector as collectors
+from bench import deployments
+from bench import fleet as fleets
+from bench import intervals
+from bench import load as loads
+from bench import measurement
+from bench import orders
+
+__all__ = ["run"]
+
+_SETTLE_S = 60.0
+_RATE = 150.0
+_DURATION_S = 18.0
+_RESENDS = 3
+_POST_SHARE = 0.8
+_SEED = 31
+_PAUSE_AT_S = 3.0
+_PAUSE_S = 5.0
+# A member younger than this cannot be fenced; see `membership.fencing`.
+_AGE_S = 6.0
+_DEFINITION = (
+    "Kibanda example, 18 daemons and targets on loopback, "
+    f"{_RATE:g} requests/s, {_POST_SHARE:.0%} of them not idempotent, some of "
+    f"an organisation that is bound to two regions, up to {_RESENDS} resends. "
+    f"The daemon, the target, or both of a VM are stopped with SIGSTOP for "
+    f"{_PAUSE_S:g} s and resumed. Double owner intervals come from the "
+    "interval logs, the other breaches from the records of targets and "
+    "callers. Unserved: longest time in which no daemon served a slot, from "
+    "the pause to the end of the load."
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """What one pause showed."""
+
+    name: str
+    verdict: checker.Verdict
+    overlaps: int
+    slots: int
+    unserved_most_ms: int
+    loaded: loads.Loaded
+
+    def row(self) -> tuple[str, ...]:
+        """Returns the row of the table."""
+        reasons = self.loaded.combined.reasons
+        return (
+            self.name,
+            str(self.slots),
+            str(self.unserved_most_ms),
+            f"{self.loaded.combined.answered_share():.5f}",
+            str(self.overlaps),
+            str(self.verdict.double_owner),
+            str(self.verdict.double_runs),
+            str(self.verdict.false_not_run),
+            str(self.verdict.region_breaches),
+            str(self.verdict.crossed),
+            " ".join(f"{name}={n}" for name, n in sorted(reasons.items())),
+        )
+
+
+def run() -> measurement.Measurement:
+    """Pauses processes and returns the breaches."""
+    with fleets.Fleet(deployments.BY_NAME["kibanda"]) as fleet:
+        fleet.start(_SETTLE_S)
+        found = [
+            _pause(fleet, "daemon", "salio-pwani-1", True, False),
+            _pause(fleet, "target", "salio-ziwa-1", False, True),
+            _pause(fleet, "both", "salio-kaskazini-1", True, True),
+        ]
+    verdicts = [result.verdict for result in found]
+    figures: dict[str, float] = {
+        "double_owner_intervals": sum(
+            result.overlaps + result.verdict.double_owner for result in found
+        ),
+        "double_runs": sum(verdict.double_runs for verdict in verdicts),
+        "false_not_run": sum(verdict.false_not_run for verdict in verdicts),
+        "region_breaches": sum(verdict.region_breaches for verdict in verdicts),
+    }
+    for result in found:
+        name = f"pause_{result.name}_unserved_ms"
+        figures[name] = result.unserved_most_ms
+    return measurement.Measurement(
+        name="pause",
+        definition=_DEFINITION,
+        figures=figures,
+        table=(
+            (
+                "paused",
+                "slots",
+                "unserved ms",
+                "answered",
+                "double owner intervals",
+                "double owner runs",
+                "double runs",
+                "false not run",
+                "region breaches",
+                "crossed",
+                "reasons",
+            ),
+            *(result.row() for result in found),
+        ),
+    )
+
+
+def _pause(
+    fleet: fleets.Fleet, name: str, vm: str, daemon: bool, target: bool
+) -> _Result:
+    fleet.wait_settled(_SETTLE_S)
+    time.sleep(_AGE_S)
+    node = fleet.by_vm[vm]
+    slots = intervals.open_slots(node)
+    window: list[int] = []
+
+    def script(wait_until: Callable[[float], None]) -> None:
+        wait_until(_PAUSE_AT_S)
+        window.append(orders.wall_ms())
+        fleet.pause(node, daemon, target)
+        wait_until(_PAUSE_AT_S + _PAUSE_S)
+        fleet.resume(node, daemon, target)
+        wait_until(_DURATION_S)
+        window.append(orders.wall_ms())
+
+    load = loads.Load(
+        rate=_RATE,
+        duration_s=_DURATION_S,
+        post_share=_POST_SHARE,
+        resends=_RESENDS,
+        bound_traffic="/salio/{key},key=X-Account,organisation=hazina",
+        bound_regions=frozenset({"pwani", "ziwa"}),
+        seed=_SEED,
+    )
+    with collectors.RunCollector(fleet) as collector:
+        loaded = loads.run(fleet, load, script, node)
+        runs = collector.runs()
+    found = intervals.read(fleet.nodes)
+    evidence = checker.Evidence(runs, loaded.log, loaded.bound_ids(load))
+    unserved = intervals.unserved_ms(found, *window)
+    return _Result(
+        name,
+        checker.check(evidence),
+        intervals.overlaps(found),
+        len(slots),
+        max(unserved.values(), default=0),
+        loaded,
+    )
--- /dev/null
+++ b/bench/scenarios/zone.py
@@ -0,0 +1,243 @@
+"""Service while an availability zone is taken out and brought back."""
+
+from collections.abc import Callable
+import dataclasses
+
+from bench import collector as collectors
+from bench import deployments
+from bench import fleet as fleets
+from bench import intervals
+from bench import load as loads
+from bench import measurement
+from bench import orders
+from mustardloom.standins import runs as run_records
+
+__all__ = ["run"]
+
+_SETTLE_S = 60.0
+_SERVICE_MS = 100
+_LOAD_SHARE = 0.6
+_POST_SHARE = 0.25
+_WARM_UP_S = 8.0
+_RUN_S = 20.0
+_OUT_AT_S = 2.0
+_FAULT_AFTER_S = 0.3
+_FAULT_S = 3.0
+_BACK_AT_S = 10.0
+_SEED = 11
+_MS_PER_S = 1_000
+_STARTED = frozenset(
+    {
+        run_records.RunOutcome.COMMITTED,
+        run_records.RunOutcome.CRASHED,
+        run_records.RunOutcome.CANCELLED,
+    }
+)
+_DEFINITION = (
+    "Kibanda and Sagarmatha examples, 18 daemons and targets on loopback with "
+    f"a service time of {_SERVICE_MS} ms, callers in all regions with "
+    f"{_LOAD_SHARE:.0%} of the capacity of all three services, a quarter of it "
+    "not idempotent, equal keys, no resends. A quiet run, then a run of equal "
+    "length in which an availability zone is taken out and brought back by "
+    "the operator commands, with `force` where the check of the remaining "
+    "capacity refuses. Last new request: from the acknowledgement of the "
+    "command until the last start of a request at a target of the zone before "
+    "it is brought back. Cut requests: refused or unknown requests beyond "
+    "those of the quiet run. Owner changes: the largest number of any slot "
+    "from the first command on. Further Kibanda runs: a VM of another zone "
+    "killed, or the store down for a while, just after the command. Figures "
+    "without a name of an example are the worse of the two."
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """What one run with a zone out and back showed."""
+
+    last_new_s: float
+    without_answer: int
+    answered_share: float
+    p99_ms: float
+    changes_mean: float
+    changes_most: int
+    overlaps: int
+    reasons: dict[str, int]
+
+
+Fault = Callable[[fleets.Fleet, Callable[[float], None]], None]
+
+
+def run() -> measurement.Measurement:
+    """Takes zones out and back and returns what callers saw."""
+    figures: dict[str, float] = {}
+    rows: list[tuple[str, ...]] = [
+        (
+            "run",
+            "last new s",
+            "not answered",
+            "answered",
+            "99th ms",
+            "changes mean",
+            "changes most",
+            "double owner",
+            "reasons",
+        )
+    ]
+    for name in ("kibanda", "sagarmatha"):
+        found = _measure(deployments.BY_NAME[name], rows)
+        for figure, value in found.items():
+            figures[f"{figure}_{name}"] = value
+            worse = min if figure.endswith("answered_share") else max
+            figures[figure] = worse(figures.get(figure, value), value)
+    return measurement.Measurement(
+        name="zone",
+        definition=_DEFINITION,
+        figures=figures,
+        table=tuple(rows),
+    )
+
+
+def _measure(
+    deployment: deployments.Deployment, rows: list[tuple[str, ...]]
+) -> dict[str, float]:
+    slow = ["--mean-ms", str(_SERVICE_MS)]
+    options = dict.fromkeys(deployment.services, slow)
+    with fleets.Fleet(deployment, target_options=options) as fleet:
+        fleet.start(_SETTLE_S)
+        load = _load(fleet)
+        loads.run(fleet, dataclasses.replace(load, duration_s=_WARM_UP_S))
+        quiet = loads.run(fleet, load)
+        rows.append(_quiet_row(f"{deployment.name} quiet", quiet))
+        result = _out_and_back(fleet, load)
+        rows.append(_row(f"{deployment.name} zone out and back", result))
+        if deployment.name == "kibanda":
+            _run_variants(fleet, load, rows)
+    cut = max(0, result.without_answer - quiet.without_answer())
+    return {
+        "az_out_last_new_request_s": result.last_new_s,
+        "az_out_cut_requests": cut,
+        "az_out_back_p99_ratio": result.p99_ms / quiet.latency_ms(99.0),
+        "az_out_back_owner_changes_per_slot": result.changes_most,
+        "az_out_answered_share": result.answered_share,
+    }
+
+
+def _run_variants(
+    fleet: fleets.Fleet, load: loads.Load, rows: list[tuple[str, ...]]
+) -> None:
+    fleet.wait_settled(_SETTLE_S)
+    result = _out_and_back(fleet, load, _store_outage)
+    rows.append(_row("kibanda, store down midway", result))
+    fleet.wait_settled(_SETTLE_S)
+    victim = fleet.by_vm[f"{fleet.deployment.services[0]}-ziwa-1"]
+    result = _out_and_back(fleet, load, _kill_of(victim), victim)
+    rows.append(_row("kibanda, VM killed midway", result))
+
+
+def _store_outage(
+    fleet: fleets.Fleet, wait_until: Callable[[float], None]
+) -> None:
+    wait_until(_OUT_AT_S + _FAULT_AFTER_S)
+    fleet.set_platform_faults(down=True)
+    wait_until(_OUT_AT_S + _FAULT_AFTER_S + _FAULT_S)
+    fleet.set_platform_faults()
+
+
+def _kill_of(victim: fleets.Node) -> Fault:
+    def kill(fleet: fleets.Fleet, wait_until: Callable[[float], None]) -> None:
+        wait_until(_OUT_AT_S + _FAULT_AFTER_S)
+        fleet.kill(victim)
+
+    return kill
+
+
+def _load(fleet: fleets.Fleet) -> loads.Load:
+    deployment = fleet.deployment
+    targets = len(fleet.nodes)
+    capacity = targets * deployment.capacity * _MS_PER_S / _SERVICE_MS
+    return loads.Load(
+        rate=_LOAD_SHARE * capacity,
+        duration_s=_RUN_S,
+        post_share=_POST_SHARE,
+        seed=_SEED,
+    )
+
+
+def _out_and_back(
+    fleet: fleets.Fleet,
+    load: loads.Load,
+    fault: Fault | None = None,
+    victim: fleets.Node | None = None,
+) -> _Result:
+    zone = f"{fleet.deployment.regions[0]}-2"
+    node = next(n for n in fleet.nodes if n.placement.zone != zone)
+    times: list[int] = []
+
+    def script(wait_until: Callable[[float], None]) -> None:
+        wait_until(_OUT_AT_S)
+        times.append(orders.wall_ms())
+        times.append(orders.stop_zone(node, zone))
+        if fault is not None:
+            fault(fleet, wait_until)
+        wait_until(_BACK_AT_S)
+        times.append(orders.wall_ms())
+        orders.do(node, f"start availability-zone {zone}")
+
+    with collectors.RunCollector(fleet) as collector:
+        loaded = loads.run(fleet, load, script, victim)
+        runs = collector.runs()
+    sent_ms, out_ms, back_ms = times
+    in_zone = {n.vm for n in fleet.nodes if n.placement.zone == zone}
+    late_ms = [
+        owned.run.start_wall_ms - out_ms
+        for owned in runs
+        if owned.target in in_zone
+        and owned.run.outcome in _STARTED
+        and out_ms <= owned.run.start_wall_ms < back_ms
+    ]
+    fleet.wait_settled(_SETTLE_S)
+    found = intervals.read(fleet.nodes)
+    changes = intervals.owner_changes(found, sent_ms)
+    slot_count = len(intervals.by_slot(found))
+    return _Result(
+        last_new_s=max(late_ms, default=0) / _MS_PER_S,
+        without_answer=loaded.without_answer(),
+        answered_share=loaded.combined.answered_share(),
+        p99_ms=loaded.latency_ms(99.0),
+        changes_mean=sum(changes.values()) / max(1, slot_count),
+        changes_most=max(changes.values(), default=0),
+        overlaps=intervals.overlaps(found),
+        reasons=loaded.combined.reasons,
+    )
+
+
+def _quiet_row(name: str, quiet: loads.Loaded) -> tuple[str, ...]:
+    return (
+        name,
+        "",
+        str(quiet.without_answer()),
+        f"{quiet.combined.answered_share():.5f}",
+        f"{quiet.latency_ms(99.0):.1f}",
+        "",
+        "",
+        "",
+        _reasons(quiet.combined.reasons),
+    )
+
+
+def _row(name: str, result: _Result) -> tuple[str, ...]:
+    return (
+        name,
+        f"{result.last_new_s:.2f}",
+        str(result.without_answer),
+        f"{result.answered_share:.5f}",
+        f"{result.p99_ms:.1f}",
+        f"{result.changes_mean:.2f}",
+        str(result.changes_most),
+        str(result.overlaps),
+        _reasons(result.reasons),
+    )
+
+
+def _reasons(reasons: dict[str, int]) -> str:
+    return " ".join(f"{name}={n}" for name, n in sorted(reasons.items()))
