--- a/bench/scenarios/scale.py
+++ b/bench/scenarios/scale.py
@@ -20,6 +20,7 @@
 from mustardloom import metrics as metrics_lib
 from mustardloom import platform
 from mustardloom.daemon import adapters
+from mustardloom.membership import datagrams
 from mustardloom.membership import fencing
 from mustardloom.membership import records
 from mustardloom.ownership import assignment
@@ -29,8 +30,10 @@
 from mustardloom.ownership import slot_map
 from mustardloom.ownership import slots
 from mustardloom.platform import memory
+from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
 from mustardloom.relay import replica as replicas
+from mustardloom.relay.wire import peer_pb2
 
 __all__ = ["DAEMONS", "Fleet", "build", "run"]
 
@@ -45,6 +48,7 @@
 _MS_PER_S = 1_000
 _BYTES_PER_MB = 1_000_000
 _REPEATS = 5
+_DATAGRAMS = 1_000
 _NS_PER_MS = 1_000_000
 _DEFINITION = (
     f"One process with the real classes and the state of {DAEMONS} daemons, "
@@ -99,7 +103,13 @@
     costs = asyncio.run(_costs(fleet))
     figures = {f"scale_{name}_ms": value for name, value in costs.items()}
     figures["scale_state_mb"] = grown_mb
-    figures["scale_stored_kb"] = _stored_bytes(fleet) / _MS_PER_S
+    figures["scale_member_record_bytes"] = _mean_bytes(
+        fleet, records.MEMBERS_PREFIX
+    )
+    figures["scale_chunk_bytes"] = _mean_bytes(fleet, slot_map.SLOTS_PREFIX)
+    figures["scale_chunk_count"] = len(
+        list(fleet.replica.select(slot_map.SLOTS_PREFIX))
+    )
     return measurement.Measurement(
         name="scale",
         definition=_DEFINITION,
@@ -121,6 +131,12 @@
     member_event = _member_event(7, records.MemberState.ACTIVE)
     chunk_event = next(fleet.replica.select(slot_map.SLOTS_PREFIX))
     costs = {
+        "datagram_round": _datagram_ms(),
+        "summary_answer": await _median_async_ms(
+            lambda: disseminator.on_summary(
+                fleet.own, peer_pb2.Summary(version=fleet.replica.version)
+            )
+        ),
         "watcher_check": _median_ms(disseminator.is_watcher),
         "repair_choice": _median_ms(disseminator._random_peer),
         "apply_member": _median_ms(lambda: _bump(fleet, member_event)),
@@ -147,6 +163,34 @@
     return costs
 
 
+class _LoopEndpoint(datagrams.DatagramEndpoint):
+    """Endpoint that receives what it sends."""
+
+    def _transmit(self, address: records.Address, data: bytes) -> None:
+        self.receive(data, address)
+
+
+def _datagram_ms() -> float:
+    """Returns the cost of signing, sending, checking and reading a renewal.
+
+    Without the system call, which the control scenario includes.
+    """
+    member = ids.MemberId("vm-0~00000000")
+    endpoint = _LoopEndpoint(
+        member,
+        authentication.Authenticator(b"fleet key"),
+        metrics_lib.Metrics(),
+    )
+    address = records.Address("127.0.0.1", 1)
+    message = datagrams.Renew(sender=member, receiver=member, acknowledged=True)
+
+    def send_many() -> None:
+        for _ in range(_DATAGRAMS):
+            endpoint.send(address, message)
+
+    return _median_ms(send_many) / _DATAGRAMS
+
+
 def _plan_all(reconciler: reconcilers.Reconciler, fleet: Fleet) -> None:
     reconciler._note_active()
     for group, slot_count in fleet.groups:
@@ -298,8 +342,9 @@
     return sorted(times)[len(times) // 2] / _NS_PER_MS
 
 
-def _stored_bytes(fleet: Fleet) -> int:
-    return sum(len(event.value or b"") for event in fleet.replica.select(""))
+def _mean_bytes(fleet: Fleet, prefix: str) -> float:
+    sizes = [len(e.value or b"") for e in fleet.replica.select(prefix)]
+    return sum(sizes) / len(sizes)
 
 
 if __name__ == "__main__":
