Measure stragglers, overload and cost per request

Cause: `make bench` had no figure for the way of a request: tail latency with stragglers, goodput under overload, processor time of the daemons.

Change: scenarios `straggler`, `overload` and `cost`. Breaches of invariants, which all scenarios count under the same names, are summed in the summary.

--- a/bench/measurement.py
+++ b/bench/measurement.py
@@ -10,6 +10,9 @@
 DIRECTORY = pathlib.Path(__file__).parent.parent / "docs" / "measurements"
 
 _SUMMARY = "summary.json"
+# Breaches of invariants, which every scenario counts; the summary holds their
+# sums, so that a clean scenario does not hide the breaches of another one.
+_SUMMED = ("double_runs", "false_not_run", "region_breaches", "crossed")
 
 
 class Measurement(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,9 +43,23 @@
     if summary_path.exists():
         summary = msgspec.json.decode(summary_path.read_bytes())
     summary.update(measurement.figures)
+    summary.update(_sums(directory))
     _write_json(summary_path, dict(sorted(summary.items())))
 
 
+def _sums(directory: pathlib.Path) -> dict[str, float]:
+    """Returns the summed figures over the saved scenarios that have them."""
+    sums: dict[str, float] = {}
+    for path in directory.glob("*.json"):
+        if path.name == _SUMMARY:
+            continue
+        saved = msgspec.json.decode(path.read_bytes(), type=Measurement)
+        for name in _SUMMED:
+            if name in saved.figures:
+                sums[name] = sums.get(name, 0) + saved.figures[name]
+    return sums
+
+
 def _write_json(path: pathlib.Path, value: object) -> None:
     text = msgspec.json.format(msgspec.json.encode(value), indent=2)
     path.write_bytes(text + b"\n")
--- a/bench/results.py
+++ b/bench/results.py
@@ -65,11 +65,21 @@
         """Returns the share of requests that were answered."""
         return self.counts.get("answered", 0) / max(1, self.total)
 
-    def percentile_ms(self, percentile: float, kind: str = "") -> float:
-        """Returns a percentile of answered requests of one or all kinds."""
+    def percentile_ms(
+        self, percentile: float, kind: str = "", service: str = ""
+    ) -> float:
+        """Returns a percentile of answered requests.
+
+        Args:
+          percentile: Percentile, up to 100.
+          kind: `idempotent` or `once`; empty for both.
+          service: A service; empty for all.
+        """
         merged = hdr.HdrHistogram(_LOWEST_US, _LONGEST_US, _DIGITS)
         for report in self.reports:
-            for by_kind in report.latencies.values():
+            for name_of_service, by_kind in report.latencies.items():
+                if service not in ("", name_of_service):
+                    continue
                 for name, latencies in by_kind.items():
                     if name.startswith("answered") and name.endswith(kind):
                         merged.decode_and_add(latencies.encoded)
--- a/bench/scenarios/__init__.py
+++ b/bench/scenarios/__init__.py
@@ -3,12 +3,18 @@
 from collections.abc import Callable
 
 from bench import measurement
+from bench.scenarios import cost
 from bench.scenarios import loss
+from bench.scenarios import overload
+from bench.scenarios import straggler
 
 __all__ = ["BY_NAME"]
 
 Run = Callable[[], measurement.Measurement]
 
 BY_NAME: dict[str, Run] = {
+    "cost": cost.run,
     "loss": loss.run,
+    "overload": overload.run,
+    "straggler": straggler.run,
 }
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,187 @@
+"""Callers on a running fleet, and the evidence of what they did."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import os
+import pathlib
+import subprocess
+import tempfile
+
+from bench import checker
+from bench import collector as collectors
+from bench import fleet as fleets
+from bench import results
+from mustardloom.standins import caller as callers
+from mustardloom.standins import runs as run_records
+
+__all__ = ["Job", "Load", "Session", "capacity_per_s", "load_average"]
+
+_MS_PER_S = 1_000
+_UNBOUNDED_COUNT = "10000000"
+
+
+def capacity_per_s(fleet: fleets.Fleet, service: str) -> float:
+    """Returns the requests per second that a service's targets bear."""
+    targets = sum(node.placement.service == service for node in fleet.nodes)
+    deployment = fleet.deployment
+    slots = targets * deployment.capacity
+    return slots * _MS_PER_S / deployment.service_ms
+
+
+def load_average() -> str:
+    """Returns the load of the machine over the last minute."""
+    return f"{os.getloadavg()[0]:.1f}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """What the callers of one phase send together.
+
+    Attributes:
+      services: Arguments of the request mix, see `mustardloom-caller`.
+      rate: Requests per second of all callers together.
+      duration_s: How long they send.
+      deadline_ms: Deadline of each request.
+      post_share: Share of non-idempotent requests.
+      more: Further arguments of each caller.
+    """
+
+    services: Sequence[str]
+    rate: float
+    duration_s: float
+    deadline_ms: int
+    post_share: float = 0.0
+    more: Sequence[str] = ()
+
+
+class Job:
+    """Callers that are running.
+
+    Attributes:
+      processes: The callers.
+      log_paths: Their request logs.
+    """
+
+    def __init__(self) -> None:
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.log_paths: list[pathlib.Path] = []
+
+    def finish(self) -> results.Combined:
+        """Waits for the callers and returns their reports together."""
+        return results.Combined(map(results.finish, self.processes))
+
+    def log(self) -> list[callers.RequestLog]:
+        """Returns the final outcome of each request, after `finish`."""
+        return [
+            line for path in self.log_paths for line in checker.read_log(path)
+        ]
+
+
+class Session:
+    """Runs callers on a fleet and keeps the evidence for the checker.
+
+    Use as a context manager.
+    """
+
+    def __init__(self, fleet: fleets.Fleet):
+        self._fleet = fleet
+        self._collector = collectors.RunCollector(fleet)
+        self._jobs: list[Job] = []
+        self._stack = contextlib.ExitStack()
+        self._directory = pathlib.Path()
+        self._seeds = iter(range(1, 1_000))
+
+    def __enter__(self) -> "Session":
+        name = self._stack.enter_context(tempfile.TemporaryDirectory())
+        self._directory = pathlib.Path(name)
+        self._stack.enter_context(self._collector)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
+    def start(self, load: Load, ingresses: Iterable[fleets.Node] = ()) -> Job:
+        """Starts one caller per region that has an ingress.
+
+        Args:
+          load: What they send together.
+          ingresses: Nodes that they send to; all nodes by default.
+        """
+        by_region: dict[str, list[str]] = {}
+        for node in ingresses or self._fleet.nodes:
+            addresses = by_region.setdefault(node.placement.region, [])
+            addresses.append(node.caller_address)
+        job = Job()
+        for addresses in by_region.values():
+            self._add_caller(job, load, addresses, load.rate / len(by_region))
+        self._jobs.append(job)
+        return job
+
+    def start_direct(self, load: Load, addresses: list[str]) -> Job:
+        """Starts one caller that talks to targets in round robin.
+
+        Its requests are not evidence: no router has handled them.
+        """
+        direct = dataclasses.replace(load, more=("--direct", *load.more))
+        job = Job()
+        self._add_caller(job, direct, addresses, load.rate)
+        return job
+
+    def run(self, load: Load) -> results.Combined:
+        """Runs a load on all ingresses to its end."""
+        return self.start(load).finish()
+
+    def collect(self, node: fleets.Node) -> None:
+        """Takes the runs of a target just before it is killed."""
+        self._collector.collect(node)
+
+    def runs(self) -> list[checker.OwnedRun]:
+        """Returns all runs of the targets."""
+        return self._collector.runs()
+
+    def crashes(self) -> int:
+        """Returns how often targets crashed, as their records tell."""
+        crashed = (
+            (owned.target, owned.run.instance)
+            for owned in self.runs()
+            if owned.run.outcome is run_records.RunOutcome.CRASHED
+        )
+        return len(set(crashed))
+
+    def counter(self, name: str) -> int:
+        """Returns the sum of one counter of all daemons."""
+        statuses = map(self._fleet.status, self._fleet.nodes)
+        return sum(s["counters"].get(name, 0) for s in statuses if s)
+
+    def breaches(self) -> dict[str, float]:
+        """Returns the figures of broken invariants."""
+        log = [line for job in self._jobs for line in job.log()]
+        verdict = checker.check(checker.Evidence(self.runs(), log))
+        return {
+            "double_runs": verdict.double_runs,
+            "false_not_run": verdict.false_not_run,
+            "region_breaches": verdict.region_breaches,
+            "crossed": verdict.crossed,
+        }
+
+    def _add_caller(
+        self, job: Job, load: Load, addresses: list[str], rate: float
+    ) -> None:
+        seed = next(self._seeds)
+        path = self._directory / f"{seed}.log"
+        arguments = [
+            f"--rate={rate}",
+            f"--duration-s={load.duration_s}",
+            f"--count={_UNBOUNDED_COUNT}",
+            f"--post-share={load.post_share}",
+            f"--deadline-ms={load.deadline_ms}",
+            f"--seed={seed}",
+            f"--log={path}",
+            *(f"--ingress={address}" for address in addresses),
+            *(f"--service={item}" for item in load.services),
+            *load.more,
+        ]
+        job.processes.append(self._fleet.caller(str(seed), arguments))
+        job.log_paths.append(path)
--- a/mustardloom/cli/caller.py
+++ b/mustardloom/cli/caller.py
@@ -82,6 +82,9 @@
     body_bytes: Annotated[
         int, typer.Option(help="Body size of non-idempotent requests.")
     ] = 16,
+    direct: Annotated[
+        bool, typer.Option(help="The ingresses are targets, used in turn.")
+    ] = False,
     seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 1,
     log: Annotated[
         pathlib.Path | None,
@@ -104,6 +107,7 @@
         zipf_exponent=zipf_exponent,
         hot_change_s=hot_change_s,
         body_bytes=body_bytes,
+        direct=direct,
         seed=seed,
     )
     with contextlib.ExitStack() as stack:
--- a/mustardloom/standins/caller.py
+++ b/mustardloom/standins/caller.py
@@ -100,6 +100,8 @@
       zipf_exponent: Skew of the keys; 0 is uniform.
       hot_change_s: After how long other keys become hot; 0 is never.
       body_bytes: Size of the body of a non-idempotent request.
+      direct: The ingresses are targets: use them in turn, not at random, and
+        send no deadline, which targets expect on their own clock.
       seed: Seed of all random choices.
     """
 
@@ -117,6 +119,7 @@
     zipf_exponent: float = 1.0
     hot_change_s: float = 0.0
     body_bytes: int = 16
+    direct: bool = False
     seed: int = 1
 
 
@@ -515,7 +518,8 @@
         headers = httputil.HTTPHeaders()
         headers["Host"] = "mustardloom"
         headers["X-Echo"] = nonce
-        headers["X-Mustardloom-Deadline-Ms"] = str(load.deadline_ms)
+        if not load.direct:
+            headers["X-Mustardloom-Deadline-Ms"] = str(load.deadline_ms)
         if traffic.key_header is not None:
             headers[traffic.key_header] = key
         if traffic.organisation is not None:
@@ -555,7 +559,7 @@
 
     async def _send(self, call: _Call) -> _Outcome:
         self._tally.sends += 1
-        pool = self._pools[self._random.randrange(len(self._pools))]
+        pool = self._next_pool()
         connection = await pool.take()
         try:
             await connection.connect()
@@ -567,6 +571,12 @@
             pool.give_back(connection)
         return _classify(call, response)
 
+    def _next_pool(self) -> _Pool:
+        count = len(self._pools)
+        if self._load.direct:
+            return self._pools[self._tally.sends % count]
+        return self._pools[self._random.randrange(count)]
+
     def _write_log(
         self, call: _Call, outcome: _Outcome, sends: int, latency_us: int
     ) -> None:
@@ -597,6 +607,9 @@
             return _Outcome(Result.REFUSED, reason, status)
         case "unknown":
             return _Outcome(Result.UNKNOWN, reason, status)
+    if response.headers.get("X-Target-Run") == "no":
+        # Only a caller that talks to targets directly sees this.
+        return _Outcome(Result.REFUSED, "target", status)
     if call.nonce.encode() not in response.body:
         return _Outcome(Result.CROSSED, "nonce", status)
     return _Outcome(Result.ANSWERED, "", status)
--- a/mustardloom/standins/tests/test_caller.py
+++ b/mustardloom/standins/tests/test_caller.py
@@ -150,3 +150,16 @@
 
     assert hot(0.0) == hot(9.9)
     assert len({hot(0.0), hot(10.0), hot(20.0)}) == 3
+
+
+def test_direct_requests_carry_no_relative_deadline():
+    """Guards against targets that take it for a time on their own clock."""
+    seen = []
+
+    def note(headers):
+        seen.append("X-Mustardloom-Deadline-Ms" in headers)
+        return echo(headers)
+
+    run(note, direct=True)
+    run(note)
+    assert seen == [False] * 50 + [True] * 50
