--- a/mustardloom/cli/caller.py
+++ b/mustardloom/cli/caller.py
@@ -87,6 +87,10 @@
     body_bytes: Annotated[
         int, common.setting("BODY_BYTES", "Body size of POST requests.", 0)
     ] = 16,
+    direct: Annotated[
+        bool,
+        common.setting("DIRECT", "The ingresses are targets, used in turn."),
+    ] = False,
     seed: Annotated[int, common.setting("SEED", "Seed of random draws.")] = 1,
     log: Annotated[
         pathlib.Path | None,
@@ -114,6 +118,7 @@
         zipf_exponent=zipf_exponent,
         hot_change_s=hot_change_s,
         body_bytes=body_bytes,
+        direct=direct,
         seed=seed,
     )
     with contextlib.ExitStack() as stack:
