Assign the first owners once no member has joined for a moment

Cause: at the start of a fleet the first members got all slots, and a storm of single planned moves with one store write each followed.

Change: a group without any owner waits until no eligible member has joined for 500 ms, at most 5 s after the first one.

--- a/mustardloom/ownership/reconciler.py
+++ b/mustardloom/ownership/reconciler.py
@@ -33,6 +33,12 @@
 # A lost candidate is fenced by others and then leaves the ranking.
 _MAX_CANDIDATES = 8
 _STORE_RETRY_MS = 500
+# The first owners of a group are chosen once no member has joined for this
+# long. Otherwise the first few members to start get all slots, and most of
+# these move away again one by one.
+_FIRST_ASSIGNMENT_QUIET_MS = 500
+# Members that join one after the other delay the first owners by this at most.
+_FIRST_ASSIGNMENT_LIMIT_MS = 5_000
 # 500 ms accepted clock lead of request ids, 250 ms clock skew of the fleet.
 _CUT_OFF_LEAD_MS = 750
 
@@ -186,6 +192,9 @@
         for slot, entry in changes.items():
             entries[slot] = entry
         receivers = list(self._receivers(group))
+        if self._awaits_members(entries, receivers):
+            self.wake()
+            return {}
         load = self._load(group)
         ownerless = self._ownerless(group, entries)
         chosen = assignment.assign(group, entries, ownerless, receivers, load)
@@ -200,6 +209,23 @@
             entries[slot] = changes[slot] = entry
         return changes
 
+    def _awaits_members(
+        self,
+        entries: Iterable[slot_map.SlotEntry],
+        receivers: Iterable[assignment.Receiver],
+    ) -> bool:
+        """Returns whether a group without any owner yet should stay so."""
+        if any(entry.epoch for entry in entries):
+            return False
+        now_ms = self._clock.now_ms()
+        active_ms = [
+            now_ms - self._active_since_ms.get(receiver.member, now_ms)
+            for receiver in receivers
+        ]
+        if not active_ms or max(active_ms) >= _FIRST_ASSIGNMENT_LIMIT_MS:
+            return False
+        return min(active_ms) < _FIRST_ASSIGNMENT_QUIET_MS
+
     def _receivers(self, group: ids.GroupId) -> Iterable[assignment.Receiver]:
         under_way = self._under_way()
         now_ms = self._clock.now_ms()
--- a/mustardloom/ownership/tests/test_moves.py
+++ b/mustardloom/ownership/tests/test_moves.py
@@ -316,3 +316,19 @@
         assert counters["ownership.chunk_conflicts"] == 0
 
     _run(scenario, slot_count=6, members=6)
+
+
+def test_members_that_join_at_the_start_get_slots_without_moves():
+    """Guards against a storm of moves and store writes as a fleet starts."""
+
+    async def scenario(fleet):
+        for _ in range(6):
+            fleet.join()
+            await fleet.settle(200)
+        await fleet.settle(20_000, step_ms=200)
+        entries = fleet.store.entries()
+        assert [entry.epoch for entry in entries] == [1] * 24
+        counts = collections.Counter(fleet.owner_ids())
+        assert sorted(counts.values()) == [4] * 6
+
+    _run(scenario, slot_count=24, members=0)
