Grant slots at once to a target that has just started

Cause: in the poison scenario 27 requests of other callers were refused by restarted targets that had no grants until the next renewal (500 ms). Change: the gate reports a new instance and the daemon grants all slots again; the router asks an owner again whose target refused, within the retry budget.

--- a/bench/scenarios/poison.py
+++ b/bench/scenarios/poison.py
@@ -12,7 +12,7 @@
 from bench import measurement
 from bench import results
 from bench import traffic
-from mustardloom.standins import caller as callers
+from mustardloom import request_ids
 
 __all__ = ["run"]
 
@@ -141,7 +141,7 @@
     request.add_header("X-Account", "poisoned")
     request.add_header("X-Mustardloom-Deadline-Ms", str(_DEADLINE_MS))
     if case.method == "POST":
-        request_id = callers.new_request_id(wall_ms, source)
+        request_id = request_ids.new_request_id(wall_ms, source.getrandbits)
         request.add_header("Idempotency-Key", request_id)
     timeout_s = _DEADLINE_MS / _MS_PER_S + _ANSWER_GRACE_S
     try:
--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -118,6 +118,7 @@
         metrics: metrics_lib.Metrics,
         on_suspect: quarantines.SuspectCallback = lambda *_: None,
         on_target_down: Callable[[bool], None] = lambda _: None,
+        on_new_instance: Callable[[], None] = lambda: None,
     ):
         """Creates an open gate for a target that counts as cold.
 
@@ -131,6 +132,8 @@
             other gates of the service; 0 crashes clears the suspect.
           on_target_down: Called with True when the target has been away too
             long, and with False when it is back.
+          on_new_instance: Called when another run of the target process
+            answers, which has no grants yet.
         """
         self.quarantine = quarantines.Quarantine(clock, on_suspect)
         self.presence = presence.Presence(
@@ -141,6 +144,7 @@
         self._lease = lease
         self._metrics = metrics
         self._on_target_down = on_target_down
+        self._on_new_instance = on_new_instance
         self._capacity = capacity
         self._adaptive = limits.AdaptiveLimit(capacity)
         self._warmup = warmups.Warmup(capacity)
@@ -482,6 +486,7 @@
             self._metrics.increment("gate.target_instances")
             self._turned_cold()
         self._instance = instance
+        self._on_new_instance()
 
     def _on_presence(self, down: bool) -> None:
         if down:
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -428,6 +428,7 @@
             self._metrics,
             self._notify_suspect,
             self._on_target_down,
+            self._on_new_instance,
         )
         self._grants.client = client
         self._serving.gate = gate
@@ -442,6 +443,13 @@
             return
         await self._life.holdings.refresh_grants()
 
+    def _on_new_instance(self) -> None:
+        """Grants all slots again to a target that has just started."""
+        self._spawn(self._grant_again())
+
+    async def _grant_again(self) -> None:
+        await self._life.holdings.refresh_grants()
+
     def _on_target_down(self, is_down: bool) -> None:
         state = "does not answer" if is_down else "answers again"
         logger.warning(f"the target {state}")
--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -108,10 +108,15 @@
         self.settings_by_vm[vm] = settings
         self.daemon_by_vm[vm] = daemon
         await daemon.start()
+        self.start_target(vm, service, region)
+
+    def start_target(self, vm, service, region, port=0):
+        settings = self.settings_by_vm[vm]
         target = target_standin.Target(
             target_standin.TargetSettings(
                 service=service,
                 region=region,
+                port=port,
                 mean_ms=1.0,
                 daemon_admin=str(settings.admin_address),
             ),
@@ -300,6 +305,22 @@
     _run(scenario)
 
 
+def test_restarted_target_is_granted_its_slots_at_once():
+    """Guards against refusals until the next renewal of the grants."""
+
+    async def scenario(world):
+        key = await _key_of(world, "salio-1")
+        first = world.target_by_vm["salio-1"]
+        await first.stop()
+        world.start_target("salio-1", "salio", "pwani", first.port)
+        for _ in range(20):
+            answer = await world.send("malipo-1", "/salio/1", X_Account=key)
+            assert answer.code == 200
+        assert world.target_by_vm["salio-1"].record.page(0).runs
+
+    _run(scenario)
+
+
 def test_lost_owner_is_replaced_and_its_ids_are_not_run_again():
     """Guards against keys without an owner, and a second run after a loss."""
 
--- a/mustardloom/routing/router.py
+++ b/mustardloom/routing/router.py
@@ -158,6 +158,9 @@
         self, request: requests.Request, outcome: outcomes.Outcome
     ) -> bool:
         match outcome:
+            case outcomes.Refused(reason=outcomes.RefusalReason.TARGET_REFUSED):
+                # A target that has just started has no grants for a moment.
+                return self._take_retry(request, outcome)
             case outcomes.Refused(reason=reason):
                 return reason in retries.OUT_OF_SERVICE
             case outcomes.Unknown():
