Drain the ingress of callers; split the daemon's module

Change: a draining ingress answers with Connection: close and ends after 300 ms without a request; local_target and settlement are modules of their own.

--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -9,33 +9,29 @@
 import statsd
 
 from mustardloom import clock as clocks
-from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import operators
-from mustardloom import outcomes
 from mustardloom.admission import gate as gates
 from mustardloom.daemon import adapters
 from mustardloom.daemon import admin
 from mustardloom.daemon import configuration as configurations
 from mustardloom.daemon import life as lives
+from mustardloom.daemon import local_target
 from mustardloom.daemon import serving as servings
 from mustardloom.daemon import settings as settings_lib
+from mustardloom.daemon import settlement
 from mustardloom.forwarding import forwarder as peer_forwarder
 from mustardloom.forwarding import ingress as ingresses
-from mustardloom.forwarding import target_client
-from mustardloom.membership import announcer as announcers
 from mustardloom.membership import datagrams
 from mustardloom.membership import fencing
 from mustardloom.membership import lapses
 from mustardloom.membership import own_record
 from mustardloom.membership import records
 from mustardloom.membership import witness
-from mustardloom.membership import witness_choice
 from mustardloom.ownership import cleanup
 from mustardloom.ownership import holdings as holdings_lib
 from mustardloom.ownership import slot_map
-from mustardloom.ownership import slots
 from mustardloom.platform import http_client
 from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
@@ -44,7 +40,6 @@
 from mustardloom.relay.wire import peer_pb2
 from mustardloom.routing import candidates
 from mustardloom.routing import forwarders
-from mustardloom.routing import homes
 from mustardloom.routing import router as routers
 
 __all__ = ["Daemon", "StartError"]
@@ -52,9 +47,6 @@
 _LOAD_RETRY_MS = 500
 _JANITOR_INTERVAL_MS = 1_000
 _DRAIN_POLL_MS = 50
-# Time for planned moves to empty a stopped target before its gate closes. With
-# the time in which a stop reaches all daemons it stays below 2 s.
-_STOP_GRACE_MS = 1_000
 _METRICS_PREFIX = "mustardloom"
 
 
@@ -82,12 +74,10 @@
         self._store = http_client.HttpPlatformClient(
             settings.platform_url, self._clock, self._metrics
         )
+        self._settlement = settlement.Settlement(
+            self._configuration, self._members, self._slots
+        )
         self._grants = adapters.TargetGrants()
-        self._target_address = ""
-        self._target: announcers.TargetAnnouncement | None = None
-        self._target_tasks: list[asyncio.Task[Any]] = []
-        self._stop_task: asyncio.Task[None] | None = None
-        self._is_stopped = False
         self._is_leaving = False
         self._has_ended_life = asyncio.Event()
         self._past_intervals: list[holdings_lib.Interval] = []
@@ -97,7 +87,6 @@
         self._life = self._new_life(member)
         self._current_lease = adapters.CurrentLease(self._life.lease)
         self._wire_requests()
-        self._configuration.subscribe(self._on_configuration)
 
     async def start(self) -> None:
         """Opens all addresses, loads the configuration and joins the fleet.
@@ -125,10 +114,10 @@
 
     async def close(self) -> None:
         """Ends all tasks and closes all addresses."""
-        tasks = [*self._tasks, *self._target_tasks]
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._target.close()
         await self._life.end()
         await self._lapses.close()
         await self._ingress.stop()
@@ -136,8 +125,6 @@
         await self._peer_server.stop()
         await self._peers.close()
         self._endpoint.close()
-        if self._grants.client is not None:
-            self._grants.client.close()
         self._store.close()
         self._metrics.flush()
         logger.info("stopped")
@@ -183,7 +170,6 @@
         )
         self._peers.handle(peer_pb2.Push, self._on_push)
         self._peers.handle(peer_pb2.Summary, self._disseminator.on_summary)
-        self._peers.handle(peer_pb2.Suspect, self._on_suspect)
         self._fencer = fencing.Fencer(
             self._store,
             self._replica,
@@ -235,6 +221,17 @@
             router.dispatch_once,
             self._metrics,
         )
+        self._target = local_target.LocalTarget(
+            lambda: self._life,
+            self._current_lease,
+            self._grants,
+            self._serving,
+            self._configuration,
+            self._members,
+            self._peers,
+            self._clock,
+            self._metrics,
+        )
         forwarder.serve(forwarders.Destination.GATE, self._serving.on_gate)
         forwarder.serve(forwarders.Destination.OWNER, self._serving.on_owner)
         self._ingress = ingresses.Ingress(
@@ -244,7 +241,7 @@
             self._metrics,
         )
         self._admin = admin.AdminServer(
-            self._on_target_notice,
+            self._target.on_notice,
             self.status,
             self._intervals,
             operators.handlers(self._operator()),
@@ -280,12 +277,10 @@
             report.gate.running = load.running
             report.gate.queued = load.queued
             report.gate.limit = load.limit
-        client = self._grants.client
-        if target_report and client is not None:
-            own = await client.load()
-            if own is not None:
-                report.target.running = own.running
-                report.target.queued = own.queued
+        own = await self._target.load() if target_report else None
+        if own is not None:
+            report.target.running = own.running
+            report.target.queued = own.queued
         return report
 
     async def _listen(self) -> None:
@@ -375,150 +370,14 @@
         life = self._life
         try:
             await life.announcer.create()
-            if self._target is not None:
-                await life.announcer.register_target(self._target)
-        except own_record.LifeEnded:
-            return
-
-    async def _on_target_notice(self, notice: admin.TargetNotice) -> None:
-        self._check_notice(notice)
-        if notice.address != self._target_address:
-            await self._connect_target(notice)
-        assert self._serving.gate is not None
-        self._serving.gate.announced(notice.capacity, notice.instance)
-        target = announcers.TargetAnnouncement(
-            service=notice.service,
-            capacity=notice.capacity,
-            instance=notice.instance,
-            checks_fencing=notice.checks_fencing,
-        )
-        if target == self._target:
-            return
-        self._target = target
-        self._spawn(self._register(target))
-
-    def _check_notice(self, notice: admin.TargetNotice) -> None:
-        place = findings.Place("target")
-        found = []
-        if notice.capacity < 1:
-            found.append(findings.Finding(place, "capacity must be positive"))
-        host, _, port = notice.address.rpartition(":")
-        if not host or not port.isdecimal():
-            message = f"{notice.address!r} is not HOST:PORT"
-            found.append(findings.Finding(place, message))
-        gate = self._serving.gate
-        is_other = self._target_address not in ("", notice.address)
-        if is_other and gate is not None and not gate.presence.is_down:
-            message = f"the target at {self._target_address} still answers"
-            found.append(findings.Finding(place, message))
-        findings.raise_if_any(found)
-
-    async def _connect_target(self, notice: admin.TargetNotice) -> None:
-        for task in self._target_tasks:
-            task.cancel()
-        host, _, port = notice.address.rpartition(":")
-        client = target_client.TargetClient(
-            (host, int(port)), self._clock, self._metrics
-        )
-        gate = gates.Gate(
-            self._clock,
-            client,
-            self._current_lease,
-            notice.capacity,
-            self._metrics,
-            self._notify_suspect,
-            self._on_target_down,
-            self._on_new_instance,
-        )
-        self._grants.client = client
-        self._serving.gate = gate
-        self._target_address = notice.address
-        self._target_tasks = [asyncio.create_task(gate.presence.run())]
-        self._apply_stop()
-
-    async def _register(self, target: announcers.TargetAnnouncement) -> None:
-        try:
-            await self._life.announcer.register_target(target)
+            if self._target.announcement is not None:
+                await life.announcer.register_target(self._target.announcement)
         except own_record.LifeEnded:
             return
-        await self._life.holdings.refresh_grants()
-
-    def _on_new_instance(self) -> None:
-        """Grants all slots again to a target that has just started."""
-        self._spawn(self._grant_again())
-
-    async def _grant_again(self) -> None:
-        await self._life.holdings.refresh_grants()
-
-    def _on_target_down(self, is_down: bool) -> None:
-        state = "does not answer" if is_down else "answers again"
-        logger.warning(f"the target {state}")
-        self._spawn(self._set_target_state(is_down))
-
-    async def _set_target_state(self, is_down: bool) -> None:
-        announcer = self._life.announcer
-        try:
-            if is_down:
-                await announcer.set_target_down()
-            else:
-                await announcer.set_target_up()
-        except own_record.LifeEnded:
-            return
-
-    def _notify_suspect(
-        self,
-        fingerprint: int,
-        crashes: int,
-        regions: frozenset[ids.RegionId],
-    ) -> None:
-        """Tells the gates that may know the request about a suspect."""
-        if self._target is None:
-            return
-        suspect = peer_pb2.Suspect(
-            service=self._target.service,
-            fingerprint=fingerprint,
-            crashes=crashes,
-        )
-        for record in self._members.of_service(self._target.service):
-            is_permitted = homes.permits(regions, record.region)
-            if is_permitted and record.member != self._life.member:
-                self._peers.notify(record.member, suspect)
-
-    async def _on_suspect(
-        self, sender: ids.MemberId, suspect: peer_pb2.Suspect
-    ) -> None:
-        del sender
-        if self._serving.gate is not None:
-            quarantine = self._serving.gate.quarantine
-            quarantine.learn(suspect.fingerprint, suspect.crashes)
 
     async def _on_push(self, sender: ids.MemberId, push: peer_pb2.Push) -> None:
         await self._disseminator.on_push(sender, push)
 
-    def _on_configuration(self) -> None:
-        if self._serving.gate is not None:
-            self._apply_stop()
-
-    def _apply_stop(self) -> None:
-        is_stopped = self._configuration.is_stopped(self._life.record)
-        if is_stopped == self._is_stopped:
-            return
-        self._is_stopped = is_stopped
-        if self._stop_task is not None:
-            self._stop_task.cancel()
-        if is_stopped:
-            self._stop_task = self._spawn(self._close_gate_later())
-        elif self._serving.gate is not None:
-            self._serving.gate.open()
-        logger.info(f"target is {'stopped' if is_stopped else 'in service'}")
-
-    async def _close_gate_later(self) -> None:
-        await self._clock.sleep_ms(_STOP_GRACE_MS)
-        if self._serving.gate is not None:
-            self._serving.gate.close(
-                outcomes.RefusalReason.STOPPED, "the target is stopped"
-            )
-
     async def _tidy(self) -> None:
         """Drops what is no longer needed, once a second."""
         while True:
@@ -540,59 +399,13 @@
         await life.announcer.leave()
         while life.holdings.unsettled_count():
             await self._clock.sleep_ms(_DRAIN_POLL_MS)
-        gate = self._serving.gate
-        if gate is not None:
-            gate.close(
-                outcomes.RefusalReason.SHUTTING_DOWN, "the daemon is leaving"
-            )
-            await gate.wait_idle()
-        while self._ingress.active():
-            await self._clock.sleep_ms(_DRAIN_POLL_MS)
+        await self._target.drain()
+        await self._ingress.drain()
         await life.announcer.remove(lambda: True)
 
     def _is_settled(self) -> bool:
-        groups = self._configuration.groups()
-        if not groups or not self._life.lease.is_held():
-            return False
-        if not self._has_witnesses():
-            return False
-        return all(
-            self._is_group_settled(group, slot_count)
-            for group, slot_count in groups
-        )
-
-    def _has_witnesses(self) -> bool:
-        """Tells whether this member could be fenced after a loss."""
-        others = {r.vm for r in self._members.live()} - {self._settings.vm}
-        wanted = min(witness_choice.MAX_WITNESSES, len(others))
-        return len(self._life.record.witnesses) >= wanted
-
-    def _is_group_settled(self, group: ids.GroupId, slot_count: int) -> bool:
-        if not self._has_targets(group):
-            return True
-        entries = self._slots.by_group.get(group, [])
-        if len(entries) < slot_count:
-            return False
-        return all(
-            entry.owner is not None
-            and entry.moving_to is None
-            and self._is_serving(entry.owner)
-            for entry in entries
-        )
-
-    def _is_serving(self, member: ids.MemberId) -> bool:
-        record = self._members.by_id.get(member)
-        return record is not None and record.state is records.MemberState.ACTIVE
-
-    def _has_targets(self, group: ids.GroupId) -> bool:
-        regions = slots.group_regions(group)
-        service = slots.group_service(group)
-        return any(
-            record.state is records.MemberState.ACTIVE
-            and (not regions or record.region in regions)
-            and not self._configuration.is_stopped(record)
-            for record in self._members.of_service(service)
-        )
+        is_held = self._life.lease.is_held()
+        return is_held and self._settlement.is_settled(self._life.record)
 
     def _intervals(self) -> Any:
         return {
@@ -609,12 +422,6 @@
             return None
         return record.peer_address.host, record.peer_address.port
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.append(task)
-        task.add_done_callback(self._tasks.remove)
-        return task
-
 
 def _statsd_client(
     settings: settings_lib.DaemonSettings,
--- /dev/null
+++ b/mustardloom/daemon/local_target.py
@@ -0,0 +1,246 @@
+"""The target beside the daemon: its gate, its state and its stops."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from mustardloom import clock as clocks
+from mustardloom import findings
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import outcomes
+from mustardloom.admission import gate as gates
+from mustardloom.daemon import adapters
+from mustardloom.daemon import admin
+from mustardloom.daemon import configuration as configurations
+from mustardloom.daemon import life as lives
+from mustardloom.daemon import serving as servings
+from mustardloom.forwarding import target_client
+from mustardloom.membership import announcer as announcers
+from mustardloom.membership import own_record
+from mustardloom.membership import records
+from mustardloom.relay import peers as peers_lib
+from mustardloom.relay.wire import peer_pb2
+from mustardloom.routing import homes
+
+__all__ = ["LocalTarget"]
+
+# Time for planned moves to empty a stopped target before its gate closes. With
+# the time in which a stop reaches all daemons it stays below 2 s.
+_STOP_GRACE_MS = 1_000
+
+
+class LocalTarget:
+    """Follows the announcements of the target, and stops by operators.
+
+    Attributes:
+      announcement: What the target said last, None before the first time.
+    """
+
+    def __init__(
+        self,
+        life: Callable[[], lives.Life],
+        lease: adapters.CurrentLease,
+        grants: adapters.TargetGrants,
+        serving: servings.Serving,
+        configuration: configurations.Configuration,
+        members: records.Members,
+        peers: peers_lib.Peers,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.announcement: announcers.TargetAnnouncement | None = None
+        self._life = life
+        self._lease = lease
+        self._grants = grants
+        self._serving = serving
+        self._configuration = configuration
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._address = ""
+        self._is_stopped = False
+        self._stop_task: asyncio.Task[None] | None = None
+        self._probes: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        peers.handle(peer_pb2.Suspect, self._on_suspect)
+        configuration.subscribe(self._apply_stop)
+
+    async def on_notice(self, notice: admin.TargetNotice) -> None:
+        """Adopts an announcement of the target.
+
+        Raises:
+          findings.FindingsError: The announcement is not valid, or another
+            target still answers; nothing changes.
+        """
+        self._check(notice)
+        if notice.address != self._address:
+            self._connect(notice)
+        assert self._serving.gate is not None
+        self._serving.gate.announced(notice.capacity, notice.instance)
+        announcement = announcers.TargetAnnouncement(
+            service=notice.service,
+            capacity=notice.capacity,
+            instance=notice.instance,
+            checks_fencing=notice.checks_fencing,
+        )
+        if announcement != self.announcement:
+            self.announcement = announcement
+            self._spawn(self._register(announcement))
+
+    async def load(self) -> target_client.TargetLoad | None:
+        """Returns the target's own report of its load."""
+        client = self._grants.client
+        return await client.load() if client is not None else None
+
+    async def drain(self) -> None:
+        """Admits nothing more and waits until the target runs nothing."""
+        gate = self._serving.gate
+        if gate is None:
+            return
+        gate.close(
+            outcomes.RefusalReason.SHUTTING_DOWN, "the daemon is leaving"
+        )
+        await gate.wait_idle()
+
+    async def close(self) -> None:
+        """Ends all tasks and closes the connections to the target."""
+        tasks = list(self._tasks)
+        if self._probes is not None:
+            tasks.append(self._probes)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._grants.client is not None:
+            self._grants.client.close()
+
+    def _check(self, notice: admin.TargetNotice) -> None:
+        place = findings.Place("target")
+        found = []
+        if notice.capacity < 1:
+            found.append(findings.Finding(place, "capacity must be positive"))
+        host, _, port = notice.address.rpartition(":")
+        if not host or not port.isdecimal():
+            message = f"{notice.address!r} is not HOST:PORT"
+            found.append(findings.Finding(place, message))
+        gate = self._serving.gate
+        is_other = self._address not in ("", notice.address)
+        if is_other and gate is not None and not gate.presence.is_down:
+            message = f"the target at {self._address} still answers"
+            found.append(findings.Finding(place, message))
+        findings.raise_if_any(found)
+
+    def _connect(self, notice: admin.TargetNotice) -> None:
+        if self._probes is not None:
+            self._probes.cancel()
+        host, _, port = notice.address.rpartition(":")
+        client = target_client.TargetClient(
+            (host, int(port)), self._clock, self._metrics
+        )
+        gate = gates.Gate(
+            self._clock,
+            client,
+            self._lease,
+            notice.capacity,
+            self._metrics,
+            self._notify_suspect,
+            self._on_down,
+            self._on_new_instance,
+        )
+        self._grants.client = client
+        self._serving.gate = gate
+        self._address = notice.address
+        self._probes = asyncio.create_task(gate.presence.run())
+        self._is_stopped = False
+        self._apply_stop()
+
+    async def _register(
+        self, announcement: announcers.TargetAnnouncement
+    ) -> None:
+        life = self._life()
+        try:
+            await life.announcer.register_target(announcement)
+        except own_record.LifeEnded:
+            return
+        await life.holdings.refresh_grants()
+
+    def _on_new_instance(self) -> None:
+        self._spawn(self._grant_again())
+
+    async def _grant_again(self) -> None:
+        await self._life().holdings.refresh_grants()
+
+    def _on_down(self, is_down: bool) -> None:
+        state = "does not answer" if is_down else "answers again"
+        logger.warning(f"the target {state}")
+        self._spawn(self._announce_state(is_down))
+
+    async def _announce_state(self, is_down: bool) -> None:
+        announcer = self._life().announcer
+        try:
+            if is_down:
+                await announcer.set_target_down()
+            else:
+                await announcer.set_target_up()
+        except own_record.LifeEnded:
+            return
+
+    def _notify_suspect(
+        self,
+        fingerprint: int,
+        crashes: int,
+        regions: frozenset[ids.RegionId],
+    ) -> None:
+        """Tells the gates that may know the request about a suspect."""
+        if self.announcement is None:
+            return
+        service = self.announcement.service
+        suspect = peer_pb2.Suspect(
+            service=service, fingerprint=fingerprint, crashes=crashes
+        )
+        own = self._life().member
+        for record in self._members.of_service(service):
+            is_permitted = homes.permits(regions, record.region)
+            if is_permitted and record.member != own:
+                self._peers.notify(record.member, suspect)
+
+    async def _on_suspect(
+        self, sender: ids.MemberId, suspect: peer_pb2.Suspect
+    ) -> None:
+        del sender
+        gate = self._serving.gate
+        if gate is not None:
+            gate.quarantine.learn(suspect.fingerprint, suspect.crashes)
+
+    def _apply_stop(self) -> None:
+        gate = self._serving.gate
+        if gate is None:
+            return
+        is_stopped = self._configuration.is_stopped(self._life().record)
+        if is_stopped == self._is_stopped:
+            return
+        self._is_stopped = is_stopped
+        if self._stop_task is not None:
+            self._stop_task.cancel()
+        if is_stopped:
+            self._stop_task = self._spawn(self._close_gate_later())
+        else:
+            gate.open()
+        logger.info(f"target is {'stopped' if is_stopped else 'in service'}")
+
+    async def _close_gate_later(self) -> None:
+        await self._clock.sleep_ms(_STOP_GRACE_MS)
+        if self._serving.gate is not None:
+            self._serving.gate.close(
+                outcomes.RefusalReason.STOPPED, "the target is stopped"
+            )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/mustardloom/forwarding/ingress.py
+++ b/mustardloom/forwarding/ingress.py
@@ -41,6 +41,10 @@
 _LINGER_S = 2.0
 _LINGER_READ_BYTES = 64 * 1024
 _IDLE_TIMEOUT_S = 75.0
+# A caller whose connection stays open may have sent a request that is still on
+# its way when the last answer is written.
+_QUIET_MS = 300
+_DRAIN_POLL_MS = 50
 _BODY_TIMEOUT_S = 10.0
 _RETRY_AFTER_S = "1"
 _JSON = "application/json"
@@ -137,6 +141,7 @@
         self.metrics = metrics
         self.max_body_bytes = max_body_bytes
         discard_limit_bytes = _DISCARD_FACTOR * max_body_bytes
+        self.is_draining = False
         self._exchanges: set[_Exchange] = set()
         self._lingering: set[asyncio.Task[None]] = set()
         self._server = httpserver.HTTPServer(
@@ -163,9 +168,22 @@
         return len(self._exchanges)
 
     def stop_accepting(self) -> None:
-        """Accepts no more connections; open ones go on."""
+        """Accepts no more connections and asks callers to close theirs.
+
+        Requests on open connections are answered; each answer tells its caller
+        that the connection ends.
+        """
+        self.is_draining = True
         self._server.stop()
 
+    async def drain(self) -> None:
+        """Returns once no request has been open for a moment."""
+        self.stop_accepting()
+        quiet_ms = 0
+        while quiet_ms < _QUIET_MS:
+            await self.clock.sleep_ms(_DRAIN_POLL_MS)
+            quiet_ms = 0 if self.active() else quiet_ms + _DRAIN_POLL_MS
+
     async def stop(self) -> None:
         """Closes all connections and cancels their requests."""
         self.stop_accepting()
@@ -321,6 +339,8 @@
         for name, value in reply.headers:
             headers.add(name, value)
         body = b"" if self._has_no_body(reply.status) else reply.body
+        if self._ingress.is_draining:
+            headers["Connection"] = "close"
         self._set_length(headers, reply, body)
         reason = http_client.responses.get(reply.status, "Unknown")
         start_line = httputil.ResponseStartLine(
--- a/mustardloom/forwarding/tests/test_ingress.py
+++ b/mustardloom/forwarding/tests/test_ingress.py
@@ -341,3 +341,23 @@
         after_ms = clocks.SystemClock().now_ms()
         left = routed[0].deadline_ms - expected_ms
         assert before_ms <= left <= after_ms
+
+
+def test_draining_ingress_answers_and_ends_its_connections():
+    """Guards against a drain that never ends, or that cuts requests (I10)."""
+
+    async def scenario(bench):
+        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+        drain = asyncio.create_task(bench.ingress.drain())
+        await asyncio.sleep(0)
+        writer.write(message(close=False))
+        head = await reader.readuntil(b"\r\n\r\n")
+        await drain
+        writer.close()
+        with pytest.raises(OSError):
+            await asyncio.open_connection("127.0.0.1", bench.port)
+        return head
+
+    head = run(scenario).lower()
+    assert head.startswith(b"http/1.1 200")
+    assert b"connection: close" in head
