Move only slots that any member may own, accept a failed zone command

The move scenario gave half of its commands to members outside the group. The outage scenario ended with an error where each call of the store takes 2 s: the command to take a zone out then fails without any change, because its first read times out. The table now names that.

--- a/bench/scenarios/move.py
+++ b/bench/scenarios/move.py
@@ -23,6 +23,7 @@
 _STOP_INTERVAL_S = 4.0
 _TAIL_S = 3.0
 _SERVICE = "salio"
+_GROUP = f"{_SERVICE}@*"
 _DEFINITION = (
     "Kibanda example, 18 daemons and targets on loopback: "
     f"{_SLOT_MOVES} single slots are moved by command, then {_TARGET_STOPS} "
@@ -132,7 +133,8 @@
         wait_until(at_s)
         donor, receiver = source.sample(servers, 2)
         slots = sorted(intervals.open_slots(donor))
-        group, slot = source.choice(slots)
+        # Any member may own slots of this group.
+        group, slot = source.choice([s for s in slots if s[0] == _GROUP])
         _try_order(node, f'move slot {slot} of "{group}" to {receiver.vm}')
     for _ in range(_TARGET_STOPS):
         chosen = source.choice(servers)
--- a/bench/scenarios/outage.py
+++ b/bench/scenarios/outage.py
@@ -179,12 +179,17 @@
     zone = f"{fleet.deployment.regions[0]}-2"
     node = next(n for n in fleet.nodes if n.placement.zone != zone)
     window: list[int] = []
+    failed: list[str] = []
 
     def script(wait_until: Callable[[float], None]) -> None:
         wait_until(_MARGIN_S)
         window.append(orders.wall_ms())
         fleet.set_platform_faults(**faults)
-        orders.stop_zone(node, zone)
+        try:
+            orders.stop_zone(node, zone)
+        except orders.OrderFailed as error:
+            # A slow store can let the command fail without any change.
+            failed.append(str(error))
         wait_until(_MARGIN_S + _ZONE_S)
         fleet.set_platform_faults()
         orders.do(node, f"start availability-zone {zone}")
@@ -194,8 +199,9 @@
     loaded = loads.run(fleet, _load(2 * (_MARGIN_S + _ZONE_S)), script)
     found = intervals.read(fleet.nodes)
     unserved = intervals.unserved_ms(found, *window)
+    outcome = "command failed" if failed else "zone out and back"
     return _Result(
-        f"zone out and back, {name}",
+        f"{outcome}, {name}",
         loaded,
         unserved,
         intervals.overlaps(found),
