--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -42,7 +42,7 @@
       name: Name of the example and of its declaration set.
       regions: Regions, each with two availability zones.
       services: Services with one target per zone.
-      capacity: Concurrent requests that a target bears.
+      capacity: Concurrent requests that a target can handle.
       service_ms: Mean service time of a target.
       caller_mix: Arguments of the caller's request mix, one per service.
     """
--- a/bench/scenarios/cold.py
+++ b/bench/scenarios/cold.py
@@ -34,7 +34,7 @@
     f"{_DEADLINE_MS} ms. In phases of {_PHASE_S:g} s, {_FEW} and then {_MANY} "
     "of its six targets become cold: first without a new instance (fault "
     "`cold`), then by SIGKILL and restart of the target process. Crashes are "
-    "those of targets that got more work than they bear. Late: unknown "
+    "those of targets that got more work than they can handle. Late: unknown "
     "because the deadline passed. Shares are of all requests of the phases."
 )
 
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -23,7 +23,7 @@
 
 
 def capacity_per_s(fleet: fleets.Fleet, service: str) -> float:
-    """Returns the requests per second that a service's targets bear."""
+    """Returns the requests per second that a service's targets can handle."""
     targets = sum(node.placement.service == service for node in fleet.nodes)
     deployment = fleet.deployment
     slots = targets * deployment.capacity
--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -126,7 +126,7 @@
           clock: Source of time.
           target: Client of the target.
           lease: Lease of this member.
-          capacity: Concurrent requests that the target bears when warm.
+          capacity: Concurrent requests that the target can handle when warm.
           metrics: Receives the counters `gate.*`.
           on_suspect: Called with a fingerprint and its crashes, to tell the
             other gates of the service; 0 crashes clears the suspect.
--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -23,7 +23,7 @@
 
 _HOST = "127.0.0.1"
 # Bounds a hanging test; no assertion depends on it.
-_PATIENCE_S = 60.0
+_HANG_LIMIT_S = 60.0
 _POLL_S = 0.05
 _SET = model.DeclarationSet(
     id=ids.SetId("shop"),
@@ -127,7 +127,7 @@
         self._tasks.append(asyncio.create_task(target.run()))
 
     async def wait_settled(self):
-        async with asyncio.timeout(_PATIENCE_S):
+        async with asyncio.timeout(_HANG_LIMIT_S):
             while not all(
                 daemon.status().settled and daemon.status().slots_served
                 for daemon in self.daemon_by_vm.values()
@@ -332,7 +332,7 @@
         lost = world.daemon_by_vm.pop("salio-1")
         await lost.close()
         successor = world.daemon_by_vm["salio-2"]
-        async with asyncio.timeout(_PATIENCE_S):
+        async with asyncio.timeout(_HANG_LIMIT_S):
             while successor.status().slots_served < 16:
                 await asyncio.sleep(_POLL_S)
         answer = await world.send("malipo-1", "/salio/1", X_Account=key)
--- a/mustardloom/membership/announcer.py
+++ b/mustardloom/membership/announcer.py
@@ -21,7 +21,7 @@
 
     Attributes:
       service: Its service.
-      capacity: Concurrent requests that it bears when warm.
+      capacity: Concurrent requests that it can handle when warm.
       instance: Name of its running life.
       checks_fencing: Whether it checks fencing tokens.
     """
--- a/mustardloom/membership/fencing.py
+++ b/mustardloom/membership/fencing.py
@@ -223,9 +223,9 @@
             version = result.version
 
     async def confirm_lost(self, vm: ids.VmId) -> list[FenceResult]:
-        """Fences all members of a VM on the word of an operator.
+        """Fences all members of a VM that an operator reports as lost.
 
-        No witness is asked: the operator vouches that no process of the VM
+        No witness is asked: the operator states that no process of the VM
         runs any more.
         """
         lost = [r.member for r in self._members.live() if r.vm == vm]
--- a/mustardloom/membership/records.py
+++ b/mustardloom/membership/records.py
@@ -83,7 +83,7 @@
       peer_address: Where other daemons reach it, TCP streams and UDP alike.
       state: See `MemberState`.
       service: Service of its target, None while it has no target.
-      capacity: Concurrent requests that the warm target bears.
+      capacity: Concurrent requests that the warm target can handle.
       checks_fencing: Whether the target checks fencing tokens.
       target_instance: Name of the running life of the target.
       witnesses: Members that witness its lease.
--- a/mustardloom/membership/witness.py
+++ b/mustardloom/membership/witness.py
@@ -117,7 +117,7 @@
 
         REFUSED binds this process for good. None means that nothing can be
         stated: `witness` is not of this process, which has not run for long
-        enough to vouch that the leases of its predecessor have ended.
+        enough to state that the leases of its predecessor have ended.
         """
         now_ms = self._clock.now_ms()
         if witness not in self._endpoint.own_ids:
--- a/mustardloom/operators/commands/fit.py
+++ b/mustardloom/operators/commands/fit.py
@@ -1,4 +1,4 @@
-"""Whether the rest of a service can bear a stop."""
+"""Whether the rest of a service has the capacity for a stop."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
--- a/mustardloom/operators/commands/losses.py
+++ b/mustardloom/operators/commands/losses.py
@@ -1,4 +1,4 @@
-"""Losses of VMs that an operator vouches for."""
+"""Losses of VMs that an operator confirms."""
 
 from collections.abc import Iterator
 
--- a/mustardloom/operators/commands/stops.py
+++ b/mustardloom/operators/commands/stops.py
@@ -42,7 +42,7 @@
     ) -> results.Result:
         """Takes an availability zone or a target out of service.
 
-        Without `force` it is refused if the rest cannot bear it.
+        Without `force` it is refused if the rest lacks the capacity.
 
         Raises:
           findings.FindingsError: There is no such zone or target.
@@ -113,7 +113,7 @@
         author: changes.Author,
         seen: ids.Version,
     ) -> results.Refused | results.Unavailable | None:
-        """Returns the refusal if the remaining targets cannot bear a stop."""
+        """Returns the refusal if the remaining targets lack the capacity."""
         for _ in range(_CHECK_ATTEMPTS):
             found = await self._guard.read()
             await self._changer.refresh(model.STOPS_PREFIX)
@@ -187,7 +187,7 @@
 
 def _explain(command: parser.Stop, found: tuple[results.Shortfall, ...]) -> str:
     name = f"{command.kind.value} {command.name.text}"
-    lines = [f"refused: the rest cannot bear the stop of {name}"]
+    lines = [f"refused: the rest lacks the capacity for the stop of {name}"]
     for item in found:
         line = (
             f"  service {item.service}, group {item.group}: {item.remaining}"
--- a/mustardloom/operators/tests/test_operator.py
+++ b/mustardloom/operators/tests/test_operator.py
@@ -289,7 +289,7 @@
 
 
 def test_stop_that_fits_is_carried_out(world):
-    """Guards against a check that refuses what the rest can bear."""
+    """Guards against a check that refuses what the rest can handle."""
     world.running.update({"salio-pwani-1": 2, "salio-pwani-2": 3})
     answer = world.do("stop target salio-pwani-2")
     assert isinstance(answer, results.Applied)
--- a/mustardloom/standins/service.py
+++ b/mustardloom/standins/service.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["Bearing", "Faults", "ServiceTime"]
+__all__ = ["WarmCapacity", "Faults", "ServiceTime"]
 
 _COLD_DIVISOR = 3
 
@@ -17,7 +17,7 @@
       slow_factor: Multiplies the service times.
       freeze_ms: Stops the whole process once, for this time.
       cold: Makes the target cold once, without a new instance.
-      cold_grace_ms: How long a target turned cold by `cold` bears too much
+      cold_grace_ms: How long a target turned cold by `cold` accepts too much
         work before it crashes.
       misleading_load: Lets /_target/load report an idle target.
       unhealthy: Lets /_target/health report failure while work goes on.
@@ -50,12 +50,12 @@
         return self._scale_ms * self._random.lognormvariate(0, self._sigma)
 
 
-class Bearing:
-    """Concurrent requests that a target bears while it warms up.
+class WarmCapacity:
+    """Concurrent requests that a target can handle while it warms up.
 
     Example:
-      >>> bearing = Bearing(capacity=6)
-      >>> bearing.limit
+      >>> capacity = WarmCapacity(capacity=6)
+      >>> capacity.limit
       2
     """
 
--- a/mustardloom/standins/target.py
+++ b/mustardloom/standins/target.py
@@ -160,7 +160,7 @@
         """Sets the state of a process that has just started."""
         self.instance = secrets.token_hex(8)
         self._faults = service.Faults()
-        self._bearing = service.Bearing(self._settings.capacity)
+        self._warm_capacity = service.WarmCapacity(self._settings.capacity)
         self._draining = False
         self._grants: dict[tuple[str, int], tuple[int, int]] = {}
         self._running: set[_Work] = set()
@@ -354,12 +354,14 @@
     async def _run(self, work: _Work) -> tuple[_Reply, runs.RunOutcome]:
         poisoned = _POISON in work.request.body
         running = len(self._running)
-        if poisoned or self._bearing.breaks(running, self._clock.now_ms()):
+        if poisoned or self._warm_capacity.breaks(
+            running, self._clock.now_ms()
+        ):
             logger.warning(
-                "target crashes: poison {}, running {}, bears {}",
+                "target crashes: poison {}, running {}, limit {}",
                 poisoned,
                 running,
-                self._bearing.limit,
+                self._warm_capacity.limit,
             )
             self._crash()
         service_ms = self._times.draw_ms() * self._faults.slow_factor
@@ -370,7 +372,7 @@
             reply = _not_run("the deadline or the grant passed before commit")
             return reply, runs.RunOutcome.EXPIRED
         work.committed = True
-        self._bearing.completed()
+        self._warm_capacity.completed()
         return self._answer(work), runs.RunOutcome.COMMITTED
 
     def _answer(self, work: _Work) -> _Reply:
@@ -502,7 +504,7 @@
         self._faults = msgspec.json.decode(body, type=service.Faults)
         if self._faults.cold:
             now_ms = self._clock.now_ms()
-            self._bearing.turn_cold(now_ms + self._faults.cold_grace_ms)
+            self._warm_capacity.turn_cold(now_ms + self._faults.cold_grace_ms)
         if self._faults.freeze_ms:
             asyncio.get_running_loop().call_later(
                 0.001, self._freeze_process, self._faults.freeze_ms / _MS_PER_S
--- a/mustardloom/standins/tests/test_target.py
+++ b/mustardloom/standins/tests/test_target.py
@@ -157,14 +157,14 @@
 
 def test_a_cold_target_crashes_under_load():
     """Guards against a stand-in on which missing warm-up goes unnoticed."""
-    bearing = service.Bearing(6)
-    assert bearing.breaks(3, 0)
-    assert not bearing.breaks(2, 0)
+    capacity = service.WarmCapacity(6)
+    assert capacity.breaks(3, 0)
+    assert not capacity.breaks(2, 0)
     for _ in range(2 + 3 + 4 + 5):
-        bearing.completed()
-    assert not bearing.breaks(7, 0)
-    bearing.turn_cold(grace_until_ms=5)
-    assert [bearing.breaks(3, now_ms) for now_ms in (4, 5)] == [False, True]
+        capacity.completed()
+    assert not capacity.breaks(7, 0)
+    capacity.turn_cold(grace_until_ms=5)
+    assert [capacity.breaks(3, now_ms) for now_ms in (4, 5)] == [False, True]
 
 
 def test_poison_crashes_and_the_target_comes_back():
