--- a/mustardloom/standins/service.py
+++ b/mustardloom/standins/service.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["WarmCapacity", "Faults", "ServiceTime"]
+__all__ = ["Faults", "ServiceTime", "WarmCapacity"]
 
 _COLD_DIVISOR = 3
 
