--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -35,6 +35,7 @@
 from mustardloom.platform import http_client
 from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
+from mustardloom.relay import peer_server
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay import replica as replicas
 from mustardloom.relay.wire import peer_pb2
@@ -153,7 +154,7 @@
         self._peers = peers_lib.Peers(
             member, self._lookup, authenticator, self._clock, self._metrics
         )
-        self._peer_server = peers_lib.PeerServer(self._peers)
+        self._peer_server = peer_server.PeerServer(self._peers)
         self._endpoint = datagrams.UdpEndpoint(
             member, authenticator, self._metrics
         )
--- a/mustardloom/forwarding/tests/test_forwarder.py
+++ b/mustardloom/forwarding/tests/test_forwarder.py
@@ -13,6 +13,7 @@
 from mustardloom.forwarding import codec
 from mustardloom.forwarding import forwarder as forwarder_lib
 from mustardloom.relay import authentication
+from mustardloom.relay import peer_server
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay.wire import peer_pb2
 from mustardloom.routing import forwarders
@@ -57,7 +58,7 @@
             self.clock,
             self.metrics,
         )
-        self.server = peers_lib.PeerServer(self.peers)
+        self.server = peer_server.PeerServer(self.peers)
         self.forwarder = forwarder_lib.PeerForwarder(
             self.peers, self.clock, self.metrics
         )
--- a/mustardloom/relay/peers.py
+++ b/mustardloom/relay/peers.py
@@ -3,12 +3,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import dataclasses
 from typing import Any
 
 from grpclib import client as grpc_client
-from grpclib import server as grpc_server
 from loguru import logger
 
 from mustardloom import clock as clocks
@@ -16,6 +14,7 @@
 from mustardloom import metrics as metrics_lib
 from mustardloom.relay import authentication
 from mustardloom.relay import counting_codec
+from mustardloom.relay import frames
 from mustardloom.relay.wire import peer_grpc
 from mustardloom.relay.wire import peer_pb2
 
@@ -26,7 +25,6 @@
     "Handler",
     "PeerError",
     "PeerLost",
-    "PeerServer",
     "PeerUnreachable",
     "Peers",
     "is_seed",
@@ -34,20 +32,16 @@
     "seed_member",
 ]
 
-# Any message type of the oneof `Frame.body`; generated types share no base
-# that names it.
-Body = Any
+
+Body = frames.Body
 AddressLookup = Callable[[ids.MemberId], tuple[str, int] | None]
 Handler = Callable[[ids.MemberId, Body], Awaitable[Body | None]]
 
 # Receiver of a hello to a daemon whose member id is not known yet.
 ANY_MEMBER = ids.MemberId("*")
 
-_ONE_WAY = 0
 _CONNECT_TIMEOUT_MS = 500
 _RECONNECT_DELAY_MS = 200
-_MAX_BATCH_FRAMES = 256
-_MAX_QUEUED_FRAMES = 10_000
 _HELLO_AGE_LIMIT_MS = 60_000
 _SEED_PREFIX = "seed/"
 _MEMBER_FIELD = "x-mustardloom-member"
@@ -81,16 +75,6 @@
     return "\0".join((sender, receiver, wall_ms)).encode()
 
 
-def _kind(body: Body) -> str:
-    return str(type(body).DESCRIPTOR.name).lower()
-
-
-def _frame(call: int, body: Body) -> peer_pb2.Frame:
-    frame = peer_pb2.Frame(call=call)
-    getattr(frame, _kind(body)).CopyFrom(body)
-    return frame
-
-
 class PeerError(Exception):
     """A call to a peer got no reply."""
 
@@ -111,51 +95,20 @@
     sent: bool = False
 
 
-class _Outbox:
-    """Frames that wait for the next batch of a stream."""
-
-    def __init__(self) -> None:
-        self.frames: list[peer_pb2.Frame] = []
-        self._filled = asyncio.Event()
-
-    def put(self, frame: peer_pb2.Frame) -> bool:
-        """Queues a frame; returns False if the queue is full."""
-        if len(self.frames) >= _MAX_QUEUED_FRAMES:
-            return False
-        self.frames.append(frame)
-        self._filled.set()
-        return True
-
-    async def take(self) -> list[peer_pb2.Frame]:
-        """Waits for frames and returns at most one batch of them."""
-        await self._filled.wait()
-        batch = self.frames[:_MAX_BATCH_FRAMES]
-        del self.frames[:_MAX_BATCH_FRAMES]
-        if not self.frames:
-            self._filled.clear()
-        return batch
-
-    def remove(self, call: int) -> None:
-        """Withdraws the frames of a call that were not sent yet."""
-        self.frames[:] = [f for f in self.frames if f.call != call]
-        if not self.frames:
-            self._filled.clear()
-
-
 class _Link:
     """Outgoing stream to one peer, with a task that keeps it open."""
 
     def __init__(self, owner: "Peers", member: ids.MemberId):
         self._owner = owner
         self._member = member
-        self._outbox = _Outbox()
+        self._outbox = frames.Outbox()
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
         self._task = asyncio.create_task(self._run())
 
     def notify(self, body: Body) -> None:
         """Queues a one-way frame."""
-        if not self._outbox.put(_frame(_ONE_WAY, body)):
+        if not self._outbox.put(frames.frame(frames.ONE_WAY, body)):
             self._owner.metrics.increment("peer.frames_dropped")
 
     async def call(self, body: Body, timeout_ms: int) -> Body:
@@ -165,7 +118,7 @@
         call = _Call(asyncio.get_running_loop().create_future())
         self._calls[number] = call
         try:
-            if not self._outbox.put(_frame(number, body)):
+            if not self._outbox.put(frames.frame(number, body)):
                 raise PeerUnreachable(f"queue to {self._member} is full")
             return await asyncio.wait_for(call.reply, timeout_ms / 1_000)
         except TimeoutError:
@@ -194,7 +147,7 @@
 
     def _cancel(self, number: int, call: _Call) -> None:
         if call.sent:
-            self._outbox.put(_frame(number, peer_pb2.Cancel()))
+            self._outbox.put(frames.frame(number, peer_pb2.Cancel()))
         else:
             self._outbox.remove(number)
 
@@ -410,114 +363,3 @@
             link = _Link(self, member)
             self._links[member] = link
         return link
-
-
-class PeerServer(peer_grpc.PeerServiceBase):
-    """Accepts streams of peers and runs the handlers of `Peers`."""
-
-    def __init__(self, peers: Peers):
-        self._peers = peers
-        self._server = grpc_server.Server([self], codec=peers.codec)
-
-    async def start(self, host: str, port: int) -> None:
-        """Listens on an address.
-
-        Raises:
-          OSError: The address is in use or not available.
-        """
-        await self._server.start(host, port)
-
-    async def stop(self) -> None:
-        """Closes all streams."""
-        self._server.close()
-        await self._server.wait_closed()
-
-    async def Exchange(self, stream: Any) -> None:  # noqa: N802
-        """Serves one stream; see peer.proto."""
-        sender = self._peers.check_hello(stream.metadata)
-        if sender is None:
-            self._peers.metrics.increment("peer.strangers_refused")
-            return
-        session = _Session(self._peers, sender, stream)
-        try:
-            await session.run()
-        except asyncio.CancelledError:
-            # Without a reset the peer would learn of the end of this server
-            # only from the timeouts of its calls. If the connection is gone
-            # already, the reset fails, and nobody is left to be told.
-            with contextlib.suppress(Exception):
-                await stream.cancel()
-            raise
-
-
-class _Session:
-    """One incoming stream."""
-
-    def __init__(self, peers: Peers, sender: ids.MemberId, stream: Any):
-        self._peers = peers
-        self._sender = sender
-        self._stream = stream
-        self._outbox = _Outbox()
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._one_way_tasks: set[asyncio.Task[None]] = set()
-
-    async def run(self) -> None:
-        """Reads frames until the peer ends the stream."""
-        writer = asyncio.create_task(self._write())
-        try:
-            while True:
-                batch = await self._stream.recv_message()
-                if batch is None:
-                    return
-                for frame in batch.frames:
-                    self._accept(frame)
-        finally:
-            writer.cancel()
-            for task in self._tasks.values():
-                task.cancel()
-            await asyncio.gather(writer, return_exceptions=True)
-
-    def _accept(self, frame: peer_pb2.Frame) -> None:
-        kind = frame.WhichOneof("body")
-        if kind == "cancel":
-            task = self._tasks.get(frame.call)
-            if task is not None:
-                task.cancel()
-            return
-        handler = self._peers.handler(kind or "")
-        if handler is None:
-            self._peers.metrics.increment("peer.frames_unknown")
-            self._fail(frame.call, f"no handler for {kind}")
-            return
-        body = getattr(frame, kind)
-        task = asyncio.create_task(self._handle(frame.call, handler, body))
-        self._keep(frame.call, task)
-
-    def _keep(self, call: int, task: asyncio.Task[None]) -> None:
-        if call == _ONE_WAY:
-            self._one_way_tasks.add(task)
-            task.add_done_callback(self._one_way_tasks.discard)
-            return
-        self._tasks[call] = task
-        task.add_done_callback(lambda _: self._tasks.pop(call, None))
-
-    async def _handle(self, call: int, handler: Handler, body: Body) -> None:
-        try:
-            reply = await handler(self._sender, body)
-        except Exception:
-            # One faulty call must not end the stream of all others.
-            logger.exception("handler of a peer's call failed")
-            self._peers.metrics.increment("peer.handlers_failed")
-            self._fail(call, "the handler failed")
-            return
-        if call != _ONE_WAY and reply is not None:
-            self._outbox.put(_frame(call, reply))
-
-    def _fail(self, call: int, detail: str) -> None:
-        if call != _ONE_WAY:
-            self._outbox.put(_frame(call, peer_pb2.Failure(detail=detail)))
-
-    async def _write(self) -> None:
-        while True:
-            frames = await self._outbox.take()
-            await self._stream.send_message(peer_pb2.Batch(frames=frames))
--- a/mustardloom/relay/tests/test_peers.py
+++ b/mustardloom/relay/tests/test_peers.py
@@ -9,6 +9,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom.relay import authentication
+from mustardloom.relay import peer_server
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay.wire import peer_pb2
 
@@ -44,7 +45,7 @@
         ports = {_B: _free_port()}
         callee = _peers(_B, ports)
         callee.handle(peer_pb2.Summary, handler)
-        server = peers_lib.PeerServer(callee)
+        server = peer_server.PeerServer(callee)
         await server.start(_HOST, ports[_B])
         caller = _peers(_A, ports, caller_key)
         try:
