Grant the slots of all groups in one call

Cause: a daemon renewed grants with one HTTP call per placement group each 500 ms; with one group per set of home regions that grows with the organisations. In a profile of an idle daemon grants were the largest part. Change: one call carries all slots.

--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -114,8 +114,7 @@
 
     async def grant(
         self,
-        group: ids.GroupId,
-        slots_with_epochs: Mapping[ids.SlotIndex, ids.Epoch],
+        epoch_by_slot: Mapping[holdings_lib.SlotKey, ids.Epoch],
         expires_ms: int,
     ) -> None:
         """See `ownership.holdings.Grants`.
@@ -125,12 +124,12 @@
         """
         grants = (
             target_client.Grant(group, slot, epoch)
-            for slot, epoch in slots_with_epochs.items()
+            for (group, slot), epoch in epoch_by_slot.items()
         )
         if self.client is None or not await self.client.grant(
             grants, expires_ms
         ):
-            raise GrantError(f"the target did not take slots of {group}")
+            raise GrantError("the target did not take the grants")
 
     async def release(
         self, group: ids.GroupId, slots: Iterable[ids.SlotIndex]
--- a/mustardloom/ownership/holdings.py
+++ b/mustardloom/ownership/holdings.py
@@ -28,6 +28,7 @@
     "LeaseView",
     "NotOwner",
     "PlannedMove",
+    "SlotKey",
 ]
 
 _GRANT_INTERVAL_MS = 500
@@ -36,7 +37,7 @@
 _ANNOUNCEMENT_MS = 5_000
 _MAX_INTERVALS = 100_000
 
-_SlotKey = tuple[ids.GroupId, ids.SlotIndex]
+SlotKey = tuple[ids.GroupId, ids.SlotIndex]
 
 
 class LeaseView(Protocol):
@@ -56,10 +57,7 @@
     """
 
     async def grant(
-        self,
-        group: ids.GroupId,
-        slots_with_epochs: Mapping[ids.SlotIndex, ids.Epoch],
-        expires_ms: int,
+        self, epoch_by_slot: Mapping[SlotKey, ids.Epoch], expires_ms: int
     ) -> None:
         """Permits the target to serve the slots until `expires_ms`."""
 
@@ -210,9 +208,9 @@
         self._logs_intervals = log_intervals
         self._has_ended = False
         self._is_target_silent = False
-        self._by_slot: dict[_SlotKey, _Holding] = {}
-        self._announced_until_ms: dict[_SlotKey, int] = {}
-        self._waiters: dict[_SlotKey, list[asyncio.Future[None]]] = {}
+        self._by_slot: dict[SlotKey, _Holding] = {}
+        self._announced_until_ms: dict[SlotKey, int] = {}
+        self._waiters: dict[SlotKey, list[asyncio.Future[None]]] = {}
         self._grant_wanted = asyncio.Event()
         self._changed: list[Callable[[], None]] = []
         slots.subscribe(self._on_chunk)
@@ -317,14 +315,10 @@
         """
         if self._has_ended or not self._lease.is_held():
             return True
-        by_group: dict[ids.GroupId, dict[ids.SlotIndex, ids.Epoch]] = {}
-        for group, slot, epoch in self.owned():
-            by_group.setdefault(group, {})[slot] = epoch
-        is_complete = True
-        for group, epoch_by_slot in by_group.items():
-            if not await self._grant(group, epoch_by_slot):
-                is_complete = False
-        return is_complete
+        epoch_by_slot = {
+            (group, slot): epoch for group, slot, epoch in self.owned()
+        }
+        return not epoch_by_slot or await self._grant(epoch_by_slot)
 
     def planned(self) -> Iterator[PlannedMove]:
         """Yields the planned moves of own slots that were not sent yet."""
@@ -483,7 +477,7 @@
                 return True
             await self._until_changed(key, deadline_ms)
 
-    def _enter_unheld(self, key: _SlotKey) -> EnterResult:
+    def _enter_unheld(self, key: SlotKey) -> EnterResult:
         entry = self._map.entry(*key)
         if entry is not None and entry.moving_to == self.member:
             return self._incoming(key)
@@ -493,13 +487,13 @@
             return NotOwner(None)
         return NotOwner(entry.owner)
 
-    def _incoming(self, key: _SlotKey) -> Incoming:
+    def _incoming(self, key: SlotKey) -> Incoming:
         def wait(deadline_ms: int) -> "asyncio.Future[EnterResult]":
             return asyncio.ensure_future(self._wait(key, deadline_ms))
 
         return Incoming(wait)
 
-    async def _wait(self, key: _SlotKey, deadline_ms: int) -> EnterResult:
+    async def _wait(self, key: SlotKey, deadline_ms: int) -> EnterResult:
         while True:
             result = self.enter(*key)
             if not isinstance(result, Incoming):
@@ -508,7 +502,7 @@
                 return result
             await self._until_changed(key, deadline_ms)
 
-    async def _until_changed(self, key: _SlotKey, deadline_ms: int) -> None:
+    async def _until_changed(self, key: SlotKey, deadline_ms: int) -> None:
         """Waits for a change of a slot until `deadline_ms` at most."""
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[None] = loop.create_future()
@@ -525,7 +519,7 @@
             if waiter in waiters:
                 waiters.remove(waiter)
 
-    def _wake(self, key: _SlotKey) -> None:
+    def _wake(self, key: SlotKey) -> None:
         for waiter in self._waiters.pop(key, ()):
             if not waiter.done():
                 waiter.set_result(None)
@@ -551,7 +545,7 @@
 
     def _on_own(
         self,
-        key: _SlotKey,
+        key: SlotKey,
         holding: _Holding | None,
         entry: slot_map.SlotEntry,
     ) -> None:
@@ -574,7 +568,7 @@
 
     def _on_foreign(
         self,
-        key: _SlotKey,
+        key: SlotKey,
         holding: _Holding,
         entry: slot_map.SlotEntry,
     ) -> None:
@@ -589,7 +583,7 @@
         self._wake(key)
 
     def _acquire(
-        self, key: _SlotKey, epoch: ids.Epoch, unknown_before_wall_ms: int
+        self, key: SlotKey, epoch: ids.Epoch, unknown_before_wall_ms: int
     ) -> None:
         earlier = self._by_slot.get(key)
         self._by_slot[key] = _Holding(
@@ -601,28 +595,24 @@
         self._announced_until_ms.pop(key, None)
         self._grant_wanted.set()
 
-    async def _grant(
-        self,
-        group: ids.GroupId,
-        epoch_by_slot: Mapping[ids.SlotIndex, ids.Epoch],
-    ) -> bool:
+    async def _grant(self, epoch_by_slot: Mapping[SlotKey, ids.Epoch]) -> bool:
         expires_ms = self._lease.expires_ms()
         try:
-            await self._grants.grant(group, epoch_by_slot, expires_ms)
+            await self._grants.grant(epoch_by_slot, expires_ms)
         except Exception as error:
             # The target may be down or its answer malformed; either way the
             # slots are not granted yet.
             self._metrics.increment("ownership.grants_failed")
             if not self._is_target_silent:
-                logger.warning(f"grants of {group} began to fail: {error!r}")
+                logger.warning(f"grants began to fail: {error!r}")
             self._is_target_silent = True
             return False
         self._is_target_silent = False
-        for slot, epoch in epoch_by_slot.items():
-            self._on_granted((group, slot), epoch)
+        for key, epoch in epoch_by_slot.items():
+            self._on_granted(key, epoch)
         return True
 
-    def _on_granted(self, key: _SlotKey, epoch: ids.Epoch) -> None:
+    def _on_granted(self, key: SlotKey, epoch: ids.Epoch) -> None:
         holding = self._by_slot[key]
         if holding.epoch != epoch or holding.state not in _OWNED:
             return
--- a/mustardloom/ownership/tests/fleet.py
+++ b/mustardloom/ownership/tests/fleet.py
@@ -195,8 +195,8 @@
     def __init__(self):
         self.is_failing = False
 
-    async def grant(self, group, slots_with_epochs, expires_ms):
-        del group, slots_with_epochs, expires_ms
+    async def grant(self, epoch_by_slot, expires_ms):
+        del epoch_by_slot, expires_ms
         await asyncio.sleep(0)
         if self.is_failing:
             raise OSError
