--- a/mustardloom/tests/test_shared.py
+++ b/mustardloom/tests/test_shared.py
@@ -1,12 +1,15 @@
 """Tests of the shared types."""
 
 import asyncio
+import socket
 
 import pytest
+import statsd
 
 from mustardloom import clock
 from mustardloom import findings
 from mustardloom import ids
+from mustardloom import metrics
 
 
 def test_fake_clock_wakes_sleepers_in_order():
@@ -46,3 +49,22 @@
     first = ids.new_member_id(vm)
     assert first != ids.new_member_id(vm)
     assert ids.vm_of(first) == vm
+
+
+def test_metrics_send_changes_by_statsd():
+    """Guards against totals that are sent again with each flush."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(20)
+        client = statsd.StatsClient(*receiver.getsockname(), prefix="m")
+        collected = metrics.Metrics(client)
+        collected.increment("requests", 2)
+        collected.gauge("queued", 3)
+        collected.flush()
+        first = receiver.recv(1_000).decode().split()
+        collected.increment("requests")
+        collected.flush()
+        second = receiver.recv(1_000).decode().split()
+    assert "m.requests:2|c" in first
+    assert "m.queued:3|g" in first
+    assert "m.requests:1|c" in second
