--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -386,8 +386,21 @@
             live = {record.member for record in self._members.live()}
             await self._peers.retain(live)
             self._close_foreign_slots()
+            self._set_gauges()
             await self._cleanup.remove_fenced(self._life.member)
 
+    def _set_gauges(self) -> None:
+        life = self._life
+        owned = sum(1 for _ in life.holdings.owned())
+        self._metrics.gauge("ownership.slots", owned)
+        self._metrics.gauge("membership.lease_held", life.lease.is_held())
+        self._metrics.gauge("relay.version", self._replica.version)
+        if self._serving.gate is not None:
+            load = self._serving.gate.load
+            self._metrics.gauge("gate.running", load.running)
+            self._metrics.gauge("gate.queued", load.queued)
+            self._metrics.gauge("gate.limit", load.limit)
+
     def _close_foreign_slots(self) -> None:
         life = self._life
         life.request_ids.drop_old()
--- a/mustardloom/metrics.py
+++ b/mustardloom/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and timings, sent by statsd."""
+"""Counters and gauges, sent by statsd."""
 
 import collections
 
@@ -38,11 +38,6 @@
         """Sets the gauge `name`."""
         self.gauges[name] = value
 
-    def timing(self, name: str, duration_ms: float) -> None:
-        """Sends one timing in milliseconds."""
-        if self._client is not None:
-            self._client.timing(name, duration_ms)
-
     def flush(self) -> None:
         """Sends the changes of all counters and the values of all gauges."""
         if self._client is None:
