--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -393,7 +393,8 @@
         life = self._life
         owned = sum(1 for _ in life.holdings.owned())
         self._metrics.gauge("ownership.slots", owned)
-        self._metrics.gauge("membership.lease_held", life.lease.is_held())
+        is_held = int(life.lease.is_held())
+        self._metrics.gauge("membership.lease_held", is_held)
         self._metrics.gauge("relay.version", self._replica.version)
         if self._serving.gate is not None:
             load = self._serving.gate.load
