Do not wait for killed daemons when a fleet settles

Cause: the zone scenario's variant with a killed VM always failed: it waited for the status of the killed daemon. Change: only running daemons are asked.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -90,6 +90,10 @@
         """Base address of the target."""
         return f"http://{self.host}:{_TARGET_PORT}"
 
+    def has_daemon(self) -> bool:
+        """Tells whether the daemon of the VM runs."""
+        return self.daemon is not None and self.daemon.poll() is None
+
     def processes(self) -> list[subprocess.Popen[bytes]]:
         """Returns the running processes of the VM."""
         both = (self.daemon, self.target)
@@ -256,7 +260,9 @@
         """Waits until every slot is served and no move is under way."""
 
         def is_settled() -> bool:
-            statuses = [self.status(node) for node in self.nodes]
+            # A killed VM cannot answer, and the others settle without it.
+            running = [node for node in self.nodes if node.has_daemon()]
+            statuses = [self.status(node) for node in running]
             return all(s is not None and s["settled"] for s in statuses)
 
         self.wait_until(is_settled, timeout_s, "the fleet did not settle")
