Close links between daemons that are not used

Cause: a repair reaches a random member each second and its stream was kept, so in time each daemon was linked to all; at the measured slope of 0.13 MB per daemon that is 342 MB at 2,700. Change: links without a call or frame for 30 s are closed; open calls keep theirs.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,7 @@
 _TEMPLATE = pathlib.Path(__file__).parent / "capacity.template.md"
 
 _DAEMONS = 2_700
+_MEASURED_DAEMONS = 120
 _ZONES = 16
 _KEYS = 1.9e9
 _REQUESTS_PER_S = 15e6
@@ -110,6 +111,13 @@
 
 
 def _control(figures: dict[str, float]) -> Iterator[_Value]:
+    slope = figures["control_cpu_slope_per_daemon"]
+    share = figures["control_cpu_share_of_core"]
+    yield _Value("control_cpu_fixed", share - slope * _MEASURED_DAEMONS, ".2%")
+    peers_mb = figures["control_rss_slope_mb_per_daemon"] * (
+        _DAEMONS - _MEASURED_DAEMONS
+    )
+    yield _Value("peers_mb", peers_mb)
     datagrams_per_s = 4 * _WITNESSES * _RENEWALS_PER_S
     datagram_bytes = _DATAGRAM_BYTES + _HEADERS_BYTES
     lease_bytes = datagrams_per_s * datagram_bytes / 2
--- a/mustardloom/relay/peers.py
+++ b/mustardloom/relay/peers.py
@@ -43,6 +43,9 @@
 _CONNECT_TIMEOUT_MS = 500
 _RECONNECT_DELAY_MS = 200
 _HELLO_AGE_LIMIT_MS = 60_000
+# Repairs reach a random member each second. Kept for good, their streams would
+# link each daemon to the whole fleet.
+_UNUSED_LIMIT_MS = 30_000
 _SEED_PREFIX = "seed/"
 _MEMBER_FIELD = "x-mustardloom-member"
 _RECEIVER_FIELD = "x-mustardloom-receiver"
@@ -104,15 +107,23 @@
         self._outbox = frames.Outbox()
         self._calls: dict[int, _Call] = {}
         self._last_call = 0
+        self._used_ms = owner.clock.now_ms()
         self._task = asyncio.create_task(self._run())
 
+    def is_unused(self) -> bool:
+        """Tells whether nothing was sent for a while."""
+        unused_ms = self._owner.clock.now_ms() - self._used_ms
+        return self.is_idle() and unused_ms >= _UNUSED_LIMIT_MS
+
     def notify(self, body: Body) -> None:
         """Queues a one-way frame."""
+        self._used_ms = self._owner.clock.now_ms()
         if not self._outbox.put(frames.frame(frames.ONE_WAY, body)):
             self._owner.metrics.increment("peer.frames_dropped")
 
     async def call(self, body: Body, timeout_ms: int) -> Body:
         """Sends a frame and returns the reply."""
+        self._used_ms = self._owner.clock.now_ms()
         self._last_call += 1
         number = self._last_call
         call = _Call(asyncio.get_running_loop().create_future())
@@ -307,9 +318,14 @@
     async def retain(self, members: set[ids.MemberId]) -> None:
         """Closes the links to all members that are not in `members`.
 
-        Also closes the links of earlier members that wait for no reply.
+        Also closes links that were not used for a while, and the links of
+        earlier members that wait for no reply.
         """
-        gone = [member for member in self._links if member not in members]
+        gone = [
+            member
+            for member, link in self._links.items()
+            if member not in members or link.is_unused()
+        ]
         for member in gone:
             await self._links.pop(member).close()
         idle = [link for link in self._retired if link.is_idle()]
--- a/mustardloom/relay/tests/test_peers.py
+++ b/mustardloom/relay/tests/test_peers.py
@@ -26,12 +26,22 @@
         return probe.getsockname()[1]
 
 
+class _Clock(clocks.SystemClock):
+    """Clock of the machine that a test can set forward."""
+
+    def __init__(self):
+        self.ahead_ms = 0
+
+    def now_ms(self):
+        return super().now_ms() + self.ahead_ms
+
+
 def _peers(member, ports, key=b"key"):
     return peers_lib.Peers(
         member,
         lambda other: (_HOST, ports[other]) if other in ports else None,
         authentication.Authenticator(key),
-        clocks.SystemClock(),
+        _Clock(),
         metrics_lib.Metrics(),
     )
 
@@ -192,3 +202,33 @@
         assert senders == [_A, _A, "vm-a~1"]
 
     _run(scenario, handler)
+
+
+def test_unused_links_are_closed_and_used_ones_kept():
+    """Guards against a stream to every daemon of a large fleet."""
+    received = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def handler(sender, summary):
+        received.set()
+        await go_on.wait()
+        return summary
+
+    async def scenario(caller, callee, server):
+        call = asyncio.create_task(
+            caller.call(_B, peer_pb2.Summary(), _TIMEOUT_MS)
+        )
+        await received.wait()
+        caller.clock.ahead_ms = 40_000
+        await caller.retain({_B})
+        go_on.set()
+        await call
+        link = caller._link(_B)
+        await caller.retain({_B})
+        assert caller._link(_B) is not link
+        await caller.call(_B, peer_pb2.Summary(), _TIMEOUT_MS)
+        link = caller._link(_B)
+        await caller.retain({_B})
+        assert caller._link(_B) is link
+
+    _run(scenario, handler)
