Export the request ids of a moving slot once

Cause: a transfer built all records of each slot a second time only to read the stamp below which ids are not remembered, while the slot was not served. Two wrappers only passed their call on. Change: the stamp has its own query, which the export uses too; it is read after the export, since the export may drop ids. The wrappers are gone. Conclusion: less work between stop and start of a moved slot.

--- a/mustardloom/admission/deduplication.py
+++ b/mustardloom/admission/deduplication.py
@@ -205,13 +205,19 @@
         if slot is None:
             return SlotRecords(0, ())
         self._drop_old(slot)
-        unknown_before = max(slot.unknown_before_wall_ms, slot.floor_wall_ms)
         records = tuple(
             _to_record(number, state)
             for number, state in slot.states()
             if not (isinstance(state, _Running) and not state.may_have_run())
         )
-        return SlotRecords(unknown_before, records)
+        return SlotRecords(self.unknown_before_wall_ms(placement), records)
+
+    def unknown_before_wall_ms(self, placement: dispatches.Placement) -> int:
+        """Returns the stamp below which ids of a slot are not remembered."""
+        slot = self._slots.get(placement)
+        if slot is None:
+            return 0
+        return max(slot.unknown_before_wall_ms, slot.floor_wall_ms)
 
     def close_slot(self, placement: dispatches.Placement) -> None:
         """Stops serving a slot and forgets its ids."""
--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -164,7 +164,7 @@
     ) -> int:
         """See `ownership.moves.RequestRecords`."""
         placement = dispatches.Placement(group, slot)
-        return self._request_ids.export_slot(placement).unknown_before_wall_ms
+        return self._request_ids.unknown_before_wall_ms(placement)
 
     def import_(
         self,
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -169,7 +169,7 @@
             self._metrics,
             random.randrange(2**32),
         )
-        self._peers.handle(peer_pb2.Push, self._on_push)
+        self._peers.handle(peer_pb2.Push, self._disseminator.on_push)
         self._peers.handle(peer_pb2.Summary, self._disseminator.on_summary)
         self._fencer = fencing.Fencer(
             self._store,
@@ -376,9 +376,6 @@
         except own_record.LifeEnded:
             return
 
-    async def _on_push(self, sender: ids.MemberId, push: peer_pb2.Push) -> None:
-        await self._disseminator.on_push(sender, push)
-
     async def _tidy(self) -> None:
         """Drops what is no longer needed, once a second."""
         while True:
--- a/mustardloom/ownership/moves.py
+++ b/mustardloom/ownership/moves.py
@@ -315,15 +315,17 @@
     ) -> peer_pb2.Transfer:
         transfer = peer_pb2.Transfer(group=group)
         for slot, epoch in epoch_by_slot.items():
+            requests = self._records.export(group, slot)
             cut_off_ms = self._holdings.unknown_before_wall_ms(group, slot)
             # The receiver's clock may be behind: without the stamp up to which
             # ids were dropped here it could take a dropped id for a new one.
+            # The export itself may drop ids, so the stamp is read after it.
             floor_ms = self._records.unknown_before_wall_ms(group, slot)
             transfer.slots.add(
                 slot=slot,
                 epoch=epoch,
                 unknown_before_wall_ms=max(cut_off_ms, floor_ms),
-                requests=self._records.export(group, slot),
+                requests=requests,
             )
         return transfer
 
--- a/mustardloom/relay/dissemination.py
+++ b/mustardloom/relay/dissemination.py
@@ -133,7 +133,7 @@
         self._random = random.Random(seed)
         self._store_is_up = True
         self._view = _View((), peers.member)
-        self._repairs: set[asyncio.Task[None]] = set()
+        self._repairs: set[asyncio.Task[bool]] = set()
 
     async def load(self, seeds: Sequence[ids.MemberId] = ()) -> bool:
         """Fills the replica from the store, or else from a seed.
@@ -202,7 +202,7 @@
             self._send_down(push, members)
         if result.gap:
             self._metrics.increment("relay.gaps")
-            task = asyncio.create_task(self._repair_quietly(sender))
+            task = asyncio.create_task(self._repair_from(sender))
             self._repairs.add(task)
             task.add_done_callback(self._repairs.discard)
 
@@ -244,9 +244,6 @@
         members = self._current_view().others_by_zone.get(zone, ())
         self._send_down(push, self._shuffled(members))
 
-    async def _repair_quietly(self, peer: ids.MemberId) -> None:
-        await self._repair_from(peer)
-
     async def _repair_from(self, peer: ids.MemberId) -> bool:
         summary = peer_pb2.Summary(version=self._replica.version)
         try:
