Move the object store's client to mustardloom/store

Cause: the users' deployments need an adapter folder named platform, and the client decides (it reads lost answers back), which an adapter may not. The package keeps its contents under the name of what it is.

--- a/bench/scenarios/scale.py
+++ b/bench/scenarios/scale.py
@@ -18,7 +18,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.daemon import adapters
 from mustardloom.membership import datagrams
 from mustardloom.membership import fencing
@@ -29,11 +29,11 @@
 from mustardloom.ownership import reconciler as reconcilers
 from mustardloom.ownership import slot_map
 from mustardloom.ownership import slots
-from mustardloom.platform import memory
 from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
 from mustardloom.relay import replica as replicas
 from mustardloom.relay.wire import peer_pb2
+from mustardloom.store import memory
 
 __all__ = ["DAEMONS", "Fleet", "build", "run"]
 
@@ -206,7 +206,9 @@
             yield slots.group_of(service, [name]), _SLOTS_PER_REGION
 
 
-def _member_event(number: int, state: records.MemberState) -> platform.Event:
+def _member_event(
+    number: int, state: records.MemberState
+) -> object_store.Event:
     zone = number % ZONES
     member = ids.MemberId(f"vm-{number}~00000000")
     witnesses = tuple(
@@ -227,7 +229,7 @@
         witnesses=witnesses,
     )
     key = records.member_key(member)
-    return platform.Event(key, ids.NO_VERSION, records.encode(record))
+    return object_store.Event(key, ids.NO_VERSION, records.encode(record))
 
 
 def _chunks(fleet: Fleet, group: ids.GroupId, slot_count: int) -> Any:
@@ -243,17 +245,19 @@
         chunk = entries[start : start + slot_map.CHUNK_SLOTS]
         name = slot_map.ChunkName(group, start // slot_map.CHUNK_SLOTS)
         value = slot_map.encode_chunk(chunk)
-        yield platform.Event(slot_map.chunk_key(name), ids.NO_VERSION, value)
+        yield object_store.Event(
+            slot_map.chunk_key(name), ids.NO_VERSION, value
+        )
 
 
 def _apply(
-    replica: replicas.Replica, event: platform.Event, version: int
+    replica: replicas.Replica, event: object_store.Event, version: int
 ) -> None:
-    numbered = platform.Event(event.key, ids.Version(version), event.value)
+    numbered = object_store.Event(event.key, ids.Version(version), event.value)
     replica.apply([numbered], ids.Version(version - 1), ids.Version(version))
 
 
-def _bump(fleet: Fleet, event: platform.Event) -> None:
+def _bump(fleet: Fleet, event: object_store.Event) -> None:
     _apply(fleet.replica, event, fleet.replica.version + 1)
 
 
--- a/mustardloom/cli/common.py
+++ b/mustardloom/cli/common.py
@@ -13,7 +13,7 @@
 import typer
 
 from mustardloom import findings
-from mustardloom.platform import objects
+from mustardloom.store import objects
 
 __all__ = [
     "ExitCode",
--- a/mustardloom/cli/configuration.py
+++ b/mustardloom/cli/configuration.py
@@ -17,7 +17,7 @@
 from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.cli import common
 from mustardloom.declarations import diff as diffs
 
@@ -75,7 +75,7 @@
 def diff(files: _Files, platform_url: _Platform) -> None:
     """Shows what apply would change."""
 
-    async def show(client: platform.PlatformClient) -> None:
+    async def show(client: object_store.PlatformClient) -> None:
         plan = await _plan(client, files)
         _print_plan(plan)
 
@@ -90,7 +90,7 @@
 ) -> None:
     """Puts declaration files in force, unless they changed meanwhile."""
 
-    async def change(client: platform.PlatformClient) -> None:
+    async def change(client: object_store.PlatformClient) -> None:
         plan = await _plan(client, files)
         if not plan.changes:
             _print_plan(plan)
@@ -113,11 +113,11 @@
 
 
 def _with_client(
-    url: str, action: Callable[[platform.PlatformClient], Awaitable[_T]]
+    url: str, action: Callable[[object_store.PlatformClient], Awaitable[_T]]
 ) -> _T:
     async def act() -> _T:
         try:
-            client = platform.HttpPlatformClient(
+            client = object_store.HttpPlatformClient(
                 url, clocks.SystemClock(), metrics_lib.Metrics()
             )
         except ValueError as error:
@@ -132,7 +132,7 @@
 
 
 async def _plan(
-    client: platform.PlatformClient, files: list[pathlib.Path]
+    client: object_store.PlatformClient, files: list[pathlib.Path]
 ) -> _Plan:
     loaded = declarations.load(files)
     key = declarations.config_key(loaded.declaration_set().id)
@@ -151,7 +151,7 @@
 
 
 def _decode(
-    found: platform.Versioned | None,
+    found: object_store.Versioned | None,
 ) -> declarations.StoredObject[declarations.DeclarationSet] | None:
     if found is None:
         return None
@@ -189,7 +189,7 @@
 
 
 async def _write(
-    client: platform.PlatformClient,
+    client: object_store.PlatformClient,
     plan: _Plan,
     entry: declarations.AuditEntry,
 ) -> None:
@@ -200,16 +200,16 @@
     value = declarations.encode(amended.stored)
     try:
         result = await client.update(key, value, plan.version)
-    except platform.ValueTooLarge as error:
+    except object_store.ValueTooLarge as error:
         finding = findings.Finding(findings.Place(key), f"too large: {error}")
         raise findings.FindingsError([finding]) from error
     match result:
-        case platform.Written(version):
+        case object_store.Written(version):
             typer.echo(f"set {plan.declared.id} in force at version {version}")
-        case platform.Conflict(current):
+        case object_store.Conflict(current):
             version = current.version if current else ids.NO_VERSION
             raise _conflict(plan.declared, _decode(current), version)
-        case platform.Undecided():
+        case object_store.Undecided():
             raise common.fail(
                 "platform unavailable: it is unknown whether the change took"
                 " effect; run apply again",
@@ -218,7 +218,7 @@
 
 
 async def _archive(
-    client: platform.PlatformClient,
+    client: object_store.PlatformClient,
     key: str,
     entry: declarations.AuditEntry,
 ) -> None:
@@ -231,8 +231,8 @@
         msgspec.json.encode(entry),
         ids.NO_VERSION,
     )
-    if isinstance(result, platform.Undecided):
-        raise platform.PlatformUnavailable("audit entry was not written")
+    if isinstance(result, object_store.Undecided):
+        raise object_store.PlatformUnavailable("audit entry was not written")
 
 
 def _conflict(
--- a/mustardloom/daemon/configuration.py
+++ b/mustardloom/daemon/configuration.py
@@ -8,7 +8,7 @@
 
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.declarations import catalog
 from mustardloom.declarations import model
 from mustardloom.membership import records
@@ -82,7 +82,7 @@
             if regions is not None:
                 yield regions
 
-    def _on_set(self, event: platform.Event) -> None:
+    def _on_set(self, event: object_store.Event) -> None:
         set_id = ids.SetId(event.key.removeprefix(model.CONFIG_PREFIX))
         if event.value is None:
             self._sets.pop(event.key, None)
@@ -100,7 +100,7 @@
         logger.info(f"{event.key} is in force at version {event.version}")
         self._notify()
 
-    def _on_stop(self, event: platform.Event) -> None:
+    def _on_stop(self, event: object_store.Event) -> None:
         if event.value is None:
             self._stops.pop(event.key, None)
         else:
@@ -112,7 +112,7 @@
             self._stops[event.key] = stored.value
         self._notify()
 
-    def _reject(self, event: platform.Event, error: Exception) -> None:
+    def _reject(self, event: object_store.Event, error: Exception) -> None:
         self._metrics.increment("configuration.not_decoded")
         logger.error(f"{event.key} version {event.version}: {error}")
 
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -32,7 +32,6 @@
 from mustardloom.ownership import cleanup
 from mustardloom.ownership import holdings as holdings_lib
 from mustardloom.ownership import slot_map
-from mustardloom.platform import http_client
 from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
 from mustardloom.relay import peer_server
@@ -42,6 +41,7 @@
 from mustardloom.routing import candidates
 from mustardloom.routing import forwarders
 from mustardloom.routing import router as routers
+from mustardloom.store import http_client
 
 __all__ = ["Daemon", "StartError"]
 
--- a/mustardloom/daemon/life.py
+++ b/mustardloom/daemon/life.py
@@ -8,7 +8,7 @@
 
 from mustardloom import clock as clocks
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.admission import deduplication
 from mustardloom.daemon import adapters
 from mustardloom.daemon import configuration as configurations
@@ -54,7 +54,7 @@
     members: records.Members
     slots: slot_map.SlotMap
     configuration: configurations.Configuration
-    store: platform.PlatformClient
+    store: object_store.PlatformClient
     peers: peers_lib.Peers
     endpoint: datagrams.DatagramEndpoint
     grants: adapters.TargetGrants
--- a/mustardloom/daemon/tests/test_configuration.py
+++ b/mustardloom/daemon/tests/test_configuration.py
@@ -2,7 +2,7 @@
 
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.daemon import configuration as configurations
 from mustardloom.declarations import catalog
 from mustardloom.declarations import envelope
@@ -37,7 +37,7 @@
 
 
 def _apply(replica, key, version, value):
-    event = platform.Event(key, ids.Version(version), value)
+    event = object_store.Event(key, ids.Version(version), value)
     replica.apply([event], ids.Version(version - 1), ids.Version(version))
 
 
--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -17,9 +17,9 @@
 from mustardloom.declarations import catalog
 from mustardloom.declarations import envelope
 from mustardloom.declarations import model
-from mustardloom.platform import http_client
 from mustardloom.standins import platform as platform_standin
 from mustardloom.standins import target as target_standin
+from mustardloom.store import http_client
 
 _HOST = "127.0.0.1"
 # Bounds a hanging test; no assertion depends on it.
--- a/mustardloom/membership/fencing.py
+++ b/mustardloom/membership/fencing.py
@@ -10,7 +10,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.membership import datagrams
 from mustardloom.membership import lease as leases
 from mustardloom.membership import records
@@ -175,7 +175,7 @@
 
     def __init__(
         self,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         replica: replicas.Replica,
         members: records.Members,
         endpoint: datagrams.DatagramEndpoint,
@@ -217,7 +217,7 @@
             if failure is not None:
                 return failure
             result = await self._write(record, version, deadline_ms)
-            if not isinstance(result, platform.Versioned):
+            if not isinstance(result, object_store.Versioned):
                 return result
             record = records.decode(result.value)
             version = result.version
@@ -235,7 +235,7 @@
         deadline_ms = self._clock.now_ms() + _ATTEMPT_MS
         try:
             found = await self._store.get(records.member_key(member))
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             return FencingUndecided()
         if found is None:
             return RecordGone()
@@ -244,7 +244,7 @@
             if record.state is records.MemberState.FENCED:
                 return Fenced(record, found.version)
             result = await self._write(record, found.version, deadline_ms)
-            if not isinstance(result, platform.Versioned):
+            if not isinstance(result, object_store.Versioned):
                 return result
             found = result
 
@@ -316,7 +316,7 @@
         record: records.MemberRecord,
         version: ids.Version,
         deadline_ms: int,
-    ) -> FenceResult | platform.Versioned:
+    ) -> FenceResult | object_store.Versioned:
         """Writes FENCED if the record still has `version`.
 
         Returns the object that was found instead if it is another version.
@@ -330,16 +330,18 @@
         while True:
             result = await self._update(key, records.encode(fenced), version)
             match result:
-                case platform.Written(written):
+                case object_store.Written(written):
                     return self._announce(key, fenced, written)
-                case platform.Conflict(None):
+                case object_store.Conflict(None):
                     return RecordGone()
-                case platform.Conflict(platform.Versioned() as current):
+                case object_store.Conflict(object_store.Versioned() as current):
                     return current
             match await self._read_back(key):
                 case None:
                     return RecordGone()
-                case platform.Versioned() as found if found.version != version:
+                case object_store.Versioned() as found if (
+                    found.version != version
+                ):
                     return found
             if self._clock.now_ms() >= deadline_ms:
                 return FencingUndecided()
@@ -347,18 +349,18 @@
 
     async def _update(
         self, key: str, value: bytes, version: ids.Version
-    ) -> platform.WriteResult:
+    ) -> object_store.WriteResult:
         try:
             return await self._store.update(key, value, version)
-        except platform.PlatformUnavailable:
-            return platform.Undecided(ids.new_operation_id())
+        except object_store.PlatformUnavailable:
+            return object_store.Undecided(ids.new_operation_id())
 
     async def _read_back(
         self, key: str
-    ) -> platform.Versioned | FencingUndecided | None:
+    ) -> object_store.Versioned | FencingUndecided | None:
         try:
             return await self._store.get(key)
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             return FencingUndecided()
 
     def _announce(
@@ -366,10 +368,10 @@
     ) -> Fenced:
         self._metrics.increment("membership.members_fenced")
         logger.warning(f"{fenced.member} is fenced")
-        self._publish(platform.Event(key, version, records.encode(fenced)))
+        self._publish(object_store.Event(key, version, records.encode(fenced)))
         return Fenced(fenced, version)
 
-    def _on_event(self, event: platform.Event) -> None:
+    def _on_event(self, event: object_store.Event) -> None:
         if event.value is None:
             self._seen_ms_by_key.pop(event.key, None)
             return
--- a/mustardloom/membership/own_record.py
+++ b/mustardloom/membership/own_record.py
@@ -6,7 +6,7 @@
 
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.membership import lease as leases
 from mustardloom.membership import records
 
@@ -59,7 +59,7 @@
     def __init__(
         self,
         record: records.MemberRecord,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         lease: leases.Lease,
         metrics: metrics_lib.Metrics,
         publish: records.Publish,
@@ -104,13 +104,13 @@
                     return WriteState.WRITTEN
                 result = await self._update(proposed)
                 match result:
-                    case platform.Written(version):
+                    case object_store.Written(version):
                         self._adopt(proposed, version)
                         self._publish(self._event(proposed, version))
                         return WriteState.WRITTEN
-                    case platform.Conflict(current):
+                    case object_store.Conflict(current):
                         self._adopt_found(current)
-                    case platform.Undecided():
+                    case object_store.Undecided():
                         self._metrics.increment("membership.writes_undecided")
                         return WriteState.UNDECIDED
 
@@ -125,11 +125,11 @@
                     if found is None:
                         return WriteState.WRITTEN
                     result = await self._store.delete(self._key, found.version)
-                except platform.PlatformUnavailable:
+                except object_store.PlatformUnavailable:
                     return WriteState.UNDECIDED
-                if isinstance(result, platform.Written):
+                if isinstance(result, object_store.Written):
                     return WriteState.WRITTEN
-                if isinstance(result, platform.Undecided):
+                if isinstance(result, object_store.Undecided):
                     return WriteState.UNDECIDED
 
     def _ended(self, reason: EndReason) -> LifeEnded:
@@ -138,12 +138,12 @@
 
     def _event(
         self, record: records.MemberRecord, version: ids.Version
-    ) -> platform.Event:
-        return platform.Event(self._key, version, records.encode(record))
+    ) -> object_store.Event:
+        return object_store.Event(self._key, version, records.encode(record))
 
     async def _update(
         self, proposed: records.MemberRecord
-    ) -> platform.WriteResult:
+    ) -> object_store.WriteResult:
         if self._deleting:
             raise self._ended(EndReason.REMOVED)
         # Holds also if this task is cancelled before the answer.
@@ -152,14 +152,14 @@
         value = records.encode(proposed)
         try:
             return await self._store.update(self._key, value, self.version)
-        except platform.PlatformUnavailable:
-            return platform.Undecided(ids.new_operation_id())
+        except object_store.PlatformUnavailable:
+            return object_store.Undecided(ids.new_operation_id())
 
     async def _read_back(self) -> bool:
         """Reads the record; returns False if the store does not answer."""
         try:
             found = await self._store.get(self._key)
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             return False
         # With an unchanged version the write may still arrive. It loses
         # against the next write, which has the same expected version.
@@ -168,7 +168,7 @@
             self._adopt_found(found)
         return True
 
-    def _adopt_found(self, found: platform.Versioned | None) -> None:
+    def _adopt_found(self, found: object_store.Versioned | None) -> None:
         if found is None:
             raise self._ended(EndReason.RECORD_GONE)
         record = records.decode(found.value)
--- a/mustardloom/membership/tests/simulation.py
+++ b/mustardloom/membership/tests/simulation.py
@@ -6,7 +6,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.membership import announcer as announcers
 from mustardloom.membership import fake_network
 from mustardloom.membership import fencing
@@ -44,16 +44,16 @@
     def apply(self, key, value, expected):
         current = self.by_key.get(key)
         if (current.version if current else 0) != expected:
-            return platform.Conflict(current)
+            return object_store.Conflict(current)
         self.version = ids.Version(self.version + 1)
         self.writes += 1
         if value is None:
             del self.by_key[key]
         else:
-            self.by_key[key] = platform.Versioned(key, self.version, value)
+            self.by_key[key] = object_store.Versioned(key, self.version, value)
         for listener in self.listeners:
-            listener(platform.Event(key, self.version, value))
-        return platform.Written(self.version)
+            listener(object_store.Event(key, self.version, value))
+        return object_store.Written(self.version)
 
     def apply_late(self, key, value, expected):
         async def run():
@@ -86,11 +86,11 @@
         await self._call()
         if self.store.clock.now_ms() < self.store.late_until_ms:
             self.store.apply_late(key, value, expected)
-            return platform.Undecided(ids.OperationId("late"))
+            return object_store.Undecided(ids.OperationId("late"))
         result = self.store.apply(key, value, expected)
         if self.store.lost_answers:
             self.store.lost_answers -= 1
-            result = platform.Undecided(ids.OperationId("lost"))
+            result = object_store.Undecided(ids.OperationId("lost"))
         await self.process.clock.sleep_ms(STORE_DELAY_MS)
         return result
 
@@ -98,15 +98,15 @@
         return await self.update(key, None, expected)
 
     async def list_objects(self, prefix=""):
-        raise platform.PlatformUnavailable
+        raise object_store.PlatformUnavailable
 
     async def watch(self, after, wait_ms):
-        raise platform.PlatformUnavailable
+        raise object_store.PlatformUnavailable
 
     async def _call(self):
         await self.process.clock.sleep_ms(STORE_DELAY_MS)
         if not self.store.is_up or not self.process.reaches_store:
-            raise platform.PlatformUnavailable
+            raise object_store.PlatformUnavailable
 
 
 class ProcessClock(clocks.Clock):
@@ -261,7 +261,9 @@
 
     def catch_up(self):
         store = self.fleet.store
-        listing = platform.Listing(tuple(store.by_key.values()), store.version)
+        listing = object_store.Listing(
+            tuple(store.by_key.values()), store.version
+        )
         self.replica.apply_listing(listing, "", listing.version)
 
     def pause(self):
--- a/mustardloom/operators/commands/changes.py
+++ b/mustardloom/operators/commands/changes.py
@@ -12,7 +12,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.declarations import envelope
 from mustardloom.membership import records
 from mustardloom.operators import results
@@ -67,7 +67,7 @@
 
     def __init__(
         self,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         replica: replicas.Replica,
         publish: records.Publish,
         clock: clocks.Clock,
@@ -88,7 +88,7 @@
         """Adopts what the store has below a prefix now.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         listing = await self._store.list_objects(prefix)
         for found in listing.objects:
@@ -100,7 +100,7 @@
         """Returns an object as the store has it now.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         found = await self._store.get(key)
         if found is None:
@@ -112,7 +112,7 @@
         """Tells whether the audit trail of an object has the command.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         stored = await self.load(key, Any)
         return await self._is_recorded(key, stored, author)
@@ -128,7 +128,7 @@
         return change.is_in_force(stored.value)
 
     def unavailable(
-        self, error: platform.PlatformUnavailable
+        self, error: object_store.PlatformUnavailable
     ) -> results.Unavailable:
         """Returns the answer to a command when the store does not answer."""
         self._metrics.increment("operators.store_unavailable")
@@ -139,7 +139,7 @@
         """Returns a conflict with the last change of an object, if any.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         self._metrics.increment("operators.conflicts")
         stored = await self.load(key, Any)
@@ -171,7 +171,7 @@
             if version != seen:
                 return self._conflict(change.key, stored)
             return await self._write(change, author, stored, version)
-        except platform.PlatformUnavailable as error:
+        except object_store.PlatformUnavailable as error:
             return self.unavailable(error)
 
     async def _write(
@@ -195,13 +195,13 @@
         value = msgspec.json.encode(amended.stored)
         result = await self._store.update(change.key, value, version)
         match result:
-            case platform.Written(written):
-                self._publish(platform.Event(change.key, written, value))
+            case object_store.Written(written):
+                self._publish(object_store.Event(change.key, written, value))
                 logger.info(f"{author.who}: {author.line}")
                 return _applied(change, written, author)
-            case platform.Conflict(current):
+            case object_store.Conflict(current):
                 return self._lost_race(change, author, current)
-            case platform.Undecided():
+            case object_store.Undecided():
                 return await self._read_back(change, author, version)
 
     async def _keep(self, key: str, entry: envelope.AuditEntry) -> None:
@@ -210,18 +210,18 @@
         value = msgspec.json.encode(entry)
         result = await self._store.update(name, value, ids.NO_VERSION)
         match result:
-            case platform.Written(version):
-                self._publish(platform.Event(name, version, value))
-            case platform.Undecided():
+            case object_store.Written(version):
+                self._publish(object_store.Event(name, version, value))
+            case object_store.Undecided():
                 message = f"{name} may not have been written"
-                raise platform.PlatformUnavailable(message)
+                raise object_store.PlatformUnavailable(message)
             # An entry never changes, so one that exists is the same.
 
     def _lost_race(
         self,
         change: Change[_T],
         author: Author,
-        current: platform.Versioned | None,
+        current: object_store.Versioned | None,
     ) -> results.Result:
         if current is not None:
             self._adopt(current)
@@ -245,7 +245,7 @@
         self._metrics.increment("operators.undecided")
         try:
             current = await self._store.get(change.key)
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             return undecided
         found = current.version if current else ids.NO_VERSION
         if found == version:
@@ -273,15 +273,15 @@
         )
         return _names(tuple(entries), author.operation)
 
-    def _adopt(self, found: platform.Versioned) -> None:
-        event = platform.Event(found.key, found.version, found.value)
+    def _adopt(self, found: object_store.Versioned) -> None:
+        event = object_store.Event(found.key, found.version, found.value)
         watermark = self._replica.version
         self._replica.apply([event], watermark, watermark)
 
     def _applied(
         self,
         change: Change[_T],
-        found: platform.Versioned | None,
+        found: object_store.Versioned | None,
         author: Author,
     ) -> results.Applied:
         version = found.version if found else ids.NO_VERSION
--- a/mustardloom/operators/commands/guard.py
+++ b/mustardloom/operators/commands/guard.py
@@ -8,7 +8,7 @@
 
 from mustardloom import clock as clocks
 from mustardloom import ids
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.declarations import model
 from mustardloom.membership import records
 
@@ -81,7 +81,7 @@
     with the stop of the winner in the count.
     """
 
-    def __init__(self, store: platform.PlatformClient, clock: clocks.Clock):
+    def __init__(self, store: object_store.PlatformClient, clock: clocks.Clock):
         self._store = store
         self._clock = clock
 
@@ -89,7 +89,7 @@
         """Returns the guard.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         found = await self._store.get(GUARD_KEY)
         if found is None:
@@ -101,14 +101,14 @@
         """Adds a stop if no other one was added since the guard was read.
 
         Raises:
-          platform.PlatformUnavailable: The store did not answer.
+          object_store.PlatformUnavailable: The store did not answer.
         """
         kept = self._recent(found.pending)
         value = msgspec.json.encode(Guard((*kept, stop)))
         result = await self._store.update(GUARD_KEY, value, found.version)
-        if isinstance(result, platform.Undecided):
-            raise platform.PlatformUnavailable("the check was not recorded")
-        return isinstance(result, platform.Written)
+        if isinstance(result, object_store.Undecided):
+            raise object_store.PlatformUnavailable("the check was not recorded")
+        return isinstance(result, object_store.Written)
 
     def pending(
         self, found: "FoundGuard", version_of: dict[str, ids.Version]
--- a/mustardloom/operators/commands/stops.py
+++ b/mustardloom/operators/commands/stops.py
@@ -5,7 +5,7 @@
 from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.declarations import model
 from mustardloom.membership import records
 from mustardloom.operators import figures as figures_lib
@@ -53,7 +53,7 @@
         change = self._change(command.kind, command.name, active=True)
         try:
             refusal = await self._check(command, change, author, seen)
-        except platform.PlatformUnavailable as error:
+        except object_store.PlatformUnavailable as error:
             return self._changer.unavailable(error)
         if refusal is not None:
             return refusal
--- a/mustardloom/operators/operator.py
+++ b/mustardloom/operators/operator.py
@@ -3,7 +3,7 @@
 from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.membership import fencing
 from mustardloom.membership import records
 from mustardloom.operators import commands
@@ -22,7 +22,7 @@
     def __init__(
         self,
         view: views.View,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         publish: records.Publish,
         fencer: fencing.Fencer,
         metrics: metrics_lib.Metrics,
@@ -70,7 +70,7 @@
             )
         except findings.FindingsError as error:
             return results.Findings(message=str(error), findings=_faults(error))
-        except platform.PlatformUnavailable as error:
+        except object_store.PlatformUnavailable as error:
             # Commands report what they left undecided; this is from a read
             # before the first write.
             self._metrics.increment("operators.store_unavailable")
--- a/mustardloom/operators/tests/test_operator.py
+++ b/mustardloom/operators/tests/test_operator.py
@@ -15,7 +15,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import operators
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.declarations import catalog
 from mustardloom.declarations import envelope
 from mustardloom.declarations import model
@@ -120,7 +120,7 @@
 
     operator: operators.Operator
     replica: replicas.Replica
-    platform: platform.MemoryPlatform
+    platform: object_store.MemoryPlatform
     slots: slot_map.SlotMap
 
     async def sync(self):
@@ -134,7 +134,7 @@
 
     def __init__(self):
         self.clock = clocks.FakeClock()
-        self.store = platform.MemoryStore(self.clock)
+        self.store = object_store.MemoryStore(self.clock)
         self.running = {}
         self.loop = asyncio.new_event_loop()
         self.nodes = [self._node(), self._node()]
@@ -210,7 +210,7 @@
     def _node(self):
         metrics = metrics_lib.Metrics()
         replica = replicas.Replica()
-        client = platform.MemoryPlatform(self.clock, self.store)
+        client = object_store.MemoryPlatform(self.clock, self.store)
         members = records.Members(replica)
         slots_view = slot_map.SlotMap(replica)
 
@@ -496,7 +496,7 @@
 
 def test_queries_answer_during_an_outage(world):
     """Guards against queries that depend on the store."""
-    world.store.set_faults(platform.Faults(down=True))
+    world.store.set_faults(object_store.Faults(down=True))
     for line in ("owner of k in salio", "targets", "stops", "audit", "help"):
         assert isinstance(world.do(line), results.Table)
     answer = world.do("stop availability-zone ziwa-1")
@@ -527,7 +527,7 @@
         self._acknowledged = set()
         self._not_applied = set()
         self._open = {}
-        self._pushed: list[platform.Event] = []
+        self._pushed: list[object_store.Event] = []
         self._newest: list[dict[str, int]] = [{}, {}]
         self._entry_limit = envelope.MAX_AUDIT_ENTRIES
         # Few entries per object, so that displaced ones are common.
--- a/mustardloom/ownership/cleanup.py
+++ b/mustardloom/ownership/cleanup.py
@@ -5,7 +5,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.membership import records
 from mustardloom.ownership import slot_map
 from mustardloom.relay import rendezvous
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         members: records.Members,
         slots: slot_map.SlotMap,
         clock: clocks.Clock,
@@ -73,6 +73,6 @@
         version = self._members.version_by_id[member]
         try:
             await self._store.delete(records.member_key(member), version)
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             return
         self._metrics.increment("ownership.records_removed")
--- a/mustardloom/relay/dissemination.py
+++ b/mustardloom/relay/dissemination.py
@@ -13,7 +13,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay import rendezvous
 from mustardloom.relay import replica as replicas
@@ -37,7 +37,7 @@
 _REMOTE_REPAIR_SHARE = 0.25
 
 
-def is_replicated(event: platform.Event) -> bool:
+def is_replicated(event: object_store.Event) -> bool:
     """Tells whether daemons keep copies of the object of `event`."""
     return event.key.startswith(REPLICATED_PREFIXES)
 
@@ -56,7 +56,7 @@
         yield members[index::count]
 
 
-def to_wire(events: Iterable[platform.Event]) -> list[peer_pb2.Event]:
+def to_wire(events: Iterable[object_store.Event]) -> list[peer_pb2.Event]:
     """Returns the messages of `events`."""
     return [
         peer_pb2.Event(key=event.key, version=event.version, value=event.value)
@@ -64,11 +64,11 @@
     ]
 
 
-def from_wire(events: Iterable[peer_pb2.Event]) -> Iterator[platform.Event]:
+def from_wire(events: Iterable[peer_pb2.Event]) -> Iterator[object_store.Event]:
     """Yields the events of messages."""
     for event in events:
         value = event.value if event.HasField("value") else None
-        yield platform.Event(event.key, ids.Version(event.version), value)
+        yield object_store.Event(event.key, ids.Version(event.version), value)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,7 +117,7 @@
     def __init__(
         self,
         replica: replicas.Replica,
-        store: platform.PlatformClient,
+        store: object_store.PlatformClient,
         peers: Channel,
         topology: Topology,
         clock: clocks.Clock,
@@ -143,7 +143,7 @@
         """
         try:
             await self._load_from_store()
-        except platform.PlatformUnavailable:
+        except object_store.PlatformUnavailable:
             self._note_store(is_up=False)
         else:
             self._note_store(is_up=True)
@@ -153,7 +153,7 @@
                 return True
         return False
 
-    def publish(self, event: platform.Event) -> None:
+    def publish(self, event: object_store.Event) -> None:
         """Adopts the event of an own write and pushes it to the fleet."""
         since = ids.Version(event.version - 1)
         self._replica.apply([event], since, event.version)
@@ -171,7 +171,7 @@
                 continue
             try:
                 await self._watch_once()
-            except platform.PlatformUnavailable:
+            except object_store.PlatformUnavailable:
                 self._note_store(is_up=False)
                 await self._clock.sleep_ms(_RETRY_DELAY_MS)
 
--- a/mustardloom/relay/replica.py
+++ b/mustardloom/relay/replica.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from mustardloom import ids
-from mustardloom.platform import objects
+from mustardloom.store import objects
 
 __all__ = ["ApplyResult", "Replica", "Subscriber"]
 
--- a/mustardloom/relay/tests/test_dissemination.py
+++ b/mustardloom/relay/tests/test_dissemination.py
@@ -6,11 +6,11 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom import platform
-from mustardloom.platform import memory
+from mustardloom import store as object_store
 from mustardloom.relay import dissemination
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay import replica as replicas
+from mustardloom.store import memory
 
 _ZONES = [ids.AvailabilityZoneId(f"zone-{n}") for n in range(4)]
 
@@ -99,8 +99,8 @@
 
     async def write(self, key):
         result = await self.store.update(key, b"1", ids.NO_VERSION)
-        assert isinstance(result, platform.Written)
-        return platform.Event(key, result.version, b"1")
+        assert isinstance(result, object_store.Written)
+        return object_store.Event(key, result.version, b"1")
 
     def set_store_down(self):
         self.store.store.set_faults(memory.Faults(down=True))
--- a/mustardloom/relay/tests/test_replica.py
+++ b/mustardloom/relay/tests/test_replica.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from mustardloom import ids
-from mustardloom import platform
+from mustardloom import store as object_store
 from mustardloom.relay import replica as replicas
 
 
@@ -15,7 +15,7 @@
     for number in range(1, length + 1):
         value = None if number % 5 == 0 else str(number).encode()
         key = f"k/{number % 3}"
-        events.append(platform.Event(key, ids.Version(number), value))
+        events.append(object_store.Event(key, ids.Version(number), value))
     return events
 
 
@@ -71,8 +71,8 @@
     """Guards against objects that were deleted while the daemon was away."""
     replica = replicas.Replica()
     replica.apply(_history(2), ids.NO_VERSION, ids.Version(2))
-    left = platform.Versioned("k/1", ids.Version(1), b"1")
-    listing = platform.Listing((left,), ids.Version(7))
+    left = object_store.Versioned("k/1", ids.Version(1), b"1")
+    listing = object_store.Listing((left,), ids.Version(7))
     replica.apply_listing(listing, "k/", listing.version)
     assert replica.get("k/2") is None
     assert replica.get("k/1") is not None
--- a/mustardloom/routing/tests/fleet.py
+++ b/mustardloom/routing/tests/fleet.py
@@ -6,10 +6,10 @@
 from mustardloom.declarations import model
 from mustardloom.membership import records
 from mustardloom.ownership import slot_map as slot_maps
-from mustardloom.platform import objects
 from mustardloom.relay import replica as replicas
 from mustardloom.routing import candidates
 from mustardloom.routing import routes
+from mustardloom.store import objects
 
 __all__ = ["KEYED", "NEAR", "SLOTS", "UNKEYED", "Fleet", "make_request"]
 
--- a/mustardloom/standins/platform.py
+++ b/mustardloom/standins/platform.py
@@ -10,10 +10,10 @@
 
 from mustardloom import clock as clocks
 from mustardloom import ids
-from mustardloom.platform import http_client
-from mustardloom.platform import memory
-from mustardloom.platform import objects
-from mustardloom.platform import raw
+from mustardloom.store import http_client
+from mustardloom.store import memory
+from mustardloom.store import objects
+from mustardloom.store import raw
 
 __all__ = ["PlatformServer"]
 
--- a/mustardloom/standins/tests/test_platform.py
+++ b/mustardloom/standins/tests/test_platform.py
@@ -7,11 +7,11 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.platform import http_client
-from mustardloom.platform import memory
-from mustardloom.platform import objects
-from mustardloom.platform import raw
 from mustardloom.standins import platform
+from mustardloom.store import http_client
+from mustardloom.store import memory
+from mustardloom.store import objects
+from mustardloom.store import raw
 
 
 def _with_server(scenario):
--- a/mustardloom/platform/client.py
+++ b/mustardloom/store/client.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from mustardloom import ids
-from mustardloom.platform import objects
+from mustardloom.store import objects
 
 __all__ = ["PlatformClient"]
 
--- a/mustardloom/platform/http_client.py
+++ b/mustardloom/store/http_client.py
@@ -9,10 +9,10 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.platform import http_pool
-from mustardloom.platform import objects
-from mustardloom.platform import raw
-from mustardloom.platform import read_back
+from mustardloom.store import http_pool
+from mustardloom.store import objects
+from mustardloom.store import raw
+from mustardloom.store import read_back
 
 __all__ = [
     "OBJECTS_PATH",
--- a/mustardloom/platform/memory.py
+++ b/mustardloom/store/memory.py
@@ -8,9 +8,9 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.platform import objects
-from mustardloom.platform import raw
-from mustardloom.platform import read_back
+from mustardloom.store import objects
+from mustardloom.store import raw
+from mustardloom.store import read_back
 
 __all__ = ["Faults", "MemoryPlatform", "MemoryStore"]
 
--- a/mustardloom/platform/read_back.py
+++ b/mustardloom/store/read_back.py
@@ -5,9 +5,9 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.platform import objects
-from mustardloom.platform import raw
-from mustardloom.platform import timeouts
+from mustardloom.store import objects
+from mustardloom.store import raw
+from mustardloom.store import timeouts
 
 __all__ = ["ReadBackClient", "judge"]
 
--- a/mustardloom/platform/tests/test_http_pool.py
+++ b/mustardloom/store/tests/test_http_pool.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardloom.platform import http_pool
+from mustardloom.store import http_pool
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 
--- a/mustardloom/platform/tests/test_read_back.py
+++ b/mustardloom/store/tests/test_read_back.py
@@ -11,10 +11,10 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.platform import memory
-from mustardloom.platform import objects
-from mustardloom.platform import raw
-from mustardloom.platform import read_back
+from mustardloom.store import memory
+from mustardloom.store import objects
+from mustardloom.store import raw
+from mustardloom.store import read_back
 
 
 def _run(scenario):
