--- a/mustardloom/admission/gate.py
+++ b/mustardloom/admission/gate.py
@@ -16,9 +16,9 @@
 from mustardloom.admission import dispatch as dispatches
 from mustardloom.admission import limits
 from mustardloom.admission import presence
-from mustardloom.admission import quarantine as quarantines
 from mustardloom.admission import waiting
 from mustardloom.admission import warmup as warmups
+from mustardloom.load import quarantine as quarantines
 
 __all__ = ["Gate", "GateLoad"]
 
--- a/mustardloom/admission/tests/test_protection.py
+++ b/mustardloom/admission/tests/test_protection.py
@@ -12,9 +12,9 @@
 from mustardloom.admission import gate as gates
 from mustardloom.admission import limits
 from mustardloom.admission import presence
-from mustardloom.admission import quarantine as quarantines
 from mustardloom.admission import warmup as warmups
 from mustardloom.admission.tests import support
+from mustardloom.load import quarantine as quarantines
 
 CAPACITY = 6
 ALIVE = dispatches.Probe(True, True, "i1")
--- a/mustardloom/cli/common.py
+++ b/mustardloom/cli/common.py
@@ -13,7 +13,7 @@
 import typer
 
 from mustardloom import findings
-from mustardloom.store import objects
+from mustardloom import objects
 
 __all__ = [
     "ExitCode",
--- /dev/null
+++ b/mustardloom/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Types of a deployment: settings, configuration, targets, key ranges."""
--- /dev/null
+++ b/mustardloom/deployment/configuration.py
@@ -0,0 +1,123 @@
+"""Routes and services that operators declared, ready for look-ups."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import functools
+
+from mustardloom import ids
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "Kind",
+    "Route",
+    "Service",
+    "Share",
+]
+
+
+class Kind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at-most-once"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """Part of a route's requests that go to one service."""
+
+    service: ids.ServiceId
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests for one host and path prefix go.
+
+    Attributes:
+      name: Name, unique in the configuration.
+      host: Host that callers name.
+      prefix: Start of the path.
+      shares: Services and their weights; one entry for most routes.
+      kind: Whether a second run does no harm.
+      timeout_ms: Longest time a caller is kept waiting.
+      objective_ms: Time within which an answer has its full value.
+      max_attempts: Most targets that one request may be sent to.
+      priority: Rank, 0 is the most urgent.
+      home_regions: Regions that may serve; empty means any.
+    """
+
+    name: ids.RouteId
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    kind: Kind
+    timeout_ms: int
+    objective_ms: int
+    max_attempts: int
+    priority: int
+    home_regions: frozenset[ids.RegionId]
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Returns whether requests may run more than once."""
+        return self.kind is Kind.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A set of targets that do the same work.
+
+    Attributes:
+      health_path: Path of the health check.
+      max_connections: Connections that a target accepts.
+      cold_per_s: Requests a second that a cold target bears.
+      is_keyed: Whether each key has one owner among the targets.
+    """
+
+    name: ids.ServiceId
+    health_path: str = "/health"
+    max_connections: int = 100
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
+    is_keyed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """One version of everything that operators declared."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[ids.ServiceId, Service]
+    limits: CallerLimits = CallerLimits()
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins `path`."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        for route in _longest_first(self.routes):
+            by_host.setdefault(route.host, []).append(route)
+        return by_host
+
+
+def _longest_first(routes: Iterable[Route]) -> list[Route]:
+    return sorted(routes, key=lambda route: -len(route.prefix))
--- /dev/null
+++ b/mustardloom/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on tornado streams, parsed by httptools (llhttp)."""
--- /dev/null
+++ b/mustardloom/http1/messages.py
@@ -0,0 +1,107 @@
+"""Requests and responses with their headers as they came."""
+
+from collections.abc import Iterable
+import dataclasses
+from http import client as http_client
+
+__all__ = [
+    "HOP_BY_HOP",
+    "Header",
+    "Request",
+    "Response",
+    "encode_request",
+    "encode_response",
+    "find",
+]
+
+Header = tuple[bytes, bytes]
+
+# Headers that concern one connection only, and the length, which each hop
+# writes anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_REASON_BY_STATUS = {
+    int(status): reason.encode()
+    for status, reason in http_client.responses.items()
+}
+_BODILESS_STATUSES = (204, 304)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+      target: Path and query as they were sent.
+      received_ms: Local time at which its first byte was seen.
+    """
+
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+    received_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+def find(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Returns the first value of a header; `name` is in lower case.
+
+    Example:
+      >>> find([(b"Host", b"a")], b"host")
+      b'a'
+    """
+    for key, value in headers:
+        if len(key) == len(name) and key.lower() == name:
+            return value
+    return None
+
+
+def encode_request(request: Request) -> bytes:
+    """Returns the bytes of a request with its length."""
+    lines = [f"{request.method} {request.target} HTTP/1.1".encode("latin1")]
+    lines.extend(b"%b: %b" % header for header in request.headers)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def encode_response(
+    response: Response, closes: bool, is_head: bool = False
+) -> bytes:
+    """Returns the bytes of a response with its length.
+
+    Args:
+      response: The response.
+      closes: Whether the connection ends after it.
+      is_head: Whether it answers a HEAD request.
+    """
+    reason = _REASON_BY_STATUS.get(response.status, b"Unknown")
+    lines = [b"HTTP/1.1 %d %b" % (response.status, reason)]
+    lines.extend(b"%b: %b" % header for header in response.headers)
+    has_body = response.status not in _BODILESS_STATUSES
+    if has_body:
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if closes:
+        lines.append(b"Connection: close")
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head + response.body if has_body and not is_head else head
--- /dev/null
+++ b/mustardloom/http1/server.py
@@ -0,0 +1,330 @@
+"""HTTP/1.1 server that runs pipelined requests at the same time."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import Any
+
+import httptools
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpserver
+
+from mustardloom import clock as clocks
+from mustardloom.http1 import messages
+
+__all__ = ["Handler", "HttpServer", "ServerLimits"]
+
+Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+
+_READ_BYTES = 65_536
+_SWEEP_INTERVAL_MS = 500
+# Requests of one connection that may run at once; more are not read yet.
+_MAX_PIPELINED = 64
+_BACKLOG = 512
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_BAD_REQUEST = 400
+_TIMEOUT = 408
+_BODY_TOO_LARGE = 413
+_INTERNAL = 500
+_HEADERS_TOO_LARGE = 431
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a client may send, and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class _Rejected(Exception):
+    """A request is answered before it is read to its end."""
+
+    def __init__(self, status: int):
+        super().__init__(str(status))
+        self.status = status
+
+
+class _Phase(enum.Enum):
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+
+
+class HttpServer:
+    """Serves one address.
+
+    Args:
+      handler: Returns the response of a request; cancelled if the client
+        closes its connection.
+      clock: Source of time.
+      limits: Returns the limits in force.
+      on_fault: Called with an unexpected error of a handler.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        clock: clocks.Clock,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+        on_fault: Callable[[BaseException], None] = lambda _: None,
+    ):
+        self.handler = handler
+        self.clock = clock
+        self.limits = limits
+        self.on_fault = on_fault
+        self.is_draining = False
+        self.connections: set[_Connection] = set()
+        self._server = _Acceptor(self)
+
+    def listen(self, host: str, port: int) -> int:
+        """Starts to accept connections and returns the port.
+
+        Raises:
+          OSError: The address is in use or not available.
+        """
+        sockets = netutil.bind_sockets(port, host, backlog=_BACKLOG)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def active(self) -> int:
+        """Returns the number of requests that wait for their response."""
+        return sum(len(each.pending) for each in self.connections)
+
+    def drain(self) -> None:
+        """Ends each connection with its next response."""
+        self.is_draining = True
+
+    def close(self) -> None:
+        """Stops to accept and closes the connections that are idle."""
+        self._server.stop()
+        for connection in list(self.connections):
+            if not connection.pending:
+                connection.stream.close()
+
+    async def sweep(self) -> None:
+        """Closes slow and idle connections until cancelled."""
+        while True:
+            await self.clock.sleep_ms(_SWEEP_INTERVAL_MS)
+            limits = self.limits()
+            for connection in list(self.connections):
+                connection.check_time(limits)
+
+
+class _Acceptor(tcpserver.TCPServer):
+    """Hands each new stream to a connection."""
+
+    def __init__(self, owner: HttpServer):
+        super().__init__(read_chunk_size=_READ_BYTES)
+        self._owner = owner
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[Any, ...]
+    ) -> None:
+        """See base class."""
+        del address
+        stream.set_nodelay(True)
+        connection = _Connection(self._owner, stream)
+        self._owner.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._owner.connections.discard(connection)
+
+
+class _Pending:
+    """A request whose response is not written yet."""
+
+    def __init__(self, method: str, task: "asyncio.Task[messages.Response]"):
+        self.is_head = method == "HEAD"
+        self.task = task
+
+
+class _Connection:
+    """One connection of a client."""
+
+    def __init__(self, owner: HttpServer, stream: iostream.IOStream):
+        self.stream = stream
+        self.pending: collections.deque[_Pending] = collections.deque()
+        self._owner = owner
+        self._limits = owner.limits()
+        self._parser = httptools.HttpRequestParser(self)
+        self._phase = _Phase.IDLE
+        self._since_ms = owner.clock.now_ms()
+        self._ends = False
+        self._room = asyncio.Event()
+        self._reset()
+
+    async def run(self) -> None:
+        """Reads requests until the connection ends."""
+        try:
+            while True:
+                data = await self.stream.read_bytes(_READ_BYTES, partial=True)
+                self._feed(data)
+                if self._ends:
+                    # Reads on only to notice that the client leaves.
+                    continue
+                while len(self.pending) >= _MAX_PIPELINED:
+                    self._room.clear()
+                    await self._room.wait()
+        except iostream.StreamClosedError:
+            pass
+        finally:
+            for pending in self.pending:
+                pending.task.cancel()
+
+    def check_time(self, limits: ServerLimits) -> None:
+        """Ends the connection if the client is too slow or idle too long."""
+        self._limits = limits
+        if self.pending or self._ends:
+            return
+        waited_ms = self._owner.clock.now_ms() - self._since_ms
+        match self._phase:
+            case _Phase.IDLE:
+                if waited_ms > limits.idle_timeout_ms:
+                    self.stream.close()
+            case _Phase.HEAD:
+                if waited_ms > limits.header_timeout_ms:
+                    self._reject(_TIMEOUT)
+            case _Phase.BODY:
+                if waited_ms > limits.idle_timeout_ms:
+                    self._reject(_TIMEOUT)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._reset()
+        self._phase = _Phase.HEAD
+        self._since_ms = self._owner.clock.now_ms()
+
+    def on_url(self, url: bytes) -> None:
+        """Adds a piece of the request target."""
+        self._url += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header."""
+        self._headers.append((name, value))
+        self._count_header_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Checks the length that the client announced."""
+        self._phase = _Phase.BODY
+        length = messages.find(self._headers, b"content-length") or b"0"
+        if int(length) > self._limits.max_body_bytes:
+            raise _Rejected(_BODY_TOO_LARGE)
+        expect = messages.find(self._headers, b"expect") or b""
+        if expect.lower() == b"100-continue" and not self.pending:
+            self._write(_CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Adds a piece of the body."""
+        self._chunks.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise _Rejected(_BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Runs the request."""
+        method = self._parser.get_method().decode("latin1")
+        request = messages.Request(
+            method,
+            self._url.decode("latin1"),
+            tuple(self._headers),
+            b"".join(self._chunks),
+            self._since_ms,
+        )
+        if not self._parser.should_keep_alive():
+            self._ends = True
+        self._phase = _Phase.IDLE
+        task = asyncio.ensure_future(self._owner.handler(request))
+        self.pending.append(_Pending(method, task))
+        task.add_done_callback(self._on_done)
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[messages.Header] = []
+        self._header_bytes = 0
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
+        if self._header_bytes > self._limits.max_header_bytes:
+            raise _Rejected(_HEADERS_TOO_LARGE)
+
+    def _feed(self, data: bytes) -> None:
+        if self._ends:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(_BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, _Rejected):
+                self._reject(cause.status)
+            else:
+                self._reject(_BAD_REQUEST)
+
+    def _reject(self, status: int) -> None:
+        """Answers what cannot be read, after the requests before it."""
+        self._ends = True
+        done: asyncio.Future[messages.Response] = asyncio.Future()
+        done.set_result(messages.Response(status))
+        self.pending.append(_Pending("", done))  # type: ignore[arg-type]
+        self._flush()
+
+    def _on_done(self, task: "asyncio.Task[messages.Response]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._owner.on_fault(task.exception())  # type: ignore[arg-type]
+        self._flush()
+
+    def _flush(self) -> None:
+        """Writes the responses that are ready, in order of the requests."""
+        while self.pending and self.pending[0].task.done():
+            pending = self.pending.popleft()
+            self._respond(pending)
+        self._since_ms = self._owner.clock.now_ms()
+        self._room.set()
+
+    def _respond(self, pending: _Pending) -> None:
+        if pending.task.cancelled():
+            self.stream.close()
+            return
+        if pending.task.exception() is not None:
+            response = messages.Response(_INTERNAL)
+        else:
+            response = pending.task.result()
+        # Requests behind this one were read; they get their responses first.
+        is_last = not self.pending
+        closes = is_last and (
+            self._ends
+            or (self._owner.is_draining and self._phase is _Phase.IDLE)
+        )
+        self._ends = self._ends or closes
+        data = messages.encode_response(response, closes, pending.is_head)
+        written = self._write(data)
+        if closes and written is not None:
+            written.add_done_callback(lambda _: self.stream.close())
+
+    def _write(self, data: bytes) -> "asyncio.Future[None] | None":
+        try:
+            written = self.stream.write(data)
+        except iostream.StreamClosedError:
+            return None
+        written.add_done_callback(_ignore_closed)
+        return written
+
+
+def _ignore_closed(written: "asyncio.Future[None]") -> None:
+    if not written.cancelled():
+        # A client that left before its response is no fault of this server.
+        written.exception()
--- /dev/null
+++ b/mustardloom/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Which target owns which keys, and how keys change hands."""
--- /dev/null
+++ b/mustardloom/keys/claims.py
@@ -0,0 +1,175 @@
+"""Which rows a daemon may grant: those that nobody else can hold."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+
+from mustardloom import ids
+from mustardloom.deployment import targets
+from mustardloom.keys import key_map
+from mustardloom.keys import ledger
+
+__all__ = ["AUTHORITY_MS", "Claims", "Wait"]
+
+# A daemon grants only while it knew the newest map this long ago or less, so
+# that whoever takes keys over knows when the earlier grants have run out.
+AUTHORITY_MS = 7_000
+# Slow clocks of targets, 2 %, and what the timers of this process add.
+_MARGIN_MS = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Keys that an earlier owner may hold still.
+
+    Attributes:
+      previous: VM of that owner.
+      over_ms: When its grants have run out in any case.
+    """
+
+    first: int
+    last: int
+    previous: ids.VmId
+    over_ms: int
+
+
+class Claims:
+    """Rows of one VM, as its daemon learns of them from map to map.
+
+    Keys come from an earlier owner either by its word that its target holds
+    them no longer, or once all grants that it may have made have run out.
+    """
+
+    def __init__(self, vm: ids.VmId, now_ms: int):
+        self.map = key_map.empty()
+        self._vm = vm
+        self._started_ms = now_ms
+        self._waits: list[Wait] = []
+        self._handovers: list[ledger.Released] = []
+        self._granted_keys = bytearray(key_map.KEYS)
+
+    @property
+    def waits(self) -> tuple[Wait, ...]:
+        """Returns the keys that are not ours to grant yet."""
+        return tuple(self._waits)
+
+    def adopt(self, new: key_map.KeyMap, now_ms: int) -> None:
+        """Takes over a newer map."""
+        old = self.map
+        if new.version <= old.version:
+            return
+        self.map = new
+        over_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
+        for row in new.owned_by(self._vm):
+            if not row.previous or row.previous == self._vm:
+                continue
+            # A row that was ours under the same fence is known already.
+            before = old.row_of(row.first)
+            if before.owner == self._vm and before.fence >= row.fence:
+                continue
+            self._waits.append(Wait(row.first, row.last, row.previous, over_ms))
+        # Waits for keys that moved on stay: only when they are over may the
+        # next owner be told that this VM does not hold them.
+
+    def expire(self, now_ms: int) -> None:
+        """Ends the waits whose earlier grants have run out."""
+        self._waits = [wait for wait in self._waits if now_ms < wait.over_ms]
+
+    def released(self, parts: Iterable[ledger.Released]) -> None:
+        """Takes the earlier owner's word that its target let keys go."""
+        for part in parts:
+            self._waits = [
+                rest
+                for wait in self._waits
+                for rest in _without(wait, part.first, part.last)
+            ]
+            if part.handover:
+                self._handovers.append(part)
+
+    def reported(self, held: Iterable[targets.HeldRange]) -> None:
+        """Ends the waits for keys that the target holds under our fence."""
+        for each in held:
+            row = self.map.row_of(each.first)
+            if row.owner != self._vm or each.fence < row.fence:
+                continue
+            last = min(each.last, row.last)
+            self.released([ledger.Released(each.first, last)])
+
+    def grantable(self) -> Iterator[key_map.Row]:
+        """Yields the rows that nobody else can hold, in order."""
+        for row in self.map.owned_by(self._vm):
+            yield from self._free_parts(row)
+
+    def handovers(self, row: key_map.Row) -> Iterator[targets.GrantedRange]:
+        """Yields a row as it is granted, cut where handovers differ."""
+        start = row.first
+        tokens = sorted(
+            (part for part in self._handovers if part.first in row),
+            key=lambda part: part.first,
+        )
+        for part in tokens:
+            if part.first < start or part.last > row.last:
+                continue
+            if part.first > start:
+                yield targets.GrantedRange(start, part.first - 1, row.fence)
+            yield targets.GrantedRange(
+                part.first, part.last, row.fence, part.handover
+            )
+            start = part.last + 1
+        if start <= row.last:
+            yield targets.GrantedRange(start, row.last, row.fence)
+
+    def drop_handovers(self) -> None:
+        """Forgets the tokens once the target has taken the keys."""
+        self._handovers.clear()
+
+    def granted(self, rows: Iterable[key_map.Row]) -> None:
+        """Records that the local target was granted these rows."""
+        for row in rows:
+            self._granted_keys[row.first : row.last + 1] = b"\1" * row.width
+
+    def may_vouch(self, first: int, last: int, now_ms: int) -> bool:
+        """Returns whether this daemon knows who may hold keys it gave up.
+
+        It does for keys that it granted itself. For others it may have waited
+        before a restart, until all grants of that time have run out.
+        """
+        if any(
+            wait.first <= last and first <= wait.last for wait in self._waits
+        ):
+            return False
+        if now_ms - self._started_ms >= AUTHORITY_MS + _MARGIN_MS:
+            return True
+        return all(self._granted_keys[first : last + 1])
+
+    def _free_parts(self, row: key_map.Row) -> Iterator[key_map.Row]:
+        parts = [row]
+        for wait in self._waits:
+            parts = [
+                rest
+                for part in parts
+                for rest in _rows_without(part, wait.first, wait.last)
+            ]
+        yield from parts
+
+
+def _without(wait: Wait, first: int, last: int) -> Iterator[Wait]:
+    if last < wait.first or wait.last < first:
+        yield wait
+        return
+    if wait.first < first:
+        yield dataclasses.replace(wait, last=first - 1)
+    if last < wait.last:
+        yield dataclasses.replace(wait, first=last + 1)
+
+
+def _rows_without(
+    row: key_map.Row, first: int, last: int
+) -> Iterator[key_map.Row]:
+    if last < row.first or row.last < first:
+        yield row
+        return
+    if row.first < first:
+        yield dataclasses.replace(row, last=first - 1)
+    if last < row.last:
+        yield dataclasses.replace(row, first=last + 1)
--- /dev/null
+++ b/mustardloom/keys/planning.py
@@ -0,0 +1,326 @@
+"""Who is to own which keys; plain functions of a map and of what is known.
+
+Load pattern: a few neighbouring keys carry much of the traffic, which ones
+changes within seconds, and targets differ in speed. Keys are dealt in narrow
+stripes, so that neighbours lie on different targets from the start, and rows
+move from the busiest target to the idlest by measured load.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import itertools
+
+from mustardloom import ids
+from mustardloom.deployment import targets
+from mustardloom.keys import key_map
+
+__all__ = [
+    "Candidate",
+    "RowLoad",
+    "admit",
+    "adopt_life",
+    "deal",
+    "hand_over",
+    "rebalance",
+    "with_life",
+]
+
+# An answer to a heartbeat lists all rows of a target in at most 4 KiB.
+_MAX_ROWS_PER_OWNER = 130
+_STRIPES_PER_OWNER = 64
+# Differences in utilisation below this are not worth cold keys.
+_WORTH_MOVING = 0.2
+# Targets below this utilisation serve without queues.
+_COMFORTABLE = 0.55
+_MAX_MOVES = 12
+# An owner keeps at least this share of its part when another target joins.
+_LEFT_SHARE = 0.8
+_SCATTER = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that may own keys.
+
+    Attributes:
+      utilisation: Share of its capacity that was busy lately; may exceed 1.
+      rate: Requests a second for its keys.
+    """
+
+    vm: ids.VmId
+    life: targets.Life
+    capacity: int
+    utilisation: float = 0.0
+    rate: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowLoad:
+    """Requests a second for the keys `first` to `last`."""
+
+    first: int
+    last: int
+    rate: float
+
+
+def deal(candidates: Iterable[Candidate]) -> key_map.KeyMap:
+    """Returns the first map: narrow stripes, dealt in turn by capacity."""
+    owners = sorted(candidates, key=lambda each: each.vm)
+    if not owners:
+        return key_map.empty()
+    total = sum(owner.capacity for owner in owners)
+    order = list(_interleaved(owners, total))
+    count = len(order)
+    starts = [index * key_map.KEYS // count for index in range(count + 1)]
+    rows = (
+        key_map.Row(first, after - 1, vm, 1)
+        for (first, after), vm in zip(
+            itertools.pairwise(starts), order, strict=True
+        )
+    )
+    lives = {owner.vm: owner.life for owner in owners}
+    return key_map.KeyMap(1, tuple(key_map.merged(rows)), lives)
+
+
+def _interleaved(owners: list[Candidate], total: int) -> Iterator[ids.VmId]:
+    """Yields owners as evenly as their capacities allow."""
+    credit = dict.fromkeys((owner.vm for owner in owners), 0)
+    for _ in range(_STRIPES_PER_OWNER * len(owners)):
+        for owner in owners:
+            credit[owner.vm] += owner.capacity
+        chosen = max(credit, key=lambda vm: credit[vm])
+        credit[chosen] -= total
+        yield chosen
+
+
+def with_life(
+    current: key_map.KeyMap, vm: ids.VmId, life: targets.Life
+) -> key_map.KeyMap:
+    """Returns the map for a new run of a VM's target.
+
+    The earlier run is over, so the keys need no handover, but new fences.
+    """
+    version = current.version + 1
+    rows = (
+        dataclasses.replace(row, fence=version) if row.owner == vm else row
+        for row in current.rows
+    )
+    lives = {**current.life_by_vm, vm: life}
+    return key_map.KeyMap(version, tuple(key_map.merged(rows)), lives)
+
+
+def adopt_life(
+    current: key_map.KeyMap, vm: ids.VmId, life: targets.Life
+) -> key_map.KeyMap | None:
+    """Returns the map for a VM's target, None if it is right already."""
+    if current.life_by_vm.get(vm) == life or vm not in current.owners():
+        return None
+    return with_life(current, vm, life)
+
+
+def hand_over(
+    current: key_map.KeyMap,
+    candidates: Iterable[Candidate],
+    leaving: set[ids.VmId],
+) -> key_map.KeyMap | None:
+    """Gives the keys of the leaving VMs and of nobody to the candidates.
+
+    Returns:
+      The new map; None if there is nothing to give or nobody to take it.
+    """
+    heirs = [each for each in candidates if each.vm not in leaving]
+    given_up = leaving | {ids.VmId("")}
+    if not heirs or not (given_up & {row.owner for row in current.rows}):
+        return None
+    counts = _row_counts(current)
+    moves: dict[int, ids.VmId] = {}
+    for row in current.rows:
+        if row.owner not in given_up:
+            continue
+        heir = min(
+            heirs,
+            key=lambda each: (
+                (counts.get(each.vm, 0) + 1) / each.capacity,
+                each.vm,
+            ),
+        )
+        counts[heir.vm] = counts.get(heir.vm, 0) + 1
+        moves[row.first] = heir.vm
+    return _moved(current, current.rows, moves, heirs)
+
+
+def admit(
+    current: key_map.KeyMap, candidates: Iterable[Candidate]
+) -> key_map.KeyMap | None:
+    """Gives targets without keys their part, taken from those with most.
+
+    Returns:
+      The new map; None if every candidate owns keys.
+    """
+    able = {each.vm: each for each in candidates}
+    owners = current.owners()
+    empty = sorted(vm for vm in able if vm not in owners)
+    if not empty or len(empty) == len(able):
+        return None
+    total = sum(each.capacity for each in able.values())
+    keys_by_vm: dict[ids.VmId, int] = dict.fromkeys(able, 0)
+    for row in current.rows:
+        if row.owner in keys_by_vm:
+            keys_by_vm[row.owner] += row.width
+    moves: dict[int, ids.VmId] = {}
+    for row in _scattered(current.rows):
+        heir = min(empty, key=lambda vm: keys_by_vm[vm] / able[vm].capacity)
+        fair = key_map.KEYS * able[heir].capacity / total
+        if keys_by_vm[heir] + row.width > fair:
+            break
+        if row.owner not in able or row.owner in empty:
+            continue
+        own_fair = key_map.KEYS * able[row.owner].capacity / total
+        if keys_by_vm[row.owner] - row.width < own_fair * _LEFT_SHARE:
+            continue
+        keys_by_vm[row.owner] -= row.width
+        keys_by_vm[heir] += row.width
+        moves[row.first] = heir
+    if not moves:
+        return None
+    return _moved(current, current.rows, moves, able.values())
+
+
+def rebalance(
+    current: key_map.KeyMap,
+    candidates: Iterable[Candidate],
+    loads: Iterable[RowLoad],
+) -> key_map.KeyMap | None:
+    """Moves rows from busy targets to idle ones.
+
+    Args:
+      current: The map.
+      candidates: Targets with their utilisation and rate.
+      loads: Rates of rows or parts of rows; parts that are not named are idle.
+
+    Returns:
+      The new map; None if no move is worth it.
+    """
+    able = {each.vm: each for each in candidates}
+    if len(able) < 2:
+        return None
+    busy = {vm: each.utilisation for vm, each in able.items()}
+    rows = list(_split(current.rows, loads))
+    counts = _row_counts(dataclasses.replace(current, rows=tuple(rows)))
+    rate_by_first = _rates(rows, loads)
+    moves: dict[int, ids.VmId] = {}
+    for _ in range(_MAX_MOVES):
+        source = max(busy, key=lambda vm: busy[vm])
+        sink = min(busy, key=lambda vm: (busy[vm], vm))
+        gap = busy[source] - busy[sink]
+        if busy[source] < _COMFORTABLE or gap < _WORTH_MOVING:
+            break
+        if counts.get(sink, 0) >= _MAX_ROWS_PER_OWNER:
+            break
+        cost = _utilisation_per_rate(able[source])
+        row = _best_row(rows, moves, rate_by_first, source, gap / 2 / cost)
+        if row is None:
+            break
+        share = rate_by_first[row.first]
+        busy[source] -= share * cost
+        busy[sink] += share * _utilisation_per_rate(able[sink], cost)
+        counts[sink] = counts.get(sink, 0) + 1
+        moves[row.first] = sink
+    if not moves:
+        return None
+    return _moved(current, rows, moves, able.values())
+
+
+def _scattered(rows: tuple[key_map.Row, ...]) -> Iterator[key_map.Row]:
+    """Yields rows so that neighbours come far apart."""
+    for offset in range(_SCATTER):
+        yield from rows[offset::_SCATTER]
+
+
+def _utilisation_per_rate(candidate: Candidate, unknown: float = 0.02) -> float:
+    """Returns the utilisation that one request a second causes."""
+    if candidate.rate < 1 or candidate.utilisation <= 0:
+        return unknown
+    return candidate.utilisation / candidate.rate
+
+
+def _best_row(
+    rows: list[key_map.Row],
+    moves: Mapping[int, ids.VmId],
+    rate_by_first: Mapping[int, float],
+    source: ids.VmId,
+    wanted: float,
+) -> key_map.Row | None:
+    """Returns the row of `source` whose rate is closest below `wanted`."""
+    fitting = [
+        row
+        for row in rows
+        if row.owner == source
+        and row.first not in moves
+        and 0 < rate_by_first[row.first] <= wanted
+    ]
+    return max(fitting, key=lambda row: rate_by_first[row.first], default=None)
+
+
+def _split(
+    rows: Iterable[key_map.Row], loads: Iterable[RowLoad]
+) -> Iterator[key_map.Row]:
+    """Cuts rows at the borders of the loads that lie inside them."""
+    borders = sorted(
+        {load.first for load in loads} | {load.last + 1 for load in loads}
+    )
+    index = 0
+    for row in rows:
+        first = row.first
+        while index < len(borders) and borders[index] <= row.last:
+            if borders[index] > first:
+                yield dataclasses.replace(
+                    row, first=first, last=borders[index] - 1
+                )
+                first = borders[index]
+            index += 1
+        yield dataclasses.replace(row, first=first)
+
+
+def _rates(
+    rows: list[key_map.Row], loads: Iterable[RowLoad]
+) -> dict[int, float]:
+    rate_by_first = dict.fromkeys((row.first for row in rows), 0.0)
+    starts = sorted(rate_by_first)
+    for load in loads:
+        covered = [s for s in starts if load.first <= s <= load.last]
+        for start in covered:
+            rate_by_first[start] += load.rate / len(covered)
+    return rate_by_first
+
+
+def _row_counts(current: key_map.KeyMap) -> dict[ids.VmId, int]:
+    counts: dict[ids.VmId, int] = {}
+    for row in current.rows:
+        counts[row.owner] = counts.get(row.owner, 0) + 1
+    return counts
+
+
+def _moved(
+    current: key_map.KeyMap,
+    rows: Iterable[key_map.Row],
+    moves: Mapping[int, ids.VmId],
+    owners: Iterable[Candidate],
+) -> key_map.KeyMap:
+    version = current.version + 1
+    changed = (
+        dataclasses.replace(
+            row, owner=moves[row.first], fence=version, previous=row.owner
+        )
+        if row.first in moves
+        else row
+        for row in rows
+    )
+    lives = dict(current.life_by_vm)
+    taking = set(moves.values())
+    for owner in owners:
+        if owner.vm in taking and owner.vm not in lives:
+            lives[owner.vm] = owner.life
+    return key_map.KeyMap(version, tuple(key_map.merged(changed)), lives)
--- /dev/null
+++ b/mustardloom/load/__init__.py
@@ -0,0 +1,4 @@
+"""Decisions under load: waiting, turning away, placing, repeating.
+
+Plain functions and small types without input or output.
+"""
--- a/mustardloom/admission/quarantine.py
+++ b/mustardloom/load/quarantine.py
@@ -28,7 +28,20 @@
       (True, False)
     """
 
-    def __init__(self, clock: clocks.Clock, notify: SuspectCallback):
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        notify: SuspectCallback,
+        crashes_to_quarantine: int = _CRASHES_TO_QUARANTINE,
+    ):
+        """Creates a quarantine without suspects.
+
+        Args:
+          clock: Source of time.
+          notify: Called with what other gates have to know.
+          crashes_to_quarantine: Crashes after which a request is not run.
+        """
+        self._crashes_to_quarantine = crashes_to_quarantine
         self._clock = clock
         self._notify = notify
         self._crashes_by_fingerprint: dict[int, int] = {}
@@ -43,7 +56,7 @@
         """Returns whether a request with this fingerprint must not run."""
         self._forget_expired()
         crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
-        return crashes >= _CRASHES_TO_QUARANTINE
+        return crashes >= self._crashes_to_quarantine
 
     def crashed(self, regions_by_fingerprint: Mapping[int, Regions]) -> None:
         """Records one crash of the target with these requests in flight."""
@@ -55,7 +68,7 @@
     def succeeded(self, fingerprint: int, regions: Regions) -> None:
         """Clears a suspect whose request was answered."""
         crashes = self._crashes_by_fingerprint.get(fingerprint, 0)
-        if 0 < crashes < _CRASHES_TO_QUARANTINE:
+        if 0 < crashes < self._crashes_to_quarantine:
             self._forget(fingerprint)
             self._notify(fingerprint, 0, regions)
 
@@ -67,7 +80,7 @@
         """
         known = self._crashes_by_fingerprint.get(fingerprint, 0)
         if crashes == 0:
-            if known < _CRASHES_TO_QUARANTINE:
+            if known < self._crashes_to_quarantine:
                 self._forget(fingerprint)
         else:
             self._record(fingerprint, max(known + 1, crashes))
--- /dev/null
+++ b/mustardloom/load/shares.py
@@ -0,0 +1,41 @@
+"""Deals the requests of a route to its services by weight."""
+
+from mustardloom import ids
+from mustardloom.deployment import configuration
+
+__all__ = ["ShareDealer"]
+
+
+class ShareDealer:
+    """Smooth weighted round robin for each route.
+
+    Example:
+      >>> a = configuration.Share(ids.ServiceId("a"), 3)
+      >>> b = configuration.Share(ids.ServiceId("b"), 1)
+      >>> dealer = ShareDealer()
+      >>> [dealer.deal(ids.RouteId("r"), (a, b)) for _ in range(4)]
+      ['a', 'a', 'b', 'a']
+    """
+
+    def __init__(self) -> None:
+        self._credit_by_route: dict[
+            ids.RouteId, dict[ids.ServiceId, float]
+        ] = {}
+
+    def deal(
+        self, route: ids.RouteId, shares: tuple[configuration.Share, ...]
+    ) -> ids.ServiceId:
+        """Returns the service of the next request of a route."""
+        if len(shares) == 1:
+            return shares[0].service
+        known = self._credit_by_route.get(route, {})
+        credit = {
+            share.service: known.get(share.service, 0.0) for share in shares
+        }
+        total = sum(share.weight for share in shares)
+        for share in shares:
+            credit[share.service] += share.weight
+        chosen = max(credit, key=lambda service: credit[service])
+        credit[chosen] -= total
+        self._credit_by_route[route] = credit
+        return chosen
--- /dev/null
+++ b/mustardloom/load/waiting.py
@@ -0,0 +1,187 @@
+"""Order of the requests that wait for one target, and who is turned away.
+
+Load pattern: more requests arrive than the target can finish, of kinds that
+differ in rank, objective and deadline, some of them calls of requests that run
+already. A request that is admitted must still be worth its place when its turn
+comes, and a less urgent kind must not be served better than a more urgent one.
+"""
+
+import bisect
+from collections.abc import Iterator
+import dataclasses
+from typing import Generic
+from typing import TypeVar
+
+__all__ = ["Demand", "Line", "ServiceTimes", "Verdict", "judge"]
+
+_Item = TypeVar("_Item")
+# Weight of the newest service time in the running mean.
+_SMOOTHING = 0.1
+# Service times above the mean that a request must be able to bear.
+_TAIL_FACTOR = 1.3
+_SHORTEST_RETRY_MS = 50
+_DEFAULT_SERVICE_MS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What one request asks of the target.
+
+    Attributes:
+      priority: Rank, 0 is the most urgent.
+      is_call: Whether a request that runs already waits for it.
+      objective_ms: Local time until which an answer has its full value.
+      deadline_ms: Local time after which an answer is worth nothing.
+      service_ms: Expected time at the target.
+    """
+
+    priority: int
+    is_call: bool
+    objective_ms: float
+    deadline_ms: float
+    service_ms: float
+
+    def order(self, now_ms: float) -> tuple[bool, bool, int, float]:
+        """Returns the sort key: who can still be in time goes first."""
+        is_late = now_ms + self.service_ms > self.objective_ms
+        return (is_late, not self.is_call, self.priority, self.deadline_ms)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a request is admitted.
+
+    Attributes:
+      admitted: Whether it may wait or run.
+      wait_ms: Expected wait.
+      retry_after_ms: When there will be room, for those turned away.
+    """
+
+    admitted: bool
+    wait_ms: float
+    retry_after_ms: int = 0
+
+
+class ServiceTimes:
+    """Running means of the time that requests take at the target, by route.
+
+    Example:
+      >>> times = ServiceTimes()
+      >>> times.record("a", 100.0)
+      >>> times.expected("a")
+      100.0
+    """
+
+    def __init__(self) -> None:
+        self._mean_by_route: dict[str, float] = {}
+        self.overall = _DEFAULT_SERVICE_MS
+
+    def record(self, route: str, duration_ms: float) -> None:
+        """Adds one finished request."""
+        before = self._mean_by_route.get(route, duration_ms)
+        self._mean_by_route[route] = _smooth(before, duration_ms)
+        self.overall = _smooth(self.overall, duration_ms)
+
+    def expected(self, route: str) -> float:
+        """Returns the expected time of a request."""
+        return self._mean_by_route.get(route, self.overall)
+
+
+class Line(Generic[_Item]):
+    """Requests that wait, the next one first.
+
+    The order is that of the moment of arrival; who has become late since is
+    passed over by `take`.
+    """
+
+    def __init__(self) -> None:
+        self._entries: list[
+            tuple[tuple[bool, bool, int, float], int, Demand, _Item]
+        ] = []
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[tuple[Demand, _Item]]:
+        return ((entry[2], entry[3]) for entry in self._entries)
+
+    def push(self, demand: Demand, item: _Item, now_ms: float) -> None:
+        """Adds a request."""
+        self._count += 1
+        entry = (demand.order(now_ms), self._count, demand, item)
+        bisect.insort(self._entries, entry, key=lambda each: each[:2])
+
+    def remove(self, item: _Item) -> bool:
+        """Removes a request; returns whether it was waiting."""
+        for index, entry in enumerate(self._entries):
+            if entry[3] is item:
+                del self._entries[index]
+                return True
+        return False
+
+    def take(self, now_ms: float) -> _Item | None:
+        """Removes and returns the request whose turn it is."""
+        if not self._entries:
+            return None
+        for index, entry in enumerate(self._entries):
+            if entry[0][0] or not entry[2].order(now_ms)[0]:
+                del self._entries[index]
+                return entry[3]
+        return self._entries.pop(0)[3]
+
+    def take_hopeless(self, now_ms: float) -> list[_Item]:
+        """Removes and returns those that can no longer be served in time."""
+        hopeless = [
+            entry
+            for entry in self._entries
+            if now_ms + entry[2].service_ms > entry[2].deadline_ms
+        ]
+        for entry in hopeless:
+            self._entries.remove(entry)
+        return [entry[3] for entry in hopeless]
+
+    def work_ahead_ms(self, demand: Demand, now_ms: float) -> float:
+        """Returns the service time of all that goes before a request."""
+        order = demand.order(now_ms)
+        return sum(
+            entry[2].service_ms for entry in self._entries if entry[0] <= order
+        )
+
+
+def judge(
+    demand: Demand,
+    now_ms: float,
+    running: int,
+    limit: int,
+    ahead_ms: float,
+    usual_ms: float,
+) -> Verdict:
+    """Decides whether a request may wait for the target.
+
+    Args:
+      demand: The request.
+      now_ms: Local time.
+      running: Requests that the target runs.
+      limit: Requests that it runs at once.
+      ahead_ms: Service time of the requests that wait before this one.
+      usual_ms: Mean service time, which is what each running request needs at
+        most until it makes room, half of it on average.
+
+    Returns:
+      The verdict. Turned away is who would not finish before the deadline.
+    """
+    if running < limit and ahead_ms <= 0:
+        return Verdict(now_ms + 1 < demand.deadline_ms, 0.0)
+    until_room_ms = usual_ms / (limit + 1)
+    wait_ms = until_room_ms + ahead_ms / limit
+    needed_ms = wait_ms + demand.service_ms * _TAIL_FACTOR
+    if now_ms + needed_ms <= demand.deadline_ms:
+        return Verdict(True, wait_ms)
+    excess_ms = now_ms + needed_ms - demand.deadline_ms
+    retry_ms = max(_SHORTEST_RETRY_MS, round(excess_ms))
+    return Verdict(False, wait_ms, retry_ms)
+
+
+def _smooth(mean: float, value: float) -> float:
+    return mean + _SMOOTHING * (value - mean)
--- a/mustardloom/membership/records.py
+++ b/mustardloom/membership/records.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from mustardloom import ids
+from mustardloom import objects
 from mustardloom.relay import replica as replicas
-from mustardloom.store import objects
 
 __all__ = [
     "MEMBERS_PREFIX",
--- a/mustardloom/ownership/chunk_writer.py
+++ b/mustardloom/ownership/chunk_writer.py
@@ -5,10 +5,10 @@
 
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom.ownership import slot_map
 from mustardloom.relay import replica as replicas
 from mustardloom.store import client as platform_client
-from mustardloom.store import objects
 
 __all__ = ["ChunkWriter", "Publish"]
 
--- a/mustardloom/ownership/slot_map.py
+++ b/mustardloom/ownership/slot_map.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from mustardloom import ids
+from mustardloom import objects
 from mustardloom.relay import replica as replicas
-from mustardloom.store import objects
 
 __all__ = [
     "CHUNK_SLOTS",
--- a/mustardloom/ownership/tests/fleet.py
+++ b/mustardloom/ownership/tests/fleet.py
@@ -10,12 +10,12 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom import ownership
 from mustardloom.membership import records
 from mustardloom.relay import peers as peers_lib
 from mustardloom.relay import replica as replicas
 from mustardloom.relay.wire import peer_pb2
-from mustardloom.store import objects
 
 GROUP = ids.GroupId("salio@*")
 ZONES = ("a1", "a2", "b1", "b2", "c1", "c2")
--- /dev/null
+++ b/mustardloom/platform/configuration.py
@@ -0,0 +1,147 @@
+"""Decodes the operators' configuration object."""
+
+from collections.abc import Iterator
+from typing import Annotated
+
+import msgspec
+
+from mustardloom import ids
+from mustardloom.deployment import configuration
+from mustardloom.platform import durations
+
+__all__ = ["decode"]
+
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
+_IDEMPOTENT = "safe"
+
+
+class _Cluster(msgspec.Struct):
+    service: str
+    weight: _Weight
+
+
+class _Match(msgspec.Struct):
+    path_prefix: str
+
+
+class _Action(msgspec.Struct):
+    timeout: str
+    max_attempts: _Positive = 1
+    service: str = ""
+    weighted_clusters: list[_Cluster] = []
+    allowed_regions: list[str] = []
+
+
+class _Rule(msgspec.Struct):
+    name: str
+    kind: str
+    match: _Match
+    action: _Action
+    target_latency: str = ""
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct):
+    host: str
+    rules: list[_Rule]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_connections: _Positive = 100
+    cold_start: str = "0ms"
+    cold_per_s: float = 0.0
+    # Divided by key: each key has one owner.
+    sharded: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: _Positive
+    max_body_bytes: _Positive
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    listeners: list[_Listener]
+    clusters: list[_Service]
+    limits: _Limits
+
+
+def decode(value: bytes) -> configuration.Configuration:
+    """Returns the configuration in a stored object.
+
+    Raises:
+      ValueError: The object is no configuration.
+    """
+    wire = msgspec.json.decode(value, type=_Configuration)
+    services = [_service(each) for each in wire.clusters]
+    return configuration.Configuration(
+        wire.version,
+        tuple(_routes(wire.listeners)),
+        {service.name: service for service in services},
+        _limits(wire.limits),
+    )
+
+
+def _routes(listeners: list[_Listener]) -> Iterator[configuration.Route]:
+    for listener in listeners:
+        for rule in listener.rules:
+            yield _route(listener.host, rule)
+
+
+def _route(host: str, rule: _Rule) -> configuration.Route:
+    action = rule.action
+    if not (action.service or action.weighted_clusters):
+        raise ValueError(f"route {rule.name!r} names no service")
+    timeout_ms = durations.parse_ms(action.timeout)
+    if rule.target_latency:
+        objective_ms = durations.parse_ms(rule.target_latency)
+    else:
+        objective_ms = timeout_ms
+    kinds = configuration.Kind
+    is_idempotent = rule.kind == _IDEMPOTENT
+    return configuration.Route(
+        name=ids.RouteId(rule.name),
+        host=host.lower(),
+        prefix=rule.match.path_prefix,
+        shares=_shares(action),
+        kind=kinds.IDEMPOTENT if is_idempotent else kinds.AT_MOST_ONCE,
+        timeout_ms=timeout_ms,
+        objective_ms=objective_ms,
+        max_attempts=action.max_attempts,
+        priority=rule.priority,
+        home_regions=frozenset(map(ids.RegionId, action.allowed_regions)),
+    )
+
+
+def _shares(action: _Action) -> tuple[configuration.Share, ...]:
+    if action.weighted_clusters:
+        return tuple(
+            configuration.Share(ids.ServiceId(part.service), part.weight)
+            for part in action.weighted_clusters
+        )
+    return (configuration.Share(ids.ServiceId(action.service), 1.0),)
+
+
+def _service(wire: _Service) -> configuration.Service:
+    return configuration.Service(
+        name=ids.ServiceId(wire.name),
+        health_path=wire.health_path,
+        max_connections=wire.max_connections,
+        cold_start_ms=durations.parse_ms(wire.cold_start),
+        cold_per_s=wire.cold_per_s,
+        is_keyed=wire.sharded,
+    )
+
+
+def _limits(wire: _Limits) -> configuration.CallerLimits:
+    return configuration.CallerLimits(
+        max_header_bytes=wire.max_header_bytes,
+        max_body_bytes=wire.max_body_bytes,
+        header_timeout_ms=durations.parse_ms(wire.header_timeout),
+        idle_timeout_ms=durations.parse_ms(wire.idle_timeout),
+    )
--- /dev/null
+++ b/mustardloom/platform/durations.py
@@ -0,0 +1,29 @@
+"""Durations as the platform writes them: a number and its unit."""
+
+import re
+
+__all__ = ["format_ms", "parse_ms"]
+
+_MS_BY_UNIT = {"ms": 1, "s": 1_000}
+_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+
+
+def parse_ms(text: object) -> int:
+    """Returns a duration in milliseconds.
+
+    Raises:
+      ValueError: The text is no duration.
+
+    Example:
+      >>> parse_ms("2.5s"), parse_ms("870ms")
+      (2500, 870)
+    """
+    found = _PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"{text!r} is not a duration")
+    return round(float(found[1]) * _MS_BY_UNIT[found[2]])
+
+
+def format_ms(duration_ms: int) -> str:
+    """Returns a duration as the platform writes it."""
+    return f"{duration_ms}ms"
--- /dev/null
+++ b/mustardloom/platform/object_api.py
@@ -0,0 +1,240 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+from typing import Annotated
+from typing import Any
+import urllib.parse
+
+import msgspec
+
+from mustardloom import ids
+from mustardloom import objects
+from mustardloom.deployment import settings
+from mustardloom.deployment import stored
+from mustardloom.http1 import client
+from mustardloom.http1 import messages
+
+__all__ = ["ObjectApi"]
+
+_MS_PER_S = 1_000
+_CONNECT_TIMEOUT_MS = 1_000
+_CALL_TIMEOUT_MS = 1_500
+_MAX_IDLE_CONNECTIONS = 2
+_OK = (200, 201)
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_JSON_HEADER = (b"Content-Type", b"application/json")
+
+# Kinds that others write; those of the project keep their names.
+_WIRE_KIND_BY_KIND = {
+    stored.Kind.CONFIGURATION: "config",
+    stored.Kind.EVACUATION: "evacuations",
+}
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Metadata(msgspec.Struct, omit_defaults=True):
+    name: str
+    revision: _Count = 0
+    finalizers: list[str] = []
+    # Set while finalizers keep a deleted object.
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Listing(msgspec.Struct):
+    items: list[_Object]
+    current_rev: _Count
+    # There is more after the last name.
+    truncated: bool = False
+
+
+class _Change(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Change]
+    current_rev: _Count
+
+
+class ObjectApi:
+    """One call to the store per method; keys are those of `stored.key`.
+
+    Every method raises `objects.PlatformUnavailable` if the store gives no
+    usable answer. A write that raised it may have taken effect, or may do so
+    later if its condition still holds.
+
+    Attributes:
+      calls: Calls made so far.
+    """
+
+    def __init__(self, address: settings.Address):
+        self.calls = 0
+        self._address = address
+        self._idle: list[client.Connection] = []
+
+    async def get(self, key: str) -> objects.Versioned | None:
+        """Returns an object, or None if there is none."""
+        response = await self._call("GET", _object_path(key))
+        if response.status == _NOT_FOUND:
+            return None
+        found = self._decode(response, _Object)
+        return _versioned(stored.kind_of(key), found)
+
+    async def list_objects(self, kind: stored.Kind) -> objects.Listing:
+        """Returns all objects of a kind."""
+        found: list[objects.Versioned] = []
+        query: dict[str, str] = {}
+        while True:
+            path = _path(kind, query)
+            page = self._decode(await self._call("GET", path), _Listing)
+            found.extend(_versioned(kind, item) for item in page.items)
+            if not page.truncated or not page.items:
+                return objects.Listing(
+                    tuple(found), ids.Version(page.current_rev)
+                )
+            query = {"after": page.items[-1].metadata.name}
+
+    async def watch(
+        self, kind: stored.Kind, after: ids.Version, wait_ms: int
+    ) -> objects.WatchBatch:
+        """Returns changes of a kind after a version, waiting for the first.
+
+        Raises:
+          stored.HistoryGone: The store no longer knows them.
+        """
+        query = {"watch": str(after), "wait_ms": str(wait_ms)}
+        path = _path(kind, query)
+        response = await self._call("GET", path, wait_ms)
+        if response.status == _GONE:
+            raise stored.HistoryGone(kind.value)
+        changes = self._decode(response, _Changes)
+        events = tuple(_event(kind, change) for change in changes.events)
+        return objects.WatchBatch(events, ids.Version(changes.current_rev))
+
+    async def write(
+        self, key: str, value: bytes, expected: ids.Version
+    ) -> objects.Written | objects.Conflict:
+        """Writes an object; version `ids.NO_VERSION` creates it."""
+        name = stored.name_of(key)
+        metadata = _Metadata(name, expected)
+        body = msgspec.json.encode(_Object(metadata, msgspec.Raw(value)))
+        if expected == ids.NO_VERSION:
+            path = _path(stored.kind_of(key))
+            response = await self._call("POST", path, body=body)
+        else:
+            response = await self._call("PUT", _object_path(key), body=body)
+        if response.status == _NOT_FOUND:
+            return objects.Conflict(None)
+        if response.status == _CONFLICT:
+            return objects.Conflict(self._conflicting(key, response))
+        written = self._decode(response, _Object)
+        return objects.Written(ids.Version(written.metadata.revision))
+
+    def close(self) -> None:
+        """Closes the connections that are idle."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _conflicting(
+        self, key: str, response: messages.Response
+    ) -> objects.Versioned | None:
+        try:
+            found = msgspec.json.decode(response.body, type=_Object)
+        except ValueError:
+            return None
+        return _versioned(stored.kind_of(key), found)
+
+    def _decode(self, response: messages.Response, type_: Any) -> Any:
+        if response.status not in _OK:
+            raise objects.PlatformUnavailable(f"status {response.status}")
+        try:
+            return msgspec.json.decode(response.body, type=type_)
+        except ValueError as error:
+            raise objects.PlatformUnavailable(repr(error)) from error
+
+    async def _call(
+        self, method: str, path: str, wait_ms: int = 0, body: bytes = b""
+    ) -> messages.Response:
+        self.calls += 1
+        limit_ms = _CALL_TIMEOUT_MS + wait_ms
+        try:
+            async with asyncio.timeout(limit_ms / _MS_PER_S):
+                return await self._exchange(method, path, body)
+        except TimeoutError as error:
+            message = f"{method} {path}: no answer in {limit_ms} ms"
+            raise objects.PlatformUnavailable(message) from error
+        except (
+            client.ConnectFailed,
+            client.ClosedEarly,
+            client.Incomplete,
+        ) as error:
+            message = f"{method} {path}: {error!r}"
+            raise objects.PlatformUnavailable(message) from error
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes
+    ) -> messages.Response:
+        connection = await self._acquire()
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        request = messages.Request(
+            method, path, ((b"Host", host), _JSON_HEADER), body
+        )
+        try:
+            return await connection.exchange(messages.encode_request(request))
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        finally:
+            self._release(connection)
+
+    async def _acquire(self) -> client.Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open():
+                return connection
+            connection.close()
+        return await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+
+    def _release(self, connection: client.Connection) -> None:
+        if not connection.is_reusable:
+            connection.close()
+        elif len(self._idle) < _MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+
+def _path(kind: stored.Kind, query: dict[str, str] | None = None) -> str:
+    path = f"/objects/{_WIRE_KIND_BY_KIND.get(kind, kind.value)}"
+    return f"{path}?{urllib.parse.urlencode(query)}" if query else path
+
+
+def _object_path(key: str) -> str:
+    name = urllib.parse.quote(stored.name_of(key))
+    return f"{_path(stored.kind_of(key))}/{name}"
+
+
+def _versioned(kind: stored.Kind, found: _Object) -> objects.Versioned:
+    metadata = found.metadata
+    return objects.Versioned(
+        stored.key(kind, metadata.name),
+        ids.Version(metadata.revision),
+        bytes(found.spec),
+    )
+
+
+def _event(kind: stored.Kind, change: _Change) -> objects.Event:
+    metadata = change.object.metadata
+    value = None if change.deleted else bytes(change.object.spec)
+    return objects.Event(
+        stored.key(kind, metadata.name), ids.Version(metadata.revision), value
+    )
--- /dev/null
+++ b/mustardloom/platform/settings_file.py
@@ -0,0 +1,189 @@
+"""Reads the settings file that the platform places on each VM."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import os
+import pathlib
+from typing import TypeVar
+
+from mustardloom import findings
+from mustardloom import ids
+from mustardloom.deployment import settings
+from mustardloom.platform import durations
+
+__all__ = ["VARIABLE", "parse", "read"]
+
+VARIABLE = "MUSTARDLOOM_CONFIG"
+
+_ZONE_PREFIX = "zones."
+_REQUIRED = (
+    "node_id",
+    "ip",
+    "zone",
+    "region",
+    "listen.outbound",
+    "listen.ready",
+    "listen.control",
+    "internal_ports",
+    "app_addr",
+    "service",
+    "platform.address",
+)
+_Value = TypeVar("_Value")
+
+
+def read(environment: Mapping[str, str] = os.environ) -> settings.Settings:
+    """Reads the file that the environment names.
+
+    Raises:
+      findings.FindingsError: The file is missing or has faults.
+    """
+    path = environment.get(VARIABLE, "")
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        place = findings.Place(path or VARIABLE)
+        finding = findings.Finding(place, f"cannot be read: {error}")
+        raise findings.FindingsError([finding]) from error
+    return parse(text, path)
+
+
+def parse(text: str, source: str) -> settings.Settings:
+    """Returns the settings in `text`; keys that are not known are ignored.
+
+    Raises:
+      findings.FindingsError: All faults, with their lines.
+    """
+    return _Reader(text, source).build()
+
+
+def _address(text: str) -> settings.Address:
+    host, separator, port = text.rpartition(":")
+    if not (separator and host):
+        raise ValueError(f"{text!r} is not an address")
+    return host, int(port)
+
+
+def _first_port(text: str) -> int:
+    return int(text.partition(",")[0])
+
+
+class _Reader:
+    """Collects values and faults of one file."""
+
+    def __init__(self, text: str, source: str):
+        self._source = source
+        self._findings: list[findings.Finding] = []
+        self._value_by_key: dict[str, str] = {}
+        self._line_by_key: dict[str, int] = {}
+        for number, line in enumerate(text.splitlines(), start=1):
+            self._add_line(number, line)
+
+    def build(self) -> settings.Settings:
+        """Returns the settings.
+
+        Raises:
+          findings.FindingsError: There are faults.
+        """
+        for key in _REQUIRED:
+            if not self._value_by_key.get(key):
+                self._report(key, "is missing")
+        none = ("", 0)
+        made = settings.Settings(
+            vm=ids.VmId(self._text("node_id")),
+            ip=self._text("ip"),
+            availability_zone=ids.AvailabilityZoneId(self._text("zone")),
+            region=ids.RegionId(self._text("region")),
+            region_by_zone=self._regions(),
+            caller_address=self._get("listen.outbound", _address, none),
+            readiness_address=self._get("listen.ready", _address, none),
+            announcement_address=self._get("listen.control", _address, none),
+            target_address=self._get("app_addr", _address, none),
+            service=ids.ServiceId(self._text("service")),
+            peer_port=self._get("internal_ports", _first_port, 0),
+            store=self._store(),
+            heartbeat_ms=self._get("heartbeat", durations.parse_ms, 1_000),
+            bounds=self._bounds(),
+            limits=self._limits(),
+        )
+        findings.raise_if_any(self._findings)
+        return made
+
+    def _add_line(self, number: int, line: str) -> None:
+        key, separator, value = line.strip().partition("=")
+        if not key or key.startswith("#"):
+            return
+        if not separator:
+            place = findings.Place(self._source, number)
+            finding = findings.Finding(place, f"{key!r} has no value")
+            self._findings.append(finding)
+            return
+        self._value_by_key[key.strip()] = value.strip()
+        self._line_by_key[key.strip()] = number
+
+    def _report(self, key: str, message: str) -> None:
+        place = findings.Place(self._source, self._line_by_key.get(key, 0))
+        self._findings.append(findings.Finding(place, f"{key}: {message}"))
+
+    def _text(self, key: str) -> str:
+        return self._value_by_key.get(key, "")
+
+    def _get(
+        self, key: str, convert: Callable[[str], _Value], default: _Value
+    ) -> _Value:
+        text = self._value_by_key.get(key)
+        if not text:
+            return default
+        try:
+            return convert(text)
+        except ValueError as error:
+            self._report(key, str(error))
+            return default
+
+    def _regions(self) -> dict[ids.AvailabilityZoneId, ids.RegionId]:
+        return {
+            ids.AvailabilityZoneId(key.removeprefix(_ZONE_PREFIX)): (
+                ids.RegionId(value)
+            )
+            for key, value in self._value_by_key.items()
+            if key.startswith(_ZONE_PREFIX)
+        }
+
+    def _store(self) -> settings.StoreSettings:
+        return settings.StoreSettings(
+            self._get("platform.address", _address, ("", 0)),
+            self._get("platform.value_bytes", int, 1_048_576),
+        )
+
+    def _limits(self) -> settings.Limits:
+        usual = settings.Limits()
+        return settings.Limits(
+            self._get("limits.max_fds", int, usual.max_descriptors),
+            self._get("limits.memory_mb", int, usual.memory_mb),
+        )
+
+    def _bounds(self) -> settings.Bounds:
+        usual = settings.Bounds()
+        for part in self._text("bounds").split(","):
+            name, separator, value = part.partition("=")
+            if separator:
+                key = f"bounds.{name.strip()}"
+                self._value_by_key[key] = value.strip()
+                self._line_by_key[key] = self._line_by_key["bounds"]
+        ms = durations.parse_ms
+        return settings.Bounds(
+            drain_ms=self._get("bounds.drain", ms, usual.drain_ms),
+            grace_ms=self._get("bounds.grace", ms, usual.grace_ms),
+            retry_ratio=self._get(
+                "bounds.retry_budget_ratio", float, usual.retry_ratio
+            ),
+            retry_window_ms=self._get(
+                "bounds.budget_window", ms, usual.retry_window_ms
+            ),
+            retry_minimum=self._get(
+                "bounds.budget_min_retries", int, usual.retry_minimum
+            ),
+            cold_factor=self._get("bounds.cold_over", float, usual.cold_factor),
+            cold_slack=self._get("bounds.cold_slack", int, usual.cold_slack),
+            hold_limit_ms=self._get("bounds.hold_max", ms, usual.hold_limit_ms),
+        )
--- a/mustardloom/relay/replica.py
+++ b/mustardloom/relay/replica.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from mustardloom import ids
-from mustardloom.store import objects
+from mustardloom import objects
 
 __all__ = ["ApplyResult", "Replica", "Subscriber"]
 
--- a/mustardloom/routing/tests/fleet.py
+++ b/mustardloom/routing/tests/fleet.py
@@ -2,6 +2,7 @@
 
 from mustardloom import clock as clocks
 from mustardloom import ids
+from mustardloom import objects
 from mustardloom import requests
 from mustardloom.declarations import model
 from mustardloom.membership import records
@@ -9,7 +10,6 @@
 from mustardloom.relay import replica as replicas
 from mustardloom.routing import candidates
 from mustardloom.routing import routes
-from mustardloom.store import objects
 
 __all__ = ["KEYED", "NEAR", "SLOTS", "UNKEYED", "Fleet", "make_request"]
 
--- /dev/null
+++ b/mustardloom/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs beside each target of a deployment."""
--- /dev/null
+++ b/mustardloom/sidecar/daemon.py
@@ -0,0 +1,551 @@
+"""Wiring and life of the daemon beside a target."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Coroutine
+import signal
+from typing import Any
+
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import objects
+from mustardloom.deployment import configuration
+from mustardloom.deployment import settings
+from mustardloom.deployment import stored
+from mustardloom.deployment import targets
+from mustardloom.http1 import messages
+from mustardloom.http1 import server
+from mustardloom.load import quarantine as quarantines
+from mustardloom.platform import announcements
+from mustardloom.platform import configuration as wire_configuration
+from mustardloom.sidecar import events
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import forwarder as forwarders
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import gate as gates
+from mustardloom.sidecar import ingress as ingresses
+from mustardloom.sidecar import keyspace as keyspaces
+from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import local_target
+from mustardloom.sidecar import metrics_page
+from mustardloom.sidecar import router as routers
+from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import target as target_connections
+
+__all__ = ["Daemon"]
+
+_TICK_MS = 250
+# Status goes out this often to daemons of the own region, and less often
+# beyond, where bytes are dear.
+_NEAR_STATUS_MS = 500
+_FAR_STATUS_MS = 2_000
+_FETCH_AFTER_MS = 300
+_FETCH_CALL_MS = 1_000
+_REGISTER_RETRY_MS = 500
+_MS_PER_S = 1_000
+_PERCENT = 100
+_CRASHES_TO_QUARANTINE = 3
+# Callers notice within this time that a daemon is not ready any more.
+_STOP_NOTICE_MS = 2_300
+_STOP_MARGIN_MS = 700
+_STOP_POLL_MS = 50
+_OK = 200
+_UNAVAILABLE = 503
+
+
+class Daemon:
+    """One daemon from its start to its end."""
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        store: shared_state.ObjectStore,
+        clock: clocks.Clock,
+        metrics_port: int,
+    ):
+        self._own = own
+        self._store = store
+        self._clock = clock
+        self._metrics_port = metrics_port
+        self._metrics = metrics_lib.Metrics()
+        self._log = events.EventLog(own.vm, clock, self._metrics)
+        self._configuration: configuration.Configuration | None = None
+        self._is_stopping = False
+        self._stop = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._keyspace_by_service: dict[ids.ServiceId, keyspaces.Keyspace] = {}
+        self._behind_since_ms: dict[stored.Kind, int] = {}
+        self._told_far_ms = 0
+        self._told_near_ms = 0
+        self._state = shared_state.SharedState(
+            store, clock, self._on_state, self._on_store
+        )
+        self._links = links_lib.Links(own.vm, clock, self._on_frame)
+        self._links.on_change = self._on_link
+        self._links.on_fault = self._on_peer_fault
+        self._record = stored.DaemonRecord(
+            own.vm,
+            own.ip,
+            own.peer_port,
+            own.availability_zone,
+            own.region,
+            own.service,
+        )
+        self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
+        self._quarantine = quarantines.Quarantine(
+            clock, self._on_suspect, _CRASHES_TO_QUARANTINE
+        )
+        self._connections = target_connections.TargetConnections(
+            own.target_address, clock, self._metrics
+        )
+        self._gate = gates.Gate(
+            self._connections,
+            self._quarantine,
+            clock,
+            self._log,
+            self._metrics,
+            self._check_key,
+        )
+        self._target = local_target.LocalTarget(
+            own, self._gate, self._grants, self._own_service, clock, self._log
+        )
+        self._target.on_change = self._tell_all
+        self._forwarder = forwarders.Forwarder(
+            self._fleet, self._links, self._gate, clock
+        )
+        self._router = routers.Router(
+            self._fleet,
+            self._forwarder,
+            self._map_of,
+            own.bounds,
+            clock,
+            self._log,
+            self._metrics,
+        )
+        self._ingress = ingresses.Ingress(
+            self._router,
+            own.service,
+            lambda: self._configuration,
+            clock,
+            self._log,
+            self._metrics,
+        )
+        self._callers = self._server(self._ingress.handle, self._limits)
+        self._notices = self._server(self._target.handle)
+        self._readiness = self._server(self._answer_readiness)
+        page = metrics_page.MetricsPage(self._metrics, self._gauges)
+        self._page = self._server(page.handle)
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then ends without cutting a request."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        own = self._own
+        self._links.listen(own.ip, own.peer_port)
+        self._notices.listen(*own.announcement_address)
+        self._readiness.listen(*own.readiness_address)
+        self._callers.listen(*own.caller_address)
+        self._page.listen(own.ip, self._metrics_port)
+        self._log.write(
+            events.Event.START,
+            service=own.service,
+            availability_zone=own.availability_zone,
+            region=own.region,
+        )
+        for call in self._endless():
+            self._start(call)
+        await self._stop.wait()
+        await self._leave()
+
+    # Wiring.
+
+    def _server(
+        self,
+        handler: server.Handler,
+        limits: Any = server.ServerLimits,
+    ) -> server.HttpServer:
+        return server.HttpServer(handler, self._clock, limits, self._on_fault)
+
+    def _endless(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            *(self._state.follow(kind) for kind in stored.Kind),
+            self._register(),
+            self._callers.sweep(),
+            self._notices.sweep(),
+            self._readiness.sweep(),
+            self._links.watch(),
+            self._gate.sweep(),
+            self._target.watch(),
+            self._tick(),
+        ]
+
+    def _start(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(call)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.add(task)
+
+    def _on_task_done(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._on_fault(error)
+
+    def _on_fault(self, error: BaseException) -> None:
+        trace = error.__traceback__
+        while trace is not None and trace.tb_next is not None:
+            trace = trace.tb_next
+        place = ""
+        if trace is not None:
+            code = trace.tb_frame.f_code
+            place = f"{code.co_filename}:{trace.tb_lineno}"
+        self._log.write(events.Event.FAULT, error=repr(error), place=place)
+
+    async def _register(self) -> None:
+        """Writes the own record unless the store holds it already."""
+        key = stored.key(stored.Kind.DAEMON, self._own.vm)
+        value = msgspec.json.encode(self._record)
+        while True:
+            try:
+                found = await self._store.get(key)
+                if found is not None and self._is_own(found):
+                    return
+                version = ids.NO_VERSION if found is None else found.version
+                result = await self._store.write(key, value, version)
+            except objects.PlatformUnavailable:
+                await self._clock.sleep_ms(_REGISTER_RETRY_MS)
+                continue
+            if isinstance(result, objects.Written):
+                return
+
+    def _is_own(self, found: objects.Versioned) -> bool:
+        try:
+            record = msgspec.json.decode(found.value, type=stored.DaemonRecord)
+        except ValueError:
+            return False
+        return record == self._record
+
+    # State of the fleet.
+
+    def _on_state(self, kind: stored.Kind) -> None:
+        by_key = self._state.by_kind[kind].by_key
+        match kind:
+            case stored.Kind.CONFIGURATION:
+                for found in by_key.values():
+                    self._adopt_configuration(found)
+            case stored.Kind.EVACUATION:
+                self._adopt_evacuations(set(by_key))
+            case stored.Kind.DAEMON:
+                self._adopt_daemons(list(by_key.values()))
+            case stored.Kind.KEY_MAP:
+                self._adopt_maps()
+
+    def _adopt_configuration(self, found: objects.Versioned) -> None:
+        try:
+            new = wire_configuration.decode(found.value)
+        except ValueError as error:
+            self._log.write(
+                events.Event.CONFIGURATION_UNREADABLE,
+                store_version=found.version,
+                error=repr(error),
+            )
+            return
+        known = self._configuration
+        if known is not None and new.version <= known.version:
+            return
+        self._configuration = new
+        self._log.write(
+            events.Event.CONFIGURATION_ADOPTED,
+            version=new.version,
+            replaces=None if known is None else known.version,
+            store_version=found.version,
+            routes=len(new.routes),
+        )
+        for service in new.service_by_name.values():
+            if service.is_keyed:
+                self._open_keyspace(service.name)
+
+    def _open_keyspace(self, service: ids.ServiceId) -> None:
+        if service in self._keyspace_by_service:
+            return
+        keyspace = keyspaces.Keyspace(
+            service,
+            self._own,
+            self._store,
+            self._state,
+            self._fleet,
+            self._links,
+            self._gate,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+        self._keyspace_by_service[service] = keyspace
+        self._adopt_maps()
+        self._start(keyspace.plan())
+        if service == self._own.service:
+            self._start(keyspace.renew())
+            self._start(keyspace.pursue())
+            self._start(keyspace.report_load())
+
+    def _adopt_evacuations(self, keys: set[str]) -> None:
+        zones = {ids.AvailabilityZoneId(stored.name_of(key)) for key in keys}
+        if zones == self._fleet.evacuated_zones:
+            return
+        self._fleet.evacuated_zones = zones
+        self._gate.is_evacuated = self._own.availability_zone in zones
+        self._log.write(
+            events.Event.EVACUATION_CHANGED, availability_zones=sorted(zones)
+        )
+
+    def _adopt_daemons(self, found: list[objects.Versioned]) -> None:
+        records = []
+        for each in found:
+            try:
+                records.append(
+                    msgspec.json.decode(each.value, type=stored.DaemonRecord)
+                )
+            except ValueError as error:
+                self._log.write(
+                    events.Event.FAULT, object=each.key, error=repr(error)
+                )
+        self._fleet.update(records)
+
+    def _adopt_maps(self) -> None:
+        by_key = self._state.by_kind[stored.Kind.KEY_MAP].by_key
+        for service, keyspace in self._keyspace_by_service.items():
+            found = by_key.get(stored.key(stored.Kind.KEY_MAP, service))
+            if found is not None:
+                keyspace.adopt(found)
+
+    def _on_store(self, answers: bool) -> None:
+        event = events.Event.STORE_LOST
+        if answers:
+            event = events.Event.STORE_BACK
+        self._log.write(event)
+
+    def _on_link(self, vm: ids.VmId, is_up: bool) -> None:
+        event = events.Event.PEER_LOST
+        if is_up:
+            event = events.Event.PEER_BACK
+            self._links.notify(vm, self._status(vm))
+        self._log.write(event, peer=vm)
+
+    def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
+        self._log.write(events.Event.FAULT, peer=vm, error=repr(error))
+
+    def _on_suspect(
+        self, fingerprint: int, crashes: int, regions: frozenset[ids.RegionId]
+    ) -> None:
+        del regions
+        self._links.broadcast(frames.Suspect(fingerprint, crashes))
+
+    # Frames of other daemons.
+
+    def _on_frame(
+        self, vm: ids.VmId, frame: frames.Frame
+    ) -> Awaitable[frames.Frame | None] | None:
+        match frame:
+            case frames.Forward():
+                return self._forwarder.receive(vm, frame)
+            case frames.Status():
+                self._fleet.told(vm, frame)
+                self._compare(vm, frame)
+            case frames.Fetch():
+                return _ready(self._fetched(frame))
+            case frames.AuthorityQuery(service=service):
+                keyspace = self._keyspace(service)
+                if keyspace is not None:
+                    return keyspace.on_authority_query(frame)
+            case frames.ReleaseQuery(service=service):
+                keyspace = self._keyspace(service)
+                if keyspace is not None:
+                    return _ready(keyspace.on_release_query(frame))
+            case frames.KeyLoad(service=service, loads=loads):
+                keyspace = self._keyspace(service)
+                if keyspace is not None:
+                    keyspace.on_key_load(vm, loads)
+            case frames.Suspect(fingerprint=fingerprint, crashes=crashes):
+                self._quarantine.learn(fingerprint, crashes)
+            case _:
+                pass
+        return None
+
+    def _keyspace(self, service: str) -> keyspaces.Keyspace | None:
+        return self._keyspace_by_service.get(ids.ServiceId(service))
+
+    def _compare(self, vm: ids.VmId, status: frames.Status) -> None:
+        """Fetches what another daemon knows and the store does not tell."""
+        now_ms = self._clock.now_ms()
+        behind = self._state.behind(status.changes)
+        for kind in list(self._behind_since_ms):
+            if kind not in behind:
+                del self._behind_since_ms[kind]
+        for kind in behind:
+            since_ms = self._behind_since_ms.setdefault(kind, now_ms)
+            if now_ms - since_ms >= _FETCH_AFTER_MS or (
+                not self._state.by_kind[kind].changed
+            ):
+                self._behind_since_ms[kind] = now_ms
+                self._start(self._fetch(vm, kind))
+
+    async def _fetch(self, vm: ids.VmId, kind: stored.Kind) -> None:
+        try:
+            async with asyncio.timeout(_FETCH_CALL_MS / _MS_PER_S):
+                reply = await self._links.call(
+                    vm, lambda number: frames.Fetch(number, kind.value)
+                )
+        except (TimeoutError, links_lib.PeerLost, links_lib.PeerUnreachable):
+            return
+        if isinstance(reply, frames.Fetched):
+            found = tuple(
+                objects.Versioned(
+                    item.key, ids.Version(item.version), item.value
+                )
+                for item in reply.items
+            )
+            listing = objects.Listing(found, ids.Version(reply.version))
+            self._state.apply_listing(kind, listing)
+
+    def _fetched(self, fetch: frames.Fetch) -> frames.Frame:
+        copy = self._state.by_kind[stored.Kind(fetch.kind)]
+        items = tuple(
+            frames.StoredItem(each.key, each.version, each.value)
+            for each in copy.by_key.values()
+        )
+        return frames.Fetched(fetch.number, copy.changed, items)
+
+    # Status.
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_TICK_MS)
+            self._gate.measure()
+            own_status = self._status(self._own.vm)
+            self._fleet.told(self._own.vm, own_status)
+            now_ms = self._clock.now_ms()
+            tells_near = now_ms - self._told_near_ms >= _NEAR_STATUS_MS
+            tells_far = now_ms - self._told_far_ms >= _FAR_STATUS_MS
+            if tells_near:
+                self._told_near_ms = now_ms
+                self._tell(is_near=True)
+            if tells_far:
+                self._told_far_ms = now_ms
+                self._tell(is_near=False)
+
+    def _tell(self, is_near: bool) -> None:
+        for vm, peer in self._fleet.by_vm.items():
+            if (peer.record.region == self._own.region) == is_near:
+                self._links.notify(vm, self._status(vm))
+
+    def _tell_all(self) -> None:
+        self._fleet.told(self._own.vm, self._status(self._own.vm))
+        self._tell(is_near=True)
+        self._tell(is_near=False)
+
+    def _status(self, receiver: ids.VmId) -> frames.Status:
+        load = self._gate.load()
+        announcement = self._target.announcement
+        life = None if announcement is None else announcement.life
+        keyspace = self._keyspace(self._own.service)
+        return frames.Status(
+            target="" if life is None else life.target,
+            born_ms=0 if life is None else life.born_ms,
+            phase=int(self._target.phase),
+            limit=load.limit,
+            running=load.running,
+            waiting=load.waiting,
+            sent_by_you=self._forwarder.open_from[receiver],
+            service_ms=round(load.service_ms),
+            failure_percent=round(load.failure_share * _PERCENT),
+            utilisation_percent=round(load.utilisation * _PERCENT),
+            key_rate=0 if keyspace is None else round(keyspace.key_rate),
+            is_stopping=self._is_stopping,
+            has_settled_keys=keyspace is None or keyspace.has_settled,
+            changes=self._state.changes(),
+        )
+
+    def _gauges(self) -> dict[str, float]:
+        load = self._gate.load()
+        current = self._configuration
+        return {
+            "gate_running_requests": load.running,
+            "gate_waiting_requests": load.waiting,
+            "gate_limit_requests": load.limit,
+            "gate_service_time_ms": load.service_ms,
+            "gate_utilisation_ratio": load.utilisation,
+            "configuration_version": 0 if current is None else current.version,
+            "store_answers": int(self._state.store_answers),
+            "peers_reachable": sum(1 for _ in self._links.up()),
+        }
+
+    # What the parts ask.
+
+    def _limits(self) -> server.ServerLimits:
+        if self._configuration is None:
+            return server.ServerLimits()
+        limits = self._configuration.limits
+        return server.ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    def _own_service(self) -> configuration.Service | None:
+        if self._configuration is None:
+            return None
+        return self._configuration.service_by_name.get(self._own.service)
+
+    def _check_key(self, key: int) -> gates.KeyCheck:
+        keyspace = self._keyspace(self._own.service)
+        if keyspace is None:
+            return gates.KeyCheck(False)
+        return keyspace.check(key)
+
+    def _grants(
+        self, announcement: targets.Announcement
+    ) -> announcements.Grant | None:
+        keyspace = self._keyspace(self._own.service)
+        return None if keyspace is None else keyspace.on_heartbeat(announcement)
+
+    def _map_of(self, service: ids.ServiceId) -> Any:
+        keyspace = self._keyspace(service)
+        return None if keyspace is None else keyspace.map
+
+    async def _answer_readiness(
+        self, request: messages.Request
+    ) -> messages.Response:
+        del request
+        is_ready = self._configuration is not None and not self._is_stopping
+        return messages.Response(_OK if is_ready else _UNAVAILABLE)
+
+    # The end.
+
+    def _on_reload(self) -> None:
+        self._log.write(events.Event.RELOAD, applied=[])
+
+    async def _leave(self) -> None:
+        """Lets callers go elsewhere, answers the rest, then ends."""
+        self._is_stopping = True
+        started_ms = self._clock.now_ms()
+        self._log.write(events.Event.STOP, open=self._callers.active())
+        self._callers.drain()
+        self._tell_all()
+        grace_ms = self._own.bounds.grace_ms - _STOP_MARGIN_MS
+        while (passed_ms := self._clock.now_ms() - started_ms) < grace_ms:
+            is_idle = not self._callers.active() and self._gate.is_idle()
+            if passed_ms >= _STOP_NOTICE_MS and is_idle:
+                break
+            await self._clock.sleep_ms(_STOP_POLL_MS)
+        self._callers.close()
+        await self._clock.sleep_ms(_STOP_POLL_MS)
+        for task in list(self._tasks):
+            task.cancel()
+        self._links.close()
+
+
+async def _ready(frame: frames.Frame) -> frames.Frame:
+    return frame
--- /dev/null
+++ b/mustardloom/sidecar/forwarder.py
@@ -0,0 +1,164 @@
+"""Takes requests to the gates of other daemons, and theirs to the own gate."""
+
+import collections
+from collections.abc import Callable
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.http1 import messages
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import gate as gates
+from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import work
+
+__all__ = ["Forwarder"]
+
+_NO_KEY = -1
+_UNREACHABLE_RETRY_MS = 300
+
+
+class Forwarder:
+    """Moves requests between daemons.
+
+    Attributes:
+      open_from: Requests of each daemon that are open at the own gate.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        links: links_lib.Links,
+        gate: gates.Gate,
+        clock: clocks.Clock,
+    ):
+        self.open_from: collections.Counter[ids.VmId] = collections.Counter()
+        self._fleet = fleet
+        self._links = links
+        self._gate = gate
+        self._clock = clock
+
+    async def send(
+        self, vm: ids.VmId, request: work.Work, may_wait: bool
+    ) -> work.Outcome:
+        """Runs a request at the gate of a VM and returns its outcome.
+
+        Args:
+          vm: The VM.
+          request: The request.
+          may_wait: Whether the gate waits for a key that is on its way.
+        """
+        if vm == self._fleet.own.vm:
+            return await self._gate.run(request, may_wait)
+        peer = self._fleet.by_vm.get(vm)
+        if peer is None:
+            return work.Refused(
+                work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
+            )
+        peer.view.sent_since += 1
+        try:
+            make = self._maker(request, may_wait)
+            reply = await self._links.call(vm, make)
+        except links_lib.PeerUnreachable:
+            return work.Refused(
+                work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
+            )
+        except links_lib.PeerLost:
+            return work.Failed(work.FailureReason.PEER_LOST)
+        finally:
+            peer.view.sent_since -= 1
+        if isinstance(reply, frames.Answer):
+            peer.view.running = reply.running
+            peer.view.waiting = reply.waiting
+            peer.view.reported_sent = peer.view.sent_since
+        return _outcome(reply)
+
+    async def receive(
+        self, vm: ids.VmId, frame: frames.Forward
+    ) -> frames.Frame:
+        """Runs a request of another daemon at the own gate."""
+        self.open_from[vm] += 1
+        try:
+            request = self._work(frame)
+            outcome = await self._gate.run(request, frame.may_wait)
+        finally:
+            self.open_from[vm] -= 1
+        return self._reply(frame.number, outcome)
+
+    def _maker(
+        self, request: work.Work, may_wait: bool
+    ) -> Callable[[int], frames.Forward]:
+        now_ms = self._clock.now_ms()
+        return lambda number: frames.Forward(
+            number,
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            request.request_id,
+            request.route,
+            request.caller_service,
+            request.is_idempotent,
+            request.priority,
+            request.objective_ms - now_ms,
+            request.deadline_ms - now_ms,
+            _NO_KEY if request.key is None else request.key,
+            may_wait,
+            request.fingerprint,
+        )
+
+    def _work(self, frame: frames.Forward) -> work.Work:
+        now_ms = self._clock.now_ms()
+        return work.Work(
+            frame.method,
+            frame.target,
+            frame.headers,
+            frame.body,
+            frame.request_id,
+            ids.RouteId(frame.route),
+            ids.ServiceId(frame.caller_service),
+            frame.is_idempotent,
+            frame.priority,
+            now_ms + frame.objective_ms,
+            now_ms + frame.deadline_ms,
+            None if frame.key == _NO_KEY else frame.key,
+            frame.fingerprint,
+        )
+
+    def _reply(self, number: int, outcome: work.Outcome) -> frames.Frame:
+        match outcome:
+            case work.Answered(response):
+                load = self._gate.load()
+                return frames.Answer(
+                    number,
+                    response.status,
+                    response.headers,
+                    response.body,
+                    load.running,
+                    load.waiting,
+                )
+            case work.Refused(reason, retry_after_ms, was_offered, owner):
+                return frames.Refusal(
+                    number, reason.value, retry_after_ms, was_offered, owner
+                )
+            case work.Failed(reason):
+                return frames.Failure(number, reason.value)
+
+
+def _outcome(frame: frames.Frame) -> work.Outcome:
+    match frame:
+        case frames.Answer():
+            return work.Answered(
+                messages.Response(frame.status, frame.headers, frame.body)
+            )
+        case frames.Refusal():
+            return work.Refused(
+                work.RefusalReason(frame.reason),
+                frame.retry_after_ms,
+                frame.was_offered,
+                ids.VmId(frame.owner),
+            )
+        case frames.Failure():
+            return work.Failed(work.FailureReason(frame.reason))
+        case _:
+            return work.Failed(work.FailureReason.INTERNAL)
--- /dev/null
+++ b/mustardloom/sidecar/gate.py
@@ -0,0 +1,453 @@
+"""The only path by which work reaches the local target."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import targets
+from mustardloom.load import cold
+from mustardloom.load import quarantine as quarantines
+from mustardloom.load import waiting
+from mustardloom.sidecar import events
+from mustardloom.sidecar import target as target_connections
+from mustardloom.sidecar import work
+
+__all__ = ["Gate", "GateLoad", "KeyCheck", "Presence"]
+
+_SMOOTHING = 0.08
+_SWEEP_INTERVAL_MS = 20
+_NOT_YET = 0
+# Requests whose connections broke so long before a crash was noticed may have
+# caused it.
+_SUSPECT_MS = 4_000
+_MAX_BROKEN = 64
+# Time to wait for keys that are on their way to the target.
+_KEY_WAIT_MS = 700
+_KEY_POLL_MS = 15
+_DOWN_RETRY_MS = 300
+_MS_PER_S = 1_000
+
+
+class Presence(enum.Enum):
+    """Whether the target can be reached.
+
+    DOWN is a process that is gone; a SILENT one may still run and hold keys.
+    """
+
+    UNKNOWN = "unknown"
+    UP = "up"
+    SILENT = "silent"
+    DOWN = "down"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyCheck:
+    """Whether the target holds a key.
+
+    Attributes:
+      is_held: It may run requests for the key.
+      is_coming: It is to hold the key soon.
+      owner: VM to ask instead, empty if none is known.
+    """
+
+    is_held: bool
+    is_coming: bool = False
+    owner: ids.VmId = work.NO_VM
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateLoad:
+    """Load of the gate."""
+
+    limit: int
+    running: int
+    waiting: int
+    service_ms: float
+    failure_share: float
+    utilisation: float
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Ticket:
+    """A request that waits or runs."""
+
+    request: work.Work
+    outcome: "asyncio.Future[work.Outcome]"
+    started_ms: int = _NOT_YET
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Broken:
+    """A request whose connection ended while the target had it."""
+
+    when_ms: int
+    fingerprint: int
+
+
+class Gate:
+    """Decides when the local target gets which request.
+
+    Attributes:
+      life: The run of the target, None until it has reported.
+      presence: Whether it can be reached.
+      closes_at_ms: Local time from which it gets nothing more.
+      is_evacuated: Whether its zone is to get nothing.
+    """
+
+    def __init__(
+        self,
+        connections: target_connections.TargetConnections,
+        quarantine: quarantines.Quarantine,
+        clock: clocks.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+        check_key: Callable[[int], KeyCheck],
+    ):
+        self.life: targets.Life | None = None
+        self.presence = Presence.UNKNOWN
+        self.closes_at_ms: int | None = None
+        self.is_evacuated = False
+        self.on_presence: Callable[[Presence], None] = lambda _: None
+        self._connections = connections
+        self._quarantine = quarantine
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._check_key = check_key
+        self._capacity = 1
+        self._line: waiting.Line[_Ticket] = waiting.Line()
+        self._running: set[_Ticket] = set()
+        self._times = waiting.ServiceTimes()
+        self._cold = cold.ColdLimit()
+        self._failure_share = 0.0
+        self._busy_ms = 0.0
+        self._measured_ms = clock.now_ms()
+        self._utilisation = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._last_answer_ms = 0
+        self._broken: collections.deque[_Broken] = collections.deque(
+            maxlen=_MAX_BROKEN
+        )
+
+    # What the daemon tells.
+
+    def adopt(self, life: targets.Life, capacity: int) -> None:
+        """Takes over what a heartbeat says of the target."""
+        if life != self.life:
+            if self.life is not None:
+                self._suspect()
+            self._connections.close()
+            self._failure_share = 0.0
+            self.closes_at_ms = None
+        self.life = life
+        self._capacity = capacity
+        self._set_presence(Presence.UP)
+
+    def set_cold(self, left_ms: int, per_s: float) -> None:
+        """Limits the rate for as long as the target is cold."""
+        self._cold.set(self._clock.now_ms() + left_ms, per_s)
+
+    def silent(self) -> None:
+        """Notes that the target gives no sign of life."""
+        if self.presence is Presence.UP:
+            self._set_presence(Presence.SILENT)
+
+    def close_at(self, when_ms: int) -> None:
+        """Sends nothing more from a time on."""
+        if self.closes_at_ms is None or when_ms < self.closes_at_ms:
+            self.closes_at_ms = when_ms
+
+    # What others ask.
+
+    def load(self) -> GateLoad:
+        """Returns the load; utilisation since the last call of `measure`."""
+        return GateLoad(
+            self._capacity,
+            len(self._running),
+            len(self._line),
+            self._times.overall,
+            self._failure_share,
+            self._utilisation,
+        )
+
+    def last_answer_ms(self) -> int:
+        """Returns when the target last answered a request."""
+        return self._last_answer_ms
+
+    def is_idle(self) -> bool:
+        """Returns whether nothing runs or waits."""
+        return not self._running and not len(self._line)
+
+    def measure(self) -> None:
+        """Ends one interval of measuring the utilisation."""
+        now_ms = self._clock.now_ms()
+        busy_ms = self._busy_ms
+        for ticket in self._running:
+            busy_ms += now_ms - max(ticket.started_ms, self._measured_ms)
+        passed_ms = max(1, now_ms - self._measured_ms)
+        queued = len(self._line) / self._capacity
+        share = busy_ms / passed_ms / self._capacity
+        self._utilisation += 0.5 * (share + queued - self._utilisation)
+        self._busy_ms = 0.0
+        self._measured_ms = now_ms
+
+    async def run(self, request: work.Work, may_wait: bool) -> work.Outcome:
+        """Runs a request when its turn comes.
+
+        Args:
+          request: The request.
+          may_wait: Whether to wait for a key that is on its way.
+
+        Returns:
+          Its outcome; cancelling the call takes the request back.
+        """
+        refusal = await self._await_key(request, may_wait)
+        refusal = refusal or self._refusal(request)
+        if refusal is None:
+            return await self._admitted(request)
+        self._metrics.increment(f"gate.refused.{refusal.reason.value}")
+        load = self.load()
+        self._log.write(
+            events.Event.GATE_REFUSED,
+            request=request.request_id,
+            reason=refusal.reason.value,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        return refusal
+
+    async def sweep(self) -> None:
+        """Turns away who waits in vain, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_SWEEP_INTERVAL_MS)
+            if len(self._line):
+                self._drop_hopeless()
+                self._pump()
+
+    # Admission.
+
+    async def _await_key(
+        self, request: work.Work, may_wait: bool
+    ) -> work.Refused | None:
+        if request.key is None:
+            return None
+        check = self._check_key(request.key)
+        limit_ms = min(self._clock.now_ms() + _KEY_WAIT_MS, request.deadline_ms)
+        while may_wait and check.is_coming and not check.is_held:
+            if self._clock.now_ms() >= limit_ms:
+                break
+            await self._clock.sleep_ms(_KEY_POLL_MS)
+            check = self._check_key(request.key)
+        if check.is_held:
+            return None
+        return work.Refused(
+            work.RefusalReason.NOT_OWNER, _DOWN_RETRY_MS, owner=check.owner
+        )
+
+    def _refusal(self, request: work.Work) -> work.Refused | None:
+        now_ms = self._clock.now_ms()
+        reasons = work.RefusalReason
+        if self.life is None or self.presence is not Presence.UP:
+            return work.Refused(reasons.TARGET_DOWN, _DOWN_RETRY_MS)
+        if self.closes_at_ms is not None and now_ms >= self.closes_at_ms:
+            return work.Refused(reasons.LEAVING, _DOWN_RETRY_MS)
+        if self.is_evacuated:
+            return work.Refused(reasons.EVACUATED, _DOWN_RETRY_MS)
+        if self._quarantine.is_quarantined(request.fingerprint):
+            return work.Refused(reasons.QUARANTINED)
+        demand = self._demand(request)
+        verdict = waiting.judge(
+            demand,
+            now_ms,
+            len(self._running),
+            self._capacity,
+            self._line.work_ahead_ms(demand, now_ms),
+            self._times.overall,
+        )
+        if not verdict.admitted:
+            return work.Refused(reasons.OVERLOADED, verdict.retry_after_ms)
+        if not self._cold.has_room(now_ms, len(self._line)):
+            return work.Refused(reasons.COLD, _DOWN_RETRY_MS)
+        return None
+
+    def _demand(self, request: work.Work) -> waiting.Demand:
+        return waiting.Demand(
+            request.priority,
+            False,
+            request.objective_ms,
+            request.deadline_ms,
+            self._times.expected(request.route),
+        )
+
+    async def _admitted(self, request: work.Work) -> work.Outcome:
+        outcome: asyncio.Future[work.Outcome] = asyncio.Future()
+        ticket = _Ticket(request, outcome)
+        now_ms = self._clock.now_ms()
+        self._line.push(self._demand(request), ticket, now_ms)
+        self._pump()
+        try:
+            return await outcome
+        except asyncio.CancelledError:
+            self._line.remove(ticket)
+            raise
+
+    def _pump(self) -> None:
+        """Starts as many requests as the target runs at once."""
+        while len(self._line) and len(self._running) < self._capacity:
+            now_ms = self._clock.now_ms()
+            if not self._cold.may_start(now_ms):
+                return
+            ticket = self._line.take(now_ms)
+            if ticket is None:
+                return
+            refusal = self._late_refusal(ticket.request, now_ms)
+            if refusal is not None:
+                _resolve(ticket, refusal)
+                continue
+            self._cold.started(now_ms)
+            self._start(ticket, now_ms)
+
+    def _late_refusal(
+        self, request: work.Work, now_ms: int
+    ) -> work.Refused | None:
+        """Checks again what may have changed while a request waited."""
+        reasons = work.RefusalReason
+        if self.life is None or self.presence is not Presence.UP:
+            return work.Refused(reasons.TARGET_DOWN, _DOWN_RETRY_MS)
+        if self.closes_at_ms is not None and now_ms >= self.closes_at_ms:
+            return work.Refused(reasons.LEAVING, _DOWN_RETRY_MS)
+        if self.is_evacuated:
+            return work.Refused(reasons.EVACUATED, _DOWN_RETRY_MS)
+        if request.deadline_ms <= now_ms + 1:
+            return work.Refused(reasons.DEADLINE)
+        if self._quarantine.is_quarantined(request.fingerprint):
+            return work.Refused(reasons.QUARANTINED)
+        if request.key is not None:
+            check = self._check_key(request.key)
+            if not check.is_held:
+                return work.Refused(
+                    reasons.NOT_OWNER, _DOWN_RETRY_MS, owner=check.owner
+                )
+        return None
+
+    def _drop_hopeless(self) -> None:
+        for ticket in self._line.take_hopeless(self._clock.now_ms()):
+            self._metrics.increment("gate.refused.deadline")
+            _resolve(ticket, work.Refused(work.RefusalReason.DEADLINE))
+
+    # Dispatch.
+
+    def _start(self, ticket: _Ticket, now_ms: int) -> None:
+        ticket.started_ms = now_ms
+        self._running.add(ticket)
+        task = asyncio.ensure_future(self._dispatch(ticket))
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._finish(ticket, done))
+        if ticket.request.is_idempotent:
+            # Nobody waits for the answer any more, so the target may stop.
+            ticket.outcome.add_done_callback(
+                lambda outcome: task.cancel() if outcome.cancelled() else None
+            )
+
+    async def _dispatch(self, ticket: _Ticket) -> None:
+        assert self.life is not None
+        life = self.life
+        exchange = await self._connections.send(ticket.request, life.target)
+        self._learn(ticket, exchange, life)
+        _resolve(ticket, exchange.outcome)
+
+    def _finish(self, ticket: _Ticket, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        self._running.discard(ticket)
+        now_ms = self._clock.now_ms()
+        self._busy_ms += now_ms - max(ticket.started_ms, self._measured_ms)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.write(
+                events.Event.FAULT,
+                request=ticket.request.request_id,
+                error=repr(error),
+            )
+        _resolve(ticket, work.Failed(work.FailureReason.INTERNAL))
+        self._pump()
+
+    def _learn(
+        self,
+        ticket: _Ticket,
+        exchange: target_connections.Exchange,
+        life: targets.Life,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        request = ticket.request
+        duration_ms = now_ms - ticket.started_ms
+        match exchange.outcome:
+            case work.Answered(response):
+                self._last_answer_ms = now_ms
+                self._times.record(request.route, duration_ms)
+                is_good = response.status < 500
+                self._note_failure(not is_good)
+                self._quarantine.succeeded(request.fingerprint, frozenset())
+            case work.Refused(reason):
+                self._last_answer_ms = now_ms
+                is_shed = reason is work.RefusalReason.TARGET_REFUSED
+                self._note_failure(is_shed)
+            case work.Failed(reason):
+                self._note_failure(True)
+                self._log_failure(request, reason, duration_ms, life)
+        if exchange.is_broken:
+            self._broken.append(_Broken(now_ms, request.fingerprint))
+        if exchange.is_refused_connection and life == self.life:
+            self._suspect()
+            self._set_presence(Presence.DOWN)
+
+    def _note_failure(self, has_failed: bool) -> None:
+        self._failure_share += _SMOOTHING * (has_failed - self._failure_share)
+
+    def _log_failure(
+        self,
+        request: work.Work,
+        reason: work.FailureReason,
+        duration_ms: int,
+        life: targets.Life,
+    ) -> None:
+        self._metrics.increment(f"gate.failed.{reason.value}")
+        self._log.write(
+            events.Event.GATE_FAILED,
+            request=request.request_id,
+            reason=reason.value,
+            target=life.target,
+            duration_ms=duration_ms,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
+        )
+
+    def _suspect(self) -> None:
+        """Suspects the requests whose connections broke with the target."""
+        oldest_ms = self._clock.now_ms() - _SUSPECT_MS
+        suspects = {
+            broken.fingerprint: frozenset[ids.RegionId]()
+            for broken in self._broken
+            if broken.when_ms >= oldest_ms
+        }
+        self._broken.clear()
+        if suspects:
+            self._quarantine.crashed(suspects)
+
+    def _set_presence(self, presence: Presence) -> None:
+        if presence is self.presence:
+            return
+        self.presence = presence
+        if presence is not Presence.UP:
+            self._connections.close()
+        self.on_presence(presence)
+
+
+def _resolve(ticket: _Ticket, outcome: work.Outcome) -> None:
+    if not ticket.outcome.done():
+        ticket.outcome.set_result(outcome)
--- /dev/null
+++ b/mustardloom/sidecar/ingress.py
@@ -0,0 +1,177 @@
+"""Answers the callers on this VM."""
+
+import asyncio
+from collections.abc import Callable
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import requests
+from mustardloom.deployment import configuration
+from mustardloom.http1 import messages
+from mustardloom.load import shares
+from mustardloom.platform import headers
+from mustardloom.sidecar import events
+from mustardloom.sidecar import router as routers
+from mustardloom.sidecar import work
+
+__all__ = ["Ingress"]
+
+_MS_PER_S = 1_000
+_NOT_FOUND = 404
+_BAD_REQUEST = 400
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_TIMEOUT = 504
+_NO_CONFIGURATION_RETRY_MS = 300
+# Callers wait no longer than this share of the time they have left.
+_RETRY_SHARE = 3
+
+
+class Ingress:
+    """Matches requests to routes and turns outcomes into responses."""
+
+    def __init__(
+        self,
+        router: routers.Router,
+        service: ids.ServiceId,
+        current: Callable[[], configuration.Configuration | None],
+        clock: clocks.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._router = router
+        self._service = service
+        self._current = current
+        self._dealer = shares.ShareDealer()
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Returns the response to a caller's request."""
+        fields = headers.read_request(request)
+        current = self._current()
+        if current is None:
+            return self._refuse(
+                fields.request_id,
+                work.Refused(
+                    work.RefusalReason.NO_CONFIGURATION,
+                    _NO_CONFIGURATION_RETRY_MS,
+                ),
+                None,
+            )
+        route = current.route_for(fields.host, request.target)
+        if route is None:
+            return headers.refusal(
+                _NOT_FOUND, fields.request_id, None, "no route"
+            )
+        if not fields.request_id:
+            return headers.refusal(_BAD_REQUEST, "", None, "no request id")
+        wait_ms = route.timeout_ms
+        if fields.deadline_ms is not None:
+            wait_ms = min(wait_ms, fields.deadline_ms)
+        made = self._work(request, fields, route, wait_ms)
+        name = self._dealer.deal(route.name, route.shares)
+        service = current.service_by_name.get(name, configuration.Service(name))
+        return await self._respond(made, route, service)
+
+    def _work(
+        self,
+        request: messages.Request,
+        fields: headers.CallerFields,
+        route: configuration.Route,
+        wait_ms: int,
+    ) -> work.Work:
+        kept = tuple(
+            header
+            for header in request.headers
+            if header[0].lower() not in messages.HOP_BY_HOP
+        )
+        return work.Work(
+            method=request.method,
+            target=request.target,
+            headers=kept,
+            body=request.body,
+            request_id=fields.request_id,
+            route=route.name,
+            caller_service=self._service,
+            is_idempotent=route.is_idempotent,
+            priority=route.priority,
+            objective_ms=request.received_ms + route.objective_ms,
+            deadline_ms=request.received_ms + wait_ms,
+            key=fields.key,
+            fingerprint=requests.fingerprint(
+                route.name,
+                request.method,
+                request.target,
+                None,
+                None if fields.key is None else str(fields.key),
+                request.body,
+            ),
+        )
+
+    async def _respond(
+        self,
+        request: work.Work,
+        route: configuration.Route,
+        service: configuration.Service,
+    ) -> messages.Response:
+        started_ms = self._clock.now_ms()
+        left_ms = request.deadline_ms - started_ms
+        try:
+            async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
+                outcome = await self._router.route(request, route, service)
+        except TimeoutError:
+            outcome = work.Failed(work.FailureReason.DEADLINE)
+        self._metrics.increment(f"ingress.{type(outcome).__name__.lower()}")
+        match outcome:
+            case work.Answered(response):
+                return response
+            case work.Refused() as refused:
+                return self._refuse(request.request_id, refused, request)
+            case work.Failed(reason):
+                return self._fail(request, reason, started_ms)
+
+    def _refuse(
+        self,
+        request_id: str,
+        refused: work.Refused,
+        request: work.Work | None,
+    ) -> messages.Response:
+        retry_ms = refused.retry_after_ms
+        left_ms = None
+        if request is not None:
+            left_ms = request.deadline_ms - self._clock.now_ms()
+            retry_ms = max(0, min(retry_ms, left_ms // _RETRY_SHARE))
+        self._log.write(
+            events.Event.REQUEST_REFUSED,
+            request=request_id,
+            route=request.route if request is not None else None,
+            reason=refused.reason.value,
+            retry_after_ms=retry_ms,
+            left_ms=left_ms,
+        )
+        return headers.refusal(
+            _UNAVAILABLE, request_id, retry_ms, refused.reason.value
+        )
+
+    def _fail(
+        self,
+        request: work.Work,
+        reason: work.FailureReason,
+        started_ms: int,
+    ) -> messages.Response:
+        is_late = reason is work.FailureReason.DEADLINE
+        event = events.Event.REQUEST_FAILED
+        if is_late:
+            event = events.Event.REQUEST_EXPIRED
+        self._log.write(
+            event,
+            request=request.request_id,
+            route=request.route,
+            reason=reason.value,
+            waited_ms=self._clock.now_ms() - started_ms,
+        )
+        status = _TIMEOUT if is_late else _BAD_GATEWAY
+        return headers.refusal(status, request.request_id, None, reason.value)
--- /dev/null
+++ b/mustardloom/sidecar/keyspace.py
@@ -0,0 +1,509 @@
+"""Ownership of the keys of one service: map, grants, planning."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom import objects
+from mustardloom.deployment import settings
+from mustardloom.deployment import stored
+from mustardloom.deployment import targets
+from mustardloom.keys import claims as claims_lib
+from mustardloom.keys import key_map
+from mustardloom.keys import ledger as ledgers
+from mustardloom.keys import planning
+from mustardloom.platform import announcements
+from mustardloom.sidecar import events
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import gate as gates
+from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import shared_state
+
+__all__ = ["Keyspace"]
+
+# A hold outlasts a few lost heartbeats and a short restart of the daemon.
+_HOLD_MS = 4_000
+_CLOCK_FACTOR = 1.02
+_GRANT_MARGIN_MS = 50
+# Authority is renewed by one read of the map this often.
+_RENEW_MS = 2_000
+_RENEW_RETRY_MS = 400
+_AUTHORITY_CALL_MS = 800
+_RELEASE_INTERVAL_MS = 60
+_RELEASE_CALL_MS = 400
+_PLAN_INTERVAL_MS = 250
+# Time without changes after which the first owners are chosen.
+_SETTLE_MS = 1_200
+# Loss of a daemon, which is back within a second after a mere restart.
+_LOSS_MS = 2_500
+_DOWN_MS = 700
+_REBALANCE_INTERVAL_MS = 1_000
+_LOAD_INTERVAL_MS = 1_000
+_HOT_KEYS = 24
+_HOT_SHARE = 0.015
+_MS_PER_S = 1_000
+_PERCENT = 100
+
+
+class Keyspace:
+    """Keys of one service, seen from one daemon.
+
+    Every daemon keeps the map. The one beside a target of the service also
+    grants keys to it, and the planner among all daemons changes the map.
+    """
+
+    def __init__(
+        self,
+        service: ids.ServiceId,
+        own: settings.Settings,
+        store: shared_state.ObjectStore,
+        state: shared_state.SharedState,
+        fleet: fleet_lib.Fleet,
+        links: links_lib.Links,
+        gate: gates.Gate,
+        clock: clocks.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.service = service
+        self._own = own
+        self._store = store
+        self._state = state
+        self._fleet = fleet
+        self._links = links
+        self._gate = gate
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._key = stored.key(stored.Kind.KEY_MAP, service)
+        self._claims = claims_lib.Claims(own.vm, clock.now_ms())
+        self._version = ids.NO_VERSION
+        self._ledger: ledgers.GrantLedger | None = None
+        self._confirmed_ms: int | None = None
+        self._has_authority = False
+        self._hits: collections.Counter[int] = collections.Counter()
+        self._hits_since_ms = clock.now_ms()
+        self._loads_by_vm: dict[ids.VmId, tuple[planning.RowLoad, ...]] = {}
+        self._lives_seen: dict[ids.VmId, targets.Life | None] = {}
+        self._settled_since_ms = clock.now_ms()
+        self._rebalanced_ms = 0
+        self._down_since_ms: dict[ids.VmId, int] = {}
+        self._key_rate = 0.0
+
+    # Queries.
+
+    @property
+    def map(self) -> key_map.KeyMap | None:
+        """Returns the newest map, None if there is none."""
+        return self._claims.map if self._claims.map.version else None
+
+    @property
+    def key_rate(self) -> float:
+        """Returns the requests a second for keys of the local target."""
+        return self._key_rate
+
+    @property
+    def has_settled(self) -> bool:
+        """Returns whether no key of the local target is on its way."""
+        return not self._claims.waits
+
+    def check(self, key: int) -> gates.KeyCheck:
+        """Returns whether the local target holds a key."""
+        now_ms = self._clock.now_ms()
+        if self._ledger is not None and self._ledger.may_serve(key, now_ms):
+            self._hits[key] += 1
+            return gates.KeyCheck(True)
+        row = self._claims.map.row_of(key)
+        if row.owner != self._own.vm:
+            return gates.KeyCheck(False, owner=row.owner)
+        for wait in self._claims.waits:
+            if wait.first <= key <= wait.last:
+                return gates.KeyCheck(False, True, wait.previous)
+        return gates.KeyCheck(False, is_coming=self._is_target_alive())
+
+    # The local target.
+
+    def on_heartbeat(
+        self, announcement: targets.Announcement
+    ) -> announcements.Grant | None:
+        """Returns what a heartbeat is granted; None renews nothing."""
+        now_ms = self._clock.now_ms()
+        ledger = self._ledger
+        if ledger is None or ledger.life != announcement.life:
+            ledger = self._new_ledger(announcement.life, now_ms)
+        ledger.observe(announcement, now_ms)
+        self._claims.expire(now_ms)
+        life = self._claims.map.life_by_vm.get(self._own.vm)
+        if life == announcement.life:
+            self._claims.reported(announcement.held)
+        hold_ms = self._hold_ms(now_ms)
+        if hold_ms <= 0:
+            return None
+        rows = list(self._claims.grantable()) if life == ledger.life else []
+        ledger.grant(rows, hold_ms, now_ms)
+        self._claims.granted(rows)
+        ranges = tuple(
+            each for row in rows for each in self._claims.handovers(row)
+        )
+        return announcements.Grant(ranges, hold_ms)
+
+    def _new_ledger(
+        self, life: targets.Life, now_ms: int
+    ) -> ledgers.GrantLedger:
+        ledger = ledgers.GrantLedger(life)
+        if self._ledger is None:
+            # This process may have been restarted beside a running target.
+            ledger.restore(now_ms + round(_HOLD_MS * _CLOCK_FACTOR))
+        self._ledger = ledger
+        self._claims.drop_handovers()
+        return ledger
+
+    def _hold_ms(self, now_ms: int) -> int:
+        """Returns for how long keys may be granted now."""
+        if self._confirmed_ms is None:
+            return 0
+        left_ms = self._confirmed_ms + claims_lib.AUTHORITY_MS - now_ms
+        lawful_ms = int(left_ms / _CLOCK_FACTOR) - _GRANT_MARGIN_MS
+        has_authority = lawful_ms > 0
+        if has_authority != self._has_authority:
+            self._has_authority = has_authority
+            event = events.Event.AUTHORITY_LOST
+            if has_authority:
+                event = events.Event.AUTHORITY_BACK
+            self._log.write(event, service=self.service, left_ms=left_ms)
+        return min(_HOLD_MS, self._own.bounds.hold_limit_ms, lawful_ms)
+
+    def _is_target_alive(self) -> bool:
+        return self._gate.presence is gates.Presence.UP
+
+    # The map.
+
+    def adopt(self, found: objects.Versioned) -> None:
+        """Takes over the map in a stored object if it is newer."""
+        try:
+            new = key_map.decode(found.value)
+        except ValueError as error:
+            self._log.write(
+                events.Event.FAULT, object=found.key, error=repr(error)
+            )
+            return
+        self._version = max(self._version, found.version)
+        if new.version <= self._claims.map.version:
+            return
+        self._claims.adopt(new, self._clock.now_ms())
+        self._log.write(
+            events.Event.KEY_MAP_ADOPTED,
+            service=self.service,
+            map_version=new.version,
+            store_version=found.version,
+            own_rows=len(new.owned_by(self._own.vm)),
+            waits=len(self._claims.waits),
+        )
+
+    async def renew(self) -> None:
+        """Confirms again and again that the known map is the newest."""
+        while True:
+            if not self._needs_authority():
+                await self._clock.sleep_ms(_RENEW_RETRY_MS)
+                continue
+            asked_ms = self._clock.now_ms()
+            if await self._read_map():
+                self._confirmed_ms = asked_ms
+                await self._clock.sleep_ms(_RENEW_MS)
+            else:
+                await self._clock.sleep_ms(_RENEW_RETRY_MS)
+
+    def _needs_authority(self) -> bool:
+        if self._own.service != self.service or self._ledger is None:
+            return False
+        return self.map is not None
+
+    async def _read_map(self) -> bool:
+        """Reads the map from the store, by way of another daemon if need be."""
+        try:
+            async with asyncio.timeout(_AUTHORITY_CALL_MS / _MS_PER_S):
+                found = await self._store.get(self._key)
+        except (objects.PlatformUnavailable, TimeoutError):
+            return await self._read_map_by_peer()
+        if found is not None:
+            self._share(found)
+        return found is not None
+
+    async def _read_map_by_peer(self) -> bool:
+        for vm in list(self._links.up())[:3]:
+            try:
+                async with asyncio.timeout(_AUTHORITY_CALL_MS / _MS_PER_S):
+                    reply = await self._links.call(
+                        vm,
+                        lambda number: frames.AuthorityQuery(
+                            number, self.service
+                        ),
+                    )
+            except (
+                TimeoutError,
+                links_lib.PeerLost,
+                links_lib.PeerUnreachable,
+            ):
+                continue
+            if isinstance(reply, frames.AuthorityReply) and reply.version:
+                version = ids.Version(reply.version)
+                self._share(objects.Versioned(self._key, version, reply.value))
+                return True
+        return False
+
+    async def on_authority_query(
+        self, query: frames.AuthorityQuery
+    ) -> frames.Frame:
+        """Reads the map for a daemon that the store does not answer."""
+        try:
+            found = await self._store.get(self._key)
+        except objects.PlatformUnavailable:
+            found = None
+        if found is None:
+            return frames.AuthorityReply(query.number, 0, b"")
+        self._share(found)
+        return frames.AuthorityReply(query.number, found.version, found.value)
+
+    def _share(self, found: objects.Versioned) -> None:
+        event = objects.Event(found.key, found.version, found.value)
+        self._state.apply_event(event, found.version)
+
+    # Keys on their way.
+
+    async def pursue(self) -> None:
+        """Asks earlier owners for the keys that are on their way here."""
+        while True:
+            await self._clock.sleep_ms(_RELEASE_INTERVAL_MS)
+            self._claims.expire(self._clock.now_ms())
+            by_previous: dict[ids.VmId, list[tuple[int, int]]] = {}
+            for wait in self._claims.waits:
+                spans = by_previous.setdefault(wait.previous, [])
+                spans.append((wait.first, wait.last))
+            for vm, spans in by_previous.items():
+                await self._ask_release(vm, tuple(spans))
+
+    async def _ask_release(
+        self, vm: ids.VmId, spans: tuple[tuple[int, int], ...]
+    ) -> None:
+        version = self._claims.map.version
+        try:
+            async with asyncio.timeout(_RELEASE_CALL_MS / _MS_PER_S):
+                reply = await self._links.call(
+                    vm,
+                    lambda number: frames.ReleaseQuery(
+                        number, self.service, version, spans
+                    ),
+                )
+        except (TimeoutError, links_lib.PeerLost, links_lib.PeerUnreachable):
+            return
+        if version != self._claims.map.version:
+            # The keys may have been back with the earlier owner meanwhile.
+            return
+        if isinstance(reply, frames.ReleaseReply) and reply.released:
+            parts = [ledgers.Released(*part) for part in reply.released]
+            self._claims.released(parts)
+
+    def on_release_query(self, query: frames.ReleaseQuery) -> frames.Frame:
+        """Tells which keys the local target no longer holds."""
+        released: list[tuple[int, int, str]] = []
+        if self._claims.map.version >= query.map_version:
+            for first, last in query.ranges:
+                released.extend(self._released(first, last))
+        if released:
+            self._log.write(
+                events.Event.KEYS_RELEASED,
+                service=self.service,
+                map_version=query.map_version,
+                ranges=len(released),
+                with_handover=sum(1 for each in released if each[2]),
+            )
+        return frames.ReleaseReply(query.number, tuple(released))
+
+    def _released(
+        self, first: int, last: int
+    ) -> Iterator[tuple[int, int, str]]:
+        now_ms = self._clock.now_ms()
+        own_rows = self._claims.map.owned_by(self._own.vm)
+        if any(row.first <= last and first <= row.last for row in own_rows):
+            return
+        if not self._claims.may_vouch(first, last, now_ms):
+            return
+        ledger = self._ledger
+        if ledger is None:
+            return
+        is_gone = self._gate.presence is gates.Presence.DOWN
+        if not is_gone and not ledger.is_over(first, last, now_ms):
+            return
+        for part in ledger.handovers(first, last):
+            yield (part.first, part.last, part.handover)
+
+    # Load.
+
+    async def report_load(self) -> None:
+        """Tells the planner which keys are busy."""
+        while True:
+            await self._clock.sleep_ms(_LOAD_INTERVAL_MS)
+            loads = tuple(self._measured_loads())
+            planner = self._fleet.planner()
+            if planner == self._own.vm:
+                self.on_key_load(self._own.vm, loads)
+            elif loads:
+                frame = frames.KeyLoad(self.service, loads)
+                self._links.notify(planner, frame)
+
+    def on_key_load(
+        self, vm: ids.VmId, loads: tuple[tuple[int, int, float], ...]
+    ) -> None:
+        """Adopts what an owner tells of its busy keys."""
+        self._loads_by_vm[vm] = tuple(planning.RowLoad(*load) for load in loads)
+
+    def _measured_loads(self) -> Iterator[tuple[int, int, float]]:
+        now_ms = self._clock.now_ms()
+        passed_s = max(1, now_ms - self._hits_since_ms) / _MS_PER_S
+        hits, self._hits = self._hits, collections.Counter()
+        self._hits_since_ms = now_ms
+        total = hits.total()
+        self._key_rate = total / passed_s
+        hot = {
+            key: count
+            for key, count in hits.most_common(_HOT_KEYS)
+            if count > max(2, _HOT_SHARE * total)
+        }
+        rest: collections.Counter[int] = collections.Counter()
+        for key, count in hits.items():
+            if key not in hot:
+                rest[self._claims.map.index_of(key)] += count
+        for key, count in sorted(hot.items()):
+            yield key, key, round(count / passed_s, 1)
+        for index, count in rest.most_common(_HOT_KEYS):
+            row = self._claims.map.rows[index]
+            yield row.first, row.last, round(count / passed_s, 1)
+
+    # Planning.
+
+    async def plan(self) -> None:
+        """Changes the map whenever this daemon is the planner."""
+        while True:
+            await self._clock.sleep_ms(_PLAN_INTERVAL_MS)
+            planned = self._own_life_change() or self._planned()
+            if planned is not None:
+                await self._write(planned)
+
+    def _own_life_change(self) -> key_map.KeyMap | None:
+        if self.map is None or self._ledger is None:
+            return None
+        if self._own.service != self.service or not self._is_target_alive():
+            return None
+        return planning.adopt_life(self.map, self._own.vm, self._ledger.life)
+
+    def _planned(self) -> key_map.KeyMap | None:
+        if self._fleet.planner() != self._own.vm:
+            return None
+        if not self._state.store_answers or not self._fleet.has_majority():
+            return None
+        candidates = list(self._candidates())
+        if self.map is None:
+            return self._first_map(candidates)
+        leaving = self._leaving()
+        planned = planning.hand_over(self.map, candidates, leaving)
+        if planned is not None:
+            return planned
+        now_ms = self._clock.now_ms()
+        if now_ms - self._rebalanced_ms < _REBALANCE_INTERVAL_MS:
+            return None
+        if not self._all_settled():
+            return None
+        self._rebalanced_ms = now_ms
+        loads = [load for loads in self._loads_by_vm.values() for load in loads]
+        return planning.admit(self.map, candidates) or planning.rebalance(
+            self.map, candidates, loads
+        )
+
+    def _all_settled(self) -> bool:
+        """Returns whether no owner waits for keys."""
+        return all(
+            peer.status is None or peer.status.has_settled_keys
+            for peer in self._fleet.serving(self.service)
+        )
+
+    def _candidates(self) -> Iterator[planning.Candidate]:
+        for peer in self._fleet.serving(self.service):
+            if peer.life is None or peer.status is None:
+                continue
+            yield planning.Candidate(
+                peer.vm,
+                peer.life,
+                max(1, peer.status.limit),
+                peer.status.utilisation_percent / _PERCENT,
+                float(peer.status.key_rate),
+            )
+
+    def _first_map(
+        self, candidates: list[planning.Candidate]
+    ) -> key_map.KeyMap | None:
+        lives = {each.vm: each.life for each in candidates}
+        now_ms = self._clock.now_ms()
+        if lives != self._lives_seen:
+            self._lives_seen = dict(lives)
+            self._settled_since_ms = now_ms
+        if not lives or now_ms - self._settled_since_ms < _SETTLE_MS:
+            return None
+        return planning.deal(candidates)
+
+    def _leaving(self) -> set[ids.VmId]:
+        """Returns the owners whose keys others are to take over."""
+        assert self.map is not None
+        return {vm for vm in self.map.owners() if self._is_lost(vm)}
+
+    def _is_lost(self, vm: ids.VmId) -> bool:
+        peer = self._fleet.by_vm.get(vm)
+        if peer is None or self._fleet.is_evacuated(vm):
+            return True
+        if not self._fleet.is_reachable(vm):
+            return self._links.down_ms(vm) > _LOSS_MS
+        if peer.phase is fleet_lib.TargetPhase.LEAVING:
+            return True
+        if peer.phase is fleet_lib.TargetPhase.READY:
+            self._down_since_ms.pop(vm, None)
+            return False
+        now_ms = self._clock.now_ms()
+        since_ms = self._down_since_ms.setdefault(vm, now_ms)
+        limit_ms = _DOWN_MS
+        if peer.phase is fleet_lib.TargetPhase.ABSENT:
+            limit_ms = _LOSS_MS
+        return now_ms - since_ms > limit_ms
+
+    async def _write(self, planned: key_map.KeyMap) -> None:
+        value = key_map.encode(planned)
+        expected = self._version if self.map is not None else ids.NO_VERSION
+        try:
+            result = await self._store.write(self._key, value, expected)
+        except objects.PlatformUnavailable as error:
+            # The write may still take effect; the watch tells.
+            self._log.write(
+                events.Event.KEY_MAP_PLANNED,
+                service=self.service,
+                map_version=planned.version,
+                result=f"unknown: {error}",
+            )
+            await self._read_map()
+            return
+        match result:
+            case objects.Written(version):
+                self._share(objects.Versioned(self._key, version, value))
+                self._metrics.increment("keys.maps_written")
+            case objects.Conflict(current):
+                if current is not None:
+                    self._share(current)
+        self._log.write(
+            events.Event.KEY_MAP_PLANNED,
+            service=self.service,
+            map_version=planned.version,
+            replaces=int(expected),
+            result=type(result).__name__.lower(),
+            rows=len(planned.rows),
+        )
--- /dev/null
+++ b/mustardloom/sidecar/links.py
@@ -0,0 +1,360 @@
+"""Streams between daemons: one dialled by each side of a pair."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import itertools
+import socket
+from typing import Any
+
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpserver
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.deployment import settings
+from mustardloom.sidecar import frames
+
+__all__ = [
+    "Handler",
+    "Links",
+    "PeerLost",
+    "PeerUnreachable",
+]
+
+Address = settings.Address
+# Returns the reply to a call; None for frames that have none.
+Handler = Callable[
+    [ids.VmId, frames.Frame], Awaitable[frames.Frame | None] | None
+]
+
+_READ_BYTES = 65_536
+_CONNECT_TIMEOUT_MS = 400
+_RECONNECT_MS = 250
+_LONGEST_RECONNECT_MS = 1_500
+# A link on which calls wait is asked for a sign of life after this silence,
+# and is broken if none comes for the second time.
+_QUIET_MS = 300
+_SILENCE_MS = 700
+_WATCH_INTERVAL_MS = 150
+_MS_PER_S = 1_000
+
+
+class PeerUnreachable(Exception):
+    """The frame was certainly not sent."""
+
+
+class PeerLost(Exception):
+    """The frame was sent, but no reply came."""
+
+
+class _Link:
+    """The stream that this daemon dials to one peer."""
+
+    def __init__(self, owner: "Links", vm: ids.VmId, address: Address):
+        self.address = address
+        self.is_up = False
+        self.down_since_ms = owner.clock.now_ms()
+        self._owner = owner
+        self._vm = vm
+        self._stream: iostream.IOStream | None = None
+        self._calls: dict[int, asyncio.Future[frames.Frame]] = {}
+        self._numbers = itertools.count(1)
+        self._heard_ms = 0
+        self._asked_ms = 0
+        self._task = asyncio.create_task(self._run())
+
+    def next_number(self) -> int:
+        """Returns a number for a call."""
+        return next(self._numbers)
+
+    def notify(self, frame: frames.Frame) -> bool:
+        """Sends a frame; returns whether the link was up."""
+        if not self.is_up or self._stream is None:
+            return False
+        try:
+            written = self._stream.write(frames.encode(frame))
+        except iostream.StreamClosedError:
+            return False
+        written.add_done_callback(_ignore_closed)
+        is_question = isinstance(frame, frames.Status | frames.Ping)
+        if is_question and not self._asked_ms:
+            self._asked_ms = self._owner.clock.now_ms()
+        return True
+
+    async def call(self, number: int, frame: frames.Frame) -> frames.Frame:
+        """Sends a frame and returns its reply."""
+        if not self.notify(frame):
+            raise PeerUnreachable(self._vm)
+        reply: asyncio.Future[frames.Frame] = asyncio.Future()
+        self._calls[number] = reply
+        try:
+            return await reply
+        except asyncio.CancelledError:
+            self.notify(frames.Cancel(number))
+            raise
+        finally:
+            self._calls.pop(number, None)
+
+    def check(self, now_ms: int) -> None:
+        """Breaks the link if the peer owes a sign of life for too long."""
+        if self._stream is None or not self.is_up:
+            return
+        if self._asked_ms:
+            if now_ms - self._asked_ms > _SILENCE_MS:
+                self._stream.close()
+        elif self._calls and now_ms - self._heard_ms > _QUIET_MS:
+            self.notify(frames.Ping())
+
+    def close(self) -> None:
+        """Ends the link."""
+        self._task.cancel()
+        self._lose()
+
+    async def _run(self) -> None:
+        pause_ms = _RECONNECT_MS
+        while True:
+            if await self._connect():
+                pause_ms = _RECONNECT_MS
+                await self._read()
+                self._lose()
+            await self._owner.clock.sleep_ms(pause_ms)
+            pause_ms = min(2 * pause_ms, _LONGEST_RECONNECT_MS)
+
+    async def _connect(self) -> bool:
+        stream = iostream.IOStream(socket.socket())
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
+                await stream.connect(self.address)
+        except (OSError, iostream.StreamClosedError):
+            stream.close()
+            return False
+        stream.set_nodelay(True)
+        self._stream = stream
+        self._heard_ms = self._owner.clock.now_ms()
+        self._asked_ms = 0
+        self.is_up = True
+        self.notify(self._owner.hello())
+        self._owner.on_change(self._vm, True)
+        return True
+
+    async def _read(self) -> None:
+        assert self._stream is not None
+        buffer = frames.FrameBuffer()
+        try:
+            while True:
+                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+                self._heard_ms = self._owner.clock.now_ms()
+                self._asked_ms = 0
+                for frame in buffer.feed(data):
+                    self._resolve(frame)
+        except iostream.StreamClosedError:
+            return
+        except ValueError as error:
+            self._owner.on_fault(self._vm, error)
+
+    def _resolve(self, frame: frames.Frame) -> None:
+        number = getattr(frame, "number", None)
+        if number is None:
+            return
+        reply = self._calls.get(number)
+        if reply is not None and not reply.done():
+            reply.set_result(frame)
+
+    def _lose(self) -> None:
+        was_up, self.is_up = self.is_up, False
+        if self._stream is not None:
+            self._stream.close()
+        for reply in self._calls.values():
+            if not reply.done():
+                reply.set_exception(PeerLost(self._vm))
+        self._calls.clear()
+        if was_up:
+            self.down_since_ms = self._owner.clock.now_ms()
+            self._owner.on_change(self._vm, False)
+
+
+class Links:
+    """All links of one daemon.
+
+    Attributes:
+      on_change: Called when the link to a VM goes up or down.
+      on_fault: Called when a peer sends what cannot be read.
+    """
+
+    def __init__(self, vm: ids.VmId, clock: clocks.Clock, handler: Handler):
+        self.clock = clock
+        self.handler = handler
+        self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
+        self.on_fault: Callable[[ids.VmId, Exception], None] = lambda *_: None
+        self._vm = vm
+        self._started_ms = clock.wall_ms()
+        self._link_by_vm: dict[ids.VmId, _Link] = {}
+        self._server = _PeerServer(self)
+
+    def hello(self) -> frames.Hello:
+        """Returns the first frame of a link."""
+        return frames.Hello(self._vm, self._started_ms)
+
+    def listen(self, host: str, port: int) -> int:
+        """Starts to accept links and returns the port.
+
+        Raises:
+          OSError: The address is in use or not available.
+        """
+        sockets = netutil.bind_sockets(port, host)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def retain(self, address_by_vm: dict[ids.VmId, Address]) -> None:
+        """Keeps links to exactly these VMs."""
+        for vm, link in list(self._link_by_vm.items()):
+            if address_by_vm.get(vm) != link.address:
+                self._link_by_vm.pop(vm).close()
+        for vm, address in address_by_vm.items():
+            if vm not in self._link_by_vm and vm != self._vm:
+                self._link_by_vm[vm] = _Link(self, vm, address)
+
+    def is_up(self, vm: ids.VmId) -> bool:
+        """Returns whether the link to a VM is open."""
+        link = self._link_by_vm.get(vm)
+        return link is not None and link.is_up
+
+    def down_ms(self, vm: ids.VmId) -> int:
+        """Returns for how long a VM has not been reachable, 0 if it is."""
+        link = self._link_by_vm.get(vm)
+        if link is None or link.is_up:
+            return 0
+        return self.clock.now_ms() - link.down_since_ms
+
+    def up(self) -> Iterable[ids.VmId]:
+        """Yields the VMs that are reachable."""
+        return (vm for vm, link in self._link_by_vm.items() if link.is_up)
+
+    def notify(self, vm: ids.VmId, frame: frames.Frame) -> bool:
+        """Sends a frame without a reply; returns whether the link was up."""
+        link = self._link_by_vm.get(vm)
+        return link is not None and link.notify(frame)
+
+    def broadcast(self, frame: frames.Frame) -> None:
+        """Sends a frame to all VMs that are reachable."""
+        for link in self._link_by_vm.values():
+            link.notify(frame)
+
+    async def call(
+        self, vm: ids.VmId, make: Callable[[int], frames.Frame]
+    ) -> frames.Frame:
+        """Sends a frame and returns its reply.
+
+        Args:
+          vm: The receiver.
+          make: Returns the frame for a call number.
+
+        Raises:
+          PeerUnreachable: The frame was certainly not sent.
+          PeerLost: It was sent, but no reply came.
+        """
+        link = self._link_by_vm.get(vm)
+        if link is None:
+            raise PeerUnreachable(vm)
+        number = link.next_number()
+        return await link.call(number, make(number))
+
+    async def watch(self) -> None:
+        """Breaks silent links until cancelled."""
+        while True:
+            await self.clock.sleep_ms(_WATCH_INTERVAL_MS)
+            now_ms = self.clock.now_ms()
+            for link in list(self._link_by_vm.values()):
+                link.check(now_ms)
+
+    def close(self) -> None:
+        """Ends all links."""
+        self._server.stop()
+        for link in self._link_by_vm.values():
+            link.close()
+        self._link_by_vm.clear()
+
+
+class _PeerServer(tcpserver.TCPServer):
+    """Accepts the links that peers dial."""
+
+    def __init__(self, owner: Links):
+        super().__init__()
+        self._owner = owner
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[Any, ...]
+    ) -> None:
+        """See base class."""
+        del address
+        stream.set_nodelay(True)
+        await _Incoming(self._owner, stream).run()
+
+
+class _Incoming:
+    """A link that a peer dialled."""
+
+    def __init__(self, owner: Links, stream: iostream.IOStream):
+        self._owner = owner
+        self._stream = stream
+        self._vm: ids.VmId | None = None
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Reads frames until the link ends."""
+        buffer = frames.FrameBuffer()
+        try:
+            while True:
+                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+                for frame in buffer.feed(data):
+                    self._receive(frame)
+        except iostream.StreamClosedError:
+            pass
+        except ValueError as error:
+            self._owner.on_fault(self._vm or ids.VmId(""), error)
+        finally:
+            self._stream.close()
+            for task in list(self._tasks.values()):
+                task.cancel()
+
+    def _receive(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Hello):
+            self._vm = ids.VmId(frame.vm)
+            return
+        if self._vm is None:
+            raise ValueError("no hello")
+        if isinstance(frame, frames.Cancel):
+            task = self._tasks.get(frame.number)
+            if task is not None:
+                task.cancel()
+            return
+        if isinstance(frame, frames.Status | frames.Ping):
+            self._reply(frames.Pong())
+        result = self._owner.handler(self._vm, frame)
+        if result is None:
+            return
+        number: int = getattr(frame, "number", 0)
+        task = asyncio.ensure_future(self._answer(result))
+        self._tasks[number] = task
+        task.add_done_callback(lambda _: self._tasks.pop(number, None))
+
+    async def _answer(self, result: Awaitable[frames.Frame | None]) -> None:
+        reply = await result
+        if reply is not None:
+            self._reply(reply)
+
+    def _reply(self, frame: frames.Frame) -> None:
+        try:
+            written = self._stream.write(frames.encode(frame))
+        except iostream.StreamClosedError:
+            return
+        written.add_done_callback(_ignore_closed)
+
+
+def _ignore_closed(written: "asyncio.Future[None]") -> None:
+    if not written.cancelled():
+        # The reader of the stream reports its loss.
+        written.exception()
--- /dev/null
+++ b/mustardloom/sidecar/local_target.py
@@ -0,0 +1,165 @@
+"""The target beside this daemon, by its heartbeats."""
+
+from collections.abc import Callable
+
+from mustardloom import clock as clocks
+from mustardloom.deployment import configuration
+from mustardloom.deployment import settings
+from mustardloom.deployment import targets
+from mustardloom.http1 import messages
+from mustardloom.platform import announcements
+from mustardloom.sidecar import events
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import gate as gates
+
+__all__ = ["LocalTarget"]
+
+_OK = 200
+_BAD_REQUEST = 400
+# Work may reach a leaving target until this long before the bound.
+_DRAIN_MARGIN_MS = 900
+# Heartbeats that may be missing while the target still answers nothing else.
+_MISSED_HEARTBEATS = 2.6
+_WATCH_INTERVAL_MS = 200
+
+Grants = Callable[[targets.Announcement], announcements.Grant | None]
+
+
+class LocalTarget:
+    """Adopts heartbeats and goodbyes, and tells the gate.
+
+    Attributes:
+      announcement: The newest heartbeat, None if there was none.
+      is_leaving: Whether the target said that it leaves.
+      on_change: Called when other daemons should know of a change.
+    """
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        gate: gates.Gate,
+        grants: Grants,
+        service: Callable[[], configuration.Service | None],
+        clock: clocks.Clock,
+        log: events.EventLog,
+    ):
+        self.announcement: targets.Announcement | None = None
+        self.is_leaving = False
+        self.on_change: Callable[[], None] = lambda: None
+        self._own = own
+        self._gate = gate
+        self._grants = grants
+        self._service = service
+        self._clock = clock
+        self._log = log
+        self._heard_ms = 0
+        gate.on_presence = self._on_presence
+
+    @property
+    def phase(self) -> fleet_lib.TargetPhase:
+        """Returns the state of the target as other daemons see it."""
+        if self.announcement is None:
+            return fleet_lib.TargetPhase.ABSENT
+        if self._gate.presence is not gates.Presence.UP:
+            return fleet_lib.TargetPhase.DOWN
+        if self.is_leaving:
+            return fleet_lib.TargetPhase.LEAVING
+        return fleet_lib.TargetPhase.READY
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Returns the answer to a notice of the target."""
+        try:
+            notice = announcements.decode(request)
+        except announcements.NotUnderstood as error:
+            return self._reject(str(error))
+        match notice:
+            case announcements.Heartbeat(announcement, address):
+                return self._heartbeat(announcement, address)
+            case announcements.Goodbye(target):
+                return self._goodbye(target)
+
+    async def watch(self) -> None:
+        """Notices a target that falls silent, until cancelled."""
+        limit_ms = round(_MISSED_HEARTBEATS * self._own.heartbeat_ms)
+        while True:
+            await self._clock.sleep_ms(_WATCH_INTERVAL_MS)
+            if self.announcement is None:
+                continue
+            latest_ms = max(self._heard_ms, self._gate.last_answer_ms())
+            if self._clock.now_ms() - latest_ms > limit_ms:
+                self._gate.silent()
+
+    def _heartbeat(
+        self, announcement: targets.Announcement, address: str
+    ) -> messages.Response:
+        host, port = self._own.target_address
+        if address != f"{host}:{port}":
+            return self._reject(f"address {address!r} is not the target's")
+        if announcement.service != self._own.service:
+            return self._reject(f"service {announcement.service!r}")
+        if announcement.availability_zone != self._own.availability_zone:
+            return self._reject(f"zone {announcement.availability_zone!r}")
+        if self._is_outdated(announcement):
+            return announcements.answer_heartbeat(None)
+        self._adopt(announcement)
+        return announcements.answer_heartbeat(self._grants(announcement))
+
+    def _is_outdated(self, announcement: targets.Announcement) -> bool:
+        """Returns whether a later heartbeat or run is known."""
+        known = self.announcement
+        if known is None:
+            return False
+        if announcement.life == known.life:
+            return announcement.sequence <= known.sequence
+        return announcement.life.born_ms < known.life.born_ms
+
+    def _adopt(self, announcement: targets.Announcement) -> None:
+        known = self.announcement
+        is_new = known is None or known.life != announcement.life
+        self.announcement = announcement
+        self._heard_ms = self._clock.now_ms()
+        if is_new:
+            self.is_leaving = False
+            self._log.write(
+                events.Event.TARGET_NEW,
+                target=announcement.life.target,
+                born_ms=announcement.life.born_ms,
+                capacity=announcement.capacity,
+                cold_left_ms=announcement.cold_left_ms,
+            )
+        self._gate.adopt(announcement.life, announcement.capacity)
+        service = self._service()
+        if service is not None:
+            self._gate.set_cold(announcement.cold_left_ms, service.cold_per_s)
+        if announcement.phase is targets.Phase.DRAINING:
+            self._leave("draining")
+        if is_new:
+            self.on_change()
+
+    def _goodbye(self, target: targets.TargetId) -> messages.Response:
+        known = self.announcement
+        if known is not None and known.life.target == target:
+            self._leave("goodbye")
+        return messages.Response(_OK)
+
+    def _leave(self, notice: str) -> None:
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        allowed_ms = max(0, self._own.bounds.drain_ms - _DRAIN_MARGIN_MS)
+        self._gate.close_at(self._clock.now_ms() + allowed_ms)
+        self._log.write(
+            events.Event.TARGET_LEAVING, notice=notice, work_for_ms=allowed_ms
+        )
+        self.on_change()
+
+    def _reject(self, reason: str) -> messages.Response:
+        self._log.write(events.Event.NOTICE_REJECTED, reason=reason)
+        return messages.Response(_BAD_REQUEST)
+
+    def _on_presence(self, presence: gates.Presence) -> None:
+        event = events.Event.TARGET_DOWN
+        if presence is gates.Presence.UP:
+            event = events.Event.TARGET_BACK
+        self._log.write(event, presence=presence.value)
+        self.on_change()
--- /dev/null
+++ b/mustardloom/sidecar/shared_state.py
@@ -0,0 +1,147 @@
+"""Copies of stored objects, from watches and from other daemons."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Protocol
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom import objects
+from mustardloom.deployment import stored
+
+__all__ = ["KindCopy", "ObjectStore", "SharedState"]
+
+# Waiting watches are priced; a longer wait means fewer of them.
+_WATCH_WAIT_MS = 20_000
+_FIRST_PAUSE_MS = 200
+_LONGEST_PAUSE_MS = 1_500
+
+Callback = Callable[[stored.Kind], None]
+
+
+class ObjectStore(Protocol):
+    """What is needed of the platform's store; see `platform.object_api`."""
+
+    async def get(self, key: str) -> objects.Versioned | None:
+        """Returns an object, or None if there is none."""
+
+    async def list_objects(self, kind: stored.Kind) -> objects.Listing:
+        """Returns all objects of a kind."""
+
+    async def watch(
+        self, kind: stored.Kind, after: ids.Version, wait_ms: int
+    ) -> objects.WatchBatch:
+        """Returns changes of a kind after a version."""
+
+    async def write(
+        self, key: str, value: bytes, expected: ids.Version
+    ) -> objects.Written | objects.Conflict:
+        """Writes an object if it has the expected version."""
+
+
+@dataclasses.dataclass(slots=True)
+class KindCopy:
+    """All objects of one kind.
+
+    Attributes:
+      by_key: The objects.
+      changed: Version as of which the last change was seen; 0 if never read.
+    """
+
+    by_key: dict[str, objects.Versioned]
+    changed: ids.Version = ids.NO_VERSION
+
+
+class SharedState:
+    """Objects of all kinds, kept up to date by one task each.
+
+    Args:
+      store: The store.
+      clock: Source of time.
+      on_change: Called after objects of a kind have changed.
+      on_store: Called with whether the store answers, when that changes.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: clocks.Clock,
+        on_change: Callback,
+        on_store: Callable[[bool], None] = lambda _: None,
+    ):
+        self.by_kind = {kind: KindCopy({}) for kind in stored.Kind}
+        self.store_answers = True
+        self._store = store
+        self._clock = clock
+        self._on_change = on_change
+        self._on_store = on_store
+
+    def changes(self) -> tuple[int, ...]:
+        """Returns the last change known of each kind, in order of `Kind`."""
+        return tuple(self.by_kind[kind].changed for kind in stored.Kind)
+
+    def behind(self, changes: tuple[int, ...]) -> list[stored.Kind]:
+        """Returns the kinds of which somebody else knows a later change."""
+        kinds = zip(stored.Kind, changes, strict=False)
+        return [
+            kind for kind, known in kinds if known > self.by_kind[kind].changed
+        ]
+
+    def apply_event(self, event: objects.Event, up_to: ids.Version) -> None:
+        """Takes over one change unless a later one is known."""
+        kind = stored.kind_of(event.key)
+        copy = self.by_kind[kind]
+        known = copy.by_key.get(event.key)
+        if known is not None and event.version < known.version:
+            return
+        if event.value is None:
+            copy.by_key.pop(event.key, None)
+        else:
+            copy.by_key[event.key] = objects.Versioned(
+                event.key, event.version, event.value
+            )
+        copy.changed = max(copy.changed, up_to)
+        self._on_change(kind)
+
+    def apply_listing(self, kind: stored.Kind, found: objects.Listing) -> None:
+        """Takes over all objects of a kind unless later ones are known."""
+        copy = self.by_kind[kind]
+        if found.version < copy.changed:
+            return
+        by_key = {each.key: each for each in found.objects}
+        if by_key == copy.by_key and copy.changed:
+            return
+        copy.by_key = by_key
+        copy.changed = found.version
+        self._on_change(kind)
+
+    async def follow(self, kind: stored.Kind) -> None:
+        """Lists a kind and watches it until cancelled."""
+        pause_ms = _FIRST_PAUSE_MS
+        after: ids.Version | None = None
+        while True:
+            try:
+                if after is None:
+                    listing = await self._store.list_objects(kind)
+                    self.apply_listing(kind, listing)
+                    after = listing.version
+                    self._seen(True)
+                batch = await self._store.watch(kind, after, _WATCH_WAIT_MS)
+            except stored.HistoryGone:
+                after = None
+                continue
+            except objects.PlatformUnavailable:
+                self._seen(False)
+                await self._clock.sleep_ms(pause_ms)
+                pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+                continue
+            pause_ms = _FIRST_PAUSE_MS
+            self._seen(True)
+            for event in batch.events:
+                self.apply_event(event, batch.version)
+            after = batch.version
+
+    def _seen(self, answers: bool) -> None:
+        if answers != self.store_answers:
+            self.store_answers = answers
+            self._on_store(answers)
--- /dev/null
+++ b/mustardloom/sidecar/target.py
@@ -0,0 +1,195 @@
+"""Connections to the local target and what its answers mean."""
+
+import asyncio
+import dataclasses
+
+from mustardloom import clock as clocks
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import settings
+from mustardloom.deployment import targets
+from mustardloom.http1 import client
+from mustardloom.http1 import messages
+from mustardloom.platform import headers
+from mustardloom.sidecar import work
+
+__all__ = ["Exchange", "TargetConnections"]
+
+_MS_PER_S = 1_000
+_CONNECT_TIMEOUT_MS = 400
+# A target answers at the deadline itself; later it counts as silent.
+_ANSWER_SLACK_MS = 250
+_DEFAULT_IDLE_MS = 8_000
+# Share of the announced idle time for which a connection is used.
+_IDLE_SHARE = 0.8
+# Statuses from here on need no signature.
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """What came of sending one request to the target.
+
+    Attributes:
+      load: Load that the target told with its answer.
+      is_refused_connection: Nobody listens on the target's address.
+      is_silent: The target did not answer at all.
+      is_broken: The connection ended while the target had the request.
+    """
+
+    outcome: work.Outcome
+    load: targets.TargetLoad | None = None
+    is_refused_connection: bool = False
+    is_silent: bool = False
+    is_broken: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Idle:
+    """A connection that waits for its next request."""
+
+    connection: client.Connection
+    until_ms: int
+
+
+class TargetConnections:
+    """Keep-alive connections to the local target.
+
+    Attributes:
+      opened: Connections opened so far.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.opened = 0
+        self._address = address
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: list[_Idle] = []
+
+    def close(self) -> None:
+        """Closes the connections that are idle."""
+        while self._idle:
+            self._idle.pop().connection.close()
+
+    async def send(
+        self, request: work.Work, target: targets.TargetId
+    ) -> Exchange:
+        """Sends a request to the target; cancelling it closes the connection.
+
+        Args:
+          request: The request.
+          target: The run of the target that is to get it.
+        """
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        limit_ms = max(0, left_ms) + _ANSWER_SLACK_MS
+        try:
+            async with asyncio.timeout(limit_ms / _MS_PER_S):
+                return await self._send(request, target)
+        except TimeoutError:
+            reason = work.FailureReason.DEADLINE
+            return Exchange(work.Failed(reason), is_silent=True)
+
+    async def probe(self, path: str, timeout_ms: int) -> messages.Response:
+        """Asks the health check.
+
+        Raises:
+          client.ConnectFailed: Nothing was sent.
+          client.ClosedEarly: No byte came back.
+          client.Incomplete: The response is not valid.
+          TimeoutError: No answer came in time.
+        """
+        async with asyncio.timeout(timeout_ms / _MS_PER_S):
+            connection = await client.connect(self._address, timeout_ms)
+            try:
+                host = f"{self._address[0]}:{self._address[1]}".encode()
+                request = messages.Request("GET", path, ((b"Host", host),), b"")
+                data = messages.encode_request(request)
+                return await connection.exchange(data)
+            finally:
+                connection.close()
+
+    async def _send(
+        self, request: work.Work, target: targets.TargetId
+    ) -> Exchange:
+        try:
+            connection = await self._acquire()
+        except client.ConnectFailed as error:
+            self._metrics.increment("target.connect_failed")
+            refusal = work.Refused(work.RefusalReason.TARGET_DOWN)
+            return Exchange(
+                refusal,
+                is_refused_connection=error.refused,
+                is_silent=not error.refused,
+            )
+        try:
+            response = await connection.exchange(
+                self._encode(request, target),
+                request.method == "HEAD",
+                headers.expects_id(request.request_id),
+            )
+        except client.ClosedEarly:
+            self._metrics.increment("target.closed_early")
+            reason = work.FailureReason.TARGET_LOST
+            return Exchange(work.Failed(reason), is_broken=True)
+        except client.Incomplete:
+            self._metrics.increment("target.incomplete")
+            return Exchange(work.Failed(work.FailureReason.INCOMPLETE))
+        except BaseException:
+            connection.close()
+            raise
+        fields = headers.read_response(response)
+        self._release(connection, fields.idle_ms)
+        return Exchange(self._outcome(response, fields), fields.load)
+
+    def _encode(self, request: work.Work, target: targets.TargetId) -> bytes:
+        left_ms = max(1, request.deadline_ms - self._clock.now_ms())
+        sent = headers.to_target(
+            request.headers, request.caller_service, left_ms, target
+        )
+        return messages.encode_request(
+            messages.Request(request.method, request.target, sent, request.body)
+        )
+
+    def _outcome(
+        self, response: messages.Response, fields: headers.ResponseFields
+    ) -> work.Outcome:
+        if fields.is_not_run:
+            reason = work.RefusalReason.TARGET_REFUSED
+            if fields.is_misdirected:
+                reason = work.RefusalReason.NOT_OWNER
+            return work.Refused(reason, was_offered=True)
+        if not fields.is_signed and response.status < _SERVER_ERROR:
+            return work.Failed(work.FailureReason.NOT_SIGNED)
+        if fields.is_encoded:
+            return work.Failed(work.FailureReason.ENCODED)
+        return work.Answered(
+            messages.Response(
+                response.status,
+                headers.to_caller(response.headers),
+                response.body,
+            )
+        )
+
+    async def _acquire(self) -> client.Connection:
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            idle = self._idle.pop()
+            if now_ms < idle.until_ms and idle.connection.is_open():
+                return idle.connection
+            idle.connection.close()
+        self.opened += 1
+        self._metrics.increment("target.connections_opened")
+        return await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+
+    def _release(
+        self, connection: client.Connection, idle_ms: int | None
+    ) -> None:
+        if not connection.is_reusable:
+            return
+        usable_ms = round((idle_ms or _DEFAULT_IDLE_MS) * _IDLE_SHARE)
+        until_ms = self._clock.now_ms() + usable_ms
+        self._idle.append(_Idle(connection, until_ms))
--- /dev/null
+++ b/mustardloom/sidecar/work.py
@@ -0,0 +1,115 @@
+"""A request on its way through the fleet, and what becomes of it."""
+
+import dataclasses
+import enum
+
+from mustardloom import ids
+from mustardloom.http1 import messages
+
+__all__ = [
+    "NO_VM",
+    "Answered",
+    "Failed",
+    "FailureReason",
+    "Outcome",
+    "RefusalReason",
+    "Refused",
+    "Work",
+]
+
+
+NO_VM = ids.VmId("")
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was certainly not run."""
+
+    NO_TARGET = "no-target"
+    TARGET_DOWN = "target-down"
+    TARGET_REFUSED = "target-refused"
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    COLD = "cold"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    NO_OWNER = "no-owner"
+    NOT_OWNER = "not-owner"
+    NO_KEY = "no-key"
+    UNREACHABLE = "unreachable"
+    CANCELLED = "cancelled"
+    STOPPING = "stopping"
+    NO_CONFIGURATION = "no-configuration"
+
+
+class FailureReason(enum.Enum):
+    """Why it is not known whether a request ran, or it failed."""
+
+    PEER_LOST = "peer-lost"
+    TARGET_LOST = "target-lost"
+    INCOMPLETE = "incomplete"
+    NOT_SIGNED = "not-signed"
+    ENCODED = "encoded"
+    DEADLINE = "deadline"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """One request, matched to a route and a service.
+
+    Attributes:
+      headers: End-to-end headers of the caller.
+      caller_service: Service on whose VM the request began.
+      objective_ms: Local time until which an answer has its full value.
+      deadline_ms: Local time after which an answer is worth nothing.
+      key: Key that decides the owner, None if any target may run it.
+      fingerprint: Equal for repetitions of the same request.
+    """
+
+    method: str
+    target: str
+    headers: tuple[messages.Header, ...]
+    body: bytes
+    request_id: str
+    route: ids.RouteId
+    caller_service: ids.ServiceId
+    is_idempotent: bool
+    priority: int
+    objective_ms: int
+    deadline_ms: int
+    key: int | None
+    fingerprint: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target's whole response."""
+
+    response: messages.Response
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was certainly not run.
+
+    Attributes:
+      retry_after_ms: When there may be room.
+      was_offered: Whether a target turned it away itself.
+      owner: VM to ask instead; empty if none.
+    """
+
+    reason: RefusalReason
+    retry_after_ms: int = 0
+    was_offered: bool = False
+    owner: ids.VmId = NO_VM
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run."""
+
+    reason: FailureReason
+
+
+Outcome = Answered | Refused | Failed
--- a/mustardloom/standins/platform.py
+++ b/mustardloom/standins/platform.py
@@ -10,9 +10,9 @@
 
 from mustardloom import clock as clocks
 from mustardloom import ids
+from mustardloom import objects
 from mustardloom.store import http_client
 from mustardloom.store import memory
-from mustardloom.store import objects
 from mustardloom.store import raw
 
 __all__ = ["PlatformServer"]
--- a/mustardloom/standins/tests/test_platform.py
+++ b/mustardloom/standins/tests/test_platform.py
@@ -7,10 +7,10 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom.standins import platform
 from mustardloom.store import http_client
 from mustardloom.store import memory
-from mustardloom.store import objects
 from mustardloom.store import raw
 
 
--- a/mustardloom/store/__init__.py
+++ b/mustardloom/store/__init__.py
@@ -1,22 +1,22 @@
 """Access to the platform's object API."""
 
+from mustardloom.objects import Conflict
+from mustardloom.objects import Event
+from mustardloom.objects import Listing
+from mustardloom.objects import PlatformUnavailable
+from mustardloom.objects import RecordedWrite
+from mustardloom.objects import Snapshot
+from mustardloom.objects import Undecided
+from mustardloom.objects import Versioned
+from mustardloom.objects import WatchBatch
+from mustardloom.objects import Write
+from mustardloom.objects import WriteResult
+from mustardloom.objects import Written
 from mustardloom.store.client import PlatformClient
 from mustardloom.store.http_client import HttpPlatformClient
 from mustardloom.store.memory import Faults
 from mustardloom.store.memory import MemoryPlatform
 from mustardloom.store.memory import MemoryStore
-from mustardloom.store.objects import Conflict
-from mustardloom.store.objects import Event
-from mustardloom.store.objects import Listing
-from mustardloom.store.objects import PlatformUnavailable
-from mustardloom.store.objects import RecordedWrite
-from mustardloom.store.objects import Snapshot
-from mustardloom.store.objects import Undecided
-from mustardloom.store.objects import Versioned
-from mustardloom.store.objects import WatchBatch
-from mustardloom.store.objects import Write
-from mustardloom.store.objects import WriteResult
-from mustardloom.store.objects import Written
 from mustardloom.store.raw import ValueTooLarge
 from mustardloom.store.read_back import ReadBackClient
 
--- a/mustardloom/store/client.py
+++ b/mustardloom/store/client.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from mustardloom import ids
-from mustardloom.store import objects
+from mustardloom import objects
 
 __all__ = ["PlatformClient"]
 
--- a/mustardloom/store/http_client.py
+++ b/mustardloom/store/http_client.py
@@ -9,8 +9,8 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom.store import http_pool
-from mustardloom.store import objects
 from mustardloom.store import raw
 from mustardloom.store import read_back
 
--- a/mustardloom/store/read_back.py
+++ b/mustardloom/store/read_back.py
@@ -5,7 +5,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
-from mustardloom.store import objects
+from mustardloom import objects
 from mustardloom.store import raw
 from mustardloom.store import timeouts
 
--- a/mustardloom/store/tests/test_read_back.py
+++ b/mustardloom/store/tests/test_read_back.py
@@ -11,8 +11,8 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom.store import memory
-from mustardloom.store import objects
 from mustardloom.store import raw
 from mustardloom.store import read_back
 
