Hand keys over within 100 ms, compress the streams between daemons

A target that must release a key reports again within 100 ms, so one idle key is left out while keys move or the target is busy. Rows move from each owner that is settled by itself.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -88,6 +88,15 @@
 
     def reported(self, held: Iterable[targets.HeldRange]) -> None:
         """Ends the waits for keys that the target holds under our fence."""
+        held = tuple(held)
+        self._handovers = [
+            part
+            for part in self._handovers
+            if not any(
+                each.first <= part.first and part.last <= each.last
+                for each in held
+            )
+        ]
         for each in held:
             row = self.map.row_of(each.first)
             if row.owner != self._vm or each.fence < row.fence:
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -47,6 +47,8 @@
     Attributes:
       utilisation: Share of its capacity that was busy lately; may exceed 1.
       rate: Requests a second for its keys.
+      may_give: Whether its keys may move: none are on their way to it, and
+        its figures are newer than its last move.
     """
 
     vm: ids.VmId
@@ -54,6 +56,7 @@
     capacity: int
     utilisation: float = 0.0
     rate: float = 0.0
+    may_give: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,6 +180,8 @@
             break
         if row.owner not in able or row.owner in empty:
             continue
+        if not able[row.owner].may_give:
+            continue
         own_fair = key_map.KEYS * able[row.owner].capacity / total
         if keys_by_vm[row.owner] - row.width < own_fair * _LEFT_SHARE:
             continue
@@ -212,7 +217,10 @@
     rate_by_first = _rates(rows, loads)
     moves: dict[int, ids.VmId] = {}
     for _ in range(_MAX_MOVES):
-        source = max(busy, key=lambda vm: busy[vm])
+        givers = [vm for vm, each in able.items() if each.may_give]
+        if not givers:
+            break
+        source = max(givers, key=lambda vm: busy[vm])
         sink = min(busy, key=lambda vm: (busy[vm], vm))
         gap = busy[source] - busy[sink]
         if busy[source] < _COMFORTABLE or gap < _WORTH_MOVING:
--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -30,6 +30,7 @@
 _COLD = b"x-cold-ms"
 _KEEP_ALIVE = b"keep-alive"
 _HOST = b"host"
+_PARENT_SEPARATOR = "."
 _CODING = b"content-encoding"
 _KEYS = 65_536
 _PERCENT = 100
@@ -50,12 +51,14 @@
     Attributes:
       deadline_ms: How long the caller waits, None if it does not say.
       key: Key that decides the owner, None if there is none.
+      is_call: A request that runs already waits for this one.
     """
 
     host: str
     request_id: str
     deadline_ms: int | None
     key: int | None
+    is_call: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,11 +87,14 @@
     value_by_name = {name.lower(): value for name, value in request.headers}
     host = value_by_name.get(_HOST, b"").decode("latin1").lower()
     key = _integer(value_by_name.get(_KEY))
+    request_id = value_by_name.get(REQUEST_ID, b"").decode("latin1")
     return CallerFields(
         host=host.partition(":")[0],
-        request_id=value_by_name.get(REQUEST_ID, b"").decode("latin1"),
+        request_id=request_id,
         deadline_ms=_integer(value_by_name.get(_DEADLINE)),
         key=key if key is not None and key < _KEYS else None,
+        # Targets append the id of the request that they run to their own.
+        is_call=_PARENT_SEPARATOR in request_id,
     )
 
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -282,6 +282,7 @@
             self._log,
             self._metrics,
         )
+        keyspace.on_settled = self._tell_one
         self._keyspace_by_service[service] = keyspace
         self._adopt_maps()
         self._start(keyspace.plan())
@@ -440,6 +441,9 @@
             if (peer.record.region == self._own.region) == is_near:
                 self._links.notify(vm, self._status(vm))
 
+    def _tell_one(self, vm: ids.VmId) -> None:
+        self._links.notify(vm, self._status(vm))
+
     def _tell_all(self) -> None:
         self._fleet.told(self._own.vm, self._status(self._own.vm))
         self._tell(is_near=True)
@@ -463,7 +467,9 @@
             utilisation_percent=round(load.utilisation * _PERCENT),
             key_rate=0 if keyspace is None else round(keyspace.key_rate),
             is_stopping=self._is_stopping,
-            has_settled_keys=keyspace is None or keyspace.has_settled,
+            settled_version=(
+                0 if keyspace is None else keyspace.settled_version
+            ),
             changes=self._state.changes(),
         )
 
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -105,6 +105,7 @@
             _NO_KEY if request.key is None else request.key,
             may_wait,
             request.fingerprint,
+            request.is_call,
         )
 
     def _work(self, frame: frames.Forward) -> work.Work:
@@ -123,6 +124,7 @@
             now_ms + frame.deadline_ms,
             None if frame.key == _NO_KEY else frame.key,
             frame.fingerprint,
+            frame.is_call,
         )
 
     def _reply(self, number: int, outcome: work.Outcome) -> frames.Frame:
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -72,6 +72,7 @@
     key: int
     may_wait: bool
     fingerprint: int
+    is_call: bool
 
 
 class Answer(_Base, frozen=True, tag=2):
@@ -121,6 +122,8 @@
       phase: Value of `peers.TargetPhase`.
       sent_by_you: Open requests at this gate that came from the receiver.
       key_rate: Requests a second for keys of the target.
+      settled_version: Version of the key map by which the target has all its
+        keys; 0 while some are on their way.
       changes: Latest change known of each kind of stored object.
     """
 
@@ -136,7 +139,7 @@
     utilisation_percent: int
     key_rate: int
     is_stopping: bool
-    has_settled_keys: bool
+    settled_version: int
     changes: tuple[int, ...]
 
 
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -281,7 +281,7 @@
     def _demand(self, request: work.Work) -> waiting.Demand:
         return waiting.Demand(
             request.priority,
-            False,
+            request.is_call,
             request.objective_ms,
             request.deadline_ms,
             self._times.expected(request.route),
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -109,6 +109,7 @@
                 None if fields.key is None else str(fields.key),
                 request.body,
             ),
+            is_call=fields.is_call,
         )
 
     async def _respond(
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 
 from mustardloom import clock as clocks
 from mustardloom import ids
@@ -45,6 +47,11 @@
 _LOAD_INTERVAL_MS = 1_000
 _HOT_KEYS = 24
 _HOT_SHARE = 0.015
+# The target is made to report often for so long after a change of the map,
+# and while it is so busy that its keys may have to move.
+_PACING_MS = 2_000
+_PACING_LOAD = 0.6
+_TAKEN_HOLD_OFF_MS = 1_200
 _MS_PER_S = 1_000
 _PERCENT = 100
 
@@ -93,6 +100,14 @@
         self._rebalanced_ms = 0
         self._down_since_ms: dict[ids.VmId, int] = {}
         self._key_rate = 0.0
+        # Keys left out of the last answer to make the target report soon.
+        self._pacing_key: int | None = None
+        self._last_pacing_key: int | None = None
+        self._map_changed_ms = 0
+        # Versions by which the planner gave keys to VMs, and when it took some.
+        self._given_version: dict[ids.VmId, int] = {}
+        self._taken_ms: dict[ids.VmId, int] = {}
+        self.on_settled: Callable[[ids.VmId], None] = lambda _: None
 
     # Queries.
 
@@ -107,9 +122,9 @@
         return self._key_rate
 
     @property
-    def has_settled(self) -> bool:
-        """Returns whether no key of the local target is on its way."""
-        return not self._claims.waits
+    def settled_version(self) -> int:
+        """Returns the version of the map if no key is on its way, else 0."""
+        return 0 if self._claims.waits else self._claims.map.version
 
     def check(self, key: int) -> gates.KeyCheck:
         """Returns whether the local target holds a key."""
@@ -144,6 +159,7 @@
         if hold_ms <= 0:
             return None
         rows = list(self._claims.grantable()) if life == ledger.life else []
+        rows = self._paced(rows, ledger, now_ms)
         ledger.grant(rows, hold_ms, now_ms)
         self._claims.granted(rows)
         ranges = tuple(
@@ -151,6 +167,31 @@
         )
         return announcements.Grant(ranges, hold_ms)
 
+    def _paced(
+        self, rows: list[key_map.Row], ledger: ledgers.GrantLedger, now_ms: int
+    ) -> list[key_map.Row]:
+        """Leaves out one idle key while keys move or the target is busy.
+
+        A target that has to release keys reports again within 100 ms, and
+        grants travel in the answers to its reports only.
+        """
+        if self._pacing_key is not None:
+            key, self._pacing_key = self._pacing_key, None
+            self._claims.released(ledger.handovers(key, key))
+        is_moving = bool(self._claims.waits) or (
+            now_ms - self._map_changed_ms < _PACING_MS
+        )
+        if not is_moving and self._gate.load().utilisation < _PACING_LOAD:
+            return rows
+        for index, row in enumerate(rows):
+            if row.width > 1 and not self._hits[row.last]:
+                if row.last == self._last_pacing_key:
+                    continue
+                self._pacing_key = self._last_pacing_key = row.last
+                rows[index] = dataclasses.replace(row, last=row.last - 1)
+                break
+        return rows
+
     def _new_ledger(
         self, life: targets.Life, now_ms: int
     ) -> ledgers.GrantLedger:
@@ -194,7 +235,11 @@
         self._version = max(self._version, found.version)
         if new.version <= self._claims.map.version:
             return
-        self._claims.adopt(new, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        old = self._claims.map
+        self._claims.adopt(new, now_ms)
+        if old.owned_by(self._own.vm) != new.owned_by(self._own.vm):
+            self._map_changed_ms = now_ms
         self._log.write(
             events.Event.KEY_MAP_ADOPTED,
             service=self.service,
@@ -306,6 +351,8 @@
         if isinstance(reply, frames.ReleaseReply) and reply.released:
             parts = [ledgers.Released(*part) for part in reply.released]
             self._claims.released(parts)
+            if not self._claims.waits:
+                self.on_settled(self._fleet.planner())
 
     def on_release_query(self, query: frames.ReleaseQuery) -> frames.Frame:
         """Tells which keys the local target no longer holds."""
@@ -415,21 +462,12 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._rebalanced_ms < _REBALANCE_INTERVAL_MS:
             return None
-        if not self._all_settled():
-            return None
         self._rebalanced_ms = now_ms
         loads = [load for loads in self._loads_by_vm.values() for load in loads]
         return planning.admit(self.map, candidates) or planning.rebalance(
             self.map, candidates, loads
         )
 
-    def _all_settled(self) -> bool:
-        """Returns whether no owner waits for keys."""
-        return all(
-            peer.status is None or peer.status.has_settled_keys
-            for peer in self._fleet.serving(self.service)
-        )
-
     def _candidates(self) -> Iterator[planning.Candidate]:
         for peer in self._fleet.serving(self.service):
             if peer.life is None or peer.status is None:
@@ -440,8 +478,23 @@
                 max(1, peer.status.limit),
                 peer.status.utilisation_percent / _PERCENT,
                 float(peer.status.key_rate),
+                self._may_give(peer),
             )
 
+    def _may_give(self, peer: fleet_lib.Peer) -> bool:
+        assert peer.status is not None
+        given = max(1, self._given_version.get(peer.vm, 0))
+        taken_ms = self._taken_ms.get(peer.vm, -_TAKEN_HOLD_OFF_MS)
+        is_recent = self._clock.now_ms() - taken_ms < _TAKEN_HOLD_OFF_MS
+        return peer.status.settled_version >= given and not is_recent
+
+    def _note_moves(self, planned: key_map.KeyMap) -> None:
+        now_ms = self._clock.now_ms()
+        for row in planned.rows:
+            if row.fence == planned.version and row.previous:
+                self._given_version[row.owner] = planned.version
+                self._taken_ms[row.previous] = now_ms
+
     def _first_map(
         self, candidates: list[planning.Candidate]
     ) -> key_map.KeyMap | None:
@@ -496,6 +549,7 @@
             case objects.Written(version):
                 self._share(objects.Versioned(self._key, version, value))
                 self._metrics.increment("keys.maps_written")
+                self._note_moves(planned)
             case objects.Conflict(current):
                 if current is not None:
                     self._share(current)
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -15,6 +15,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom.deployment import settings
+from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 
 __all__ = [
@@ -60,6 +61,7 @@
         self._owner = owner
         self._vm = vm
         self._stream: iostream.IOStream | None = None
+        self._compressor = compression.Compressor()
         self._calls: dict[int, asyncio.Future[frames.Frame]] = {}
         self._numbers = itertools.count(1)
         self._heard_ms = 0
@@ -75,7 +77,8 @@
         if not self.is_up or self._stream is None:
             return False
         try:
-            written = self._stream.write(frames.encode(frame))
+            data = self._compressor.pack(frames.encode(frame))
+            written = self._stream.write(data)
         except iostream.StreamClosedError:
             return False
         written.add_done_callback(_ignore_closed)
@@ -133,6 +136,7 @@
             return False
         stream.set_nodelay(True)
         self._stream = stream
+        self._compressor = compression.Compressor()
         self._heard_ms = self._owner.clock.now_ms()
         self._asked_ms = 0
         self.is_up = True
@@ -143,12 +147,13 @@
     async def _read(self) -> None:
         assert self._stream is not None
         buffer = frames.FrameBuffer()
+        decompressor = compression.Decompressor()
         try:
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
                 self._heard_ms = self._owner.clock.now_ms()
                 self._asked_ms = 0
-                for frame in buffer.feed(data):
+                for frame in buffer.feed(decompressor.unpack(data)):
                     self._resolve(frame)
         except iostream.StreamClosedError:
             return
@@ -300,16 +305,18 @@
     def __init__(self, owner: Links, stream: iostream.IOStream):
         self._owner = owner
         self._stream = stream
+        self._compressor = compression.Compressor()
         self._vm: ids.VmId | None = None
         self._tasks: dict[int, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Reads frames until the link ends."""
         buffer = frames.FrameBuffer()
+        decompressor = compression.Decompressor()
         try:
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
-                for frame in buffer.feed(data):
+                for frame in buffer.feed(decompressor.unpack(data)):
                     self._receive(frame)
         except iostream.StreamClosedError:
             pass
@@ -348,7 +355,8 @@
 
     def _reply(self, frame: frames.Frame) -> None:
         try:
-            written = self._stream.write(frames.encode(frame))
+            data = self._compressor.pack(frames.encode(frame))
+            written = self._stream.write(data)
         except iostream.StreamClosedError:
             return
         written.add_done_callback(_ignore_closed)
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -65,6 +65,7 @@
       deadline_ms: Local time after which an answer is worth nothing.
       key: Key that decides the owner, None if any target may run it.
       fingerprint: Equal for repetitions of the same request.
+      is_call: Whether a request that runs already waits for this one.
     """
 
     method: str
@@ -80,6 +81,7 @@
     deadline_ms: int
     key: int | None
     fingerprint: int
+    is_call: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
