Limit a cold target before the configuration is known

The rate is now a property of the gate and low while it is not known; part of the tolerated excess is used.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -108,9 +108,10 @@
             self._log,
             self._metrics,
             self._check_key,
+            own.bounds.cold_factor,
         )
         self._target = local_target.LocalTarget(
-            own, self._gate, self._grants, self._own_service, clock, self._log
+            own, self._gate, self._grants, clock, self._log
         )
         self._target.on_change = self._tell_all
         self._forwarder = forwarders.Forwarder(
@@ -263,6 +264,9 @@
             store_version=found.version,
             routes=len(new.routes),
         )
+        own_service = new.service_by_name.get(self._own.service)
+        if own_service is not None:
+            self._gate.set_cold_per_s(own_service.cold_per_s)
         for service in new.service_by_name.values():
             if service.is_keyed:
                 self._open_keyspace(service.name)
@@ -500,11 +504,6 @@
             limits.idle_timeout_ms,
         )
 
-    def _own_service(self) -> configuration.Service | None:
-        if self._configuration is None:
-            return None
-        return self._configuration.service_by_name.get(self._own.service)
-
     def _check_key(self, key: int) -> gates.KeyCheck:
         keyspace = self._keyspace(self._own.service)
         if keyspace is None:
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -107,6 +107,7 @@
         log: events.EventLog,
         metrics: metrics_lib.Metrics,
         check_key: Callable[[int], KeyCheck],
+        tolerated_when_cold: float,
     ):
         self.life: targets.Life | None = None
         self.presence = Presence.UNKNOWN
@@ -123,7 +124,7 @@
         self._line: waiting.Line[_Ticket] = waiting.Line()
         self._running: set[_Ticket] = set()
         self._times = waiting.ServiceTimes()
-        self._cold = cold.ColdLimit()
+        self._cold = cold.ColdLimit(tolerated_when_cold)
         self._failure_share = 0.0
         self._busy_ms = 0.0
         self._measured_ms = clock.now_ms()
@@ -148,9 +149,13 @@
         self._capacity = capacity
         self._set_presence(Presence.UP)
 
-    def set_cold(self, left_ms: int, per_s: float) -> None:
+    def set_cold(self, left_ms: int) -> None:
         """Limits the rate for as long as the target is cold."""
-        self._cold.set(self._clock.now_ms() + left_ms, per_s)
+        self._cold.set_until(self._clock.now_ms() + left_ms)
+
+    def set_cold_per_s(self, per_s: float) -> None:
+        """Says how many requests a second a cold target bears."""
+        self._cold.set_per_s(per_s)
 
     def silent(self) -> None:
         """Notes that the target gives no sign of life."""
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from mustardloom import clock as clocks
-from mustardloom.deployment import configuration
 from mustardloom.deployment import settings
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
@@ -39,7 +38,6 @@
         own: settings.Settings,
         gate: gates.Gate,
         grants: Grants,
-        service: Callable[[], configuration.Service | None],
         clock: clocks.Clock,
         log: events.EventLog,
     ):
@@ -49,7 +47,6 @@
         self._own = own
         self._gate = gate
         self._grants = grants
-        self._service = service
         self._clock = clock
         self._log = log
         self._heard_ms = 0
@@ -128,9 +125,7 @@
                 cold_left_ms=announcement.cold_left_ms,
             )
         self._gate.adopt(announcement.life, announcement.capacity)
-        service = self._service()
-        if service is not None:
-            self._gate.set_cold(announcement.cold_left_ms, service.cold_per_s)
+        self._gate.set_cold(announcement.cold_left_ms)
         if announcement.phase is targets.Phase.DRAINING:
             self._leave("draining")
         if is_new:
