--- a/mustardloom/load/repeats.py
+++ b/mustardloom/load/repeats.py
@@ -12,8 +12,9 @@
 
 __all__ = ["RepeatBudget", "Terms"]
 
-# Requests are counted at several daemons and by others' windows.
-_SAFETY = 0.6
+# Part of the bound that is spent: a request that is run again makes its calls
+# again, which count as repeats of the services that are called.
+_SPENT_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,8 +31,8 @@
 
     Example:
       >>> budget = RepeatBudget(Terms(0.2, 10_000, 60))
-      >>> [budget.take(0, daemons=18) for _ in range(3)]
-      [True, True, False]
+      >>> [budget.take(0, daemons=18) for _ in range(2)]
+      [True, False]
     """
 
     def __init__(self, terms: Terms):
@@ -55,7 +56,7 @@
         terms = self._terms
         allowed = terms.ratio * len(self._requests)
         allowed += terms.minimum / max(1, daemons)
-        if len(self._repeats) + 1 > allowed * _SAFETY:
+        if len(self._repeats) + 1 > allowed * _SPENT_SHARE:
             return False
         self._repeats.append(now_ms)
         return True
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Coroutine
 import signal
 from typing import Any
@@ -102,6 +103,7 @@
             own.target_address, clock, self._metrics
         )
         self._gate = gates.Gate(
+            own.service,
             self._connections,
             self._quarantine,
             clock,
@@ -306,17 +308,19 @@
         )
 
     def _adopt_daemons(self, found: list[objects.Versioned]) -> None:
-        records = []
-        for each in found:
+        # Of two records with one address, the later one holds.
+        by_address: dict[settings.Address, stored.DaemonRecord] = {}
+        for each in sorted(found, key=lambda item: item.version):
             try:
-                records.append(
-                    msgspec.json.decode(each.value, type=stored.DaemonRecord)
+                record = msgspec.json.decode(
+                    each.value, type=stored.DaemonRecord
                 )
+                by_address[record.ip, record.port] = record
             except ValueError as error:
                 self._log.write(
                     events.Event.FAULT, object=each.key, error=repr(error)
                 )
-        self._fleet.update(records)
+        self._fleet.update(list(by_address.values()))
 
     def _adopt_maps(self) -> None:
         by_key = self._state.by_kind[stored.Kind.KEY_MAP].by_key
@@ -539,18 +543,25 @@
         self._log.write(events.Event.STOP, open=self._callers.active())
         self._callers.drain()
         self._tell_all()
-        grace_ms = self._own.bounds.grace_ms - _STOP_MARGIN_MS
-        while (passed_ms := self._clock.now_ms() - started_ms) < grace_ms:
-            is_idle = not self._callers.active() and self._gate.is_idle()
-            if passed_ms >= _STOP_NOTICE_MS and is_idle:
-                break
-            await self._clock.sleep_ms(_STOP_POLL_MS)
+        last_ms = started_ms + self._own.bounds.grace_ms - _STOP_MARGIN_MS
+        await self._clock.sleep_ms(_STOP_NOTICE_MS)
+        await self._await_idle(self._callers.active, last_ms)
         self._callers.close()
+        # From here on other daemons are told that nothing was run.
+        self._gate.is_stopping = True
+        await self._await_idle(lambda: not self._gate.is_idle(), last_ms)
+        await self._await_idle(self._callers.active, last_ms)
         await self._clock.sleep_ms(_STOP_POLL_MS)
         for task in list(self._tasks):
             task.cancel()
         self._links.close()
 
+    async def _await_idle(
+        self, is_busy: Callable[[], object], last_ms: int
+    ) -> None:
+        while is_busy() and self._clock.now_ms() < last_ms:
+            await self._clock.sleep_ms(_STOP_POLL_MS)
+
 
 async def _ready(frame: frames.Frame) -> frames.Frame:
     return frame
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -91,6 +91,7 @@
         now_ms = self._clock.now_ms()
         return lambda number: frames.Forward(
             number,
+            request.service,
             request.method,
             request.target,
             request.headers,
@@ -111,6 +112,7 @@
     def _work(self, frame: frames.Forward) -> work.Work:
         now_ms = self._clock.now_ms()
         return work.Work(
+            ids.ServiceId(frame.service),
             frame.method,
             frame.target,
             frame.headers,
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -40,9 +40,14 @@
 
 
 class Hello(_Base, frozen=True, tag=0):
-    """First frame of a link."""
+    """First frame of a link.
+
+    Attributes:
+      receiver: VM that the sender means; its address may be another's now.
+    """
 
     vm: str
+    receiver: str
     started_ms: int
 
 
@@ -58,6 +63,7 @@
     """
 
     number: int
+    service: str
     method: str
     target: str
     headers: tuple[messages.Header, ...]
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -97,10 +97,12 @@
       presence: Whether it can be reached.
       closes_at_ms: Local time from which it gets nothing more.
       is_evacuated: Whether its zone is to get nothing.
+      is_stopping: Whether this daemon is about to end.
     """
 
     def __init__(
         self,
+        service: ids.ServiceId,
         connections: target_connections.TargetConnections,
         quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
@@ -113,7 +115,9 @@
         self.presence = Presence.UNKNOWN
         self.closes_at_ms: int | None = None
         self.is_evacuated = False
+        self.is_stopping = False
         self.on_presence: Callable[[Presence], None] = lambda _: None
+        self._service = service
         self._connections = connections
         self._quarantine = quarantine
         self._clock = clock
@@ -211,7 +215,8 @@
         Returns:
           Its outcome; cancelling the call takes the request back.
         """
-        refusal = await self._await_key(request, may_wait)
+        refusal = self._misplaced(request)
+        refusal = refusal or await self._await_key(request, may_wait)
         refusal = refusal or self._refusal(request)
         if refusal is None:
             return await self._admitted(request)
@@ -239,6 +244,13 @@
 
     # Admission.
 
+    def _misplaced(self, request: work.Work) -> work.Refused | None:
+        if request.service != self._service:
+            return work.Refused(work.RefusalReason.OTHER_SERVICE)
+        if self.is_stopping:
+            return work.Refused(work.RefusalReason.STOPPING, _DOWN_RETRY_MS)
+        return None
+
     async def _await_key(
         self, request: work.Work, may_wait: bool
     ) -> work.Refused | None:
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -71,8 +71,8 @@
         wait_ms = route.timeout_ms
         if fields.deadline_ms is not None:
             wait_ms = min(wait_ms, fields.deadline_ms)
-        made = self._work(request, fields, route, wait_ms)
         name = self._dealer.deal(route.name, route.shares)
+        made = self._work(request, fields, route, name, wait_ms)
         service = current.service_by_name.get(name, configuration.Service(name))
         return await self._respond(made, route, service)
 
@@ -81,6 +81,7 @@
         request: messages.Request,
         fields: headers.CallerFields,
         route: configuration.Route,
+        service: ids.ServiceId,
         wait_ms: int,
     ) -> work.Work:
         kept = tuple(
@@ -89,6 +90,7 @@
             if header[0].lower() not in messages.HOP_BY_HOP
         )
         return work.Work(
+            service=service,
             method=request.method,
             target=request.target,
             headers=kept,
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -140,7 +140,7 @@
         self._heard_ms = self._owner.clock.now_ms()
         self._asked_ms = 0
         self.is_up = True
-        self.notify(self._owner.hello())
+        self.notify(self._owner.hello(self._vm))
         self._owner.on_change(self._vm, True)
         return True
 
@@ -185,6 +185,7 @@
     """All links of one daemon.
 
     Attributes:
+      vm: VM of this daemon.
       on_change: Called when the link to a VM goes up or down.
       on_fault: Called when a peer sends what cannot be read.
     """
@@ -194,14 +195,14 @@
         self.handler = handler
         self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
         self.on_fault: Callable[[ids.VmId, Exception], None] = lambda *_: None
-        self._vm = vm
+        self.vm = vm
         self._started_ms = clock.wall_ms()
         self._link_by_vm: dict[ids.VmId, _Link] = {}
         self._server = _PeerServer(self)
 
-    def hello(self) -> frames.Hello:
+    def hello(self, receiver: ids.VmId) -> frames.Hello:
         """Returns the first frame of a link."""
-        return frames.Hello(self._vm, self._started_ms)
+        return frames.Hello(self.vm, receiver, self._started_ms)
 
     def listen(self, host: str, port: int) -> int:
         """Starts to accept links and returns the port.
@@ -219,7 +220,7 @@
             if address_by_vm.get(vm) != link.address:
                 self._link_by_vm.pop(vm).close()
         for vm, address in address_by_vm.items():
-            if vm not in self._link_by_vm and vm != self._vm:
+            if vm not in self._link_by_vm and vm != self.vm:
                 self._link_by_vm[vm] = _Link(self, vm, address)
 
     def is_up(self, vm: ids.VmId) -> bool:
@@ -329,6 +330,9 @@
 
     def _receive(self, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Hello):
+            if frame.receiver != self._owner.vm:
+                # Another VM had this address before.
+                raise ValueError(f"link meant for {frame.receiver}")
             self._vm = ids.VmId(frame.vm)
             return
         if self._vm is None:
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -40,6 +40,7 @@
     CANCELLED = "cancelled"
     STOPPING = "stopping"
     NO_CONFIGURATION = "no-configuration"
+    OTHER_SERVICE = "other-service"
 
 
 class FailureReason(enum.Enum):
@@ -59,6 +60,7 @@
     """One request, matched to a route and a service.
 
     Attributes:
+      service: Service whose targets may run it.
       headers: End-to-end headers of the caller.
       caller_service: Service on whose VM the request began.
       objective_ms: Local time until which an answer has its full value.
@@ -68,6 +70,7 @@
       is_call: Whether a request that runs already waits for this one.
     """
 
+    service: ids.ServiceId
     method: str
     target: str
     headers: tuple[messages.Header, ...]
