--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -51,6 +51,10 @@
         self.status = status
 
 
+class _Unread(Exception):
+    """A request behind the last one that is served on a connection."""
+
+
 class _Phase(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -101,12 +105,12 @@
         """Ends each connection with its next response."""
         self.is_draining = True
 
-    def close(self) -> None:
-        """Stops to accept and closes the connections that are idle."""
+    def finish(self) -> None:
+        """Accepts and reads no more requests; those that were read go on."""
         self._server.stop()
+        self.is_draining = True
         for connection in list(self.connections):
-            if not connection.pending:
-                connection.stream.close()
+            connection.finish()
 
     async def sweep(self) -> None:
         """Closes slow and idle connections until cancelled."""
@@ -158,6 +162,7 @@
         self._phase = _Phase.IDLE
         self._since_ms = owner.clock.now_ms()
         self._ends = False
+        self._is_finishing = False
         self._room = asyncio.Event()
         self._reset()
 
@@ -179,6 +184,14 @@
             for pending in self.pending:
                 pending.task.cancel()
 
+    def finish(self) -> None:
+        """Ends after the requests that were begun."""
+        self._is_finishing = True
+        if self._phase is _Phase.IDLE:
+            self._ends = True
+            if not self.pending:
+                self.stream.close()
+
     def check_time(self, limits: ServerLimits) -> None:
         """Ends the connection if the client is too slow or idle too long."""
         self._limits = limits
@@ -200,6 +213,9 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        if self._ends:
+            # What follows the last request counts as not read.
+            raise _Unread
         self._reset()
         self._phase = _Phase.HEAD
         self._since_ms = self._owner.clock.now_ms()
@@ -241,7 +257,7 @@
             b"".join(self._chunks),
             self._since_ms,
         )
-        if not self._parser.should_keep_alive():
+        if self._is_finishing or not self._parser.should_keep_alive():
             self._ends = True
         self._phase = _Phase.IDLE
         task = asyncio.ensure_future(self._owner.handler(request))
@@ -271,7 +287,7 @@
             cause = error.__context__
             if isinstance(cause, _Rejected):
                 self._reject(cause.status)
-            else:
+            elif not isinstance(cause, _Unread):
                 self._reject(_BAD_REQUEST)
 
     def _reject(self, status: int) -> None:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -545,12 +545,11 @@
         self._tell_all()
         last_ms = started_ms + self._own.bounds.grace_ms - _STOP_MARGIN_MS
         await self._clock.sleep_ms(_STOP_NOTICE_MS)
+        self._callers.finish()
         await self._await_idle(self._callers.active, last_ms)
-        self._callers.close()
         # From here on other daemons are told that nothing was run.
         self._gate.is_stopping = True
         await self._await_idle(lambda: not self._gate.is_idle(), last_ms)
-        await self._await_idle(self._callers.active, last_ms)
         await self._clock.sleep_ms(_STOP_POLL_MS)
         for task in list(self._tasks):
             task.cancel()
