Keep the authority to grant by the word of most daemons

Signs of life now carry the newest map known; a majority that knows no newer map confirms it, and takeovers wait until no such majority can exist. A link introduces its sender, so a restarted daemon finds the others. Authority lasts 4 s in place of 7 s.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -1,5 +1,6 @@
 """Which rows a daemon may grant: those that nobody else can hold."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -13,7 +14,7 @@
 
 # A daemon grants only while it knew the newest map this long ago or less, so
 # that whoever takes keys over knows when the earlier grants have run out.
-AUTHORITY_MS = 7_000
+AUTHORITY_MS = 4_000
 # Slow clocks of targets, 2 %, and what the timers of this process add.
 _MARGIN_MS = 400
 
@@ -24,13 +25,16 @@
 
     Attributes:
       previous: VM of that owner.
-      over_ms: When its grants have run out in any case.
+      version: Map by which the keys came here.
+      over_ms: When its grants have run out in any case; None until enough
+        daemons know the map.
     """
 
     first: int
     last: int
     previous: ids.VmId
-    over_ms: int
+    version: int
+    over_ms: int | None = None
 
 
 class Claims:
@@ -53,13 +57,12 @@
         """Returns the keys that are not ours to grant yet."""
         return tuple(self._waits)
 
-    def adopt(self, new: key_map.KeyMap, now_ms: int) -> None:
+    def adopt(self, new: key_map.KeyMap) -> None:
         """Takes over a newer map."""
         old = self.map
         if new.version <= old.version:
             return
         self.map = new
-        over_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
         for row in new.owned_by(self._vm):
             if not row.previous or row.previous == self._vm:
                 continue
@@ -67,13 +70,29 @@
             before = old.row_of(row.first)
             if before.owner == self._vm and before.fence >= row.fence:
                 continue
-            self._waits.append(Wait(row.first, row.last, row.previous, over_ms))
+            self._waits.append(
+                Wait(row.first, row.last, row.previous, new.version)
+            )
         # Waits for keys that moved on stay: only when they are over may the
         # next owner be told that this VM does not hold them.
 
     def expire(self, now_ms: int) -> None:
         """Ends the waits whose earlier grants have run out."""
-        self._waits = [wait for wait in self._waits if now_ms < wait.over_ms]
+        self._waits = [
+            wait
+            for wait in self._waits
+            if wait.over_ms is None or now_ms < wait.over_ms
+        ]
+
+    def spread(self, is_blocking: Callable[[int], bool], now_ms: int) -> None:
+        """Starts the countdown of waits whose map is known widely enough."""
+        over_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
+        self._waits = [
+            dataclasses.replace(wait, over_ms=over_ms)
+            if wait.over_ms is None and is_blocking(wait.version)
+            else wait
+            for wait in self._waits
+        ]
 
     def released(self, parts: Iterable[ledger.Released]) -> None:
         """Takes the earlier owner's word that its target let keys go."""
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -19,6 +19,7 @@
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.http1 import server
+from mustardloom.keys import authority
 from mustardloom.load import quarantine as quarantines
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as wire_configuration
@@ -42,7 +43,7 @@
 # Status goes out this often to daemons of the own region, and less often
 # beyond, where bytes are dear.
 _NEAR_STATUS_MS = 500
-_FAR_STATUS_MS = 2_000
+_FAR_STATUS_MS = 1_200
 _FETCH_AFTER_MS = 300
 _FETCH_CALL_MS = 1_000
 _REGISTER_RETRY_MS = 500
@@ -84,9 +85,6 @@
         self._state = shared_state.SharedState(
             store, clock, self._on_state, self._on_store
         )
-        self._links = links_lib.Links(own.vm, clock, self._on_frame)
-        self._links.on_change = self._on_link
-        self._links.on_fault = self._on_peer_fault
         self._record = stored.DaemonRecord(
             own.vm,
             own.ip,
@@ -95,6 +93,11 @@
             own.region,
             own.service,
         )
+        self._links = links_lib.Links(self._record, clock, self._on_frame)
+        self._links.on_change = self._on_link
+        self._links.on_fault = self._on_peer_fault
+        self._links.pong = self._pong
+        self._links.on_pong = self._on_pong
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
         self._quarantine = quarantines.Quarantine(
             clock, self._on_suspect, _CRASHES_TO_QUARANTINE
@@ -326,8 +329,9 @@
         by_key = self._state.by_kind[stored.Kind.KEY_MAP].by_key
         for service, keyspace in self._keyspace_by_service.items():
             found = by_key.get(stored.key(stored.Kind.KEY_MAP, service))
-            if found is not None:
-                keyspace.adopt(found)
+            if found is not None and keyspace.adopt(found):
+                # The answers tell who knows the new map.
+                self._tell_all()
 
     def _on_store(self, answers: bool) -> None:
         event = events.Event.STORE_LOST
@@ -357,6 +361,8 @@
         self, vm: ids.VmId, frame: frames.Frame
     ) -> Awaitable[frames.Frame | None] | None:
         match frame:
+            case frames.Hello(sender=sender):
+                self._fleet.introduce(sender)
             case frames.Forward():
                 return self._forwarder.receive(vm, frame)
             case frames.Status():
@@ -382,6 +388,22 @@
                 pass
         return None
 
+    def _pong(self) -> frames.Pong:
+        is_listed = self._state.by_kind[stored.Kind.KEY_MAP].is_listed
+        words = []
+        for keyspace in self._keyspace_by_service.values():
+            if is_listed:
+                keyspace.read_from_store()
+            words.append(keyspace.word())
+        return frames.Pong(tuple(words), len(self._fleet.by_vm))
+
+    def _on_pong(self, vm: ids.VmId, asked_ms: int, pong: frames.Pong) -> None:
+        for service, version, is_voter in pong.words:
+            keyspace = self._keyspace(service)
+            if keyspace is not None:
+                word = authority.Word(asked_ms, version, is_voter, pong.daemons)
+                keyspace.on_word(vm, word)
+
     def _keyspace(self, service: str) -> keyspaces.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -78,13 +78,30 @@
         self.own = own
         self.by_vm: dict[ids.VmId, Peer] = {}
         self.evacuated_zones: set[ids.AvailabilityZoneId] = set()
+        self._introduced: dict[ids.VmId, stored.DaemonRecord] = {}
+        self._listed: list[stored.DaemonRecord] = []
         self._links = links
         self._clock = clock
         self.update([own])
 
     def update(self, records: list[stored.DaemonRecord]) -> None:
-        """Adopts the list of daemons."""
-        records_by_vm = {record.vm: record for record in records}
+        """Adopts the list of daemons in the store."""
+        self._listed = records
+        for record in records:
+            self._introduced.pop(record.vm, None)
+        self._adopt()
+
+    def introduce(self, record: stored.DaemonRecord) -> None:
+        """Adopts a daemon that opened a link, and perhaps is not listed."""
+        if record.vm not in self.by_vm:
+            self._introduced[record.vm] = record
+            self._adopt()
+
+    def _adopt(self) -> None:
+        records_by_vm = {
+            record.vm: record
+            for record in (*self._introduced.values(), *self._listed)
+        }
         records_by_vm[self.own.vm] = self.own
         for vm in list(self.by_vm):
             if self.by_vm[vm].record != records_by_vm.get(vm):
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mustardloom.deployment import stored
 from mustardloom.http1 import messages
 
 __all__ = [
@@ -44,9 +45,10 @@
 
     Attributes:
       receiver: VM that the sender means; its address may be another's now.
+      sender: Where the sender is reached.
     """
 
-    vm: str
+    sender: stored.DaemonRecord
     receiver: str
     started_ms: int
 
@@ -150,7 +152,16 @@
 
 
 class Pong(_Base, frozen=True, tag=7):
-    """Sign of life on the way back."""
+    """Sign of life on the way back, for each status and each ping.
+
+    Attributes:
+      words: Per service divided by key: its name, the newest map known, and
+        whether the map was read from the store in this life.
+      daemons: Number of daemons known.
+    """
+
+    words: tuple[tuple[str, int, bool], ...]
+    daemons: int
 
 
 class Ping(_Base, frozen=True, tag=16):
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -13,6 +13,7 @@
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
+from mustardloom.keys import authority as authority_lib
 from mustardloom.keys import claims as claims_lib
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger as ledgers
@@ -90,7 +91,7 @@
         self._claims = claims_lib.Claims(own.vm, clock.now_ms())
         self._version = ids.NO_VERSION
         self._ledger: ledgers.GrantLedger | None = None
-        self._confirmed_ms: int | None = None
+        self._authority = authority_lib.Authority()
         self._has_authority = False
         self._hits: collections.Counter[int] = collections.Counter()
         self._hits_since_ms = clock.now_ms()
@@ -205,9 +206,12 @@
 
     def _hold_ms(self, now_ms: int) -> int:
         """Returns for how long keys may be granted now."""
-        if self._confirmed_ms is None:
+        confirmed_ms = self._authority.confirmed_ms(
+            self._claims.map.version, len(self._fleet.by_vm)
+        )
+        if confirmed_ms is None:
             return 0
-        left_ms = self._confirmed_ms + claims_lib.AUTHORITY_MS - now_ms
+        left_ms = confirmed_ms + claims_lib.AUTHORITY_MS - now_ms
         lawful_ms = int(left_ms / _CLOCK_FACTOR) - _GRANT_MARGIN_MS
         has_authority = lawful_ms > 0
         if has_authority != self._has_authority:
@@ -223,21 +227,29 @@
 
     # The map.
 
-    def adopt(self, found: objects.Versioned) -> None:
-        """Takes over the map in a stored object if it is newer."""
+    def read_from_store(self) -> None:
+        """Notes that the map was listed by the store in this life."""
+        self._authority.is_voter = True
+
+    def adopt(self, found: objects.Versioned) -> bool:
+        """Takes over the map in a stored object if it is newer.
+
+        Returns:
+          Whether keys are on their way to the local target now.
+        """
         try:
             new = key_map.decode(found.value)
         except ValueError as error:
             self._log.write(
                 events.Event.FAULT, object=found.key, error=repr(error)
             )
-            return
+            return False
         self._version = max(self._version, found.version)
         if new.version <= self._claims.map.version:
-            return
+            return False
         now_ms = self._clock.now_ms()
         old = self._claims.map
-        self._claims.adopt(new, now_ms)
+        self._claims.adopt(new)
         if old.owned_by(self._own.vm) != new.owned_by(self._own.vm):
             self._map_changed_ms = now_ms
         self._log.write(
@@ -248,6 +260,7 @@
             own_rows=len(new.owned_by(self._own.vm)),
             waits=len(self._claims.waits),
         )
+        return bool(self._claims.waits)
 
     async def renew(self) -> None:
         """Confirms again and again that the known map is the newest."""
@@ -257,7 +270,7 @@
                 continue
             asked_ms = self._clock.now_ms()
             if await self._read_map():
-                self._confirmed_ms = asked_ms
+                self._authority.store_confirmed(asked_ms)
                 await self._clock.sleep_ms(_RENEW_MS)
             else:
                 await self._clock.sleep_ms(_RENEW_RETRY_MS)
@@ -323,7 +336,7 @@
         """Asks earlier owners for the keys that are on their way here."""
         while True:
             await self._clock.sleep_ms(_RELEASE_INTERVAL_MS)
-            self._claims.expire(self._clock.now_ms())
+            self._spread()
             by_previous: dict[ids.VmId, list[tuple[int, int]]] = {}
             for wait in self._claims.waits:
                 spans = by_previous.setdefault(wait.previous, [])
@@ -331,6 +344,27 @@
             for vm, spans in by_previous.items():
                 await self._ask_release(vm, tuple(spans))
 
+    def _spread(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._claims.spread(self._is_blocking, now_ms)
+        self._claims.expire(now_ms)
+
+    def _is_blocking(self, version: int) -> bool:
+        return self._authority.is_blocking(version, len(self._fleet.by_vm))
+
+    def on_word(self, vm: ids.VmId, word: authority_lib.Word) -> None:
+        """Adopts which map another daemon knows."""
+        self._authority.retain(set(self._fleet.by_vm))
+        self._authority.heard(vm, word)
+
+    def word(self) -> tuple[str, int, bool]:
+        """Returns what other daemons are told of the map."""
+        return (
+            self.service,
+            self._claims.map.version,
+            self._authority.is_voter,
+        )
+
     async def _ask_release(
         self, vm: ids.VmId, spans: tuple[tuple[int, int], ...]
     ) -> None:
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -1,6 +1,7 @@
 """Streams between daemons: one dialled by each side of a pair."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -15,6 +16,7 @@
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom.deployment import settings
+from mustardloom.deployment import stored
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 
@@ -31,6 +33,8 @@
     [ids.VmId, frames.Frame], Awaitable[frames.Frame | None] | None
 ]
 
+PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
+
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_MS = 400
 _RECONNECT_MS = 250
@@ -65,7 +69,8 @@
         self._calls: dict[int, asyncio.Future[frames.Frame]] = {}
         self._numbers = itertools.count(1)
         self._heard_ms = 0
-        self._asked_ms = 0
+        # Times of the questions that were not answered yet, in order.
+        self._asked_ms: collections.deque[int] = collections.deque()
         self._task = asyncio.create_task(self._run())
 
     def next_number(self) -> int:
@@ -82,9 +87,8 @@
         except iostream.StreamClosedError:
             return False
         written.add_done_callback(_ignore_closed)
-        is_question = isinstance(frame, frames.Status | frames.Ping)
-        if is_question and not self._asked_ms:
-            self._asked_ms = self._owner.clock.now_ms()
+        if isinstance(frame, frames.Status | frames.Ping):
+            self._asked_ms.append(self._owner.clock.now_ms())
         return True
 
     async def call(self, number: int, frame: frames.Frame) -> frames.Frame:
@@ -106,7 +110,8 @@
         if self._stream is None or not self.is_up:
             return
         if self._asked_ms:
-            if now_ms - self._asked_ms > _SILENCE_MS:
+            latest_ms = max(self._asked_ms[0], self._heard_ms)
+            if now_ms - latest_ms > _SILENCE_MS:
                 self._stream.close()
         elif self._calls and now_ms - self._heard_ms > _QUIET_MS:
             self.notify(frames.Ping())
@@ -138,7 +143,7 @@
         self._stream = stream
         self._compressor = compression.Compressor()
         self._heard_ms = self._owner.clock.now_ms()
-        self._asked_ms = 0
+        self._asked_ms.clear()
         self.is_up = True
         self.notify(self._owner.hello(self._vm))
         self._owner.on_change(self._vm, True)
@@ -152,7 +157,6 @@
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
                 self._heard_ms = self._owner.clock.now_ms()
-                self._asked_ms = 0
                 for frame in buffer.feed(decompressor.unpack(data)):
                     self._resolve(frame)
         except iostream.StreamClosedError:
@@ -161,6 +165,10 @@
             self._owner.on_fault(self._vm, error)
 
     def _resolve(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Pong):
+            asked_ms = self._asked_ms.popleft()
+            self._owner.on_pong(self._vm, asked_ms, frame)
+            return
         number = getattr(frame, "number", None)
         if number is None:
             return
@@ -186,23 +194,33 @@
 
     Attributes:
       vm: VM of this daemon.
+      pong: Returns the answer to signs of life that are asked for.
+      on_pong: Called with such an answer and when it was asked for.
       on_change: Called when the link to a VM goes up or down.
       on_fault: Called when a peer sends what cannot be read.
     """
 
-    def __init__(self, vm: ids.VmId, clock: clocks.Clock, handler: Handler):
+    def __init__(
+        self,
+        record: stored.DaemonRecord,
+        clock: clocks.Clock,
+        handler: Handler,
+    ):
         self.clock = clock
         self.handler = handler
         self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
         self.on_fault: Callable[[ids.VmId, Exception], None] = lambda *_: None
-        self.vm = vm
+        self.vm = record.vm
+        self.pong: Callable[[], frames.Pong] = lambda: frames.Pong((), 0)
+        self.on_pong: PongCallback = lambda *_: None
+        self._record = record
         self._started_ms = clock.wall_ms()
         self._link_by_vm: dict[ids.VmId, _Link] = {}
         self._server = _PeerServer(self)
 
     def hello(self, receiver: ids.VmId) -> frames.Hello:
         """Returns the first frame of a link."""
-        return frames.Hello(self.vm, receiver, self._started_ms)
+        return frames.Hello(self._record, receiver, self._started_ms)
 
     def listen(self, host: str, port: int) -> int:
         """Starts to accept links and returns the port.
@@ -333,7 +351,8 @@
             if frame.receiver != self._owner.vm:
                 # Another VM had this address before.
                 raise ValueError(f"link meant for {frame.receiver}")
-            self._vm = ids.VmId(frame.vm)
+            self._vm = frame.sender.vm
+            self._owner.handler(self._vm, frame)
             return
         if self._vm is None:
             raise ValueError("no hello")
@@ -343,7 +362,7 @@
                 task.cancel()
             return
         if isinstance(frame, frames.Status | frames.Ping):
-            self._reply(frames.Pong())
+            self._reply(self._owner.pong())
         result = self._owner.handler(self._vm, frame)
         if result is None:
             return
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -46,10 +46,12 @@
     Attributes:
       by_key: The objects.
       changed: Version as of which the last change was seen; 0 if never read.
+      is_listed: Whether the store itself has listed them in this life.
     """
 
     by_key: dict[str, objects.Versioned]
     changed: ids.Version = ids.NO_VERSION
+    is_listed: bool = False
 
 
 class SharedState:
@@ -123,6 +125,7 @@
             try:
                 if after is None:
                     listing = await self._store.list_objects(kind)
+                    self.by_kind[kind].is_listed = True
                     self.apply_listing(kind, listing)
                     after = listing.version
                     self._seen(True)
