--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -500,6 +500,7 @@
             settled_version=(
                 0 if keyspace is None else keyspace.settled_version
             ),
+            store_answers=self._state.store_answers,
             changes=self._state.changes(),
         )
 
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -186,14 +186,16 @@
 
     def planner(self) -> ids.VmId:
         """Returns the daemon that plans, as far as this one can tell."""
-        return min(vm for vm in self.by_vm if self._may_plan(vm))
+        return min(
+            (vm for vm in self.by_vm if self._may_plan(vm)),
+            default=self.own.vm,
+        )
 
     def _may_plan(self, vm: ids.VmId) -> bool:
-        if vm == self.own.vm:
-            return True
-        peer = self.by_vm[vm]
-        is_stopping = peer.status is not None and peer.status.is_stopping
-        return self._links.is_up(vm) and not is_stopping
+        status = self.by_vm[vm].status
+        if status is None or not self.is_reachable(vm):
+            return False
+        return status.store_answers and not status.is_stopping
 
     def _new_view(self, record: stored.DaemonRecord) -> placement.TargetView:
         own = self.own
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -148,6 +148,7 @@
     key_rate: int
     is_stopping: bool
     settled_version: int
+    store_answers: bool
     changes: tuple[int, ...]
 
 
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -39,6 +39,7 @@
 _RELEASE_INTERVAL_MS = 60
 _RELEASE_CALL_MS = 400
 _PLAN_INTERVAL_MS = 250
+_WRITE_RETRY_MS = 500
 # Time without changes after which the first owners are chosen.
 _SETTLE_MS = 1_200
 # Loss of a daemon, which is back within a second after a mere restart.
@@ -484,7 +485,7 @@
     def _planned(self) -> key_map.KeyMap | None:
         if self._fleet.planner() != self._own.vm:
             return None
-        if not self._state.store_answers or not self._fleet.has_majority():
+        if not self._fleet.has_majority():
             return None
         candidates = list(self._candidates())
         if self.map is None:
@@ -577,6 +578,7 @@
                 map_version=planned.version,
                 result=f"unknown: {error}",
             )
+            await self._clock.sleep_ms(_WRITE_RETRY_MS)
             await self._read_map()
             return
         match result:
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -120,6 +120,7 @@
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind and watches it until cancelled."""
         pause_ms = _FIRST_PAUSE_MS
+        wait_ms = _WATCH_WAIT_MS
         after: ids.Version | None = None
         while True:
             try:
@@ -129,7 +130,7 @@
                     self.apply_listing(kind, listing)
                     after = listing.version
                     self._seen(True)
-                batch = await self._store.watch(kind, after, _WATCH_WAIT_MS)
+                batch = await self._store.watch(kind, after, wait_ms)
             except stored.HistoryGone:
                 after = None
                 continue
@@ -137,8 +138,11 @@
                 self._seen(False)
                 await self._clock.sleep_ms(pause_ms)
                 pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+                # A watch that does not wait shows when the store is back.
+                wait_ms = 0
                 continue
             pause_ms = _FIRST_PAUSE_MS
+            wait_ms = _WATCH_WAIT_MS
             self._seen(True)
             for event in batch.events:
                 self.apply_event(event, batch.version)
