Cut busy rows into light parts and let few late requests wait

Owners report parts of rows of equal weight; utilisation is demand times service time; who is late already waits only behind 1.5 requests a place.

--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -24,6 +24,7 @@
     "deal",
     "hand_over",
     "rebalance",
+    "segments",
     "with_life",
 ]
 
@@ -34,10 +35,14 @@
 _WORTH_MOVING = 0.2
 # Targets below this utilisation serve without queues.
 _COMFORTABLE = 0.55
-_MAX_MOVES = 12
+_MAX_MOVES = 24
+_MS_PER_S = 1_000
 # An owner keeps at least this share of its part when another target joins.
 _LEFT_SHARE = 0.8
 _SCATTER = 7
+# Parts into which the load of one target is cut, and hits that make a part.
+_SEGMENTS = 40
+_LEAST_HITS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,8 +50,8 @@
     """A target that may own keys.
 
     Attributes:
-      utilisation: Share of its capacity that was busy lately; may exceed 1.
-      rate: Requests a second for its keys.
+      service_ms: Mean time that a request takes there, which tells its speed.
+      rate: Requests a second for its keys, those turned away included.
       may_give: Whether its keys may move: none are on their way to it, and
         its figures are newer than its last move.
     """
@@ -54,10 +59,15 @@
     vm: ids.VmId
     life: targets.Life
     capacity: int
-    utilisation: float = 0.0
+    service_ms: float = 30.0
     rate: float = 0.0
     may_give: bool = True
 
+    @property
+    def cost(self) -> float:
+        """Returns the share of the capacity that one request a second takes."""
+        return self.service_ms / _MS_PER_S / self.capacity
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowLoad:
@@ -211,7 +221,7 @@
     able = {each.vm: each for each in candidates}
     if len(able) < 2:
         return None
-    busy = {vm: each.utilisation for vm, each in able.items()}
+    busy = {vm: each.rate * each.cost for vm, each in able.items()}
     rows = list(_split(current.rows, loads))
     counts = _row_counts(dataclasses.replace(current, rows=tuple(rows)))
     rate_by_first = _rates(rows, loads)
@@ -227,13 +237,14 @@
             break
         if counts.get(sink, 0) >= _MAX_ROWS_PER_OWNER:
             break
-        cost = _utilisation_per_rate(able[source])
-        row = _best_row(rows, moves, rate_by_first, source, gap / 2 / cost)
+        # Afterwards both are equally busy if exactly this rate moves.
+        wanted = gap / (able[source].cost + able[sink].cost)
+        row = _best_row(rows, moves, rate_by_first, source, wanted)
         if row is None:
             break
         share = rate_by_first[row.first]
-        busy[source] -= share * cost
-        busy[sink] += share * _utilisation_per_rate(able[sink], cost)
+        busy[source] -= share * able[source].cost
+        busy[sink] += share * able[sink].cost
         counts[sink] = counts.get(sink, 0) + 1
         moves[row.first] = sink
     if not moves:
@@ -241,19 +252,50 @@
     return _moved(current, rows, moves, able.values())
 
 
+def segments(
+    rows: Iterable[key_map.Row], hits: Mapping[int, int]
+) -> Iterator[RowLoad]:
+    """Yields the busy parts of rows, each light enough to move by itself.
+
+    Args:
+      rows: Rows of the map.
+      hits: Requests by key; `rate` of the results counts requests, too.
+    """
+    quantum = max(_LEAST_HITS, sum(hits.values()) / _SEGMENTS)
+    keys = sorted(hits)
+    index = 0
+    for row in rows:
+        inside = []
+        while index < len(keys) and keys[index] <= row.last:
+            inside.append(keys[index])
+            index += 1
+        if inside:
+            yield from _cut(row, inside, hits, quantum)
+
+
+def _cut(
+    row: key_map.Row,
+    keys: list[int],
+    hits: Mapping[int, int],
+    quantum: float,
+) -> Iterator[RowLoad]:
+    """Cuts a row so that no part but single keys exceeds the quantum."""
+    first = row.first
+    weight = 0
+    for key in keys:
+        if weight and weight + hits[key] > quantum:
+            yield RowLoad(first, key - 1, weight)
+            first, weight = key, 0
+        weight += hits[key]
+    yield RowLoad(first, row.last, weight)
+
+
 def _scattered(rows: tuple[key_map.Row, ...]) -> Iterator[key_map.Row]:
     """Yields rows so that neighbours come far apart."""
     for offset in range(_SCATTER):
         yield from rows[offset::_SCATTER]
 
 
-def _utilisation_per_rate(candidate: Candidate, unknown: float = 0.02) -> float:
-    """Returns the utilisation that one request a second causes."""
-    if candidate.rate < 1 or candidate.utilisation <= 0:
-        return unknown
-    return candidate.utilisation / candidate.rate
-
-
 def _best_row(
     rows: list[key_map.Row],
     moves: Mapping[int, ids.VmId],
--- a/mustardloom/load/waiting.py
+++ b/mustardloom/load/waiting.py
@@ -20,6 +20,8 @@
 # Service times above the mean that a request must be able to bear.
 _TAIL_FACTOR = 1.3
 _SHORTEST_RETRY_MS = 50
+# Requests for each place of the target behind which nobody waits who is late.
+_LATE_PER_PLACE = 1.5
 _DEFAULT_SERVICE_MS = 30.0
 
 
@@ -155,31 +157,39 @@
     running: int,
     limit: int,
     ahead_ms: float,
+    waiting: int,
     usual_ms: float,
 ) -> Verdict:
     """Decides whether a request may wait for the target.
 
+    Who can finish within its objective may wait. Who cannot is late already;
+    so few of these wait that one of them has its turn as soon as the target
+    has a free place, and the others are told at once to come back.
+
     Args:
       demand: The request.
       now_ms: Local time.
       running: Requests that the target runs.
       limit: Requests that it runs at once.
       ahead_ms: Service time of the requests that wait before this one.
-      usual_ms: Mean service time, which is what each running request needs at
-        most until it makes room, half of it on average.
+      waiting: Requests that wait.
+      usual_ms: Mean service time.
 
     Returns:
-      The verdict. Turned away is who would not finish before the deadline.
+      The verdict.
     """
     if running < limit and ahead_ms <= 0:
         return Verdict(now_ms + 1 < demand.deadline_ms, 0.0)
     until_room_ms = usual_ms / (limit + 1)
     wait_ms = until_room_ms + ahead_ms / limit
+    done_ms = now_ms + wait_ms + demand.service_ms
+    if done_ms <= demand.objective_ms:
+        return Verdict(True, wait_ms)
     needed_ms = wait_ms + demand.service_ms * _TAIL_FACTOR
-    if now_ms + needed_ms <= demand.deadline_ms:
+    is_short = waiting < limit * _LATE_PER_PLACE
+    if is_short and now_ms + needed_ms <= demand.deadline_ms:
         return Verdict(True, wait_ms)
-    excess_ms = now_ms + needed_ms - demand.deadline_ms
-    retry_ms = max(_SHORTEST_RETRY_MS, round(excess_ms))
+    retry_ms = max(_SHORTEST_RETRY_MS, round(wait_ms))
     return Verdict(False, wait_ms, retry_ms)
 
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -112,7 +112,7 @@
             clock,
             self._log,
             self._metrics,
-            self._check_key,
+            self,
             own.bounds.cold_factor,
         )
         self._target = local_target.LocalTarget(
@@ -531,12 +531,19 @@
             limits.idle_timeout_ms,
         )
 
-    def _check_key(self, key: int) -> gates.KeyCheck:
+    def check(self, key: int) -> gates.KeyCheck:
+        """See `gates.KeyHolder`."""
         keyspace = self._keyspace(self._own.service)
         if keyspace is None:
             return gates.KeyCheck(False)
         return keyspace.check(key)
 
+    def note_demand(self, key: int) -> None:
+        """See `gates.KeyHolder`."""
+        keyspace = self._keyspace(self._own.service)
+        if keyspace is not None:
+            keyspace.note_demand(key)
+
     def _grants(
         self, announcement: targets.Announcement
     ) -> announcements.Grant | None:
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+from typing import Protocol
 
 from mustardloom import clock as clocks
 from mustardloom import ids
@@ -17,7 +18,7 @@
 from mustardloom.sidecar import target as target_connections
 from mustardloom.sidecar import work
 
-__all__ = ["Gate", "GateLoad", "KeyCheck", "Presence"]
+__all__ = ["Gate", "GateLoad", "KeyCheck", "KeyHolder", "Presence"]
 
 _SMOOTHING = 0.08
 _SWEEP_INTERVAL_MS = 20
@@ -60,6 +61,16 @@
     owner: ids.VmId = work.NO_VM
 
 
+class KeyHolder(Protocol):
+    """Knows which keys the target holds."""
+
+    def check(self, key: int) -> KeyCheck:
+        """Returns whether the target holds a key."""
+
+    def note_demand(self, key: int) -> None:
+        """Counts a request for a key that the target holds."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateLoad:
     """Load of the gate."""
@@ -108,7 +119,7 @@
         clock: clocks.Clock,
         log: events.EventLog,
         metrics: metrics_lib.Metrics,
-        check_key: Callable[[int], KeyCheck],
+        keys: KeyHolder,
         tolerated_when_cold: float,
     ):
         self.life: targets.Life | None = None
@@ -123,7 +134,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._check_key = check_key
+        self._keys = keys
         self._capacity = 1
         self._line: waiting.Line[_Ticket] = waiting.Line()
         self._running: set[_Ticket] = set()
@@ -256,14 +267,15 @@
     ) -> work.Refused | None:
         if request.key is None:
             return None
-        check = self._check_key(request.key)
+        check = self._keys.check(request.key)
         limit_ms = min(self._clock.now_ms() + _KEY_WAIT_MS, request.deadline_ms)
         while may_wait and check.is_coming and not check.is_held:
             if self._clock.now_ms() >= limit_ms:
                 break
             await self._clock.sleep_ms(_KEY_POLL_MS)
-            check = self._check_key(request.key)
+            check = self._keys.check(request.key)
         if check.is_held:
+            self._keys.note_demand(request.key)
             return None
         return work.Refused(
             work.RefusalReason.NOT_OWNER, _DOWN_RETRY_MS, owner=check.owner
@@ -287,6 +299,7 @@
             len(self._running),
             self._capacity,
             self._line.work_ahead_ms(demand, now_ms),
+            len(self._line),
             self._times.overall,
         )
         if not verdict.admitted:
@@ -348,7 +361,7 @@
         if self._quarantine.is_quarantined(request.fingerprint):
             return work.Refused(reasons.QUARANTINED)
         if request.key is not None:
-            check = self._check_key(request.key)
+            check = self._keys.check(request.key)
             if not check.is_held:
                 return work.Refused(
                     reasons.NOT_OWNER, _DOWN_RETRY_MS, owner=check.owner
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -47,15 +47,12 @@
 _DOWN_MS = 700
 _REBALANCE_INTERVAL_MS = 1_000
 _LOAD_INTERVAL_MS = 1_000
-_HOT_KEYS = 24
-_HOT_SHARE = 0.015
 # The target is made to report often for so long after a change of the map,
 # and while it is so busy that its keys may have to move.
 _PACING_MS = 2_000
 _PACING_LOAD = 0.6
-_TAKEN_HOLD_OFF_MS = 1_200
+_TAKEN_HOLD_OFF_MS = 900
 _MS_PER_S = 1_000
-_PERCENT = 100
 
 
 class Keyspace:
@@ -132,7 +129,6 @@
         """Returns whether the local target holds a key."""
         now_ms = self._clock.now_ms()
         if self._ledger is not None and self._ledger.may_serve(key, now_ms):
-            self._hits[key] += 1
             return gates.KeyCheck(True)
         row = self._claims.map.row_of(key)
         if row.owner != self._own.vm:
@@ -142,6 +138,10 @@
                 return gates.KeyCheck(False, True, wait.previous)
         return gates.KeyCheck(False, is_coming=self._is_target_alive())
 
+    def note_demand(self, key: int) -> None:
+        """Counts a request for a key that the local target holds."""
+        self._hits[key] += 1
+
     # The local target.
 
     def on_heartbeat(
@@ -450,20 +450,10 @@
         self._hits_since_ms = now_ms
         total = hits.total()
         self._key_rate = total / passed_s
-        hot = {
-            key: count
-            for key, count in hits.most_common(_HOT_KEYS)
-            if count > max(2, _HOT_SHARE * total)
-        }
-        rest: collections.Counter[int] = collections.Counter()
-        for key, count in hits.items():
-            if key not in hot:
-                rest[self._claims.map.index_of(key)] += count
-        for key, count in sorted(hot.items()):
-            yield key, key, round(count / passed_s, 1)
-        for index, count in rest.most_common(_HOT_KEYS):
-            row = self._claims.map.rows[index]
-            yield row.first, row.last, round(count / passed_s, 1)
+        segments = planning.segments(self._claims.map.rows, hits)
+        for segment in segments:
+            rate = round(segment.rate / passed_s, 1)
+            yield segment.first, segment.last, rate
 
     # Planning.
 
@@ -511,7 +501,7 @@
                 peer.vm,
                 peer.life,
                 max(1, peer.status.limit),
-                peer.status.utilisation_percent / _PERCENT,
+                float(max(1, peer.status.service_ms)),
                 float(peer.status.key_rate),
                 self._may_give(peer),
             )
