--- a/mustardloom/load/waiting.py
+++ b/mustardloom/load/waiting.py
@@ -21,8 +21,11 @@
 _TAIL_FACTOR = 1.3
 _SHORTEST_RETRY_MS = 50
 # Requests for each place of the target behind which nobody waits who is late.
-_LATE_PER_PLACE = 1.5
+_LATE_PER_PLACE = 0.5
 _DEFAULT_SERVICE_MS = 30.0
+_HALF_LIFE_MS = 2_000
+# Service times vary; who needs the mean plus this share in time may wait.
+_OBJECTIVE_FACTOR = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,26 +70,40 @@
 class ServiceTimes:
     """Running means of the time that requests take at the target, by route.
 
+    What was measured long ago says little, so the overall mean falls back to
+    the usual figure while nothing is measured. Otherwise a target that was
+    slow once would never be tried again.
+
     Example:
       >>> times = ServiceTimes()
-      >>> times.record("a", 100.0)
+      >>> times.record("a", 100.0, now_ms=0)
       >>> times.expected("a")
       100.0
     """
 
     def __init__(self) -> None:
         self._mean_by_route: dict[str, float] = {}
-        self.overall = _DEFAULT_SERVICE_MS
+        self._overall = _DEFAULT_SERVICE_MS
+        self._recorded_ms = 0
 
-    def record(self, route: str, duration_ms: float) -> None:
+    def record(self, route: str, duration_ms: float, now_ms: int) -> None:
         """Adds one finished request."""
         before = self._mean_by_route.get(route, duration_ms)
         self._mean_by_route[route] = _smooth(before, duration_ms)
-        self.overall = _smooth(self.overall, duration_ms)
+        self._overall = _smooth(self.overall(now_ms), duration_ms)
+        self._recorded_ms = now_ms
 
     def expected(self, route: str) -> float:
         """Returns the expected time of a request."""
-        return self._mean_by_route.get(route, self.overall)
+        return self._mean_by_route.get(route, self._overall)
+
+    def overall(self, now_ms: int) -> float:
+        """Returns the mean of all routes, the usual figure if it is old."""
+        age_ms = max(0, now_ms - self._recorded_ms)
+        kept: float = 0.5 ** (age_ms / _HALF_LIFE_MS)
+        return _DEFAULT_SERVICE_MS + kept * (
+            self._overall - _DEFAULT_SERVICE_MS
+        )
 
 
 class Line(Generic[_Item]):
@@ -182,7 +199,7 @@
         return Verdict(now_ms + 1 < demand.deadline_ms, 0.0)
     until_room_ms = usual_ms / (limit + 1)
     wait_ms = until_room_ms + ahead_ms / limit
-    done_ms = now_ms + wait_ms + demand.service_ms
+    done_ms = now_ms + wait_ms + demand.service_ms * _OBJECTIVE_FACTOR
     if done_ms <= demand.objective_ms:
         return Verdict(True, wait_ms)
     needed_ms = wait_ms + demand.service_ms * _TAIL_FACTOR
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -21,6 +21,8 @@
 __all__ = ["Gate", "GateLoad", "KeyCheck", "KeyHolder", "Presence"]
 
 _SMOOTHING = 0.08
+# Failures of a target that has been idle since say less and less.
+_FAILURE_HALF_LIFE_MS = 2_000
 _SWEEP_INTERVAL_MS = 20
 _NOT_YET = 0
 # Requests whose connections broke so long before a crash was noticed may have
@@ -146,6 +148,7 @@
         self._utilisation = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_answer_ms = 0
+        self._last_end_ms = 0
         self._broken: collections.deque[_Broken] = collections.deque(
             maxlen=_MAX_BROKEN
         )
@@ -186,12 +189,14 @@
 
     def load(self) -> GateLoad:
         """Returns the load; utilisation since the last call of `measure`."""
+        now_ms = self._clock.now_ms()
+        idle_ms = 0 if self._running else now_ms - self._last_end_ms
         return GateLoad(
             self._capacity,
             len(self._running),
             len(self._line),
-            self._times.overall,
-            self._failure_share,
+            self._times.overall(now_ms),
+            self._failure_share * 0.5 ** (idle_ms / _FAILURE_HALF_LIFE_MS),
             self._utilisation,
         )
 
@@ -300,7 +305,7 @@
             self._capacity,
             self._line.work_ahead_ms(demand, now_ms),
             len(self._line),
-            self._times.overall,
+            self._times.overall(now_ms),
         )
         if not verdict.admitted:
             return work.Refused(reasons.OVERLOADED, verdict.retry_after_ms)
@@ -398,6 +403,7 @@
         self._tasks.discard(task)
         self._running.discard(ticket)
         now_ms = self._clock.now_ms()
+        self._last_end_ms = now_ms
         self._busy_ms += now_ms - max(ticket.started_ms, self._measured_ms)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.write(
@@ -420,7 +426,7 @@
         match exchange.outcome:
             case work.Answered(response):
                 self._last_answer_ms = now_ms
-                self._times.record(request.route, duration_ms)
+                self._times.record(request.route, duration_ms, now_ms)
                 is_good = response.status < 500
                 self._note_failure(not is_good)
                 self._quarantine.succeeded(request.fingerprint, frozenset())
