Watch the store from two daemons of each region

Cause: each change of the key map cost 18 watch answers, two thirds of them across regions. Others in the region are told by the two that watch, and fetch at once what a status shows to be newer; a listing is told like a watch.

Fast targets own more: slowness counts as load, measured over seconds. A queue that does not empty is kept shorter than a burst.

--- a/mustardloom/deployment/configuration.py
+++ b/mustardloom/deployment/configuration.py
@@ -17,6 +17,9 @@
 ]
 
 
+_DEFAULT_OBJECTIVE_MS = 300
+
+
 class Kind(enum.Enum):
     """What may be repeated."""
 
@@ -111,6 +114,17 @@
                 return route
         return None
 
+    def objective_of(self, service: ids.ServiceId) -> int:
+        """Returns the shortest objective among the routes of a service."""
+        return min(
+            (
+                route.objective_ms
+                for route in self.routes
+                if any(share.service == service for share in route.shares)
+            ),
+            default=_DEFAULT_OBJECTIVE_MS,
+        )
+
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -36,6 +36,8 @@
 # Targets below this utilisation serve without queues.
 _COMFORTABLE = 0.55
 _MAX_MOVES = 24
+# Utilisation that outweighs answers later by the whole objective.
+_SLOWNESS_WEIGHT = 1.2
 _MS_PER_S = 1_000
 # An owner keeps at least this share of its part when another target joins.
 _LEFT_SHARE = 0.8
@@ -207,13 +209,18 @@
     current: key_map.KeyMap,
     candidates: Iterable[Candidate],
     loads: Iterable[RowLoad],
+    objective_ms: float,
 ) -> key_map.KeyMap | None:
-    """Moves rows from busy targets to idle ones.
+    """Moves rows from busy and slow targets to idle and fast ones.
+
+    A slow target answers late even if nothing waits there, so it counts as
+    busier by the share of the objective that it takes longer.
 
     Args:
       current: The map.
-      candidates: Targets with their utilisation and rate.
+      candidates: Targets with their service time and rate.
       loads: Rates of rows or parts of rows; parts that are not named are idle.
+      objective_ms: Time within which answers are wanted.
 
     Returns:
       The new map; None if no move is worth it.
@@ -221,7 +228,12 @@
     able = {each.vm: each for each in candidates}
     if len(able) < 2:
         return None
-    busy = {vm: each.rate * each.cost for vm, each in able.items()}
+    fastest_ms = min(each.service_ms for each in able.values())
+    busy = {
+        vm: each.rate * each.cost
+        + _SLOWNESS_WEIGHT * (each.service_ms - fastest_ms) / objective_ms
+        for vm, each in able.items()
+    }
     rows = list(_split(current.rows, loads))
     counts = _row_counts(dataclasses.replace(current, rows=tuple(rows)))
     rate_by_first = _rates(rows, loads)
--- a/mustardloom/load/waiting.py
+++ b/mustardloom/load/waiting.py
@@ -12,7 +12,7 @@
 from typing import Generic
 from typing import TypeVar
 
-__all__ = ["Demand", "Line", "ServiceTimes", "Verdict", "judge"]
+__all__ = ["STANDING_MS", "Demand", "Line", "ServiceTimes", "Verdict", "judge"]
 
 _Item = TypeVar("_Item")
 # Weight of the newest service time in the running mean.
@@ -20,12 +20,18 @@
 # Service times above the mean that a request must be able to bear.
 _TAIL_FACTOR = 1.3
 _SHORTEST_RETRY_MS = 50
-# Requests for each place of the target behind which nobody waits who is late.
-_LATE_PER_PLACE = 0.5
+# Requests for each place of the target behind which nobody waits who is late,
+# in a burst and while the queue does not empty.
+_BURST_LATE_PER_PLACE = 1.5
+_STANDING_LATE_PER_PLACE = 0.5
+# Age of a queue from which it is no burst any more.
+STANDING_MS = 400
 _DEFAULT_SERVICE_MS = 30.0
 _HALF_LIFE_MS = 2_000
-# Service times vary; who needs the mean plus this share in time may wait.
-_OBJECTIVE_FACTOR = 1.5
+# Service times vary: who finishes in time even if it takes so many times the
+# mean may wait. The second figure holds while the queue does not empty.
+_BURST_FACTOR = 1.1
+_STANDING_FACTOR = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,6 +182,7 @@
     ahead_ms: float,
     waiting: int,
     usual_ms: float,
+    is_standing: bool,
 ) -> Verdict:
     """Decides whether a request may wait for the target.
 
@@ -191,6 +198,7 @@
       ahead_ms: Service time of the requests that wait before this one.
       waiting: Requests that wait.
       usual_ms: Mean service time.
+      is_standing: Whether the queue has not been empty for `STANDING_MS`.
 
     Returns:
       The verdict.
@@ -199,11 +207,15 @@
         return Verdict(now_ms + 1 < demand.deadline_ms, 0.0)
     until_room_ms = usual_ms / (limit + 1)
     wait_ms = until_room_ms + ahead_ms / limit
-    done_ms = now_ms + wait_ms + demand.service_ms * _OBJECTIVE_FACTOR
+    factor = _STANDING_FACTOR if is_standing else _BURST_FACTOR
+    done_ms = now_ms + wait_ms + demand.service_ms * factor
     if done_ms <= demand.objective_ms:
         return Verdict(True, wait_ms)
     needed_ms = wait_ms + demand.service_ms * _TAIL_FACTOR
-    is_short = waiting < limit * _LATE_PER_PLACE
+    late_per_place = _BURST_LATE_PER_PLACE
+    if is_standing:
+        late_per_place = _STANDING_LATE_PER_PLACE
+    is_short = waiting < limit * late_per_place
     if is_short and now_ms + needed_ms <= demand.deadline_ms:
         return Verdict(True, wait_ms)
     retry_ms = max(_SHORTEST_RETRY_MS, round(wait_ms))
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -44,7 +44,9 @@
 # beyond, where bytes are dear.
 _NEAR_STATUS_MS = 500
 _FAR_STATUS_MS = 1_200
-_FETCH_AFTER_MS = 300
+# Answers of several daemons that are ahead would be the same.
+_FETCH_INTERVAL_MS = 150
+_ONE_WAY = 0
 _FETCH_CALL_MS = 1_000
 _REGISTER_RETRY_MS = 500
 _MS_PER_S = 1_000
@@ -79,11 +81,16 @@
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[ids.ServiceId, keyspaces.Keyspace] = {}
-        self._behind_since_ms: dict[stored.Kind, int] = {}
+        self._fetched_ms: dict[stored.Kind, int] = {}
         self._told_far_ms = 0
         self._told_near_ms = 0
         self._state = shared_state.SharedState(
-            store, clock, self._on_state, self._on_store
+            store,
+            clock,
+            self._on_state,
+            lambda: self._fleet.is_watcher(),
+            self._push,
+            self._on_store,
         )
         self._record = stored.DaemonRecord(
             own.vm,
@@ -275,6 +282,8 @@
         for service in new.service_by_name.values():
             if service.is_keyed:
                 self._open_keyspace(service.name)
+        for name, keyspace in self._keyspace_by_service.items():
+            keyspace.objective_ms = new.objective_of(name)
 
     def _open_keyspace(self, service: ids.ServiceId) -> None:
         if service in self._keyspace_by_service:
@@ -368,8 +377,10 @@
             case frames.Status():
                 self._fleet.told(vm, frame)
                 self._compare(vm, frame)
-            case frames.Fetch():
-                return _ready(self._fetched(frame))
+            case frames.Fetch(number=number, kind=kind):
+                return _ready(self._snapshot(number, stored.Kind(kind)))
+            case frames.Fetched():
+                self._adopt_snapshot(frame)
             case frames.AuthorityQuery(service=service):
                 keyspace = self._keyspace(service)
                 if keyspace is not None:
@@ -410,16 +421,10 @@
     def _compare(self, vm: ids.VmId, status: frames.Status) -> None:
         """Fetches what another daemon knows and the store does not tell."""
         now_ms = self._clock.now_ms()
-        behind = self._state.behind(status.changes)
-        for kind in list(self._behind_since_ms):
-            if kind not in behind:
-                del self._behind_since_ms[kind]
-        for kind in behind:
-            since_ms = self._behind_since_ms.setdefault(kind, now_ms)
-            if now_ms - since_ms >= _FETCH_AFTER_MS or (
-                not self._state.by_kind[kind].changed
-            ):
-                self._behind_since_ms[kind] = now_ms
+        for kind in self._state.behind(status.changes):
+            fetched_ms = self._fetched_ms.get(kind, -_FETCH_INTERVAL_MS)
+            if now_ms - fetched_ms >= _FETCH_INTERVAL_MS:
+                self._fetched_ms[kind] = now_ms
                 self._start(self._fetch(vm, kind))
 
     async def _fetch(self, vm: ids.VmId, kind: stored.Kind) -> None:
@@ -431,22 +436,28 @@
         except (TimeoutError, links_lib.PeerLost, links_lib.PeerUnreachable):
             return
         if isinstance(reply, frames.Fetched):
-            found = tuple(
-                objects.Versioned(
-                    item.key, ids.Version(item.version), item.value
-                )
-                for item in reply.items
-            )
-            listing = objects.Listing(found, ids.Version(reply.version))
-            self._state.apply_listing(kind, listing)
+            self._adopt_snapshot(reply)
+
+    def _push(self, kind: stored.Kind) -> None:
+        """Tells the daemons of the region what a watch has brought."""
+        for vm in self._fleet.near():
+            self._links.notify(vm, self._snapshot(_ONE_WAY, kind))
+
+    def _adopt_snapshot(self, reply: frames.Fetched) -> None:
+        found = tuple(
+            objects.Versioned(item.key, ids.Version(item.version), item.value)
+            for item in reply.items
+        )
+        listing = objects.Listing(found, ids.Version(reply.version))
+        self._state.apply_listing(stored.Kind(reply.kind), listing)
 
-    def _fetched(self, fetch: frames.Fetch) -> frames.Frame:
-        copy = self._state.by_kind[stored.Kind(fetch.kind)]
+    def _snapshot(self, number: int, kind: stored.Kind) -> frames.Fetched:
+        copy = self._state.by_kind[kind]
         items = tuple(
             frames.StoredItem(each.key, each.version, each.value)
             for each in copy.by_key.values()
         )
-        return frames.Fetched(fetch.number, copy.changed, items)
+        return frames.Fetched(number, kind.value, copy.changed, items)
 
     # Status.
 
@@ -493,6 +504,7 @@
             waiting=load.waiting,
             sent_by_you=self._forwarder.open_from[receiver],
             service_ms=round(load.service_ms),
+            steady_service_ms=round(load.steady_service_ms),
             failure_percent=round(load.failure_share * _PERCENT),
             utilisation_percent=round(load.utilisation * _PERCENT),
             key_rate=0 if keyspace is None else round(keyspace.key_rate),
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -15,6 +15,8 @@
 __all__ = ["Fleet", "Peer", "TargetPhase"]
 
 _PERCENT = 100
+# Daemons of each region that watch the store and tell the others.
+_WATCHERS_PER_REGION = 2
 # Requests that failed on the way count against a target for so long.
 _AVOID_MS = 1_000
 
@@ -184,6 +186,19 @@
         reachable = sum(1 for vm in self.by_vm if self.is_reachable(vm))
         return 2 * reachable > len(self.by_vm)
 
+    def near(self) -> Iterator[ids.VmId]:
+        """Yields the other daemons of the own region that are reachable."""
+        for vm, peer in self.by_vm.items():
+            is_near = peer.record.region == self.own.region
+            if is_near and vm != self.own.vm and self.is_reachable(vm):
+                yield vm
+
+    def is_watcher(self) -> bool:
+        """Returns whether this daemon watches the store for its region."""
+        ready = sorted(vm for vm in self.near() if self._may_plan(vm))
+        ahead = sum(1 for vm in ready if vm < self.own.vm)
+        return ahead < _WATCHERS_PER_REGION
+
     def planner(self) -> ids.VmId:
         """Returns the daemon that plans, as far as this one can tell."""
         return min(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -143,6 +143,7 @@
     waiting: int
     sent_by_you: int
     service_ms: int
+    steady_service_ms: int
     failure_percent: int
     utilisation_percent: int
     key_rate: int
@@ -185,9 +186,10 @@
 
 
 class Fetched(_Base, frozen=True, tag=9):
-    """All objects of a kind, as of a version."""
+    """All objects of a kind, as of a version; also sent unasked."""
 
     number: int
+    kind: str
     version: int
     items: tuple[StoredItem, ...]
 
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -21,6 +21,8 @@
 __all__ = ["Gate", "GateLoad", "KeyCheck", "KeyHolder", "Presence"]
 
 _SMOOTHING = 0.08
+# Weight of the newest of four figures a second in the steady mean.
+_STEADY_SMOOTHING = 0.08
 # Failures of a target that has been idle since say less and less.
 _FAILURE_HALF_LIFE_MS = 2_000
 _SWEEP_INTERVAL_MS = 20
@@ -75,12 +77,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateLoad:
-    """Load of the gate."""
+    """Load of the gate.
+
+    Attributes:
+      service_ms: Mean time of the latest requests at the target.
+      steady_service_ms: The same over several seconds.
+    """
 
     limit: int
     running: int
     waiting: int
     service_ms: float
+    steady_service_ms: float
     failure_share: float
     utilisation: float
 
@@ -147,6 +155,8 @@
         self._measured_ms = clock.now_ms()
         self._utilisation = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._steady_service_ms = self._times.overall(clock.now_ms())
+        self._line_empty_ms = clock.now_ms()
         self._last_answer_ms = 0
         self._last_end_ms = 0
         self._broken: collections.deque[_Broken] = collections.deque(
@@ -196,6 +206,7 @@
             len(self._running),
             len(self._line),
             self._times.overall(now_ms),
+            self._steady_service_ms,
             self._failure_share * 0.5 ** (idle_ms / _FAILURE_HALF_LIFE_MS),
             self._utilisation,
         )
@@ -220,6 +231,10 @@
         self._utilisation += 0.5 * (share + queued - self._utilisation)
         self._busy_ms = 0.0
         self._measured_ms = now_ms
+        latest_ms = self._times.overall(now_ms)
+        self._steady_service_ms += _STEADY_SMOOTHING * (
+            latest_ms - self._steady_service_ms
+        )
 
     async def run(self, request: work.Work, may_wait: bool) -> work.Outcome:
         """Runs a request when its turn comes.
@@ -297,6 +312,8 @@
             return work.Refused(reasons.EVACUATED, _DOWN_RETRY_MS)
         if self._quarantine.is_quarantined(request.fingerprint):
             return work.Refused(reasons.QUARANTINED)
+        if not len(self._line):
+            self._line_empty_ms = now_ms
         demand = self._demand(request)
         verdict = waiting.judge(
             demand,
@@ -306,6 +323,7 @@
             self._line.work_ahead_ms(demand, now_ms),
             len(self._line),
             self._times.overall(now_ms),
+            now_ms - self._line_empty_ms > waiting.STANDING_MS,
         )
         if not verdict.admitted:
             return work.Refused(reasons.OVERLOADED, verdict.retry_after_ms)
@@ -326,6 +344,8 @@
         outcome: asyncio.Future[work.Outcome] = asyncio.Future()
         ticket = _Ticket(request, outcome)
         now_ms = self._clock.now_ms()
+        if not len(self._line):
+            self._line_empty_ms = now_ms
         self._line.push(self._demand(request), ticket, now_ms)
         self._pump()
         try:
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -46,6 +46,9 @@
 _LOSS_MS = 2_500
 _DOWN_MS = 700
 _REBALANCE_INTERVAL_MS = 1_000
+_DEFAULT_OBJECTIVE_MS = 300
+# Weight of the newest second in the rate of keyed requests.
+_RATE_SMOOTHING = 0.6
 _LOAD_INTERVAL_MS = 1_000
 # The target is made to report often for so long after a change of the map,
 # and while it is so busy that its keys may have to move.
@@ -76,6 +79,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self.service = service
+        self.objective_ms = _DEFAULT_OBJECTIVE_MS
         self._own = own
         self._store = store
         self._state = state
@@ -449,7 +453,7 @@
         hits, self._hits = self._hits, collections.Counter()
         self._hits_since_ms = now_ms
         total = hits.total()
-        self._key_rate = total / passed_s
+        self._key_rate += _RATE_SMOOTHING * (total / passed_s - self._key_rate)
         segments = planning.segments(self._claims.map.rows, hits)
         for segment in segments:
             rate = round(segment.rate / passed_s, 1)
@@ -490,7 +494,7 @@
         self._rebalanced_ms = now_ms
         loads = [load for loads in self._loads_by_vm.values() for load in loads]
         return planning.admit(self.map, candidates) or planning.rebalance(
-            self.map, candidates, loads
+            self.map, candidates, loads, self.objective_ms
         )
 
     def _candidates(self) -> Iterator[planning.Candidate]:
@@ -501,7 +505,7 @@
                 peer.vm,
                 peer.life,
                 max(1, peer.status.limit),
-                float(max(1, peer.status.service_ms)),
+                float(max(1, peer.status.steady_service_ms)),
                 float(peer.status.key_rate),
                 self._may_give(peer),
             )
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -12,7 +12,8 @@
 __all__ = ["KindCopy", "ObjectStore", "SharedState"]
 
 # Waiting watches are priced; a longer wait means fewer of them.
-_WATCH_WAIT_MS = 20_000
+_WATCH_WAIT_MS = 10_000
+_IDLE_CHECK_MS = 400
 _FIRST_PAUSE_MS = 200
 _LONGEST_PAUSE_MS = 1_500
 
@@ -61,6 +62,9 @@
       store: The store.
       clock: Source of time.
       on_change: Called after objects of a kind have changed.
+      may_watch: Returns whether this daemon is to watch the store; the others
+        get changes from those that do.
+      on_news: Called after a watch has brought changes of a kind.
       on_store: Called with whether the store answers, when that changes.
     """
 
@@ -69,6 +73,8 @@
         store: ObjectStore,
         clock: clocks.Clock,
         on_change: Callback,
+        may_watch: Callable[[], bool],
+        on_news: Callback,
         on_store: Callable[[bool], None] = lambda _: None,
     ):
         self.by_kind = {kind: KindCopy({}) for kind in stored.Kind}
@@ -76,6 +82,8 @@
         self._store = store
         self._clock = clock
         self._on_change = on_change
+        self._may_watch = may_watch
+        self._on_news = on_news
         self._on_store = on_store
 
     def changes(self) -> tuple[int, ...]:
@@ -105,17 +113,22 @@
         copy.changed = max(copy.changed, up_to)
         self._on_change(kind)
 
-    def apply_listing(self, kind: stored.Kind, found: objects.Listing) -> None:
-        """Takes over all objects of a kind unless later ones are known."""
+    def apply_listing(self, kind: stored.Kind, found: objects.Listing) -> bool:
+        """Takes over all objects of a kind unless later ones are known.
+
+        Returns:
+          Whether anything changed.
+        """
         copy = self.by_kind[kind]
         if found.version < copy.changed:
-            return
+            return False
         by_key = {each.key: each for each in found.objects}
         if by_key == copy.by_key and copy.changed:
-            return
+            return False
         copy.by_key = by_key
         copy.changed = found.version
         self._on_change(kind)
+        return True
 
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind and watches it until cancelled."""
@@ -123,11 +136,16 @@
         wait_ms = _WATCH_WAIT_MS
         after: ids.Version | None = None
         while True:
+            if self.by_kind[kind].is_listed and not self._may_watch():
+                after = None
+                await self._clock.sleep_ms(_IDLE_CHECK_MS)
+                continue
             try:
                 if after is None:
                     listing = await self._store.list_objects(kind)
                     self.by_kind[kind].is_listed = True
-                    self.apply_listing(kind, listing)
+                    if self.apply_listing(kind, listing):
+                        self._on_news(kind)
                     after = listing.version
                     self._seen(True)
                 batch = await self._store.watch(kind, after, wait_ms)
@@ -147,6 +165,8 @@
             for event in batch.events:
                 self.apply_event(event, batch.version)
             after = batch.version
+            if batch.events:
+                self._on_news(kind)
 
     def _seen(self, answers: bool) -> None:
         if answers != self.store_answers:
