Let only a daemon that had the keys free vouch for them

Cause: the state machine of mustardloom/keys/tests/test_exclusive.py found two holders of one key: vm-0 to vm-2 to vm-1 in two maps, of which vm-2 read only the second; it had never waited for vm-0 and told vm-1 that the keys were free while the target of vm-0 still held them. The planner avoids such moves, losses do not. A row now names the fence under which its earlier owner had it, and that owner vouches only for keys it was free to grant under this fence. After a restart the next heartbeat shows what the target holds.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -1,5 +1,6 @@
 """Which rows a daemon may grant: those that nobody else can hold."""
 
+import array
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -25,6 +26,7 @@
 
     Attributes:
       previous: VM of that owner.
+      previous_fence: Fencing token under which that VM had the keys.
       version: Map by which the keys came here.
       over_ms: When its grants have run out in any case; None until enough
         daemons know the map.
@@ -33,6 +35,7 @@
     first: int
     last: int
     previous: ids.VmId
+    previous_fence: int
     version: int
     over_ms: int | None = None
 
@@ -44,13 +47,13 @@
     them no longer, or once all grants that it may have made have run out.
     """
 
-    def __init__(self, vm: ids.VmId, now_ms: int):
+    def __init__(self, vm: ids.VmId):
         self.map = key_map.empty()
         self._vm = vm
-        self._started_ms = now_ms
         self._waits: list[Wait] = []
         self._handovers: list[ledger.Released] = []
-        self._granted_keys = bytearray(key_map.KEYS)
+        # Fence under which each key was last ours with nobody else in between.
+        self._free_fence = array.array("I", bytes(4 * key_map.KEYS))
 
     @property
     def waits(self) -> tuple[Wait, ...]:
@@ -71,18 +74,28 @@
             if before.owner == self._vm and before.fence >= row.fence:
                 continue
             self._waits.append(
-                Wait(row.first, row.last, row.previous, new.version)
+                Wait(
+                    row.first,
+                    row.last,
+                    row.previous,
+                    row.previous_fence,
+                    new.version,
+                )
             )
-        # Waits for keys that moved on stay: only when they are over may the
-        # next owner be told that this VM does not hold them.
+        # Waits for keys that moved on stay: once they are over, the next owner
+        # may be told that the keys are free.
+        self._note_free()
 
     def expire(self, now_ms: int) -> None:
         """Ends the waits whose earlier grants have run out."""
-        self._waits = [
+        lasting = [
             wait
             for wait in self._waits
             if wait.over_ms is None or now_ms < wait.over_ms
         ]
+        if len(lasting) < len(self._waits):
+            self._waits = lasting
+            self._note_free()
 
     def spread(self, is_blocking: Callable[[int], bool], now_ms: int) -> None:
         """Starts the countdown of waits whose map is known widely enough."""
@@ -96,6 +109,7 @@
 
     def released(self, parts: Iterable[ledger.Released]) -> None:
         """Takes the earlier owner's word that its target let keys go."""
+        had_waits = bool(self._waits)
         for part in parts:
             self._waits = [
                 rest
@@ -104,6 +118,8 @@
             ]
             if part.handover:
                 self._handovers.append(part)
+        if had_waits:
+            self._note_free()
 
     def reported(self, held: Iterable[targets.HeldRange]) -> None:
         """Ends the waits for keys that the target holds under our fence."""
@@ -151,24 +167,20 @@
         """Forgets the tokens once the target has taken the keys."""
         self._handovers.clear()
 
-    def granted(self, rows: Iterable[key_map.Row]) -> None:
-        """Records that the local target was granted these rows."""
-        for row in rows:
-            self._granted_keys[row.first : row.last + 1] = b"\1" * row.width
-
-    def may_vouch(self, first: int, last: int, now_ms: int) -> bool:
-        """Returns whether this daemon knows who may hold keys it gave up.
+    def may_vouch(self, first: int, last: int, fence: int) -> bool:
+        """Returns whether only the local target can have held these keys.
 
-        It does for keys that it granted itself. For others it may have waited
-        before a restart, until all grants of that time have run out.
+        That is so if they were ours to grant under the fence that the next
+        owner names. A daemon that missed the map by which it had them, or has
+        restarted since, does not know who held them before.
         """
-        if any(
-            wait.first <= last and first <= wait.last for wait in self._waits
-        ):
-            return False
-        if now_ms - self._started_ms >= AUTHORITY_MS + _MARGIN_MS:
-            return True
-        return all(self._granted_keys[first : last + 1])
+        expected = array.array("I", [fence]) * (last + 1 - first)
+        return self._free_fence[first : last + 1] == expected
+
+    def _note_free(self) -> None:
+        for row in self.grantable():
+            fences = array.array("I", [row.fence]) * row.width
+            self._free_fence[row.first : row.last + 1] = fences
 
     def _free_parts(self, row: key_map.Row) -> Iterator[key_map.Row]:
         parts = [row]
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -26,6 +26,7 @@
       owner: VM whose target owns the keys; empty if nobody does.
       fence: Fencing token; grows whenever the keys change hands.
       previous: VM whose target may hold the keys still; empty if none.
+      previous_fence: Fencing token under which that VM had them.
     """
 
     first: int
@@ -33,6 +34,7 @@
     owner: ids.VmId
     fence: int
     previous: ids.VmId = _NOBODY
+    previous_fence: int = 0
 
     def __contains__(self, key: int) -> bool:
         return self.first <= key <= self.last
@@ -80,8 +82,9 @@
     version: int
     vms: list[str]
     lives: list[tuple[int, str, int]]
-    # First key, owner, fence, previous owner; VMs by their place in the table.
-    rows: list[tuple[int, int, int, int]]
+    # First key, owner, fence, previous owner, its fence; VMs by their place in
+    # the table.
+    rows: list[tuple[int, int, int, int, int]]
 
 
 class _Envelope(msgspec.Struct):
@@ -131,7 +134,13 @@
             for vm, life in key_map.life_by_vm.items()
         ],
         [
-            (row.first, place[row.owner], row.fence, place[row.previous])
+            (
+                row.first,
+                place[row.owner],
+                row.fence,
+                place[row.previous],
+                row.previous_fence,
+            )
             for row in key_map.rows
         ],
     )
@@ -155,8 +164,8 @@
     vms = [ids.VmId(vm) for vm in wire.vms]
     ends = [row[0] - 1 for row in wire.rows[1:]] + [KEYS - 1]
     rows = tuple(
-        Row(first, last, vms[owner], fence, vms[previous])
-        for (first, owner, fence, previous), last in zip(
+        Row(first, last, vms[owner], fence, vms[previous], before)
+        for (first, owner, fence, previous, before), last in zip(
             wire.rows, ends, strict=True
         )
     )
@@ -172,8 +181,6 @@
 
 
 def _mergeable(left: Row, right: Row) -> bool:
-    return (left.owner, left.fence, left.previous) == (
-        right.owner,
-        right.fence,
-        right.previous,
+    return dataclasses.replace(left, first=0, last=0) == (
+        dataclasses.replace(right, first=0, last=0)
     )
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -374,7 +374,11 @@
     version = current.version + 1
     changed = (
         dataclasses.replace(
-            row, owner=moves[row.first], fence=version, previous=row.owner
+            row,
+            owner=moves[row.first],
+            fence=version,
+            previous=row.owner,
+            previous_fence=row.fence,
         )
         if row.first in moves
         else row
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -210,12 +210,16 @@
 
 
 class ReleaseQuery(_Base, frozen=True, tag=12):
-    """Asks an earlier owner which keys its target let go of."""
+    """Asks an earlier owner which keys its target let go of.
+
+    Attributes:
+      ranges: First key, last key, fence under which the receiver had them.
+    """
 
     number: int
     service: str
     map_version: int
-    ranges: tuple[tuple[int, int], ...]
+    ranges: tuple[tuple[int, int, int], ...]
 
 
 class ReleaseReply(_Base, frozen=True, tag=13):
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -90,7 +90,7 @@
         self._log = log
         self._metrics = metrics
         self._key = stored.key(stored.Kind.KEY_MAP, service)
-        self._claims = claims_lib.Claims(own.vm, clock.now_ms())
+        self._claims = claims_lib.Claims(own.vm)
         self._version = ids.NO_VERSION
         self._ledger: ledgers.GrantLedger | None = None
         self._authority = authority_lib.Authority()
@@ -167,7 +167,6 @@
         rows = list(self._claims.grantable()) if life == ledger.life else []
         rows = self._paced(rows, ledger, now_ms)
         ledger.grant(rows, hold_ms, now_ms)
-        self._claims.granted(rows)
         ranges = tuple(
             each for row in rows for each in self._claims.handovers(row)
         )
@@ -342,10 +341,10 @@
         while True:
             await self._clock.sleep_ms(_RELEASE_INTERVAL_MS)
             self._spread()
-            by_previous: dict[ids.VmId, list[tuple[int, int]]] = {}
+            by_previous: dict[ids.VmId, list[tuple[int, int, int]]] = {}
             for wait in self._claims.waits:
                 spans = by_previous.setdefault(wait.previous, [])
-                spans.append((wait.first, wait.last))
+                spans.append((wait.first, wait.last, wait.previous_fence))
             for vm, spans in by_previous.items():
                 await self._ask_release(vm, tuple(spans))
 
@@ -371,7 +370,7 @@
         )
 
     async def _ask_release(
-        self, vm: ids.VmId, spans: tuple[tuple[int, int], ...]
+        self, vm: ids.VmId, spans: tuple[tuple[int, int, int], ...]
     ) -> None:
         version = self._claims.map.version
         try:
@@ -397,8 +396,8 @@
         """Tells which keys the local target no longer holds."""
         released: list[tuple[int, int, str]] = []
         if self._claims.map.version >= query.map_version:
-            for first, last in query.ranges:
-                released.extend(self._released(first, last))
+            for first, last, fence in query.ranges:
+                released.extend(self._released(first, last, fence))
         if released:
             self._log.write(
                 events.Event.KEYS_RELEASED,
@@ -410,13 +409,13 @@
         return frames.ReleaseReply(query.number, tuple(released))
 
     def _released(
-        self, first: int, last: int
+        self, first: int, last: int, fence: int
     ) -> Iterator[tuple[int, int, str]]:
         now_ms = self._clock.now_ms()
         own_rows = self._claims.map.owned_by(self._own.vm)
         if any(row.first <= last and first <= row.last for row in own_rows):
             return
-        if not self._claims.may_vouch(first, last, now_ms):
+        if not self._claims.may_vouch(first, last, fence):
             return
         ledger = self._ledger
         if ledger is None:
