--- a/mustardloom/cli/ctl.py
+++ b/mustardloom/cli/ctl.py
@@ -7,13 +7,14 @@
 
 from mustardloom.cli import common
 from mustardloom.cli import configuration
+from mustardloom.cli import explain
 from mustardloom.cli import operate
 
 __all__ = ["app", "main"]
 
 app = typer.Typer(no_args_is_help=True, help="Operates mustardloom.")
 
-for _module in (configuration, operate):
+for _module in (configuration, explain, operate):
     _module.register(app)
 
 
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -56,7 +56,8 @@
 async def _run(own: settings.Settings, metrics_port: int) -> None:
     store = object_api.ObjectApi(own.store.address)
     clock = clocks.SystemClock()
-    await daemon.Daemon(own, store, clock, metrics_port).run()
+    made = daemon.Daemon(own, store, clock, metrics_port, settings_file.read)
+    await made.run()
 
 
 if __name__ == "__main__":
--- a/mustardloom/metrics.py
+++ b/mustardloom/metrics.py
@@ -1,14 +1,41 @@
-"""Counters and gauges, sent by statsd."""
+"""Counters, gauges and histograms; statsd sends the first two."""
 
+import bisect
 import collections
+import dataclasses
 
 import statsd
 
 from mustardloom import clock as clocks
 
-__all__ = ["Metrics"]
+__all__ = ["Histogram", "Metrics"]
 
 _FLUSH_INTERVAL_MS = 1_000
+# Upper bounds of the buckets of all histograms.
+_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 750, 1_000, 1_500, 3_000)
+
+
+@dataclasses.dataclass(slots=True)
+class Histogram:
+    """Counts of durations by bucket.
+
+    Example:
+      >>> histogram = Histogram()
+      >>> histogram.observe(4)
+      >>> histogram.counts[2], histogram.total_ms
+      (1, 4)
+    """
+
+    bounds_ms: tuple[int, ...] = _BOUNDS_MS
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(_BOUNDS_MS) + 1)
+    )
+    total_ms: float = 0.0
+
+    def observe(self, duration_ms: float) -> None:
+        """Adds one duration."""
+        self.counts[bisect.bisect_left(self.bounds_ms, duration_ms)] += 1
+        self.total_ms += duration_ms
 
 
 class Metrics:
@@ -27,6 +54,7 @@
     def __init__(self, client: statsd.StatsClient | None = None):
         self.counters: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, Histogram] = {}
         self._client = client
         self._sent: collections.Counter[str] = collections.Counter()
 
@@ -38,6 +66,13 @@
         """Sets the gauge `name`."""
         self.gauges[name] = value
 
+    def observe(self, name: str, duration_ms: float) -> None:
+        """Adds a duration to the histogram `name`."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.observe(duration_ms)
+
     def flush(self) -> None:
         """Sends the changes of all counters and the values of all gauges."""
         if self._client is None:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -4,12 +4,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+import dataclasses
 import signal
 from typing import Any
 
 import msgspec
 
 from mustardloom import clock as clocks
+from mustardloom import findings
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import objects
@@ -49,6 +51,7 @@
 _ONE_WAY = 0
 _FETCH_CALL_MS = 1_000
 _REGISTER_RETRY_MS = 500
+_SETTINGS_INTERVAL_MS = 2_000
 _MS_PER_S = 1_000
 _PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
@@ -69,7 +72,9 @@
         store: shared_state.ObjectStore,
         clock: clocks.Clock,
         metrics_port: int,
+        read_settings: Callable[[], settings.Settings],
     ):
+        self._read_settings = read_settings
         self._own = own
         self._store = store
         self._clock = clock
@@ -194,6 +199,7 @@
             self._gate.sweep(),
             self._target.watch(),
             self._tick(),
+            self._follow_settings(),
         ]
 
     def _start(self, call: Coroutine[Any, Any, None]) -> None:
@@ -576,7 +582,28 @@
     # The end.
 
     def _on_reload(self) -> None:
-        self._log.write(events.Event.RELOAD, applied=[])
+        """Adopts new bounds; addresses hold for the life of the process."""
+        try:
+            new = self._read_settings()
+        except findings.FindingsError as error:
+            # The settings in force stay.
+            self._log.write(events.Event.RELOAD, rejected=str(error))
+            return
+        if new.bounds == self._own.bounds:
+            return
+        self._own = dataclasses.replace(self._own, bounds=new.bounds)
+        self._target.bounds = new.bounds
+        for keyspace in self._keyspace_by_service.values():
+            keyspace.bounds = new.bounds
+        self._log.write(
+            events.Event.RELOAD, bounds=dataclasses.asdict(new.bounds)
+        )
+
+    async def _follow_settings(self) -> None:
+        """Notices a settings file that changes without a signal."""
+        while True:
+            await self._clock.sleep_ms(_SETTINGS_INTERVAL_MS)
+            self._on_reload()
 
     async def _leave(self) -> None:
         """Lets callers go elsewhere, answers the rest, then ends."""
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -99,6 +99,7 @@
 
     request: work.Work
     outcome: "asyncio.Future[work.Outcome]"
+    arrived_ms: int
     started_ms: int = _NOT_YET
 
 
@@ -342,8 +343,8 @@
 
     async def _admitted(self, request: work.Work) -> work.Outcome:
         outcome: asyncio.Future[work.Outcome] = asyncio.Future()
-        ticket = _Ticket(request, outcome)
         now_ms = self._clock.now_ms()
+        ticket = _Ticket(request, outcome, now_ms)
         if not len(self._line):
             self._line_empty_ms = now_ms
         self._line.push(self._demand(request), ticket, now_ms)
@@ -402,6 +403,7 @@
 
     def _start(self, ticket: _Ticket, now_ms: int) -> None:
         ticket.started_ms = now_ms
+        self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
         self._running.add(ticket)
         task = asyncio.ensure_future(self._dispatch(ticket))
         self._tasks.add(task)
@@ -443,6 +445,7 @@
         now_ms = self._clock.now_ms()
         request = ticket.request
         duration_ms = now_ms - ticket.started_ms
+        self._metrics.observe("gate.service_ms", duration_ms)
         match exchange.outcome:
             case work.Answered(response):
                 self._last_answer_ms = now_ms
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -127,7 +127,10 @@
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
-        self._metrics.increment(f"ingress.{type(outcome).__name__.lower()}")
+        name = type(outcome).__name__.lower()
+        self._metrics.increment(f"ingress.{name}")
+        waited_ms = self._clock.now_ms() - started_ms
+        self._metrics.observe(f"ingress.{name}_ms", waited_ms)
         match outcome:
             case work.Answered(response):
                 return response
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -80,6 +80,7 @@
     ):
         self.service = service
         self.objective_ms = _DEFAULT_OBJECTIVE_MS
+        self.bounds = own.bounds
         self._own = own
         self._store = store
         self._state = state
@@ -224,7 +225,7 @@
             if has_authority:
                 event = events.Event.AUTHORITY_BACK
             self._log.write(event, service=self.service, left_ms=left_ms)
-        return min(_HOLD_MS, self._own.bounds.hold_limit_ms, lawful_ms)
+        return min(_HOLD_MS, self.bounds.hold_limit_ms, lawful_ms)
 
     def _is_target_alive(self) -> bool:
         return self._gate.presence is gates.Presence.UP
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -30,6 +30,7 @@
     Attributes:
       announcement: The newest heartbeat, None if there was none.
       is_leaving: Whether the target said that it leaves.
+      bounds: Bounds in force.
       on_change: Called when other daemons should know of a change.
     """
 
@@ -44,6 +45,7 @@
         self.announcement: targets.Announcement | None = None
         self.is_leaving = False
         self.on_change: Callable[[], None] = lambda: None
+        self.bounds = own.bounds
         self._own = own
         self._gate = gate
         self._grants = grants
@@ -141,7 +143,7 @@
         if self.is_leaving:
             return
         self.is_leaving = True
-        allowed_ms = max(0, self._own.bounds.drain_ms - _DRAIN_MARGIN_MS)
+        allowed_ms = max(0, self.bounds.drain_ms - _DRAIN_MARGIN_MS)
         self._gate.close_at(self._clock.now_ms() + allowed_ms)
         self._log.write(
             events.Event.TARGET_LEAVING, notice=notice, work_for_ms=allowed_ms
--- a/mustardloom/sidecar/metrics_page.py
+++ b/mustardloom/sidecar/metrics_page.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import itertools
 
 from mustardloom import metrics as metrics_lib
 from mustardloom.http1 import messages
@@ -47,6 +48,10 @@
                 """Yields one family for each figure."""
                 for name, count in self._page.counters():
                     yield core.CounterMetricFamily(name, name, value=count)
+                for name, buckets, total_ms in self._page.histograms():
+                    yield core.HistogramMetricFamily(
+                        name, name, buckets=buckets, sum_value=total_ms
+                    )
                 for name, value in self._page.gauges():
                     yield core.GaugeMetricFamily(name, name, value=value)
 
@@ -61,6 +66,19 @@
         for name, count in sorted(self._metrics.counters.items()):
             yield _PREFIX + name.replace(".", "_").replace("-", "_"), count
 
+    def histograms(
+        self,
+    ) -> Iterator[tuple[str, list[tuple[str, float]], float]]:
+        """Yields names, cumulative buckets and sums of the histograms."""
+        for name, histogram in sorted(self._metrics.histograms.items()):
+            bounds = [*map(str, histogram.bounds_ms), "+Inf"]
+            cumulative = itertools.accumulate(histogram.counts)
+            buckets = [
+                (bound, float(count))
+                for bound, count in zip(bounds, cumulative, strict=True)
+            ]
+            yield _PREFIX + name.replace(".", "_"), buckets, histogram.total_ms
+
     def gauges(self) -> Iterator[tuple[str, float]]:
         """Yields the gauges by their names on the page."""
         for name, value in sorted(self._gauges().items()):
