--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -160,7 +160,7 @@
     async def run(self) -> None:
         """Serves until SIGTERM, then ends without cutting a request."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         own = self._own
         self._links.listen(own.ip, own.peer_port)
@@ -179,6 +179,10 @@
         await self._stop.wait()
         await self._leave()
 
+    def stop(self) -> None:
+        """Ends the daemon as SIGTERM does."""
+        self._stop.set()
+
     # Wiring.
 
     def _server(
@@ -622,6 +626,8 @@
         await self._clock.sleep_ms(_STOP_POLL_MS)
         for task in list(self._tasks):
             task.cancel()
+        for each in (self._notices, self._readiness, self._page):
+            each.finish()
         self._links.close()
 
     async def _await_idle(
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -295,8 +295,8 @@
                 link.check(now_ms)
 
     def close(self) -> None:
-        """Ends all links."""
-        self._server.stop()
+        """Ends all links, those that peers dialled included."""
+        self._server.close()
         for link in self._link_by_vm.values():
             link.close()
         self._link_by_vm.clear()
@@ -308,6 +308,13 @@
     def __init__(self, owner: Links):
         super().__init__()
         self._owner = owner
+        self._streams: set[iostream.IOStream] = set()
+
+    def close(self) -> None:
+        """Accepts no more links and ends those that are open."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[Any, ...]
@@ -315,7 +322,11 @@
         """See base class."""
         del address
         stream.set_nodelay(True)
-        await _Incoming(self._owner, stream).run()
+        self._streams.add(stream)
+        try:
+            await _Incoming(self._owner, stream).run()
+        finally:
+            self._streams.discard(stream)
 
 
 class _Incoming:
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -0,0 +1,299 @@
+"""Tests of whole daemons with stand-ins of store and targets, on loopback."""
+
+import asyncio
+import contextlib
+import os
+import socket
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.deployment import settings
+from mustardloom.http1 import client
+from mustardloom.http1 import messages
+from mustardloom.platform import object_api
+from mustardloom.platform.tests import standins
+from mustardloom.sidecar import daemon as daemons
+
+_HOST = "127.0.0.1"
+# Generous: bounds on time are checked elsewhere, on a fake clock.
+_LIMIT_S = 40
+_BEAT_S = 0.05
+
+
+def _free_ports(count):
+    opened = [socket.socket() for _ in range(count)]
+    for each in opened:
+        each.bind((_HOST, 0))
+    ports = [each.getsockname()[1] for each in opened]
+    for each in opened:
+        each.close()
+    return ports
+
+
+class _Vm:
+    """One VM: its daemon, its target and the target's heartbeats."""
+
+    def __init__(self, name, service, zone, region, store_port):
+        ports = _free_ports(6)
+        self.own = settings.Settings(
+            vm=ids.VmId(name),
+            ip=_HOST,
+            availability_zone=ids.AvailabilityZoneId(zone),
+            region=ids.RegionId(region),
+            region_by_zone={},
+            caller_address=(_HOST, ports[0]),
+            readiness_address=(_HOST, ports[1]),
+            announcement_address=(_HOST, ports[2]),
+            target_address=(_HOST, ports[3]),
+            service=ids.ServiceId(service),
+            peer_port=ports[4],
+            store=settings.StoreSettings((_HOST, store_port)),
+        )
+        self.metrics_port = ports[5]
+        self.target = standins.Target(
+            f"t-{name}", service, zone, (_HOST, ports[2]), service == "keyed"
+        )
+        self.target.listen(ports[3])
+        self.daemon = None
+        self._tasks = []
+
+    def start(self):
+        store = object_api.ObjectApi(self.own.store.address)
+        self.daemon = daemons.Daemon(
+            self.own,
+            store,
+            clocks.SystemClock(),
+            self.metrics_port,
+            lambda: self.own,
+        )
+        self._tasks = [
+            asyncio.ensure_future(self.daemon.run()),
+            asyncio.ensure_future(self._beat()),
+        ]
+        return self._tasks[0]
+
+    async def _beat(self):
+        while True:
+            await asyncio.sleep(_BEAT_S)
+            with contextlib.suppress(client.ConnectFailed, client.ClosedEarly):
+                await self.target.beat()
+
+    async def get(self, path, request_id, key=0, address=None):
+        connection = await client.connect(
+            address or self.own.caller_address, 1_000
+        )
+        found = (
+            (b"Host", b"a.example"),
+            (b"X-Request-Id", request_id.encode()),
+            (b"X-Deadline-Ms", b"1200"),
+            (b"X-Shard-Key", b"%d" % key),
+            (b"X-Caller-Service", b"forged"),
+        )
+        request = messages.Request("GET", path, found, b"")
+        try:
+            data = messages.encode_request(request)
+            return await connection.exchange(data)
+        finally:
+            connection.close()
+
+    async def is_ready(self):
+        try:
+            address = self.own.readiness_address
+            response = await self.get("/readiness", "r", address=address)
+        except client.ConnectFailed:
+            return False
+        return response.status == 200
+
+    def close(self):
+        for task in self._tasks:
+            task.cancel()
+        self.target.close()
+
+
+def _run(scenario):
+    async def run():
+        store = standins.Store()
+        port = store.listen()
+        vms = [
+            _Vm("vm-0", "keyed", "za", "ra", port),
+            _Vm("vm-1", "keyed", "zb", "rb", port),
+            _Vm("vm-2", "plain", "za", "ra", port),
+        ]
+        stdout = os.dup(1)
+        try:
+            async with asyncio.timeout(_LIMIT_S):
+                return await scenario(store, vms)
+        finally:
+            for vm in vms:
+                vm.close()
+            store.close()
+            await asyncio.sleep(0)
+            os.set_blocking(1, True)
+            os.close(stdout)
+
+    return asyncio.run(run())
+
+
+async def _until(check):
+    while not await check():
+        await asyncio.sleep(0.02)
+
+
+async def _serving(store, vms):
+    """Starts a fleet and waits until all keys are held."""
+    store.put("config", "main", standins.configuration(version=3))
+    for vm in vms:
+        vm.start()
+
+    async def is_complete():
+        held = sum(row[1] - row[0] + 1 for vm in vms for row in vm.target.held)
+        return held >= 65_536 - 8
+
+    await _until(is_complete)
+
+
+async def _answers(vm, path, request_id, key=0):
+    """Repeats a request until it is answered, as a client does."""
+    for number in range(200):
+        response = await vm.get(path, f"{request_id}-{number}", key)
+        if response.status == 200:
+            return response
+        await asyncio.sleep(0.02)
+    return response
+
+
+def test_requests_reach_the_holder_of_their_key_from_any_vm():
+    """Guards against keys that are run by a target that lacks them."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        for key in range(0, 65_536, 6_007):
+            response = await _answers(vms[key % 3], "/keyed/x", f"k{key}", key)
+            assert response.status == 200
+        runs = [run for vm in vms[:2] for run in vm.target.runs]
+        assert len({run.key for run in runs}) == 11
+        assert all(vm.target.runs for vm in vms[:2])
+        fences = [row[2] for vm in vms[:2] for row in vm.target.held]
+        assert min(fences) >= 1
+
+    _run(scenario)
+
+
+def test_home_regions_decide_which_targets_may_run():
+    """Guards against a request that is run outside its home regions."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        response = await _answers(vms[1], "/plain/x", "p")
+        assert response.body == b"by t-vm-2"
+        wire = standins.configuration(version=9).replace(b'["ra"]', b'["rb"]')
+        store.put("config", "main", wire)
+
+        async def is_refused():
+            return (await vms[0].get("/plain/x", "q")).status == 503
+
+        before = len(vms[2].target.runs)
+        await _until(is_refused)
+        assert len(vms[2].target.runs) >= before
+        response = await vms[0].get("/plain/x", "last")
+        assert messages.find(response.headers, b"retry-after") is not None
+
+    _run(scenario)
+
+
+def test_evacuated_zone_gets_nothing_and_its_keys_move():
+    """Guards against work in a zone that operators have emptied."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        store.put("evacuations", "za", b"{}")
+
+        async def has_moved():
+            return sum(r[1] - r[0] for r in vms[1].target.held) > 65_000
+
+        await _until(has_moved)
+        ran = len(vms[0].target.runs)
+        for key in range(0, 65_536, 9_001):
+            response = await _answers(vms[2], "/keyed/x", f"e{key}", key)
+            assert response.body == b"by t-vm-1"
+        assert len(vms[0].target.runs) == ran
+        tokens = [row[3] for row in vms[1].target.held if row[3]]
+        assert all(token.startswith("token-") for token in tokens)
+
+    _run(scenario)
+
+
+def test_older_or_unreadable_configuration_changes_nothing():
+    """Guards against a configuration that reverts."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        store.put("config", "main", standins.configuration(version=2))
+        store.put("config", "main", b'{"version": 5}')
+        store.put("evacuations", "nowhere", b"{}")
+        await asyncio.sleep(0.3)
+        assert (await _answers(vms[0], "/plain/x", "c")).status == 200
+        assert (await vms[0].get("/none/x", "n")).status == 404
+
+    _run(scenario)
+
+
+def test_daemon_is_ready_only_with_a_configuration():
+    """Guards against callers that are sent to a daemon without routes."""
+
+    async def scenario(store, vms):
+        for vm in vms:
+            vm.start()
+
+        async def listens():
+            try:
+                await vms[0].get("/keyed/x", "a")
+            except client.ConnectFailed:
+                return False
+            return True
+
+        await _until(listens)
+        assert not await vms[0].is_ready()
+        assert (await vms[0].get("/keyed/x", "b")).status == 503
+        store.put("config", "main", standins.configuration(version=1))
+        await _until(vms[0].is_ready)
+
+    _run(scenario)
+
+
+def test_restart_moves_no_keys_and_needs_no_store():
+    """Guards against a restart that empties the target beside the daemon."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        version = store.revision
+        held = {row[0] for row in vms[1].target.held}
+        vms[1].daemon.stop()
+        await vms[1]._tasks[0]
+        vms[1]._tasks[1].cancel()
+        store.status = 503
+        vms[1].start()
+        await _until(vms[1].is_ready)
+        key = vms[1].target.held[0][0]
+        response = await _answers(vms[1], "/keyed/x", "again", key)
+        assert response.body == b"by t-vm-1"
+        assert {row[0] for row in vms[1].target.held} & held
+        assert store.revision == version
+
+    _run(scenario)
+
+
+def test_metrics_page_tells_latencies_and_counts():
+    """Guards against engineers without figures."""
+
+    async def scenario(store, vms):
+        await _serving(store, vms)
+        await _answers(vms[0], "/plain/x", "m")
+        address = (_HOST, vms[0].metrics_port)
+        page = await vms[0].get("/metrics", "x", address=address)
+        assert b"mustardloom_ingress_answered_total" in page.body
+        assert b'mustardloom_ingress_answered_ms_bucket{le="100"}' in page.body
+
+    _run(scenario)
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_events.py
@@ -0,0 +1,72 @@
+"""Tests of the log: bounded, never blocking, readable."""
+
+import os
+
+import msgspec
+
+from mustardloom import clock as clocks
+from mustardloom import metrics as metrics_lib
+from mustardloom.cli import explain
+from mustardloom.sidecar import events
+
+
+def _log(descriptor, clock=None):
+    return events.EventLog(
+        "vm", clock or clocks.FakeClock(), metrics_lib.Metrics(), descriptor
+    )
+
+
+def _read(descriptor):
+    os.set_blocking(descriptor, False)
+    try:
+        data = os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return []
+    return [msgspec.json.decode(line) for line in data.splitlines()]
+
+
+def test_burst_of_refusals_is_bounded_and_counted():
+    """Guards against logs that cost more than the requests."""
+    reader, writer = os.pipe()
+    log = _log(writer)
+    for number in range(500):
+        log.write(events.Event.REQUEST_REFUSED, request=str(number))
+    log.write(events.Event.TARGET_DOWN)
+    lines = _read(reader)
+    assert len(lines) == 61
+    assert lines[-1]["event"] == "target-down"
+    assert lines[-1]["lines_left_out"] == 440
+    os.close(reader)
+    os.close(writer)
+
+
+def test_reader_that_stops_reading_blocks_nothing():
+    """Guards against requests that wait for the log."""
+    reader, writer = os.pipe()
+    log = _log(writer)
+    for number in range(5_000):
+        log.write(events.Event.PEER_LOST, peer="p" * 50, number=number)
+    os.close(reader)
+    log.write(events.Event.PEER_BACK)
+    os.close(writer)
+
+
+def test_story_of_a_request_is_told_in_order_with_its_calls():
+    """Guards against lines of one request that are not found or misplaced."""
+    texts = [
+        '  1.5 vm-b {"wall_ms":30,"vm":"b","event":"request-refused",'
+        '"request":"c1.r1","reason":"overloaded"}',
+        '{"wall_ms":20,"vm":"a","event":"gate-failed","request":"r1"}',
+        '{"wall_ms":10,"vm":"a","event":"target-down","presence":"down"}',
+        '{"wall_ms":15,"vm":"z","event":"target-down"}',
+        '{"wall_ms":25,"vm":"a","event":"gate-failed","request":"r2"}',
+        "not a line",
+        '{"wall_ms":true}',
+    ]
+    story = explain.tell("r1", texts)
+    assert [line.event for line in story.lines] == [
+        "gate-failed",
+        "request-refused",
+    ]
+    assert [line.vm for line in story.context] == ["a"]
+    assert story.unreadable == 2
