--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -168,6 +168,10 @@
             if not self._has_time(request):
                 break
             mapped = self._owner(request, service.name)
+            if hint and not self._is_allowed(hint, route):
+                # The earlier owner may get nothing more, so the keys are
+                # about to arrive at their new owner.
+                hint = work.NO_VM
             owner = hint or mapped
             if not owner or not self._is_allowed(owner, route):
                 attempts.latest = _better(
