--- a/mustardloom/load/tests/test_load.py
+++ b/mustardloom/load/tests/test_load.py
@@ -64,7 +64,9 @@
 
     def _start(self, now_ms):
         while len(self.line) and len(self.ends) < _PLACES:
-            arrived_ms, service_ms = self.line.take(now_ms)
+            taken = self.line.take(now_ms)
+            assert taken is not None
+            arrived_ms, service_ms = taken
             heapq.heappush(self.ends, (now_ms + service_ms, arrived_ms))
 
 
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -79,7 +79,7 @@
     assert other.kind is configurations.Kind.AT_MOST_ONCE
     assert other.home_regions == {"ra"}
     assert found.route_for("b.example", "/plain/x") is None
-    assert found.service_by_name["keyed"].is_keyed
+    assert found.service_by_name[ids.ServiceId("keyed")].is_keyed
     assert found.limits.idle_timeout_ms == 15_000
 
 
