--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -26,6 +26,7 @@
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as wire_configuration
 from mustardloom.sidecar import events
+from mustardloom.sidecar import exchange as exchanges
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarders
 from mustardloom.sidecar import frames
@@ -35,6 +36,7 @@
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import metrics_page
+from mustardloom.sidecar import planner as planners
 from mustardloom.sidecar import router as routers
 from mustardloom.sidecar import shared_state
 from mustardloom.sidecar import target as target_connections
@@ -46,13 +48,8 @@
 # beyond, where bytes are dear.
 _NEAR_STATUS_MS = 500
 _FAR_STATUS_MS = 1_200
-# Answers of several daemons that are ahead would be the same.
-_FETCH_INTERVAL_MS = 150
-_ONE_WAY = 0
-_FETCH_CALL_MS = 1_000
 _REGISTER_RETRY_MS = 500
 _SETTINGS_INTERVAL_MS = 2_000
-_MS_PER_S = 1_000
 _PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
 # Callers notice within this time that a daemon is not ready any more.
@@ -86,7 +83,7 @@
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[ids.ServiceId, keyspaces.Keyspace] = {}
-        self._fetched_ms: dict[stored.Kind, int] = {}
+        self._planner_by_service: dict[ids.ServiceId, planners.Planner] = {}
         self._told_far_ms = 0
         self._told_near_ms = 0
         self._state = shared_state.SharedState(
@@ -94,7 +91,7 @@
             clock,
             self._on_state,
             lambda: self._fleet.is_watcher(),
-            self._push,
+            lambda kind: self._exchange.push(kind),
             self._on_store,
         )
         self._record = stored.DaemonRecord(
@@ -111,6 +108,9 @@
         self._links.pong = self._pong
         self._links.on_pong = self._on_pong
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
+        self._exchange = exchanges.StateExchange(
+            self._state, self._fleet, self._links, clock, self._start
+        )
         self._quarantine = quarantines.Quarantine(
             clock, self._on_suspect, _CRASHES_TO_QUARANTINE
         )
@@ -292,8 +292,8 @@
         for service in new.service_by_name.values():
             if service.is_keyed:
                 self._open_keyspace(service.name)
-        for name, keyspace in self._keyspace_by_service.items():
-            keyspace.objective_ms = new.objective_of(name)
+        for name, planner in self._planner_by_service.items():
+            planner.objective_ms = new.objective_of(name)
 
     def _open_keyspace(self, service: ids.ServiceId) -> None:
         if service in self._keyspace_by_service:
@@ -308,12 +308,22 @@
             self._gate,
             self._clock,
             self._log,
-            self._metrics,
         )
         keyspace.on_settled = self._tell_one
         self._keyspace_by_service[service] = keyspace
         self._adopt_maps()
-        self._start(keyspace.plan())
+        planner = planners.Planner(
+            self._own.vm,
+            keyspace,
+            self._store,
+            self._fleet,
+            self._links,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+        self._planner_by_service[service] = planner
+        self._start(planner.plan())
         if service == self._own.service:
             self._start(keyspace.renew())
             self._start(keyspace.pursue())
@@ -386,11 +396,11 @@
                 return self._forwarder.receive(vm, frame)
             case frames.Status():
                 self._fleet.told(vm, frame)
-                self._compare(vm, frame)
-            case frames.Fetch(number=number, kind=kind):
-                return _ready(self._snapshot(number, stored.Kind(kind)))
+                self._exchange.compare(vm, frame.changes)
+            case frames.Fetch():
+                return _ready(self._exchange.answer(frame))
             case frames.Fetched():
-                self._adopt_snapshot(frame)
+                self._exchange.adopt(frame)
             case frames.AuthorityQuery(service=service):
                 keyspace = self._keyspace(service)
                 if keyspace is not None:
@@ -400,9 +410,9 @@
                 if keyspace is not None:
                     return _ready(keyspace.on_release_query(frame))
             case frames.KeyLoad(service=service, loads=loads):
-                keyspace = self._keyspace(service)
-                if keyspace is not None:
-                    keyspace.on_key_load(vm, loads)
+                planner = self._planner_by_service.get(ids.ServiceId(service))
+                if planner is not None:
+                    planner.on_key_load(vm, loads)
             case frames.Suspect(fingerprint=fingerprint, crashes=crashes):
                 self._quarantine.learn(fingerprint, crashes)
             case _:
@@ -428,47 +438,6 @@
     def _keyspace(self, service: str) -> keyspaces.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
-    def _compare(self, vm: ids.VmId, status: frames.Status) -> None:
-        """Fetches what another daemon knows and the store does not tell."""
-        now_ms = self._clock.now_ms()
-        for kind in self._state.behind(status.changes):
-            fetched_ms = self._fetched_ms.get(kind, -_FETCH_INTERVAL_MS)
-            if now_ms - fetched_ms >= _FETCH_INTERVAL_MS:
-                self._fetched_ms[kind] = now_ms
-                self._start(self._fetch(vm, kind))
-
-    async def _fetch(self, vm: ids.VmId, kind: stored.Kind) -> None:
-        try:
-            async with asyncio.timeout(_FETCH_CALL_MS / _MS_PER_S):
-                reply = await self._links.call(
-                    vm, lambda number: frames.Fetch(number, kind.value)
-                )
-        except (TimeoutError, links_lib.PeerLost, links_lib.PeerUnreachable):
-            return
-        if isinstance(reply, frames.Fetched):
-            self._adopt_snapshot(reply)
-
-    def _push(self, kind: stored.Kind) -> None:
-        """Tells the daemons of the region what a watch has brought."""
-        for vm in self._fleet.near():
-            self._links.notify(vm, self._snapshot(_ONE_WAY, kind))
-
-    def _adopt_snapshot(self, reply: frames.Fetched) -> None:
-        found = tuple(
-            objects.Versioned(item.key, ids.Version(item.version), item.value)
-            for item in reply.items
-        )
-        listing = objects.Listing(found, ids.Version(reply.version))
-        self._state.apply_listing(stored.Kind(reply.kind), listing)
-
-    def _snapshot(self, number: int, kind: stored.Kind) -> frames.Fetched:
-        copy = self._state.by_kind[kind]
-        items = tuple(
-            frames.StoredItem(each.key, each.version, each.value)
-            for each in copy.by_key.values()
-        )
-        return frames.Fetched(number, kind.value, copy.changed, items)
-
     # Status.
 
     async def _tick(self) -> None:
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -8,7 +8,6 @@
 
 from mustardloom import clock as clocks
 from mustardloom import ids
-from mustardloom import metrics as metrics_lib
 from mustardloom import objects
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
@@ -38,15 +37,6 @@
 _AUTHORITY_CALL_MS = 800
 _RELEASE_INTERVAL_MS = 60
 _RELEASE_CALL_MS = 400
-_PLAN_INTERVAL_MS = 250
-_WRITE_RETRY_MS = 500
-# Time without changes after which the first owners are chosen.
-_SETTLE_MS = 1_200
-# Loss of a daemon, which is back within a second after a mere restart.
-_LOSS_MS = 2_500
-_DOWN_MS = 700
-_REBALANCE_INTERVAL_MS = 1_000
-_DEFAULT_OBJECTIVE_MS = 300
 # Weight of the newest second in the rate of keyed requests.
 _RATE_SMOOTHING = 0.6
 _LOAD_INTERVAL_MS = 1_000
@@ -54,15 +44,24 @@
 # and while it is so busy that its keys may have to move.
 _PACING_MS = 2_000
 _PACING_LOAD = 0.6
-_TAKEN_HOLD_OFF_MS = 900
 _MS_PER_S = 1_000
 
 
+# First key, last key, requests a second.
+Loads = tuple[tuple[int, int, float], ...]
+
+
 class Keyspace:
     """Keys of one service, seen from one daemon.
 
     Every daemon keeps the map. The one beside a target of the service also
-    grants keys to it, and the planner among all daemons changes the map.
+    grants keys to it; `planner.Planner` changes the map.
+
+    Attributes:
+      key: Key of the map in the store.
+      bounds: Bounds in force.
+      on_settled: Called with the planner once all keys have arrived.
+      on_loads: Called with the busy parts of the local target's rows.
     """
 
     def __init__(
@@ -76,10 +75,8 @@
         gate: gates.Gate,
         clock: clocks.Clock,
         log: events.EventLog,
-        metrics: metrics_lib.Metrics,
     ):
         self.service = service
-        self.objective_ms = _DEFAULT_OBJECTIVE_MS
         self.bounds = own.bounds
         self._own = own
         self._store = store
@@ -89,8 +86,7 @@
         self._gate = gate
         self._clock = clock
         self._log = log
-        self._metrics = metrics
-        self._key = stored.key(stored.Kind.KEY_MAP, service)
+        self.key = stored.key(stored.Kind.KEY_MAP, service)
         self._claims = claims_lib.Claims(own.vm)
         self._version = ids.NO_VERSION
         self._ledger: ledgers.GrantLedger | None = None
@@ -98,20 +94,13 @@
         self._has_authority = False
         self._hits: collections.Counter[int] = collections.Counter()
         self._hits_since_ms = clock.now_ms()
-        self._loads_by_vm: dict[ids.VmId, tuple[planning.RowLoad, ...]] = {}
-        self._lives_seen: dict[ids.VmId, targets.Life | None] = {}
-        self._settled_since_ms = clock.now_ms()
-        self._rebalanced_ms = 0
-        self._down_since_ms: dict[ids.VmId, int] = {}
         self._key_rate = 0.0
         # Keys left out of the last answer to make the target report soon.
         self._pacing_key: int | None = None
         self._last_pacing_key: int | None = None
         self._map_changed_ms = 0
-        # Versions by which the planner gave keys to VMs, and when it took some.
-        self._given_version: dict[ids.VmId, int] = {}
-        self._taken_ms: dict[ids.VmId, int] = {}
         self.on_settled: Callable[[ids.VmId], None] = lambda _: None
+        self.on_loads: Callable[[Loads], None] = lambda _: None
 
     # Queries.
 
@@ -120,6 +109,18 @@
         """Returns the newest map, None if there is none."""
         return self._claims.map if self._claims.map.version else None
 
+    @property
+    def store_version(self) -> ids.Version:
+        """Returns the version of the map's object, `NO_VERSION` if none."""
+        return self._version if self.map is not None else ids.NO_VERSION
+
+    @property
+    def local_life(self) -> targets.Life | None:
+        """Returns the run of the local target if it takes keys now."""
+        if self._ledger is None or not self._is_target_alive():
+            return None
+        return self._ledger.life
+
     @property
     def key_rate(self) -> float:
         """Returns the requests a second for keys of the local target."""
@@ -274,7 +275,7 @@
                 await self._clock.sleep_ms(_RENEW_RETRY_MS)
                 continue
             asked_ms = self._clock.now_ms()
-            if await self._read_map():
+            if await self.read_map():
                 self._authority.store_confirmed(asked_ms)
                 await self._clock.sleep_ms(_RENEW_MS)
             else:
@@ -285,15 +286,15 @@
             return False
         return self.map is not None
 
-    async def _read_map(self) -> bool:
+    async def read_map(self) -> bool:
         """Reads the map from the store, by way of another daemon if need be."""
         try:
             async with asyncio.timeout(_AUTHORITY_CALL_MS / _MS_PER_S):
-                found = await self._store.get(self._key)
+                found = await self._store.get(self.key)
         except (objects.PlatformUnavailable, TimeoutError):
             return await self._read_map_by_peer()
         if found is not None:
-            self._share(found)
+            self.share(found)
         return found is not None
 
     async def _read_map_by_peer(self) -> bool:
@@ -314,7 +315,7 @@
                 continue
             if isinstance(reply, frames.AuthorityReply) and reply.version:
                 version = ids.Version(reply.version)
-                self._share(objects.Versioned(self._key, version, reply.value))
+                self.share(objects.Versioned(self.key, version, reply.value))
                 return True
         return False
 
@@ -323,15 +324,16 @@
     ) -> frames.Frame:
         """Reads the map for a daemon that the store does not answer."""
         try:
-            found = await self._store.get(self._key)
+            found = await self._store.get(self.key)
         except objects.PlatformUnavailable:
             found = None
         if found is None:
             return frames.AuthorityReply(query.number, 0, b"")
-        self._share(found)
+        self.share(found)
         return frames.AuthorityReply(query.number, found.version, found.value)
 
-    def _share(self, found: objects.Versioned) -> None:
+    def share(self, found: objects.Versioned) -> None:
+        """Adopts a map that is known to lie in the store."""
         event = objects.Event(found.key, found.version, found.value)
         self._state.apply_event(event, found.version)
 
@@ -430,22 +432,10 @@
     # Load.
 
     async def report_load(self) -> None:
-        """Tells the planner which keys are busy."""
+        """Tells again and again which keys are busy."""
         while True:
             await self._clock.sleep_ms(_LOAD_INTERVAL_MS)
-            loads = tuple(self._measured_loads())
-            planner = self._fleet.planner()
-            if planner == self._own.vm:
-                self.on_key_load(self._own.vm, loads)
-            elif loads:
-                frame = frames.KeyLoad(self.service, loads)
-                self._links.notify(planner, frame)
-
-    def on_key_load(
-        self, vm: ids.VmId, loads: tuple[tuple[int, int, float], ...]
-    ) -> None:
-        """Adopts what an owner tells of its busy keys."""
-        self._loads_by_vm[vm] = tuple(planning.RowLoad(*load) for load in loads)
+            self.on_loads(tuple(self._measured_loads()))
 
     def _measured_loads(self) -> Iterator[tuple[int, int, float]]:
         now_ms = self._clock.now_ms()
@@ -458,136 +448,3 @@
         for segment in segments:
             rate = round(segment.rate / passed_s, 1)
             yield segment.first, segment.last, rate
-
-    # Planning.
-
-    async def plan(self) -> None:
-        """Changes the map whenever this daemon is the planner."""
-        while True:
-            await self._clock.sleep_ms(_PLAN_INTERVAL_MS)
-            planned = self._own_life_change() or self._planned()
-            if planned is not None:
-                await self._write(planned)
-
-    def _own_life_change(self) -> key_map.KeyMap | None:
-        if self.map is None or self._ledger is None:
-            return None
-        if self._own.service != self.service or not self._is_target_alive():
-            return None
-        return planning.adopt_life(self.map, self._own.vm, self._ledger.life)
-
-    def _planned(self) -> key_map.KeyMap | None:
-        if self._fleet.planner() != self._own.vm:
-            return None
-        if not self._fleet.has_majority():
-            return None
-        candidates = list(self._candidates())
-        if self.map is None:
-            return self._first_map(candidates)
-        leaving = self._leaving()
-        planned = planning.hand_over(self.map, candidates, leaving)
-        if planned is not None:
-            return planned
-        now_ms = self._clock.now_ms()
-        if now_ms - self._rebalanced_ms < _REBALANCE_INTERVAL_MS:
-            return None
-        self._rebalanced_ms = now_ms
-        loads = [load for loads in self._loads_by_vm.values() for load in loads]
-        return planning.admit(self.map, candidates) or planning.rebalance(
-            self.map, candidates, loads, self.objective_ms
-        )
-
-    def _candidates(self) -> Iterator[planning.Candidate]:
-        for peer in self._fleet.serving(self.service):
-            if peer.life is None or peer.status is None:
-                continue
-            yield planning.Candidate(
-                peer.vm,
-                peer.life,
-                max(1, peer.status.limit),
-                float(max(1, peer.status.steady_service_ms)),
-                float(peer.status.key_rate),
-                self._may_give(peer),
-            )
-
-    def _may_give(self, peer: fleet_lib.Peer) -> bool:
-        assert peer.status is not None
-        given = max(1, self._given_version.get(peer.vm, 0))
-        taken_ms = self._taken_ms.get(peer.vm, -_TAKEN_HOLD_OFF_MS)
-        is_recent = self._clock.now_ms() - taken_ms < _TAKEN_HOLD_OFF_MS
-        return peer.status.settled_version >= given and not is_recent
-
-    def _note_moves(self, planned: key_map.KeyMap) -> None:
-        now_ms = self._clock.now_ms()
-        for row in planned.rows:
-            if row.fence == planned.version and row.previous:
-                self._given_version[row.owner] = planned.version
-                self._taken_ms[row.previous] = now_ms
-
-    def _first_map(
-        self, candidates: list[planning.Candidate]
-    ) -> key_map.KeyMap | None:
-        lives = {each.vm: each.life for each in candidates}
-        now_ms = self._clock.now_ms()
-        if lives != self._lives_seen:
-            self._lives_seen = dict(lives)
-            self._settled_since_ms = now_ms
-        if not lives or now_ms - self._settled_since_ms < _SETTLE_MS:
-            return None
-        return planning.deal(candidates)
-
-    def _leaving(self) -> set[ids.VmId]:
-        """Returns the owners whose keys others are to take over."""
-        assert self.map is not None
-        return {vm for vm in self.map.owners() if self._is_lost(vm)}
-
-    def _is_lost(self, vm: ids.VmId) -> bool:
-        peer = self._fleet.by_vm.get(vm)
-        if peer is None or self._fleet.is_evacuated(vm):
-            return True
-        if not self._fleet.is_reachable(vm):
-            return self._links.down_ms(vm) > _LOSS_MS
-        if peer.phase is fleet_lib.TargetPhase.LEAVING:
-            return True
-        if peer.phase is fleet_lib.TargetPhase.READY:
-            self._down_since_ms.pop(vm, None)
-            return False
-        now_ms = self._clock.now_ms()
-        since_ms = self._down_since_ms.setdefault(vm, now_ms)
-        limit_ms = _DOWN_MS
-        if peer.phase is fleet_lib.TargetPhase.ABSENT:
-            limit_ms = _LOSS_MS
-        return now_ms - since_ms > limit_ms
-
-    async def _write(self, planned: key_map.KeyMap) -> None:
-        value = key_map.encode(planned)
-        expected = self._version if self.map is not None else ids.NO_VERSION
-        try:
-            result = await self._store.write(self._key, value, expected)
-        except objects.PlatformUnavailable as error:
-            # The write may still take effect; the watch tells.
-            self._log.write(
-                events.Event.KEY_MAP_PLANNED,
-                service=self.service,
-                map_version=planned.version,
-                result=f"unknown: {error}",
-            )
-            await self._clock.sleep_ms(_WRITE_RETRY_MS)
-            await self._read_map()
-            return
-        match result:
-            case objects.Written(version):
-                self._share(objects.Versioned(self._key, version, value))
-                self._metrics.increment("keys.maps_written")
-                self._note_moves(planned)
-            case objects.Conflict(current):
-                if current is not None:
-                    self._share(current)
-        self._log.write(
-            events.Event.KEY_MAP_PLANNED,
-            service=self.service,
-            map_version=planned.version,
-            replaces=int(expected),
-            result=type(result).__name__.lower(),
-            rows=len(planned.rows),
-        )
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -33,8 +33,7 @@
 class _Vm:
     """One VM: its daemon, its target and the target's heartbeats."""
 
-    def __init__(self, name, service, zone, region, store_port):
-        ports = _free_ports(6)
+    def __init__(self, name, service, zone, region, store_port, ports):
         self.own = settings.Settings(
             vm=ids.VmId(name),
             ip=_HOST,
@@ -114,10 +113,12 @@
     async def run():
         store = standins.Store()
         port = store.listen()
+        # Drawn together, so that no port is given twice.
+        ports = _free_ports(18)
         vms = [
-            _Vm("vm-0", "keyed", "za", "ra", port),
-            _Vm("vm-1", "keyed", "zb", "rb", port),
-            _Vm("vm-2", "plain", "za", "ra", port),
+            _Vm("vm-0", "keyed", "za", "ra", port, ports[:6]),
+            _Vm("vm-1", "keyed", "zb", "rb", port, ports[6:12]),
+            _Vm("vm-2", "plain", "za", "ra", port, ports[12:]),
         ]
         stdout = os.dup(1)
         try:
