--- a/mustardloom/forwarding/connections.py
+++ b/mustardloom/forwarding/connections.py
@@ -10,6 +10,7 @@
 from tornado import iostream
 
 from mustardloom import outcomes
+from mustardloom.http1 import sockets
 
 __all__ = [
     "Address",
@@ -46,14 +47,7 @@
     """Returns whether an idle connection is open and has nothing to read."""
     if stream.closed() or stream.has_unread():
         return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    # Either the end of the stream or bytes that no request asked for.
-    return False
+    return sockets.is_quiet(stream.socket)
 
 
 class ConnectError(Exception):
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -7,6 +7,7 @@
 from tornado import iostream
 
 from mustardloom.http1 import messages
+from mustardloom.http1 import sockets
 
 __all__ = [
     "Address",
@@ -96,14 +97,7 @@
         stream = self._stream
         if not self.is_reusable or stream.closed():
             return False
-        try:
-            stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        # Either the end of the stream or bytes that no request asked for.
-        return False
+        return sockets.is_quiet(stream.socket)
 
     async def exchange(
         self,
--- /dev/null
+++ b/mustardloom/http1/sockets.py
@@ -0,0 +1,17 @@
+"""Checks of sockets that no reader watches."""
+
+import socket
+
+__all__ = ["is_quiet"]
+
+
+def is_quiet(connection: socket.socket) -> bool:
+    """Returns whether a connection is open and has nothing to read."""
+    try:
+        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    # Either the end of the stream or bytes that no request asked for.
+    return False
--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+from typing import TypeVar
 
 from mustardloom import ids
 from mustardloom.deployment import targets
@@ -40,6 +41,9 @@
     over_ms: int | None = None
 
 
+_Span = TypeVar("_Span", Wait, key_map.Row)
+
+
 class Claims:
     """Rows of one VM, as its daemon learns of them from map to map.
 
@@ -188,28 +192,17 @@
             parts = [
                 rest
                 for part in parts
-                for rest in _rows_without(part, wait.first, wait.last)
+                for rest in _without(part, wait.first, wait.last)
             ]
         yield from parts
 
 
-def _without(wait: Wait, first: int, last: int) -> Iterator[Wait]:
-    if last < wait.first or wait.last < first:
-        yield wait
-        return
-    if wait.first < first:
-        yield dataclasses.replace(wait, last=first - 1)
-    if last < wait.last:
-        yield dataclasses.replace(wait, first=last + 1)
-
-
-def _rows_without(
-    row: key_map.Row, first: int, last: int
-) -> Iterator[key_map.Row]:
-    if last < row.first or row.last < first:
-        yield row
+def _without(span: _Span, first: int, last: int) -> Iterator[_Span]:
+    """Yields what is left of a span of keys without `first` to `last`."""
+    if last < span.first or span.last < first:
+        yield span
         return
-    if row.first < first:
-        yield dataclasses.replace(row, last=first - 1)
-    if last < row.last:
-        yield dataclasses.replace(row, first=last + 1)
+    if span.first < first:
+        yield dataclasses.replace(span, last=first - 1)
+    if last < span.last:
+        yield dataclasses.replace(span, first=last + 1)
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -302,8 +302,8 @@
             work.RefusalReason.NOT_OWNER, _DOWN_RETRY_MS, owner=check.owner
         )
 
-    def _refusal(self, request: work.Work) -> work.Refused | None:
-        now_ms = self._clock.now_ms()
+    def _closed(self, request: work.Work, now_ms: int) -> work.Refused | None:
+        """Returns why the target may not get a request now, None if it may."""
         reasons = work.RefusalReason
         if self.life is None or self.presence is not Presence.UP:
             return work.Refused(reasons.TARGET_DOWN, _DOWN_RETRY_MS)
@@ -313,6 +313,14 @@
             return work.Refused(reasons.EVACUATED, _DOWN_RETRY_MS)
         if self._quarantine.is_quarantined(request.fingerprint):
             return work.Refused(reasons.QUARANTINED)
+        return None
+
+    def _refusal(self, request: work.Work) -> work.Refused | None:
+        now_ms = self._clock.now_ms()
+        reasons = work.RefusalReason
+        closed = self._closed(request, now_ms)
+        if closed is not None:
+            return closed
         if not len(self._line):
             self._line_empty_ms = now_ms
         demand = self._demand(request)
@@ -376,16 +384,11 @@
     ) -> work.Refused | None:
         """Checks again what may have changed while a request waited."""
         reasons = work.RefusalReason
-        if self.life is None or self.presence is not Presence.UP:
-            return work.Refused(reasons.TARGET_DOWN, _DOWN_RETRY_MS)
-        if self.closes_at_ms is not None and now_ms >= self.closes_at_ms:
-            return work.Refused(reasons.LEAVING, _DOWN_RETRY_MS)
-        if self.is_evacuated:
-            return work.Refused(reasons.EVACUATED, _DOWN_RETRY_MS)
+        closed = self._closed(request, now_ms)
+        if closed is not None:
+            return closed
         if request.deadline_ms <= now_ms + 1:
             return work.Refused(reasons.DEADLINE)
-        if self._quarantine.is_quarantined(request.fingerprint):
-            return work.Refused(reasons.QUARANTINED)
         if request.key is not None:
             check = self._keys.check(request.key)
             if not check.is_held:
