--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -10,11 +10,11 @@
 __all__ = [
     "CallerFields",
     "ResponseFields",
-    "cold_left_ms",
     "expects_id",
     "read_request",
     "read_response",
     "refusal",
+    "to_caller",
     "to_target",
 ]
 
@@ -168,17 +168,6 @@
     return (REQUEST_ID, request_id.encode("latin1"))
 
 
-def cold_left_ms(response: messages.Response) -> int:
-    """Returns how long a target stays cold, by its health response."""
-    return _integer(messages.find(response.headers, _COLD)) or 0
-
-
-def instance_of(response: messages.Response) -> targets.TargetId | None:
-    """Returns which target answered a health check."""
-    value = messages.find(response.headers, _INSTANCE)
-    return targets.TargetId(value.decode("latin1")) if value else None
-
-
 def _integer(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() else None
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -485,7 +485,6 @@
             service_ms=round(load.service_ms),
             steady_service_ms=round(load.steady_service_ms),
             failure_percent=round(load.failure_share * _PERCENT),
-            utilisation_percent=round(load.utilisation * _PERCENT),
             key_rate=0 if keyspace is None else round(keyspace.key_rate),
             is_stopping=self._is_stopping,
             settled_version=(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -145,7 +145,6 @@
     service_ms: int
     steady_service_ms: int
     failure_percent: int
-    utilisation_percent: int
     key_rate: int
     is_stopping: bool
     settled_version: int
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -148,6 +148,7 @@
                         self._on_news(kind)
                     after = listing.version
                     self._seen(True)
+                    continue
                 batch = await self._store.watch(kind, after, wait_ms)
             except stored.HistoryGone:
                 after = None
--- a/mustardloom/sidecar/target.py
+++ b/mustardloom/sidecar/target.py
@@ -93,25 +93,6 @@
             reason = work.FailureReason.DEADLINE
             return Exchange(work.Failed(reason), is_silent=True)
 
-    async def probe(self, path: str, timeout_ms: int) -> messages.Response:
-        """Asks the health check.
-
-        Raises:
-          client.ConnectFailed: Nothing was sent.
-          client.ClosedEarly: No byte came back.
-          client.Incomplete: The response is not valid.
-          TimeoutError: No answer came in time.
-        """
-        async with asyncio.timeout(timeout_ms / _MS_PER_S):
-            connection = await client.connect(self._address, timeout_ms)
-            try:
-                host = f"{self._address[0]}:{self._address[1]}".encode()
-                request = messages.Request("GET", path, ((b"Host", host),), b"")
-                data = messages.encode_request(request)
-                return await connection.exchange(data)
-            finally:
-                connection.close()
-
     async def _send(
         self, request: work.Work, target: targets.TargetId
     ) -> Exchange:
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -0,0 +1,151 @@
+"""Tests of the streams between daemons, on loopback."""
+
+import asyncio
+
+import pytest
+
+from mustardloom import clock as clocks
+from mustardloom import ids
+from mustardloom.deployment import stored
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import links as links_lib
+
+_HOST = "127.0.0.1"
+
+
+def _record(name, port=0):
+    return stored.DaemonRecord(
+        ids.VmId(name),
+        _HOST,
+        port,
+        ids.AvailabilityZoneId("z"),
+        ids.RegionId("r"),
+        ids.ServiceId("s"),
+    )
+
+
+def _run(scenario, handler):
+    async def run():
+        clock = clocks.SystemClock()
+        near = links_lib.Links(_record("near"), clock, lambda *_: None)
+        far = links_lib.Links(_record("far"), clock, handler)
+        port = far.listen(_HOST, 0)
+        try:
+            async with asyncio.timeout(10):
+                return await scenario(near, far, port)
+        finally:
+            near.close()
+            far.close()
+
+    return asyncio.run(run())
+
+
+async def _connected(links, vm):
+    while not links.is_up(vm):
+        await asyncio.sleep(0.01)
+
+
+def _fetch(number):
+    return frames.Fetch(number, "configuration")
+
+
+def test_calls_get_their_own_replies_in_any_order():
+    """Guards against crossed answers on one stream."""
+
+    async def reply(frame):
+        await asyncio.sleep(0.02 if frame.number == 1 else 0)
+        return frames.Fetched(frame.number, frame.kind, frame.number, ())
+
+    def handler(vm, frame):
+        return reply(frame) if isinstance(frame, frames.Fetch) else None
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        near.retain({vm: (_HOST, port)})
+        await _connected(near, vm)
+        calls = [near.call(vm, _fetch) for _ in range(3)]
+        return [reply.version for reply in await asyncio.gather(*calls)]
+
+    assert _run(scenario, handler) == [1, 2, 3]
+
+
+def test_cancelled_call_is_cancelled_at_the_peer():
+    """Guards against work for callers that are gone."""
+    cancelled = asyncio.Event()
+
+    async def reply():
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    def handler(vm, frame):
+        return reply() if isinstance(frame, frames.Fetch) else None
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        near.retain({vm: (_HOST, port)})
+        await _connected(near, vm)
+        task = asyncio.ensure_future(near.call(vm, _fetch))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await cancelled.wait()
+
+    _run(scenario, handler)
+
+
+def test_frame_that_was_not_sent_is_told_apart_from_a_lost_one():
+    """Guards against a refusal that promises what is not known."""
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+        return asyncio.sleep(30)
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        with pytest.raises(links_lib.PeerUnreachable):
+            await near.call(vm, _fetch)
+        near.retain({vm: (_HOST, port)})
+        await _connected(near, vm)
+        task = asyncio.ensure_future(near.call(vm, _fetch))
+        await asyncio.sleep(0.05)
+        far.close()
+        with pytest.raises(links_lib.PeerLost):
+            await task
+
+    _run(scenario, handler)
+
+
+def test_link_meant_for_another_vm_is_refused():
+    """Guards against requests at a VM that took over an address."""
+    seen = []
+
+    def handler(vm, frame):
+        seen.append(frame)
+
+    async def scenario(near, far, port):
+        faults = []
+        far.on_fault = lambda vm, error: faults.append(str(error))
+        near.retain({ids.VmId("gone"): (_HOST, port)})
+        while not faults:
+            await asyncio.sleep(0.01)
+        return faults[0]
+
+    assert _run(scenario, handler) == "link meant for gone"
+    assert seen == []
+
+
+@pytest.mark.parametrize("sent", [b"\xff" * 64, b"GET / HTTP/1.1\r\n\r\n"])
+def test_bytes_that_are_no_frames_end_the_link(sent):
+    """Guards against crashes by strangers on the internal port."""
+
+    async def scenario(near, far, port):
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(sent)
+        writer.write_eof()
+        assert await reader.read() == b""
+        writer.close()
+
+    _run(scenario, lambda *_: None)
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -59,7 +59,7 @@
 
 def _status(phase=fleets.TargetPhase.READY):
     return frames.Status(
-        "t", 1, int(phase), 6, 0, 0, 0, 30, 30, 0, 0, 0, False, 1, True, ()
+        "t", 1, int(phase), 6, 0, 0, 0, 30, 30, 0, 0, False, 1, True, ()
     )
 
 
