--- a/mustardloom/metrics.py
+++ b/mustardloom/metrics.py
@@ -23,7 +23,7 @@
       >>> histogram = Histogram()
       >>> histogram.observe(4)
       >>> histogram.counts[2], histogram.total_ms
-      (1, 4)
+      (1, 4.0)
     """
 
     bounds_ms: tuple[int, ...] = _BOUNDS_MS
