--- a/mustardloom/keys/ledger.py
+++ b/mustardloom/keys/ledger.py
@@ -7,10 +7,10 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
 
-__all__ = ["GrantLedger", "Released"]
+__all__ = ["CLOCK_FACTOR", "GrantLedger", "Released"]
 
-# A target's clock may run this much slow.
-_CLOCK_FACTOR = 1.02
+# The clock by which a target measures its hold may run 2 % slow.
+CLOCK_FACTOR = 1.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
         for row in self._listed:
             self._listed_keys[row.first : row.last + 1] = b"\1" * row.width
         self._listed_until_ms = now_ms + hold_ms
-        slowest_ms = now_ms + round(hold_ms * _CLOCK_FACTOR) + 1
+        slowest_ms = now_ms + round(hold_ms * CLOCK_FACTOR) + 1
         self._held_until_ms = max(self._held_until_ms, slowest_ms)
         self._freed = [
             freed
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -1,4 +1,4 @@
-"""Ownership of the keys of one service: map, grants, planning."""
+"""Ownership of the keys of one service: the map and the grants by it."""
 
 import asyncio
 import collections
@@ -29,12 +29,14 @@
 
 # A hold outlasts a few lost heartbeats and a short restart of the daemon.
 _HOLD_MS = 4_000
-_CLOCK_FACTOR = 1.02
+# What the timers of this process may be late.
 _GRANT_MARGIN_MS = 50
 # Authority is renewed by one read of the map this often.
 _RENEW_MS = 2_000
 _RENEW_RETRY_MS = 400
+# A store that takes longer is asked by way of another daemon.
 _AUTHORITY_CALL_MS = 800
+# Keys that are free should not lie idle for longer than a request takes.
 _RELEASE_INTERVAL_MS = 60
 _RELEASE_CALL_MS = 400
 # Weight of the newest second in the rate of keyed requests.
@@ -205,7 +207,7 @@
         ledger = ledgers.GrantLedger(life)
         if self._ledger is None:
             # This process may have been restarted beside a running target.
-            ledger.restore(now_ms + round(_HOLD_MS * _CLOCK_FACTOR))
+            ledger.restore(now_ms + round(_HOLD_MS * ledgers.CLOCK_FACTOR))
         self._ledger = ledger
         self._claims.drop_handovers()
         return ledger
@@ -218,7 +220,7 @@
         if confirmed_ms is None:
             return 0
         left_ms = confirmed_ms + claims_lib.AUTHORITY_MS - now_ms
-        lawful_ms = int(left_ms / _CLOCK_FACTOR) - _GRANT_MARGIN_MS
+        lawful_ms = int(left_ms / ledgers.CLOCK_FACTOR) - _GRANT_MARGIN_MS
         has_authority = lawful_ms > 0
         if has_authority != self._has_authority:
             self._has_authority = has_authority
