--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -353,8 +353,6 @@
         outcome: asyncio.Future[work.Outcome] = asyncio.Future()
         now_ms = self._clock.now_ms()
         ticket = _Ticket(request, outcome, now_ms)
-        if not len(self._line):
-            self._line_empty_ms = now_ms
         self._line.push(self._demand(request), ticket, now_ms)
         self._pump()
         try:
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -37,7 +37,6 @@
     NOT_OWNER = "not-owner"
     NO_KEY = "no-key"
     UNREACHABLE = "unreachable"
-    CANCELLED = "cancelled"
     STOPPING = "stopping"
     NO_CONFIGURATION = "no-configuration"
     OTHER_SERVICE = "other-service"
