Add a fault soak of the deployed daemon; a peer is up only once it has answered

A link is now up when the peer has sent something.

The stand-in of a target holds keys for their time, hands them over when its work is done, and counts what runs.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 test: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy mustardloom bench conftest.py
+	$(BIN)/mypy mustardloom bench soak conftest.py
 	$(BIN)/lint-imports
 	@sed 's/^/known red: /' KNOWN-RED.txt
 	$(BIN)/python -m pytest
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -21,6 +21,7 @@
 VERSION = "0.1.0"
 _METRICS_PORT_VARIABLE = "MUSTARDLOOM_METRICS_PORT"
 _DEFAULT_METRICS_PORT = "9464"
+_PEER_PORT_VARIABLE = "MUSTARDLOOM_PEER_LISTEN_PORT"
 _FAULTY_SETTINGS = 2
 # Few objects of the daemon form cycles.
 _COLLECT_AFTER_OBJECTS = 50_000
@@ -41,6 +42,13 @@
         ),
         help=f"port of the metrics page ({_METRICS_PORT_VARIABLE})",
     )
+    parser.add_argument(
+        "--peer-listen-port",
+        type=int,
+        default=int(os.environ.get(_PEER_PORT_VARIABLE, "0")),
+        help="port to listen on for other daemons where a port mapping leads "
+        f"from the announced one to it ({_PEER_PORT_VARIABLE})",
+    )
     parser.add_argument("--version", action="version", version=VERSION)
     arguments = parser.parse_args()
     try:
@@ -49,14 +57,17 @@
         print(error, file=sys.stderr)
         return _FAULTY_SETTINGS
     gc.set_threshold(_COLLECT_AFTER_OBJECTS)
-    asyncio.run(_run(own, arguments.metrics_port))
+    ports = daemon.Ports(
+        arguments.metrics_port, arguments.peer_listen_port or own.peer_port
+    )
+    asyncio.run(_run(own, ports))
     return 0
 
 
-async def _run(own: settings.Settings, metrics_port: int) -> None:
+async def _run(own: settings.Settings, ports: daemon.Ports) -> None:
     store = object_api.ObjectApi(own.store.address)
     clock = clocks.SystemClock()
-    made = daemon.Daemon(own, store, clock, metrics_port, settings_file.read)
+    made = daemon.Daemon(own, store, clock, ports, settings_file.read)
     await made.run()
 
 
--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the users' store and targets, for tests."""
 
 import asyncio
+import collections
 import dataclasses
 import urllib.parse
 
@@ -12,10 +13,17 @@
 from mustardloom.http1 import server
 
 _FIRST_REVISION = 1
+_KEYS = 65_536
 
 
-def configuration(version, timeout="1200ms"):
-    """Returns a configuration with a keyed and a plain service."""
+def configuration(version, timeout="1200ms", moving=""):
+    """Returns a configuration with a keyed and a plain service.
+
+    Args:
+      version: Its version.
+      timeout: Limit of each route.
+      moving: Service of a further route; none if empty.
+    """
 
     def rule(name, kind, service, homes):
         return {
@@ -32,6 +40,17 @@
             },
         }
 
+    rules = [
+        rule("keyed", "safe", "keyed", []),
+        rule("plain", "unsafe", "plain", ["ra"]),
+    ]
+    clusters = [
+        {"name": "keyed", "sharded": True, "cold_per_s": 24.0},
+        {"name": "plain"},
+    ]
+    if moving:
+        rules.append(rule("moving", "unsafe", moving, []))
+        clusters.append({"name": "other"})
     return msgspec.json.encode(
         {
             "version": version,
@@ -44,16 +63,10 @@
             "listeners": [
                 {
                     "host": "a.example",
-                    "rules": [
-                        rule("keyed", "safe", "keyed", []),
-                        rule("plain", "unsafe", "plain", ["ra"]),
-                    ],
+                    "rules": rules,
                 }
             ],
-            "clusters": [
-                {"name": "keyed", "sharded": True, "cold_per_s": 24.0},
-                {"name": "plain"},
-            ],
+            "clusters": clusters,
         }
     )
 
@@ -204,26 +217,63 @@
     Attributes:
       runs: What it ran.
       is_failing: Whether it breaks off every answer.
+      state: What its heartbeats say.
+      held: Rows of first key, last key, fence, handover token.
+      is_acknowledged: Whether the last heartbeat was.
     """
 
-    def __init__(self, name, service, zone, control, is_keyed):
+    def __init__(
+        self,
+        name,
+        service,
+        zone,
+        control,
+        is_keyed,
+        slots=4,
+        work_ms=0,
+        note=lambda event, **fields: None,
+    ):
+        """Makes a target.
+
+        Args:
+          name: Its id.
+          service: Service that it belongs to.
+          zone: Its availability zone.
+          control: Address for its heartbeats.
+          is_keyed: Whether it runs only requests for keys that it holds.
+          slots: Requests that it runs at once.
+          work_ms: Time that each takes.
+          note: Called with an event and its fields.
+        """
         self.name = name
         self.runs = []
         self.is_failing = False
         self.state = "ready"
         self.held = []
+        self.is_acknowledged = False
         self._service = service
         self._zone = zone
         self._control = control
         self._is_keyed = is_keyed
-        self._born = clocks.SystemClock().wall_ms()
+        self._slots = slots
+        self._work_ms = work_ms
+        self._note = note
+        self._clock = clocks.SystemClock()
+        self._born = self._clock.wall_ms()
         self._sequence = 0
+        self._until_ms = 0
+        self._leaving = []
         self._freed = []
-        self._server = server.HttpServer(self._handle, clocks.SystemClock())
-        self._port = 0
+        self._highest_fence = [0] * _KEYS
+        self._running_keys = collections.Counter()
+        self._running = 0
+        self._server = server.HttpServer(self._handle, self._clock)
+        self._address = ""
 
-    def listen(self, port):
-        self._port = self._server.listen("127.0.0.1", port)
+    def listen(self, port, host="127.0.0.1", announced=0):
+        """Listens on a port and announces it, or another one."""
+        found = self._server.listen(host, port)
+        self._address = f"{host}:{announced or found}"
 
     def close(self):
         self._server.finish()
@@ -231,28 +281,75 @@
     async def beat(self):
         """Sends one heartbeat and adopts what its answer grants."""
         self._sequence += 1
+        sent_ms = self._clock.now_ms()
+        self._let_go()
+        freed = list(self._freed)
         body = {
             "service": self._service,
-            "address": f"127.0.0.1:{self._port}",
+            "address": self._address,
             "zone": self._zone,
             "version": "v1",
-            "slots": 4,
+            "slots": self._slots,
             "state": self.state,
             "cold_left": "0ms",
             "sequence": self._sequence,
             "born": self._born,
-            "holds": [row[:3] for row in self.held],
-            "freed": self._freed,
+            "holds": [row[:3] for row in (*self.held, *self._leaving)],
+            "freed": freed,
         }
+        self.is_acknowledged = False
         answer = await self._call("instances.heartbeat", body)
-        granted = answer.get("holds")
-        if granted is not None:
-            self._freed = [
-                [row[0], row[1], f"token-{row[0]}"]
-                for row in self.held
-                if not any(g[0] <= row[0] and row[1] <= g[1] for g in granted)
-            ]
-            self.held = granted
+        self.is_acknowledged = True
+        self._freed = self._freed[len(freed) :]
+        if "holds" in answer:
+            hold_ms = int(answer["hold_time"].removesuffix("ms"))
+            self._adopt(answer["holds"], sent_ms + hold_ms)
+
+    async def say_goodbye(self):
+        """Tells that it leaves."""
+        await self._call("instances.deregister", {"born": self._born})
+
+    @property
+    def is_releasing(self):
+        """Returns whether a heartbeat has news about released keys."""
+        return bool(self._freed or self._leaving)
+
+    def _adopt(self, granted, until_ms):
+        accepted = [
+            row
+            for row in granted
+            if row[2] >= max(self._highest_fence[row[0] : row[1] + 1])
+        ]
+        for row in self.held:
+            self._leaving.extend(_left_out(row, accepted))
+        for first, last, fence, _ in accepted:
+            self._highest_fence[first : last + 1] = [fence] * (last - first + 1)
+        self.held = accepted
+        self._until_ms = until_ms
+        rows = [row[:3] for row in accepted]
+        self._note("hold", rows=rows, until_ms=until_ms)
+        self._let_go()
+
+    def _let_go(self):
+        if self._clock.now_ms() > self._until_ms:
+            # Keys whose time has run out are not handed over.
+            self.held = []
+            self._leaving = []
+        busy = [row for row in self._leaving if self._works_on(row)]
+        for row in self._leaving:
+            if row not in busy:
+                self._freed.append(
+                    [row[0], row[1], f"token-{self.name}-{row[0]}"]
+                )
+        self._leaving = busy
+
+    def _works_on(self, row):
+        return any(row[0] <= key <= row[1] for key in self._running_keys)
+
+    def _holds(self, key):
+        if self._clock.now_ms() > self._until_ms:
+            return False
+        return any(row[0] <= key <= row[1] for row in self.held)
 
     async def _call(self, call, body):
         connection = await client.connect(self._control, 1_000)
@@ -267,23 +364,86 @@
             response = await connection.exchange(data)
         finally:
             connection.close()
-        assert response.status == 200, response
+        if response.status != 200:
+            raise client.ClosedEarly
         return msgspec.json.decode(response.body)
 
     async def _handle(self, request):
         value = messages.find(request.headers, b"x-shard-key")
         key = None if value is None else int(value)
-        request_id = messages.find(request.headers, b"x-request-id").decode()
-        if self._is_keyed and not any(
-            row[0] <= key <= row[1] for row in self.held
-        ):
-            not_run = (b"X-Not-Executed", b"1")
+        not_run = (b"X-Not-Executed", b"1")
+        expected = messages.find(request.headers, b"x-expected-instance")
+        is_other = expected not in (None, self.name.encode())
+        if is_other or (self._is_keyed and not self._holds(key)):
             return messages.Response(421, (not_run,))
+        if self._running >= self._slots:
+            return messages.Response(503, (not_run,))
+        return await self._run(request, key)
+
+    async def _run(self, request, key):
+        request_id = messages.find(request.headers, b"x-request-id").decode()
         self.runs.append(Run(request_id, key, request.target))
+        caller = messages.find(request.headers, b"x-caller-service") or b""
+        deadline = messages.find(request.headers, b"x-deadline-ms")
+        self._note(
+            "begin",
+            request_id=request_id,
+            key=key,
+            method=request.method,
+            path=request.target,
+            body=request.body.decode("latin1"),
+            caller=caller.decode(),
+            deadline_ms=None if deadline is None else int(deadline),
+        )
+        self._running += 1
+        self._running_keys[key] += 1
+        try:
+            if self._work_ms:
+                await self._clock.sleep_ms(self._work_ms)
+        finally:
+            self._running -= 1
+            self._running_keys[key] -= 1
+            self._running_keys += collections.Counter()
+            self._note("end", request_id=request_id)
+        body = f"{request_id} by {self.name}".encode()
+        if not self._work_ms:
+            body = b"by " + self.name.encode()
         signature = (b"X-Response-Signature", self.name.encode())
         echo = (b"X-Request-Id", request_id.encode())
         if self.is_failing:
             return messages.Response(500, (signature, echo))
-        return messages.Response(
-            200, (signature, echo), b"by " + self.name.encode()
-        )
+        return messages.Response(200, (signature, echo), body)
+
+
+def _left_out(row, granted):
+    """Yields the parts of a row that are not granted any more."""
+    first, last, fence, _ = row
+    for low, high, *_ in sorted(granted):
+        if high < first or low > last:
+            continue
+        if low > first:
+            yield [first, low - 1, fence, ""]
+        first = high + 1
+    if first <= last:
+        yield [first, last, fence, ""]
+
+
+def encode_request(request_id, path, body, key, deadline_ms):
+    """Returns a request as callers send it, with a forged caller."""
+    headers = [
+        (b"Host", b"a.example"),
+        (b"X-Request-Id", request_id.encode()),
+        (b"X-Deadline-Ms", b"%d" % deadline_ms),
+        (b"X-Caller-Service", b"forged"),
+    ]
+    if key is not None:
+        headers.append((b"X-Shard-Key", b"%d" % key))
+    method = "POST" if body else "GET"
+    request = messages.Request(method, path, tuple(headers), body)
+    return messages.encode_request(request)
+
+
+def signer(response):
+    """Returns the target that signed a response, or an empty text."""
+    value = messages.find(response.headers, b"x-response-signature")
+    return (value or b"").decode()
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -41,7 +41,7 @@
 from mustardloom.sidecar import shared_state
 from mustardloom.sidecar import target as target_connections
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "Ports"]
 
 _TICK_MS = 250
 # Status goes out this often to daemons of the own region, and less often
@@ -60,6 +60,20 @@
 _UNAVAILABLE = 503
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Ports that are no part of the platform's settings.
+
+    Attributes:
+      metrics: Port of the metrics page.
+      peer_listen: Port on which frames of other daemons arrive; differs from
+        the announced one only behind a port mapping.
+    """
+
+    metrics: int
+    peer_listen: int
+
+
 class Daemon:
     """One daemon from its start to its end."""
 
@@ -68,14 +82,14 @@
         own: settings.Settings,
         store: shared_state.ObjectStore,
         clock: clocks.Clock,
-        metrics_port: int,
+        ports: Ports,
         read_settings: Callable[[], settings.Settings],
     ):
         self._read_settings = read_settings
         self._own = own
         self._store = store
         self._clock = clock
-        self._metrics_port = metrics_port
+        self._ports = ports
         self._metrics = metrics_lib.Metrics()
         self._log = events.EventLog(own.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
@@ -163,11 +177,11 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         own = self._own
-        self._links.listen(own.ip, own.peer_port)
+        self._links.listen(own.ip, self._ports.peer_listen)
         self._notices.listen(*own.announcement_address)
         self._readiness.listen(*own.readiness_address)
         self._callers.listen(*own.caller_address)
-        self._page.listen(own.ip, self._metrics_port)
+        self._page.listen(own.ip, self._ports.metrics)
         self._log.write(
             events.Event.START,
             service=own.service,
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import itertools
 import socket
 from typing import Any
@@ -56,7 +57,12 @@
 
 
 class _Link:
-    """The stream that this daemon dials to one peer."""
+    """The stream that this daemon dials to one peer.
+
+    Attributes:
+      is_up: Whether the peer has answered on the open stream.
+      down_since_ms: When that was so for the last time.
+    """
 
     def __init__(self, owner: "Links", vm: ids.VmId, address: Address):
         self.address = address
@@ -79,7 +85,10 @@
 
     def notify(self, frame: frames.Frame) -> bool:
         """Sends a frame; returns whether the link was up."""
-        if not self.is_up or self._stream is None:
+        return self.is_up and self._write(frame)
+
+    def _write(self, frame: frames.Frame) -> bool:
+        if self._stream is None:
             return False
         try:
             data = self._compressor.pack(frames.encode(frame))
@@ -107,7 +116,7 @@
 
     def check(self, now_ms: int) -> None:
         """Breaks the link if the peer owes a sign of life for too long."""
-        if self._stream is None or not self.is_up:
+        if self._stream is None:
             return
         if self._asked_ms:
             latest_ms = max(self._asked_ms[0], self._heard_ms)
@@ -125,8 +134,9 @@
         pause_ms = _RECONNECT_MS
         while True:
             if await self._connect():
-                pause_ms = _RECONNECT_MS
                 await self._read()
+                if self.is_up:
+                    pause_ms = _RECONNECT_MS
                 self._lose()
             await self._owner.clock.sleep_ms(pause_ms)
             pause_ms = min(2 * pause_ms, _LONGEST_RECONNECT_MS)
@@ -144,9 +154,8 @@
         self._compressor = compression.Compressor()
         self._heard_ms = self._owner.clock.now_ms()
         self._asked_ms.clear()
-        self.is_up = True
-        self.notify(self._owner.hello(self._vm))
-        self._owner.on_change(self._vm, True)
+        self._write(self._owner.hello(self._vm))
+        self._write(frames.Ping())
         return True
 
     async def _read(self) -> None:
@@ -157,6 +166,10 @@
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
                 self._heard_ms = self._owner.clock.now_ms()
+                if not self.is_up:
+                    # The system accepts connections for a paused process too.
+                    self.is_up = True
+                    self._owner.on_change(self._vm, True)
                 for frame in buffer.feed(decompressor.unpack(data)):
                     self._resolve(frame)
         except iostream.StreamClosedError:
@@ -180,6 +193,7 @@
         was_up, self.is_up = self.is_up, False
         if self._stream is not None:
             self._stream.close()
+            self._stream = None
         for reply in self._calls.values():
             if not reply.done():
                 reply.set_exception(PeerLost(self._vm))
@@ -337,7 +351,7 @@
         self._stream = stream
         self._compressor = compression.Compressor()
         self._vm: ids.VmId | None = None
-        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._tasks: dict[int, asyncio.Future[frames.Frame | None]] = {}
 
     async def run(self) -> None:
         """Reads frames until the link ends."""
@@ -378,12 +392,26 @@
         if result is None:
             return
         number: int = getattr(frame, "number", 0)
-        task = asyncio.ensure_future(self._answer(result))
+        task = asyncio.ensure_future(result)
         self._tasks[number] = task
-        task.add_done_callback(lambda _: self._tasks.pop(number, None))
+        task.add_done_callback(
+            functools.partial(self._on_done, self._vm, number)
+        )
 
-    async def _answer(self, result: Awaitable[frames.Frame | None]) -> None:
-        reply = await result
+    def _on_done(
+        self,
+        vm: ids.VmId,
+        number: int,
+        task: "asyncio.Future[frames.Frame | None]",
+    ) -> None:
+        self._tasks.pop(number, None)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if isinstance(error, Exception):
+            self._owner.on_fault(vm, error)
+            return
+        reply = task.result()
         if reply is not None:
             self._reply(reply)
 
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -62,7 +62,7 @@
             self.own,
             store,
             clocks.SystemClock(),
-            self.metrics_port,
+            daemons.Ports(self.metrics_port, self.own.peer_port),
             lambda: self.own,
         )
         self._tasks = [
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -1,12 +1,17 @@
 """Tests of the streams between daemons, on loopback."""
 
 import asyncio
+import gc
+import socket
+import time
+import warnings
 
 import pytest
 
 from mustardloom import clock as clocks
 from mustardloom import ids
 from mustardloom.deployment import stored
+from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
 
@@ -95,6 +100,55 @@
     _run(scenario, handler)
 
 
+def test_call_that_is_cancelled_at_once_leaves_nothing_behind():
+    """Guards against work that is made and then forgotten."""
+
+    async def reply():
+        await asyncio.sleep(30)
+
+    def handler(vm, frame):
+        return reply() if isinstance(frame, frames.Fetch) else None
+
+    async def scenario(near, far, port):
+        _, writer = await asyncio.open_connection(_HOST, port)
+        sent = (near.hello(ids.VmId("far")), _fetch(1), frames.Cancel(1))
+        data = b"".join(frames.encode(frame) for frame in sent)
+        writer.write(compression.Compressor().pack(data))
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    with warnings.catch_warnings(record=True) as seen:
+        warnings.simplefilter("always")
+        _run(scenario, handler)
+        gc.collect()
+    own = [each for each in seen if reply.__qualname__ in str(each.message)]
+    assert own == []
+
+
+def test_fault_of_a_handler_is_reported():
+    """Guards against errors that nobody sees."""
+
+    async def reply():
+        raise KeyError("k")
+
+    def handler(vm, frame):
+        return reply() if isinstance(frame, frames.Fetch) else None
+
+    async def scenario(near, far, port):
+        faults = []
+        far.on_fault = lambda vm, error: faults.append((vm, repr(error)))
+        vm = ids.VmId("far")
+        near.retain({vm: (_HOST, port)})
+        await _connected(near, vm)
+        task = asyncio.ensure_future(near.call(vm, _fetch))
+        while not faults:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return faults
+
+    assert _run(scenario, handler) == [("near", "KeyError('k')")]
+
+
 def test_frame_that_was_not_sent_is_told_apart_from_a_lost_one():
     """Guards against a refusal that promises what is not known."""
 
@@ -118,6 +172,26 @@
     _run(scenario, handler)
 
 
+def test_peer_that_accepts_and_says_nothing_stays_down():
+    """Guards against requests and keys that wait for a paused daemon."""
+
+    async def scenario(near, far, port):
+        silent = socket.create_server((_HOST, 0))
+        vm = ids.VmId("silent")
+        changes = []
+        near.on_change = lambda vm, is_up: changes.append(is_up)
+        near.retain({vm: silent.getsockname()})
+        watch = asyncio.ensure_future(near.watch())
+        began_s = time.monotonic()
+        while near.down_ms(vm) < 1_500 and time.monotonic() - began_s < 5:
+            await asyncio.sleep(0.05)
+        watch.cancel()
+        silent.close()
+        return changes, near.down_ms(vm) >= 1_500
+
+    assert _run(scenario, lambda *_: None) == ([], True)
+
+
 def test_link_meant_for_another_vm_is_refused():
     """Guards against requests at a VM that took over an address."""
     seen = []
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of the deployed daemon with faults from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,108 @@
+"""Plans of faults, drawn from a seed."""
+
+import dataclasses
+import enum
+import random
+
+from soak import proxy as proxies
+
+__all__ = ["LINKS", "Kind", "Planned", "draw"]
+
+LINKS = ("caller", "peer", "store", "target")
+
+
+class Kind(enum.Enum):
+    """What can be done to a fleet."""
+
+    DAEMON_PAUSE = "daemon-pause"
+    DAEMON_KILL = "daemon-kill"
+    DAEMON_RESTART = "daemon-restart"
+    DAEMON_RELOAD = "daemon-reload"
+    ALL_DAEMONS_KILL = "all-daemons-kill"
+    TARGET_PAUSE = "target-pause"
+    TARGET_KILL = "target-kill"
+    TARGET_LEAVE = "target-leave"
+    LINK = "link"
+    STORE_REFUSES = "store-refuses"
+    STORE_AWAY = "store-away"
+    STORE_FORGETS = "store-forgets"
+    EVACUATE = "evacuate"
+    CONFIGURE = "configure"
+    BURST = "burst"
+
+
+# Kinds that are drawn more often come first with a higher weight.
+_WEIGHT_BY_KIND = {
+    Kind.DAEMON_PAUSE: 3,
+    Kind.DAEMON_KILL: 3,
+    Kind.DAEMON_RESTART: 3,
+    Kind.DAEMON_RELOAD: 1,
+    Kind.ALL_DAEMONS_KILL: 1,
+    Kind.TARGET_PAUSE: 3,
+    Kind.TARGET_KILL: 3,
+    Kind.TARGET_LEAVE: 3,
+    Kind.LINK: 8,
+    Kind.STORE_REFUSES: 1,
+    Kind.STORE_AWAY: 2,
+    Kind.STORE_FORGETS: 1,
+    Kind.EVACUATE: 2,
+    Kind.CONFIGURE: 3,
+    Kind.BURST: 2,
+}
+_MODES = tuple(mode for mode in proxies.Mode if mode is not proxies.Mode.PASS)
+_SHORTEST_MS = 300
+_LONGEST_MS = 6_000
+_LONGEST_DELAY_MS = 1_500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """One fault.
+
+    Attributes:
+      at_ms: When it begins, from the start of the faults.
+      for_ms: How long it lasts, where it lasts.
+      vm: Index of the VM, where one is hit.
+      link: Link that is hit by `Kind.LINK`.
+      mode: What happens to that link.
+      delay_ms: Delay on that link.
+    """
+
+    kind: Kind
+    at_ms: int
+    for_ms: int
+    vm: int
+    link: str
+    mode: proxies.Mode
+    delay_ms: int
+
+
+def draw(seed: int, count: int, length_ms: int, vms: int) -> list[Planned]:
+    """Returns faults in order of time.
+
+    Args:
+      seed: Decides all of it.
+      count: Number of faults.
+      length_ms: Time over which they begin.
+      vms: Number of VMs.
+
+    Example:
+      >>> draw(1, 5, 10_000, 4) == draw(1, 5, 10_000, 4)
+      True
+    """
+    source = random.Random(seed)
+    kinds = list(_WEIGHT_BY_KIND)
+    weights = list(_WEIGHT_BY_KIND.values())
+    planned = [
+        Planned(
+            kind=source.choices(kinds, weights)[0],
+            at_ms=source.randrange(length_ms),
+            for_ms=source.randint(_SHORTEST_MS, _LONGEST_MS),
+            vm=source.randrange(vms),
+            link=source.choice(LINKS),
+            mode=source.choice(_MODES),
+            delay_ms=source.randint(1, _LONGEST_DELAY_MS),
+        )
+        for _ in range(count)
+    ]
+    return sorted(planned, key=lambda each: each.at_ms)
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,280 @@
+"""The processes of one VM: the daemon under test and its target."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+import msgspec
+
+from soak import evidence as evidences
+from soak import proxy as proxies
+
+__all__ = ["Vm"]
+
+_CALLER_PORT = 8304
+_READY_PORT = 8302
+_CONTROL_PORT = 8306
+_TARGET_PORT = 8301
+_PEER_PORT = 7620
+_METRICS_PORT = 9464
+# Ports of proxies stand this far above those behind them.
+_PROXY_OFFSET = 1_000
+_STORE_PROXY_PORT = 9_309
+_RESTART_PAUSE_S = 0.5
+_GRACE_S = 6
+_LINE_BYTES = 4 * 1024 * 1024
+_PYTHON = sys.executable
+
+Now = Callable[[], int]
+
+
+class Vm:
+    """One VM with its daemon, its target and proxies around the daemon.
+
+    Attributes:
+      proxy_by_link: Proxies towards callers, peers, the store, the target.
+      log: Where the daemon's log goes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        place: tuple[str, str],
+        service: str,
+        store_port: int,
+        folder: pathlib.Path,
+        evidence: evidences.Evidence,
+        now: Now,
+    ):
+        self.name = name
+        self.service = service
+        self.availability_zone, self.region = place
+        self.log = folder / f"{name}.log"
+        self._host = host
+        self._settings = folder / f"{name}.conf"
+        self._evidence = evidence
+        self._now = now
+        self._daemon: asyncio.subprocess.Process | None = None
+        self._target: asyncio.subprocess.Process | None = None
+        self._life: evidences.Life | None = None
+        self._lives = 0
+        self._expected_end = False
+        self._is_closing = False
+        self._run_by_id: dict[str, evidences.Run] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.proxy_by_link = {
+            "caller": self._proxy(_CALLER_PORT + _PROXY_OFFSET, _CALLER_PORT),
+            "peer": self._proxy(_PEER_PORT, _PEER_PORT + _PROXY_OFFSET),
+            "target": self._proxy(_TARGET_PORT, _TARGET_PORT + _PROXY_OFFSET),
+            "store": proxies.Proxy(
+                host, _STORE_PROXY_PORT, ("127.0.0.1", store_port)
+            ),
+        }
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Returns where callers send requests."""
+        return self._host, _CALLER_PORT + _PROXY_OFFSET
+
+    async def start(self) -> None:
+        """Starts proxies, target and daemon."""
+        self.write_settings(grace_ms=_GRACE_S * 1_000)
+        for proxy in self.proxy_by_link.values():
+            await proxy.listen()
+        self._keep(self._run_daemon())
+        await self.start_target()
+
+    async def stop(self) -> None:
+        """Ends what was started here."""
+        self._is_closing = True
+        for process in (self._daemon, self._target):
+            _signal(process, signal.SIGKILL)
+        for task in self._tasks:
+            task.cancel()
+        for process in (self._daemon, self._target):
+            if process is not None:
+                await process.wait()
+        for proxy in self.proxy_by_link.values():
+            proxy.close()
+
+    def write_settings(self, grace_ms: int) -> None:
+        """Writes the settings file as the platform does, in one step."""
+        host = self._host
+        lines = (
+            f"node_id={self.name}",
+            f"ip={host}",
+            f"zone={self.availability_zone}",
+            f"region={self.region}",
+            f"listen.outbound={host}:{_CALLER_PORT}",
+            f"listen.ready={host}:{_READY_PORT}",
+            f"listen.control={host}:{_CONTROL_PORT}",
+            f"internal_ports={_PEER_PORT},{_PEER_PORT + 1}",
+            f"app_addr={host}:{_TARGET_PORT}",
+            f"service={self.service}",
+            f"platform.address={host}:{_STORE_PROXY_PORT}",
+            "heartbeat=400ms",
+            f"bounds=drain=2500ms,grace={grace_ms}ms,hold_max=10000ms",
+        )
+        with tempfile.NamedTemporaryFile(
+            "w", dir=self._settings.parent, delete=False
+        ) as file:
+            file.write("\n".join(lines))
+        os.replace(file.name, self._settings)
+
+    # The daemon.
+
+    def signal_daemon(self, number: signal.Signals) -> None:
+        """Sends a signal to the daemon."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._expected_end = True
+        _signal(self._daemon, number)
+
+    async def restart_daemon(self) -> None:
+        """Stops the daemon as planned; the platform starts it again."""
+        process = self._daemon
+        self.signal_daemon(signal.SIGTERM)
+        if process is None:
+            return
+        try:
+            async with asyncio.timeout(_GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            self._evidence.ends.append(f"{self.name} outlasts its grace")
+            _signal(process, signal.SIGKILL)
+
+    async def _run_daemon(self) -> None:
+        while not self._is_closing:
+            self._expected_end = False
+            with self.log.open("ab") as log:
+                self._daemon = await asyncio.create_subprocess_exec(
+                    _PYTHON,
+                    "-m",
+                    "mustardloom.cli.sidecar",
+                    f"--peer-listen-port={_PEER_PORT + _PROXY_OFFSET}",
+                    f"--metrics-port={_METRICS_PORT}",
+                    env={**os.environ, "MUSTARDLOOM_CONFIG": self._path()},
+                    stdout=log,
+                    stderr=log,
+                )
+            code = await self._daemon.wait()
+            if not self._expected_end and not self._is_closing:
+                self._evidence.ends.append(f"{self.name} ended with {code}")
+            await asyncio.sleep(_RESTART_PAUSE_S)
+
+    def _path(self) -> str:
+        return str(self._settings)
+
+    # The target.
+
+    async def start_target(self) -> None:
+        """Starts a new run of the target under a new name."""
+        self._lives += 1
+        name = f"t-{self.name}-{self._lives}"
+        self._life = evidences.Life(
+            name,
+            self.name,
+            self.service,
+            self.availability_zone,
+            self.region,
+        )
+        self._evidence.life_by_name[name] = self._life
+        self._run_by_id = {}
+        arguments = [name, self.service, self.availability_zone, self._host]
+        ports = (_TARGET_PORT + _PROXY_OFFSET, _TARGET_PORT, _CONTROL_PORT)
+        arguments += [str(port) for port in ports]
+        if self.service == "keyed":
+            arguments.append("--keyed")
+        self._target = await asyncio.create_subprocess_exec(
+            _PYTHON,
+            "-m",
+            "soak.target",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            limit=_LINE_BYTES,
+        )
+        self._keep(self._follow(self._target, self._life, self._run_by_id))
+
+    def signal_target(self, number: signal.Signals) -> None:
+        """Sends a signal to the target."""
+        _signal(self._target, number)
+
+    async def replace_target(self, number: signal.Signals) -> None:
+        """Ends the target by a signal and starts its next run."""
+        process = self._target
+        self.signal_target(number)
+        if process is not None:
+            await process.wait()
+        await asyncio.sleep(_RESTART_PAUSE_S)
+        if not self._is_closing:
+            await self.start_target()
+
+    async def _follow(
+        self,
+        process: asyncio.subprocess.Process,
+        life: evidences.Life,
+        run_by_id: dict[str, evidences.Run],
+    ) -> None:
+        assert process.stdout is not None
+        async for line in process.stdout:
+            self._note(msgspec.json.decode(line), life, run_by_id)
+        life.ended_ms = self._now()
+
+    def _note(
+        self,
+        line: dict[str, object],
+        life: evidences.Life,
+        run_by_id: dict[str, evidences.Run],
+    ) -> None:
+        event = line.pop("event")
+        at_ms = msgspec.convert(line.pop("at_ms"), int)
+        match event:
+            case "hold":
+                held = msgspec.convert(line, _Held)
+                self._evidence.holdings.append(
+                    evidences.Holding(
+                        life.name, held.rows, at_ms, held.until_ms
+                    )
+                )
+            case "begin":
+                run = msgspec.convert(
+                    {**line, "life": life.name, "began_ms": at_ms},
+                    evidences.Run,
+                )
+                run_by_id[run.request_id] = run
+                self._evidence.runs.append(run)
+            case "end":
+                run_by_id[str(line["request_id"])].ended_ms = at_ms
+            case "leaving":
+                life.leaving_ms = at_ms
+            case other:
+                raise ValueError(f"unknown event {other!r}")
+
+    def _keep(self, call: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(call)
+        task.add_done_callback(self._on_done)
+        self._tasks.add(task)
+
+    def _on_done(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._evidence.ends.append(f"soak of {self.name}: {error!r}")
+
+    def _proxy(self, port: int, behind: int) -> proxies.Proxy:
+        return proxies.Proxy(self._host, port, (self._host, behind))
+
+
+class _Held(msgspec.Struct):
+    rows: list[evidences.Row]
+    until_ms: int
+
+
+def _signal(
+    process: asyncio.subprocess.Process | None, number: signal.Signals
+) -> None:
+    if process is not None and process.returncode is None:
+        process.send_signal(number)
--- /dev/null
+++ b/soak/tests/test_checks.py
@@ -0,0 +1,154 @@
+"""Each check finds the fault that it is for, and passes sound evidence."""
+
+import pytest
+
+from soak import checks
+from soak import evidence as evidences
+
+
+def _attempt(request_id, route="plain", **fields):
+    values = {
+        "vm": "vm-0",
+        "key": None,
+        "path": f"/{route}/1",
+        "body": "",
+        "sent_ms": 1_000,
+        "deadline_ms": 1_500,
+        "ended_ms": 1_050,
+        "status": 200,
+        "signer": "t-a",
+        "answer": f"{request_id} by t-a",
+    }
+    return evidences.Attempt(request_id, route=route, **(values | fields))
+
+
+def _run(request_id, life="t-a", route="plain", **fields):
+    values = {
+        "key": None,
+        "path": f"/{route}/1",
+        "body": "",
+        "caller": "plain",
+        "deadline_ms": 1_400,
+        "began_ms": 1_010,
+        "ended_ms": 1_040,
+    }
+    return evidences.Run(life, request_id, **(values | fields))
+
+
+def _evidence(attempts=(), runs=(), holdings=(), **fields):
+    made = evidences.Evidence(
+        service_by_vm={"vm-0": "plain", "vm-1": "plain"}, **fields
+    )
+    made.attempt_by_id = {each.request_id: each for each in attempts}
+    made.runs = list(runs)
+    made.holdings = list(holdings)
+    for name, vm, region in (("t-a", "vm-0", "ra"), ("t-b", "vm-1", "rb")):
+        zone = f"zone-{region}"
+        made.life_by_name[name] = evidences.Life(
+            name, vm, "plain", zone, region
+        )
+    made.calm_ms = -checks.BOUNDS.recover_ms
+    return made
+
+
+def _broken(evidence):
+    return {each.promise for each in checks.broken(evidence)}
+
+
+def _holding(life, fence, began_ms, until_ms, first=0, last=9):
+    row = (first, last, fence)
+    return evidences.Holding(life, [row], began_ms, until_ms)
+
+
+def _left():
+    made = _evidence([_attempt("r")], [_run("r", began_ms=9_000)])
+    made.life_by_name["t-a"].leaving_ms = 6_000
+    return made
+
+
+_KEYED = {"route": "keyed", "key": 5}
+_FAULTY_BY_PROMISE = {
+    "one_owner": _evidence(
+        holdings=[
+            _holding("t-a", 1, 0, 4_000),
+            _holding("t-b", 2, 3_000, 8_000),
+        ]
+    ),
+    "rising_fences": _evidence(
+        holdings=[_holding("t-a", 2, 0, 100), _holding("t-b", 2, 200, 300)]
+    ),
+    "free_before_granted": _evidence(
+        [_attempt("r", **_KEYED)],
+        [_run("r", began_ms=1_010, ended_ms=1_900, **_KEYED)],
+        [
+            _holding("t-a", 1, 0, 1_000),
+            _holding("t-a", 1, 900, 4_000),
+            _holding("t-b", 2, 1_500, 1_600),
+        ],
+    ),
+    "run_once": _evidence([_attempt("r")], [_run("r"), _run("r", "t-b")]),
+    "truthful_refusals": _evidence([_attempt("r", status=503)], [_run("r")]),
+    "whole_answers": _evidence([_attempt("r", answer="r b")], [_run("r")]),
+    "asked_for": _evidence(
+        [_attempt("r")], [_run("r", caller="forged"), _run("unknown")]
+    ),
+    "within_budget": _evidence([_attempt("r")], [_run("r", deadline_ms=1_600)]),
+    "home_regions": _evidence([_attempt("r")], [_run("r", "t-b")]),
+    "draining": _left(),
+    "evacuated_zones": _evidence(
+        [_attempt("r")],
+        [_run("r", began_ms=7_000)],
+        evacuations=[
+            evidences.Change(0, ""),
+            evidences.Change(1_000, "zone-ra"),
+        ],
+    ),
+    "configuration_in_force": _evidence(
+        [_attempt("r", "moving", sent_ms=9_000)],
+        [_run("r", route="moving", began_ms=9_010)],
+        moves=[evidences.Change(0, "plain"), evidences.Change(5_000, "other")],
+    ),
+    "on_time": _evidence(
+        [_attempt(f"r{n}", status=None, ended_ms=2_800) for n in range(4)]
+    ),
+    "recovers": _evidence([_attempt("r", status=503)]),
+    "no_faults_of_its_own": _evidence(ends=["vm-0 ended with 1"]),
+}
+
+
+@pytest.mark.parametrize("check", checks.CHECKS, ids=lambda c: c.__name__)
+def test_each_check_finds_its_fault(check):
+    """Guards against a check that passes whatever happened."""
+    assert list(check(_FAULTY_BY_PROMISE[check.__name__]))
+
+
+def test_sound_evidence_breaks_no_promise():
+    """Guards against checks that cry at what is allowed."""
+    attempts = [_attempt("r"), _attempt("k", status=200, **_KEYED)]
+    runs = [_run("r"), _run("k", **_KEYED)]
+    holdings = [_holding("t-a", 1, 0, 4_000), _holding("t-a", 1, 900, 2_000)]
+    holdings.append(_holding("t-b", 2, 2_000, 6_000))
+    assert _broken(_evidence(attempts, runs, holdings)) == set()
+
+
+def test_grants_held_up_by_a_pause_do_not_count():
+    """Guards against findings that the rules allow."""
+    held = [_holding("t-a", 1, 0, 2_700), _holding("t-b", 2, 2_000, 6_000)]
+    paused = evidences.Fault("daemon-pause", "vm-1", 1_000, 1_900)
+    assert "one_owner" in _broken(_evidence(holdings=held))
+    assert "one_owner" not in _broken(_evidence(holdings=held, faults=[paused]))
+
+
+def test_work_as_an_evacuation_begins_is_allowed():
+    """Guards against findings within the time that daemons have."""
+    made = _evidence([_attempt("r")], [_run("r", began_ms=7_000)])
+    made.evacuations.append(evidences.Change(6_999, "zone-ra"))
+    assert _broken(made) == set()
+
+
+def test_a_killed_target_holds_nothing():
+    """Guards against findings about processes that are gone."""
+    held = [_holding("t-a", 1, 0, 4_000), _holding("t-b", 2, 2_000, 6_000)]
+    made = _evidence(holdings=held)
+    made.life_by_name["t-a"].ended_ms = 1_500
+    assert "one_owner" not in _broken(made)
--- /dev/null
+++ b/soak/tests/test_faults.py
@@ -0,0 +1,97 @@
+"""Tests of the faults that the soak draws, and of its proxy."""
+
+import asyncio
+
+import pytest
+
+from soak import faults
+from soak import proxy as proxies
+
+
+def test_every_kind_of_fault_is_drawn():
+    """Guards against faults that no seed ever plays."""
+    drawn = [
+        planned
+        for seed in range(40)
+        for planned in faults.draw(seed, 14, 20_000, 8)
+    ]
+    assert {planned.kind for planned in drawn} == set(faults.Kind)
+    hit = {
+        (planned.link, planned.mode)
+        for planned in drawn
+        if planned.kind is faults.Kind.LINK
+    }
+    modes = set(proxies.Mode) - {proxies.Mode.PASS}
+    assert hit == {(link, mode) for link in faults.LINKS for mode in modes}
+
+
+async def _echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+def _through_proxy(scenario):
+    async def run():
+        upstream = await asyncio.start_server(_echo, "127.0.0.1", 0)
+        address = upstream.sockets[0].getsockname()
+        proxy = proxies.Proxy("127.0.0.1", 0, address)
+        await proxy.listen()
+        try:
+            reader, writer = await asyncio.open_connection(*proxy.address())
+            writer.write(b"a")
+            assert await reader.read(1) == b"a"
+            await scenario(proxy, reader, writer)
+            writer.close()
+        finally:
+            proxy.close()
+            upstream.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "mode", [proxies.Mode.CUT_INWARD, proxies.Mode.CUT_OUTWARD]
+)
+def test_a_cut_holds_bytes_until_it_heals(mode):
+    """Guards against cuts that lose bytes of a connection that lives on."""
+
+    async def scenario(proxy, reader, writer):
+        proxy.set_mode(mode)
+        writer.write(b"b")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await reader.read(1)
+        proxy.set_mode(proxies.Mode.PASS)
+        assert await reader.read(1) == b"b"
+
+    _through_proxy(scenario)
+
+
+def test_silence_hits_open_connections_for_good_and_spares_new_ones():
+    """Guards against silence that ends by itself."""
+
+    async def scenario(proxy, reader, writer):
+        proxy.set_mode(proxies.Mode.SILENCE)
+        proxy.set_mode(proxies.Mode.PASS)
+        writer.write(b"b")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await reader.read(1)
+        new_reader, new_writer = await asyncio.open_connection(*proxy.address())
+        new_writer.write(b"c")
+        assert await new_reader.read(1) == b"c"
+        new_writer.close()
+
+    _through_proxy(scenario)
+
+
+def test_reset_ends_open_connections():
+    """Guards against resets that look like a planned end."""
+
+    async def scenario(proxy, reader, writer):
+        proxy.set_mode(proxies.Mode.RESET)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+
+    _through_proxy(scenario)
--- /dev/null
+++ b/soak/tests/test_play.py
@@ -0,0 +1,21 @@
+"""A short seeded run of the soak, with the real programs."""
+
+import asyncio
+
+import pytest
+
+from soak import run as runs
+
+# Seeds that failed once, with the cause, and one that covers most kinds.
+_SEEDS = (3,)
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path):
+    """Guards against broken promises that only whole processes show."""
+    options = runs.Options(
+        seed, tmp_path, network=78, vms=5, faults=6, length_s=6
+    )
+    result = asyncio.run(runs.play(options))
+    assert result.broken == []
+    assert result.served > 0
