--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,9 @@
 _COUNTED_S = 4
 _RESTART_S = 1.5
 _EVACUATED_S = 7
+_STALL_PROBE_MS = 50
+_STALL_MS = 200
+STALL = "machine-stall"
 _FAULT_EVENT = b'"event":"fault"'
 # Service, availability zone and region of each VM.
 _PLACES = (
@@ -63,12 +66,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """What came of a run."""
+    """What came of a run.
+
+    Attributes:
+      stalls: Times in which the machine was too busy to run the soak itself;
+        bounds on time do not hold around them.
+    """
 
     seed: int
     planned: list[faults.Planned]
     requests: int
     served: int
+    stalls: int
     broken: list[checks.Broken]
 
 
@@ -121,6 +130,7 @@
 
     async def play(self) -> None:
         self._configure()
+        self._tasks.append(asyncio.ensure_future(self._note_stalls()))
         for vm in self._vms:
             await vm.start()
         await asyncio.sleep(_WARM_UP_S)
@@ -153,6 +163,7 @@
             self._planned,
             len(attempts),
             sum(1 for each in attempts if each.status == 200),
+            sum(1 for each in self._evidence.faults if each.kind == STALL),
             checks.broken(self._evidence),
         )
 
@@ -181,6 +192,17 @@
                 if _FAULT_EVENT in line or not line.startswith(b"{"):
                     self._evidence.ends.append(f"{vm.name}: {line!r}")
 
+    async def _note_stalls(self) -> None:
+        """Notes times in which the machine runs no process in time."""
+        while True:
+            due_ms = self._clock.now_ms() + _STALL_PROBE_MS
+            await self._clock.sleep_ms(_STALL_PROBE_MS)
+            now_ms = self._clock.now_ms()
+            if now_ms - due_ms > _STALL_MS:
+                self._evidence.faults.append(
+                    evidences.Fault(STALL, "", due_ms, now_ms)
+                )
+
     # Faults.
 
     async def _play_at(self, start_ms: int, planned: faults.Planned) -> None:
@@ -321,6 +343,7 @@
             "faults": [each.kind.value for each in result.planned],
             "requests": result.requests,
             "served": result.served,
+            "stalls": result.stalls,
             "broken": result.broken,
         }
     )
