Tell peers less often in larger fleets; forget earlier owners once keys have arrived

Now the times between messages grow with the number of peers (sidecar/pacing.py), the planner asks quiet owners for signs of life, and who waits for keys asks who knows the map only when the earlier owner has not answered within 300 ms.

Power is lost at 32 s; all daemons start anew and adopt map 31, in which most rows still name an earlier owner (83 of 113 rows wait at sidecar-pwani-b-1), and refuse their keys as 'not-owner' until 38.5 s, the longest that earlier grants can last. The planner now leaves those names out of the next map once the owner has said that all its keys have arrived. keys/tests/test_exclusive.py moves, restarts and power losses with it: 500 examples without two holders.

Ruled out: the size of the map (17 kB, 5 ms to decode, once a second).

--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 import itertools
 
@@ -22,6 +23,7 @@
     "admit",
     "adopt_life",
     "deal",
+    "forget_previous",
     "hand_over",
     "rebalance",
     "segments",
@@ -135,6 +137,34 @@
     return with_life(current, vm, life)
 
 
+def forget_previous(
+    current: key_map.KeyMap, settled: Set[ids.VmId]
+) -> key_map.KeyMap:
+    """Forgets the earlier owners of keys that have arrived for good.
+
+    Load pattern: all daemons and targets lose power at once. What the new
+    daemons know is the map; keys whose earlier owner it names wait until the
+    grants of that owner have run out, all others are granted at once.
+
+    Args:
+      current: The map.
+      settled: VMs that had none of their keys on the way when they knew
+        this map.
+
+    Returns:
+      The map of the same version; the same object if nothing is forgotten.
+    """
+    if not any(row.previous and row.owner in settled for row in current.rows):
+        return current
+    rows = (
+        dataclasses.replace(row, previous=ids.VmId(""), previous_fence=0)
+        if row.owner in settled
+        else row
+        for row in current.rows
+    )
+    return dataclasses.replace(current, rows=tuple(key_map.merged(rows)))
+
+
 def hand_over(
     current: key_map.KeyMap,
     candidates: Iterable[Candidate],
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -114,6 +114,18 @@
             planned = planning.hand_over(self.map, heirs, vms)
             self.map = planned or self.map
 
+    @stateful.rule(told=_SOME)
+    def forget_previous(self, told):
+        settled = {
+            vm
+            for vm in told
+            if self.daemons[vm].version() == self.map.version
+            and not self.daemons[vm].claims.waits
+        }
+        tidied = planning.forget_previous(self.map, settled)
+        if self.store_up and tidied is not self.map:
+            self.map = dataclasses.replace(tidied, version=self.map.version + 1)
+
     @stateful.rule(
         vm=strategies.sampled_from(_VMS), sink=strategies.sampled_from(_VMS)
     )
@@ -225,6 +237,12 @@
     def restart_target(self, vm):
         self.targets[vm] = _Target(self._life(vm))
 
+    @stateful.rule(vms=_SOME)
+    def lose_power(self, vms):
+        for vm in sorted(vms):
+            self.restart_target(vm)
+            self.restart_daemon(vm)
+
     @stateful.rule(
         reading=_SOME,
         asking=_SOME,
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -8,6 +8,7 @@
 
 from mustardloom import ids
 from mustardloom.deployment import targets
+from mustardloom.keys import claims
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
 
@@ -132,6 +133,25 @@
     assert planning.hand_over(after, _candidates(), {_VMS[0]}) is None
 
 
+def test_keys_that_have_arrived_are_granted_at_once_after_a_power_loss():
+    """Replays new daemons and targets everywhere, with only the map left."""
+    found = planning.deal(_candidates())
+    after = planning.hand_over(found, _candidates(), {_VMS[0]})
+    after = planning.hand_over(after, _candidates(), {_VMS[1]})
+    tidied = planning.forget_previous(after, set(_VMS[2:4]))
+    _assert_covers_all(tidied)
+    for vm in _VMS[2:]:
+        fresh = claims.Claims(vm)
+        fresh.adopt(dataclasses.replace(tidied, version=9))
+        keys = sum(row.width for row in fresh.grantable())
+        owned = sum(row.width for row in tidied.owned_by(vm))
+        assert (keys == owned) == (vm in _VMS[2:4])
+    for key in range(0, key_map.KEYS, 501):
+        old, new = after.row_of(key), tidied.row_of(key)
+        assert (old.owner, old.fence) == (new.owner, new.fence)
+    assert planning.forget_previous(tidied, set(_VMS[2:4])) is tidied
+
+
 def test_no_heir_leaves_the_map_as_it_is():
     """Guards against keys without any owner on record."""
     found = planning.deal(_candidates())
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import dataclasses
 import signal
 from typing import Any
@@ -36,6 +37,7 @@
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import metrics_page
+from mustardloom.sidecar import pacing
 from mustardloom.sidecar import planner as planners
 from mustardloom.sidecar import router as routers
 from mustardloom.sidecar import shared_state
@@ -44,10 +46,6 @@
 __all__ = ["Daemon", "Ports"]
 
 _TICK_MS = 250
-# Status goes out this often to daemons of the own region, and less often
-# beyond, where bytes are dear.
-_NEAR_STATUS_MS = 500
-_FAR_STATUS_MS = 1_200
 _REGISTER_RETRY_MS = 500
 _SETTINGS_INTERVAL_MS = 2_000
 _PERCENT = 100
@@ -324,6 +322,7 @@
             self._log,
         )
         keyspace.on_settled = self._tell_one
+        keyspace.on_waiting = self._links.ask_all
         self._keyspace_by_service[service] = keyspace
         self._adopt_maps()
         planner = planners.Planner(
@@ -372,9 +371,8 @@
         by_key = self._state.by_kind[stored.Kind.KEY_MAP].by_key
         for service, keyspace in self._keyspace_by_service.items():
             found = by_key.get(stored.key(stored.Kind.KEY_MAP, service))
-            if found is not None and keyspace.adopt(found):
-                # The answers tell who knows the new map.
-                self._tell_all()
+            if found is not None:
+                keyspace.adopt(found)
 
     def _on_store(self, answers: bool) -> None:
         event = events.Event.STORE_LOST
@@ -461,27 +459,28 @@
             own_status = self._status(self._own.vm)
             self._fleet.told(self._own.vm, own_status)
             now_ms = self._clock.now_ms()
-            tells_near = now_ms - self._told_near_ms >= _NEAR_STATUS_MS
-            tells_far = now_ms - self._told_far_ms >= _FAR_STATUS_MS
-            if tells_near:
+            near = list(self._fleet.near())
+            far = list(self._fleet.far())
+            near_ms = pacing.near_interval_ms(len(near))
+            if now_ms - self._told_near_ms >= near_ms:
                 self._told_near_ms = now_ms
-                self._tell(is_near=True)
-            if tells_far:
+                self._tell(near)
+            far_ms = pacing.far_interval_ms(len(far))
+            if now_ms - self._told_far_ms >= far_ms:
                 self._told_far_ms = now_ms
-                self._tell(is_near=False)
+                self._tell(far)
 
-    def _tell(self, is_near: bool) -> None:
-        for vm, peer in self._fleet.by_vm.items():
-            if (peer.record.region == self._own.region) == is_near:
-                self._links.notify(vm, self._status(vm))
+    def _tell(self, vms: Iterable[ids.VmId]) -> None:
+        for vm in vms:
+            self._links.notify(vm, self._status(vm))
 
     def _tell_one(self, vm: ids.VmId) -> None:
         self._links.notify(vm, self._status(vm))
 
     def _tell_all(self) -> None:
         self._fleet.told(self._own.vm, self._status(self._own.vm))
-        self._tell(is_near=True)
-        self._tell(is_near=False)
+        self._tell(self._fleet.near())
+        self._tell(self._fleet.far())
 
     def _status(self, receiver: ids.VmId) -> frames.Status:
         load = self._gate.load()
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -193,6 +193,13 @@
             if is_near and vm != self.own.vm and self.is_reachable(vm):
                 yield vm
 
+    def far(self) -> Iterator[ids.VmId]:
+        """Yields the daemons of other regions that are reachable."""
+        for vm, peer in self.by_vm.items():
+            is_far = peer.record.region != self.own.region
+            if is_far and self.is_reachable(vm):
+                yield vm
+
     def is_watcher(self) -> bool:
         """Returns whether this daemon watches the store for its region."""
         ready = sorted(vm for vm in self.near() if self._may_plan(vm))
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -39,6 +39,10 @@
 # Keys that are free should not lie idle for longer than a request takes.
 _RELEASE_INTERVAL_MS = 60
 _RELEASE_CALL_MS = 400
+# Earlier owners mostly answer within this time; afterwards it matters how many
+# daemons know the map.
+_ASK_AFTER_MS = 300
+_ASK_INTERVAL_MS = 400
 # Weight of the newest second in the rate of keyed requests.
 _RATE_SMOOTHING = 0.6
 _LOAD_INTERVAL_MS = 1_000
@@ -63,6 +67,7 @@
       key: Key of the map in the store.
       bounds: Bounds in force.
       on_settled: Called with the planner once all keys have arrived.
+      on_waiting: Called when it matters which daemons know the map.
       on_loads: Called with the busy parts of the local target's rows.
     """
 
@@ -102,6 +107,9 @@
         self._last_pacing_key: int | None = None
         self._map_changed_ms = 0
         self.on_settled: Callable[[ids.VmId], None] = lambda _: None
+        self.on_waiting: Callable[[], None] = lambda: None
+        self._asked_ms = 0
+        self._adopted_ms = 0
         self.on_loads: Callable[[Loads], None] = lambda _: None
 
     # Queries.
@@ -239,25 +247,22 @@
         """Notes that the map was listed by the store in this life."""
         self._authority.is_voter = True
 
-    def adopt(self, found: objects.Versioned) -> bool:
-        """Takes over the map in a stored object if it is newer.
-
-        Returns:
-          Whether keys are on their way to the local target now.
-        """
+    def adopt(self, found: objects.Versioned) -> None:
+        """Takes over the map in a stored object if it is newer."""
         try:
             new = key_map.decode(found.value)
         except ValueError as error:
             self._log.write(
                 events.Event.FAULT, object=found.key, error=repr(error)
             )
-            return False
+            return
         self._version = max(self._version, found.version)
         if new.version <= self._claims.map.version:
-            return False
+            return
         now_ms = self._clock.now_ms()
         old = self._claims.map
         self._claims.adopt(new)
+        self._adopted_ms = now_ms
         if old.owned_by(self._own.vm) != new.owned_by(self._own.vm):
             self._map_changed_ms = now_ms
         self._log.write(
@@ -268,7 +273,6 @@
             own_rows=len(new.owned_by(self._own.vm)),
             waits=len(self._claims.waits),
         )
-        return bool(self._claims.waits)
 
     async def renew(self) -> None:
         """Confirms again and again that the known map is the newest."""
@@ -357,6 +361,11 @@
         now_ms = self._clock.now_ms()
         self._claims.spread(self._is_blocking, now_ms)
         self._claims.expire(now_ms)
+        unknown = any(wait.over_ms is None for wait in self._claims.waits)
+        is_due = now_ms - self._asked_ms >= _ASK_INTERVAL_MS
+        if unknown and is_due and now_ms - self._adopted_ms >= _ASK_AFTER_MS:
+            self._asked_ms = now_ms
+            self.on_waiting()
 
     def _is_blocking(self, version: int) -> bool:
         return self._authority.is_blocking(version, len(self._fleet.by_vm))
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -62,6 +62,7 @@
     Attributes:
       is_up: Whether the peer has answered on the open stream.
       down_since_ms: When that was so for the last time.
+      heard_ms: When the peer sent something for the last time.
     """
 
     def __init__(self, owner: "Links", vm: ids.VmId, address: Address):
@@ -74,7 +75,7 @@
         self._compressor = compression.Compressor()
         self._calls: dict[int, asyncio.Future[frames.Frame]] = {}
         self._numbers = itertools.count(1)
-        self._heard_ms = 0
+        self.heard_ms = 0
         # Times of the questions that were not answered yet, in order.
         self._asked_ms: collections.deque[int] = collections.deque()
         self._task = asyncio.create_task(self._run())
@@ -119,10 +120,10 @@
         if self._stream is None:
             return
         if self._asked_ms:
-            latest_ms = max(self._asked_ms[0], self._heard_ms)
+            latest_ms = max(self._asked_ms[0], self.heard_ms)
             if now_ms - latest_ms > _SILENCE_MS:
                 self._stream.close()
-        elif self._calls and now_ms - self._heard_ms > _QUIET_MS:
+        elif self._calls and now_ms - self.heard_ms > _QUIET_MS:
             self.notify(frames.Ping())
 
     def close(self) -> None:
@@ -152,7 +153,7 @@
         stream.set_nodelay(True)
         self._stream = stream
         self._compressor = compression.Compressor()
-        self._heard_ms = self._owner.clock.now_ms()
+        self.heard_ms = self._owner.clock.now_ms()
         self._asked_ms.clear()
         self._write(self._owner.hello(self._vm))
         self._write(frames.Ping())
@@ -165,7 +166,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
-                self._heard_ms = self._owner.clock.now_ms()
+                self.heard_ms = self._owner.clock.now_ms()
                 if not self.is_up:
                     # The system accepts connections for a paused process too.
                     self.is_up = True
@@ -276,6 +277,18 @@
         link = self._link_by_vm.get(vm)
         return link is not None and link.notify(frame)
 
+    def ask_all(self) -> None:
+        """Asks all peers for a sign of life and for what they know."""
+        self.broadcast(frames.Ping())
+
+    def ask_quiet(self, vms: Iterable[ids.VmId], quiet_ms: int) -> None:
+        """Asks those VMs for a sign of life that have sent nothing lately."""
+        now_ms = self.clock.now_ms()
+        for vm in vms:
+            link = self._link_by_vm.get(vm)
+            if link is not None and now_ms - link.heard_ms >= quiet_ms:
+                link.notify(frames.Ping())
+
     def broadcast(self, frame: frames.Frame) -> None:
         """Sends a frame to all VMs that are reachable."""
         for link in self._link_by_vm.values():
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -1,6 +1,7 @@
 """Decides when the key map of a service changes, and writes it."""
 
 from collections.abc import Iterator
+import dataclasses
 
 from mustardloom import clock as clocks
 from mustardloom import ids
@@ -27,6 +28,11 @@
 _DOWN_MS = 700
 _REBALANCE_INTERVAL_MS = 1_000
 _TAKEN_HOLD_OFF_MS = 900
+# Owners that have sent nothing for so long are asked for a sign of life.
+_OWNER_QUIET_MS = 900
+# A map that names earlier owners needlessly is tidied after so long without
+# another change.
+_TIDY_MS = 3_000
 _DEFAULT_OBJECTIVE_MS = 300
 
 
@@ -64,6 +70,8 @@
         self._lives_seen: dict[ids.VmId, targets.Life] = {}
         self._settled_since_ms = clock.now_ms()
         self._rebalanced_ms = 0
+        self._known_version = 0
+        self._known_since_ms = 0
         self._down_since_ms: dict[ids.VmId, int] = {}
         # Versions by which VMs were given keys, and when some were taken.
         self._given_version: dict[ids.VmId, int] = {}
@@ -87,10 +95,18 @@
         """Changes the map whenever this daemon is the planner."""
         while True:
             await self._clock.sleep_ms(_PLAN_INTERVAL_MS)
+            self._watch_owners()
             planned = self._own_life_change() or self._planned()
             if planned is not None:
                 await self._write(planned)
 
+    def _watch_owners(self) -> None:
+        """Asks owners for signs of life, so that a loss is noticed soon."""
+        current = self._keyspace.map
+        if current is not None and self._fleet.planner() == self._vm:
+            owners = current.owners() - {self._vm}
+            self._links.ask_quiet(owners, _OWNER_QUIET_MS)
+
     def _own_life_change(self) -> key_map.KeyMap | None:
         current = self._keyspace.map
         life = self._keyspace.local_life
@@ -104,9 +120,10 @@
         if not self._fleet.has_majority():
             return None
         candidates = list(self._candidates())
-        current = self._keyspace.map
-        if current is None:
+        known = self._keyspace.map
+        if known is None:
             return self._first_map(candidates)
+        current = planning.forget_previous(known, self._settled(known))
         leaving = {vm for vm in current.owners() if self._is_lost(vm)}
         planned = planning.hand_over(current, candidates, leaving)
         if planned is not None:
@@ -116,9 +133,31 @@
             return None
         self._rebalanced_ms = now_ms
         loads = [load for loads in self._loads_by_vm.values() for load in loads]
-        return planning.admit(current, candidates) or planning.rebalance(
+        planned = planning.admit(current, candidates) or planning.rebalance(
             current, candidates, loads, self.objective_ms
         )
+        if planned is None and self._is_tidying(known, current):
+            return dataclasses.replace(current, version=known.version + 1)
+        return planned
+
+    def _settled(self, known: key_map.KeyMap) -> set[ids.VmId]:
+        """Returns the owners whose keys have all arrived by a map."""
+        return {
+            vm
+            for vm, peer in self._fleet.by_vm.items()
+            if peer.status is not None
+            and peer.status.settled_version == known.version
+        }
+
+    def _is_tidying(
+        self, known: key_map.KeyMap, tidied: key_map.KeyMap
+    ) -> bool:
+        now_ms = self._clock.now_ms()
+        if known.version != self._known_version:
+            self._known_version = known.version
+            self._known_since_ms = now_ms
+        is_old = now_ms - self._known_since_ms >= _TIDY_MS
+        return is_old and tidied is not known
 
     def _candidates(self) -> Iterator[planning.Candidate]:
         for peer in self._fleet.serving(self._keyspace.service):
