--- a/mustardloom/sidecar/pacing.py
+++ b/mustardloom/sidecar/pacing.py
@@ -15,7 +15,7 @@
 _FAR_SPACING_MS = 75
 # Answers tell the load of the targets that are in use, so that rare messages
 # matter to the others only. Signs of life are asked for where calls wait.
-_LONGEST_MS = 10_000
+_LONGEST_MS = 20_000
 
 
 def near_interval_ms(peers: int) -> int:
