Compare versions and look for moves at less cost

Cause: profile of an idle planner among 64 VMs: 5 % of its time compared versions of the kinds by enum key with each message, 6 % cut all rows of the map though no target was busy.

--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -264,6 +264,8 @@
         + _SLOWNESS_WEIGHT * (each.service_ms - fastest_ms) / objective_ms
         for vm, each in able.items()
     }
+    if max(busy.values()) < _COMFORTABLE:
+        return None
     rows = list(_split(current.rows, loads))
     counts = _row_counts(dataclasses.replace(current, rows=tuple(rows)))
     rate_by_first = _rates(rows, loads)
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -88,10 +88,12 @@
 
     def changes(self) -> tuple[int, ...]:
         """Returns the last change known of each kind, in order of `Kind`."""
-        return tuple(self.by_kind[kind].changed for kind in stored.Kind)
+        return tuple(copy.changed for copy in self.by_kind.values())
 
     def behind(self, changes: tuple[int, ...]) -> list[stored.Kind]:
         """Returns the kinds of which somebody else knows a later change."""
+        if changes == self.changes():
+            return []
         kinds = zip(stored.Kind, changes, strict=False)
         return [
             kind for kind, known in kinds if known > self.by_kind[kind].changed
