--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -79,6 +79,7 @@
     ):
         self.own = own
         self.by_vm: dict[ids.VmId, Peer] = {}
+        self._peers_by_service: dict[ids.ServiceId, list[Peer]] = {}
         self.evacuated_zones: set[ids.AvailabilityZoneId] = set()
         self._introduced: dict[ids.VmId, stored.DaemonRecord] = {}
         self._listed: list[stored.DaemonRecord] = []
@@ -111,6 +112,10 @@
         for vm, record in records_by_vm.items():
             if vm not in self.by_vm:
                 self.by_vm[vm] = Peer(record, self._new_view(record))
+        self._peers_by_service.clear()
+        for peer in self.by_vm.values():
+            peers = self._peers_by_service.setdefault(peer.record.service, [])
+            peers.append(peer)
         self._links.retain(
             {
                 vm: (peer.record.ip, peer.record.port)
@@ -148,10 +153,9 @@
 
     def serving(self, service: ids.ServiceId) -> Iterator[Peer]:
         """Yields the daemons whose targets take new work."""
-        for peer in self.by_vm.values():
+        for peer in self._peers_by_service.get(service, ()):
             if (
-                peer.record.service == service
-                and peer.phase is TargetPhase.READY
+                peer.phase is TargetPhase.READY
                 and not self.is_evacuated(peer.vm)
                 and self.is_reachable(peer.vm)
             ):
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -148,6 +148,7 @@
         self._keys = keys
         self._capacity = 1
         self._line: waiting.Line[_Ticket] = waiting.Line()
+        self._has_waiting = asyncio.Event()
         self._running: set[_Ticket] = set()
         self._times = waiting.ServiceTimes()
         self._cold = cold.ColdLimit(tolerated_when_cold)
@@ -269,10 +270,12 @@
     async def sweep(self) -> None:
         """Turns away who waits in vain, until cancelled."""
         while True:
+            if not len(self._line):
+                self._has_waiting.clear()
+                await self._has_waiting.wait()
             await self._clock.sleep_ms(_SWEEP_INTERVAL_MS)
-            if len(self._line):
-                self._drop_hopeless()
-                self._pump()
+            self._drop_hopeless()
+            self._pump()
 
     # Admission.
 
@@ -355,6 +358,8 @@
         ticket = _Ticket(request, outcome, now_ms)
         self._line.push(self._demand(request), ticket, now_ms)
         self._pump()
+        if len(self._line):
+            self._has_waiting.set()
         try:
             return await outcome
         except asyncio.CancelledError:
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -110,6 +110,7 @@
         self.on_waiting: Callable[[], None] = lambda: None
         self._asked_ms = 0
         self._adopted_ms = 0
+        self._has_waits = asyncio.Event()
         self.on_loads: Callable[[Loads], None] = lambda _: None
 
     # Queries.
@@ -222,6 +223,7 @@
 
     def _hold_ms(self, now_ms: int) -> int:
         """Returns for how long keys may be granted now."""
+        self._authority.retain(set(self._fleet.by_vm))
         confirmed_ms = self._authority.confirmed_ms(
             self._claims.map.version, len(self._fleet.by_vm)
         )
@@ -263,6 +265,8 @@
         old = self._claims.map
         self._claims.adopt(new)
         self._adopted_ms = now_ms
+        if self._claims.waits:
+            self._has_waits.set()
         if old.owned_by(self._own.vm) != new.owned_by(self._own.vm):
             self._map_changed_ms = now_ms
         self._log.write(
@@ -348,6 +352,9 @@
     async def pursue(self) -> None:
         """Asks earlier owners for the keys that are on their way here."""
         while True:
+            if not self._claims.waits:
+                self._has_waits.clear()
+                await self._has_waits.wait()
             await self._clock.sleep_ms(_RELEASE_INTERVAL_MS)
             self._spread()
             by_previous: dict[ids.VmId, list[tuple[int, int, int]]] = {}
@@ -359,6 +366,7 @@
 
     def _spread(self) -> None:
         now_ms = self._clock.now_ms()
+        self._authority.retain(set(self._fleet.by_vm))
         self._claims.spread(self._is_blocking, now_ms)
         self._claims.expire(now_ms)
         unknown = any(wait.over_ms is None for wait in self._claims.waits)
@@ -372,7 +380,6 @@
 
     def on_word(self, vm: ids.VmId, word: authority_lib.Word) -> None:
         """Adopts which map another daemon knows."""
-        self._authority.retain(set(self._fleet.by_vm))
         self._authority.heard(vm, word)
 
     def word(self) -> tuple[str, int, bool]:
