--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -70,6 +70,8 @@
         self._lives_seen: dict[ids.VmId, targets.Life] = {}
         self._settled_since_ms = clock.now_ms()
         self._rebalanced_ms = 0
+        self._tidied_for: tuple[int, set[ids.VmId]] = (0, set())
+        self._tidied_map = key_map.empty()
         self._known_version = 0
         self._known_since_ms = 0
         self._down_since_ms: dict[ids.VmId, int] = {}
@@ -123,7 +125,7 @@
         known = self._keyspace.map
         if known is None:
             return self._first_map(candidates)
-        current = planning.forget_previous(known, self._settled(known))
+        current = self._tidied(known)
         leaving = {vm for vm in current.owners() if self._is_lost(vm)}
         planned = planning.hand_over(current, candidates, leaving)
         if planned is not None:
@@ -140,6 +142,13 @@
             return dataclasses.replace(current, version=known.version + 1)
         return planned
 
+    def _tidied(self, known: key_map.KeyMap) -> key_map.KeyMap:
+        settled = self._settled(known)
+        if self._tidied_for != (known.version, settled):
+            self._tidied_for = (known.version, settled)
+            self._tidied_map = planning.forget_previous(known, settled)
+        return self._tidied_map
+
     def _settled(self, known: key_map.KeyMap) -> set[ids.VmId]:
         """Returns the owners whose keys have all arrived by a map."""
         return {
