Count keys that wait and keys without a reachable owner; sharpen the soak

The soak's check of one owner missed daemons that ignored earlier owners on purpose: overlaps end with the next heartbeat and seldom meet requests. It allows 50 ms now. Its fleet has targets of the route with home regions outside them, so that the check of home regions can fail.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -519,6 +519,14 @@
             "configuration_version": 0 if current is None else current.version,
             "store_answers": int(self._state.store_answers),
             "peers_reachable": sum(1 for _ in self._links.up()),
+            "keys_waiting_for_earlier_owner": sum(
+                each.waiting_keys()
+                for each in self._keyspace_by_service.values()
+            ),
+            "keys_without_reachable_owner": sum(
+                each.unreachable_keys()
+                for each in self._keyspace_by_service.values()
+            ),
         }
 
     # What the parts ask.
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -137,6 +137,18 @@
         """Returns the requests a second for keys of the local target."""
         return self._key_rate
 
+    def waiting_keys(self) -> int:
+        """Returns the own keys that an earlier owner may hold still."""
+        return sum(wait.last + 1 - wait.first for wait in self._claims.waits)
+
+    def unreachable_keys(self) -> int:
+        """Returns the keys that have no owner or none that can be asked."""
+        return sum(
+            row.width
+            for row in self._claims.map.rows
+            if not self._fleet.is_reachable(row.owner)
+        )
+
     @property
     def settled_version(self) -> int:
         """Returns the version of the map if no key is on its way, else 0."""
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -296,5 +296,14 @@
         page = await vms[0].get("/metrics", "x", address=address)
         assert b"mustardloom_ingress_answered_total" in page.body
         assert b'mustardloom_ingress_answered_ms_bucket{le="100"}' in page.body
+        assert b"keys_without_reachable_owner 0.0" in page.body
+        vms[1].daemon.stop()
+
+        async def is_told():
+            page = await vms[0].get("/metrics", "x", address=address)
+            line = page.body.partition(b"\nmustardloom_keys_without_")[2]
+            return float(line.split()[1]) > 20_000
+
+        await _until(is_told)
 
     _run(scenario)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from soak import regressions as regression_seeds
 from soak import run as runs
 
 __all__ = ["main"]
@@ -23,6 +24,9 @@
     network: Annotated[
         int, typer.Option(help="second byte of loopback addresses")
     ] = 77,
+    regressions: Annotated[
+        bool, typer.Option(help="play the seeds that failed once instead")
+    ] = False,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="keep settings and logs here")
     ] = None,
@@ -32,7 +36,10 @@
     faults_by_kind: collections.Counter[str] = collections.Counter()
     requests = 0
     failed = []
-    for seed in range(first, first + count):
+    seeds = list(range(first, first + count))
+    if regressions:
+        seeds = list(regression_seeds.CAUSE_BY_SEED)
+    for seed in seeds:
         own = folder / str(seed)
         own.mkdir(parents=True, exist_ok=True)
         options = runs.Options(
@@ -45,7 +52,7 @@
         if result.broken:
             failed.append(seed)
     print(
-        f"seeds {count}, requests {requests}, failed seeds {failed}, "
+        f"seeds {len(seeds)}, requests {requests}, failed seeds {failed}, "
         f"logs in {folder}, faults {dict(sorted(faults_by_kind.items()))}"
     )
     sys.exit(1 if failed else 0)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,7 +24,7 @@
     Attributes:
       calm_ms: Time without faults after which bounds on time hold.
       overlap_ms: Longest time for which two targets may list one key, if
-        not both run requests for it.
+        not both run requests for it; what their notes may be late.
       thaw_ms: Grants that were held up on their way do not count so long.
       late_ms: Tolerance for an answer after the limit of its route.
     """
@@ -33,7 +33,7 @@
     drain_ms: int = 2_500
     evacuation_ms: int = 5_000
     configuration_ms: int = 3_000
-    overlap_ms: int = 500
+    overlap_ms: int = 50
     thaw_ms: int = 300
     timeout_ms: int = 1_200
     late_ms: int = 500
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,12 +35,12 @@
 _PLACES = (
     ("keyed", "za", "ra"),
     ("plain", "za", "ra"),
-    ("keyed", "zb", "ra"),
-    ("plain", "zb", "ra"),
     ("keyed", "zc", "rb"),
-    ("other", "zc", "rb"),
+    ("plain", "zc", "rb"),
+    ("other", "zb", "ra"),
+    ("keyed", "zb", "ra"),
     ("keyed", "zd", "rb"),
-    ("other", "za", "ra"),
+    ("other", "zd", "rb"),
 )
 _MOVES = ("plain", "other")
 
--- a/soak/tests/test_play.py
+++ b/soak/tests/test_play.py
@@ -6,15 +6,15 @@
 
 from soak import run as runs
 
-# Seeds that failed once, with the cause, and one that covers most kinds.
-_SEEDS = (3,)
+# Restarts, a kill, a leave, an evacuation, silence, the store away.
+_SEEDS = (40,)
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_promises_hold_under_faults(seed, tmp_path):
     """Guards against broken promises that only whole processes show."""
     options = runs.Options(
-        seed, tmp_path, network=78, vms=5, faults=6, length_s=6
+        seed, tmp_path, network=78, vms=6, faults=6, length_s=6
     )
     result = asyncio.run(runs.play(options))
     assert result.broken == []
