--- a/soak/checks.py
+++ b/soak/checks.py
@@ -327,7 +327,8 @@
     calm = [
         attempt
         for attempt in evidence.attempt_by_id.values()
-        if evidence.is_calm(
+        if attempt.sent_ms + limit_ms < evidence.ended_ms
+        and evidence.is_calm(
             attempt.vm,
             attempt.sent_ms - BOUNDS.calm_ms,
             attempt.sent_ms + limit_ms,
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -118,6 +118,7 @@
       moves: Services of the route that moves.
       evacuations: Evacuated zone, empty for none, in order of time.
       calm_ms: When the last fault was over.
+      ended_ms: When the callers were stopped.
       ends: Daemons that ended by themselves, and faults that they logged.
     """
 
@@ -132,6 +133,7 @@
         default_factory=lambda: [Change(0, "")]
     )
     calm_ms: int = 0
+    ended_ms: int = 0
     ends: list[str] = dataclasses.field(default_factory=list)
 
     def is_calm(self, vm: str, first_ms: int, last_ms: int) -> bool:
--- /dev/null
+++ b/soak/injector.py
@@ -0,0 +1,184 @@
+"""Injects planned faults into a fleet and records when they were in force."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+import signal
+
+from mustardloom import clock as clocks
+from mustardloom.platform.tests import standins
+from soak import callers as callers_lib
+from soak import evidence as evidences
+from soak import faults
+from soak import processes
+from soak import proxy as proxies
+
+__all__ = ["Injector"]
+
+_MS_PER_S = 1_000
+# A killed daemon is started again and has read the store within this time.
+_RESTART_S = 1.5
+_EVACUATED_S = 7
+_UNAVAILABLE = 503
+# Services to which the moving route leads in turn.
+_MOVES = ("plain", "other")
+
+
+class Injector:
+    """Plays faults, and what operators and callers do besides.
+
+    Attributes:
+      callers: Those that press on in a burst.
+    """
+
+    def __init__(
+        self,
+        vms: list[processes.Vm],
+        store: standins.Store,
+        evidence: evidences.Evidence,
+        clock: clocks.Clock,
+        seed: int,
+    ):
+        self.callers: list[callers_lib.Caller] = []
+        self._vms = vms
+        self._store = store
+        self._evidence = evidence
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._version = 1
+        # Signals to one process come one after the other.
+        self._daemon_locks = [asyncio.Lock() for _ in vms]
+        self._target_locks = [asyncio.Lock() for _ in vms]
+        self._evacuation_lock = asyncio.Lock()
+
+    async def play(self, start_ms: int, planned: faults.Planned) -> None:
+        """Waits until a fault is due, begins it, and ends it."""
+        due_ms = start_ms + planned.at_ms - self._clock.now_ms()
+        await self._clock.sleep_ms(max(0, due_ms))
+        vm = self._vms[planned.vm]
+        for_s = planned.for_ms / _MS_PER_S
+        match planned.kind:
+            case faults.Kind.DAEMON_PAUSE:
+                await self._pause(planned, vm.signal_daemon, for_s)
+            case faults.Kind.DAEMON_KILL:
+                await self._kill([planned.vm])
+            case faults.Kind.ALL_DAEMONS_KILL:
+                await self._kill(list(range(len(self._vms))))
+            case faults.Kind.DAEMON_RESTART:
+                async with self._daemon_locks[planned.vm]:
+                    await self._during(planned, vm.restart_daemon())
+            case faults.Kind.DAEMON_RELOAD:
+                vm.write_settings(grace_ms=planned.for_ms)
+                vm.signal_daemon(signal.SIGHUP)
+            case faults.Kind.TARGET_PAUSE:
+                await self._pause(planned, vm.signal_target, for_s)
+            case faults.Kind.TARGET_KILL:
+                async with self._target_locks[planned.vm]:
+                    await vm.replace_target(signal.SIGKILL)
+            case faults.Kind.TARGET_LEAVE:
+                async with self._target_locks[planned.vm]:
+                    await vm.replace_target(signal.SIGTERM)
+            case faults.Kind.LINK:
+                proxy = vm.proxy_by_link[planned.link]
+                await self._harm(planned, [proxy], for_s)
+            case faults.Kind.STORE_AWAY:
+                found = [vm.proxy_by_link["store"] for vm in self._vms]
+                await self._harm(planned, found, for_s)
+            case faults.Kind.STORE_REFUSES:
+                self._store.status = _UNAVAILABLE
+                await self._during(planned, asyncio.sleep(for_s))
+                self._store.status = None
+            case faults.Kind.STORE_FORGETS:
+                self._store.forget_history()
+            case faults.Kind.EVACUATE:
+                await self._evacuate(vm.availability_zone)
+            case faults.Kind.CONFIGURE:
+                self.configure()
+            case faults.Kind.BURST:
+                await self._press(for_s)
+
+    async def _during(
+        self,
+        planned: faults.Planned,
+        call: Coroutine[None, None, None],
+        is_everywhere: bool = False,
+    ) -> None:
+        name = "" if is_everywhere else self._vms[planned.vm].name
+        kind = planned.kind.value
+        if planned.kind is faults.Kind.LINK:
+            kind = f"{planned.link}-{planned.mode.value}"
+        fault = evidences.Fault(kind, name, self._clock.now_ms())
+        self._evidence.faults.append(fault)
+        await call
+        fault.ended_ms = self._clock.now_ms()
+
+    async def _pause(
+        self,
+        planned: faults.Planned,
+        send: Callable[[signal.Signals], None],
+        for_s: float,
+    ) -> None:
+        is_target = planned.kind is faults.Kind.TARGET_PAUSE
+        locks = self._target_locks if is_target else self._daemon_locks
+        async with locks[planned.vm]:
+            send(signal.SIGSTOP)
+            await self._during(planned, asyncio.sleep(for_s))
+            send(signal.SIGCONT)
+
+    async def _kill(self, indexes: list[int]) -> None:
+        now_ms = self._clock.now_ms()
+        killed = [
+            evidences.Fault("daemon-kill", self._vms[index].name, now_ms)
+            for index in indexes
+        ]
+        self._evidence.faults.extend(killed)
+        for index in indexes:
+            self._vms[index].signal_daemon(signal.SIGKILL)
+        await asyncio.sleep(_RESTART_S)
+        for fault in killed:
+            fault.ended_ms = self._clock.now_ms()
+
+    async def _harm(
+        self,
+        planned: faults.Planned,
+        found: list[proxies.Proxy],
+        for_s: float,
+    ) -> None:
+        for proxy in found:
+            proxy.set_mode(planned.mode, planned.delay_ms)
+        # Connections of all others are hit too where peers are cut off.
+        is_everywhere = len(found) > 1 or planned.link == "peer"
+        await self._during(planned, asyncio.sleep(for_s), is_everywhere)
+        for proxy in found:
+            proxy.set_mode(proxies.Mode.PASS)
+
+    # What operators and callers do.
+
+    async def _evacuate(self, zone: str) -> None:
+        async with self._evacuation_lock:
+            self._store.put("evacuations", zone, b"{}")
+            self._note_evacuation(zone)
+            await asyncio.sleep(_EVACUATED_S)
+            self._note_evacuation("")
+            self._store.delete("evacuations", zone)
+
+    def _note_evacuation(self, zone: str) -> None:
+        change = evidences.Change(self._clock.now_ms(), zone)
+        self._evidence.evacuations.append(change)
+
+    def configure(self) -> None:
+        """Writes a configuration that moves a route to another service."""
+        self._version += self._random.randint(1, 9)
+        service = _MOVES[len(self._evidence.moves) % len(_MOVES)]
+        wire = standins.configuration(self._version, moving=service)
+        change = evidences.Change(self._clock.now_ms(), service)
+        self._evidence.moves.append(change)
+        self._store.put("config", "main", wire)
+
+    async def _press(self, for_s: float) -> None:
+        for caller in self.callers:
+            caller.is_busy = True
+        await asyncio.sleep(for_s)
+        for caller in self.callers:
+            caller.is_busy = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,12 +1,8 @@
 """One run of the soak: a fleet, its callers, faults, and the verdict."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Coroutine
 import dataclasses
 import pathlib
-import random
-import signal
 
 import msgspec
 
@@ -16,20 +12,20 @@
 from soak import checks
 from soak import evidence as evidences
 from soak import faults
+from soak import injector as injectors
 from soak import processes
-from soak import proxy as proxies
 
-__all__ = ["Options", "Result", "play"]
+__all__ = ["Options", "Result", "describe", "play"]
 
 _MS_PER_S = 1_000
+_OK = 200
 _WARM_UP_S = 6
 # Time after the recovery in which requests are counted.
 _COUNTED_S = 4
-_RESTART_S = 1.5
-_EVACUATED_S = 7
 _STALL_PROBE_MS = 50
+# A timer that is later than this shows that the machine is too busy.
 _STALL_MS = 200
-STALL = "machine-stall"
+_STALL = "machine-stall"
 _FAULT_EVENT = b'"event":"fault"'
 # Service, availability zone and region of each VM.
 _PLACES = (
@@ -42,7 +38,6 @@
     ("keyed", "zd", "rb"),
     ("other", "zd", "rb"),
 )
-_MOVES = ("plain", "other")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,13 +109,10 @@
             )
             for index, place in enumerate(places)
         ]
-        self._callers: list[callers_lib.Caller] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._daemon_locks = [asyncio.Lock() for _ in self._vms]
-        self._target_locks = [asyncio.Lock() for _ in self._vms]
-        self._evacuation_lock = asyncio.Lock()
-        self._version = 1
-        self._random = random.Random(options.seed)
+        self._injector = injectors.Injector(
+            self._vms, self._store, self._evidence, self._clock, options.seed
+        )
         self._planned = faults.draw(
             options.seed,
             options.faults,
@@ -129,7 +121,7 @@
         )
 
     async def play(self) -> None:
-        self._configure()
+        self._injector.configure()
         self._tasks.append(asyncio.ensure_future(self._note_stalls()))
         for vm in self._vms:
             await vm.start()
@@ -138,11 +130,12 @@
         await asyncio.sleep(1)
         start_ms = self._clock.now_ms()
         await asyncio.gather(
-            *(self._play_at(start_ms, each) for each in self._planned)
+            *(self._injector.play(start_ms, each) for each in self._planned)
         )
         self._evidence.calm_ms = self._clock.now_ms()
         recover_s = checks.BOUNDS.recover_ms / _MS_PER_S
         await asyncio.sleep(recover_s + _COUNTED_S)
+        self._evidence.ended_ms = self._clock.now_ms()
         self._check_callers()
 
     async def close(self) -> None:
@@ -162,8 +155,8 @@
             self._options.seed,
             self._planned,
             len(attempts),
-            sum(1 for each in attempts if each.status == 200),
-            sum(1 for each in self._evidence.faults if each.kind == STALL),
+            sum(1 for each in attempts if each.status == _OK),
+            sum(1 for each in self._evidence.faults if each.kind == _STALL),
             checks.broken(self._evidence),
         )
 
@@ -178,7 +171,7 @@
                     self._evidence,
                     self._clock.now_ms,
                 )
-                self._callers.append(caller)
+                self._injector.callers.append(caller)
                 self._tasks.append(asyncio.ensure_future(caller.run()))
 
     def _check_callers(self) -> None:
@@ -200,140 +193,9 @@
             now_ms = self._clock.now_ms()
             if now_ms - due_ms > _STALL_MS:
                 self._evidence.faults.append(
-                    evidences.Fault(STALL, "", due_ms, now_ms)
+                    evidences.Fault(_STALL, "", due_ms, now_ms)
                 )
 
-    # Faults.
-
-    async def _play_at(self, start_ms: int, planned: faults.Planned) -> None:
-        due_ms = start_ms + planned.at_ms - self._clock.now_ms()
-        await self._clock.sleep_ms(max(0, due_ms))
-        vm = self._vms[planned.vm]
-        for_s = planned.for_ms / _MS_PER_S
-        match planned.kind:
-            case faults.Kind.DAEMON_PAUSE:
-                await self._pause(planned, vm.signal_daemon, for_s)
-            case faults.Kind.DAEMON_KILL:
-                await self._kill([planned.vm])
-            case faults.Kind.ALL_DAEMONS_KILL:
-                await self._kill(list(range(len(self._vms))))
-            case faults.Kind.DAEMON_RESTART:
-                async with self._daemon_locks[planned.vm]:
-                    await self._during(planned, vm.restart_daemon())
-            case faults.Kind.DAEMON_RELOAD:
-                vm.write_settings(grace_ms=planned.for_ms)
-                vm.signal_daemon(signal.SIGHUP)
-            case faults.Kind.TARGET_PAUSE:
-                await self._pause(planned, vm.signal_target, for_s)
-            case faults.Kind.TARGET_KILL:
-                async with self._target_locks[planned.vm]:
-                    await vm.replace_target(signal.SIGKILL)
-            case faults.Kind.TARGET_LEAVE:
-                async with self._target_locks[planned.vm]:
-                    await vm.replace_target(signal.SIGTERM)
-            case faults.Kind.LINK:
-                proxy = vm.proxy_by_link[planned.link]
-                await self._harm(planned, [proxy], for_s)
-            case faults.Kind.STORE_AWAY:
-                found = [vm.proxy_by_link["store"] for vm in self._vms]
-                await self._harm(planned, found, for_s)
-            case faults.Kind.STORE_REFUSES:
-                self._store.status = 503
-                await self._during(planned, asyncio.sleep(for_s))
-                self._store.status = None
-            case faults.Kind.STORE_FORGETS:
-                self._store.forget_history()
-            case faults.Kind.EVACUATE:
-                await self._evacuate(vm.availability_zone)
-            case faults.Kind.CONFIGURE:
-                self._configure()
-            case faults.Kind.BURST:
-                await self._press(for_s)
-
-    async def _during(
-        self,
-        planned: faults.Planned,
-        call: Coroutine[None, None, None],
-        is_everywhere: bool = False,
-    ) -> None:
-        name = "" if is_everywhere else self._vms[planned.vm].name
-        kind = planned.kind.value
-        if planned.kind is faults.Kind.LINK:
-            kind = f"{planned.link}-{planned.mode.value}"
-        fault = evidences.Fault(kind, name, self._clock.now_ms())
-        self._evidence.faults.append(fault)
-        await call
-        fault.ended_ms = self._clock.now_ms()
-
-    async def _pause(
-        self,
-        planned: faults.Planned,
-        send: Callable[[signal.Signals], None],
-        for_s: float,
-    ) -> None:
-        is_target = planned.kind is faults.Kind.TARGET_PAUSE
-        locks = self._target_locks if is_target else self._daemon_locks
-        async with locks[planned.vm]:
-            send(signal.SIGSTOP)
-            await self._during(planned, asyncio.sleep(for_s))
-            send(signal.SIGCONT)
-
-    async def _kill(self, indexes: list[int]) -> None:
-        now_ms = self._clock.now_ms()
-        killed = [
-            evidences.Fault("daemon-kill", self._vms[index].name, now_ms)
-            for index in indexes
-        ]
-        self._evidence.faults.extend(killed)
-        for index in indexes:
-            self._vms[index].signal_daemon(signal.SIGKILL)
-        await asyncio.sleep(_RESTART_S)
-        for fault in killed:
-            fault.ended_ms = self._clock.now_ms()
-
-    async def _harm(
-        self,
-        planned: faults.Planned,
-        found: list[proxies.Proxy],
-        for_s: float,
-    ) -> None:
-        for proxy in found:
-            proxy.set_mode(planned.mode, planned.delay_ms)
-        # Connections of all others are hit too where peers are cut off.
-        is_everywhere = len(found) > 1 or planned.link == "peer"
-        await self._during(planned, asyncio.sleep(for_s), is_everywhere)
-        for proxy in found:
-            proxy.set_mode(proxies.Mode.PASS)
-
-    # What operators and callers do.
-
-    async def _evacuate(self, zone: str) -> None:
-        async with self._evacuation_lock:
-            self._store.put("evacuations", zone, b"{}")
-            self._note_evacuation(zone)
-            await asyncio.sleep(_EVACUATED_S)
-            self._note_evacuation("")
-            self._store.delete("evacuations", zone)
-
-    def _note_evacuation(self, zone: str) -> None:
-        change = evidences.Change(self._clock.now_ms(), zone)
-        self._evidence.evacuations.append(change)
-
-    def _configure(self) -> None:
-        self._version += self._random.randint(1, 9)
-        service = _MOVES[len(self._evidence.moves) % len(_MOVES)]
-        wire = standins.configuration(self._version, moving=service)
-        change = evidences.Change(self._clock.now_ms(), service)
-        self._evidence.moves.append(change)
-        self._store.put("config", "main", wire)
-
-    async def _press(self, for_s: float) -> None:
-        for caller in self._callers:
-            caller.is_busy = True
-        await asyncio.sleep(for_s)
-        for caller in self._callers:
-            caller.is_busy = False
-
 
 def describe(result: Result) -> bytes:
     """Returns a result as one line of JSON."""
