Remove dead code and repeated loops from the soak

The stand-in's goodbye and acknowledgement were not used by anybody, two attributes of the soak's VM neither. Runs by request and holdings by target are grouped in one place each, faults are recorded by one context manager, the clock is passed in place of a function, and daemon tests build requests by the stand-in's encoder.

--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -219,7 +219,6 @@
       is_failing: Whether it breaks off every answer.
       state: What its heartbeats say.
       held: Rows of first key, last key, fence, handover token.
-      is_acknowledged: Whether the last heartbeat was.
     """
 
     def __init__(
@@ -252,7 +251,6 @@
         self.is_failing = False
         self.state = "ready"
         self.held = []
-        self.is_acknowledged = False
         self._service = service
         self._zone = zone
         self._control = control
@@ -300,18 +298,12 @@
             "holds": [row[:3] for row in (*self.held, *self._leaving)],
             "freed": freed,
         }
-        self.is_acknowledged = False
         answer = await self._call("instances.heartbeat", body)
-        self.is_acknowledged = True
         self._freed = self._freed[len(freed) :]
         if "holds" in answer:
             hold_ms = int(answer["hold_time"].removesuffix("ms"))
             self._adopt(answer["holds"], sent_ms + hold_ms)
 
-    async def say_goodbye(self):
-        """Tells that it leaves."""
-        await self._call("instances.deregister", {"born": self._born})
-
     @property
     def is_releasing(self):
         """Returns whether a heartbeat has news about released keys."""
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -81,16 +81,8 @@
         connection = await client.connect(
             address or self.own.caller_address, 1_000
         )
-        found = (
-            (b"Host", b"a.example"),
-            (b"X-Request-Id", request_id.encode()),
-            (b"X-Deadline-Ms", b"1200"),
-            (b"X-Shard-Key", b"%d" % key),
-            (b"X-Caller-Service", b"forged"),
-        )
-        request = messages.Request("GET", path, found, b"")
+        data = standins.encode_request(request_id, path, b"", key, 1_200)
         try:
-            data = messages.encode_request(request)
             return await connection.exchange(data)
         finally:
             connection.close()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,9 +1,9 @@
 """Callers that keep their connections open and remember all they saw."""
 
 import asyncio
-from collections.abc import Callable
 import random
 
+from mustardloom import clock as clocks
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
 from mustardloom.platform.tests import standins
@@ -39,7 +39,7 @@
         address: client.Address,
         seed: str,
         evidence: evidences.Evidence,
-        now: Callable[[], int],
+        clock: clocks.Clock,
     ):
         self.is_busy = False
         self._vm = vm
@@ -47,7 +47,7 @@
         self._name = seed
         self._random = random.Random(seed)
         self._evidence = evidence
-        self._now = now
+        self._clock = clock
         self._sent = 0
         self._connection: client.Connection | None = None
 
@@ -76,7 +76,7 @@
             key,
             f"/{route}/{self._sent}?n={self._sent}",
             "x" * size,
-            self._now(),
+            self._clock.now_ms(),
             _DEADLINE_MS,
         )
 
@@ -87,15 +87,15 @@
         except client.ConnectFailed:
             return _LONGEST_WAIT_S
         self._evidence.attempt_by_id[attempt.request_id] = attempt
-        attempt.sent_ms = self._now()
+        attempt.sent_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(_DEADLINE_MS / _MS_PER_S + _MARGIN_S):
                 response = await connection.exchange(_encode(attempt))
         except (TimeoutError, client.ClosedEarly, client.Incomplete):
             self._drop()
-            attempt.ended_ms = self._now()
+            attempt.ended_ms = self._clock.now_ms()
             return 0.0
-        attempt.ended_ms = self._now()
+        attempt.ended_ms = self._clock.now_ms()
         attempt.status = response.status
         attempt.signer = standins.signer(response)
         attempt.answer = response.body.decode("latin1")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -88,10 +88,7 @@
 
 def _spans(evidence: evidences.Evidence) -> Iterator[evidences.Holding]:
     """Yields holdings, each cut where the next of its target begins."""
-    by_life = defaultdict(list)
-    for holding in evidence.holdings:
-        by_life[holding.life].append(holding)
-    for name, held in by_life.items():
+    for name, held in evidence.holdings_by_life().items():
         ended_ms = evidence.life_by_name[name].ended_ms
         starts = [each.began_ms for each in held[1:]]
         for each, next_ms in zip(held, [*starts, None], strict=True):
@@ -193,37 +190,39 @@
 def _until_by_life(
     evidence: evidences.Evidence,
 ) -> Callable[[str, int], int]:
-    by_life = defaultdict(list)
-    for holding in evidence.holdings:
-        by_life[holding.life].append(holding)
+    by_life = evidence.holdings_by_life()
 
     def until(life: str, at_ms: int) -> int:
-        ends = (h.until_ms for h in by_life[life] if h.began_ms <= at_ms)
+        held = by_life.get(life, [])
+        ends = (h.until_ms for h in held if h.began_ms <= at_ms)
         return max(ends, default=0)
 
     return until
 
 
-def run_once(evidence: evidences.Evidence) -> _Found:
-    """A request that may not be repeated runs at most once."""
+def _attempts_that_ran(
+    evidence: evidences.Evidence,
+) -> Iterator[tuple[evidences.Attempt, list[evidences.Run]]]:
+    """Yields requests that a caller sent, with their runs."""
     for request_id, runs in evidence.runs_by_id().items():
         attempt = evidence.attempt_by_id.get(request_id)
-        if attempt is None or attempt.route in _SAFE_ROUTES:
-            continue
-        if len(runs) > 1:
-            yield f"{request_id} ran {len(runs)} times: {runs}"
+        if attempt is not None:
+            yield attempt, runs
+
+
+def run_once(evidence: evidences.Evidence) -> _Found:
+    """A request that may not be repeated runs at most once."""
+    for attempt, runs in _attempts_that_ran(evidence):
+        if attempt.route not in _SAFE_ROUTES and len(runs) > 1:
+            yield f"{attempt.request_id} ran {len(runs)} times: {runs}"
 
 
 def truthful_refusals(evidence: evidences.Evidence) -> _Found:
     """What is refused as not run has not run and never will."""
-    for request_id, runs in evidence.runs_by_id().items():
-        attempt = evidence.attempt_by_id.get(request_id)
-        if (
-            attempt is not None
-            and attempt.route not in _SAFE_ROUTES
-            and attempt.status in _NOT_RUN_STATUSES
-        ):
-            yield f"{request_id} was answered {attempt.status} and ran: {runs}"
+    for attempt, runs in _attempts_that_ran(evidence):
+        is_refused = attempt.status in _NOT_RUN_STATUSES
+        if attempt.route not in _SAFE_ROUTES and is_refused:
+            yield f"{attempt} was refused and ran: {runs}"
 
 
 def whole_answers(evidence: evidences.Evidence) -> _Found:
@@ -257,12 +256,9 @@
 
 def within_budget(evidence: evidences.Evidence) -> _Found:
     """A request reaches few targets, and none with more time than is left."""
-    for request_id, runs in evidence.runs_by_id().items():
-        attempt = evidence.attempt_by_id.get(request_id)
-        if attempt is None:
-            continue
+    for attempt, runs in _attempts_that_ran(evidence):
         if len({run.life for run in runs}) > BOUNDS.max_attempts:
-            yield f"{request_id} ran at {len(runs)} targets"
+            yield f"{attempt.request_id} ran at {len(runs)} targets"
         for run in runs:
             if run.deadline_ms is None or run.deadline_ms > attempt.deadline_ms:
                 yield f"{run} of {attempt} has too much time"
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -1,7 +1,6 @@
 """What callers and targets saw during a run."""
 
 import bisect
-from collections.abc import Iterator
 import dataclasses
 
 __all__ = [
@@ -12,6 +11,7 @@
     "Holding",
     "Life",
     "Run",
+    "in_force",
 ]
 
 Row = tuple[int, int, int]
@@ -145,6 +145,13 @@
             for fault in self.faults
         )
 
+    def holdings_by_life(self) -> dict[str, list[Holding]]:
+        """Returns the holdings of each run of a target, in order of time."""
+        found: dict[str, list[Holding]] = {}
+        for holding in self.holdings:
+            found.setdefault(holding.life, []).append(holding)
+        return found
+
     def runs_by_id(self) -> dict[str, list[Run]]:
         """Returns the runs of each request."""
         found: dict[str, list[Run]] = {}
@@ -156,10 +163,5 @@
 def in_force(changes: list[Change], first_ms: int, last_ms: int) -> set[str]:
     """Returns the values that held at some time between two times."""
     begin = bisect.bisect_right(changes, first_ms, key=lambda c: c.at_ms)
-    return set(_values(changes, max(0, begin - 1), last_ms))
-
-
-def _values(changes: list[Change], begin: int, last_ms: int) -> Iterator[str]:
-    for change in changes[begin:]:
-        if change.at_ms <= last_ms:
-            yield change.value
+    held = changes[max(0, begin - 1) :]
+    return {change.value for change in held if change.at_ms <= last_ms}
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
+import contextlib
 import random
 import signal
 
@@ -108,10 +110,17 @@
         kind = planned.kind.value
         if planned.kind is faults.Kind.LINK:
             kind = f"{planned.link}-{planned.mode.value}"
-        fault = evidences.Fault(kind, name, self._clock.now_ms())
-        self._evidence.faults.append(fault)
-        await call
-        fault.ended_ms = self._clock.now_ms()
+        with self._recorded(kind, name):
+            await call
+
+    @contextlib.contextmanager
+    def _recorded(self, kind: str, *names: str) -> Iterator[None]:
+        now_ms = self._clock.now_ms()
+        begun = [evidences.Fault(kind, name, now_ms) for name in names]
+        self._evidence.faults.extend(begun)
+        yield
+        for fault in begun:
+            fault.ended_ms = self._clock.now_ms()
 
     async def _pause(
         self,
@@ -127,17 +136,11 @@
             send(signal.SIGCONT)
 
     async def _kill(self, indexes: list[int]) -> None:
-        now_ms = self._clock.now_ms()
-        killed = [
-            evidences.Fault("daemon-kill", self._vms[index].name, now_ms)
-            for index in indexes
-        ]
-        self._evidence.faults.extend(killed)
-        for index in indexes:
-            self._vms[index].signal_daemon(signal.SIGKILL)
-        await asyncio.sleep(_RESTART_S)
-        for fault in killed:
-            fault.ended_ms = self._clock.now_ms()
+        killed = [self._vms[index] for index in indexes]
+        with self._recorded("daemon-kill", *(vm.name for vm in killed)):
+            for vm in killed:
+                vm.signal_daemon(signal.SIGKILL)
+            await asyncio.sleep(_RESTART_S)
 
     async def _harm(
         self,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,7 +1,6 @@
 """The processes of one VM: the daemon under test and its target."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 import os
 import pathlib
@@ -11,6 +10,8 @@
 
 import msgspec
 
+from mustardloom import clock as clocks
+from mustardloom.platform import settings_file
 from soak import evidence as evidences
 from soak import proxy as proxies
 
@@ -29,8 +30,7 @@
 _GRACE_S = 6
 _LINE_BYTES = 4 * 1024 * 1024
 _PYTHON = sys.executable
-
-Now = Callable[[], int]
+_CONFIG_VARIABLE = settings_file.VARIABLE
 
 
 class Vm:
@@ -50,7 +50,7 @@
         store_port: int,
         folder: pathlib.Path,
         evidence: evidences.Evidence,
-        now: Now,
+        clock: clocks.Clock,
     ):
         self.name = name
         self.service = service
@@ -59,14 +59,12 @@
         self._host = host
         self._settings = folder / f"{name}.conf"
         self._evidence = evidence
-        self._now = now
+        self._clock = clock
         self._daemon: asyncio.subprocess.Process | None = None
         self._target: asyncio.subprocess.Process | None = None
-        self._life: evidences.Life | None = None
         self._lives = 0
         self._expected_end = False
         self._is_closing = False
-        self._run_by_id: dict[str, evidences.Run] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.proxy_by_link = {
             "caller": self._proxy(_CALLER_PORT + _PROXY_OFFSET, _CALLER_PORT),
@@ -149,6 +147,7 @@
             _signal(process, signal.SIGKILL)
 
     async def _run_daemon(self) -> None:
+        environment = {**os.environ, _CONFIG_VARIABLE: str(self._settings)}
         while not self._is_closing:
             self._expected_end = False
             with self.log.open("ab") as log:
@@ -158,7 +157,7 @@
                     "mustardloom.cli.sidecar",
                     f"--peer-listen-port={_PEER_PORT + _PROXY_OFFSET}",
                     f"--metrics-port={_METRICS_PORT}",
-                    env={**os.environ, "MUSTARDLOOM_CONFIG": self._path()},
+                    env=environment,
                     stdout=log,
                     stderr=log,
                 )
@@ -167,24 +166,20 @@
                 self._evidence.ends.append(f"{self.name} ended with {code}")
             await asyncio.sleep(_RESTART_PAUSE_S)
 
-    def _path(self) -> str:
-        return str(self._settings)
-
     # The target.
 
     async def start_target(self) -> None:
         """Starts a new run of the target under a new name."""
         self._lives += 1
         name = f"t-{self.name}-{self._lives}"
-        self._life = evidences.Life(
+        life = evidences.Life(
             name,
             self.name,
             self.service,
             self.availability_zone,
             self.region,
         )
-        self._evidence.life_by_name[name] = self._life
-        self._run_by_id = {}
+        self._evidence.life_by_name[name] = life
         arguments = [name, self.service, self.availability_zone, self._host]
         ports = (_TARGET_PORT + _PROXY_OFFSET, _TARGET_PORT, _CONTROL_PORT)
         arguments += [str(port) for port in ports]
@@ -198,7 +193,7 @@
             stdout=asyncio.subprocess.PIPE,
             limit=_LINE_BYTES,
         )
-        self._keep(self._follow(self._target, self._life, self._run_by_id))
+        self._keep(self._follow(self._target, life))
 
     def signal_target(self, number: signal.Signals) -> None:
         """Sends a signal to the target."""
@@ -218,12 +213,12 @@
         self,
         process: asyncio.subprocess.Process,
         life: evidences.Life,
-        run_by_id: dict[str, evidences.Run],
     ) -> None:
         assert process.stdout is not None
+        run_by_id: dict[str, evidences.Run] = {}
         async for line in process.stdout:
             self._note(msgspec.json.decode(line), life, run_by_id)
-        life.ended_ms = self._now()
+        life.ended_ms = self._clock.now_ms()
 
     def _note(
         self,
--- a/soak/run.py
+++ b/soak/run.py
@@ -105,7 +105,7 @@
                 store_port,
                 options.folder,
                 self._evidence,
-                self._clock.now_ms,
+                self._clock,
             )
             for index, place in enumerate(places)
         ]
@@ -169,7 +169,7 @@
                     vm.caller_address,
                     name,
                     self._evidence,
-                    self._clock.now_ms,
+                    self._clock,
                 )
                 self._injector.callers.append(caller)
                 self._tasks.append(asyncio.ensure_future(caller.run()))
--- a/soak/target.py
+++ b/soak/target.py
@@ -88,9 +88,12 @@
         try:
             async with asyncio.timeout(1):
                 await self._target.beat()
-        except (TimeoutError, client.ConnectFailed, client.ClosedEarly):
-            return False
-        except client.Incomplete:
+        except (
+            TimeoutError,
+            client.ConnectFailed,
+            client.ClosedEarly,
+            client.Incomplete,
+        ):
             return False
         return was_leaving
 
