Read every usable number of the settings file

Cause: the reader took counts with int(), so a bound shared by a smaller fleet (budget_min_retries=30.714...) ended each daemon at its start. Change: one parser for numbers (whole, fraction, exponent), one for ports; bounds on retries and cold targets are numbers with a fraction.

--- a/mustardloom/deployment/settings.py
+++ b/mustardloom/deployment/settings.py
@@ -29,9 +29,9 @@
     grace_ms: int = 6_000
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
-    retry_minimum: int = 60
+    retry_minimum: float = 60.0
     cold_factor: float = 1.5
-    cold_slack: int = 5
+    cold_slack: float = 5.0
     hold_limit_ms: int = 10_000
 
 
--- a/mustardloom/load_control/retry_budget.py
+++ b/mustardloom/load_control/retry_budget.py
@@ -29,7 +29,7 @@
 
     ratio: float
     window_ms: int
-    minimum: int
+    minimum: float
 
 
 class RetryBudget:
--- a/mustardloom/platform/durations.py
+++ b/mustardloom/platform/durations.py
@@ -2,10 +2,12 @@
 
 import re
 
+from mustardloom.platform import numbers
+
 __all__ = ["format_ms", "parse_ms"]
 
 _MS_BY_UNIT = {"ms": 1, "s": 1_000}
-_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_PATTERN = re.compile(r"(.+?)(ms|s)")
 
 
 def parse_ms(text: object) -> int:
@@ -20,8 +22,10 @@
     """
     found = _PATTERN.fullmatch(text) if isinstance(text, str) else None
     if found is None:
-        raise ValueError(f"{text!r} is not a duration")
-    return round(float(found[1]) * _MS_BY_UNIT[found[2]])
+        raise ValueError(
+            f"{text!r} is not a duration, a number with the unit ms or s"
+        )
+    return round(numbers.parse_number(found[1]) * _MS_BY_UNIT[found[2]])
 
 
 def format_ms(duration_ms: int) -> str:
--- a/mustardloom/platform/settings_file.py
+++ b/mustardloom/platform/settings_file.py
@@ -10,6 +10,7 @@
 from mustardloom import ids
 from mustardloom.deployment import settings
 from mustardloom.platform import durations
+from mustardloom.platform import numbers
 
 __all__ = ["ENVIRONMENT_VARIABLE", "parse", "read"]
 
@@ -29,6 +30,7 @@
     "service",
     "platform.address",
 )
+_MAX_PORT = 65_535
 _Value = TypeVar("_Value")
 
 
@@ -65,11 +67,21 @@
     host, colon, port = text.rpartition(":")
     if not (colon and host):
         raise ValueError(f"{text!r} is not host:port")
-    return host, int(port)
+    return host, _port(port)
 
 
 def _first_port(text: str) -> int:
-    return int(text.partition(",")[0])
+    return _port(text.partition(",")[0])
+
+
+def _port(text: str) -> int:
+    stripped = text.strip()
+    if not (stripped.isascii() and stripped.isdigit()):
+        raise ValueError(f"{text!r} is not a port, a whole number")
+    port = int(stripped)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {port} is not between 1 and {_MAX_PORT}")
+    return port
 
 
 class _Reader:
@@ -158,14 +170,18 @@
     def _store(self) -> settings.StoreSettings:
         return settings.StoreSettings(
             self._get("platform.address", _address, ("", 0)),
-            self._get("platform.value_bytes", int, 1_048_576),
+            self._get("platform.value_bytes", numbers.parse_count, 1_048_576),
         )
 
     def _limits(self) -> settings.ProcessLimits:
         defaults = settings.ProcessLimits()
         return settings.ProcessLimits(
-            self._get("limits.max_fds", int, defaults.max_descriptors),
-            self._get("limits.memory_mb", int, defaults.memory_mb),
+            self._get(
+                "limits.max_fds", numbers.parse_count, defaults.max_descriptors
+            ),
+            self._get(
+                "limits.memory_mb", numbers.parse_count, defaults.memory_mb
+            ),
         )
 
     def _bounds(self) -> settings.Bounds:
@@ -181,18 +197,24 @@
             drain_ms=self._get("bounds.drain", ms, defaults.drain_ms),
             grace_ms=self._get("bounds.grace", ms, defaults.grace_ms),
             retry_ratio=self._get(
-                "bounds.retry_budget_ratio", float, defaults.retry_ratio
+                "bounds.retry_budget_ratio",
+                numbers.parse_number,
+                defaults.retry_ratio,
             ),
             retry_window_ms=self._get(
                 "bounds.budget_window", ms, defaults.retry_window_ms
             ),
             retry_minimum=self._get(
-                "bounds.budget_min_retries", int, defaults.retry_minimum
+                "bounds.budget_min_retries",
+                numbers.parse_number,
+                defaults.retry_minimum,
             ),
             cold_factor=self._get(
-                "bounds.cold_over", float, defaults.cold_factor
+                "bounds.cold_over", numbers.parse_number, defaults.cold_factor
+            ),
+            cold_slack=self._get(
+                "bounds.cold_slack", numbers.parse_number, defaults.cold_slack
             ),
-            cold_slack=self._get("bounds.cold_slack", int, defaults.cold_slack),
             hold_limit_ms=self._get(
                 "bounds.hold_max", ms, defaults.hold_limit_ms
             ),
