--- a/mustardloom/platform/numbers.py
+++ b/mustardloom/platform/numbers.py
@@ -1,4 +1,4 @@
-"""Numbers as the platform writes them: whole, with a fraction or an exponent."""
+"""Numbers of the platform: whole, with a fraction or with an exponent."""
 
 import re
 
