Confirm key maps through one reader a region and store them by columns

Cause: at 195 VMs each of 103 owners read the whole map from the store every two seconds, and each change of a map reached every daemon as 46 KB. Change: a reader in each region asks the store only for what changed (watch without wait) and answers the others with the age of its read; the planner sends a new map to its region and one VM of each other, so key maps need no watch. The stored map is a struct of columns (the earlier form is still read), the first map has at most 4,096 rows, the rate of rows is found by bisection. A map that cannot be decoded confirms nothing any more.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 from typing import TypeVar
 
+import msgspec
+
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
@@ -21,8 +22,7 @@
 _MARGIN_MS = 400
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingRange:
+class PendingRange(msgspec.Struct, frozen=True):
     """Keys `first` to `last`, which an earlier owner may still hold.
 
     Attributes:
@@ -120,7 +120,7 @@
         """
         grants_expire_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
         self._pending_ranges = [
-            dataclasses.replace(pending, grants_expire_ms=grants_expire_ms)
+            msgspec.structs.replace(pending, grants_expire_ms=grants_expire_ms)
             if pending.grants_expire_ms is None
             and excludes_stale_majority(pending.version)
             else pending
@@ -226,6 +226,6 @@
         yield key_range
         return
     if key_range.first < first:
-        yield dataclasses.replace(key_range, last=first - 1)
+        yield msgspec.structs.replace(key_range, last=first - 1)
     if last < key_range.last:
-        yield dataclasses.replace(key_range, first=last + 1)
+        yield msgspec.structs.replace(key_range, first=last + 1)
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import functools
+import itertools
 import zlib
 
 import msgspec
@@ -24,12 +26,15 @@
 
 KEY_COUNT = 65_536
 _NO_VM = ids.VmId("")
+_ROWS_FORM = 1
+_COLUMNS_FORM = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Row:
+class Row(msgspec.Struct, frozen=True, gc=False):
     """Keys `first` to `last` and their owner.
 
+    A struct, as every daemon creates thousands of rows for each new map.
+
     Attributes:
       owner: VM whose target owns the keys; empty if there is none.
       fence: Fencing token; grows with each change of the owner or of the
@@ -80,30 +85,58 @@
 
     def owned_by(self, vm: ids.VmId) -> tuple[Row, ...]:
         """Returns the rows that a VM owns, in order; empty if it owns none."""
-        return tuple(row for row in self.rows if row.owner == vm)
+        return self._rows_by_owner.get(vm, ())
 
     def owners(self) -> set[ids.VmId]:
         """Returns the VMs that own at least one key."""
-        return {row.owner for row in self.rows if row.owner}
+        return {vm for vm in self._rows_by_owner if vm}
+
+    @functools.cached_property
+    def _rows_by_owner(self) -> dict[ids.VmId, tuple[Row, ...]]:
+        rows_by_owner: dict[ids.VmId, list[Row]] = {}
+        for row in self.rows:
+            rows_by_owner.setdefault(row.owner, []).append(row)
+        return {vm: tuple(rows) for vm, rows in rows_by_owner.items()}
+
+
+class _PackedMap(msgspec.Struct, array_like=True):
+    """Compact form of the map: one column for each field of the rows.
+
+    A column compresses far better than rows, as its values repeat. VMs are
+    indices into `vms`. The last key of a row follows from the next row.
+    """
+
+    version: int
+    vms: list[str]
+    # Target instances: VM, target, start of the process.
+    instances: list[tuple[int, str, int]]
+    widths: list[int]
+    owners: list[int]
+    fences: list[int]
+    previous: list[int]
+    previous_fences: list[int]
 
 
-class _PackedMap(msgspec.Struct):
-    """Compact form of the map: VMs by index in `vms`, rows as numbers."""
+class _EarlierPackedMap(msgspec.Struct):
+    """Form that earlier releases wrote, with one entry for each row."""
 
     version: int
     vms: list[str]
-    # Target instances: VM as index into `vms`, target, start of the process.
     lives: list[tuple[int, str, int]]
-    # First key, owner, fence, previous owner and its fence, with VMs as
-    # indices into `vms`. The last key follows from the next row.
     rows: list[tuple[int, int, int, int, int]]
 
 
 class _StoredMap(msgspec.Struct):
-    """Stored value; the version can be read without unpacking the map."""
+    """Stored value; the version can be read without unpacking the map.
+
+    Attributes:
+      packed: The compressed map as text.
+      form: 1 for `_EarlierPackedMap` in base64, 2 for `_PackedMap` in base85.
+    """
 
     version: int
     packed: str
+    form: int = 1
 
 
 def empty() -> KeyMap:
@@ -122,7 +155,7 @@
     latest: Row | None = None
     for row in rows:
         if latest is not None and _can_merge(latest, row):
-            latest = dataclasses.replace(latest, last=row.last)
+            latest = msgspec.structs.replace(latest, last=row.last)
             continue
         if latest is not None:
             yield latest
@@ -139,27 +172,24 @@
         | {row.previous for row in key_map.rows}
     )
     index_by_vm = {vm: index for index, vm in enumerate(vms)}
-    wire = _PackedMap(
+    packed_map = _PackedMap(
         key_map.version,
         [str(vm) for vm in vms],
         [
             (index_by_vm[vm], instance.target, instance.born_ms)
             for vm, instance in key_map.instance_by_vm.items()
         ],
-        [
-            (
-                row.first,
-                index_by_vm[row.owner],
-                row.fence,
-                index_by_vm[row.previous],
-                row.previous_fence,
-            )
-            for row in key_map.rows
-        ],
+        [row.width for row in key_map.rows],
+        [index_by_vm[row.owner] for row in key_map.rows],
+        [row.fence for row in key_map.rows],
+        [index_by_vm[row.previous] for row in key_map.rows],
+        [row.previous_fence for row in key_map.rows],
+    )
+    compressed = zlib.compress(msgspec.msgpack.encode(packed_map), 9)
+    packed = base64.b85encode(compressed).decode()
+    return msgspec.json.encode(
+        _StoredMap(key_map.version, packed, _COLUMNS_FORM)
     )
-    packed = base64.b64encode(zlib.compress(msgspec.json.encode(wire), 9))
-    envelope = _StoredMap(key_map.version, packed.decode())
-    return msgspec.json.encode(envelope)
 
 
 def decode(value: bytes) -> KeyMap:
@@ -170,23 +200,65 @@
     """
     envelope = msgspec.json.decode(value, type=_StoredMap)
     try:
-        unpacked = zlib.decompress(base64.b64decode(envelope.packed))
+        if envelope.form == _ROWS_FORM:
+            data = zlib.decompress(base64.b64decode(envelope.packed))
+            return _unpack(_to_columns(data))
+        if envelope.form == _COLUMNS_FORM:
+            data = zlib.decompress(base64.b85decode(envelope.packed))
+            return _unpack(msgspec.msgpack.decode(data, type=_PackedMap))
     except zlib.error as error:
         raise ValueError(repr(error)) from error
-    wire = msgspec.json.decode(unpacked, type=_PackedMap)
-    vms = [ids.VmId(vm) for vm in wire.vms]
-    last_keys = [row[0] - 1 for row in wire.rows[1:]] + [KEY_COUNT - 1]
+    raise ValueError(f"unknown form {envelope.form} of a key map")
+
+
+def _to_columns(data: bytes) -> _PackedMap:
+    earlier = msgspec.json.decode(data, type=_EarlierPackedMap)
+    starts = [row[0] for row in earlier.rows]
+    return _PackedMap(
+        earlier.version,
+        earlier.vms,
+        earlier.lives,
+        [
+            after - first
+            for first, after in itertools.pairwise((*starts, KEY_COUNT))
+        ],
+        [row[1] for row in earlier.rows],
+        [row[2] for row in earlier.rows],
+        [row[3] for row in earlier.rows],
+        [row[4] for row in earlier.rows],
+    )
+
+
+def _unpack(packed_map: _PackedMap) -> KeyMap:
+    vms = [ids.VmId(vm) for vm in packed_map.vms]
+    after_keys = list(itertools.accumulate(packed_map.widths))
+    if not after_keys or after_keys[-1] != KEY_COUNT:
+        raise ValueError("the rows do not cover all keys")
+    if min(packed_map.widths) <= 0:
+        raise ValueError("a row covers no key")
+    try:
+        owners = [vms[index] for index in packed_map.owners]
+        previous = [vms[index] for index in packed_map.previous]
+        instance_by_vm = {
+            vms[index]: targets.TargetInstance(targets.TargetId(target), born)
+            for index, target, born in packed_map.instances
+        }
+    except IndexError as error:
+        raise ValueError("a row names an unknown VM") from error
+    columns = zip(
+        (0, *after_keys[:-1]),
+        after_keys,
+        owners,
+        packed_map.fences,
+        previous,
+        packed_map.previous_fences,
+        strict=True,
+    )
     rows = tuple(
-        Row(first, last, vms[owner], fence, vms[previous], previous_fence)
-        for (first, owner, fence, previous, previous_fence), last in zip(
-            wire.rows, last_keys, strict=True
-        )
+        Row(first, after - 1, owner, fence, earlier, earlier_fence)
+        for first, after, owner, fence, earlier, earlier_fence in columns
     )
-    instance_by_vm = {
-        vms[vm]: targets.TargetInstance(targets.TargetId(target), born_ms)
-        for vm, target, born_ms in wire.lives
-    }
-    return KeyMap(wire.version, rows, instance_by_vm)
+    return KeyMap(packed_map.version, rows, instance_by_vm)
 
 
 def _first(row: Row) -> int:
@@ -194,6 +266,9 @@
 
 
 def _can_merge(left: Row, right: Row) -> bool:
-    return dataclasses.replace(left, first=0, last=0) == (
-        dataclasses.replace(right, first=0, last=0)
+    return (
+        left.owner == right.owner
+        and left.fence == right.fence
+        and left.previous == right.previous
+        and left.previous_fence == right.previous_fence
     )
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -6,13 +6,17 @@
 Later, rows move from the busiest target to the least busy one by measured load.
 """
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
+import heapq
 import itertools
 
+import msgspec
+
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
@@ -32,7 +36,9 @@
 
 # The answer to a heartbeat lists all rows of a target in at most 4 KiB.
 _MAX_ROWS_PER_OWNER = 130
-_STRIPES_PER_OWNER = 64
+_MAX_STRIPES_PER_OWNER = 64
+# Each daemon keeps the whole map, so its rows must not grow with the fleet.
+_MAX_STRIPES = 4_096
 # Moved keys have a cold cache; smaller differences are not worth that.
 _MIN_UTILISATION_GAP = 0.2
 # Below this utilisation requests don't queue at a target.
@@ -91,8 +97,7 @@
     owners = sorted(candidates, key=lambda each: each.vm)
     if not owners:
         return key_map.empty()
-    total = sum(owner.capacity for owner in owners)
-    stripe_owners = list(_stripe_owners(owners, total))
+    stripe_owners = list(_stripe_owners(owners))
     count = len(stripe_owners)
     starts = [index * key_map.KEY_COUNT // count for index in range(count + 1)]
     rows = (
@@ -107,15 +112,19 @@
     )
 
 
-def _stripe_owners(owners: list[Candidate], total: int) -> Iterator[ids.VmId]:
-    """Yields the owner of each stripe by smooth weighted round robin."""
-    credit = dict.fromkeys((owner.vm for owner in owners), 0)
-    for _ in range(_STRIPES_PER_OWNER * len(owners)):
-        for owner in owners:
-            credit[owner.vm] += owner.capacity
-        chosen = max(credit, key=lambda vm: credit[vm])
-        credit[chosen] -= total
-        yield chosen
+def _stripe_owners(owners: list[Candidate]) -> Iterator[ids.VmId]:
+    """Yields the owner of each stripe, in turn by capacity.
+
+    An owner of capacity c is due at the times 1/c, 2/c and so on.
+    """
+    count = min(_MAX_STRIPES_PER_OWNER * len(owners), _MAX_STRIPES)
+    due = [(1 / owner.capacity, owner.vm, owner) for owner in owners]
+    heapq.heapify(due)
+    for _ in range(max(count, len(owners))):
+        due_at, vm, owner = due[0]
+        yield vm
+        next_due_at = due_at + 1 / owner.capacity
+        heapq.heapreplace(due, (next_due_at, vm, owner))
 
 
 def with_instance(
@@ -127,7 +136,7 @@
     """
     version = current.version + 1
     rows = (
-        dataclasses.replace(row, fence=version) if row.owner == vm else row
+        msgspec.structs.replace(row, fence=version) if row.owner == vm else row
         for row in current.rows
     )
     instance_by_vm = {**current.instance_by_vm, vm: instance}
@@ -167,7 +176,7 @@
     if not any(row.previous and row.owner in settled for row in current.rows):
         return current
     rows = (
-        dataclasses.replace(row, previous=ids.VmId(""), previous_fence=0)
+        msgspec.structs.replace(row, previous=ids.VmId(""), previous_fence=0)
         if row.owner in settled
         else row
         for row in current.rows
@@ -395,12 +404,12 @@
         first = row.first
         while index < len(borders) and borders[index] <= row.last:
             if borders[index] > first:
-                yield dataclasses.replace(
+                yield msgspec.structs.replace(
                     row, first=first, last=borders[index] - 1
                 )
                 first = borders[index]
             index += 1
-        yield dataclasses.replace(row, first=first)
+        yield msgspec.structs.replace(row, first=first)
 
 
 def _rate_by_first(
@@ -410,7 +419,9 @@
     rate_by_first = dict.fromkeys((row.first for row in rows), 0.0)
     starts = sorted(rate_by_first)
     for load in loads:
-        covered = [s for s in starts if load.first <= s <= load.last]
+        begin = bisect.bisect_left(starts, load.first)
+        end = bisect.bisect_right(starts, load.last)
+        covered = starts[begin:end]
         for start in covered:
             rate_by_first[start] += load.rate / len(covered)
     return rate_by_first
@@ -431,7 +442,7 @@
 ) -> key_map.KeyMap:
     version = current.version + 1
     changed = (
-        dataclasses.replace(
+        msgspec.structs.replace(
             row,
             owner=moves[row.first],
             fence=version,
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -213,7 +213,14 @@
 
     def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
-            *(self._shared_state.follow(kind) for kind in stored.Kind),
+            *(
+                self._shared_state.follow(kind)
+                for kind in stored.Kind
+                if kind is not stored.Kind.KEY_MAP
+            ),
+            self._shared_state.poll(
+                stored.Kind.KEY_MAP, self._fleet.is_store_reader
+            ),
             self._register(),
             self._caller_server.close_idle_connections(),
             self._notice_server.close_idle_connections(),
@@ -322,7 +329,6 @@
         keyspace = keyspace_lib.Keyspace(
             service,
             self._settings,
-            self._store,
             self._shared_state,
             self._fleet,
             self._links,
@@ -343,6 +349,9 @@
             self._log,
             self._metrics,
         )
+        planner.on_written = lambda: self._state_exchange.publish(
+            stored.Kind.KEY_MAP
+        )
         self._planner_by_service[service] = planner
         self._start(planner.run())
         if service == self._settings.service:
@@ -421,11 +430,11 @@
             case frames.Fetch():
                 return _as_awaitable(self._state_exchange.on_fetch(frame))
             case frames.Fetched():
-                self._state_exchange.on_fetched(frame)
+                self._state_exchange.on_pushed(vm, frame)
             case frames.AuthorityQuery(service=service):
                 keyspace = self._keyspace_of(service)
                 if keyspace is not None:
-                    return keyspace.on_authority_query(frame)
+                    return keyspace.confirmer.on_query(frame)
             case frames.ReleaseQuery(service=service):
                 keyspace = self._keyspace_of(service)
                 if keyspace is not None:
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -230,6 +230,31 @@
         ahead = sum(1 for vm in ready if vm < self.own_record.vm)
         return ahead < _WATCHERS_PER_REGION
 
+    def store_reader(self) -> ids.VmId:
+        """Returns the daemon that reads the store for this region.
+
+        It is the last by VM, as the first ones watch the store and plan.
+        """
+        own = self.own_record.vm
+        able = [vm for vm in self.same_region() if self._can_use_store(vm)]
+        if self._can_use_store(own):
+            able.append(own)
+        return max(able, default=own)
+
+    def is_store_reader(self) -> bool:
+        """Returns whether this daemon reads the store for its region."""
+        return self.store_reader() == self.own_record.vm
+
+    def relays(self) -> Iterator[ids.VmId]:
+        """Yields one reachable daemon of each other region."""
+        by_region: dict[ids.RegionId, ids.VmId] = {}
+        for vm in self.other_regions():
+            region = self.by_vm[vm].record.region
+            known = by_region.get(region)
+            if self._can_use_store(vm) and (known is None or vm > known):
+                by_region[region] = vm
+        yield from by_region.values()
+
     def planner(self) -> ids.VmId:
         """Returns the daemon that plans the key maps, as far as this one knows.
 
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -210,10 +210,15 @@
 
 
 class AuthorityQuery(_Base, frozen=True, tag=10):
-    """Asks the receiver to read a key map from the store."""
+    """Asks the receiver which key map is the newest one in the store.
+
+    Attributes:
+      known_version: Version of the map's object that the sender knows.
+    """
 
     number: int
     service: str
+    known_version: int = 0
 
 
 class AuthorityReply(_Base, frozen=True, tag=11):
@@ -222,11 +227,14 @@
     Attributes:
       version: Version of the map's object; 0 if the store did not answer or
         holds no map.
+      value: The map; empty if it is the one that the asker knows.
+      age_ms: Time since the read of the store began.
     """
 
     number: int
     version: int
     value: bytes
+    age_ms: int = 0
 
 
 class ReleaseQuery(_Base, frozen=True, tag=12):
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -4,7 +4,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
-import dataclasses
+
+import msgspec
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -23,6 +24,7 @@
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import map_confirmation
 from mustardloom.sidecar import shared_state
 
 __all__ = ["Keyspace"]
@@ -32,12 +34,9 @@
 _HOLD_MS = 4_000
 # Timers of this process may fire this late.
 _GRANT_MARGIN_MS = 50
-# The authority to grant is renewed this often by a read of the map.
+# The authority to grant is renewed this long after the last confirmation.
 _RENEW_INTERVAL_MS = 2_000
 _RENEW_RETRY_MS = 400
-# If the store does not answer a read of the map within this time, the map is
-# read through another daemon.
-_MAP_READ_TIMEOUT_MS = 800
 # Earlier owners are asked this often, so that released keys do not stay
 # unserved for longer than a request takes.
 _RELEASE_INTERVAL_MS = 60
@@ -69,6 +68,7 @@
 
     Attributes:
       key: Key of the map's object in the store.
+      confirmer: Confirms that the known map is the newest one.
       bounds: Bounds in force.
       on_settled: Called with the VM of the planner once earlier owners have
         released all keys of this VM.
@@ -79,7 +79,6 @@
         self,
         service: ids.ServiceId,
         own_settings: settings.Settings,
-        store: shared_state.ObjectStore,
         state: shared_state.SharedState,
         fleet: fleet_lib.Fleet,
         links: links_lib.Links,
@@ -90,7 +89,6 @@
         self.service = service
         self.bounds = own_settings.bounds
         self._settings = own_settings
-        self._store = store
         self._state = state
         self._fleet = fleet
         self._links = links
@@ -98,6 +96,15 @@
         self._clock = clock
         self._log = log
         self.key = stored.key(stored.Kind.KEY_MAP, service)
+        self.confirmer = map_confirmation.MapConfirmer(
+            service,
+            state,
+            fleet,
+            links,
+            clock,
+            lambda: self._version,
+            self.apply_stored,
+        )
         self._claims = claims_lib.Claims(own_settings.vm)
         self._version = ids.NO_VERSION
         self._ledger: ledger_lib.GrantLedger | None = None
@@ -243,7 +250,7 @@
                 if row.last == self._last_withheld_key:
                     continue
                 self._withheld_key = self._last_withheld_key = row.last
-                rows[index] = dataclasses.replace(row, last=row.last - 1)
+                rows[index] = msgspec.structs.replace(row, last=row.last - 1)
                 break
         return rows
 
@@ -325,79 +332,26 @@
         )
 
     async def renew_authority(self) -> None:
-        """Renews the authority to grant keys, until cancelled.
-
-        A read of the map from the store confirms that the map known afterwards
-        was the newest one when the read began.
-        """
+        """Renews the authority to grant keys, until cancelled."""
         while True:
             if not self._needs_authority():
                 await self._clock.sleep_ms(_RENEW_RETRY_MS)
                 continue
-            asked_ms = self._clock.now_ms()
-            if await self.read_map():
-                self._authority.record_store_read(asked_ms)
-                await self._clock.sleep_ms(_RENEW_INTERVAL_MS)
-            else:
+            confirmed_ms = await self.confirmer.confirm()
+            if confirmed_ms is None:
                 await self._clock.sleep_ms(_RENEW_RETRY_MS)
+                continue
+            self._authority.record_store_read(confirmed_ms)
+            due_ms = confirmed_ms + _RENEW_INTERVAL_MS
+            await self._clock.sleep_ms(
+                max(_RENEW_RETRY_MS, due_ms - self._clock.now_ms())
+            )
 
     def _needs_authority(self) -> bool:
         if self._settings.service != self.service or self._ledger is None:
             return False
         return self.current_map is not None
 
-    async def read_map(self) -> bool:
-        """Reads the map from the store, through another daemon if need be.
-
-        Returns:
-          Whether the map was read.
-        """
-        try:
-            async with asyncio.timeout(_MAP_READ_TIMEOUT_MS / _MS_PER_S):
-                found = await self._store.get(self.key)
-        except (objects.PlatformUnavailable, TimeoutError):
-            return await self._read_map_through_peer()
-        if found is not None:
-            self.apply_stored(found)
-        return found is not None
-
-    async def _read_map_through_peer(self) -> bool:
-        for vm in list(self._links.reachable_vms())[:3]:
-            try:
-                async with asyncio.timeout(_MAP_READ_TIMEOUT_MS / _MS_PER_S):
-                    reply = await self._links.call(
-                        vm,
-                        lambda number: frames.AuthorityQuery(
-                            number, self.service
-                        ),
-                    )
-            except (
-                TimeoutError,
-                links_lib.PeerLost,
-                links_lib.PeerUnreachable,
-            ):
-                continue
-            if isinstance(reply, frames.AuthorityReply) and reply.version:
-                version = ids.Version(reply.version)
-                self.apply_stored(
-                    objects.Versioned(self.key, version, reply.value)
-                )
-                return True
-        return False
-
-    async def on_authority_query(
-        self, query: frames.AuthorityQuery
-    ) -> frames.Frame:
-        """Reads the map for a daemon that gets no answer from the store."""
-        try:
-            found = await self._store.get(self.key)
-        except objects.PlatformUnavailable:
-            found = None
-        if found is None:
-            return frames.AuthorityReply(query.number, 0, b"")
-        self.apply_stored(found)
-        return frames.AuthorityReply(query.number, found.version, found.value)
-
     def apply_stored(self, stored_map: objects.Versioned) -> None:
         """Adds a map that the store holds to the local replica.
 
@@ -551,7 +505,9 @@
         self._hits_since_ms = now_ms
         total = hits.total()
         self._key_rate += _RATE_SMOOTHING * (total / passed_s - self._key_rate)
-        segments = planning.split_by_load(self._claims.map.rows, hits)
+        # Only rows with load, so that the work does not grow with the fleet.
+        rows = {self._claims.map.row_of(key): None for key in sorted(hits)}
+        segments = planning.split_by_load(rows, hits)
         for segment in segments:
             rate = round(segment.rate / passed_s, 1)
             yield segment.first, segment.last, rate
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -1,5 +1,6 @@
 """Decides when the key map of a service changes, and writes it."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -50,6 +51,7 @@
 
     Attributes:
       objective_ms: Latency objective of the service.
+      on_written: Called after a new map was written and adopted.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self.objective_ms = _DEFAULT_OBJECTIVE_MS
+        self.on_written: Callable[[], None] = lambda: None
         self._vm = vm
         self._keyspace = keyspace
         self._store = store
@@ -254,12 +257,13 @@
                 result=f"unknown: {error}",
             )
             await self._clock.sleep_ms(_WRITE_RETRY_MS)
-            await self._keyspace.read_map()
+            await self._keyspace.confirmer.read()
             return
         match result:
             case objects.Written(version):
                 written = objects.Versioned(key, version, value)
                 self._keyspace.apply_stored(written)
+                self.on_written()
                 self._metrics.increment("keys.maps_written")
                 self._record_moves(planned)
             case objects.Conflict(current):
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -1,5 +1,6 @@
-"""Local replicas of stored objects, updated by watches and by other daemons."""
+"""Local replicas of stored objects, updated from the store and by daemons."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 from typing import Protocol
@@ -18,6 +19,7 @@
 # Back-off while the store is unavailable.
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
+_POLL_INTERVAL_MS = 2_000
 
 Callback = Callable[[stored.Kind], None]
 
@@ -67,6 +69,22 @@
     is_listed: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Refresh:
+    """Reads of one kind by `SharedState.refresh`.
+
+    Attributes:
+      began_ms: Local time at which the last successful read began.
+      version: Version of the store up to which it returned changes; None
+        before the first listing.
+      task: The running or last read.
+    """
+
+    began_ms: int | None = None
+    version: ids.Version | None = None
+    task: "asyncio.Task[int | None] | None" = None
+
+
 class SharedState:
     """Replicas of the objects of all kinds, with one `follow` task for each.
 
@@ -96,6 +114,7 @@
     ):
         self.by_kind = {kind: KindReplica({}) for kind in stored.Kind}
         self.store_answers = True
+        self._refresh_by_kind = {kind: _Refresh() for kind in stored.Kind}
         self._store = store
         self._clock = clock
         self._on_change = on_change
@@ -172,11 +191,7 @@
                 continue
             try:
                 if after is None:
-                    listing = await self._store.list_objects(kind)
-                    self.by_kind[kind].is_listed = True
-                    if self.apply_listing(kind, listing):
-                        self._on_update(kind)
-                    after = listing.version
+                    after = await self._list(kind)
                     self._set_store_answers(True)
                     continue
                 batch = await self._store.watch(kind, after, wait_ms)
@@ -200,6 +215,88 @@
             if batch.events:
                 self._on_update(kind)
 
+    async def poll(
+        self, kind: stored.Kind, may_poll: Callable[[], bool]
+    ) -> None:
+        """Lists a kind, then refreshes its replica often, until cancelled.
+
+        Unlike a watch, this makes no call for each change, so it suits a kind
+        that changes often and whose changes their writer passes on.
+
+        Args:
+          kind: The kind.
+          may_poll: Returns whether this daemon is to refresh the replica.
+        """
+        while True:
+            if self.by_kind[kind].is_listed and not may_poll():
+                await self._clock.sleep_ms(_IDLE_CHECK_MS)
+                continue
+            if await self.refresh(kind, _POLL_INTERVAL_MS) is None:
+                self._set_store_answers(False)
+                await self._clock.sleep_ms(_MIN_BACKOFF_MS)
+            else:
+                await self._clock.sleep_ms(_POLL_INTERVAL_MS)
+
+    async def refresh(self, kind: stored.Kind, max_age_ms: int) -> int | None:
+        """Brings the replica of a kind up to date with the store.
+
+        Callers share a read that is running or began at most `max_age_ms` ago.
+
+        Returns:
+          The local time at which the read began, as of which the replica is up
+          to date; None if the store did not answer.
+        """
+        refresh = self._refresh_by_kind[kind]
+        now_ms = self._clock.now_ms()
+        if (
+            refresh.began_ms is not None
+            and now_ms - refresh.began_ms <= max_age_ms
+        ):
+            return refresh.began_ms
+        if refresh.task is None or refresh.task.done():
+            refresh.task = asyncio.create_task(
+                self._read_changes(kind, refresh)
+            )
+        # The read goes on for other callers if this one is cancelled.
+        return await asyncio.shield(refresh.task)
+
+    async def _read_changes(
+        self, kind: stored.Kind, refresh: _Refresh
+    ) -> int | None:
+        began_ms = self._clock.now_ms()
+        try:
+            if refresh.version is not None:
+                try:
+                    batch = await self._store.watch(kind, refresh.version, 0)
+                except stored.HistoryGone:
+                    refresh.version = None
+                else:
+                    self._apply_batch(kind, batch)
+                    refresh.version = batch.version
+            if refresh.version is None:
+                refresh.version = await self._list(kind)
+        except objects.PlatformUnavailable:
+            return None
+        self._set_store_answers(True)
+        refresh.began_ms = began_ms
+        return began_ms
+
+    async def _list(self, kind: stored.Kind) -> ids.Version:
+        listing = await self._store.list_objects(kind)
+        self.by_kind[kind].is_listed = True
+        if self.apply_listing(kind, listing):
+            self._on_update(kind)
+        return listing.version
+
+    def _apply_batch(
+        self, kind: stored.Kind, batch: objects.WatchBatch
+    ) -> None:
+        known = self.by_kind[kind].by_key.copy()
+        for event in batch.events:
+            self.apply_event(event, batch.version)
+        if self.by_kind[kind].by_key != known:
+            self._on_update(kind)
+
     def _set_store_answers(self, answers: bool) -> None:
         if answers != self.store_answers:
             self.store_answers = answers
--- a/mustardloom/sidecar/state_exchange.py
+++ b/mustardloom/sidecar/state_exchange.py
@@ -56,6 +56,15 @@
         for vm in self._fleet.same_region():
             self._links.notify(vm, self._snapshot(_NO_CALL, kind))
 
+    def publish(self, kind: stored.Kind) -> None:
+        """Sends the replica of a kind to the region and one VM of each other.
+
+        That VM passes it on in its region.
+        """
+        self.push(kind)
+        for vm in self._fleet.relays():
+            self._links.notify(vm, self._snapshot(_NO_CALL, kind))
+
     def fetch_newer(self, vm: ids.VmId, versions: tuple[int, ...]) -> None:
         """Fetches the kinds of which another daemon has newer replicas.
 
@@ -74,14 +83,27 @@
         """Returns this daemon's replica of the kind that a peer asks for."""
         return self._snapshot(fetch.number, stored.Kind(fetch.kind))
 
-    def on_fetched(self, fetched: frames.Fetched) -> None:
-        """Adopts the replica of another daemon unless it is older."""
+    def on_pushed(self, vm: ids.VmId, fetched: frames.Fetched) -> None:
+        """Adopts a replica that another daemon sent without being asked.
+
+        One from another region is passed on in this region.
+        """
+        peer = self._fleet.by_vm.get(vm)
+        is_other_region = (
+            peer is not None
+            and peer.record.region != self._fleet.own_record.region
+        )
+        if self._adopt(fetched) and is_other_region:
+            self.push(stored.Kind(fetched.kind))
+
+    def _adopt(self, fetched: frames.Fetched) -> bool:
+        """Adopts a replica unless it is older; returns whether it changed."""
         stored_objects = tuple(
             objects.Versioned(item.key, ids.Version(item.version), item.value)
             for item in fetched.items
         )
         listing = objects.Listing(stored_objects, ids.Version(fetched.version))
-        self._state.apply_listing(stored.Kind(fetched.kind), listing)
+        return self._state.apply_listing(stored.Kind(fetched.kind), listing)
 
     async def _fetch(self, vm: ids.VmId, kind: stored.Kind) -> None:
         try:
@@ -94,7 +116,7 @@
             # fetch.
             return
         if isinstance(reply, frames.Fetched):
-            self.on_fetched(reply)
+            self._adopt(reply)
 
     def _snapshot(self, number: int, kind: stored.Kind) -> frames.Fetched:
         replica = self._state.by_kind[kind]
