Ask a few targets for their load where a region has many

Cause: with 64 peers in a region a status came every 2 s, so all daemons chose the same idle targets, each request scanned all targets of its service, and statuses were most of the messages of a daemon. Change: daemons keep the targets of a service by distance until a change; with more than 8 in the region they ask two of the zone and two of the region for their load and choose among those that answer in 30 ms. Statuses are at most 10 a second to the region and 10 to the others; owners send theirs to the planner each second, and all send it when the store is lost or back.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 import dataclasses
+import random
 import signal
 from typing import Any
 
@@ -42,12 +43,15 @@
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_intervals
 from mustardloom.sidecar import target_connections
+from mustardloom.sidecar import target_selection
 
 __all__ = ["Daemon", "Ports"]
 
 # The load is sampled this often; statuses are sent at multiples of it.
 _SAMPLE_INTERVAL_MS = 250
 _REGISTER_RETRY_MS = 500
+# A store that answers only some calls must not cause a broadcast for each.
+_STORE_CHANGE_INTERVAL_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
@@ -103,6 +107,7 @@
         self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
         self._sent_other_regions_ms = 0
         self._sent_same_region_ms = 0
+        self._store_change_sent_ms = 0
         self._shared_state = shared_state.SharedState(
             store,
             clock,
@@ -151,8 +156,12 @@
         self._forwarder = forwarder_lib.Forwarder(
             self._fleet, self._links, self._gate, clock
         )
+        selection = target_selection.TargetSelection(
+            self._fleet, self._links, clock, random.Random()
+        )
         self._router = router_lib.Router(
             self._fleet,
+            selection,
             self._forwarder,
             self._key_map_of,
             own_settings.bounds,
@@ -349,6 +358,7 @@
             self._log,
             self._metrics,
         )
+        planner.send_status = self._send_status
         planner.on_written = lambda: self._state_exchange.publish(
             stored.Kind.KEY_MAP
         )
@@ -397,6 +407,11 @@
         if answers:
             event = events.Event.STORE_BACK
         self._log.write(event)
+        now_ms = self._clock.now_ms()
+        if now_ms - self._store_change_sent_ms >= _STORE_CHANGE_INTERVAL_MS:
+            # Others choose the planner and the watchers by this.
+            self._store_change_sent_ms = now_ms
+            self._broadcast_status()
 
     def _on_link_change(self, vm: ids.VmId, is_up: bool) -> None:
         event = events.Event.PEER_LOST
@@ -418,7 +433,7 @@
 
     def _on_frame(
         self, vm: ids.VmId, frame: frames.Frame
-    ) -> Awaitable[frames.Frame | None] | None:
+    ) -> Awaitable[frames.Frame | None] | frames.Frame | None:
         match frame:
             case frames.Hello(sender=sender):
                 self._fleet.add_connected(sender)
@@ -428,7 +443,7 @@
                 self._fleet.update_status(vm, frame)
                 self._state_exchange.fetch_newer(vm, frame.changes)
             case frames.Fetch():
-                return _as_awaitable(self._state_exchange.on_fetch(frame))
+                return self._state_exchange.on_fetch(frame)
             case frames.Fetched():
                 self._state_exchange.on_pushed(vm, frame)
             case frames.AuthorityQuery(service=service):
@@ -438,7 +453,9 @@
             case frames.ReleaseQuery(service=service):
                 keyspace = self._keyspace_of(service)
                 if keyspace is not None:
-                    return _as_awaitable(keyspace.on_release_query(frame))
+                    return keyspace.on_release_query(frame)
+            case frames.LoadQuery():
+                return self._load_reply(frame)
             case frames.KeyLoad(service=service, loads=loads):
                 planner = self._planner_by_service.get(ids.ServiceId(service))
                 if planner is not None:
@@ -449,6 +466,18 @@
                 pass
         return None
 
+    def _load_reply(self, query: frames.LoadQuery) -> frames.LoadReply:
+        load = self._gate.load()
+        return frames.LoadReply(
+            query.number,
+            self._gate.is_open(),
+            load.limit,
+            load.running,
+            load.waiting,
+            round(load.service_ms),
+            round(load.failure_share * _PERCENT),
+        )
+
     def _make_pong(self) -> frames.Pong:
         is_listed = self._shared_state.by_kind[stored.Kind.KEY_MAP].is_listed
         reports = []
@@ -663,7 +692,3 @@
     ) -> None:
         while is_busy() and self._clock.now_ms() < stop_by_ms:
             await self._clock.sleep_ms(_STOP_POLL_MS)
-
-
-async def _as_awaitable(frame: frames.Frame) -> frames.Frame:
-    return frame
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import dataclasses
 import enum
+import itertools
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -12,7 +13,7 @@
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
 
-__all__ = ["Fleet", "Peer", "TargetPhase"]
+__all__ = ["Fleet", "Peer", "Rings", "TargetPhase"]
 
 _PERCENT = 100
 # Daemons of each region that watch the store and pass changes to the others.
@@ -38,14 +39,12 @@
       record: Where the daemon is reached.
       view: Figures of the target for placement.
       status: Last status that the daemon sent, None before the first one.
-      status_ms: Local time at which that status arrived.
       avoid_until_ms: Local time until which other targets are preferred.
     """
 
     record: stored.DaemonRecord
     view: placement.TargetView
     status: frames.Status | None = None
-    status_ms: int = 0
     avoid_until_ms: int = 0
 
     @property
@@ -69,13 +68,27 @@
         return TargetPhase(self.status.phase)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rings:
+    """Daemons whose targets take new requests, by distance from this one.
+
+    Attributes:
+      zone: Those of this availability zone, this VM included.
+      region: Those of the other availability zones of this region.
+      far: Those of other regions.
+    """
+
+    zone: tuple[Peer, ...]
+    region: tuple[Peer, ...]
+    far: tuple[Peer, ...]
+
+
 class Fleet:
     """All known daemons, this one included.
 
     Attributes:
       own_record: Record of this daemon.
       by_vm: The daemons by their VMs.
-      evacuated_zones: Availability zones that get no requests.
     """
 
     def __init__(
@@ -87,7 +100,11 @@
         self.own_record = own
         self.by_vm: dict[ids.VmId, Peer] = {}
         self._peers_by_service: dict[ids.ServiceId, list[Peer]] = {}
-        self.evacuated_zones: set[ids.AvailabilityZoneId] = set()
+        self._evacuated_zones: set[ids.AvailabilityZoneId] = set()
+        # Cleared by each change on which the rings depend.
+        self._rings_by_demand: dict[
+            tuple[ids.ServiceId, frozenset[ids.RegionId]], Rings
+        ] = {}
         # Records of daemons that connected, but are not in the store's list.
         self._unlisted_by_vm: dict[ids.VmId, stored.DaemonRecord] = {}
         self._listed: list[stored.DaemonRecord] = []
@@ -95,6 +112,16 @@
         self._clock = clock
         self.set_listed([own])
 
+    @property
+    def evacuated_zones(self) -> set[ids.AvailabilityZoneId]:
+        """Availability zones that get no requests."""
+        return self._evacuated_zones
+
+    @evacuated_zones.setter
+    def evacuated_zones(self, zones: set[ids.AvailabilityZoneId]) -> None:
+        self._evacuated_zones = zones
+        self._rings_by_demand.clear()
+
     def set_listed(self, records: list[stored.DaemonRecord]) -> None:
         """Adopts the store's list of daemons."""
         self._listed = records
@@ -120,6 +147,7 @@
         for vm, record in records_by_vm.items():
             if vm not in self.by_vm:
                 self.by_vm[vm] = Peer(record, self._new_view(record))
+        self._rings_by_demand.clear()
         self._peers_by_service.clear()
         for peer in self.by_vm.values():
             peers = self._peers_by_service.setdefault(peer.record.service, [])
@@ -137,8 +165,14 @@
         peer = self.by_vm.get(vm)
         if peer is None:
             return
+        before = peer.status
         peer.status = status
-        peer.status_ms = self._clock.now_ms()
+        if (
+            before is None
+            or before.phase != status.phase
+            or before.is_stopping != status.is_stopping
+        ):
+            self._rings_by_demand.clear()
         view = peer.view
         view.limit = max(1, status.limit)
         view.running = status.running
@@ -169,13 +203,54 @@
             ):
                 yield peer
 
+    def rings(
+        self, service: ids.ServiceId, regions: frozenset[ids.RegionId]
+    ) -> Rings:
+        """Returns the daemons whose targets may run a request.
+
+        They may be unreachable. The result is kept until something changes, so
+        that a request costs the same in a fleet of any size.
+
+        Args:
+          service: Service of the request.
+          regions: Regions in which it may run; empty for all.
+        """
+        found = self._rings_by_demand.get((service, regions))
+        if found is None:
+            found = self._new_rings(service, regions)
+            self._rings_by_demand[service, regions] = found
+        return found
+
+    def _new_rings(
+        self, service: ids.ServiceId, regions: frozenset[ids.RegionId]
+    ) -> Rings:
+        by_distance: dict[placement.Distance, list[Peer]] = {
+            distance: [] for distance in placement.Distance
+        }
+        for peer in self._peers_by_service.get(service, ()):
+            if (
+                peer.phase is TargetPhase.READY
+                and not self.is_evacuated(peer.vm)
+                and (not regions or peer.record.region in regions)
+                and not (peer.status is not None and peer.status.is_stopping)
+            ):
+                by_distance[peer.view.distance].append(peer)
+        return Rings(
+            (
+                *by_distance[placement.Distance.SAME_VM],
+                *by_distance[placement.Distance.SAME_ZONE],
+            ),
+            tuple(by_distance[placement.Distance.SAME_REGION]),
+            tuple(by_distance[placement.Distance.OTHER_REGION]),
+        )
+
     def candidates(
         self,
         service: ids.ServiceId,
         regions: frozenset[ids.RegionId],
         tried: set[ids.VmId],
     ) -> Iterator[Peer]:
-        """Yields the daemons whose targets may run a request.
+        """Yields the reachable daemons whose targets may run a request.
 
         Args:
           service: Service of the request.
@@ -185,12 +260,11 @@
         Yields:
           Daemons; those avoided for now only if there are no others.
         """
+        rings = self.rings(service, regions)
         allowed = [
             peer
-            for peer in self.serving(service)
-            if peer.vm not in tried
-            and (not regions or peer.record.region in regions)
-            and not (peer.status is not None and peer.status.is_stopping)
+            for peer in itertools.chain(rings.zone, rings.region, rings.far)
+            if peer.vm not in tried and self.is_reachable(peer.vm)
         ]
         now_ms = self._clock.now_ms()
         preferred = [peer for peer in allowed if now_ms >= peer.avoid_until_ms]
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -21,6 +21,8 @@
     "FrameBuffer",
     "Hello",
     "KeyLoad",
+    "LoadQuery",
+    "LoadReply",
     "Ping",
     "Pong",
     "Refusal",
@@ -181,6 +183,28 @@
     """Asks for a `Pong`."""
 
 
+class LoadQuery(_Base, frozen=True, tag=17):
+    """Asks for the load of the receiver's target."""
+
+    number: int
+
+
+class LoadReply(_Base, frozen=True, tag=18):
+    """Load of the sender's target at this moment; see also `Status`.
+
+    Attributes:
+      is_open: Whether the target takes new requests.
+    """
+
+    number: int
+    is_open: bool
+    limit: int
+    running: int
+    waiting: int
+    service_ms: int
+    failure_percent: int
+
+
 class Fetch(_Base, frozen=True, tag=8):
     """Asks for the receiver's replicas of all objects of a kind."""
 
@@ -305,6 +329,8 @@
     | ReleaseReply
     | KeyLoad
     | Suspect
+    | LoadQuery
+    | LoadReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -241,6 +241,15 @@
         """Returns the local time of the target's last answer, 0 if none."""
         return self._last_answer_ms
 
+    def is_open(self) -> bool:
+        """Returns whether the target may get new requests now."""
+        ends_ms = self.admission_ends_ms
+        return (
+            self.reachability is Reachability.UP
+            and not (self.is_evacuated or self.is_stopping)
+            and (ends_ms is None or self._clock.now_ms() < ends_ms)
+        )
+
     def is_idle(self) -> bool:
         """Returns whether nothing runs or waits."""
         return not self._running and not len(self._queue)
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -36,7 +36,8 @@
 # Called with each frame of a peer; returns the reply to a call, None for frames
 # that have no reply.
 FrameHandler = Callable[
-    [ids.VmId, frames.Frame], Awaitable[frames.Frame | None] | None
+    [ids.VmId, frames.Frame],
+    Awaitable[frames.Frame | None] | frames.Frame | None,
 ]
 
 # Called with the VM, the local time of the status or ping, and its answer.
@@ -425,6 +426,9 @@
         result = self._owner.handler(self._vm, frame)
         if result is None:
             return
+        if not isinstance(result, Awaitable):
+            self._reply(result)
+            return
         number: int = getattr(frame, "number", 0)
         task = asyncio.ensure_future(result)
         self._tasks[number] = task
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -51,6 +51,7 @@
 
     Attributes:
       objective_ms: Latency objective of the service.
+      send_status: Sends this daemon's status to a VM.
       on_written: Called after a new map was written and adopted.
     """
 
@@ -66,6 +67,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self.objective_ms = _DEFAULT_OBJECTIVE_MS
+        self.send_status: Callable[[ids.VmId], None] = lambda _: None
         self.on_written: Callable[[], None] = lambda: None
         self._vm = vm
         self._keyspace = keyspace
@@ -97,11 +99,16 @@
         self._loads_by_vm[vm] = tuple(planning.RowLoad(*load) for load in loads)
 
     def _report_loads(self, loads: keyspace_lib.RangeLoads) -> None:
-        """Sends the local target's busy key ranges to the planner."""
+        """Sends the local target's load to the planner.
+
+        The regular statuses are too rare in a large fleet to plan by them.
+        """
         planner = self._fleet.planner()
         if planner == self._vm:
             self.on_key_load(self._vm, loads)
-        elif loads:
+            return
+        self.send_status(planner)
+        if loads:
             frame = frames.KeyLoad(self._keyspace.service, loads)
             self._links.notify(planner, frame)
 
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -9,11 +9,11 @@
 from mustardloom.deployment import configuration
 from mustardloom.deployment import settings
 from mustardloom.keys import key_map
-from mustardloom.load_control import placement
 from mustardloom.load_control import retry_budget
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
+from mustardloom.sidecar import target_selection
 from mustardloom.sidecar import work
 
 __all__ = ["Router"]
@@ -53,6 +53,7 @@
     def __init__(
         self,
         fleet: fleet_lib.Fleet,
+        selection: target_selection.TargetSelection,
         forwarder: forwarder_lib.Forwarder,
         map_of: KeyMapLookup,
         bounds: settings.Bounds,
@@ -61,6 +62,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self._fleet = fleet
+        self._selection = selection
         self._forwarder = forwarder
         self._map_of = map_of
         self._retry_limits = retry_budget.RetryLimits(
@@ -104,21 +106,18 @@
         attempts = _Attempts()
         tried: set[ids.VmId] = set()
         while len(tried) < _MAX_GATES and self._has_time(request):
-            view = placement.choose(
-                peer.view
-                for peer in self._fleet.candidates(
-                    service.name, route.home_regions, tried
-                )
+            vm = await self._selection.choose(
+                service.name, route.home_regions, tried
             )
-            if view is None:
+            if vm is None:
                 break
-            tried.add(view.vm)
-            outcome = await self._forwarder.send(view.vm, request, False)
+            tried.add(vm)
+            outcome = await self._forwarder.send(vm, request, False)
             if not self._may_retry(
                 request, route, service.name, outcome, attempts
             ):
                 break
-            self._fleet.deprioritise(view.vm)
+            self._fleet.deprioritise(vm)
         return _final_outcome(attempts)
 
     def _may_retry(
--- a/mustardloom/sidecar/status_intervals.py
+++ b/mustardloom/sidecar/status_intervals.py
@@ -12,10 +12,10 @@
 _MIN_SAME_REGION_MS = 500
 _MIN_OTHER_REGION_MS = 1_200
 # Each peer of the same region, or of other regions, adds this to the interval.
-_SAME_REGION_SPACING_MS = 30
-_OTHER_REGION_SPACING_MS = 75
+_SPACING_MS = 100
 # Long intervals affect only targets that are not in use: answers to requests
-# carry the load of the others, and peers with open calls are pinged.
+# carry the load of the others, many targets are asked for their load, and peers
+# with open calls are pinged.
 _MAX_INTERVAL_MS = 20_000
 
 
@@ -24,9 +24,9 @@
 
     Example:
       >>> same_region_interval_ms(5), same_region_interval_ms(30)
-      (500, 900)
+      (500, 3000)
     """
-    return _interval_ms(peers, _MIN_SAME_REGION_MS, _SAME_REGION_SPACING_MS)
+    return _interval_ms(peers, _MIN_SAME_REGION_MS)
 
 
 def other_region_interval_ms(peers: int) -> int:
@@ -34,10 +34,10 @@
 
     Example:
       >>> other_region_interval_ms(12), other_region_interval_ms(60)
-      (1200, 4500)
+      (1200, 6000)
     """
-    return _interval_ms(peers, _MIN_OTHER_REGION_MS, _OTHER_REGION_SPACING_MS)
+    return _interval_ms(peers, _MIN_OTHER_REGION_MS)
 
 
-def _interval_ms(peers: int, min_ms: int, spacing_ms: int) -> int:
-    return min(_MAX_INTERVAL_MS, max(min_ms, peers * spacing_ms))
+def _interval_ms(peers: int, min_ms: int) -> int:
+    return min(_MAX_INTERVAL_MS, max(min_ms, peers * _SPACING_MS))
--- /dev/null
+++ b/mustardloom/sidecar/target_selection.py
@@ -0,0 +1,153 @@
+"""Selects the target of a request that any target of its service may run.
+
+Load pattern: hundreds of daemons choose among dozens of targets that run two
+or three requests at once. Reports that are a second old make all daemons choose
+the same idle targets. Where a region has many targets, a daemon therefore asks
+a few of them for their load right before it chooses; this costs the same in a
+fleet of any size. A target whose daemon does not answer is not chosen.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from collections.abc import Sequence
+import random
+
+from mustardloom import clock as clock_lib
+from mustardloom import ids
+from mustardloom.load_control import placement
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import links as links_lib
+
+__all__ = ["TargetSelection"]
+
+# With at most this many targets in the region, their last reports are compared.
+_MAX_COMPARED = 8
+# Targets that are asked for their load, in the zone and in the rest of the
+# region.
+_ASKED_IN_ZONE = 2
+_ASKED_IN_REGION = 2
+# Targets of other regions that are compared by their last reports, also if the
+# request may not run in this region.
+_COMPARED_FAR = 2
+_MAX_FAR_ONLY = 4
+_ANSWER_TIMEOUT_MS = 30
+_PERCENT = 100
+_MS_PER_S = 1_000
+
+
+class TargetSelection:
+    """Selects targets by reported load or by load that it asks for.
+
+    Args:
+      fleet: The daemons and their targets.
+      links: Links to the other daemons.
+      clock: Source of time.
+      chance: Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        links: links_lib.Links,
+        clock: clock_lib.Clock,
+        chance: random.Random,
+    ):
+        self._fleet = fleet
+        self._links = links
+        self._clock = clock
+        self._chance = chance
+
+    async def choose(
+        self,
+        service: ids.ServiceId,
+        regions: frozenset[ids.RegionId],
+        tried: set[ids.VmId],
+    ) -> ids.VmId | None:
+        """Returns the VM whose target is to run a request, None if none can.
+
+        Args:
+          service: Service of the request.
+          regions: Regions in which it may run; empty for all.
+          tried: VMs that are left out.
+        """
+        rings = self._fleet.rings(service, regions)
+        if len(rings.zone) + len(rings.region) > _MAX_COMPARED:
+            near = [
+                *self._sample(rings.zone, _ASKED_IN_ZONE, tried),
+                *self._sample(rings.region, _ASKED_IN_REGION, tried),
+            ]
+            far = self._sample(rings.far, _COMPARED_FAR, tried)
+            compared = [*await self._ask_load(near), *far]
+        elif len(rings.far) > _MAX_COMPARED and not rings.zone:
+            compared = list(self._sample(rings.far, _MAX_FAR_ONLY, tried))
+        else:
+            compared = []
+        if not compared:
+            compared = list(self._fleet.candidates(service, regions, tried))
+        view = placement.choose(peer.view for peer in compared)
+        return None if view is None else view.vm
+
+    def _sample(
+        self,
+        peers: Sequence[fleet_lib.Peer],
+        count: int,
+        tried: set[ids.VmId],
+    ) -> Iterator[fleet_lib.Peer]:
+        """Yields up to `count` usable peers in random order."""
+        now_ms = self._clock.now_ms()
+        # Twice as many, as some may not be usable at the moment.
+        drawn = self._chance.sample(peers, min(2 * count, len(peers)))
+        usable = (
+            peer
+            for peer in drawn
+            if peer.vm not in tried
+            and now_ms >= peer.avoid_until_ms
+            and self._fleet.is_reachable(peer.vm)
+        )
+        for _, peer in zip(range(count), usable, strict=False):
+            yield peer
+
+    async def _ask_load(
+        self, peers: list[fleet_lib.Peer]
+    ) -> list[fleet_lib.Peer]:
+        """Returns the peers that told their load in time, this VM's included.
+
+        Returns all of them if none of the others answered in time.
+        """
+        asked = [
+            asyncio.ensure_future(self._ask(peer))
+            for peer in peers
+            if peer.vm != self._fleet.own_record.vm
+        ]
+        if not asked:
+            return peers
+        done, late = await asyncio.wait(
+            asked, timeout=_ANSWER_TIMEOUT_MS / _MS_PER_S
+        )
+        for task in late:
+            task.cancel()
+        answered = {task.result() for task in done} - {None}
+        told = [
+            peer
+            for peer in peers
+            if peer.vm in answered or peer.vm == self._fleet.own_record.vm
+        ]
+        return told or peers
+
+    async def _ask(self, peer: fleet_lib.Peer) -> ids.VmId | None:
+        """Asks for the load of a target; returns its VM if it can be used."""
+        try:
+            reply = await self._links.call(peer.vm, frames.LoadQuery)
+        except (links_lib.PeerLost, links_lib.PeerUnreachable):
+            return None
+        if not isinstance(reply, frames.LoadReply) or not reply.is_open:
+            return None
+        view = peer.view
+        view.limit = max(1, reply.limit)
+        view.running = reply.running
+        view.waiting = reply.waiting
+        view.service_ms = max(1.0, float(reply.service_ms))
+        view.failure_share = reply.failure_percent / _PERCENT
+        view.reported_in_flight = view.in_flight
+        return peer.vm
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import os
+import random
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -17,6 +18,7 @@
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import router as router_lib
+from mustardloom.sidecar import target_selection
 from mustardloom.sidecar import work
 
 _SERVICE = ids.ServiceId("s")
@@ -92,6 +94,9 @@
         null = os.open(os.devnull, os.O_WRONLY)
         self.router = router_lib.Router(
             self.fleet,
+            target_selection.TargetSelection(
+                self.fleet, self.links, self.clock, random.Random(1)
+            ),
             self.forwarder,
             lambda _: self.map,
             settings.Bounds(retry_minimum=600),
