Bound what an endless response, request or peer stream can take

Cause: a response was collected without a limit, and reads of bytes that had arrived never yielded, so a target that sends without end grew the daemon to a gigabyte or held its event loop; a body in tiny chunks became millions of objects. Change: a response ends with Incomplete at 64 KiB of head or 8 MiB of body, framing counted; requests are bounded in chunk sizes, extensions and trailers too; bodies are collected in one buffer; each read yields; streams of peers are decompressed in parts of 256 KiB.

--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -21,7 +21,12 @@
 Address = tuple[str, int]
 
 _READ_BYTES = 65_536
-_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Bounds on what one response may take of this process's memory.
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bytes of chunk sizes and line ends for each byte of a body; a chunk of one
+# byte needs five.
+_MAX_FRAMING_RATIO = 6
 _FIRST_FINAL_STATUS = 200
 _MS_PER_S = 1_000
 # Late responses to earlier requests that may precede the expected one.
@@ -46,7 +51,7 @@
 
 
 class Incomplete(Exception):
-    """The response is truncated or not valid HTTP."""
+    """The response is truncated, too large or not valid HTTP."""
 
 
 async def connect(address: Address, timeout_ms: int) -> "Connection":
@@ -57,7 +62,7 @@
     """
     try:
         stream = iostream.IOStream(
-            socket.socket(), max_buffer_size=_MAX_RESPONSE_BYTES
+            socket.socket(), max_buffer_size=_MAX_BODY_BYTES
         )
     except OSError as error:
         raise ConnectFailed(error) from error
@@ -116,7 +121,7 @@
 
         Raises:
           ClosedEarly: The connection closed before the first byte.
-          Incomplete: The response is truncated or not valid HTTP.
+          Incomplete: The response is truncated, too large or not valid HTTP.
         """
         self.uses += 1
         # Set again only at the end of a complete exchange, so that a cancelled
@@ -135,7 +140,13 @@
             except iostream.StreamClosedError as error:
                 parser.end(was_reset=error.real_error is not None)
                 break
-            parser.feed(received)
+            try:
+                parser.feed(received)
+            except Incomplete:
+                self._stream.close()
+                raise
+            # Reads of bytes that have arrived already do not yield.
+            await asyncio.sleep(0)
         self.is_reusable = (
             parser.is_connection_reusable and not self._stream.writing()
         )
@@ -156,6 +167,10 @@
         self._has_bytes = False
         self._has_extra_bytes = False
         self._is_kept_alive = False
+        # Over the whole exchange, interim and skipped responses included.
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._header_bytes = 0
         self._reset()
 
     @property
@@ -184,9 +199,10 @@
         """Parses bytes that were received.
 
         Raises:
-          Incomplete: They are not valid HTTP.
+          Incomplete: They are not valid HTTP, or the response is too large.
         """
         self._has_bytes = True
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -195,6 +211,22 @@
             self._has_extra_bytes = True
             if self._response is None:
                 raise Incomplete(repr(error)) from error
+        if self._response is None:
+            self._check_size()
+
+    def _check_size(self) -> None:
+        """Ends a response that may go on without end."""
+        if self._body_bytes > _MAX_BODY_BYTES:
+            raise Incomplete(f"body of more than {_MAX_BODY_BYTES} bytes")
+        framing_bytes = self._received_bytes - self._body_bytes
+        allowed_bytes = _MAX_HEAD_BYTES + min(
+            _MAX_FRAMING_RATIO * self._body_bytes, _MAX_BODY_BYTES
+        )
+        if (
+            framing_bytes > allowed_bytes
+            or self._header_bytes > _MAX_HEAD_BYTES
+        ):
+            raise Incomplete(f"head of more than {_MAX_HEAD_BYTES} bytes")
 
     def end(self, was_reset: bool) -> None:
         """Handles the end of the connection.
@@ -224,6 +256,7 @@
         """Adds a header."""
         if self._response is None:
             self._headers.append((name, value))
+            self._header_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Determines whether the body ends with the connection."""
@@ -244,7 +277,9 @@
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
         if self._response is None:
-            self._chunks.append(data)
+            # One buffer, as a piece of a few bytes is a large object.
+            self._body += data
+            self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Ends a response, unless it is an interim one (status 1xx)."""
@@ -257,7 +292,7 @@
     def _reset(self) -> None:
         self._status = 0
         self._headers: list[messages.Header] = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._ends_with_connection = False
 
     def _finish(self) -> None:
@@ -268,7 +303,7 @@
                 self._skip()
                 return
         self._response = messages.Response(
-            self._status, tuple(self._headers), b"".join(self._chunks)
+            self._status, tuple(self._headers), bytes(self._body)
         )
 
     def _skip(self) -> None:
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -22,6 +22,9 @@
 
 _READ_BYTES = 65_536
 _TIME_CHECK_INTERVAL_MS = 500
+# Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
+# chunk of one byte needs five.
+_MAX_FRAMING_RATIO = 7
 # Requests of one connection that may run at once; further ones are read when
 # the first of these is answered.
 _MAX_PIPELINED = 64
@@ -47,7 +50,7 @@
     """
 
     max_header_bytes: int = 16_384
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_body_bytes: int = 8 * 1024 * 1024
     header_timeout_ms: int = 3_000
     idle_timeout_ms: int = 15_000
 
@@ -186,6 +189,8 @@
             while True:
                 data = await self.stream.read_bytes(_READ_BYTES, partial=True)
                 self._parse(data)
+                # Reads of bytes that have arrived already do not yield.
+                await asyncio.sleep(0)
                 if self._closes_after_pending:
                     # Goes on reading only to notice that the client closes the
                     # connection.
@@ -257,9 +262,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
-        self._chunks.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.max_body_bytes:
+        # One buffer, as a piece of a few bytes is a large object.
+        self._body += data
+        if len(self._body) > self._limits.max_body_bytes:
             raise _RequestRejected(_BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -269,7 +274,7 @@
             method,
             self._url.decode("latin1"),
             tuple(self._headers),
-            b"".join(self._chunks),
+            bytes(self._body),
             self._waiting_since_ms,
         )
         if self._is_finishing or not self._parser.should_keep_alive():
@@ -283,8 +288,7 @@
         self._url = b""
         self._headers: list[messages.Header] = []
         self._header_bytes = 0
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
@@ -292,16 +296,24 @@
             raise _RequestRejected(_HEADERS_TOO_LARGE)
 
     def _count_unparsed(self, count: int) -> None:
-        """Limits the bytes of a header line that is not complete.
+        """Limits the bytes that lead to no complete header and no body.
 
-        The parser reports a header only once its line has ended.
+        The parser reports a header only once its line has ended, and the size
+        of a chunk and the end of its line not at all.
         """
-        if self._phase is not _Phase.HEAD:
-            self._unparsed_bytes = 0
-            return
-        self._unparsed_bytes += count
-        if self._unparsed_bytes > self._limits.max_header_bytes:
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
+        limit = self._limits.max_header_bytes
+        match self._phase:
+            case _Phase.IDLE:
+                self._unparsed_bytes = 0
+            case _Phase.HEAD:
+                self._unparsed_bytes += count
+                if self._unparsed_bytes > limit:
+                    raise _RequestRejected(_HEADERS_TOO_LARGE)
+            case _Phase.BODY:
+                self._unparsed_bytes += count
+                limit += _READ_BYTES + _MAX_FRAMING_RATIO * len(self._body)
+                if self._unparsed_bytes > limit:
+                    raise _RequestRejected(_BAD_REQUEST)
 
     def _parse(self, data: bytes) -> None:
         if self._closes_after_pending:
--- a/mustardloom/http1/tests/test_client.py
+++ b/mustardloom/http1/tests/test_client.py
@@ -121,3 +121,97 @@
     with pytest.raises(client.ConnectFailed) as caught:
         asyncio.run(run())
     assert caught.value.refused
+
+
+# What the buffers of both sockets hold when the client closes.
+_SLACK_BYTES = 12 * 1024 * 1024
+_ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\n"
+_ENDLESS_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def _exchange_endless(start, repeated):
+    """Returns the error of an exchange and how many bytes the server sent."""
+    sent = 0
+
+    async def serve(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        piece = repeated * max(1, 16_384 // len(repeated))
+        try:
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                sent += len(piece)
+        except ConnectionError:
+            writer.close()
+
+    listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = listening.sockets[0].getsockname()
+    connection = await client.connect(address, 1_000)
+    try:
+        with pytest.raises(client.Incomplete) as caught:
+            await asyncio.wait_for(
+                connection.exchange(_REQUEST, echoed_header=_ID), 20
+            )
+        return caught.value, sent, connection.is_usable()
+    finally:
+        connection.close()
+        listening.close()
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"A"),
+        (b"HTTP/1.1 200 ", b"OK"),
+        (_ENDLESS_HEAD, b"A"),
+        (_ENDLESS_HEAD + b"A: ", b"b"),
+        (_ENDLESS_HEAD, b"A: b\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", _TO_OTHER_REQUEST),
+        (_ENDLESS_HEAD + b"\r\n", b"body"),
+        (_ENDLESS_HEAD + b"Content-Length: 99999999999\r\n\r\n", b"body"),
+        (_ENDLESS_CHUNKS, b"4\r\nbody\r\n"),
+        (_ENDLESS_CHUNKS, b"0"),
+        (_ENDLESS_CHUNKS + b"4;", b"extension"),
+        (_ENDLESS_CHUNKS + b"4\r\nbody\r\n0\r\n", b"A: b\r\n"),
+        (_ENDLESS_CHUNKS + b"4\r\nbody\r\n0\r\nA: ", b"b"),
+    ],
+)
+def test_endless_response_is_ended_by_its_size(start, repeated):
+    """A target in trouble may send bytes until its caller closes.
+
+    The memory of the daemon grew to a gigabyte, or its event loop stood still.
+    """
+    _, sent, is_usable = asyncio.run(_exchange_endless(start, repeated))
+    assert sent <= 2 * client._MAX_BODY_BYTES + _SLACK_BYTES
+    assert not is_usable
+
+
+def test_endless_response_leaves_other_tasks_their_turn():
+    """Reads of bytes that have arrived must not hold the event loop."""
+
+    async def run():
+        turns = 0
+
+        async def count():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        counting = asyncio.ensure_future(count())
+        await _exchange_endless(_ENDLESS_HEAD + b"\r\n", b"body")
+        counting.cancel()
+        return turns
+
+    reads = client._MAX_BODY_BYTES // client._READ_BYTES
+    assert asyncio.run(run()) >= reads
+
+
+def test_body_in_chunks_of_one_byte_is_not_taken_for_an_endless_one():
+    """Guards against a size limit that breaks valid responses."""
+    chunks = b"1\r\nx\r\n" * 50_000
+    response, _ = _exchange(_ENDLESS_CHUNKS + chunks + b"0\r\n\r\n")
+    assert response.body == b"x" * 50_000
--- a/mustardloom/http1/tests/test_server.py
+++ b/mustardloom/http1/tests/test_server.py
@@ -201,3 +201,36 @@
         return (await _responses(reader, 1))[0][0]
 
     assert _run(handler, scenario) == 500
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"A"),
+        (b"GET / HTTP/1.1\r\n", b"A: b\r\n"),
+        (b"GET / HTTP/1.1\r\nA: ", b"b"),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", b"0"),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+            b"extension",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nbody\r\n0\r\n",
+            b"A: b\r\n",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"4\r\nbody\r\n",
+        ),
+    ],
+)
+def test_endless_request_is_rejected_by_its_size(start, repeated):
+    """Guards against a caller that fills the memory of the daemon."""
+
+    async def scenario(http_server, reader, writer):
+        del http_server
+        writer.write(start + repeated * (200_000 // len(repeated)))
+        return int((await reader.readuntil(b"\r\n")).split(b" ")[1])
+
+    assert _run(_echo, scenario) in (400, 413, 431)
--- a/mustardloom/sidecar/compression.py
+++ b/mustardloom/sidecar/compression.py
@@ -5,6 +5,7 @@
 by only a few bytes.
 """
 
+from collections.abc import Iterator
 import zlib
 
 __all__ = ["Compressor", "Decompressor"]
@@ -13,6 +14,8 @@
 _WINDOW_BITS = -12
 _MEMORY_LEVEL = 5
 _LEVEL = 1
+# A few bytes can decompress to a thousand times as many.
+_MAX_PART_BYTES = 262_144
 
 
 class Compressor:
@@ -21,8 +24,10 @@
     Example:
       >>> data = b"header: value" * 20
       >>> packed = Compressor().compress(data)
-      >>> len(packed) < len(data), Decompressor().decompress(packed) == data
-      (True, True)
+      >>> len(packed) < len(data)
+      True
+      >>> b"".join(Decompressor().decompress(packed)) == data
+      True
     """
 
     def __init__(self) -> None:
@@ -42,13 +47,18 @@
     def __init__(self) -> None:
         self._zlib = zlib.decompressobj(_WINDOW_BITS)
 
-    def decompress(self, data: bytes) -> bytes:
-        """Returns the data that can be decompressed so far.
+    def decompress(self, data: bytes) -> Iterator[bytes]:
+        """Yields the data that can be decompressed so far, in bounded parts.
 
         Raises:
           ValueError: The bytes are not valid compressed data.
         """
-        try:
-            return self._zlib.decompress(data)
-        except zlib.error as error:
-            raise ValueError(repr(error)) from error
+        while data:
+            try:
+                part = self._zlib.decompress(data, _MAX_PART_BYTES)
+            except zlib.error as error:
+                raise ValueError(repr(error)) from error
+            data = self._zlib.unconsumed_tail
+            if not part:
+                return
+            yield part
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -35,6 +35,7 @@
 ]
 
 _LENGTH = struct.Struct("!I")
+# Above the largest body that operators allow, with its headers.
 _MAX_FRAME_BYTES = 80 * 1024 * 1024
 
 
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -187,8 +187,9 @@
                     # process that is paused.
                     self.is_up = True
                     self._owner.on_change(self._vm, True)
-                for frame in buffer.feed(decompressor.decompress(data)):
-                    self._resolve(frame)
+                for part in decompressor.decompress(data):
+                    for frame in buffer.feed(part):
+                        self._resolve(frame)
         except iostream.StreamClosedError:
             return
         except ValueError as error:
@@ -395,8 +396,9 @@
         try:
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
-                for frame in buffer.feed(decompressor.decompress(data)):
-                    self._receive(frame)
+                for part in decompressor.decompress(data):
+                    for frame in buffer.feed(part):
+                        self._receive(frame)
         except iostream.StreamClosedError:
             pass
         except ValueError as error:
