Start a daemon with two calls of the store in place of six

Change: the record is written without a read before; configuration, evacuations and key maps come from daemons that watch, unless none sends them in 700 ms; records are listed once and then polled by the reader of the region; a process counts in majorities once a daemon confirmed its map.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -50,6 +50,7 @@
 # The load is sampled this often; statuses are sent at multiples of it.
 _SAMPLE_INTERVAL_MS = 250
 _REGISTER_RETRY_MS = 500
+_NO_AGE_MS = 0
 # A store that answers only some calls must not cause a broadcast for each.
 _STORE_CHANGE_INTERVAL_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
@@ -222,15 +223,12 @@
 
     def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
-            *(
-                self._shared_state.follow(kind)
-                for kind in stored.Kind
-                if kind is not stored.Kind.KEY_MAP
-            ),
+            self._shared_state.follow(stored.Kind.CONFIGURATION),
+            self._shared_state.follow(stored.Kind.EVACUATION),
             self._shared_state.poll(
                 stored.Kind.KEY_MAP, self._fleet.is_store_reader
             ),
-            self._register(),
+            self._join(),
             self._caller_server.close_idle_connections(),
             self._notice_server.close_idle_connections(),
             self._readiness_server.close_idle_connections(),
@@ -261,22 +259,39 @@
             place = f"{code.co_filename}:{trace.tb_lineno}"
         self._log.write(events.Event.FAULT, error=repr(error), place=place)
 
+    async def _join(self) -> None:
+        """Registers this daemon, finds the others and follows changes.
+
+        All list the records after they have written their own, so of any two
+        daemons that start together one finds the other.
+        """
+        await self._register()
+        while (
+            await self._shared_state.refresh(stored.Kind.DAEMON, _NO_AGE_MS)
+            is None
+        ):
+            await self._clock.sleep_ms(_REGISTER_RETRY_MS)
+        await self._shared_state.poll(
+            stored.Kind.DAEMON, self._fleet.is_store_reader
+        )
+
     async def _register(self) -> None:
         """Writes this daemon's record unless the store already holds it."""
         key = stored.key(stored.Kind.DAEMON, self._settings.vm)
         value = msgspec.json.encode(self._record)
+        expected = ids.NO_VERSION
         while True:
             try:
-                found = await self._store.get(key)
-                if found is not None and self._is_own(found):
+                result = await self._store.write(key, value, expected)
+                if isinstance(result, objects.Written):
                     return
-                version = ids.NO_VERSION if found is None else found.version
-                result = await self._store.write(key, value, version)
+                found = result.current or await self._store.get(key)
             except objects.PlatformUnavailable:
                 await self._clock.sleep_ms(_REGISTER_RETRY_MS)
                 continue
-            if isinstance(result, objects.Written):
+            if found is not None and self._is_own(found):
                 return
+            expected = ids.NO_VERSION if found is None else found.version
 
     def _is_own(self, stored_object: objects.Versioned) -> bool:
         try:
@@ -364,6 +379,7 @@
         )
         self._planner_by_service[service] = planner
         self._start(planner.run())
+        self._start(keyspace.become_voter())
         if service == self._settings.service:
             self._start(keyspace.renew_authority())
             self._start(keyspace.request_releases())
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -331,6 +331,15 @@
             waits=len(self._claims.pending_ranges),
         )
 
+    async def become_voter(self) -> None:
+        """Confirms once that this process knows the newest map.
+
+        From then on its answers count in a majority of daemons.
+        """
+        while self.current_map is None or not await self.confirmer.confirm():
+            await self._clock.sleep_ms(_RENEW_RETRY_MS)
+        self.mark_listed()
+
     async def renew_authority(self) -> None:
         """Renews the authority to grant keys, until cancelled."""
         while True:
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -19,7 +19,10 @@
 # Back-off while the store is unavailable.
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
-_POLL_INTERVAL_MS = 2_000
+_POLL_INTERVAL_MS = 4_000
+# A daemon that starts beside others gets their replicas within this time.
+_REPLICA_WAIT_MS = 700
+_REPLICA_CHECK_MS = 50
 
 Callback = Callable[[stored.Kind], None]
 
@@ -129,6 +132,9 @@
     def outdated_kinds(self, versions: tuple[int, ...]) -> list[stored.Kind]:
         """Returns the kinds whose replicas are older than another daemon's.
 
+        Records of daemons are left out: the first frame of each link brings
+        the record of its sender.
+
         Args:
           versions: What `versions` returned there.
         """
@@ -136,7 +142,10 @@
             return []
         kinds = zip(stored.Kind, versions, strict=False)
         return [
-            kind for kind, known in kinds if known > self.by_kind[kind].version
+            kind
+            for kind, known in kinds
+            if known > self.by_kind[kind].version
+            and kind is not stored.Kind.DAEMON
         ]
 
     def apply_event(self, event: objects.Event, up_to: ids.Version) -> None:
@@ -180,12 +189,17 @@
         return True
 
     async def follow(self, kind: stored.Kind) -> None:
-        """Lists a kind, then watches it, until cancelled."""
+        """Lists a kind, then watches it, until cancelled.
+
+        A daemon that is not to watch leaves the listing to other daemons,
+        unless none of them sends a replica.
+        """
+        await self._await_replica(kind)
         backoff_ms = _MIN_BACKOFF_MS
         wait_ms = _WATCH_WAIT_MS
         after: ids.Version | None = None
         while True:
-            if self.by_kind[kind].is_listed and not self._may_watch():
+            if self.by_kind[kind].version and not self._may_watch():
                 after = None
                 await self._clock.sleep_ms(_IDLE_CHECK_MS)
                 continue
@@ -218,7 +232,7 @@
     async def poll(
         self, kind: stored.Kind, may_poll: Callable[[], bool]
     ) -> None:
-        """Lists a kind, then refreshes its replica often, until cancelled.
+        """Refreshes the replica of a kind now and then, until cancelled.
 
         Unlike a watch, this makes no call for each change, so it suits a kind
         that changes often and whose changes their writer passes on.
@@ -228,7 +242,7 @@
           may_poll: Returns whether this daemon is to refresh the replica.
         """
         while True:
-            if self.by_kind[kind].is_listed and not may_poll():
+            if not may_poll():
                 await self._clock.sleep_ms(_IDLE_CHECK_MS)
                 continue
             if await self.refresh(kind, _POLL_INTERVAL_MS) is None:
@@ -237,6 +251,12 @@
             else:
                 await self._clock.sleep_ms(_POLL_INTERVAL_MS)
 
+    async def _await_replica(self, kind: stored.Kind) -> None:
+        """Waits a short time for the replica of another daemon."""
+        end_ms = self._clock.now_ms() + _REPLICA_WAIT_MS
+        while not self.by_kind[kind].version and self._clock.now_ms() < end_ms:
+            await self._clock.sleep_ms(_REPLICA_CHECK_MS)
+
     async def refresh(self, kind: stored.Kind, max_age_ms: int) -> int | None:
         """Brings the replica of a kind up to date with the store.
 
