Await the answers of a silent daemon and give delayed requests no more time

Cause: a daemon that was paused for 0.7 s lost all calls that it had: requests that are not idempotent failed though they ran on, keyed ones were given up. Change: a stream whose peer is silent is kept up to 5 s beside its successor for calls that nobody else may run; others are repeated as before. Pongs carry the peer's clock, and forwarded requests their deadline by it. The link that a daemon dials is a module of its own.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -501,7 +501,9 @@
             if is_listed:
                 keyspace.mark_listed()
             reports.append(keyspace.map_report())
-        return frames.Pong(tuple(reports), len(self._fleet.by_vm))
+        return frames.Pong(
+            tuple(reports), len(self._fleet.by_vm), self._clock.now_ms()
+        )
 
     def _on_pong(self, vm: ids.VmId, asked_ms: int, pong: frames.Pong) -> None:
         for service, version, is_voter in pong.words:
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -62,8 +62,11 @@
             )
         peer.view.in_flight += 1
         try:
-            make_frame = self._frame_factory(request, may_wait)
-            reply = await self._links.call(vm, make_frame)
+            make_frame = self._frame_factory(vm, request, may_wait)
+            # Another target cannot run a request with a key, and must not run
+            # one that is not idempotent, so a late reply is the only one.
+            may_repeat = request.is_idempotent and request.key is None
+            reply = await self._links.call(vm, make_frame, may_repeat)
         except links_lib.PeerUnreachable:
             return work.Refused(
                 work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
@@ -91,9 +94,11 @@
         return self._encode_outcome(frame.number, outcome)
 
     def _frame_factory(
-        self, request: work.Work, may_wait: bool
+        self, vm: ids.VmId, request: work.Work, may_wait: bool
     ) -> Callable[[int], frames.Forward]:
         now_ms = self._clock.now_ms()
+        offset_ms = self._links.clock_offset_ms(vm)
+        expires_ms = 0 if offset_ms is None else request.deadline_ms + offset_ms
         return lambda number: frames.Forward(
             number,
             request.service,
@@ -112,10 +117,14 @@
             may_wait,
             request.fingerprint,
             request.is_call,
+            expires_ms,
         )
 
     def _decode(self, frame: frames.Forward) -> work.Work:
-        now_ms = self._clock.now_ms()
+        deadline_ms = self._clock.now_ms() + frame.deadline_ms
+        if frame.expires_ms:
+            deadline_ms = min(deadline_ms, frame.expires_ms)
+        objective_ms = deadline_ms - frame.deadline_ms + frame.objective_ms
         return work.Work(
             ids.ServiceId(frame.service),
             frame.method,
@@ -127,8 +136,8 @@
             ids.ServiceId(frame.caller_service),
             frame.is_idempotent,
             frame.priority,
-            now_ms + frame.objective_ms,
-            now_ms + frame.deadline_ms,
+            objective_ms,
+            deadline_ms,
             None if frame.key == _NO_KEY else frame.key,
             frame.fingerprint,
             frame.is_call,
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -67,6 +67,8 @@
       deadline_ms: Time left until the deadline.
       key: Key that decides the owner, -1 if none.
       may_wait: Whether to wait for a key that is being handed over.
+      expires_ms: The deadline by the receiver's clock, so that a frame that
+        is delayed gets no more time; 0 if that clock is not known.
     """
 
     number: int
@@ -86,6 +88,7 @@
     may_wait: bool
     fingerprint: int
     is_call: bool
+    expires_ms: int = 0
 
 
 class Answer(_Base, frozen=True, tag=2):
@@ -174,10 +177,12 @@
         that the sender knows, and whether the sender has read the map from the
         store since its process began.
       daemons: Number of daemons that the sender knows.
+      clock_ms: The sender's clock.
     """
 
     words: tuple[tuple[str, int, bool], ...]
     daemons: int
+    clock_ms: int
 
 
 class Ping(_Base, frozen=True, tag=16):
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -5,13 +5,10 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
-import itertools
-import socket
 from typing import Any
 
 from tornado import iostream
@@ -24,6 +21,7 @@
 from mustardloom.deployment import stored
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
+from mustardloom.sidecar import outgoing_link
 
 __all__ = [
     "FrameHandler",
@@ -40,185 +38,14 @@
     Awaitable[frames.Frame | None] | frames.Frame | None,
 ]
 
+PeerLost = outgoing_link.PeerLost
+PeerUnreachable = outgoing_link.PeerUnreachable
+
 # Called with the VM, the local time of the status or ping, and its answer.
 PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
 
 _READ_BYTES = 65_536
-_CONNECT_TIMEOUT_MS = 400
-_MIN_RECONNECT_MS = 250
-_MAX_RECONNECT_MS = 1_500
-# A peer that has sent nothing for this long while calls wait is pinged.
-_PING_AFTER_MS = 300
-# A link is closed if a status or ping is unanswered and the peer has sent
-# nothing for this long.
-_PONG_TIMEOUT_MS = 700
 _CHECK_INTERVAL_MS = 150
-_MS_PER_S = 1_000
-
-
-class PeerUnreachable(Exception):
-    """The frame was certainly not sent, so the peer did nothing."""
-
-
-class PeerLost(Exception):
-    """The frame was sent, but no reply came; the peer may have acted on it."""
-
-
-class _Link:
-    """The stream that this daemon dials to one peer.
-
-    It reconnects until it is closed.
-
-    Attributes:
-      address: Where the peer listens.
-      is_up: Whether the peer has answered on the open stream.
-      down_since_ms: Local time at which the link last went down.
-      received_ms: Local time at which the peer last sent something, or at which
-        the stream was opened.
-    """
-
-    def __init__(self, owner: "Links", vm: ids.VmId, address: Address):
-        self.address = address
-        self.is_up = False
-        self.down_since_ms = owner.clock.now_ms()
-        self._owner = owner
-        self._vm = vm
-        self._stream: iostream.IOStream | None = None
-        self._compressor = compression.Compressor()
-        self._calls: dict[int, asyncio.Future[frames.Frame]] = {}
-        self._numbers = itertools.count(1)
-        self.received_ms = 0
-        # Times of the statuses and pings without an answer so far, in order.
-        self._unanswered_ms: collections.deque[int] = collections.deque()
-        self._task = asyncio.create_task(self._run())
-
-    def next_number(self) -> int:
-        """Returns a call number that is unique on this link."""
-        return next(self._numbers)
-
-    def notify(self, frame: frames.Frame) -> bool:
-        """Sends a frame; returns whether the link was up."""
-        return self.is_up and self._write(frame)
-
-    def _write(self, frame: frames.Frame) -> bool:
-        if self._stream is None:
-            return False
-        try:
-            data = self._compressor.compress(frames.encode(frame))
-            written = self._stream.write(data)
-        except iostream.StreamClosedError:
-            return False
-        written.add_done_callback(_ignore_closed)
-        if isinstance(frame, frames.Status | frames.Ping):
-            self._unanswered_ms.append(self._owner.clock.now_ms())
-        return True
-
-    async def call(self, number: int, frame: frames.Frame) -> frames.Frame:
-        """Sends a frame and returns its reply; see `Links.call`."""
-        if not self.notify(frame):
-            raise PeerUnreachable(self._vm)
-        reply: asyncio.Future[frames.Frame] = asyncio.Future()
-        self._calls[number] = reply
-        try:
-            return await reply
-        except asyncio.CancelledError:
-            self.notify(frames.Cancel(number))
-            raise
-        finally:
-            self._calls.pop(number, None)
-
-    def check(self, now_ms: int) -> None:
-        """Closes the stream if a pong is overdue.
-
-        Otherwise pings a peer on which calls wait and that sends nothing.
-        """
-        if self._stream is None:
-            return
-        if self._unanswered_ms:
-            latest_ms = max(self._unanswered_ms[0], self.received_ms)
-            if now_ms - latest_ms > _PONG_TIMEOUT_MS:
-                self._stream.close()
-        elif self._calls and now_ms - self.received_ms > _PING_AFTER_MS:
-            self.notify(frames.Ping())
-
-    def close(self) -> None:
-        """Closes the stream for good; open calls fail with `PeerLost`."""
-        self._task.cancel()
-        self._disconnect()
-
-    async def _run(self) -> None:
-        backoff_ms = _MIN_RECONNECT_MS
-        while True:
-            if await self._connect():
-                await self._read()
-                if self.is_up:
-                    backoff_ms = _MIN_RECONNECT_MS
-                self._disconnect()
-            await self._owner.clock.sleep_ms(backoff_ms)
-            backoff_ms = min(2 * backoff_ms, _MAX_RECONNECT_MS)
-
-    async def _connect(self) -> bool:
-        stream = iostream.IOStream(socket.socket())
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
-                await stream.connect(self.address)
-        except (OSError, iostream.StreamClosedError):
-            stream.close()
-            return False
-        stream.set_nodelay(True)
-        self._stream = stream
-        self._compressor = compression.Compressor()
-        self.received_ms = self._owner.clock.now_ms()
-        self._unanswered_ms.clear()
-        self._write(self._owner.hello(self._vm))
-        self._write(frames.Ping())
-        return True
-
-    async def _read(self) -> None:
-        assert self._stream is not None
-        buffer = frames.FrameBuffer()
-        decompressor = compression.Decompressor()
-        try:
-            while True:
-                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
-                self.received_ms = self._owner.clock.now_ms()
-                if not self.is_up:
-                    # Only now, as the kernel also accepts connections for a
-                    # process that is paused.
-                    self.is_up = True
-                    self._owner.on_change(self._vm, True)
-                for part in decompressor.decompress(data):
-                    for frame in buffer.feed(part):
-                        self._resolve(frame)
-        except iostream.StreamClosedError:
-            return
-        except ValueError as error:
-            self._owner.on_fault(self._vm, error)
-
-    def _resolve(self, frame: frames.Frame) -> None:
-        if isinstance(frame, frames.Pong):
-            asked_ms = self._unanswered_ms.popleft()
-            self._owner.on_pong(self._vm, asked_ms, frame)
-            return
-        number = getattr(frame, "number", None)
-        if number is None:
-            return
-        reply = self._calls.get(number)
-        if reply is not None and not reply.done():
-            reply.set_result(frame)
-
-    def _disconnect(self) -> None:
-        was_up, self.is_up = self.is_up, False
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
-        for reply in self._calls.values():
-            if not reply.done():
-                reply.set_exception(PeerLost(self._vm))
-        self._calls.clear()
-        if was_up:
-            self.down_since_ms = self._owner.clock.now_ms()
-            self._owner.on_change(self._vm, False)
 
 
 class Links:
@@ -246,11 +73,13 @@
         self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
         self.on_fault: Callable[[ids.VmId, Exception], None] = lambda *_: None
         self.vm = record.vm
-        self.make_pong: Callable[[], frames.Pong] = lambda: frames.Pong((), 0)
+        self.make_pong: Callable[[], frames.Pong] = lambda: frames.Pong(
+            (), 0, clock.now_ms()
+        )
         self.on_pong: PongCallback = lambda *_: None
         self._record = record
         self._started_ms = clock.wall_ms()
-        self._link_by_vm: dict[ids.VmId, _Link] = {}
+        self._link_by_vm: dict[ids.VmId, outgoing_link.OutgoingLink] = {}
         self._server = _PeerServer(self)
 
     def hello(self, receiver: ids.VmId) -> frames.Hello:
@@ -274,7 +103,9 @@
                 self._link_by_vm.pop(vm).close()
         for vm, address in address_by_vm.items():
             if vm not in self._link_by_vm and vm != self.vm:
-                self._link_by_vm[vm] = _Link(self, vm, address)
+                self._link_by_vm[vm] = outgoing_link.OutgoingLink(
+                    self, vm, address
+                )
 
     def is_up(self, vm: ids.VmId) -> bool:
         """Returns whether the link to a VM is up."""
@@ -291,6 +122,14 @@
             return 0
         return self.clock.now_ms() - link.down_since_ms
 
+    def clock_offset_ms(self, vm: ids.VmId) -> int | None:
+        """Returns a VM's clock minus the local one, in ms; None if unknown.
+
+        It is too small by the shortest network delay that was seen.
+        """
+        link = self._link_by_vm.get(vm)
+        return None if link is None else link.offset_ms
+
     def reachable_vms(self) -> Iterable[ids.VmId]:
         """Yields the VMs whose links are up."""
         return (vm for vm, link in self._link_by_vm.items() if link.is_up)
@@ -318,13 +157,19 @@
             link.notify(frame)
 
     async def call(
-        self, vm: ids.VmId, make: Callable[[int], frames.Frame]
+        self,
+        vm: ids.VmId,
+        make: Callable[[int], frames.Frame],
+        may_repeat: bool = True,
     ) -> frames.Frame:
         """Sends a frame and returns its reply.
 
         Args:
           vm: The receiver.
           make: Returns the frame for a call number.
+          may_repeat: Whether the call fails as soon as the peer falls silent,
+            so that it can be repeated elsewhere; otherwise a late reply is
+            awaited.
 
         Raises:
           PeerUnreachable: The frame was certainly not sent.
@@ -334,7 +179,7 @@
         if link is None:
             raise PeerUnreachable(vm)
         number = link.next_number()
-        return await link.call(number, make(number))
+        return await link.call(number, make(number), may_repeat)
 
     async def check_links(self) -> None:
         """Checks all links for silent peers, until cancelled."""
--- /dev/null
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -0,0 +1,342 @@
+"""The link that a daemon dials to one peer, over one stream after another.
+
+A peer that is paused or overloaded falls silent and goes on later. New requests
+avoid it, but the calls that it has already may be running, so they are neither
+repeated nor given up while it may still answer them: the silent stream is kept
+beside its successor until it is closed, or for `_SILENT_STREAM_MS`.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import itertools
+import socket
+from typing import Protocol
+
+from tornado import iostream
+
+from mustardloom import clock as clock_lib
+from mustardloom import ids
+from mustardloom.deployment import settings
+from mustardloom.sidecar import compression
+from mustardloom.sidecar import frames
+
+__all__ = ["LinkOwner", "OutgoingLink", "PeerLost", "PeerUnreachable"]
+
+_READ_BYTES = 65_536
+_CONNECT_TIMEOUT_MS = 400
+_MIN_RECONNECT_MS = 250
+_MAX_RECONNECT_MS = 1_500
+# A peer that has sent nothing for this long while calls wait is pinged.
+_PING_AFTER_MS = 300
+# A peer is silent if a status or ping is unanswered and it has sent nothing for
+# this long.
+_PONG_TIMEOUT_MS = 700
+# The longest pause of a peer after which its answers are still awaited.
+_SILENT_STREAM_MS = 5_000
+_MS_PER_S = 1_000
+
+
+class PeerUnreachable(Exception):
+    """The frame was certainly not sent, so the peer did nothing."""
+
+
+class PeerLost(Exception):
+    """The frame was sent, but no reply came; the peer may have acted on it."""
+
+
+class LinkOwner(Protocol):
+    """What a link needs of the links of its daemon.
+
+    Attributes:
+      clock: Source of time.
+      on_pong: Called with a peer's answer to a status or ping, and the local
+        time at which that was sent.
+      on_change: Called when the link to a VM goes up or down.
+      on_fault: Called when a peer sends invalid bytes.
+    """
+
+    clock: clock_lib.Clock
+    on_pong: Callable[[ids.VmId, int, frames.Pong], None]
+    on_change: Callable[[ids.VmId, bool], None]
+    on_fault: Callable[[ids.VmId, Exception], None]
+
+    def hello(self, receiver: ids.VmId) -> frames.Hello:
+        """Returns the first frame of a stream."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """A call without a reply so far.
+
+    Attributes:
+      may_repeat: Whether it may be repeated elsewhere at once if the peer falls
+        silent; others go on waiting.
+    """
+
+    reply: "asyncio.Future[frames.Frame]"
+    may_repeat: bool
+
+
+class _Stream:
+    """One stream to the peer, with the calls that were sent on it.
+
+    Attributes:
+      calls: Calls without a reply by their numbers.
+      received_ms: Local time at which the peer last sent something, or at which
+        the stream was opened.
+      ended: Set when the stream is closed or the peer is silent.
+      silent_since_ms: Local time at which the peer was found silent, or None.
+      offset_ms: The peer's clock minus the local one, less the shortest way
+        back; None before the first pong.
+    """
+
+    def __init__(self, stream: iostream.IOStream, now_ms: int):
+        self.calls: dict[int, _Call] = {}
+        self.received_ms = now_ms
+        self.ended = asyncio.Event()
+        self.silent_since_ms: int | None = None
+        self.offset_ms: int | None = None
+        # Times of the statuses and pings without an answer so far, in order.
+        self.unanswered_ms: collections.deque[int] = collections.deque()
+        self._stream = stream
+        self._compressor = compression.Compressor()
+
+    def write(self, frame: frames.Frame, now_ms: int) -> bool:
+        """Sends a frame; returns whether the stream was open."""
+        try:
+            data = self._compressor.compress(frames.encode(frame))
+            written = self._stream.write(data)
+        except iostream.StreamClosedError:
+            return False
+        written.add_done_callback(_ignore_closed)
+        if isinstance(frame, frames.Status | frames.Ping):
+            self.unanswered_ms.append(now_ms)
+        return True
+
+    async def read(self) -> bytes:
+        """Returns some bytes; raises StreamClosedError at the end."""
+        data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+        return bytes(data)
+
+    def is_overdue(self, now_ms: int) -> bool:
+        """Returns whether an answer of the peer is overdue."""
+        if not self.unanswered_ms:
+            return False
+        latest_ms = max(self.unanswered_ms[0], self.received_ms)
+        return now_ms - latest_ms > _PONG_TIMEOUT_MS
+
+    def record_clock(self, peer_ms: int, now_ms: int) -> None:
+        """Records the peer's clock as its pong tells it.
+
+        The largest difference belongs to the pong with the shortest way.
+        """
+        offset_ms = peer_ms - now_ms
+        if self.offset_ms is None or offset_ms > self.offset_ms:
+            self.offset_ms = offset_ms
+
+    def resolve(self, frame: frames.Frame) -> None:
+        """Gives a reply to the call that waits for it."""
+        number = getattr(frame, "number", None)
+        call = None if number is None else self.calls.get(number)
+        if call is not None and not call.reply.done():
+            call.reply.set_result(frame)
+
+    def fail_calls(self, vm: ids.VmId, only_repeatable: bool = False) -> None:
+        """Ends the calls, all or those that may be repeated elsewhere."""
+        for number, call in list(self.calls.items()):
+            if only_repeatable and not call.may_repeat:
+                continue
+            del self.calls[number]
+            if not call.reply.done():
+                call.reply.set_exception(PeerLost(vm))
+
+    def close(self) -> None:
+        """Closes the stream."""
+        self._stream.close()
+        self.ended.set()
+
+
+class OutgoingLink:
+    """The streams that this daemon dials to one peer.
+
+    It reconnects until it is closed.
+
+    Attributes:
+      address: Where the peer listens.
+      is_up: Whether the peer has answered on the current stream.
+      down_since_ms: Local time at which the link last went down.
+    """
+
+    def __init__(
+        self, owner: LinkOwner, vm: ids.VmId, address: settings.Address
+    ):
+        self.address = address
+        self.is_up = False
+        self.down_since_ms = owner.clock.now_ms()
+        self._owner = owner
+        self._vm = vm
+        self._numbers = itertools.count(1)
+        self._current: _Stream | None = None
+        self._silent: list[_Stream] = []
+        self._readers: set[asyncio.Task[None]] = set()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def received_ms(self) -> int:
+        """Returns when the peer last sent something on the current stream."""
+        return 0 if self._current is None else self._current.received_ms
+
+    @property
+    def offset_ms(self) -> int | None:
+        """Returns the peer's clock minus the local one; None if unknown."""
+        return None if self._current is None else self._current.offset_ms
+
+    def next_number(self) -> int:
+        """Returns a call number that is unique on this link."""
+        return next(self._numbers)
+
+    def notify(self, frame: frames.Frame) -> bool:
+        """Sends a frame; returns whether the link was up."""
+        if not self.is_up or self._current is None:
+            return False
+        return self._current.write(frame, self._owner.clock.now_ms())
+
+    async def call(
+        self, number: int, frame: frames.Frame, may_repeat: bool
+    ) -> frames.Frame:
+        """Sends a frame and returns its reply; see `Links.call`."""
+        stream = self._current
+        if stream is None or not self.notify(frame):
+            raise PeerUnreachable(self._vm)
+        reply: asyncio.Future[frames.Frame] = asyncio.Future()
+        stream.calls[number] = _Call(reply, may_repeat)
+        try:
+            return await reply
+        except asyncio.CancelledError:
+            stream.write(frames.Cancel(number), self._owner.clock.now_ms())
+            raise
+        finally:
+            stream.calls.pop(number, None)
+
+    def check(self, now_ms: int) -> None:
+        """Finds out whether the peer is silent, and pings it while calls wait.
+
+        Also closes silent streams on which nothing is awaited any more.
+        """
+        for stream in list(self._silent):
+            since_ms = stream.silent_since_ms or now_ms
+            if not stream.calls or now_ms - since_ms >= _SILENT_STREAM_MS:
+                self._silent.remove(stream)
+                stream.close()
+        current = self._current
+        if current is None:
+            return
+        if current.is_overdue(now_ms):
+            self._set_silent(current, now_ms)
+        elif (
+            current.calls
+            and not current.unanswered_ms
+            and now_ms - current.received_ms > _PING_AFTER_MS
+        ):
+            self.notify(frames.Ping())
+
+    def close(self) -> None:
+        """Closes the streams for good; open calls fail with `PeerLost`."""
+        self._task.cancel()
+        for task in self._readers:
+            task.cancel()
+        for stream in (*self._silent, self._current):
+            if stream is not None:
+                stream.close()
+                stream.fail_calls(self._vm)
+        self._silent.clear()
+        self._set_down()
+
+    async def _run(self) -> None:
+        backoff_ms = _MIN_RECONNECT_MS
+        while True:
+            stream = await self._connect()
+            if stream is not None:
+                await stream.ended.wait()
+                if self.is_up:
+                    backoff_ms = _MIN_RECONNECT_MS
+                self._set_down()
+            await self._owner.clock.sleep_ms(backoff_ms)
+            backoff_ms = min(2 * backoff_ms, _MAX_RECONNECT_MS)
+
+    async def _connect(self) -> _Stream | None:
+        dialled = iostream.IOStream(socket.socket())
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
+                await dialled.connect(self.address)
+        except (OSError, iostream.StreamClosedError):
+            dialled.close()
+            return None
+        dialled.set_nodelay(True)
+        now_ms = self._owner.clock.now_ms()
+        stream = _Stream(dialled, now_ms)
+        self._current = stream
+        stream.write(self._owner.hello(self._vm), now_ms)
+        stream.write(frames.Ping(), now_ms)
+        reader = asyncio.create_task(self._read(stream))
+        self._readers.add(reader)
+        reader.add_done_callback(self._readers.discard)
+        return stream
+
+    async def _read(self, stream: _Stream) -> None:
+        buffer = frames.FrameBuffer()
+        decompressor = compression.Decompressor()
+        try:
+            while True:
+                data = await stream.read()
+                stream.received_ms = self._owner.clock.now_ms()
+                if stream is self._current and not self.is_up:
+                    # Only now, as the kernel also accepts connections for a
+                    # process that is paused.
+                    self.is_up = True
+                    self._owner.on_change(self._vm, True)
+                for part in decompressor.decompress(data):
+                    for frame in buffer.feed(part):
+                        self._receive(stream, frame)
+        except iostream.StreamClosedError:
+            pass
+        except ValueError as error:
+            self._owner.on_fault(self._vm, error)
+        finally:
+            stream.close()
+            stream.fail_calls(self._vm)
+
+    def _receive(self, stream: _Stream, frame: frames.Frame) -> None:
+        if not isinstance(frame, frames.Pong):
+            stream.resolve(frame)
+            return
+        if not stream.unanswered_ms:
+            raise ValueError("pong without a ping")
+        asked_ms = stream.unanswered_ms.popleft()
+        stream.record_clock(frame.clock_ms, stream.received_ms)
+        self._owner.on_pong(self._vm, asked_ms, frame)
+
+    def _set_silent(self, stream: _Stream, now_ms: int) -> None:
+        stream.silent_since_ms = now_ms
+        stream.fail_calls(self._vm, only_repeatable=True)
+        if stream.calls:
+            self._silent.append(stream)
+            stream.ended.set()
+        else:
+            stream.close()
+
+    def _set_down(self) -> None:
+        was_up, self.is_up = self.is_up, False
+        self._current = None
+        if was_up:
+            self.down_since_ms = self._owner.clock.now_ms()
+            self._owner.on_change(self._vm, False)
+
+
+def _ignore_closed(written: "asyncio.Future[None]") -> None:
+    if not written.cancelled():
+        # Marks the exception as retrieved; the reader of the stream reports
+        # that it was closed.
+        written.exception()
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -0,0 +1,117 @@
+"""Requests that daemons forward to each other, with delays on the way."""
+
+import asyncio
+import types
+
+from mustardloom import clock as clock_lib
+from mustardloom import ids
+from mustardloom.sidecar import forwarder as forwarder_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import work
+
+_VM = ids.VmId("far")
+_OFFSET_MS = 70_000
+
+
+class _Gate:
+    """Fake gate that records what it is to run."""
+
+    def __init__(self):
+        self.requests = []
+
+    async def run(self, request, may_wait):
+        self.requests.append(request)
+        return work.Refused(work.RefusalReason.OVERLOADED)
+
+    def load(self):
+        return types.SimpleNamespace(running=0, waiting=0)
+
+
+class _Links:
+    """Fake links that record the calls."""
+
+    def __init__(self):
+        self.offset_ms: int | None = _OFFSET_MS
+        self.calls = []
+
+    def clock_offset_ms(self, vm):
+        return self.offset_ms
+
+    async def call(self, vm, make, may_repeat):
+        frame = make(1)
+        self.calls.append((frame, may_repeat))
+        return frames.Failure(1, "internal")
+
+
+def _forwarder(clock, links, gate):
+    peer = types.SimpleNamespace(view=types.SimpleNamespace(in_flight=0))
+    fleet = types.SimpleNamespace(
+        own_record=types.SimpleNamespace(vm=ids.VmId("near")),
+        by_vm={_VM: peer},
+    )
+    return forwarder_lib.Forwarder(fleet, links, gate, clock)
+
+
+def _request(now_ms, is_idempotent=True, key=None):
+    return work.Work(
+        service=ids.ServiceId("s"),
+        method="GET",
+        target="/",
+        headers=((b"A", b"b"),),
+        body=b"",
+        request_id="r",
+        route=ids.RouteId("r"),
+        caller_service=ids.ServiceId("c"),
+        is_idempotent=is_idempotent,
+        priority=1,
+        objective_ms=now_ms + 300,
+        deadline_ms=now_ms + 1_000,
+        key=key,
+        fingerprint=1,
+        is_call=False,
+    )
+
+
+def _send(request, links, clock):
+    forwarder = _forwarder(clock, links, _Gate())
+    asyncio.run(forwarder.send(_VM, request, False))
+    return links.calls[-1]
+
+
+def _receive(frame, now_ms):
+    gate = _Gate()
+    clock = clock_lib.FakeClock(now_ms=now_ms)
+    asyncio.run(_forwarder(clock, _Links(), gate).receive(_VM, frame))
+    return gate.requests[0]
+
+
+def test_delayed_frame_gets_no_more_time():
+    """A frame that waited in a paused daemon ran after its caller had left."""
+    near = clock_lib.FakeClock(now_ms=5_000)
+    frame, _ = _send(_request(5_000), _Links(), near)
+    # The receiver's clock is ahead by the offset; 800 ms pass on the way.
+    received = _receive(frame, 5_000 + _OFFSET_MS + 800)
+    assert received.deadline_ms == 5_000 + _OFFSET_MS + 1_000
+    assert received.objective_ms == 5_000 + _OFFSET_MS + 300
+
+
+def test_deadline_is_relative_while_the_clock_of_the_peer_is_unknown():
+    """Guards against a deadline by a clock that nobody has told."""
+    links = _Links()
+    links.offset_ms = None
+    near = clock_lib.FakeClock(now_ms=5_000)
+    frame, _ = _send(_request(5_000), links, near)
+    assert _receive(frame, 9_000).deadline_ms == 10_000
+
+
+def test_only_what_another_target_may_run_is_repeated_at_once():
+    """Guards against giving up what a silent daemon may be running."""
+    clock = clock_lib.FakeClock(now_ms=5_000)
+    _, may_repeat = _send(_request(5_000), _Links(), clock)
+    assert may_repeat
+    for request in (
+        _request(5_000, is_idempotent=False),
+        _request(5_000, key=7),
+    ):
+        _, may_repeat = _send(request, _Links(), clock)
+        assert not may_repeat
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -236,3 +236,125 @@
         writer.close()
 
     _run(scenario, lambda *_: None)
+
+
+class _Proxy:
+    """Forwards connections to a port; holds all bytes while it is paused."""
+
+    def __init__(self, port):
+        self.may_pass = asyncio.Event()
+        self.may_pass.set()
+        self._port = port
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, _HOST, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        onward = await asyncio.open_connection(_HOST, self._port)
+        for source, sink in ((reader, onward[1]), (onward[0], writer)):
+            task = asyncio.ensure_future(self._copy(source, sink))
+            self._tasks.add(task)
+
+    async def _copy(self, source, sink):
+        try:
+            while data := await source.read(65_536):
+                await self.may_pass.wait()
+                sink.write(data)
+        except ConnectionError:
+            pass
+        sink.close()
+
+
+async def _pause(proxy, links, vm, also_ms=0):
+    """Pauses the proxy until the link is down and `also_ms` longer."""
+    proxy.may_pass.clear()
+    while links.is_up(vm):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(also_ms / 1_000)
+    proxy.may_pass.set()
+
+
+def test_answer_of_a_peer_that_was_only_silent_for_a_while_arrives():
+    """Guards against work that is given up or repeated after a pause.
+
+    A daemon that was paused for a second has run the request and answers.
+    """
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+
+        async def answer():
+            await asyncio.sleep(0.2)
+            return frames.Failure(frame.number, "late")
+
+        return answer()
+
+    async def scenario(near, far, port):
+        proxy = _Proxy(port)
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, await proxy.start())})
+        watch = asyncio.ensure_future(near.check_links())
+        await _connected(near, vm)
+        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
+        repeatable = asyncio.ensure_future(near.call(vm, _fetch, True))
+        await asyncio.sleep(0.05)
+        await _pause(proxy, near, vm, also_ms=300)
+        with pytest.raises(links_lib.PeerLost):
+            await repeatable
+        reply = await waiting
+        await _connected(near, vm)
+        watch.cancel()
+        proxy.close()
+        return reply.reason
+
+    assert _run(scenario, handler) == "late"
+
+
+def test_calls_on_a_silent_stream_end_when_it_is_closed():
+    """Guards against callers that wait for a peer that was restarted."""
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+        return asyncio.sleep(30)
+
+    async def scenario(near, far, port):
+        proxy = _Proxy(port)
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, await proxy.start())})
+        watch = asyncio.ensure_future(near.check_links())
+        await _connected(near, vm)
+        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
+        await asyncio.sleep(0.05)
+        await _pause(proxy, near, vm)
+        far.close()
+        with pytest.raises(links_lib.PeerLost):
+            await waiting
+        watch.cancel()
+        proxy.close()
+
+    _run(scenario, handler)
+
+
+def test_clock_of_a_peer_is_known_with_the_link():
+    """A deadline by the receiver's clock grants no time to a delayed frame."""
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        far.make_pong = lambda: frames.Pong((), 1, near.clock.now_ms() + 5_000)
+        assert near.clock_offset_ms(vm) is None
+        near.set_peers({vm: (_HOST, port)})
+        await _connected(near, vm)
+        while near.clock_offset_ms(vm) is None:
+            await asyncio.sleep(0.01)
+        return near.clock_offset_ms(vm)
+
+    assert 4_900 <= _run(scenario, lambda *_: None) <= 5_000
