Tell a restarted daemon that its target had left

Cause: a daemon that acknowledged the leave of its target and was restarted knew nothing of it, and used the target again after a delayed heartbeat. Change: daemons remember a leaving target across the restart of its daemon and tell the new process, which then sends it nothing. Measured: test_target_that_left_is_not_used_after_a_restart_of_its_daemon fails without the notice.

--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -281,6 +281,10 @@
     def close(self):
         self._server.stop_reading()
 
+    async def deregister(self):
+        """Tells the daemon that this target leaves, though it serves on."""
+        await self._call("instances.deregister", {})
+
     async def send_heartbeat(self):
         """Sends one heartbeat and applies the grant in the answer."""
         self._sequence += 1
@@ -364,7 +368,7 @@
             connection.close()
         if response.status != 200:
             raise client.ClosedEarly
-        return msgspec.json.decode(response.body)
+        return msgspec.json.decode(response.body or b"{}")
 
     async def _handle(self, request):
         value = messages.find_header(request.headers, b"x-shard-key")
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -107,6 +107,8 @@
         ] = {}
         self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
         self._sent_other_regions_ms = 0
+        # Instances that had left when their daemon dialled again.
+        self._left_instance_by_vm: dict[ids.VmId, targets.TargetInstance] = {}
         self._sent_same_region_ms = 0
         self._store_change_sent_ms = 0
         self._shared_state = shared_state.SharedState(
@@ -434,6 +436,7 @@
         if is_up:
             event = events.Event.PEER_BACK
             self._send_status(vm)
+            self._send_left_target(vm)
         self._log.write(event, peer=vm)
 
     def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
@@ -453,6 +456,11 @@
         match frame:
             case frames.Hello(sender=sender):
                 self._fleet.add_connected(sender)
+                self._report_left_target(vm)
+            case frames.TargetLeft(target=target, born_ms=born_ms):
+                self._local_target.on_left(
+                    targets.TargetInstance(targets.TargetId(target), born_ms)
+                )
             case frames.Forward():
                 return self._forwarder.receive(vm, frame)
             case frames.Status():
@@ -482,6 +490,22 @@
                 pass
         return None
 
+    def _report_left_target(self, vm: ids.VmId) -> None:
+        """Tells a daemon that dials what its process may have forgotten."""
+        peer = self._fleet.by_vm.get(vm)
+        if peer is None or peer.phase is not fleet_lib.TargetPhase.LEAVING:
+            return
+        instance = peer.target_instance
+        if instance is not None:
+            self._left_instance_by_vm[vm] = instance
+        self._send_left_target(vm)
+
+    def _send_left_target(self, vm: ids.VmId) -> None:
+        instance = self._left_instance_by_vm.get(vm)
+        if instance is not None:
+            frame = frames.TargetLeft(instance.target, instance.born_ms)
+            self._links.notify(vm, frame)
+
     def _load_reply(self, query: frames.LoadQuery) -> frames.LoadReply:
         load = self._gate.load()
         return frames.LoadReply(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -31,6 +31,7 @@
     "Status",
     "StoredItem",
     "Suspect",
+    "TargetLeft",
     "encode",
 ]
 
@@ -304,6 +305,18 @@
     loads: tuple[tuple[int, int, float], ...]
 
 
+class TargetLeft(_Base, frozen=True, tag=19):
+    """Tells a daemon that was restarted that its target had left before.
+
+    Attributes:
+      target: Name of the target.
+      born_ms: Unix time of the start of the target.
+    """
+
+    target: str
+    born_ms: int
+
+
 class Suspect(_Base, frozen=True, tag=15):
     """A request that was in flight when a target crashed.
 
@@ -337,6 +350,7 @@
     | Suspect
     | LoadQuery
     | LoadReply
+    | TargetLeft
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._log = log
         self._last_heartbeat_ms = 0
+        self._left_instances: set[targets.TargetInstance] = set()
         gate.on_reachability = self._on_reachability
 
     @property
@@ -95,6 +96,16 @@
             if self._clock.now_ms() - latest_ms > limit_ms:
                 self._gate.mark_silent()
 
+    def on_left(self, instance: targets.TargetInstance) -> None:
+        """Records that an instance had left before this process began.
+
+        Its delayed heartbeats may arrive only now.
+        """
+        self._left_instances.add(instance)
+        known = self.announcement
+        if known is not None and known.instance == instance:
+            self._start_leaving("left before the restart")
+
     def _on_heartbeat(
         self, announcement: targets.Announcement, address: str
     ) -> messages.Response:
@@ -141,6 +152,8 @@
         self._gate.set_cold_for(announcement.cold_left_ms)
         if announcement.phase is targets.Phase.DRAINING:
             self._start_leaving("draining")
+        elif announcement.instance in self._left_instances:
+            self._start_leaving("left before the restart")
         if is_new:
             self.on_change()
 
@@ -155,6 +168,11 @@
             return
         self.is_leaving = True
         allowed_ms = max(0, self.bounds.drain_ms - _DRAIN_MARGIN_MS)
+        if self.announcement and (
+            self.announcement.instance in self._left_instances
+        ):
+            # The bound counts from the earlier process's acknowledgement.
+            allowed_ms = 0
         self._gate.stop_admission_at(self._clock.now_ms() + allowed_ms)
         self._log.write(
             events.Event.TARGET_LEAVING, notice=notice, work_for_ms=allowed_ms
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -290,6 +290,41 @@
     _run(scenario)
 
 
+def test_target_that_left_is_not_used_after_a_restart_of_its_daemon():
+    """Guards against delayed heartbeats of a target that has deregistered.
+
+    The daemon that acknowledged its leave was restarted and knows nothing of
+    it; the other daemons do.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        await _get_until_answered(vms[0], "/plain/x", "before")
+        await vms[2].target.deregister()
+
+        async def is_refused():
+            response = await vms[0].get("/plain/x", os.urandom(4).hex())
+            return response.status == 503
+
+        await _until(is_refused)
+        vms[2].daemon.stop()
+        await vms[2]._tasks[0]
+        vms[2]._tasks[1].cancel()
+        runs = len(vms[2].target.runs)
+        vms[2].start()
+        await _until(vms[2].is_ready)
+        heartbeats = vms[2].target._sequence
+        while vms[2].target._sequence < heartbeats + 10:
+            await asyncio.sleep(0.02)
+        for _ in range(20):
+            assert await is_refused()
+        assert len(vms[2].target.runs) == runs
+
+    _run(scenario)
+
+
 def test_metrics_page_has_latencies_and_counts():
     """Guards against missing figures of latency and of unreachable keys."""
 
