Wake up less: fewer statuses in large regions, no listing before peers speak

All daemons listed the key maps at their start, as each took itself for the reader of its region before it knew the others (39 calls of 278). Change: statuses to a large region and to other regions are further apart, the planner is chosen anew at most every 400 ms, polling waits for replicas of others first, and a read yields per 64 KiB instead of each time.

--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -132,6 +132,7 @@
         except iostream.StreamClosedError as error:
             raise ClosedEarly from error
         parser = _ResponseParser(is_head, echoed_header)
+        unyielded_bytes = 0
         while not parser.is_complete():
             try:
                 received = await self._stream.read_bytes(
@@ -145,8 +146,11 @@
             except Incomplete:
                 self._stream.close()
                 raise
-            # Reads of bytes that have arrived already do not yield.
-            await asyncio.sleep(0)
+            unyielded_bytes += len(received)
+            if unyielded_bytes >= _READ_BYTES:
+                # Reads of bytes that have arrived already do not yield.
+                unyielded_bytes = 0
+                await asyncio.sleep(0)
         self.is_reusable = (
             parser.is_connection_reusable and not self._stream.writing()
         )
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -185,12 +185,16 @@
 
     async def run(self) -> None:
         """Reads requests until the connection ends."""
+        unyielded_bytes = 0
         try:
             while True:
                 data = await self.stream.read_bytes(_READ_BYTES, partial=True)
                 self._parse(data)
-                # Reads of bytes that have arrived already do not yield.
-                await asyncio.sleep(0)
+                unyielded_bytes += len(data)
+                if unyielded_bytes >= _READ_BYTES:
+                    # Reads of bytes that have arrived already do not yield.
+                    unyielded_bytes = 0
+                    await asyncio.sleep(0)
                 if self._closes_after_pending:
                     # Goes on reading only to notice that the client closes the
                     # connection.
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -20,6 +20,7 @@
 _WATCHERS_PER_REGION = 2
 # After a refused or failed attempt, other targets are preferred for this long.
 _AVOID_MS = 1_000
+_PLANNER_KEPT_MS = 400
 
 
 class TargetPhase(enum.IntEnum):
@@ -108,6 +109,8 @@
         # Records of daemons that connected, but are not in the store's list.
         self._unlisted_by_vm: dict[ids.VmId, stored.DaemonRecord] = {}
         self._listed: list[stored.DaemonRecord] = []
+        self._planner: ids.VmId | None = None
+        self._planner_until_ms = 0
         self._links = links
         self._clock = clock
         self.set_listed([own])
@@ -333,15 +336,26 @@
         """Returns the daemon that plans the key maps, as far as this one knows.
 
         It is the first by VM among the reachable daemons that the store answers
-        and that are not stopping; this daemon if there is none.
+        and that are not stopping; this daemon if there is none. The choice is
+        kept for a short time while its daemon can be used, as it compares all
+        daemons.
         """
-        return min(
-            (vm for vm in self.by_vm if self._can_use_store(vm)),
-            default=self.own_record.vm,
-        )
+        now_ms = self._clock.now_ms()
+        if (
+            self._planner is None
+            or now_ms >= self._planner_until_ms
+            or not self._can_use_store(self._planner)
+        ):
+            self._planner = min(
+                (vm for vm in self.by_vm if self._can_use_store(vm)),
+                default=None,
+            )
+            self._planner_until_ms = now_ms + _PLANNER_KEPT_MS
+        return self._planner or self.own_record.vm
 
     def _can_use_store(self, vm: ids.VmId) -> bool:
-        status = self.by_vm[vm].status
+        peer = self.by_vm.get(vm)
+        status = None if peer is None else peer.status
         if status is None or not self.is_reachable(vm):
             return False
         return status.store_answers and not status.is_stopping
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -241,6 +241,7 @@
           kind: The kind.
           may_poll: Returns whether this daemon is to refresh the replica.
         """
+        await self._await_replica(kind)
         while True:
             if not may_poll():
                 await self._clock.sleep_ms(_IDLE_CHECK_MS)
--- a/mustardloom/sidecar/status_intervals.py
+++ b/mustardloom/sidecar/status_intervals.py
@@ -11,8 +11,13 @@
 # expensive.
 _MIN_SAME_REGION_MS = 500
 _MIN_OTHER_REGION_MS = 1_200
-# Each peer of the same region, or of other regions, adds this to the interval.
-_SPACING_MS = 100
+# Each peer adds this to the interval: the first ones of the same region, the
+# others of the same region, and those of other regions beyond the first few.
+_SAME_REGION_SPACING_MS = 100
+_FIRST_SAME_REGION = 30
+_LARGE_REGION_SPACING_MS = 250
+_FREE_OTHER_REGION = 12
+_OTHER_REGION_SPACING_MS = 265
 # Long intervals affect only targets that are not in use: answers to requests
 # carry the load of the others, many targets are asked for their load, and peers
 # with open calls are pinged.
@@ -26,7 +31,10 @@
       >>> same_region_interval_ms(5), same_region_interval_ms(30)
       (500, 3000)
     """
-    return _interval_ms(peers, _MIN_SAME_REGION_MS)
+    beyond = max(0, peers - _FIRST_SAME_REGION)
+    interval_ms = (peers - beyond) * _SAME_REGION_SPACING_MS
+    interval_ms += beyond * _LARGE_REGION_SPACING_MS
+    return min(_MAX_INTERVAL_MS, max(_MIN_SAME_REGION_MS, interval_ms))
 
 
 def other_region_interval_ms(peers: int) -> int:
@@ -34,10 +42,8 @@
 
     Example:
       >>> other_region_interval_ms(12), other_region_interval_ms(60)
-      (1200, 6000)
+      (1200, 13920)
     """
-    return _interval_ms(peers, _MIN_OTHER_REGION_MS)
-
-
-def _interval_ms(peers: int, min_ms: int) -> int:
-    return min(_MAX_INTERVAL_MS, max(min_ms, peers * _SPACING_MS))
+    beyond = max(0, peers - _FREE_OTHER_REGION)
+    interval_ms = _MIN_OTHER_REGION_MS + beyond * _OTHER_REGION_SPACING_MS
+    return min(_MAX_INTERVAL_MS, interval_ms)
