Count urgent arrivals in the expected wait, ask fewer gates after asking for load

Change: the expected wait of a request is divided by the share of the target that more urgent requests leave (load_control/urgency.py); after asking four targets for their load at most two gates are asked.

--- a/mustardloom/load_control/tests/test_load.py
+++ b/mustardloom/load_control/tests/test_load.py
@@ -10,6 +10,7 @@
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import placement
 from mustardloom.load_control import retry_budget
+from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.load_control import weighted_round_robin
 
@@ -146,6 +147,94 @@
     assert not len(queue)
 
 
+class _PriorityReplay:
+    """Replays 60 s at 1.2 times the capacity, half of it more urgent.
+
+    Attributes:
+      arrivals: Less urgent requests.
+      in_time: Those of them that were answered within the objective.
+      refused_late: Those of them that were refused only after a wait.
+    """
+
+    def __init__(self, counts_urgent, seed):
+        self.arrivals = self.in_time = self.refused_late = 0
+        self._counts_urgent = counts_urgent
+        self._queue: waiting.WaitingQueue[int] = waiting.WaitingQueue()
+        self._load = urgency.UrgentLoad()
+        self._ends: list[tuple[float, int]] = []
+        self._empty_ms = 0.0
+        self._run(random.Random(seed))
+
+    def _run(self, rng):
+        now_ms = 0.0
+        count = round(60_000 * 1.2 * _CAPACITY / 60)
+        self._demands = []
+        self._service_ms = []
+        for number in range(count):
+            now_ms += rng.expovariate(1.2 * _CAPACITY / 60)
+            priority = int(rng.random() < 0.5)
+            self._demands.append(_demand(now_ms, priority=priority))
+            self._service_ms.append(60.0 * rng.lognormvariate(-0.125, 0.5))
+            self._finish_until(now_ms)
+            self._arrive(number, now_ms)
+
+    def _is_counted(self, number):
+        return self._demands[number].priority == 1
+
+    def _arrive(self, number, now_ms):
+        demand = self._demands[number]
+        self.arrivals += self._is_counted(number)
+        if not len(self._queue):
+            self._empty_ms = now_ms
+        share = self._load.share_above(demand.rank, now_ms, _CAPACITY)
+        decision = waiting.decide_admission(
+            demand,
+            now_ms,
+            len(self._ends),
+            _CAPACITY,
+            self._queue.work_ahead_ms(demand, now_ms),
+            len(self._queue),
+            60.0,
+            now_ms - self._empty_ms > waiting.STANDING_QUEUE_MS,
+            share if self._counts_urgent else 0.0,
+        )
+        if not decision.admitted:
+            return
+        self._load.record(demand.rank, demand.service_ms, now_ms)
+        if len(self._ends) < _CAPACITY:
+            self._start(number, now_ms)
+        else:
+            self._queue.push(demand, number, now_ms)
+
+    def _start(self, number, now_ms):
+        end_ms = now_ms + self._service_ms[number]
+        heapq.heappush(self._ends, (end_ms, number))
+
+    def _finish_until(self, until_ms):
+        while self._ends and self._ends[0][0] <= until_ms:
+            end_ms, number = heapq.heappop(self._ends)
+            is_in_time = end_ms <= self._demands[number].objective_ms
+            self.in_time += is_in_time and self._is_counted(number)
+            late = self._queue.take_unservable(end_ms)
+            self.refused_late += sum(self._is_counted(each) for each in late)
+            following = self._queue.take(end_ms)
+            if following is not None:
+                self._start(following, end_ms)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_overtaken_requests_are_refused_at_once_and_not_after_a_wait(seed):
+    """Guards against less urgent requests that wait to be refused.
+
+    More urgent ones overtook them until their deadline was near, so that their
+    callers had no time left to try again.
+    """
+    now = _PriorityReplay(True, seed)
+    before = _PriorityReplay(False, seed)
+    assert now.refused_late <= before.refused_late / 2
+    assert now.in_time >= before.in_time * 0.98
+
+
 def test_refusal_names_when_there_is_room():
     """Guards against retries that come while the queue is still full."""
     decision = waiting.decide_admission(
--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -12,6 +12,8 @@
 from typing import Generic
 from typing import TypeVar
 
+from mustardloom.load_control import urgency
+
 __all__ = [
     "STANDING_QUEUE_MS",
     "AdmissionDecision",
@@ -61,6 +63,11 @@
     deadline_ms: float
     service_ms: float
 
+    @property
+    def rank(self) -> urgency.Rank:
+        """Returns the urgency, apart from the time that is left."""
+        return urgency.Rank(not self.is_call, self.priority)
+
     def sort_key(self, now_ms: float) -> tuple[bool, bool, int, float]:
         """Returns the sort key; requests that can still be in time go first."""
         is_late = now_ms + self.service_ms > self.objective_ms
@@ -196,6 +203,7 @@
     waiting: int,
     mean_service_ms: float,
     is_standing: bool,
+    urgent_share: float = 0.0,
 ) -> AdmissionDecision:
     """Decides whether a request may wait for the target.
 
@@ -213,6 +221,8 @@
       waiting: Queued requests.
       mean_service_ms: Mean service time.
       is_standing: Whether the queue has not been empty for `STANDING_QUEUE_MS`.
+      urgent_share: Share of the target that more urgent requests take, below 1;
+        those that arrive during the wait go first.
 
     Returns:
       The decision, with the expected time in the queue.
@@ -220,7 +230,7 @@
     if running < limit and ahead_ms <= 0:
         return AdmissionDecision(now_ms + 1 < demand.deadline_ms, 0.0)
     until_free_ms = mean_service_ms / (limit + 1)
-    wait_ms = until_free_ms + ahead_ms / limit
+    wait_ms = (until_free_ms + ahead_ms / limit) / (1.0 - urgent_share)
     service_factor = (
         _STANDING_SERVICE_FACTOR if is_standing else _BURST_SERVICE_FACTOR
     )
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -18,6 +18,7 @@
 from mustardloom.deployment import targets
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import events
 from mustardloom.sidecar import target_connections
@@ -168,6 +169,7 @@
         self._has_waiting = asyncio.Event()
         self._running: set[_Ticket] = set()
         self._service_times = waiting.ServiceTimes()
+        self._urgent_load = urgency.UrgentLoad()
         self._cold_limit = cold_start.ColdStartLimit(cold_factor)
         self._failure_share = 0.0
         self._busy_ms = 0.0
@@ -386,6 +388,7 @@
             len(self._queue),
             self._service_times.overall_mean_ms(now_ms),
             now_ms - self._queue_last_empty_ms > waiting.STANDING_QUEUE_MS,
+            self._urgent_load.share_above(demand.rank, now_ms, self._capacity),
         )
         if not decision.admitted:
             return work.Refused(reasons.OVERLOADED, decision.retry_after_ms)
@@ -406,7 +409,9 @@
         outcome: asyncio.Future[work.Outcome] = asyncio.Future()
         now_ms = self._clock.now_ms()
         ticket = _Ticket(request, outcome, now_ms)
-        self._queue.push(self._demand_of(request), ticket, now_ms)
+        demand = self._demand_of(request)
+        self._urgent_load.record(demand.rank, demand.service_ms, now_ms)
+        self._queue.push(demand, ticket, now_ms)
         self._start_waiting()
         if len(self._queue):
             self._has_waiting.set()
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -18,9 +18,6 @@
 
 __all__ = ["Router"]
 
-# Most gates that are asked for one request. Refusals by gates cost no target
-# any work, so they don't count towards the attempts that a route allows.
-_MAX_GATES = 4
 # With less time left than this, another attempt cannot be answered.
 _MIN_LEFT_MS = 15
 # Most owners, current and earlier ones, that are asked for one request.
@@ -105,7 +102,8 @@
     ) -> work.Outcome:
         attempts = _Attempts()
         tried: set[ids.VmId] = set()
-        while len(tried) < _MAX_GATES and self._has_time(request):
+        max_gates = self._selection.max_gates(service.name, route.home_regions)
+        while len(tried) < max_gates and self._has_time(request):
             vm = await self._selection.choose(
                 service.name, route.home_regions, tried
             )
--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -32,6 +32,10 @@
 _COMPARED_FAR = 2
 _MAX_FAR_ONLY = 4
 _ANSWER_TIMEOUT_MS = 30
+# Most gates that are asked for one request. Refusals by gates cost no target
+# any work, so they don't count towards the attempts that a route allows.
+_MAX_GATES = 4
+_MAX_GATES_AFTER_ASKING = 2
 _PERCENT = 100
 _MS_PER_S = 1_000
 
@@ -88,6 +92,18 @@
         view = placement.choose(peer.view for peer in compared)
         return None if view is None else view.vm
 
+    def max_gates(
+        self, service: ids.ServiceId, regions: frozenset[ids.RegionId]
+    ) -> int:
+        """Returns how many gates are to be asked for one request.
+
+        If the least loaded of several targets refuses, others do so, too.
+        """
+        rings = self._fleet.rings(service, regions)
+        if len(rings.zone) + len(rings.region) > _MAX_COMPARED:
+            return _MAX_GATES_AFTER_ASKING
+        return _MAX_GATES
+
     def _sample(
         self,
         peers: Sequence[fleet_lib.Peer],
