Wait for the grants of a restarted target in place of refusing its requests

Change: the owner tracks the renewal that a new instance starts; a request that the target refused meanwhile waits for it and is sent once more.

--- a/mustardloom/daemon/local_target.py
+++ b/mustardloom/daemon/local_target.py
@@ -169,7 +169,7 @@
         await incarnation.holdings.refresh_grants()
 
     def _on_new_instance(self) -> None:
-        self._start_task(self._renew_grants())
+        self._handlers.track_regrant(self._start_task(self._renew_grants()))
 
     async def _renew_grants(self) -> None:
         await self._current_incarnation().holdings.refresh_grants()
--- a/mustardloom/daemon/serving.py
+++ b/mustardloom/daemon/serving.py
@@ -47,6 +47,11 @@
         self._dispatch_once = dispatch_once
         self._metrics = metrics
         self._detached: set[asyncio.Task[outcomes.Outcome]] = set()
+        self._regrant: asyncio.Task[None] | None = None
+
+    def track_regrant(self, task: "asyncio.Task[None]") -> None:
+        """Tracks the task that grants all slots to a new target instance."""
+        self._regrant = task
 
     async def handle_at_gate(
         self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
@@ -109,15 +114,37 @@
         placement = dispatch_lib.SlotId(group, slot)
         permit = adapters.OwnedSlotPermit(incarnation.holdings, group, slot)
         if request.idempotent:
-            return await self._run(request, placement, permit)
+            return await self._run_granted(request, placement, permit)
         self._open_request_ids(incarnation, placement)
         return await incarnation.request_ids.run(
             placement,
             request,
-            lambda: self._run(request, placement, permit),
+            lambda: self._run_granted(request, placement, permit),
             lambda: permit.was_admitted,
         )
 
+    async def _run_granted(
+        self,
+        request: requests.Request,
+        placement: dispatch_lib.SlotId,
+        permit: dispatch_lib.SlotPermit,
+    ) -> outcomes.Outcome:
+        """Runs a request, once more if a restarted target lacked its grants.
+
+        A target that was restarted refuses everything until its slots are
+        granted to it again, which begins with its first answer.
+        """
+        known = self._regrant
+        was_pending = known is not None and not known.done()
+        outcome = await self._run(request, placement, permit)
+        regrant = self._regrant
+        is_new = regrant is not known or was_pending
+        if regrant is None or not (is_new and _is_refused_by_target(outcome)):
+            return outcome
+        self._metrics.increment("serving.waits_for_grants")
+        await asyncio.wait((regrant,))
+        return await self._run(request, placement, permit)
+
     async def _run_unkeyed(
         self, request: requests.Request, group: ids.GroupId, slot: ids.SlotIndex
     ) -> outcomes.Outcome:
@@ -194,3 +221,10 @@
             return None
         load = self.gate.load
         return forwarders.GateLoad(load.running, load.queued, load.limit)
+
+
+def _is_refused_by_target(outcome: outcomes.Outcome) -> bool:
+    return (
+        isinstance(outcome, outcomes.Refused)
+        and outcome.reason is outcomes.RefusalReason.TARGET_REFUSED
+    )
--- a/mustardloom/daemon/tests/test_daemon.py
+++ b/mustardloom/daemon/tests/test_daemon.py
@@ -317,7 +317,8 @@
         fleet.start_target("salio-1", "salio", "pwani", first.port)
         for _ in range(20):
             answer = await fleet.send("malipo-1", "/salio/1", X_Account=key)
-            assert answer.code == 200
+            reason = answer.headers.get("X-Mustardloom-Reason")
+            assert (answer.code, reason) == (200, None)
         assert fleet.target_by_vm["salio-1"].record.page(0).runs
 
     _run(scenario)
