End the calls on a silent stream once its peer refuses connections

Change: a refused connection shows that the process has ended. Measured: test_links.py, which hung without the change.

--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -247,11 +247,10 @@
         self._task.cancel()
         for task in self._readers:
             task.cancel()
-        for stream in (*self._silent, self._current):
-            if stream is not None:
-                stream.close()
-                stream.fail_calls(self._vm)
-        self._silent.clear()
+        self._end_silent_streams()
+        if self._current is not None:
+            self._current.close()
+            self._current.fail_calls(self._vm)
         self._set_down()
 
     async def _run(self) -> None:
@@ -271,8 +270,12 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
                 await dialled.connect(self.address)
-        except (OSError, iostream.StreamClosedError):
+        except (OSError, iostream.StreamClosedError) as error:
             dialled.close()
+            cause = getattr(error, "real_error", None) or error
+            if isinstance(cause, ConnectionRefusedError):
+                # A paused process still accepts connections, so this one ended.
+                self._end_silent_streams()
             return None
         dialled.set_nodelay(True)
         now_ms = self._owner.clock.now_ms()
@@ -327,6 +330,12 @@
         else:
             stream.close()
 
+    def _end_silent_streams(self) -> None:
+        for stream in self._silent:
+            stream.close()
+            stream.fail_calls(self._vm)
+        self._silent.clear()
+
     def _set_down(self) -> None:
         was_up, self.is_up = self.is_up, False
         self._current = None
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -17,6 +17,7 @@
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import outgoing_link
 
 _HOST = "127.0.0.1"
 
@@ -251,8 +252,11 @@
         self._server = await asyncio.start_server(self._serve, _HOST, 0)
         return self._server.sockets[0].getsockname()[1]
 
-    def close(self):
+    def stop_listening(self):
         self._server.close()
+
+    def close(self):
+        self.stop_listening()
         for task in self._tasks:
             task.cancel()
 
@@ -344,6 +348,39 @@
     _run(scenario, handler)
 
 
+def test_calls_on_a_silent_stream_end_when_the_peer_refuses_connections(
+    monkeypatch,
+):
+    """Guards against callers that wait for a process that has ended.
+
+    Its machine lost power, so it sent no end of the stream.
+    """
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+        return asyncio.sleep(30)
+
+    async def scenario(near, far, port):
+        proxy = _Proxy(port)
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, await proxy.start())})
+        watch = asyncio.ensure_future(near.check_links())
+        await _connected(near, vm)
+        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
+        await asyncio.sleep(0.05)
+        proxy.may_pass.clear()
+        proxy.stop_listening()
+        with pytest.raises(links_lib.PeerLost):
+            await waiting
+        watch.cancel()
+        proxy.close()
+
+    # Without the refusal the call would wait for longer than the test may take.
+    monkeypatch.setattr(outgoing_link, "_SILENT_STREAM_MS", 60_000)
+    _run(scenario, handler)
+
+
 def test_clock_of_a_peer_is_known_with_the_link():
     """A deadline by the receiver's clock grants no time to a delayed frame."""
 
