Ask two targets for their load, and two more only if none has a free place

Change: one target of the zone and one of the region are asked at a time; a reply to a frame is told from a task without an abstract base class.

--- a/mustardloom/load_control/placement.py
+++ b/mustardloom/load_control/placement.py
@@ -13,7 +13,14 @@
 
 from mustardloom import ids
 
-__all__ = ["Distance", "TargetView", "choose", "cost_ms", "distance"]
+__all__ = [
+    "Distance",
+    "TargetView",
+    "choose",
+    "cost_ms",
+    "distance",
+    "has_free_place",
+]
 
 
 class Distance(enum.Enum):
@@ -98,6 +105,12 @@
     )
 
 
+def has_free_place(view: TargetView) -> bool:
+    """Returns whether a request would start at once, as far as is known."""
+    unreported = max(0, view.in_flight - view.reported_in_flight)
+    return view.running + view.waiting + unreported < view.limit
+
+
 def choose(views: Iterable[TargetView]) -> TargetView | None:
     """Returns the target with the lowest cost, None if there is none.
 
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -11,6 +11,7 @@
 import functools
 from typing import Any
 
+import msgspec
 from tornado import iostream
 from tornado import netutil
 from tornado import tcpserver
@@ -273,7 +274,7 @@
         result = self._owner.handler(self._vm, frame)
         if result is None:
             return
-        if not isinstance(result, Awaitable):
+        if isinstance(result, msgspec.Struct):
             self._reply(result)
             return
         number: int = getattr(frame, "number", 0)
--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -3,7 +3,7 @@
 Load pattern: hundreds of daemons choose among dozens of targets that run two
 or three requests at once. Reports that are a second old make all daemons choose
 the same idle targets. Where a region has many targets, a daemon therefore asks
-a few of them for their load right before it chooses; this costs the same in a
+some of them for their load right before it chooses; this costs the same in a
 fleet of any size. A target whose daemon does not answer is not chosen.
 """
 
@@ -23,10 +23,10 @@
 
 # With at most this many targets in the region, their last reports are compared.
 _MAX_COMPARED = 8
-# Targets that are asked for their load, in the zone and in the rest of the
-# region.
-_ASKED_IN_ZONE = 2
-_ASKED_IN_REGION = 2
+# Targets of the zone, and of the rest of the region, that are asked for their
+# load at a time, and how often others are asked if none has a free place.
+_ASKED_OF_EACH = 1
+_MAX_ROUNDS = 2
 # Targets of other regions that are compared by their last reports, also if the
 # request may not run in this region.
 _COMPARED_FAR = 2
@@ -76,22 +76,38 @@
           tried: VMs that are left out.
         """
         rings = self._fleet.rings(service, regions)
+        compared: list[fleet_lib.Peer] = []
         if len(rings.zone) + len(rings.region) > _MAX_COMPARED:
-            near = [
-                *self._sample(rings.zone, _ASKED_IN_ZONE, tried),
-                *self._sample(rings.region, _ASKED_IN_REGION, tried),
-            ]
-            far = self._sample(rings.far, _COMPARED_FAR, tried)
-            compared = [*await self._ask_load(near), *far]
+            compared = await self._ask_some(rings, tried)
+            if compared:
+                compared.extend(self._sample(rings.far, _COMPARED_FAR, tried))
         elif len(rings.far) > _MAX_COMPARED and not rings.zone:
             compared = list(self._sample(rings.far, _MAX_FAR_ONLY, tried))
-        else:
-            compared = []
         if not compared:
             compared = list(self._fleet.candidates(service, regions, tried))
         view = placement.choose(peer.view for peer in compared)
         return None if view is None else view.vm
 
+    async def _ask_some(
+        self, rings: fleet_lib.Rings, tried: set[ids.VmId]
+    ) -> list[fleet_lib.Peer]:
+        """Returns near peers with their present load.
+
+        Asks further ones only while none has a free place.
+        """
+        told: list[fleet_lib.Peer] = []
+        left_out = set(tried)
+        for _ in range(_MAX_ROUNDS):
+            near = [
+                *self._sample(rings.zone, _ASKED_OF_EACH, left_out),
+                *self._sample(rings.region, _ASKED_OF_EACH, left_out),
+            ]
+            left_out.update(peer.vm for peer in near)
+            told.extend(await self._ask_load(near))
+            if any(placement.has_free_place(peer.view) for peer in told):
+                break
+        return told
+
     def max_gates(
         self, service: ids.ServiceId, regions: frozenset[ids.RegionId]
     ) -> int:
@@ -127,10 +143,7 @@
     async def _ask_load(
         self, peers: list[fleet_lib.Peer]
     ) -> list[fleet_lib.Peer]:
-        """Returns the peers that told their load in time, this VM's included.
-
-        Returns all of them if none of the others answered in time.
-        """
+        """Returns the peers that told their load in time, or are this VM."""
         asked = [
             asyncio.ensure_future(self._ask(peer))
             for peer in peers
@@ -144,12 +157,11 @@
         for task in late:
             task.cancel()
         answered = {task.result() for task in done} - {None}
-        told = [
+        return [
             peer
             for peer in peers
             if peer.vm in answered or peer.vm == self._fleet.own_record.vm
         ]
-        return told or peers
 
     async def _ask(self, peer: fleet_lib.Peer) -> ids.VmId | None:
         """Asks for the load of a target; returns its VM if it can be used."""
