--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Iterable
 import dataclasses
 import random
 import signal
@@ -34,22 +33,22 @@
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
+from mustardloom.sidecar import left_targets
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar import planner as planner_lib
+from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import shared_state
 from mustardloom.sidecar import state_exchange as state_exchange_lib
-from mustardloom.sidecar import status_intervals
+from mustardloom.sidecar import status_sender
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import target_selection
 
 __all__ = ["Daemon", "Ports"]
 
-# The load is sampled this often; statuses are sent at multiples of it.
-_SAMPLE_INTERVAL_MS = 250
-_REGISTER_RETRY_MS = 500
+_LIST_RETRY_MS = 500
 _NO_AGE_MS = 0
 # A store that answers only some calls must not cause a broadcast for each.
 _STORE_CHANGE_INTERVAL_MS = 1_000
@@ -106,10 +105,6 @@
             ids.ServiceId, keyspace_lib.Keyspace
         ] = {}
         self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
-        self._sent_other_regions_ms = 0
-        # Instances that had left when their daemon dialled again.
-        self._left_instance_by_vm: dict[ids.VmId, targets.TargetInstance] = {}
-        self._sent_same_region_ms = 0
         self._store_change_sent_ms = 0
         self._shared_state = shared_state.SharedState(
             store,
@@ -133,6 +128,10 @@
         self._links.make_pong = self._make_pong
         self._links.on_pong = self._on_pong
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
+        self._left_targets = left_targets.LeftTargets(self._fleet, self._links)
+        self._status_sender = status_sender.StatusSender(
+            self._fleet, self._links, clock, self._status
+        )
         self._state_exchange = state_exchange_lib.StateExchange(
             self._shared_state, self._fleet, self._links, clock, self._start
         )
@@ -155,7 +154,7 @@
         self._local_target = local_target.LocalTarget(
             own_settings, self._gate, self._grant_keys, clock, self._log
         )
-        self._local_target.on_change = self._broadcast_status
+        self._local_target.on_change = self._status_sender.broadcast
         self._forwarder = forwarder_lib.Forwarder(
             self._fleet, self._links, self._gate, clock
         )
@@ -237,7 +236,7 @@
             self._links.check_links(),
             self._gate.process_queue(),
             self._local_target.detect_silence(),
-            self._update_statuses(),
+            self._status_sender.run(self._gate.sample_utilisation),
             self._follow_settings(),
         ]
 
@@ -267,43 +266,16 @@
         All list the records after they have written their own, so of any two
         daemons that start together one finds the other.
         """
-        await self._register()
+        await registration.register(self._store, self._record, self._clock)
         while (
             await self._shared_state.refresh(stored.Kind.DAEMON, _NO_AGE_MS)
             is None
         ):
-            await self._clock.sleep_ms(_REGISTER_RETRY_MS)
+            await self._clock.sleep_ms(_LIST_RETRY_MS)
         await self._shared_state.poll(
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
-    async def _register(self) -> None:
-        """Writes this daemon's record unless the store already holds it."""
-        key = stored.key(stored.Kind.DAEMON, self._settings.vm)
-        value = msgspec.json.encode(self._record)
-        expected = ids.NO_VERSION
-        while True:
-            try:
-                result = await self._store.write(key, value, expected)
-                if isinstance(result, objects.Written):
-                    return
-                found = result.current or await self._store.get(key)
-            except objects.PlatformUnavailable:
-                await self._clock.sleep_ms(_REGISTER_RETRY_MS)
-                continue
-            if found is not None and self._is_own(found):
-                return
-            expected = ids.NO_VERSION if found is None else found.version
-
-    def _is_own(self, stored_object: objects.Versioned) -> bool:
-        try:
-            record = msgspec.json.decode(
-                stored_object.value, type=stored.DaemonRecord
-            )
-        except ValueError:
-            return False
-        return record == self._record
-
     # State of the fleet.
 
     def _on_state_change(self, kind: stored.Kind) -> None:
@@ -362,7 +334,7 @@
             self._clock,
             self._log,
         )
-        keyspace.on_settled = self._send_status
+        keyspace.on_settled = self._status_sender.send
         self._keyspace_by_service[service] = keyspace
         self._adopt_maps()
         planner = planner_lib.Planner(
@@ -375,7 +347,7 @@
             self._log,
             self._metrics,
         )
-        planner.send_status = self._send_status
+        planner.send_status = self._status_sender.send
         planner.on_written = lambda: self._state_exchange.publish(
             stored.Kind.KEY_MAP
         )
@@ -429,14 +401,14 @@
         if now_ms - self._store_change_sent_ms >= _STORE_CHANGE_INTERVAL_MS:
             # Others choose the planner and the watchers by this.
             self._store_change_sent_ms = now_ms
-            self._broadcast_status()
+            self._status_sender.broadcast()
 
     def _on_link_change(self, vm: ids.VmId, is_up: bool) -> None:
         event = events.Event.PEER_LOST
         if is_up:
             event = events.Event.PEER_BACK
-            self._send_status(vm)
-            self._send_left_target(vm)
+            self._status_sender.send(vm)
+            self._left_targets.tell(vm)
         self._log.write(event, peer=vm)
 
     def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
@@ -456,7 +428,7 @@
         match frame:
             case frames.Hello(sender=sender):
                 self._fleet.add_connected(sender)
-                self._report_left_target(vm)
+                self._left_targets.on_hello(vm)
             case frames.TargetLeft(target=target, born_ms=born_ms):
                 self._local_target.on_left(
                     targets.TargetInstance(targets.TargetId(target), born_ms)
@@ -490,22 +462,6 @@
                 pass
         return None
 
-    def _report_left_target(self, vm: ids.VmId) -> None:
-        """Tells a daemon that dials what its process may have forgotten."""
-        peer = self._fleet.by_vm.get(vm)
-        if peer is None or peer.phase is not fleet_lib.TargetPhase.LEAVING:
-            return
-        instance = peer.target_instance
-        if instance is not None:
-            self._left_instance_by_vm[vm] = instance
-        self._send_left_target(vm)
-
-    def _send_left_target(self, vm: ids.VmId) -> None:
-        instance = self._left_instance_by_vm.get(vm)
-        if instance is not None:
-            frame = frames.TargetLeft(instance.target, instance.born_ms)
-            self._links.notify(vm, frame)
-
     def _load_reply(self, query: frames.LoadQuery) -> frames.LoadReply:
         load = self._gate.load()
         return frames.LoadReply(
@@ -543,42 +499,6 @@
 
     # Status.
 
-    async def _update_statuses(self) -> None:
-        while True:
-            await self._clock.sleep_ms(_SAMPLE_INTERVAL_MS)
-            self._gate.sample_utilisation()
-            own_status = self._status(self._settings.vm)
-            self._fleet.update_status(self._settings.vm, own_status)
-            now_ms = self._clock.now_ms()
-            same_region = list(self._fleet.same_region())
-            other_regions = list(self._fleet.other_regions())
-            same_region_ms = status_intervals.same_region_interval_ms(
-                len(same_region)
-            )
-            if now_ms - self._sent_same_region_ms >= same_region_ms:
-                self._sent_same_region_ms = now_ms
-                self._send_status_to_each(same_region)
-            other_regions_ms = status_intervals.other_region_interval_ms(
-                len(other_regions)
-            )
-            if now_ms - self._sent_other_regions_ms >= other_regions_ms:
-                self._sent_other_regions_ms = now_ms
-                self._send_status_to_each(other_regions)
-
-    def _send_status_to_each(self, vms: Iterable[ids.VmId]) -> None:
-        for vm in vms:
-            self._send_status(vm)
-
-    def _send_status(self, vm: ids.VmId) -> None:
-        self._links.notify(vm, self._status(vm))
-
-    def _broadcast_status(self) -> None:
-        self._fleet.update_status(
-            self._settings.vm, self._status(self._settings.vm)
-        )
-        self._send_status_to_each(self._fleet.same_region())
-        self._send_status_to_each(self._fleet.other_regions())
-
     def _status(self, receiver: ids.VmId) -> frames.Status:
         load = self._gate.load()
         announcement = self._local_target.announcement
@@ -707,7 +627,7 @@
             events.Event.STOP, open=self._caller_server.active_requests()
         )
         self._caller_server.drain()
-        self._broadcast_status()
+        self._status_sender.broadcast()
         stop_by_ms = (
             started_ms + self._settings.bounds.grace_ms - _STOP_MARGIN_MS
         )
