Keep the newer of two versions when a replica is adopted

Cause: found while reading the confirmation of key maps. A daemon that wrote the map of one service sent all maps under the version of its write; where it did not know the latest map of another service, receivers went back to the older one and could confirm it to its owners. Change: adoption keeps the newer version of each object, and key maps, which are never deleted, are never dropped. Measured: the new test fails without the change.

--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -180,7 +180,7 @@
         replica = self.by_kind[kind]
         if listing.version < replica.version:
             return False
-        by_key = {each.key: each for each in listing.objects}
+        by_key = self._merged(kind, listing)
         if by_key == replica.by_key and replica.version:
             return False
         replica.by_key = by_key
@@ -188,6 +188,22 @@
         self._on_change(kind)
         return True
 
+    def _merged(
+        self, kind: stored.Kind, listing: objects.Listing
+    ) -> dict[str, objects.Versioned]:
+        """Returns the newest known version of each object of a listing.
+
+        A daemon that has written one object sends a replica of that version,
+        though it may not know the latest changes of others.
+        """
+        known = self.by_kind[kind].by_key
+        by_key = dict(known) if kind is stored.Kind.KEY_MAP else {}
+        for each in listing.objects:
+            earlier = known.get(each.key)
+            is_older = earlier is not None and earlier.version > each.version
+            by_key[each.key] = earlier if is_older else each  # type: ignore[assignment]
+        return by_key
+
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind, then watches it, until cancelled.
 
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -181,3 +181,35 @@
         return store.lists, len(store.waits)
 
     assert asyncio.run(run()) == (0, 0)
+
+
+def test_replica_of_a_writer_does_not_take_back_maps_of_other_services():
+    """Guards against owners that confirm an older map of their service.
+
+    The writer of the map of one service may not know the latest map of another,
+    but its replica has the version of its write.
+    """
+    kind = stored.Kind.KEY_MAP
+    first, second = stored.key(kind, "s1"), stored.key(kind, "s2")
+
+    def versioned(key, version):
+        return objects.Versioned(key, ids.Version(version), b"%d" % version)
+
+    async def run():
+        state = shared_state.SharedState(
+            _Store(),
+            clock_lib.FakeClock(),
+            lambda _: None,
+            lambda: False,
+            lambda _: None,
+        )
+        known = (versioned(first, 8), versioned(second, 5))
+        state.apply_listing(kind, objects.Listing(known, ids.Version(8)))
+        late = (versioned(first, 3), versioned(second, 9))
+        assert state.apply_listing(kind, objects.Listing(late, ids.Version(9)))
+        lacking = (versioned(second, 10),)
+        state.apply_listing(kind, objects.Listing(lacking, ids.Version(10)))
+        by_key = state.by_kind[kind].by_key
+        return by_key[first].version, by_key[second].version
+
+    assert asyncio.run(run()) == (8, 10)
