Bring changed bounds to the retry budget and the limit of cold targets

Cause: a reload replaced the bounds of drain, grace and grants only, so daemons that ran on kept the retry budget and the cold factor of their start. Measured: tests in test_router.py and test_daemon.py.

--- a/mustardloom/load_control/cold_start.py
+++ b/mustardloom/load_control/cold_start.py
@@ -37,11 +37,15 @@
           overload_factor: Multiple of the rate that a cold target can run
             beyond which it counts as overloaded.
         """
-        self._rate_factor = 1 + max(0.0, overload_factor - 1) * _EXCESS_SHARE
+        self.set_overload_factor(overload_factor)
         self._cold_until_ms = 0
         self._rate_per_s: float | None = None
         self._starts_ms: collections.deque[int] = collections.deque()
 
+    def set_overload_factor(self, overload_factor: float) -> None:
+        """Sets the multiple of the rate beyond which it is overloaded."""
+        self._rate_factor = 1 + max(0.0, overload_factor - 1) * _EXCESS_SHARE
+
     def set_cold_until(self, until_ms: int) -> None:
         """Sets the local time in ms until which the target is cold."""
         self._cold_until_ms = until_ms
--- a/mustardloom/load_control/retry_budget.py
+++ b/mustardloom/load_control/retry_budget.py
@@ -35,6 +35,9 @@
 class RetryBudget:
     """Retries that one daemon may send for one service.
 
+    Attributes:
+      limits: Bound on the retries of the whole fleet.
+
     Example:
       >>> budget = RetryBudget(RetryLimits(0.2, 10_000, 60))
       >>> [budget.try_take(0, daemons=18) for _ in range(2)]
@@ -42,7 +45,7 @@
     """
 
     def __init__(self, limits: RetryLimits):
-        self._limits = limits
+        self.limits = limits
         self._request_times_ms: collections.deque[int] = collections.deque()
         self._retry_times_ms: collections.deque[int] = collections.deque()
 
@@ -59,7 +62,7 @@
           daemons: Number of daemons that share the minimum.
         """
         self._expire(now_ms)
-        limits = self._limits
+        limits = self.limits
         allowed = limits.ratio * len(self._request_times_ms)
         allowed += limits.minimum / max(1, daemons)
         if len(self._retry_times_ms) + 1 > allowed * _USED_SHARE:
@@ -68,7 +71,7 @@
         return True
 
     def _expire(self, now_ms: int) -> None:
-        oldest_ms = now_ms - self._limits.window_ms
+        oldest_ms = now_ms - self.limits.window_ms
         for times in (self._request_times_ms, self._retry_times_ms):
             while times and times[0] < oldest_ms:
                 times.popleft()
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -603,6 +603,8 @@
             return
         self._settings = dataclasses.replace(self._settings, bounds=new.bounds)
         self._local_target.bounds = new.bounds
+        self._router.set_bounds(new.bounds)
+        self._gate.set_cold_factor(new.bounds.cold_factor)
         for keyspace in self._keyspace_by_service.values():
             keyspace.bounds = new.bounds
         self._log.write(
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -210,6 +210,10 @@
         """Sets how many requests a second a cold target can take."""
         self._cold_limit.set_rate_per_s(per_s)
 
+    def set_cold_factor(self, factor: float) -> None:
+        """Sets the multiple of a cold target's rate that is tolerated."""
+        self._cold_limit.set_overload_factor(factor)
+
     def mark_silent(self) -> None:
         """Marks a reachable target as silent: heartbeats are missing."""
         if self.reachability is Reachability.UP:
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -62,9 +62,7 @@
         self._selection = selection
         self._forwarder = forwarder
         self._map_of = map_of
-        self._retry_limits = retry_budget.RetryLimits(
-            bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_minimum
-        )
+        self._retry_limits = _retry_limits(bounds)
         self._retry_budget_by_service: dict[
             ids.ServiceId, retry_budget.RetryBudget
         ] = {}
@@ -72,6 +70,12 @@
         self._log = log
         self._metrics = metrics
 
+    def set_bounds(self, bounds: settings.Bounds) -> None:
+        """Adopts changed bounds; what was counted so far stays counted."""
+        self._retry_limits = _retry_limits(bounds)
+        for budget in self._retry_budget_by_service.values():
+            budget.limits = self._retry_limits
+
     async def route(
         self,
         request: work.Work,
@@ -243,6 +247,12 @@
         return budget
 
 
+def _retry_limits(bounds: settings.Bounds) -> retry_budget.RetryLimits:
+    return retry_budget.RetryLimits(
+        bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_minimum
+    )
+
+
 _NON_RETRYABLE_REASONS = frozenset(
     (work.RefusalReason.QUARANTINED, work.RefusalReason.DEADLINE)
 )
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -1,7 +1,9 @@
 """Tests of whole daemons with fakes of store and targets, on loopback."""
 
 import asyncio
+import collections
 import contextlib
+import dataclasses
 import os
 import socket
 
@@ -325,6 +327,41 @@
     _run(scenario)
 
 
+def test_settings_that_change_under_load_lose_no_request():
+    """Guards against requests that a reload drops or runs a second time.
+
+    Kibanda saw a payment twice after its settings had changed.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        await _get_until_answered(vms[0], "/plain/x", "before")
+        asked = [
+            asyncio.ensure_future(vms[0].get("/plain/x", f"load-{number}"))
+            for number in range(30)
+        ]
+        for number in range(10):
+            bounds = settings.Bounds(retry_minimum=10.0 + number)
+            for vm in vms:
+                vm.own_settings = dataclasses.replace(
+                    vm.own_settings, bounds=bounds
+                )
+                vm.daemon._on_reload()
+            await asyncio.sleep(0.01)
+        answers = await asyncio.gather(*asked)
+        assert {each.status for each in answers} <= {200, 503}
+        runs = collections.Counter(run.request_id for run in vms[2].target.runs)
+        served = sum(each.status == 200 for each in answers)
+        load_runs = [runs[f"load-{number}"] for number in range(30)]
+        assert max(load_runs) == 1
+        assert sum(load_runs) == served > 0
+        assert vms[2].daemon._router._retry_limits.minimum == 19.0
+
+    _run(scenario)
+
+
 def test_metrics_page_has_latencies_and_counts():
     """Guards against missing figures of latency and of unreachable keys."""
 
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -231,3 +231,15 @@
     outcome, _ = harness.ask(is_keyed=True)
     assert outcome == _OK
     assert harness.forwarder.asked == [(owner, False), (owner, True)]
+
+
+def test_changed_bounds_hold_for_requests_that_follow():
+    """Guards against settings that some parts of a daemon never adopt."""
+    harness = _Harness()
+    harness.forwarder.outcomes = {vm: [_FAILED] for vm in _VMS}
+    _, asked = harness.ask()
+    assert len(asked) == 2
+    harness.router.set_bounds(settings.Bounds(retry_ratio=0.0, retry_minimum=0))
+    harness.forwarder.asked.clear()
+    _, asked = harness.ask()
+    assert len(asked) == 1
