--- a/bench/collector.py
+++ b/bench/collector.py
@@ -28,7 +28,6 @@
         self._fleet = fleet
         self._run_by_id: dict[tuple[str, str, int], checker.TargetRun] = {}
         self._last_number: dict[tuple[str, str], int] = {}
-        self._instance: dict[str, str] = {}
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._poll, daemon=True)
--- a/bench/scenarios/straggler.py
+++ b/bench/scenarios/straggler.py
@@ -23,8 +23,6 @@
 _POST_SHARE = 0.2
 _SERVICES = ("malipo", "bidhaa")
 _SLOW_SERVICE = "malipo"
-_KINDS = ("idempotent", "once")
-_PERCENTILES = (50.0, 99.0, 99.9)
 _DEFINITION = (
     "Kibanda example, 18 daemons and targets on loopback, one caller process "
     f"per region. Targets of {_SERVICE_MS} ms mean service time; the unkeyed "
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -128,7 +128,9 @@
         # or failed one leaves the connection unusable.
         self.is_reusable = False
         try:
-            self._stream.write(data).add_done_callback(_ignore_write_error)
+            self._stream.write(data).add_done_callback(
+                sockets.ignore_write_error
+            )
         except iostream.StreamClosedError as error:
             raise ClosedEarly from error
         parser = _ResponseParser(is_head, echoed_header)
@@ -318,10 +320,3 @@
                 "too many responses to other requests on this connection"
             )
         self._reset()
-
-
-def _ignore_write_error(written: "asyncio.Future[None]") -> None:
-    if not written.cancelled():
-        # Reading the response reports that the connection was lost; the result
-        # is retrieved so that asyncio does not log it as unhandled.
-        written.exception()
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -15,6 +15,7 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom.http1 import messages
+from mustardloom.http1 import sockets
 
 __all__ = ["Handler", "HttpServer", "ServerLimits"]
 
@@ -383,13 +384,5 @@
             written = self.stream.write(data)
         except iostream.StreamClosedError:
             return None
-        written.add_done_callback(_ignore_write_error)
+        written.add_done_callback(sockets.ignore_write_error)
         return written
-
-
-def _ignore_write_error(written: "asyncio.Future[None]") -> None:
-    if not written.cancelled():
-        # The client closed the connection before its response, which is not an
-        # error of the server; the result is retrieved so that asyncio does not
-        # log it as unhandled.
-        written.exception()
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -44,7 +44,6 @@
 _KEY_WAIT_MS = 700
 _KEY_POLL_MS = 15
 _RETRY_AFTER_MS = 300
-_MS_PER_S = 1_000
 
 
 class Reachability(enum.Enum):
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -20,6 +20,7 @@
 from mustardloom import ids
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
+from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import outgoing_link
@@ -307,11 +308,4 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError:
             return
-        written.add_done_callback(_ignore_closed)
-
-
-def _ignore_closed(written: "asyncio.Future[None]") -> None:
-    if not written.cancelled():
-        # Marks the exception as retrieved; the reader of the stream reports
-        # that it was closed.
-        written.exception()
+        written.add_done_callback(sockets.ignore_write_error)
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -19,6 +19,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom.deployment import settings
+from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frames
 
@@ -110,7 +111,7 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError:
             return False
-        written.add_done_callback(_ignore_closed)
+        written.add_done_callback(sockets.ignore_write_error)
         if isinstance(frame, frames.Status | frames.Ping):
             self.unanswered_ms.append(now_ms)
         return True
@@ -342,10 +343,3 @@
         if was_up:
             self.down_since_ms = self._owner.clock.now_ms()
             self._owner.on_change(self._vm, False)
-
-
-def _ignore_closed(written: "asyncio.Future[None]") -> None:
-    if not written.cancelled():
-        # Marks the exception as retrieved; the reader of the stream reports
-        # that it was closed.
-        written.exception()
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -35,7 +35,6 @@
       outcome: Outcome of the request.
       load: Load that the target reported with its response, if any.
       is_connection_refused: Whether no process listens on the target's address.
-      is_silent: Whether the target did not answer in time.
       is_connection_lost: Whether the connection ended while the target had the
         request.
     """
@@ -43,7 +42,6 @@
     outcome: work.Outcome
     load: targets.TargetLoad | None = None
     is_connection_refused: bool = False
-    is_silent: bool = False
     is_connection_lost: bool = False
 
 
@@ -104,7 +102,7 @@
                 return await self._send(request, target)
         except TimeoutError:
             reason = work.FailureReason.DEADLINE
-            return SendResult(work.Failed(reason), is_silent=True)
+            return SendResult(work.Failed(reason))
 
     async def _send(
         self, request: work.Work, target: targets.TargetId
@@ -114,11 +112,7 @@
         except client.ConnectFailed as error:
             self._metrics.increment("target.connect_failed")
             refusal = work.Refused(work.RefusalReason.TARGET_DOWN)
-            return SendResult(
-                refusal,
-                is_connection_refused=error.refused,
-                is_silent=not error.refused,
-            )
+            return SendResult(refusal, is_connection_refused=error.refused)
         try:
             response = await connection.exchange(
                 self._encode(request, target),
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import gc
 import socket
 import time
@@ -285,6 +286,33 @@
     proxy.may_pass.set()
 
 
+def _never_answers(vm, frame):
+    if not isinstance(frame, frames.Fetch):
+        return None
+    return asyncio.sleep(30)
+
+
+@contextlib.asynccontextmanager
+async def _through_proxy(near, port):
+    """Links "near" to "far" through a proxy and watches the link."""
+    proxy = _Proxy(port)
+    vm = ids.VmId("far")
+    near.set_peers({vm: (_HOST, await proxy.start())})
+    watch = asyncio.ensure_future(near.check_links())
+    await _connected(near, vm)
+    try:
+        yield proxy, vm
+    finally:
+        watch.cancel()
+        proxy.close()
+
+
+async def _start_call(links, vm, may_repeat):
+    call = asyncio.ensure_future(links.call(vm, _fetch, may_repeat))
+    await asyncio.sleep(0.05)
+    return call
+
+
 def test_answer_of_a_peer_that_was_only_silent_for_a_while_arrives():
     """Guards against work that is given up or repeated after a pause.
 
@@ -302,22 +330,15 @@
         return answer()
 
     async def scenario(near, far, port):
-        proxy = _Proxy(port)
-        vm = ids.VmId("far")
-        near.set_peers({vm: (_HOST, await proxy.start())})
-        watch = asyncio.ensure_future(near.check_links())
-        await _connected(near, vm)
-        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
-        repeatable = asyncio.ensure_future(near.call(vm, _fetch, True))
-        await asyncio.sleep(0.05)
-        await _pause(proxy, near, vm, also_ms=300)
-        with pytest.raises(links_lib.PeerLost):
-            await repeatable
-        reply = await waiting
-        await _connected(near, vm)
-        watch.cancel()
-        proxy.close()
-        return reply.reason
+        async with _through_proxy(near, port) as (proxy, vm):
+            waiting = await _start_call(near, vm, may_repeat=False)
+            repeatable = await _start_call(near, vm, may_repeat=True)
+            await _pause(proxy, near, vm, also_ms=300)
+            with pytest.raises(links_lib.PeerLost):
+                await repeatable
+            reply = await waiting
+            await _connected(near, vm)
+            return reply.reason
 
     assert _run(scenario, handler) == "late"
 
@@ -325,27 +346,15 @@
 def test_calls_on_a_silent_stream_end_when_it_is_closed():
     """Guards against callers that wait for a peer that was restarted."""
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-        return asyncio.sleep(30)
-
     async def scenario(near, far, port):
-        proxy = _Proxy(port)
-        vm = ids.VmId("far")
-        near.set_peers({vm: (_HOST, await proxy.start())})
-        watch = asyncio.ensure_future(near.check_links())
-        await _connected(near, vm)
-        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
-        await asyncio.sleep(0.05)
-        await _pause(proxy, near, vm)
-        far.close()
-        with pytest.raises(links_lib.PeerLost):
-            await waiting
-        watch.cancel()
-        proxy.close()
+        async with _through_proxy(near, port) as (proxy, vm):
+            waiting = await _start_call(near, vm, may_repeat=False)
+            await _pause(proxy, near, vm)
+            far.close()
+            with pytest.raises(links_lib.PeerLost):
+                await waiting
 
-    _run(scenario, handler)
+    _run(scenario, _never_answers)
 
 
 def test_calls_on_a_silent_stream_end_when_the_peer_refuses_connections(
@@ -356,29 +365,17 @@
     Its machine lost power, so it sent no end of the stream.
     """
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-        return asyncio.sleep(30)
-
     async def scenario(near, far, port):
-        proxy = _Proxy(port)
-        vm = ids.VmId("far")
-        near.set_peers({vm: (_HOST, await proxy.start())})
-        watch = asyncio.ensure_future(near.check_links())
-        await _connected(near, vm)
-        waiting = asyncio.ensure_future(near.call(vm, _fetch, False))
-        await asyncio.sleep(0.05)
-        proxy.may_pass.clear()
-        proxy.stop_listening()
-        with pytest.raises(links_lib.PeerLost):
-            await waiting
-        watch.cancel()
-        proxy.close()
+        async with _through_proxy(near, port) as (proxy, vm):
+            waiting = await _start_call(near, vm, may_repeat=False)
+            proxy.may_pass.clear()
+            proxy.stop_listening()
+            with pytest.raises(links_lib.PeerLost):
+                await waiting
 
     # Without the refusal the call would wait for longer than the test may take.
     monkeypatch.setattr(outgoing_link, "_SILENT_STREAM_MS", 60_000)
-    _run(scenario, handler)
+    _run(scenario, _never_answers)
 
 
 def test_clock_of_a_peer_is_known_with_the_link():
