--- a/mustardloom/http1/messages.py
+++ b/mustardloom/http1/messages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
-from http import client as http_client
+import http
 
 __all__ = [
     "HOP_BY_HOP",
@@ -32,8 +32,7 @@
     )
 )
 _REASON_BY_STATUS = {
-    int(status): reason.encode()
-    for status, reason in http_client.responses.items()
+    int(status): status.phrase.encode() for status in http.HTTPStatus
 }
 _BODILESS_STATUSES = (204, 304)
 
