List the daemons also while the store refuses the registration

Cause: found on reading: a starting daemon listed the others only once it had written its own record, so one that the store lets read but not write stayed alone until others dialled it. Change: it lists them while it goes on registering, and once more afterwards. Measured: the new test fails without the change.

--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -76,12 +76,14 @@
 
     Attributes:
       status: Status with which every call fails; None if calls work.
+      refuses_writes: Whether writing calls get status 503.
       revision: Store-wide revision of the last change.
       by_path: Objects by kind and name.
     """
 
     def __init__(self, page=500, status=None):
         self.status = status
+        self.refuses_writes = False
         self.revision = _FIRST_REVISION
         self.by_path = {}
         self._page = page
@@ -124,6 +126,8 @@
     async def _handle(self, request):
         if self.status is not None:
             return messages.Response(self.status)
+        if self.refuses_writes and request.method != "GET":
+            return messages.Response(503)
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         kind, _, name = path.removeprefix("/objects/").partition("/")
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -50,6 +50,7 @@
 
 _LIST_RETRY_MS = 500
 _NO_AGE_MS = 0
+_MS_PER_S = 1_000
 # A store that answers only some calls must not cause a broadcast for each.
 _STORE_CHANGE_INTERVAL_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
@@ -266,16 +267,35 @@
         All list the records after they have written their own, so of any two
         daemons that start together one finds the other.
         """
-        await registration.register(self._store, self._record, self._clock)
-        while (
-            await self._shared_state.refresh(stored.Kind.DAEMON, _NO_AGE_MS)
-            is None
-        ):
-            await self._clock.sleep_ms(_LIST_RETRY_MS)
+        registering = asyncio.ensure_future(
+            registration.register(self._store, self._record, self._clock)
+        )
+        try:
+            await self._list_daemons(registering)
+        finally:
+            registering.cancel()
         await self._shared_state.poll(
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
+    async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
+        """Lists the daemons until a list has begun after the registration.
+
+        A store that refuses the registration may still answer reads.
+        """
+        while True:
+            await asyncio.wait(
+                (registering,), timeout=_LIST_RETRY_MS / _MS_PER_S
+            )
+            is_registered = registering.done()
+            listed_ms = await self._shared_state.refresh(
+                stored.Kind.DAEMON, _NO_AGE_MS
+            )
+            if is_registered and listed_ms is not None:
+                return
+            if is_registered:
+                await self._clock.sleep_ms(_LIST_RETRY_MS)
+
     # State of the fleet.
 
     def _on_state_change(self, kind: stored.Kind) -> None:
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -327,6 +327,31 @@
     _run(scenario)
 
 
+def test_daemon_that_cannot_register_still_finds_the_others():
+    """Guards against a daemon that is alone while the store refuses writes."""
+
+    async def scenario(store, vms):
+        store.put("config", "main", standins.configuration(version=3))
+        for vm in vms[:2]:
+            vm.start()
+        for vm in vms[:2]:
+            await _until(vm.is_ready)
+        store.refuses_writes = True
+        vms[2].start()
+
+        async def knows_others():
+            return len(vms[2].daemon._fleet.by_vm) == 3
+
+        # Otherwise the others would find it by dialling.
+        vms[0].daemon._links.set_peers = vms[1].daemon._links.set_peers = (
+            lambda addresses: None
+        )
+        await _until(knows_others)
+        assert vms[2].own_settings.vm not in {name for _, name in store.by_path}
+
+    _run(scenario)
+
+
 def test_settings_that_change_under_load_lose_no_request():
     """Guards against requests that a reload drops or runs a second time.
 
