--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -199,9 +199,9 @@
         known = self.by_kind[kind].by_key
         by_key = dict(known) if kind is stored.Kind.KEY_MAP else {}
         for each in listing.objects:
-            earlier = known.get(each.key)
-            is_older = earlier is not None and earlier.version > each.version
-            by_key[each.key] = earlier if is_older else each  # type: ignore[assignment]
+            earlier = known.get(each.key, each)
+            is_newer = each.version >= earlier.version
+            by_key[each.key] = each if is_newer else earlier
         return by_key
 
     async def follow(self, kind: stored.Kind) -> None:
