Prefer the few targets of the region to many of other regions

Change: only a request that cannot run in this region is sent there unasked. Measured: the new test fails without the change.

--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -27,10 +27,10 @@
 # load at a time, and how often others are asked if none has a free place.
 _ASKED_OF_EACH = 1
 _MAX_ROUNDS = 2
-# Targets of other regions that are compared by their last reports, also if the
-# request may not run in this region.
+# Targets of other regions that are compared by their last reports, and how many
+# of them if the request cannot run in this region.
 _COMPARED_FAR = 2
-_MAX_FAR_ONLY = 4
+_COMPARED_FAR_ONLY = 4
 _ANSWER_TIMEOUT_MS = 30
 # Most gates that are asked for one request. Refusals by gates cost no target
 # any work, so they don't count towards the attempts that a route allows.
@@ -76,13 +76,14 @@
           tried: VMs that are left out.
         """
         rings = self._fleet.rings(service, regions)
+        near_count = len(rings.zone) + len(rings.region)
         compared: list[fleet_lib.Peer] = []
-        if len(rings.zone) + len(rings.region) > _MAX_COMPARED:
+        if near_count > _MAX_COMPARED:
             compared = await self._ask_some(rings, tried)
             if compared:
                 compared.extend(self._sample(rings.far, _COMPARED_FAR, tried))
-        elif len(rings.far) > _MAX_COMPARED and not rings.zone:
-            compared = list(self._sample(rings.far, _MAX_FAR_ONLY, tried))
+        elif not near_count and len(rings.far) > _MAX_COMPARED:
+            compared = list(self._sample(rings.far, _COMPARED_FAR_ONLY, tried))
         if not compared:
             compared = list(self._fleet.candidates(service, regions, tried))
         view = placement.choose(peer.view for peer in compared)
--- a/mustardloom/sidecar/tests/test_target_selection.py
+++ b/mustardloom/sidecar/tests/test_target_selection.py
@@ -241,6 +241,32 @@
     asyncio.run(run())
 
 
+def test_few_targets_of_the_region_go_before_many_of_other_regions():
+    """Guards against requests that leave the region as a zone is evacuated."""
+    links = _Links()
+    fleet, clock = _fleet(links, targets=6)
+    far = [
+        stored.DaemonRecord(
+            ids.VmId(f"far-{index}"),
+            "ip",
+            1,
+            ids.AvailabilityZoneId("zf"),
+            ids.RegionId("rf"),
+            _SERVICE,
+        )
+        for index in range(20)
+    ]
+    near = [peer.record for peer in fleet.by_vm.values()]
+    fleet.set_listed([*near, *far])
+    for record in far:
+        fleet.update_status(record.vm, _status())
+    fleet.evacuated_zones = {ids.AvailabilityZoneId(_ZONES[0])}
+    selection = _selection(fleet, links, clock)
+    chosen = asyncio.run(selection.choose(_SERVICE, _ANY, set()))
+    assert chosen is not None
+    assert chosen.startswith("vm-")
+
+
 def test_request_asks_no_more_targets_in_a_larger_fleet():
     """Guards against work for a request that grows with the fleet."""
 
