--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -43,6 +43,9 @@
 # Longest wait for a key that is being handed over to the target.
 _KEY_WAIT_MS = 700
 _KEY_POLL_MS = 15
+# A refusal takes this long to reach the daemon that forwarded the request. After
+# the deadline, the caller would not learn from it that nothing was run.
+_REFUSAL_DELAY_MS = 40
 _RETRY_AFTER_MS = 300
 
 
@@ -339,7 +342,10 @@
         if request.key is None:
             return None
         check = self._keys.check(request.key)
-        limit_ms = min(self._clock.now_ms() + _KEY_WAIT_MS, request.deadline_ms)
+        limit_ms = min(
+            self._clock.now_ms() + _KEY_WAIT_MS,
+            request.deadline_ms - _REFUSAL_DELAY_MS,
+        )
         while may_wait and check.is_pending and not check.is_held:
             if self._clock.now_ms() >= limit_ms:
                 break
@@ -459,7 +465,8 @@
         return None
 
     def _refuse_unservable(self) -> None:
-        for ticket in self._queue.take_unservable(self._clock.now_ms()):
+        end_ms = self._clock.now_ms() + _REFUSAL_DELAY_MS
+        for ticket in self._queue.take_unservable(end_ms):
             self._metrics.increment("gate.refused.deadline")
             _resolve(ticket, work.Refused(work.RefusalReason.DEADLINE))
 
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -19,7 +19,7 @@
 __all__ = ["Router"]
 
 # With less time left than this, another attempt cannot be answered.
-_MIN_LEFT_MS = 15
+_MIN_LEFT_MS = 50
 # Most owners, current and earlier ones, that are asked for one request.
 _MAX_OWNER_HOPS = 4
 _OWNER_RETRY_MS = 60
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -256,6 +256,29 @@
     assert reason is work.RefusalReason.NOT_OWNER
 
 
+def test_refusals_leave_before_the_deadline():
+    """Guards against time-outs of requests that never reached a target.
+
+    The refusal of a request that waited to its deadline came too late, and the
+    caller could not try a request again that is not idempotent.
+    """
+
+    async def scenario(harness):
+        harness.keys.pending.add(7)
+        deadline_ms = harness.clock.now_ms() + 400
+        (for_key,) = await harness.start("k", key=7, deadline_ms=deadline_ms)
+        running = await harness.start("a", "b")
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        (queued,) = await harness.start("q", deadline_ms=deadline_ms)
+        await harness.clock.advance(400 - gate_lib._REFUSAL_DELAY_MS + 20)
+        assert _reason(for_key.result()) is work.RefusalReason.NOT_OWNER
+        assert _reason(queued.result()) is work.RefusalReason.DEADLINE
+        for task in (queue, *running):
+            task.cancel()
+
+    _run(scenario)
+
+
 def test_request_is_refused_if_its_key_moved_during_the_wait():
     """Guards against two targets that run requests for the same key."""
 
