--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -43,7 +43,7 @@
 # Longest wait for a key that is being handed over to the target.
 _KEY_WAIT_MS = 700
 _KEY_POLL_MS = 15
-# A refusal takes this long to reach the daemon that forwarded the request, which
+# A refusal takes this long to reach the daemon that forwarded the request and
 # must still tell the caller in time that nothing was run.
 _REFUSAL_DELAY_MS = 40
 _RETRY_AFTER_MS = 300
