Keep background loops running after an unexpected error

Cause: an error in a background loop was logged, and the loop was gone: without statuses, reads of the store or grants until the next restart of the process. Change: a loop that raises is logged and begins again after 500 ms. Measured: the new test fails without the change.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -48,7 +48,11 @@
 
 __all__ = ["Daemon", "Ports"]
 
+# A call that runs until it is cancelled.
+_LoopCall = Callable[[], Coroutine[Any, Any, None]]
+
 _LIST_RETRY_MS = 500
+_LOOP_RESTART_MS = 500
 _NO_AGE_MS = 0
 _MS_PER_S = 1_000
 # A store that answers only some calls must not cause a broadcast for each.
@@ -205,8 +209,8 @@
             availability_zone=own_settings.availability_zone,
             region=own_settings.region,
         )
-        for call in self._background_tasks():
-            self._start(call)
+        for loop_call in self._background_loops():
+            self._start(self._keep_running(loop_call))
         await self._stop.wait()
         await self._shut_down()
 
@@ -223,24 +227,37 @@
     ) -> server.HttpServer:
         return server.HttpServer(handler, self._clock, limits, self._on_fault)
 
-    def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def _background_loops(self) -> list[_LoopCall]:
+        state = self._shared_state
         return [
-            self._shared_state.follow(stored.Kind.CONFIGURATION),
-            self._shared_state.follow(stored.Kind.EVACUATION),
-            self._shared_state.poll(
+            lambda: state.follow(stored.Kind.CONFIGURATION),
+            lambda: state.follow(stored.Kind.EVACUATION),
+            lambda: state.poll(
                 stored.Kind.KEY_MAP, self._fleet.is_store_reader
             ),
-            self._join(),
-            self._caller_server.close_idle_connections(),
-            self._notice_server.close_idle_connections(),
-            self._readiness_server.close_idle_connections(),
-            self._links.check_links(),
-            self._gate.process_queue(),
-            self._local_target.detect_silence(),
-            self._status_sender.run(self._gate.sample_utilisation),
-            self._follow_settings(),
+            self._join,
+            self._caller_server.close_idle_connections,
+            self._notice_server.close_idle_connections,
+            self._readiness_server.close_idle_connections,
+            self._links.check_links,
+            self._gate.process_queue,
+            self._local_target.detect_silence,
+            lambda: self._status_sender.run(self._gate.sample_utilisation),
+            self._follow_settings,
         ]
 
+    async def _keep_running(self, loop_call: _LoopCall) -> None:
+        """Runs a loop, again after an unexpected error.
+
+        The other loops go on meanwhile. Returns once the loop returns.
+        """
+        while True:
+            try:
+                return await loop_call()
+            except Exception as error:
+                self._on_fault(error)
+            await self._clock.sleep_ms(_LOOP_RESTART_MS)
+
     def _start(self, call: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(call)
         task.add_done_callback(self._on_task_done)
@@ -372,12 +389,12 @@
             stored.Kind.KEY_MAP
         )
         self._planner_by_service[service] = planner
-        self._start(planner.run())
-        self._start(keyspace.become_voter())
+        self._start(self._keep_running(planner.run))
+        self._start(self._keep_running(keyspace.become_voter))
         if service == self._settings.service:
-            self._start(keyspace.renew_authority())
-            self._start(keyspace.request_releases())
-            self._start(keyspace.report_load())
+            self._start(self._keep_running(keyspace.renew_authority))
+            self._start(self._keep_running(keyspace.request_releases))
+            self._start(self._keep_running(keyspace.report_load))
 
     def _adopt_evacuations(self, keys: set[str]) -> None:
         zones = {ids.AvailabilityZoneId(stored.name_of(key)) for key in keys}
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -352,6 +352,39 @@
     _run(scenario)
 
 
+def test_unexpected_error_ends_no_background_loop():
+    """Guards against one error that stops statuses or reads for good."""
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        daemon = vms[0].daemon
+        faults = []
+        daemon._on_fault = faults.append
+        load = daemon._gate.load
+
+        def fail():
+            raise RuntimeError("injected")
+
+        daemon._gate.load = fail
+
+        async def has_failed_twice():
+            return len(faults) >= 2
+
+        await _until(has_failed_twice)
+        assert {str(error) for error in faults} == {"injected"}
+        daemon._gate.load = load
+        own = daemon._fleet.by_vm[vms[0].own_settings.vm]
+        status = own.status
+
+        async def has_new_status():
+            return own.status is not status
+
+        await _until(has_new_status)
+        await _get_until_answered(vms[0], "/plain/x", "after")
+
+    _run(scenario)
+
+
 def test_settings_that_change_under_load_lose_no_request():
     """Guards against requests that a reload drops or runs a second time.
 
