Wait less for the replicas of others at the start

Nobody has a replica then, and all waited 0.7 s for one, and owners up to 0.4 s more to notice the map. Change: 250 ms, and a check every 100 ms for a target and a map.

--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -37,6 +37,8 @@
 # The authority to grant is renewed this long after the last confirmation.
 _RENEW_INTERVAL_MS = 2_000
 _RENEW_RETRY_MS = 400
+# How often a daemon without a target or map checks whether it has them now.
+_NEED_CHECK_MS = 100
 # Earlier owners are asked this often, so that released keys do not stay
 # unserved for longer than a request takes.
 _RELEASE_INTERVAL_MS = 60
@@ -344,7 +346,7 @@
         """Renews the authority to grant keys, until cancelled."""
         while True:
             if not self._needs_authority():
-                await self._clock.sleep_ms(_RENEW_RETRY_MS)
+                await self._clock.sleep_ms(_NEED_CHECK_MS)
                 continue
             confirmed_ms = await self.confirmer.confirm()
             if confirmed_ms is None:
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -20,8 +20,9 @@
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
 _POLL_INTERVAL_MS = 4_000
-# A daemon that starts beside others gets their replicas within this time.
-_REPLICA_WAIT_MS = 700
+# A daemon that starts beside others gets their replicas within this time. After
+# a restart of all there are none, and all wait in vain.
+_REPLICA_WAIT_MS = 250
 _REPLICA_CHECK_MS = 50
 
 Callback = Callable[[stored.Kind], None]
