--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -55,8 +55,7 @@
 _LOOP_RESTART_MS = 500
 _NO_AGE_MS = 0
 _MS_PER_S = 1_000
-# A store that answers only some calls must not cause a broadcast for each.
-_STORE_CHANGE_INTERVAL_MS = 1_000
+_STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
@@ -110,7 +109,6 @@
             ids.ServiceId, keyspace_lib.Keyspace
         ] = {}
         self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
-        self._store_change_sent_ms = 0
         self._shared_state = shared_state.SharedState(
             store,
             clock,
@@ -434,10 +432,16 @@
         if answers:
             event = events.Event.STORE_BACK
         self._log.write(event)
-        now_ms = self._clock.now_ms()
-        if now_ms - self._store_change_sent_ms >= _STORE_CHANGE_INTERVAL_MS:
-            # Others choose the planner and the watchers by this.
-            self._store_change_sent_ms = now_ms
+        self._start(self._announce_store_change(answers))
+
+    async def _announce_store_change(self, answers: bool) -> None:
+        """Tells all daemons that the store is lost or back, if it stays so.
+
+        They choose the planner and the watchers by this. A single call that
+        fails must not make another daemon plan.
+        """
+        await self._clock.sleep_ms(_STORE_CHANGE_DELAY_MS)
+        if self._shared_state.store_answers == answers:
             self._status_sender.broadcast()
 
     def _on_link_change(self, vm: ids.VmId, is_up: bool) -> None:
