--- a/mustardloom/keys/tests/test_key_map.py
+++ b/mustardloom/keys/tests/test_key_map.py
@@ -14,7 +14,7 @@
     b"aJ7e0Nb9qNsTFkFojwOWDKDbjc7gMwQKwr22VY3MCFUFJqKCWRR5IHc0ijJQSq/t22u0CLkP"
     b'oVaCREaD0kcrbJ03nX9n4WjdpEtiCepebLylOPnW+DS/d5SCTL6L4uzfL58vwFg6BQ=="}'
 )
-# One part in a hundred of what a daemon may send for control in a minute.
+# One map in three seconds, within the 6 KB a second that control may take.
 _MAX_VALUE_BYTES = 16_384
 
 
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -362,7 +362,7 @@
 ):
     """Guards against callers that wait for a process that has ended.
 
-    Its machine lost power, so it sent no end of the stream.
+    Its VM lost power, so it sent no end of the stream.
     """
 
     async def scenario(near, far, port):
--- a/mustardloom/sidecar/tests/test_map_confirmation.py
+++ b/mustardloom/sidecar/tests/test_map_confirmation.py
@@ -107,7 +107,7 @@
 
 
 def test_reader_of_the_region_saves_calls_of_the_store():
-    """A hundred owners that each read the map were the dearest line."""
+    """A hundred owners that each read the map made most calls of the store."""
 
     async def run():
         setup = _Setup()
@@ -147,7 +147,7 @@
 
 
 def test_other_daemons_are_asked_while_the_store_turns_this_one_away():
-    """The store may refuse some machines and serve the others."""
+    """The store may refuse some VMs and serve the others."""
 
     async def run():
         setup = _Setup()
