Log and count what a target states in its answers

Each answer's head is now decoded as soon as it is complete, also that of a refusal, an error or an answer that breaks off; the gate logs each change (target-statement) and counts the requests that it starts (gate.started). Nothing is decided by it yet.

--- a/mustardloom/cli/explain.py
+++ b/mustardloom/cli/explain.py
@@ -24,6 +24,7 @@
         "peer-lost",
         "target-down",
         "target-leaving",
+        "target-statement",
         "target-new",
         "authority-lost",
         "key-map-adopted",
--- a/mustardloom/deployment/targets.py
+++ b/mustardloom/deployment/targets.py
@@ -12,6 +12,7 @@
     "GrantedRange",
     "HeldRange",
     "Phase",
+    "Statement",
     "TargetId",
     "TargetInstance",
     "TargetLoad",
@@ -114,6 +115,22 @@
     freed: tuple[FreedRange, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What a target states about itself with each response.
+
+    It holds until the next response, whatever becomes of the request.
+
+    Attributes:
+      rate_limit_per_s: Requests a second that it takes from all VMs together;
+        None if it states no limit.
+      is_leaving: Whether it is about to leave.
+    """
+
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoad:
     """Load that a target reported with a response.
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client connections that send one request at a time."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
 import socket
 
 import httptools
@@ -14,11 +16,14 @@
     "ClosedEarly",
     "ConnectFailed",
     "Connection",
+    "HeadCallback",
     "Incomplete",
     "connect",
 ]
 
 Address = tuple[str, int]
+# Called with the headers of a response as soon as its head is complete.
+HeadCallback = Callable[[Sequence[messages.Header]], None]
 
 _READ_BYTES = 65_536
 # Bounds on what one response may take of this process's memory.
@@ -110,6 +115,7 @@
         data: bytes,
         is_head: bool = False,
         echoed_header: messages.Header | None = None,
+        on_head: HeadCallback | None = None,
     ) -> messages.Response:
         """Sends a request and returns its response.
 
@@ -118,6 +124,8 @@
           is_head: Whether it is a HEAD request, whose response has no body.
           echoed_header: Header of the request that the response repeats, its
             name in lower case; a response with another value is skipped.
+          on_head: Called with the head of the response, also of one that
+            breaks off afterwards.
 
         Raises:
           ClosedEarly: The connection closed before the first byte.
@@ -133,7 +141,7 @@
             )
         except iostream.StreamClosedError as error:
             raise ClosedEarly from error
-        parser = _ResponseParser(is_head, echoed_header)
+        parser = _ResponseParser(is_head, echoed_header, on_head)
         unyielded_bytes = 0
         while not parser.is_complete():
             try:
@@ -164,9 +172,15 @@
 class _ResponseParser:
     """Parses the response to one request, skipping those to earlier ones."""
 
-    def __init__(self, is_head: bool, identity: messages.Header | None):
+    def __init__(
+        self,
+        is_head: bool,
+        identity: messages.Header | None,
+        on_head: HeadCallback | None = None,
+    ):
         self._is_head = is_head
         self._identity = identity
+        self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._response: messages.Response | None = None
         self._skipped = 0
@@ -277,6 +291,12 @@
             and self._status >= _FIRST_FINAL_STATUS
             and self._status not in (204, 304)
         )
+        if (
+            self._on_head is not None
+            and self._status >= _FIRST_FINAL_STATUS
+            and not self._answers_other_request()
+        ):
+            self._on_head(self._headers)
         if self._is_head:
             self._finish()
 
@@ -302,16 +322,20 @@
         self._ends_with_connection = False
 
     def _finish(self) -> None:
-        if self._identity is not None:
-            name, value = self._identity
-            found = messages.find_header(self._headers, name)
-            if found is not None and found != value:
-                self._skip()
-                return
+        if self._answers_other_request():
+            self._skip()
+            return
         self._response = messages.Response(
             self._status, tuple(self._headers), bytes(self._body)
         )
 
+    def _answers_other_request(self) -> bool:
+        if self._identity is None:
+            return False
+        name, value = self._identity
+        found = messages.find_header(self._headers, name)
+        return found is not None and found != value
+
     def _skip(self) -> None:
         self._skipped += 1
         if self._skipped > _MAX_SKIPPED_RESPONSES:
--- a/mustardloom/http1/tests/test_client.py
+++ b/mustardloom/http1/tests/test_client.py
@@ -266,3 +266,25 @@
     if not parser.is_complete():
         parser.end(was_reset=False)
     assert parser.response().body == b"answer"
+
+
+@pytest.mark.parametrize(
+    ("sent", "names"),
+    [
+        (b"HTTP/1.1 503 Full\r\nA: 1\r\nContent-Length: 0\r\n\r\n", [b"A"]),
+        (b"HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 9\r\n\r\nbro", [b"A"]),
+        (b"HTTP/1.1 200 OK\r\nA: 1\r\n", []),
+        (_TO_OTHER_REQUEST + b"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", [b"A"]),
+        (b"HTTP/1.1 100 Continue\r\nB: 1\r\n\r\n", []),
+    ],
+)
+def test_head_of_a_response_that_breaks_off_is_reported(sent, names):
+    """Guards against statements of targets that broken responses lose.
+
+    A late response to another request may be out of date and is left out.
+    """
+    heads = []
+    parser = client._ResponseParser(False, _ID, heads.append)
+    parser.feed(sent)
+    found = [name for head in heads for name, _ in head]
+    assert [name for name in found if name != b"Content-Length"] == names
--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -6,12 +6,14 @@
 
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
+from mustardloom.platform import numbers
 
 __all__ = [
     "CallerFields",
     "ResponseFields",
     "read_request",
     "read_response",
+    "read_statement",
     "refusal",
     "request_id_header",
     "to_caller",
@@ -28,12 +30,15 @@
 _NOT_EXECUTED = b"x-not-executed"
 _CALLER_SERVICE = b"x-caller-service"
 _COLD_MS = b"x-cold-ms"
+_RATE_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
 _KEEP_ALIVE = b"keep-alive"
 _HOST = b"host"
 _PARENT_SEPARATOR = "."
 _CONTENT_ENCODING = b"content-encoding"
 _KEY_COUNT = 65_536
 _PERCENT = 100
+_FALSE = b"0"
 _MS_PER_S = 1_000
 _MISDIRECTED_STATUS = 421
 _KEEP_ALIVE_TIMEOUT_S = re.compile(rb"timeout=(\d+)")
@@ -148,6 +153,26 @@
     )
 
 
+def read_statement(
+    headers: Iterable[messages.Header],
+) -> targets.Statement:
+    """Reads what a target states about itself in a response.
+
+    Only the head of the response is needed, so this works for refusals, errors
+    and responses that break off, too.
+
+    Example:
+      >>> read_statement([(b"Server-Limit", b"34.4")]).rate_limit_per_s
+      34.4
+    """
+    value_by_name = {name.lower(): value for name, value in headers}
+    leaving = value_by_name.get(_LEAVING)
+    is_leaving = leaving is not None and leaving.strip() != _FALSE
+    return targets.Statement(
+        _rate_limit(value_by_name.get(_RATE_LIMIT)), is_leaving
+    )
+
+
 def to_caller(
     headers: Iterable[messages.Header],
 ) -> tuple[messages.Header, ...]:
@@ -189,6 +214,15 @@
     return int(value) if value is not None and value.isdigit() else None
 
 
+def _rate_limit(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return numbers.parse_number(value.strip().decode("latin1"))
+    except ValueError:
+        return None
+
+
 def _load(value: bytes | None) -> targets.TargetLoad | None:
     if value is None:
         return None
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -296,3 +296,33 @@
         http_server.stop_reading()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"34.4", 34.4),
+        (b" 0 ", 0.0),
+        (b"1e2", 100.0),
+        (b"-1", None),
+        (b"many", None),
+        (b"\xff", None),
+    ],
+)
+def test_rate_limit_of_a_target_is_read_from_any_response(value, limit):
+    """Guards against a stated limit that no daemon reads."""
+    found = headers.read_statement([(b"server-LIMIT", value)])
+    assert found == targets.Statement(limit, False)
+
+
+@pytest.mark.parametrize(
+    ("sent", "is_leaving"),
+    [
+        ([(b"Server-Leaving", b"1")], True),
+        ([(b"Server-Leaving", b"0")], False),
+        ([], False),
+    ],
+)
+def test_target_that_leaves_is_noticed_by_its_responses(sent, is_leaving):
+    """Guards against requests to a target that leaves without a heartbeat."""
+    assert headers.read_statement(sent).is_leaving == is_leaving
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -574,6 +574,10 @@
             "gate_limit_requests": load.limit,
             "gate_service_time_ms": load.service_ms,
             "gate_utilisation_ratio": load.utilisation,
+            "target_rate_limit_per_s": (
+                self._gate.statement.rate_limit_per_s or 0.0
+            ),
+            "target_is_leaving": int(self._local_target.is_leaving),
             "configuration_version": 0 if current is None else current.version,
             "store_answers": int(self._shared_state.store_answers),
             "peers_reachable": sum(1 for _ in self._links.reachable_vms()),
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -32,6 +32,7 @@
     EVACUATION_CHANGED = "evacuation-changed"
     TARGET_NEW = "target-new"
     TARGET_LEAVING = "target-leaving"
+    TARGET_STATEMENT = "target-statement"
     TARGET_DOWN = "target-down"
     TARGET_BACK = "target-back"
     NOTICE_REJECTED = "notice-rejected"
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -137,6 +137,7 @@
       reachability: Whether the target can be reached.
       admission_ends_ms: Local time from which the target gets no more requests,
         None if there is no such time.
+      statement: What the target stated in its latest response.
       is_evacuated: Whether the availability zone of the target is evacuated.
       is_stopping: Whether this daemon is shutting down.
       on_reachability: Called with the new reachability when it changes.
@@ -156,6 +157,7 @@
         self.target_instance: targets.TargetInstance | None = None
         self.reachability = Reachability.UNKNOWN
         self.admission_ends_ms: int | None = None
+        self.statement = targets.Statement()
         self.is_evacuated = False
         self.is_stopping = False
         self.on_reachability: Callable[[Reachability], None] = lambda _: None
@@ -200,6 +202,7 @@
             self._connections.close()
             self._failure_share = 0.0
             self.admission_ends_ms = None
+            self.statement = targets.Statement()
         self.target_instance = instance
         self._capacity = capacity
         self._set_reachability(Reachability.UP)
@@ -474,6 +477,7 @@
 
     def _start(self, ticket: _Ticket, now_ms: int) -> None:
         ticket.started_ms = now_ms
+        self._metrics.increment("gate.started")
         self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
         self._running.add(ticket)
         task = asyncio.ensure_future(self._dispatch(ticket))
@@ -490,10 +494,31 @@
     async def _dispatch(self, ticket: _Ticket) -> None:
         assert self.target_instance is not None
         instance = self.target_instance
-        result = await self._connections.send(ticket.request, instance.target)
+        result = await self._connections.send(
+            ticket.request,
+            instance.target,
+            lambda statement: self._on_statement(instance, statement),
+        )
         self._record(ticket, result, instance)
         _resolve(ticket, result.outcome)
 
+    def _on_statement(
+        self, instance: targets.TargetInstance, statement: targets.Statement
+    ) -> None:
+        """Adopts what the target states, unless it was replaced meanwhile."""
+        if instance != self.target_instance or statement == self.statement:
+            return
+        before, self.statement = self.statement, statement
+        self._log.write(
+            events.Event.TARGET_STATEMENT,
+            target=instance.target,
+            limit_per_s=statement.rate_limit_per_s,
+            before_per_s=before.rate_limit_per_s,
+            is_leaving=statement.is_leaving,
+            running=len(self._running),
+            waiting=len(self._queue),
+        )
+
     def _finish(self, ticket: _Ticket, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         self._running.discard(ticket)
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -1,6 +1,7 @@
 """Connections to the local target and the outcomes of its responses."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from mustardloom import clock as clock_lib
@@ -12,7 +13,7 @@
 from mustardloom.platform import headers
 from mustardloom.sidecar import work
 
-__all__ = ["SendResult", "TargetConnections"]
+__all__ = ["OnStatement", "SendResult", "TargetConnections"]
 
 _MS_PER_S = 1_000
 _CONNECT_TIMEOUT_MS = 400
@@ -27,6 +28,10 @@
 _SERVER_ERROR = 500
 
 
+# Called with what the target states in the head of its response.
+OnStatement = Callable[[targets.Statement], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendResult:
     """Result of sending one request to the target.
@@ -82,7 +87,10 @@
             self._idle.pop().connection.close()
 
     async def send(
-        self, request: work.Work, target: targets.TargetId
+        self,
+        request: work.Work,
+        target: targets.TargetId,
+        on_statement: OnStatement,
     ) -> SendResult:
         """Sends a request; awaits the response until just after its deadline.
 
@@ -91,6 +99,8 @@
         Args:
           request: The request.
           target: Name of the target that is to get it; another one refuses it.
+          on_statement: Called once the head of the response has arrived, also
+            if the target refuses the request or the response breaks off.
 
         Returns:
           The result, also if the connection fails.
@@ -99,13 +109,16 @@
         limit_ms = max(0, left_ms) + _ANSWER_SLACK_MS
         try:
             async with asyncio.timeout(limit_ms / _MS_PER_S):
-                return await self._send(request, target)
+                return await self._send(request, target, on_statement)
         except TimeoutError:
             reason = work.FailureReason.DEADLINE
             return SendResult(work.Failed(reason))
 
     async def _send(
-        self, request: work.Work, target: targets.TargetId
+        self,
+        request: work.Work,
+        target: targets.TargetId,
+        on_statement: OnStatement,
     ) -> SendResult:
         try:
             connection = await self._acquire()
@@ -118,6 +131,7 @@
                 self._encode(request, target),
                 request.method == "HEAD",
                 headers.request_id_header(request.request_id),
+                lambda head: on_statement(headers.read_statement(head)),
             )
         except client.ClosedEarly:
             self._metrics.increment("target.closed_early")
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -32,8 +32,9 @@
     def __init__(self):
         self.open = []
 
-    async def send(self, request, target):
+    async def send(self, request, target, on_statement):
         del target
+        self.on_statement = on_statement
         answer = asyncio.get_running_loop().create_future()
         self.open.append((request, answer))
         try:
