Hold the limit, and the leave, that a target states in its answers

Cause: of what a target states about itself, only heartbeats were read.

Change: the gate, through which all requests for a target pass, spaces their starts by the stated rate; the queue, admission, placement and the planning of keys count a limited target as having as many places as its rate fills; a stated leave starts the drain. Daemons tell one that restarts which limit its target had stated.

--- a/mustardloom/deployment/targets.py
+++ b/mustardloom/deployment/targets.py
@@ -19,6 +19,8 @@
 ]
 
 TargetId = NewType("TargetId", str)
+# Smaller changes of a rate limit, as a share of it, need no message.
+_NOTABLE_CHANGE = 0.2
 
 
 class Phase(enum.Enum):
@@ -130,6 +132,15 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
 
+    def differs_notably(self, other: "Statement") -> bool:
+        """Returns whether other daemons must know the difference at once."""
+        if self.is_leaving != other.is_leaving:
+            return True
+        rate_per_s, other_per_s = self.rate_limit_per_s, other.rate_limit_per_s
+        if rate_per_s is None or other_per_s is None:
+            return rate_per_s is not other_per_s
+        return abs(rate_per_s - other_per_s) > _NOTABLE_CHANGE * other_per_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoad:
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -63,7 +63,7 @@
     """A target that may own keys.
 
     Attributes:
-      capacity: Requests that it runs at once.
+      capacity: Requests that it runs at once; fewer if its rate is limited.
       service_ms: Mean service time of a request there, a measure of its speed.
       rate: Requests per second for its keys, including refused ones.
       can_release_keys: Whether its keys may move away: it is not waiting for
@@ -72,7 +72,7 @@
 
     vm: ids.VmId
     instance: targets.TargetInstance
-    capacity: int
+    capacity: float
     service_ms: float = 30.0
     rate: float = 0.0
     can_release_keys: bool = True
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -11,6 +11,7 @@
 from mustardloom.keys import claims
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
+from mustardloom.load_control import rate_limit
 
 _VMS = [ids.VmId(f"vm-{number}") for number in range(6)]
 
@@ -225,3 +226,26 @@
     leaving = data.draw(strategies.sets(strategies.sampled_from(_VMS)))
     planned = planning.reassign(planned, _candidates(), leaving) or planned
     assert key_map.decode(key_map.encode(planned)) == planned
+
+
+def test_keys_leave_a_target_whose_rate_is_limited():
+    """Guards against keys that stay where a stated limit is far exceeded.
+
+    The target has idle places, so only its rate shows that it is overloaded.
+    """
+    planned = planning.initial_map(_candidates())
+    hits = collections.Counter(
+        dict.fromkeys(range(0, key_map.KEY_COUNT, 180), 1)
+    )
+    limited_per_s, service_ms = 20.0, 60.0
+    for _ in range(4):
+        loads = list(planning.split_by_load(planned.rows, hits))
+        measured = _measured_candidates(planned, hits, service_ms)
+        measured[0] = dataclasses.replace(
+            measured[0],
+            capacity=rate_limit.effective_concurrency(
+                6, service_ms, limited_per_s
+            ),
+        )
+        planned = planning.rebalance(planned, measured, loads, 300) or planned
+    assert _rate_by_vm(planned, hits)[_VMS[0]] <= limited_per_s
--- a/mustardloom/load_control/placement.py
+++ b/mustardloom/load_control/placement.py
@@ -12,6 +12,7 @@
 import enum
 
 from mustardloom import ids
+from mustardloom.load_control import rate_limit
 
 __all__ = [
     "Distance",
@@ -57,6 +58,8 @@
       failure_share: Share of its recent requests that failed or were refused.
       in_flight: Requests in flight from this daemon to the target.
       reported_in_flight: Those of them that the last report includes.
+      rate_limit_per_s: Requests a second that it takes from all daemons; None
+        for any number.
     """
 
     vm: ids.VmId
@@ -68,6 +71,14 @@
     failure_share: float = 0.0
     in_flight: int = 0
     reported_in_flight: int = 0
+    rate_limit_per_s: float | None = None
+
+    @property
+    def places(self) -> float:
+        """Returns how many requests it runs at once, by places and rate."""
+        return rate_limit.effective_concurrency(
+            self.limit, self.service_ms, self.rate_limit_per_s
+        )
 
 
 def distance(
@@ -92,10 +103,11 @@
     """Returns the expected latency in ms, including the network cost."""
     unreported = max(0, view.in_flight - view.reported_in_flight)
     load = view.running + view.waiting + unreported
-    queued = max(0, load + 1 - view.limit)
-    wait_ms = queued * view.service_ms / max(1, view.limit)
+    places = view.places
+    queued = max(0.0, load + 1 - places)
+    wait_ms = queued * view.service_ms / places
     # Service times grow as a target fills up, before a queue forms.
-    contention_ms = view.service_ms * 0.2 * min(1.0, load / max(1, view.limit))
+    contention_ms = view.service_ms * 0.2 * min(1.0, load / places)
     failure_factor = 1.0 + _FAILURE_WEIGHT * view.failure_share
     network_ms = _NETWORK_COST_MS[view.distance]
     return (
@@ -108,7 +120,7 @@
 def has_free_place(view: TargetView) -> bool:
     """Returns whether a request would start at once, as far as is known."""
     unreported = max(0, view.in_flight - view.reported_in_flight)
-    return view.running + view.waiting + unreported < view.limit
+    return view.running + view.waiting + unreported < view.places
 
 
 def choose(views: Iterable[TargetView]) -> TargetView | None:
--- a/mustardloom/load_control/urgency.py
+++ b/mustardloom/load_control/urgency.py
@@ -67,7 +67,7 @@
         work.total_ms = work.at(now_ms) + service_ms
         work.updated_ms = now_ms
 
-    def share_above(self, rank: Rank, now_ms: float, limit: int) -> float:
+    def share_above(self, rank: Rank, now_ms: float, limit: float) -> float:
         """Returns the share of the target that more urgent ranks take.
 
         Args:
@@ -80,4 +80,4 @@
             for other, work in self._work_by_rank.items()
             if other < rank
         )
-        return min(_MAX_SHARE, urgent_ms / _WINDOW_MS / max(1, limit))
+        return min(_MAX_SHARE, urgent_ms / _WINDOW_MS / limit)
--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -173,13 +173,22 @@
                 return entry[3]
         return self._entries.pop(0)[3]
 
-    def take_unservable(self, now_ms: float) -> list[_Item]:
-        """Removes and returns the requests that would miss their deadline."""
-        unservable = [
-            entry
-            for entry in self._entries
-            if now_ms + entry[2].service_ms > entry[2].deadline_ms
-        ]
+    def take_unservable(
+        self, now_ms: float, spacing_ms: float = 0.0
+    ) -> list[_Item]:
+        """Removes and returns the requests that would miss their deadline.
+
+        Args:
+          now_ms: Local time.
+          spacing_ms: Shortest time between the starts of two requests.
+        """
+        unservable = []
+        start_ms = now_ms
+        for entry in self._entries:
+            if start_ms + entry[2].service_ms > entry[2].deadline_ms:
+                unservable.append(entry)
+            else:
+                start_ms += spacing_ms
         for entry in unservable:
             self._entries.remove(entry)
         return [entry[3] for entry in unservable]
@@ -198,12 +207,13 @@
     demand: RequestDemand,
     now_ms: float,
     running: int,
-    limit: int,
+    limit: float,
     ahead_ms: float,
     waiting: int,
     mean_service_ms: float,
     is_standing: bool,
     urgent_share: float = 0.0,
+    blocked_ms: float = 0.0,
 ) -> AdmissionDecision:
     """Decides whether a request may wait for the target.
 
@@ -223,14 +233,16 @@
       is_standing: Whether the queue has not been empty for `STANDING_QUEUE_MS`.
       urgent_share: Share of the target that more urgent requests take, below 1;
         those that arrive during the wait go first.
+      blocked_ms: Time until the target's rate limit allows the next start.
 
     Returns:
       The decision, with the expected time in the queue.
     """
-    if running < limit and ahead_ms <= 0:
+    if running < limit and ahead_ms <= 0 and blocked_ms <= 0:
         return AdmissionDecision(now_ms + 1 < demand.deadline_ms, 0.0)
     until_free_ms = mean_service_ms / (limit + 1)
-    wait_ms = (until_free_ms + ahead_ms / limit) / (1.0 - urgent_share)
+    until_start_ms = max(until_free_ms, blocked_ms)
+    wait_ms = (until_start_ms + ahead_ms / limit) / (1.0 - urgent_share)
     service_factor = (
         _STANDING_SERVICE_FACTOR if is_standing else _BURST_SERVICE_FACTOR
     )
--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -225,6 +225,8 @@
       is_failing: Whether it answers the requests that it runs with status 500.
       state: State that its heartbeats report.
       held: Rows of first key, last key, fence, handover token.
+      statement: Headers in which it states a rate limit or that it leaves;
+        part of each of its responses.
     """
 
     def __init__(
@@ -257,6 +259,7 @@
         self.is_failing = False
         self.state = "ready"
         self.held = []
+        self.statement = ()
         self._service = service
         self._zone = zone
         self._control = control
@@ -375,6 +378,12 @@
         return msgspec.json.decode(response.body or b"{}")
 
     async def _handle(self, request):
+        response = await self._answer(request)
+        return dataclasses.replace(
+            response, headers=(*response.headers, *self.statement)
+        )
+
+    async def _answer(self, request):
         value = messages.find_header(request.headers, b"x-shard-key")
         key = None if value is None else int(value)
         not_executed = (b"X-Not-Executed", b"1")
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -33,7 +33,6 @@
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
-from mustardloom.sidecar import left_targets
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import metrics_page
@@ -44,6 +43,7 @@
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_sender
 from mustardloom.sidecar import target_connections
+from mustardloom.sidecar import target_memory
 from mustardloom.sidecar import target_selection
 
 __all__ = ["Daemon", "Ports"]
@@ -131,7 +131,9 @@
         self._links.make_pong = self._make_pong
         self._links.on_pong = self._on_pong
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
-        self._left_targets = left_targets.LeftTargets(self._fleet, self._links)
+        self._target_memory = target_memory.TargetMemory(
+            self._fleet, self._links
+        )
         self._status_sender = status_sender.StatusSender(
             self._fleet, self._links, clock, self._status
         )
@@ -449,7 +451,7 @@
         if is_up:
             event = events.Event.PEER_BACK
             self._status_sender.send(vm)
-            self._left_targets.tell(vm)
+            self._target_memory.tell(vm)
         self._log.write(event, peer=vm)
 
     def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
@@ -469,11 +471,16 @@
         match frame:
             case frames.Hello(sender=sender):
                 self._fleet.add_connected(sender)
-                self._left_targets.on_hello(vm)
+                self._target_memory.on_hello(vm)
             case frames.TargetLeft(target=target, born_ms=born_ms):
                 self._local_target.on_left(
                     targets.TargetInstance(targets.TargetId(target), born_ms)
                 )
+            case frames.TargetLimited(target, born_ms, rate_per_s):
+                self._local_target.on_limited(
+                    targets.TargetInstance(targets.TargetId(target), born_ms),
+                    rate_per_s,
+                )
             case frames.Forward():
                 return self._forwarder.receive(vm, frame)
             case frames.Status():
@@ -513,6 +520,7 @@
             load.waiting,
             round(load.service_ms),
             round(load.failure_share * _PERCENT),
+            load.rate_limit_per_s,
         )
 
     def _make_pong(self) -> frames.Pong:
@@ -563,6 +571,7 @@
             ),
             store_answers=self._shared_state.store_answers,
             changes=self._shared_state.versions(),
+            rate_limit_per_s=load.rate_limit_per_s,
         )
 
     def _gauges(self) -> dict[str, float]:
@@ -574,9 +583,7 @@
             "gate_limit_requests": load.limit,
             "gate_service_time_ms": load.service_ms,
             "gate_utilisation_ratio": load.utilisation,
-            "target_rate_limit_per_s": (
-                self._gate.statement.rate_limit_per_s or 0.0
-            ),
+            "target_rate_limit_per_s": (load.rate_limit_per_s or 0.0),
             "target_is_leaving": int(self._local_target.is_leaving),
             "configuration_version": 0 if current is None else current.version,
             "store_answers": int(self._shared_state.store_answers),
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -183,6 +183,7 @@
         view.service_ms = max(1.0, float(status.service_ms))
         view.failure_share = status.failure_percent / _PERCENT
         view.reported_in_flight = status.sent_by_you
+        view.rate_limit_per_s = status.rate_limit_per_s
 
     def is_reachable(self, vm: ids.VmId) -> bool:
         """Returns whether the link to a daemon is up; true for this one."""
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -79,6 +79,7 @@
             peer.view.running = reply.running
             peer.view.waiting = reply.waiting
             peer.view.reported_in_flight = peer.view.in_flight
+            peer.view.rate_limit_per_s = reply.rate_limit_per_s
         return _decode_outcome(reply)
 
     async def receive(
@@ -156,6 +157,7 @@
                     response.body,
                     load.running,
                     load.waiting,
+                    load.rate_limit_per_s,
                 )
             case work.Refused(reason, retry_after_ms, was_offered, owner):
                 return frames.Refusal(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -32,6 +32,7 @@
     "StoredItem",
     "Suspect",
     "TargetLeft",
+    "TargetLimited",
     "encode",
 ]
 
@@ -99,6 +100,8 @@
       number: Number of the call.
       running: Requests that the target runs now.
       waiting: Requests in the queue of the gate.
+      rate_limit_per_s: Requests a second that the target takes; None for any
+        number.
     """
 
     number: int
@@ -107,6 +110,7 @@
     body: bytes
     running: int
     waiting: int
+    rate_limit_per_s: float | None = None
 
 
 class Refusal(_Base, frozen=True, tag=3):
@@ -151,6 +155,8 @@
         no earlier owner; 0 while it waits for one.
       store_answers: Whether the store answers the sender.
       changes: Version of the sender's replica of each kind of stored object.
+      rate_limit_per_s: Requests a second that the target takes; None for any
+        number.
     """
 
     target: str
@@ -168,6 +174,7 @@
     settled_version: int
     store_answers: bool
     changes: tuple[int, ...]
+    rate_limit_per_s: float | None = None
 
 
 class Pong(_Base, frozen=True, tag=7):
@@ -201,6 +208,7 @@
 
     Attributes:
       is_open: Whether the target takes new requests.
+      rate_limit_per_s: Requests a second that it takes; None for any number.
     """
 
     number: int
@@ -210,6 +218,7 @@
     waiting: int
     service_ms: int
     failure_percent: int
+    rate_limit_per_s: float | None = None
 
 
 class Fetch(_Base, frozen=True, tag=8):
@@ -317,6 +326,20 @@
     born_ms: int
 
 
+class TargetLimited(_Base, frozen=True, tag=20):
+    """Tells a daemon that was restarted which rate its target had stated.
+
+    Attributes:
+      target: Name of the target.
+      born_ms: Unix time of the start of the target.
+      rate_per_s: Requests a second that the target takes.
+    """
+
+    target: str
+    born_ms: int
+    rate_per_s: float
+
+
 class Suspect(_Base, frozen=True, tag=15):
     """A request that was in flight when a target crashed.
 
@@ -351,6 +374,7 @@
     | LoadQuery
     | LoadReply
     | TargetLeft
+    | TargetLimited
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -18,6 +18,7 @@
 from mustardloom.deployment import targets
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import rate_limit as rate_limit_lib
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import events
@@ -99,6 +100,8 @@
         target refused.
       utilisation: Running and waiting requests relative to `limit`, smoothed;
         exceeds 1 under overload.
+      rate_limit_per_s: Requests a second that the target takes; None for any
+        number.
     """
 
     limit: int
@@ -108,6 +111,7 @@
     steady_service_ms: float
     failure_share: float
     utilisation: float
+    rate_limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -137,10 +141,12 @@
       reachability: Whether the target can be reached.
       admission_ends_ms: Local time from which the target gets no more requests,
         None if there is no such time.
-      statement: What the target stated in its latest response.
+      statement: What the target states in its responses, up to small changes
+        of the limit; None before the first response.
       is_evacuated: Whether the availability zone of the target is evacuated.
       is_stopping: Whether this daemon is shutting down.
       on_reachability: Called with the new reachability when it changes.
+      on_statement: Called with what the target states when that changes.
     """
 
     def __init__(
@@ -157,10 +163,11 @@
         self.target_instance: targets.TargetInstance | None = None
         self.reachability = Reachability.UNKNOWN
         self.admission_ends_ms: int | None = None
-        self.statement = targets.Statement()
+        self.statement: targets.Statement | None = None
         self.is_evacuated = False
         self.is_stopping = False
         self.on_reachability: Callable[[Reachability], None] = lambda _: None
+        self.on_statement: Callable[[targets.Statement], None] = lambda _: None
         self._service = service
         self._connections = connections
         self._quarantine = quarantine
@@ -175,6 +182,7 @@
         self._service_times = waiting.ServiceTimes()
         self._urgent_load = urgency.UrgentLoad()
         self._cold_limit = cold_start.ColdStartLimit(cold_factor)
+        self._rate_limit = rate_limit_lib.RateLimit()
         self._failure_share = 0.0
         self._busy_ms = 0.0
         self._interval_start_ms = clock.now_ms()
@@ -202,7 +210,8 @@
             self._connections.close()
             self._failure_share = 0.0
             self.admission_ends_ms = None
-            self.statement = targets.Statement()
+            self.statement = None
+            self._rate_limit.clear()
         self.target_instance = instance
         self._capacity = capacity
         self._set_reachability(Reachability.UP)
@@ -219,6 +228,14 @@
         """Sets the multiple of a cold target's rate that is tolerated."""
         self._cold_limit.set_overload_factor(factor)
 
+    def assume_rate_limit(self, rate_per_s: float) -> None:
+        """Adopts a limit of which another daemon knows.
+
+        It holds until the target's first response to this process.
+        """
+        if self.statement is None:
+            self._rate_limit.state(rate_per_s, self._clock.now_ms())
+
     def mark_silent(self) -> None:
         """Marks a reachable target as silent: heartbeats are missing."""
         if self.reachability is Reachability.UP:
@@ -246,6 +263,15 @@
             self._steady_service_ms,
             self._failure_share * 0.5 ** (idle_ms / _FAILURE_HALF_LIFE_MS),
             self._utilisation,
+            self._rate_limit.rate_per_s,
+        )
+
+    def _concurrency(self, now_ms: int) -> float:
+        """Returns how many requests run at once at the target's full rate."""
+        return rate_limit_lib.effective_concurrency(
+            self._capacity,
+            self._service_times.overall_mean_ms(now_ms),
+            self._rate_limit.rate_per_s,
         )
 
     def last_answer_ms(self) -> int:
@@ -272,8 +298,9 @@
         for ticket in self._running:
             busy_ms += now_ms - max(ticket.started_ms, self._interval_start_ms)
         passed_ms = max(1, now_ms - self._interval_start_ms)
-        queue_share = len(self._queue) / self._capacity
-        busy_share = busy_ms / passed_ms / self._capacity
+        concurrency = self._concurrency(now_ms)
+        queue_share = len(self._queue) / concurrency
+        busy_share = busy_ms / passed_ms / concurrency
         self._utilisation += 0.5 * (
             busy_share + queue_share - self._utilisation
         )
@@ -391,16 +418,18 @@
         if not len(self._queue):
             self._queue_last_empty_ms = now_ms
         demand = self._demand_of(request)
+        concurrency = self._concurrency(now_ms)
         decision = waiting.decide_admission(
             demand,
             now_ms,
             len(self._running),
-            self._capacity,
+            concurrency,
             self._queue.work_ahead_ms(demand, now_ms),
             len(self._queue),
             self._service_times.overall_mean_ms(now_ms),
             now_ms - self._queue_last_empty_ms > waiting.STANDING_QUEUE_MS,
-            self._urgent_load.share_above(demand.rank, now_ms, self._capacity),
+            self._urgent_load.share_above(demand.rank, now_ms, concurrency),
+            self._rate_limit.wait_ms(now_ms),
         )
         if not decision.admitted:
             return work.Refused(reasons.OVERLOADED, decision.retry_after_ms)
@@ -434,11 +463,13 @@
             raise
 
     def _start_waiting(self) -> None:
-        """Starts queued requests as capacity and cold-start limit allow."""
+        """Starts queued requests as capacity and rate limits allow."""
         while len(self._queue) and len(self._running) < self._capacity:
             now_ms = self._clock.now_ms()
             if not self._cold_limit.may_start(now_ms):
                 return
+            if self._rate_limit.wait_ms(now_ms):
+                return
             ticket = self._queue.take(now_ms)
             if ticket is None:
                 return
@@ -447,6 +478,7 @@
                 _resolve(ticket, refusal)
                 continue
             self._cold_limit.record_start(now_ms)
+            self._rate_limit.record_start(now_ms)
             self._start(ticket, now_ms)
 
     def _refusal_at_start(
@@ -469,7 +501,8 @@
 
     def _refuse_unservable(self) -> None:
         end_ms = self._clock.now_ms() + _REFUSAL_DELAY_MS
-        for ticket in self._queue.take_unservable(end_ms):
+        spacing_ms = self._rate_limit.interval_ms()
+        for ticket in self._queue.take_unservable(end_ms, spacing_ms):
             self._metrics.increment("gate.refused.deadline")
             _resolve(ticket, work.Refused(work.RefusalReason.DEADLINE))
 
@@ -506,9 +539,15 @@
         self, instance: targets.TargetInstance, statement: targets.Statement
     ) -> None:
         """Adopts what the target states, unless it was replaced meanwhile."""
-        if instance != self.target_instance or statement == self.statement:
+        if instance != self.target_instance:
+            return
+        self._rate_limit.state(statement.rate_limit_per_s, self._clock.now_ms())
+        before = self.statement or targets.Statement()
+        if self.statement is None:
+            self.statement = statement
+        if not statement.differs_notably(before):
             return
-        before, self.statement = self.statement, statement
+        self.statement = statement
         self._log.write(
             events.Event.TARGET_STATEMENT,
             target=instance.target,
@@ -518,6 +557,7 @@
             running=len(self._running),
             waiting=len(self._queue),
         )
+        self.on_statement(statement)
 
     def _finish(self, ticket: _Ticket, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -1,4 +1,4 @@
-"""State of the local target, by its heartbeats and deregistrations."""
+"""State of the local target, by its heartbeats, notices and responses."""
 
 from collections.abc import Callable
 
@@ -55,7 +55,9 @@
         self._log = log
         self._last_heartbeat_ms = 0
         self._left_instances: set[targets.TargetInstance] = set()
+        self._rate_limit_by_instance: dict[targets.TargetInstance, float] = {}
         gate.on_reachability = self._on_reachability
+        gate.on_statement = self._on_statement
 
     @property
     def phase(self) -> fleet_lib.TargetPhase:
@@ -106,6 +108,18 @@
         if known is not None and known.instance == instance:
             self._start_leaving("left before the restart")
 
+    def on_limited(
+        self, instance: targets.TargetInstance, rate_per_s: float
+    ) -> None:
+        """Records the rate limit that an instance stated before the restart.
+
+        Other daemons remember it, as this process has no response yet.
+        """
+        self._rate_limit_by_instance[instance] = rate_per_s
+        known = self.announcement
+        if known is not None and known.instance == instance:
+            self._gate.assume_rate_limit(rate_per_s)
+
     def _on_heartbeat(
         self, announcement: targets.Announcement, address: str
     ) -> messages.Response:
@@ -150,6 +164,9 @@
             )
         self._gate.on_heartbeat(announcement.instance, announcement.capacity)
         self._gate.set_cold_for(announcement.cold_left_ms)
+        told_per_s = self._rate_limit_by_instance.get(announcement.instance)
+        if is_new and told_per_s is not None:
+            self._gate.assume_rate_limit(told_per_s)
         if announcement.phase is targets.Phase.DRAINING:
             self._start_leaving("draining")
         elif announcement.instance in self._left_instances:
@@ -179,6 +196,11 @@
         )
         self.on_change()
 
+    def _on_statement(self, statement: targets.Statement) -> None:
+        if statement.is_leaving:
+            self._start_leaving("response")
+        self.on_change()
+
     def _reject(self, reason: str) -> messages.Response:
         self._log.write(events.Event.NOTICE_REJECTED, reason=reason)
         return messages.Response(_BAD_REQUEST)
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -11,6 +11,7 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
+from mustardloom.load_control import rate_limit
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
@@ -192,11 +193,14 @@
         for peer in self._fleet.serving(self._keyspace.service):
             if peer.target_instance is None or peer.status is None:
                 continue
+            service_ms = float(max(1, peer.status.steady_service_ms))
             yield planning.Candidate(
                 peer.vm,
                 peer.target_instance,
-                max(1, peer.status.limit),
-                float(max(1, peer.status.steady_service_ms)),
+                rate_limit.effective_concurrency(
+                    peer.status.limit, service_ms, peer.view.rate_limit_per_s
+                ),
+                service_ms,
                 float(peer.status.key_rate),
                 self._can_release_keys(peer),
             )
--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -179,4 +179,5 @@
         view.service_ms = max(1.0, float(reply.service_ms))
         view.failure_share = reply.failure_percent / _PERCENT
         view.reported_in_flight = view.in_flight
+        view.rate_limit_per_s = reply.rate_limit_per_s
         return peer.vm
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -327,6 +327,62 @@
     _run(scenario)
 
 
+def test_target_that_leaves_without_a_heartbeat_gets_no_more_requests():
+    """Guards against a leave that is stated in responses only.
+
+    The heartbeats of the target say that it is ready, or do not arrive.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        vms[2].target.statement = ((b"Server-Leaving", b"1"),)
+        await _get_until_answered(vms[0], "/plain/x", "before")
+
+        async def is_refused():
+            response = await vms[0].get("/plain/x", os.urandom(4).hex())
+            return response.status == 503
+
+        await _until(is_refused)
+        runs = len(vms[2].target.runs)
+        for _ in range(20):
+            assert await is_refused()
+        assert len(vms[2].target.runs) == runs
+
+    _run(scenario)
+
+
+def test_limit_of_a_target_is_known_after_a_restart_of_its_daemon():
+    """Guards against requests beyond a limit that only others remember."""
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        vms[2].target.statement = ((b"Server-Limit", b"0.5"),)
+        await _get_until_answered(vms[0], "/plain/x", "before")
+
+        async def is_known():
+            peer = vms[0].daemon._fleet.by_vm["vm-2"]
+            return peer.view.rate_limit_per_s == 0.5
+
+        await _until(is_known)
+        vms[2].daemon.stop()
+        await vms[2]._tasks[0]
+        vms[2]._tasks[1].cancel()
+        runs = len(vms[2].target.runs)
+        vms[2].start()
+
+        async def is_limited():
+            return vms[2].daemon._gate.load().rate_limit_per_s == 0.5
+
+        await _until(is_limited)
+        assert len(vms[2].target.runs) == runs
+
+    _run(scenario)
+
+
 def test_daemon_that_cannot_register_still_finds_the_others():
     """Guards against a daemon that is alone while the store refuses writes."""
 
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -325,3 +325,118 @@
         return _reason(await task)
 
     assert _run(scenario) is work.RefusalReason.TARGET_DOWN
+
+
+_LIMIT_PER_S = 10.0
+# What the platform allows in a window: half more than the limit, and 5.
+_WINDOW_S = 4
+_ALLOWED = 1.5 * _LIMIT_PER_S * _WINDOW_S + 5
+
+
+async def _serve(harness, seconds, arrivals_per_s, statement):
+    """Sends requests at a rate and answers each at once; returns starts."""
+    tasks = []
+    starts_ms = []
+    step_ms = 1_000 // arrivals_per_s
+    for number in range(seconds * arrivals_per_s):
+        tasks += await harness.start(f"r{harness.clock.now_ms()}-{number}")
+        while harness.connections.open:
+            starts_ms.append(harness.clock.now_ms())
+            harness.connections.on_statement(statement)
+            harness.connections.answer(_OK)
+            await harness.clock.advance(0)
+        await harness.clock.advance(step_ms)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return starts_ms
+
+
+def _busiest_window(starts_ms):
+    return max(
+        sum(1 for other in starts_ms if 0 <= other - start < 1_000 * _WINDOW_S)
+        for start in starts_ms
+    )
+
+
+def test_target_gets_no_more_than_the_rate_that_its_responses_state():
+    """Guards against a limit that is not read, or binds concurrency only."""
+
+    async def scenario(harness):
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        limited = targets.Statement(_LIMIT_PER_S)
+        starts_ms = await _serve(harness, 12, 50, limited)
+        queue.cancel()
+        return starts_ms
+
+    starts_ms = _run(scenario, capacity=11)
+    assert _busiest_window(starts_ms) <= _ALLOWED
+    # Callers are served up to the limit.
+    assert len(starts_ms) >= 0.9 * _LIMIT_PER_S * 12
+
+
+def test_target_is_used_fully_once_it_states_no_limit_any_more():
+    """Guards against a limit that outlasts the target's need."""
+
+    async def scenario(harness):
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        await _serve(harness, 2, 50, targets.Statement(_LIMIT_PER_S))
+        starts_ms = await _serve(harness, 2, 50, targets.Statement())
+        queue.cancel()
+        return starts_ms
+
+    assert len(_run(scenario, capacity=11)) >= 80
+
+
+def test_requests_beyond_the_rate_are_refused_at_once_and_told_when_to_return():
+    """Guards against callers that are held to their deadline and refused."""
+
+    async def scenario(harness):
+        await harness.start("first")
+        harness.connections.on_statement(targets.Statement(0.5))
+        harness.connections.answer(_OK)
+        await harness.clock.advance(0)
+        (refused,) = await harness.start("second")
+        return refused.result()
+
+    outcome = _run(scenario, capacity=11)
+    assert _reason(outcome) is work.RefusalReason.OVERLOADED
+    assert outcome.retry_after_ms >= 1_000
+
+
+def test_new_process_of_a_daemon_holds_the_limit_before_the_first_response():
+    """Guards against a full burst at a target whose daemon was restarted."""
+
+    async def scenario(harness):
+        harness.gate.assume_rate_limit(_LIMIT_PER_S)
+        await harness.start(*(f"r{number}" for number in range(8)))
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=11) == 0
+
+
+def test_limit_that_others_remember_does_not_replace_what_the_target_states():
+    """Guards against an outdated limit told by a daemon that was away."""
+
+    async def scenario(harness):
+        await harness.start("first")
+        harness.connections.on_statement(targets.Statement())
+        harness.connections.answer(_OK)
+        await harness.clock.advance(0)
+        harness.gate.assume_rate_limit(_LIMIT_PER_S)
+        await harness.start(*(f"r{number}" for number in range(8)))
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=11) == 8
+
+
+def test_statement_of_an_earlier_instance_does_not_bind_the_next_one():
+    """Guards against a limit of a target that has ended."""
+
+    async def scenario(harness):
+        await harness.start("first")
+        harness.gate.on_heartbeat(dataclasses.replace(_INSTANCE, born_ms=2), 11)
+        harness.connections.on_statement(targets.Statement(_LIMIT_PER_S, True))
+        return harness.gate.load().rate_limit_per_s
+
+    assert _run(scenario, capacity=11) is None
