Log a restored store, and answers of it that count as older

Store-Era is read from every answer; store-restored and store-answer-ignored tell the rest. Nothing is decided by them yet.

--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -25,6 +25,8 @@
 _CONFLICT = 409
 _GONE = 410
 _JSON_HEADER = (b"Content-Type", b"application/json")
+# Rises each time the store comes back from an older copy of its data.
+_ERA_HEADER = b"store-era"
 
 # Wire names of the kinds that belong to the platform; the kinds of this project
 # are stored under their own names.
@@ -75,10 +77,13 @@
 
     Attributes:
       calls: HTTP requests attempted so far.
+      era: Number of times that the store came back from an older copy, as its
+        answers tell; 0 before the first answer.
     """
 
     def __init__(self, address: settings.Address):
         self.calls = 0
+        self.era = 0
         self._address = address
         self._idle: list[client.Connection] = []
 
@@ -208,12 +213,21 @@
             method, path, ((b"Host", host), _JSON_HEADER), body
         )
         try:
-            return await connection.exchange(messages.encode_request(request))
+            response = await connection.exchange(
+                messages.encode_request(request)
+            )
         except asyncio.CancelledError:
             connection.close()
             raise
         finally:
             self._release(connection)
+        self._read_era(response)
+        return response
+
+    def _read_era(self, response: messages.Response) -> None:
+        value = messages.find_header(response.headers, _ERA_HEADER)
+        if value is not None and value.isdigit():
+            self.era = max(self.era, int(value))
 
     async def _acquire(self) -> client.Connection:
         while self._idle:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -117,6 +117,8 @@
             lambda kind: self._state_exchange.push(kind),
             self._on_store_change,
         )
+        self._shared_state.on_restored = self._on_store_restored
+        self._shared_state.on_ignored = self._on_store_answer_ignored
         self._record = stored.DaemonRecord(
             own_settings.vm,
             own_settings.ip,
@@ -436,6 +438,24 @@
         self._log.write(event)
         self._start(self._announce_store_change(answers))
 
+    def _on_store_restored(self, before: int, era: int) -> None:
+        self._log.write(
+            events.Event.STORE_RESTORED,
+            era=era,
+            before=before,
+            versions=self._shared_state.versions(),
+        )
+
+    def _on_store_answer_ignored(
+        self, kind: stored.Kind, found: ids.Version, known: ids.Version
+    ) -> None:
+        self._log.write(
+            events.Event.STORE_ANSWER_IGNORED,
+            kind=kind.value,
+            found=found,
+            known=known,
+        )
+
     async def _announce_store_change(self, answers: bool) -> None:
         """Tells all daemons that the store is lost or back, if it stays so.
 
@@ -587,6 +607,7 @@
             "target_is_leaving": int(self._local_target.is_leaving),
             "configuration_version": 0 if current is None else current.version,
             "store_answers": int(self._shared_state.store_answers),
+            "store_era": self._store.era,
             "peers_reachable": sum(1 for _ in self._links.reachable_vms()),
             "keys_waiting_for_earlier_owner": sum(
                 each.pending_keys()
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -25,6 +25,8 @@
     RELOAD = "reload"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
+    STORE_RESTORED = "store-restored"
+    STORE_ANSWER_IGNORED = "store-answer-ignored"
     PEER_LOST = "peer-lost"
     PEER_BACK = "peer-back"
     CONFIGURATION_ADOPTED = "configuration-adopted"
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -29,7 +29,13 @@
 
 
 class ObjectStore(Protocol):
-    """The part of the platform's store in use; see `platform.object_api`."""
+    """The part of the platform's store in use; see `platform.object_api`.
+
+    Attributes:
+      era: Number of times that the store came back from an older copy.
+    """
+
+    era: int
 
     async def get(self, key: str) -> objects.Versioned | None:
         """Returns an object, None if there is none."""
@@ -104,6 +110,10 @@
 
     Attributes:
       by_kind: The replicas.
+      on_restored: Called with the era before and the new one after the store
+        came back from an older copy.
+      on_ignored: Called with the kind, the version found in the store and the
+        known one if the store's answer was taken for an older one.
       store_answers: Whether the latest call of the store was answered.
     """
 
@@ -118,6 +128,11 @@
     ):
         self.by_kind = {kind: KindReplica({}) for kind in stored.Kind}
         self.store_answers = True
+        self.on_restored: Callable[[int, int], None] = lambda *_: None
+        self.on_ignored: Callable[
+            [stored.Kind, ids.Version, ids.Version], None
+        ] = lambda *_: None
+        self._era = 0
         self._refresh_by_kind = {kind: _Refresh() for kind in stored.Kind}
         self._store = store
         self._clock = clock
@@ -241,6 +256,7 @@
             wait_ms = _WATCH_WAIT_MS
             self._set_store_answers(True)
             for event in batch.events:
+                self._check_ignored(kind, event.version)
                 self.apply_event(event, batch.version)
             after = batch.version
             if batch.events:
@@ -322,6 +338,7 @@
     async def _list(self, kind: stored.Kind) -> ids.Version:
         listing = await self._store.list_objects(kind)
         self.by_kind[kind].is_listed = True
+        self._check_ignored(kind, listing.version)
         if self.apply_listing(kind, listing):
             self._on_update(kind)
         return listing.version
@@ -335,7 +352,15 @@
         if self.by_kind[kind].by_key != known:
             self._on_update(kind)
 
+    def _check_ignored(self, kind: stored.Kind, found: ids.Version) -> None:
+        known = self.by_kind[kind].version
+        if found < known:
+            self.on_ignored(kind, found, known)
+
     def _set_store_answers(self, answers: bool) -> None:
+        before, self._era = self._era, self._store.era
+        if before and self._era > before:
+            self.on_restored(before, self._era)
         if answers != self.store_answers:
             self.store_answers = answers
             self._on_store(answers)
--- a/mustardloom/sidecar/tests/test_map_confirmation.py
+++ b/mustardloom/sidecar/tests/test_map_confirmation.py
@@ -21,6 +21,8 @@
 class _Store:
     """Fake store with one key map; counts its calls by kind."""
 
+    era = 0
+
     def __init__(self):
         self.is_up = True
         self.has_history = True
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -30,6 +30,8 @@
       lists: Number of listings.
     """
 
+    era = 0
+
     def __init__(self):
         self.is_up = True
         self.history_gone = False
