Order versions of the store across its eras

Cause: the store's revisions go back and are given out again, but a higher one was taken for the newer one: by replicas, in exchanges between daemons, as the start of watches and as preconditions of writes.

Change: the adapter decodes era and revision into one version that grows with each change; a watch or a write based on an earlier era is not sent, one that meets the next era is undecided. Across eras a value that says how new it is (configuration, key map) is not replaced by an older copy of it.

--- a/mustardloom/deployment/stored.py
+++ b/mustardloom/deployment/stored.py
@@ -10,12 +10,17 @@
     "DaemonRecord",
     "HistoryGone",
     "Kind",
+    "era_of",
     "key",
     "kind_of",
     "name_of",
+    "revision_of",
+    "version_of",
 ]
 
 _SEPARATOR = "/"
+# A version holds the store's revision in this many low bits, and its era above.
+_REVISION_BITS = 40
 
 
 class Kind(enum.Enum):
@@ -64,3 +69,26 @@
 def name_of(key: str) -> str:
     """Returns the name of the object with a key, without its kind."""
     return key.partition(_SEPARATOR)[2]
+
+
+def version_of(era: int, revision: int) -> ids.Version:
+    """Returns a version that grows with each change, also after a restore.
+
+    The store may come back from an older copy of its data. Its revisions then
+    go back and are given out again, and its era rises.
+
+    Example:
+      >>> version_of(era=2, revision=5) > version_of(era=1, revision=30)
+      True
+    """
+    return ids.Version(era << _REVISION_BITS | revision)
+
+
+def era_of(version: ids.Version) -> int:
+    """Returns the era of the store in which a version was seen."""
+    return version >> _REVISION_BITS
+
+
+def revision_of(version: ids.Version) -> int:
+    """Returns the store's own revision of a version."""
+    return version & ((1 << _REVISION_BITS) - 1)
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -22,6 +22,7 @@
     "empty",
     "encode",
     "merge_adjacent",
+    "version_of",
 ]
 
 KEY_COUNT = 65_536
@@ -192,6 +193,15 @@
     )
 
 
+def version_of(value: bytes) -> int:
+    """Returns the version of a stored map without unpacking it.
+
+    Raises:
+      ValueError: The value is not an encoded map.
+    """
+    return msgspec.json.decode(value, type=_StoredMap).version
+
+
 def decode(value: bytes) -> KeyMap:
     """Returns the map of a stored value.
 
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -9,7 +9,7 @@
 from mustardloom.deployment import configuration
 from mustardloom.platform import durations
 
-__all__ = ["decode"]
+__all__ = ["decode", "version_of"]
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
@@ -71,6 +71,19 @@
     limits: _Limits
 
 
+class _Versioned(msgspec.Struct):
+    version: int
+
+
+def version_of(value: bytes) -> int:
+    """Returns the operators' version of a configuration object.
+
+    Raises:
+      ValueError: The value is not JSON, or has no version.
+    """
+    return msgspec.json.decode(value, type=_Versioned).version
+
+
 def decode(value: bytes) -> configuration.Configuration:
     """Decodes the value of the configuration object.
 
--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import asyncio
+import dataclasses
 from typing import Annotated
 from typing import Any
 import urllib.parse
@@ -68,6 +69,14 @@
     current_rev: _Count
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store, and the era in which it was given."""
+
+    response: messages.Response
+    era: int
+
+
 class ObjectApi:
     """Client of the store's HTTP interface; keys are those of `stored.key`.
 
@@ -89,23 +98,31 @@
 
     async def get(self, key: str) -> objects.Versioned | None:
         """Returns an object, or None if there is none with this key."""
-        response = await self._call("GET", _object_path(key))
-        if response.status == _NOT_FOUND:
+        answer = await self._call("GET", _object_path(key))
+        if answer.response.status == _NOT_FOUND:
             return None
-        found = self._decode(response, _Object)
-        return _to_versioned(stored.kind_of(key), found)
+        found = self._decode(answer, _Object)
+        return _to_versioned(stored.kind_of(key), found, answer.era)
 
     async def list_objects(self, kind: stored.Kind) -> objects.Listing:
-        """Returns all objects of a kind, with one call for each page."""
+        """Returns all objects of a kind, with one call for each page.
+
+        Begins again if the store was restored between two pages.
+        """
         found: list[objects.Versioned] = []
         query: dict[str, str] = {}
+        era: int | None = None
         while True:
-            path = _path(kind, query)
-            page = self._decode(await self._call("GET", path), _Listing)
-            found.extend(_to_versioned(kind, item) for item in page.items)
+            answer = await self._call("GET", _path(kind, query))
+            if era is not None and answer.era != era:
+                found, query, era = [], {}, None
+                continue
+            era = answer.era
+            page = self._decode(answer, _Listing)
+            found.extend(_to_versioned(kind, item, era) for item in page.items)
             if not page.truncated or not page.items:
                 return objects.Listing(
-                    tuple(found), ids.Version(page.current_rev)
+                    tuple(found), stored.version_of(era, page.current_rev)
                 )
             query = {"after": page.items[-1].metadata.name}
 
@@ -121,16 +138,26 @@
             if there was none.
 
         Raises:
-          stored.HistoryGone: The store no longer has all these changes.
+          stored.HistoryGone: The store no longer has all these changes, or
+            `after` is of an earlier era, whose revisions mean nothing now.
         """
-        query = {"watch": str(after), "wait_ms": str(wait_ms)}
-        path = _path(kind, query)
-        response = await self._call("GET", path, wait_ms)
-        if response.status == _GONE:
+        if stored.era_of(after) < self.era:
             raise stored.HistoryGone(kind.value)
-        changes = self._decode(response, _Changes)
-        events = tuple(_to_event(kind, change) for change in changes.events)
-        return objects.WatchBatch(events, ids.Version(changes.current_rev))
+        query = {
+            "watch": str(stored.revision_of(after)),
+            "wait_ms": str(wait_ms),
+        }
+        answer = await self._call("GET", _path(kind, query), wait_ms)
+        is_other_era = answer.era != stored.era_of(after)
+        if answer.response.status == _GONE or is_other_era:
+            raise stored.HistoryGone(kind.value)
+        changes = self._decode(answer, _Changes)
+        events = tuple(
+            _to_event(kind, change, answer.era) for change in changes.events
+        )
+        return objects.WatchBatch(
+            events, stored.version_of(answer.era, changes.current_rev)
+        )
 
     async def write(
         self, key: str, value: bytes, expected: ids.Version
@@ -145,21 +172,31 @@
         Returns:
           The new version; or a conflict with the object as it is now, which is
           None if it does not exist or the store's answer does not have it.
+          A version of an earlier era is never sent, as the store may have
+          given out its revision again.
         """
+        if expected != ids.NO_VERSION and stored.era_of(expected) < self.era:
+            return objects.Conflict(None)
         name = stored.name_of(key)
-        metadata = _Metadata(name, expected)
+        metadata = _Metadata(name, stored.revision_of(expected))
         body = msgspec.json.encode(_Object(metadata, msgspec.Raw(value)))
         if expected == ids.NO_VERSION:
             path = _path(stored.kind_of(key))
-            response = await self._call("POST", path, body=body)
+            answer = await self._call("POST", path, body=body)
         else:
-            response = await self._call("PUT", _object_path(key), body=body)
-        if response.status == _NOT_FOUND:
+            answer = await self._call("PUT", _object_path(key), body=body)
+        if answer.response.status == _NOT_FOUND:
             return objects.Conflict(None)
-        if response.status == _CONFLICT:
-            return objects.Conflict(self._current_object(key, response))
-        written = self._decode(response, _Object)
-        return objects.Written(ids.Version(written.metadata.revision))
+        if answer.response.status == _CONFLICT:
+            return objects.Conflict(self._current_object(key, answer))
+        written = self._decode(answer, _Object)
+        if expected != ids.NO_VERSION and answer.era != stored.era_of(expected):
+            raise objects.PlatformUnavailable(
+                f"PUT {key}: the store was restored before the write"
+            )
+        return objects.Written(
+            stored.version_of(answer.era, written.metadata.revision)
+        )
 
     def close(self) -> None:
         """Closes the idle connections; those in use stay open."""
@@ -167,15 +204,16 @@
             self._idle.pop().close()
 
     def _current_object(
-        self, key: str, response: messages.Response
+        self, key: str, answer: _Answer
     ) -> objects.Versioned | None:
         try:
-            found = msgspec.json.decode(response.body, type=_Object)
+            found = msgspec.json.decode(answer.response.body, type=_Object)
         except ValueError:
             return None
-        return _to_versioned(stored.kind_of(key), found)
+        return _to_versioned(stored.kind_of(key), found, answer.era)
 
-    def _decode(self, response: messages.Response, type_: Any) -> Any:
+    def _decode(self, answer: _Answer, type_: Any) -> Any:
+        response = answer.response
         if response.status not in _OK_STATUSES:
             raise objects.PlatformUnavailable(
                 f"the store answered with status {response.status}"
@@ -187,12 +225,12 @@
 
     async def _call(
         self, method: str, path: str, wait_ms: int = 0, body: bytes = b""
-    ) -> messages.Response:
+    ) -> _Answer:
         self.calls += 1
         timeout_ms = _CALL_TIMEOUT_MS + wait_ms
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
-                return await self._exchange(method, path, body)
+                response = await self._exchange(method, path, body)
         except TimeoutError as error:
             message = f"{method} {path}: no answer in {timeout_ms} ms"
             raise objects.PlatformUnavailable(message) from error
@@ -203,6 +241,15 @@
         ) as error:
             message = f"{method} {path}: {error!r}"
             raise objects.PlatformUnavailable(message) from error
+        return _Answer(response, self._era_of(response))
+
+    def _era_of(self, response: messages.Response) -> int:
+        """Returns the era of an answer, and keeps the highest one."""
+        value = messages.find_header(response.headers, _ERA_HEADER)
+        if value is None or not value.isdigit():
+            return self.era
+        self.era = max(self.era, int(value))
+        return int(value)
 
     async def _exchange(
         self, method: str, path: str, body: bytes
@@ -213,21 +260,12 @@
             method, path, ((b"Host", host), _JSON_HEADER), body
         )
         try:
-            response = await connection.exchange(
-                messages.encode_request(request)
-            )
+            return await connection.exchange(messages.encode_request(request))
         except asyncio.CancelledError:
             connection.close()
             raise
         finally:
             self._release(connection)
-        self._read_era(response)
-        return response
-
-    def _read_era(self, response: messages.Response) -> None:
-        value = messages.find_header(response.headers, _ERA_HEADER)
-        if value is not None and value.isdigit():
-            self.era = max(self.era, int(value))
 
     async def _acquire(self) -> client.Connection:
         while self._idle:
@@ -256,18 +294,22 @@
     return f"{_path(stored.kind_of(key))}/{name}"
 
 
-def _to_versioned(kind: stored.Kind, found: _Object) -> objects.Versioned:
+def _to_versioned(
+    kind: stored.Kind, found: _Object, era: int
+) -> objects.Versioned:
     metadata = found.metadata
     return objects.Versioned(
         stored.key(kind, metadata.name),
-        ids.Version(metadata.revision),
+        stored.version_of(era, metadata.revision),
         bytes(found.spec),
     )
 
 
-def _to_event(kind: stored.Kind, change: _Change) -> objects.Event:
+def _to_event(kind: stored.Kind, change: _Change, era: int) -> objects.Event:
     metadata = change.object.metadata
     value = None if change.deleted else bytes(change.object.spec)
     return objects.Event(
-        stored.key(kind, metadata.name), ids.Version(metadata.revision), value
+        stored.key(kind, metadata.name),
+        stored.version_of(era, metadata.revision),
+        value,
     )
--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -78,6 +78,7 @@
       status: Status with which every call fails; None if calls work.
       refuses_writes: Whether writing calls get status 503.
       revision: Store-wide revision of the last change.
+      era: Number of restores from a copy, counted from 1.
       by_path: Objects by kind and name.
     """
 
@@ -85,6 +86,7 @@
         self.status = status
         self.refuses_writes = False
         self.revision = _FIRST_REVISION
+        self.era = 1
         self.by_path = {}
         self._page = page
         self._history = []
@@ -117,13 +119,34 @@
     def forget_history(self):
         self._oldest = self.revision
 
+    def copy(self):
+        """Returns a copy of all objects, for `restore`."""
+        return self.revision, dict(self.by_path)
+
+    def restore(self, copied):
+        """Returns to a copy; its revisions are given out again."""
+        self.era += 1
+        self.revision, by_path = copied
+        self.by_path = dict(by_path)
+        self._history = []
+        self._oldest = self.revision
+        self._wake_watches()
+
+    def _wake_watches(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _note(self, kind, stored_object, deleted):
         event = {"object": stored_object, "deleted": deleted}
         self._history.append((self.revision, kind, event))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake_watches()
 
     async def _handle(self, request):
+        response = await self._answer(request)
+        era = (b"Store-Era", b"%d" % self.era)
+        return dataclasses.replace(response, headers=(*response.headers, era))
+
+    async def _answer(self, request):
         if self.status is not None:
             return messages.Response(self.status)
         if self.refuses_writes and request.method != "GET":
@@ -172,16 +195,19 @@
 
     async def _watch(self, kind, fields):
         after = int(fields["watch"])
-        if after < self._oldest:
+        era = self.era
+        if after < self._oldest or after > self.revision:
             return messages.Response(410)
         if not self._events(kind, after):
             limit_s = int(fields["wait_ms"]) / 1_000
             try:
                 async with asyncio.timeout(limit_s):
-                    while not self._events(kind, after):
+                    while era == self.era and not self._events(kind, after):
                         await self._changed.wait()
             except TimeoutError:
                 pass
+        if era != self.era:
+            return messages.Response(410)
         answer = {
             "events": self._events(kind, after),
             "current_rev": self.revision,
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -280,6 +280,89 @@
     _with_store(scenario)
 
 
+def test_watch_from_before_a_restore_reports_lost_history():
+    """Guards against changes that are missed as their revisions come again.
+
+    The revision exists in the restored store, too, but for another change.
+    """
+
+    async def scenario(api, store):
+        store.put("config", "main", b"1")
+        copied = store.copy()
+        store.put("config", "main", b"2")
+        listing = await api.list_objects(stored.Kind.CONFIGURATION)
+        store.restore(copied)
+        for number in range(3):
+            store.put("config", "main", b"%d" % (number + 3))
+        with pytest.raises(stored.HistoryGone):
+            await api.watch(stored.Kind.CONFIGURATION, listing.version, 0)
+        again = await api.list_objects(stored.Kind.CONFIGURATION)
+        assert again.version > listing.version
+        assert again.objects[0].version > listing.objects[0].version
+
+    _with_store(scenario)
+
+
+def test_write_based_on_data_from_before_a_restore_changes_nothing():
+    """Guards against a precondition that holds again by chance."""
+
+    async def scenario(api, store):
+        key = stored.key(stored.Kind.KEY_MAP, "s")
+        copied = store.copy()
+        first = await api.write(key, b"1", ids.NO_VERSION)
+        store.restore(copied)
+        store.put("mustardloom-key-maps", "s", b"2")
+        await api.get(key)
+        result = await api.write(key, b"3", first.version)
+        return result, (await api.get(key)).value
+
+    result, value = _with_store(scenario)
+    assert (result, value) == (objects.Conflict(None), b"2")
+
+
+def test_write_that_meets_a_restored_store_is_undecided():
+    """Guards against a write that counts as based on the newest data.
+
+    The restore becomes known by the answer to the write itself.
+    """
+
+    async def scenario(api, store):
+        key = stored.key(stored.Kind.KEY_MAP, "s")
+        copied = store.copy()
+        first = await api.write(key, b"1", ids.NO_VERSION)
+        store.restore(copied)
+        store.put("mustardloom-key-maps", "s", b"2")
+        with pytest.raises(objects.PlatformUnavailable):
+            await api.write(key, b"3", first.version)
+
+    _with_store(scenario)
+
+
+def test_listing_that_spans_a_restore_begins_again():
+    """Guards against a listing whose pages come from two histories."""
+
+    async def scenario(api, store):
+        for number in range(3):
+            store.put("mustardloom-daemons", f"vm-{number}", b"{}")
+        copied = store.copy()
+        for number in range(3, 6):
+            store.put("mustardloom-daemons", f"vm-{number}", b"{}")
+        list_page = store._list
+
+        def list_and_restore(kind, after):
+            answer = list_page(kind, after)
+            if after == "vm-3" and store.era == 1:
+                store.restore(copied)
+                answer = list_page(kind, after)
+            return answer
+
+        store._list = list_and_restore
+        listing = await api.list_objects(stored.Kind.DAEMON)
+        return [stored.name_of(each.key) for each in listing.objects]
+
+    assert _with_store(scenario) == ["vm-0", "vm-1", "vm-2"]
+
+
 def test_malformed_answer_of_the_store_is_unavailable():
     """Guards against crashes on a response that is not JSON."""
 
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -9,6 +9,7 @@
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
+from mustardloom.sidecar import replica_order
 
 __all__ = ["KindReplica", "ObjectStore", "SharedState"]
 
@@ -174,15 +175,16 @@
         kind = stored.kind_of(event.key)
         replica = self.by_kind[kind]
         known = replica.by_key.get(event.key)
-        if known is not None and event.version < known.version:
-            return
+        replica.version = max(replica.version, up_to)
         if event.value is None:
-            replica.by_key.pop(event.key, None)
+            if known is None or event.version < known.version:
+                return
+            del replica.by_key[event.key]
         else:
-            replica.by_key[event.key] = objects.Versioned(
-                event.key, event.version, event.value
-            )
-        replica.version = max(replica.version, up_to)
+            found = objects.Versioned(event.key, event.version, event.value)
+            if known is not None and not replica_order.supersedes(found, known):
+                return
+            replica.by_key[event.key] = found
         self._on_change(kind)
 
     def apply_listing(
@@ -197,7 +199,10 @@
         if listing.version < replica.version:
             return False
         by_key = self._merged(kind, listing)
-        if by_key == replica.by_key and replica.version:
+        is_same_era = stored.era_of(listing.version) == stored.era_of(
+            replica.version
+        )
+        if by_key == replica.by_key and replica.version and is_same_era:
             return False
         replica.by_key = by_key
         replica.version = listing.version
@@ -213,13 +218,36 @@
         though it may not know the latest changes of others.
         """
         known = self.by_kind[kind].by_key
-        by_key = dict(known) if kind is stored.Kind.KEY_MAP else {}
+        by_key = {
+            key: each
+            for key, each in known.items()
+            if self._outlives_listing(kind, each, listing)
+        }
         for each in listing.objects:
             earlier = known.get(each.key, each)
-            is_newer = each.version >= earlier.version
+            is_newer = replica_order.supersedes(each, earlier)
             by_key[each.key] = each if is_newer else earlier
         return by_key
 
+    def _outlives_listing(
+        self,
+        kind: stored.Kind,
+        known: objects.Versioned,
+        listing: objects.Listing,
+    ) -> bool:
+        """Returns whether an object stays though a listing may lack it.
+
+        A store that was restored has lost what was written since the copy. Its
+        writers write it again; until then the configuration that is in force
+        must not be forgotten.
+        """
+        if kind is stored.Kind.KEY_MAP:
+            return True
+        is_earlier = stored.era_of(known.version) < stored.era_of(
+            listing.version
+        )
+        return is_earlier and kind is stored.Kind.CONFIGURATION
+
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind, then watches it, until cancelled.
 
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -215,3 +215,69 @@
         return by_key[first].version, by_key[second].version
 
     assert asyncio.run(run()) == (8, 10)
+
+
+def _new_state():
+    return shared_state.SharedState(
+        _Store(),
+        clock_lib.FakeClock(),
+        lambda _: None,
+        lambda: False,
+        lambda _: None,
+    )
+
+
+def _configuration(version, era, revision):
+    value = b'{"version": %d}' % version
+    return objects.Versioned(_KEY, stored.version_of(era, revision), value)
+
+
+def _apply_listing(state, *contents, era, revision):
+    listing = objects.Listing(contents, stored.version_of(era, revision))
+    return state.apply_listing(_KIND, listing)
+
+
+def _known(state):
+    return state.by_kind[_KIND].by_key[_KEY].value
+
+
+def test_change_after_a_restore_of_the_store_is_adopted():
+    """Guards against changes that are dropped as their revisions are lower."""
+    state = _new_state()
+    before = _configuration(11, era=1, revision=31)
+    _apply_listing(state, before, era=1, revision=35)
+    _apply_listing(state, _configuration(11, 2, 27), era=2, revision=27)
+    after = _configuration(14, era=2, revision=28)
+    event = objects.Event(_KEY, after.version, after.value)
+    state.apply_event(event, after.version)
+    assert _known(state) == after.value
+
+
+def test_older_copy_in_a_restored_store_replaces_no_newer_configuration():
+    """Guards against a configuration that comes back older.
+
+    A daemon that starts meanwhile is told of the newer one, too.
+    """
+    state = _new_state()
+    before = _configuration(11, era=1, revision=31)
+    _apply_listing(state, before, era=1, revision=35)
+    for contents in (
+        [_configuration(4, 2, 25)],
+        [],
+        [_configuration(4, 2, 27)],
+    ):
+        _apply_listing(state, *contents, era=2, revision=27)
+        assert _known(state) == before.value
+
+
+def test_replica_of_an_earlier_era_counts_as_outdated():
+    """Guards against daemons that keep what was before a restore.
+
+    Their versions have higher revisions than those of the restored store.
+    """
+    state = _new_state()
+    _apply_listing(state, _configuration(11, 1, 31), era=1, revision=35)
+    versions = tuple(
+        stored.version_of(2, 27) if kind is _KIND else 0 for kind in stored.Kind
+    )
+    assert state.outdated_kinds(versions) == [_KIND]
