Write the key map again after a restore before the store confirms it

Worse, a read of the copy would have confirmed a map that is older than one by which another daemon grants: two owners of one key.

Cause: whoever read the store took what it holds for the newest map, and revisions of lost maps would have been given out again as fencing tokens.

Change: a map names the era in which it was written; only one of the present era confirms anything. Until a planner has written it, daemons grant by each other's reports, and adopt no map of an earlier era, so that reports stay true. The planner keeps the keys of owners that know its map and no newer one; others get a higher fence and wait until earlier grants have run out. Versions of an era begin above all that may be lost.

The state machine of exclusive ownership now restores the store, restarts daemons at that moment and writes maps that know nothing of it; it also checks fencing tokens. The daemon test failed before.

--- a/mustardloom/keys/authority.py
+++ b/mustardloom/keys/authority.py
@@ -25,12 +25,15 @@
       is_voter: Whether its process has read the map from the store since its
         start, so that it knows at least the maps it knew before a restart.
       daemons: Number of daemons that it knows.
+      era: Latest era of the store in which it knows of a map; it adopts no
+        maps of earlier eras any more.
     """
 
     asked_ms: int
     version: int
     is_voter: bool
     daemons: int
+    era: int = 0
 
 
 class Authority:
@@ -91,6 +94,39 @@
         total = self._daemon_count(daemons)
         return informed >= total - total // 2
 
+    def newest_reported(self) -> int:
+        """Returns the highest version of a map that any daemon reported."""
+        versions = [each.version for each in self._report_by_vm.values()]
+        return max(versions, default=0)
+
+    def owners_without_newer_map(
+        self, version: int, daemons: int, era: int
+    ) -> set[ids.VmId] | None:
+        """Returns the daemons that know a map and no newer one.
+
+        Args:
+          version: Version of the map.
+          daemons: Number of daemons that this daemon knows, itself included.
+          era: Era of the store; reports from before it don't count.
+
+        Returns:
+          Their VMs; None if a newer map is known, or if so few daemons have
+          reported that one of the others may have had a newer map confirmed.
+        """
+        if self.newest_reported() > version:
+            return None
+        voters = {
+            vm: report
+            for vm, report in self._report_by_vm.items()
+            if report.is_voter and report.era >= era
+        }
+        needed = self._daemon_count(daemons) // 2 + 1 - int(self.is_voter)
+        if len(voters) < needed:
+            return None
+        return {
+            vm for vm, report in voters.items() if report.version == version
+        }
+
     def _confirmed_by_majority(self, version: int, daemons: int) -> int | None:
         reports = [
             report for report in self._report_by_vm.values() if report.is_voter
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -21,6 +21,7 @@
     "decode",
     "empty",
     "encode",
+    "era_of",
     "merge_adjacent",
     "version_of",
 ]
@@ -70,11 +71,14 @@
       rows: Rows that cover all keys, in order, without gaps.
       instance_by_vm: Target instance for which the fences of a VM's rows were
         issued.
+      era: Era of the store in which the map was written; None if it was
+        written by an earlier release.
     """
 
     version: int
     rows: tuple[Row, ...]
     instance_by_vm: dict[ids.VmId, targets.TargetInstance]
+    era: int | None = None
 
     def row_of(self, key: int) -> Row:
         """Returns the row that covers a key."""
@@ -133,11 +137,13 @@
     Attributes:
       packed: The compressed map as text.
       form: 1 for `_EarlierPackedMap` in base64, 2 for `_PackedMap` in base85.
+      era: Era of the store in which it was written.
     """
 
     version: int
     packed: str
     form: int = 1
+    era: int | None = None
 
 
 def empty() -> KeyMap:
@@ -189,7 +195,7 @@
     compressed = zlib.compress(msgspec.msgpack.encode(packed_map), 9)
     packed = base64.b85encode(compressed).decode()
     return msgspec.json.encode(
-        _StoredMap(key_map.version, packed, _COLUMNS_FORM)
+        _StoredMap(key_map.version, packed, _COLUMNS_FORM, key_map.era)
     )
 
 
@@ -202,6 +208,15 @@
     return msgspec.json.decode(value, type=_StoredMap).version
 
 
+def era_of(value: bytes) -> int | None:
+    """Returns the era of a stored map without unpacking it.
+
+    Raises:
+      ValueError: The value is not an encoded map.
+    """
+    return msgspec.json.decode(value, type=_StoredMap).era
+
+
 def decode(value: bytes) -> KeyMap:
     """Returns the map of a stored value.
 
@@ -212,10 +227,11 @@
     try:
         if envelope.form == _ROWS_FORM:
             data = zlib.decompress(base64.b64decode(envelope.packed))
-            return _unpack(_to_columns(data))
+            return _unpack(_to_columns(data), envelope.era)
         if envelope.form == _COLUMNS_FORM:
             data = zlib.decompress(base64.b85decode(envelope.packed))
-            return _unpack(msgspec.msgpack.decode(data, type=_PackedMap))
+            packed_map = msgspec.msgpack.decode(data, type=_PackedMap)
+            return _unpack(packed_map, envelope.era)
     except zlib.error as error:
         raise ValueError(repr(error)) from error
     raise ValueError(f"unknown form {envelope.form} of a key map")
@@ -239,7 +255,7 @@
     )
 
 
-def _unpack(packed_map: _PackedMap) -> KeyMap:
+def _unpack(packed_map: _PackedMap, era: int | None = None) -> KeyMap:
     vms = [ids.VmId(vm) for vm in packed_map.vms]
     after_keys = list(itertools.accumulate(packed_map.widths))
     if not after_keys or after_keys[-1] != KEY_COUNT:
@@ -268,7 +284,7 @@
         Row(first, after - 1, owner, fence, earlier, earlier_fence)
         for first, after, owner, fence, earlier, earlier_fence in columns
     )
-    return KeyMap(packed_map.version, rows, instance_by_vm)
+    return KeyMap(packed_map.version, rows, instance_by_vm, era)
 
 
 def _first(row: Row) -> int:
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -20,6 +20,7 @@
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
+from mustardloom.keys import restoration
 
 __all__ = [
     "Candidate",
@@ -92,23 +93,31 @@
     rate: float
 
 
-def initial_map(candidates: Iterable[Candidate]) -> key_map.KeyMap:
-    """Returns the first map: narrow stripes, spread by capacity."""
+def initial_map(
+    candidates: Iterable[Candidate], era: int | None = None
+) -> key_map.KeyMap:
+    """Returns the first map: narrow stripes, spread by capacity.
+
+    Args:
+      candidates: The targets.
+      era: Era of the store.
+    """
     owners = sorted(candidates, key=lambda each: each.vm)
     if not owners:
         return key_map.empty()
     stripe_owners = list(_stripe_owners(owners))
     count = len(stripe_owners)
     starts = [index * key_map.KEY_COUNT // count for index in range(count + 1)]
+    version = restoration.first_version(era)
     rows = (
-        key_map.Row(first, after - 1, vm, 1)
+        key_map.Row(first, after - 1, vm, version)
         for (first, after), vm in zip(
             itertools.pairwise(starts), stripe_owners, strict=True
         )
     )
     instance_by_vm = {owner.vm: owner.instance for owner in owners}
     return key_map.KeyMap(
-        1, tuple(key_map.merge_adjacent(rows)), instance_by_vm
+        version, tuple(key_map.merge_adjacent(rows)), instance_by_vm, era
     )
 
 
@@ -141,7 +150,10 @@
     )
     instance_by_vm = {**current.instance_by_vm, vm: instance}
     return key_map.KeyMap(
-        version, tuple(key_map.merge_adjacent(rows)), instance_by_vm
+        version,
+        tuple(key_map.merge_adjacent(rows)),
+        instance_by_vm,
+        current.era,
     )
 
 
@@ -459,5 +471,8 @@
         if owner.vm in receiver_vms and owner.vm not in instance_by_vm:
             instance_by_vm[owner.vm] = owner.instance
     return key_map.KeyMap(
-        version, tuple(key_map.merge_adjacent(changed)), instance_by_vm
+        version,
+        tuple(key_map.merge_adjacent(changed)),
+        instance_by_vm,
+        current.era,
     )
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -2,8 +2,8 @@
 
 Each daemon has its claims, grant ledger and authority; each target holds the
 keys that the answers to its heartbeats list, until they expire. Daemons and
-targets restart, daemons lose the store or each other, and planners move rows,
-in any order.
+targets restart, daemons lose the store or each other, planners move rows, and
+the store comes back from an older copy, in any order.
 """
 
 import dataclasses
@@ -19,6 +19,7 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
 from mustardloom.keys import planning
+from mustardloom.keys import restoration
 
 _VMS = [ids.VmId(f"vm-{number}") for number in range(3)]
 _HOLD_MS = 2_000
@@ -54,10 +55,25 @@
         self.claims = claims.Claims(vm)
         self.authority = authority.Authority()
         self.ledger = None
+        # Latest era of the store of which the daemon knows a map.
+        self.era = 0
+        self.has_listed = False
 
     def version(self):
         return self.claims.map.version
 
+    def adopt(self, new):
+        """Adopts a map from the store or another daemon, as `Keyspace` does."""
+        is_present = restoration.is_established(new.era, self.era)
+        if is_present or not self.version():
+            self.claims.adopt(new)
+
+    def is_voter(self):
+        is_present = restoration.is_established(self.claims.map.era, self.era)
+        if self.has_listed and self.version() and is_present:
+            self.authority.is_voter = True
+        return self.authority.is_voter
+
 
 class Ownership(stateful.RuleBasedStateMachine):
     """Moves, faults and heartbeats in any order; checks exclusive ownership."""
@@ -67,7 +83,12 @@
         self.now_ms = 10_000
         self.latest_born_ms = 1
         self.targets = {vm: _Target(self._new_instance(vm)) for vm in _VMS}
-        self.map = planning.initial_map(self._candidates(_VMS))
+        self.era = 1
+        self.map = planning.initial_map(self._candidates(_VMS), self.era)
+        # Maps that the store has held, for restores from a copy.
+        self.past = []
+        # Highest fencing token of each key, and the target that had it.
+        self.fence_by_key = dict.fromkeys(_KEYS, (0, None))
         self.daemons = {vm: _Daemon(vm) for vm in _VMS}
         self.store_up = True
         self.isolated = set()
@@ -89,8 +110,22 @@
         if not self.store_up or vm in self.isolated:
             return
         daemon = self.daemons[vm]
-        daemon.claims.adopt(self.map)
-        daemon.authority.record_store_read(self.now_ms)
+        daemon.era = self.era
+        daemon.has_listed = True
+        if self._is_established():
+            daemon.adopt(self.map)
+            daemon.authority.record_store_read(self.now_ms)
+
+    def _is_established(self):
+        return restoration.is_established(self.map.era, self.era)
+
+    def _can_write(self):
+        return self.store_up and self._is_established()
+
+    def _write(self, planned):
+        if planned is not None and planned is not self.map:
+            self.past.append(self.map)
+            self.map = planned
 
     def _can_reach(self, left, right):
         return left == right or not {left, right} & self.isolated
@@ -103,21 +138,27 @@
                 continue
             peer = self.daemons[other]
             report = authority.MapReport(
-                self.now_ms, peer.version(), peer.authority.is_voter, len(_VMS)
+                self.now_ms,
+                peer.version(),
+                peer.is_voter(),
+                len(_VMS),
+                peer.era,
             )
             daemon.authority.record_report(other, report)
 
     def _copy_map(self, source, sink):
         if self._can_reach(source, sink):
             newer = self.daemons[source].claims.map
-            self.daemons[sink].claims.adopt(newer)
+            daemon = self.daemons[sink]
+            daemon.era = max(daemon.era, self.daemons[source].era)
+            if newer.version:
+                daemon.adopt(newer)
 
     @stateful.rule(vms=strategies.sets(strategies.sampled_from(_VMS)))
     def reassign(self, vms):
-        if self.store_up:
+        if self._can_write():
             receivers = self._candidates([vm for vm in _VMS if vm not in vms])
-            planned = planning.reassign(self.map, receivers, vms)
-            self.map = planned or self.map
+            self._write(planning.reassign(self.map, receivers, vms))
 
     @stateful.rule(reporting=_SOME_VMS)
     def clear_previous_owners(self, reporting):
@@ -128,16 +169,16 @@
             and not self.daemons[vm].claims.pending_ranges
         }
         cleared = planning.clear_previous_owners(self.map, settled)
-        if self.store_up and cleared is not self.map:
-            self.map = dataclasses.replace(
-                cleared, version=self.map.version + 1
+        if self._can_write() and cleared is not self.map:
+            self._write(
+                dataclasses.replace(cleared, version=self.map.version + 1)
             )
 
     @stateful.rule(
         vm=strategies.sampled_from(_VMS), sink=strategies.sampled_from(_VMS)
     )
     def move_some(self, vm, sink):
-        if not self.store_up or vm == sink:
+        if not self._can_write() or vm == sink:
             return
         loads = [
             planning.RowLoad(row.first, row.last, 5.0)
@@ -153,15 +194,88 @@
             )
             for each in {vm, sink}
         ]
-        planned = planning.rebalance(self.map, candidates, loads, 300)
-        self.map = planned or self.map
+        self._write(planning.rebalance(self.map, candidates, loads, 300))
 
     def _adopt_instance(self, vm):
-        if self.store_up:
+        if self._can_write():
             instance = self.targets[vm].instance
-            self.map = (
-                planning.adopt_instance(self.map, vm, instance) or self.map
+            self._write(planning.adopt_instance(self.map, vm, instance))
+
+    @stateful.rule(
+        age=strategies.integers(1, 4),
+        restarting=strategies.sets(strategies.sampled_from(_VMS)),
+    )
+    def restore_store(self, age, restarting):
+        """Lets the store come back from a copy that lacks the last maps.
+
+        Some daemons are restarted at the same moment and forget those maps.
+        """
+        if not self.store_up or not self.past:
+            return
+        age = min(age, len(self.past))
+        self.map = self.past[-age]
+        del self.past[-age:]
+        self.era += 1
+        for vm in sorted(restarting):
+            self.restart_daemon(vm)
+
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS),
+        sink=strategies.sampled_from(_VMS),
+        knowing=_SOME_VMS,
+    )
+    def move_and_hand_over(self, vm, sink, knowing):
+        """Moves keys and completes the move, of which not all may know."""
+        self.move_some(vm, sink)
+        informed = {vm, sink} | knowing
+        for _ in range(4):
+            self.work(informed, informed, informed, informed, informed)
+            self.now_ms += 50
+
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS), leaving=strategies.sampled_from(_VMS)
+    )
+    def write_unaware_of_a_restore(self, vm, leaving):
+        """Writes a map of an earlier era whose precondition holds again."""
+        daemon = self.daemons[vm]
+        if not self.store_up or not daemon.version() or vm in self.isolated:
+            return
+        map_era = daemon.claims.map.era or 0
+        if daemon.era < self.era and map_era < self.era:
+            receivers = self._candidates([v for v in _VMS if v != leaving])
+            self._write(
+                planning.reassign(daemon.claims.map, receivers, {leaving})
+            )
+
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS), has_waited=strategies.booleans()
+    )
+    def reestablish_map(self, vm, has_waited):
+        """Plans the first map of an era, as `MapRestoration` does."""
+        reachable = [other for other in _VMS if self._can_reach(vm, other)]
+        if not self.store_up or vm in self.isolated or len(reachable) < 2:
+            return
+        self._read_store(vm)
+        if self._is_established():
+            return
+        daemon = self.daemons[vm]
+        known = [self.daemons[other].claims.map for other in reachable]
+        basis = max(known, key=lambda each: each.version)
+        unmoved = None
+        if basis.version:
+            unmoved = daemon.authority.owners_without_newer_map(
+                basis.version, len(_VMS), self.era
             )
+        else:
+            basis = self.map
+        if unmoved is None and not has_waited:
+            self._ask_others(vm)
+            return
+        unmoved = unmoved or set()
+        if daemon.version() == basis.version and unmoved:
+            unmoved = unmoved | {vm}
+        newest = daemon.authority.newest_reported()
+        self._write(restoration.reestablish(basis, self.era, unmoved, newest))
 
     def _heartbeat(self, vm):
         daemon, target = self.daemons[vm], self.targets[vm]
@@ -206,11 +320,26 @@
             targets.GrantedRange(row.first, row.last, row.fence) for row in rows
         )
         target.until_ms = self.now_ms + hold_ms * _CLOCK_FACTOR
+        self._check_fences(target)
+
+    def _check_fences(self, target):
+        """A key gets a fencing token above those of all other targets."""
+        for row in target.rows:
+            for key in _KEYS:
+                if not row.first <= key <= row.last:
+                    continue
+                fence, holder = self.fence_by_key[key]
+                is_same = holder is target.instance
+                assert row.fence > fence or is_same, (key, row, fence)
+                if row.fence >= fence:
+                    self.fence_by_key[key] = (row.fence, target.instance)
 
     def _ask_release(self, vm):
         daemon = self.daemons[vm]
         for pending in daemon.claims.pending_ranges:
             previous = pending.previous
+            if previous == restoration.UNKNOWN_VM:
+                continue
             if not self._can_reach(vm, previous):
                 continue
             other = self.daemons[previous]
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -374,6 +374,9 @@
             self._log,
         )
         keyspace.on_settled = self._status_sender.send
+        keyspace.on_newer_map = lambda vm: self._state_exchange.fetch(
+            vm, stored.Kind.KEY_MAP
+        )
         self._keyspace_by_service[service] = keyspace
         self._adopt_maps()
         planner = planner_lib.Planner(
@@ -387,7 +390,7 @@
             self._metrics,
         )
         planner.send_status = self._status_sender.send
-        planner.on_written = lambda: self._state_exchange.publish(
+        planner.publish_maps = lambda: self._state_exchange.publish(
             stored.Kind.KEY_MAP
         )
         self._planner_by_service[service] = planner
@@ -445,6 +448,11 @@
             before=before,
             versions=self._shared_state.versions(),
         )
+        self._start(self._read_restored_maps())
+
+    async def _read_restored_maps(self) -> None:
+        """Lists the key maps, so that the planner soon knows of the restore."""
+        await self._shared_state.refresh(stored.Kind.KEY_MAP, _NO_AGE_MS)
 
     def _on_store_answer_ignored(
         self, kind: stored.Kind, found: ids.Version, known: ids.Version
@@ -551,7 +559,10 @@
                 keyspace.mark_listed()
             reports.append(keyspace.map_report())
         return frames.Pong(
-            tuple(reports), len(self._fleet.by_vm), self._clock.now_ms()
+            tuple(reports),
+            len(self._fleet.by_vm),
+            self._clock.now_ms(),
+            self._shared_state.by_kind[stored.Kind.KEY_MAP].era,
         )
 
     def _on_pong(self, vm: ids.VmId, asked_ms: int, pong: frames.Pong) -> None:
@@ -559,7 +570,7 @@
             keyspace = self._keyspace_of(service)
             if keyspace is not None:
                 report = authority.MapReport(
-                    asked_ms, version, is_voter, pong.daemons
+                    asked_ms, version, is_voter, pong.daemons, pong.map_era
                 )
                 keyspace.on_map_report(vm, report)
 
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -186,11 +186,13 @@
         store since its process began.
       daemons: Number of daemons that the sender knows.
       clock_ms: The sender's clock.
+      map_era: Latest era of the store in which the sender knows of key maps.
     """
 
     words: tuple[tuple[str, int, bool], ...]
     daemons: int
     clock_ms: int
+    map_era: int = 0
 
 
 class Ping(_Base, frozen=True, tag=16):
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -18,6 +18,7 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger as ledger_lib
 from mustardloom.keys import planning
+from mustardloom.keys import restoration
 from mustardloom.platform import announcements
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -75,6 +76,8 @@
       on_settled: Called with the VM of the planner once earlier owners have
         released all keys of this VM.
       on_range_loads: Called with the busy parts of the local target's rows.
+      on_newer_map: Called with the VM of a daemon that knows a map which this
+        one lacks and which the store has lost.
     """
 
     def __init__(
@@ -125,6 +128,7 @@
         self._adopted_ms = 0
         self._has_pending = asyncio.Event()
         self.on_range_loads: Callable[[RangeLoads], None] = lambda _: None
+        self.on_newer_map: Callable[[ids.VmId], None] = lambda _: None
 
     # Queries.
 
@@ -136,7 +140,31 @@
     @property
     def store_version(self) -> ids.Version:
         """Returns the version of the map's object, `NO_VERSION` if none."""
-        return self._version if self.current_map is not None else ids.NO_VERSION
+        if stored.era_of(self._version) == self.store_era:
+            return self._version
+        replica = self._state.by_kind[stored.Kind.KEY_MAP]
+        found = replica.by_key.get(self.key)
+        if found is not None and stored.era_of(found.version) == replica.era:
+            return found.version
+        return replica.held_version_by_key.get(self.key, ids.NO_VERSION)
+
+    @property
+    def store_era(self) -> int:
+        """Returns the latest era of the store in which maps are known."""
+        return self._state.by_kind[stored.Kind.KEY_MAP].era
+
+    @property
+    def is_established(self) -> bool:
+        """Returns whether the known map was written in the store's era.
+
+        Otherwise the store was restored from a copy, and the map must be
+        written again before the store can confirm it.
+        """
+        current = self.current_map
+        if current is not None:
+            return restoration.is_established(current.era, self.store_era)
+        replica = self._state.by_kind[stored.Kind.KEY_MAP]
+        return self.key not in replica.by_key
 
     @property
     def local_instance(self) -> targets.TargetInstance | None:
@@ -299,11 +327,12 @@
 
         From now on answers of this daemon can confirm that no newer map exists.
         """
-        self._authority.is_voter = True
+        if self.is_established:
+            self._authority.is_voter = True
 
     def adopt(self, stored_map: objects.Versioned) -> None:
         """Adopts the map in a stored object if it is newer."""
-        if stored_map.version <= self._version:
+        if stored_map.version == self._version:
             return
         try:
             new = key_map.decode(stored_map.value)
@@ -312,8 +341,12 @@
                 events.Event.FAULT, object=stored_map.key, error=repr(error)
             )
             return
+        if new.version < self._claims.map.version:
+            return
+        if not self._may_adopt(new, stored_map.version):
+            return
         self._version = stored_map.version
-        if new.version <= self._claims.map.version:
+        if new.version == self._claims.map.version:
             return
         now_ms = self._clock.now_ms()
         old = self._claims.map
@@ -333,6 +366,63 @@
             waits=len(self._claims.pending_ranges),
         )
 
+    def _may_adopt(self, new: key_map.KeyMap, version: ids.Version) -> bool:
+        """Returns whether a map can be the newest one.
+
+        A map that was restored from a copy may be older than maps that are
+        lost. Once a restore is known, maps of earlier eras change nothing any
+        more, so that what this daemon reports stays true.
+        """
+        if not restoration.is_established(new.era, stored.era_of(version)):
+            return False
+        is_present = restoration.is_established(new.era, self.store_era)
+        return is_present or self.current_map is None
+
+    def restoration_basis(self) -> tuple[key_map.KeyMap | None, bool]:
+        """Returns the newest map known from before a restore of the store.
+
+        Returns:
+          The map, None if there is none; and whether it was in use, rather
+          than read from the restored copy, which may be out of date.
+        """
+        replica = self._state.by_kind[stored.Kind.KEY_MAP]
+        found = replica.by_key.get(self.key)
+        current = self.current_map
+        if found is None:
+            return current, True
+        try:
+            other = key_map.decode(found.value)
+        except ValueError:
+            return current, True
+        was_in_use = restoration.is_established(
+            other.era, stored.era_of(found.version)
+        )
+        if current is None:
+            return other, was_in_use
+        if was_in_use and other.version > current.version:
+            return other, True
+        return current, True
+
+    def owners_without_newer_map(self, version: int) -> set[ids.VmId] | None:
+        """Returns the daemons that know a map and surely no newer one.
+
+        Returns None if too few daemons have reported since the restore of the
+        store, or one of them knows a newer map.
+        """
+        self._authority.retain(set(self._fleet.by_vm))
+        known = self._authority.owners_without_newer_map(
+            version, len(self._fleet.by_vm), self.store_era
+        )
+        current = self.current_map
+        is_known_here = current is not None and current.version == version
+        if known is not None and is_known_here:
+            known.add(self._settings.vm)
+        return known
+
+    def newest_reported(self) -> int:
+        """Returns the highest version of a map that a daemon reported."""
+        return self._authority.newest_reported()
+
     async def become_voter(self) -> None:
         """Confirms once that this process knows the newest map.
 
@@ -425,6 +515,9 @@
     ) -> None:
         """Records which version of the map another daemon knows."""
         self._authority.record_report(vm, report)
+        is_newer = report.version > self._claims.map.version
+        if is_newer and not self.is_established:
+            self.on_newer_map(vm)
 
     def map_report(self) -> tuple[str, int, bool]:
         """Returns this daemon's report to other daemons about the map.
--- a/mustardloom/sidecar/map_confirmation.py
+++ b/mustardloom/sidecar/map_confirmation.py
@@ -14,6 +14,8 @@
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
+from mustardloom.keys import key_map
+from mustardloom.keys import restoration
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
@@ -69,6 +71,10 @@
 
         Returns None if neither the store nor another daemon confirms that.
         """
+        if self._awaits_restoration():
+            # Its planner passes the new map on; asking the store in vain would
+            # cost a call for each owner.
+            return None
         reader = self._fleet.store_reader()
         is_reader = reader == self._fleet.own_record.vm
         confirmed_ms: int | None = None
@@ -143,8 +149,28 @@
             return None
 
     def _stored_map(self) -> objects.Versioned | None:
+        """Returns the map in the store if it can confirm anything.
+
+        One that was restored from a copy of an earlier era cannot.
+        """
+        found = self._known_map()
+        return None if self._awaits_restoration() else found
+
+    def _known_map(self) -> objects.Versioned | None:
         return self._state.by_kind[stored.Kind.KEY_MAP].by_key.get(self._key)
 
+    def _awaits_restoration(self) -> bool:
+        """Returns whether no map was written in the store's present era."""
+        found = self._known_map()
+        if found is None:
+            return False
+        try:
+            map_era = key_map.era_of(found.value)
+        except ValueError:
+            return False
+        store_era = self._state.by_kind[stored.Kind.KEY_MAP].era
+        return not restoration.is_established(map_era, store_era)
+
     def _knows(self, version: ids.Version) -> bool:
         """Returns whether the map in use is at least that of `version`."""
         return self._known_version() >= version
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -8,6 +8,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom import objects
+from mustardloom.deployment import stored
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
@@ -17,6 +18,7 @@
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import keyspace as keyspace_lib
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import map_restoration
 from mustardloom.sidecar import shared_state
 
 __all__ = ["Planner"]
@@ -53,7 +55,7 @@
     Attributes:
       objective_ms: Latency objective of the service.
       send_status: Sends this daemon's status to a VM.
-      on_written: Called after a new map was written and adopted.
+      publish_maps: Sends what this daemon knows of the maps to all others.
     """
 
     def __init__(
@@ -69,7 +71,7 @@
     ):
         self.objective_ms = _DEFAULT_OBJECTIVE_MS
         self.send_status: Callable[[ids.VmId], None] = lambda _: None
-        self.on_written: Callable[[], None] = lambda: None
+        self.publish_maps: Callable[[], None] = lambda: None
         self._vm = vm
         self._keyspace = keyspace
         self._store = store
@@ -78,6 +80,9 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._restoration = map_restoration.MapRestoration(
+            keyspace, fleet, links, clock, lambda: self.publish_maps()
+        )
         self._loads_by_vm: dict[ids.VmId, tuple[planning.RowLoad, ...]] = {}
         self._instances_seen: dict[ids.VmId, targets.TargetInstance] = {}
         self._instances_seen_ms = clock.now_ms()
@@ -134,6 +139,8 @@
         instance = self._keyspace.local_instance
         if current is None or instance is None:
             return None
+        if not self._keyspace.is_established:
+            return None
         return planning.adopt_instance(current, self._vm, instance)
 
     def _planned(self) -> key_map.KeyMap | None:
@@ -141,6 +148,8 @@
             return None
         if not self._fleet.has_majority():
             return None
+        if not self._keyspace.is_established:
+            return self._restoration.plan()
         candidates = list(self._candidates())
         known = self._keyspace.current_map
         if known is None:
@@ -233,7 +242,8 @@
             or now_ms - self._instances_seen_ms < _FIRST_MAP_DELAY_MS
         ):
             return None
-        return planning.initial_map(candidates)
+        era = max(self._keyspace.store_era, self._store.era)
+        return planning.initial_map(candidates, era)
 
     def _is_lost(self, vm: ids.VmId) -> bool:
         peer = self._fleet.by_vm.get(vm)
@@ -274,17 +284,20 @@
             case objects.Written(version):
                 written = objects.Versioned(key, version, value)
                 self._keyspace.apply_stored(written)
-                self.on_written()
+                self.publish_maps()
                 self._metrics.increment("keys.maps_written")
                 self._record_moves(planned)
             case objects.Conflict(current):
                 if current is not None:
                     self._keyspace.apply_stored(current)
+                else:
+                    await self._keyspace.confirmer.read()
         self._log.write(
             events.Event.KEY_MAP_PLANNED,
             service=self._keyspace.service,
             map_version=planned.version,
-            replaces=int(expected),
+            era=planned.era,
+            replaces=stored.revision_of(expected),
             result=type(result).__name__.lower(),
             rows=len(planned.rows),
         )
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -73,11 +73,32 @@
         nothing was read yet.
       is_listed: Whether the store itself, rather than another daemon, has
         listed the objects since this process began.
+      held_version_by_key: Versions that the store holds of objects of which
+        `by_key` has a newer value from before a restore of the store.
     """
 
     by_key: dict[str, objects.Versioned]
     version: ids.Version = ids.NO_VERSION
     is_listed: bool = False
+    held_version_by_key: dict[str, ids.Version] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def era(self) -> int:
+        """Returns the latest era of the store of which this kind is known."""
+        return stored.era_of(self.version)
+
+    def choose(
+        self, found: objects.Versioned, known: objects.Versioned | None
+    ) -> objects.Versioned:
+        """Returns the newer one of an object in the store and the known one."""
+        if known is None or replica_order.supersedes(found, known):
+            self.held_version_by_key.pop(found.key, None)
+            return found
+        if found.version > known.version:
+            self.held_version_by_key[found.key] = found.version
+        return known
 
 
 @dataclasses.dataclass(slots=True)
@@ -182,7 +203,7 @@
             del replica.by_key[event.key]
         else:
             found = objects.Versioned(event.key, event.version, event.value)
-            if known is not None and not replica_order.supersedes(found, known):
+            if replica.choose(found, known) is not found:
                 return
             replica.by_key[event.key] = found
         self._on_change(kind)
@@ -196,16 +217,16 @@
           Whether any object changed.
         """
         replica = self.by_kind[kind]
-        if listing.version < replica.version:
+        is_older = listing.version < replica.version
+        # An older replica may have a map of which the newer one lacks.
+        if is_older and kind is not stored.Kind.KEY_MAP:
             return False
         by_key = self._merged(kind, listing)
-        is_same_era = stored.era_of(listing.version) == stored.era_of(
-            replica.version
-        )
-        if by_key == replica.by_key and replica.version and is_same_era:
+        is_new_era = stored.era_of(listing.version) > replica.era
+        if by_key == replica.by_key and replica.version and not is_new_era:
             return False
         replica.by_key = by_key
-        replica.version = listing.version
+        replica.version = max(replica.version, listing.version)
         self._on_change(kind)
         return True
 
@@ -217,16 +238,15 @@
         A daemon that has written one object sends a replica of that version,
         though it may not know the latest changes of others.
         """
-        known = self.by_kind[kind].by_key
+        replica = self.by_kind[kind]
+        known = replica.by_key
         by_key = {
             key: each
             for key, each in known.items()
             if self._outlives_listing(kind, each, listing)
         }
         for each in listing.objects:
-            earlier = known.get(each.key, each)
-            is_newer = replica_order.supersedes(each, earlier)
-            by_key[each.key] = each if is_newer else earlier
+            by_key[each.key] = replica.choose(each, known.get(each.key))
         return by_key
 
     def _outlives_listing(
--- a/mustardloom/sidecar/state_exchange.py
+++ b/mustardloom/sidecar/state_exchange.py
@@ -72,12 +72,16 @@
           vm: VM of that daemon.
           versions: Version of its replica of each kind.
         """
-        now_ms = self._clock.now_ms()
         for kind in self._state.outdated_kinds(versions):
-            started_ms = self._fetch_started_ms.get(kind, -_FETCH_INTERVAL_MS)
-            if now_ms - started_ms >= _FETCH_INTERVAL_MS:
-                self._fetch_started_ms[kind] = now_ms
-                self._start(self._fetch(vm, kind))
+            self.fetch(vm, kind)
+
+    def fetch(self, vm: ids.VmId, kind: stored.Kind) -> None:
+        """Fetches the replica of a kind, unless a fetch has just begun."""
+        now_ms = self._clock.now_ms()
+        started_ms = self._fetch_started_ms.get(kind, -_FETCH_INTERVAL_MS)
+        if now_ms - started_ms >= _FETCH_INTERVAL_MS:
+            self._fetch_started_ms[kind] = now_ms
+            self._start(self._fetch(vm, kind))
 
     def on_fetch(self, fetch: frames.Fetch) -> frames.Fetched:
         """Returns this daemon's replica of the kind that a peer asks for."""
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -383,6 +383,42 @@
     _run(scenario)
 
 
+def test_keys_stay_served_and_move_again_after_a_restore_of_the_store():
+    """Guards against a key map that no daemon can write any more.
+
+    The copy is older than the map by which the keys were granted last.
+    """
+
+    async def scenario(store, vms):
+        copied = store.copy()
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        fence = max(row[2] for vm in vms for row in vm.target.held)
+        store.restore(copied)
+        store.put("config", "main", standins.configuration(version=3))
+
+        async def is_written_again():
+            return ("mustardloom-key-maps", "keyed") in store.by_path
+
+        await _until(is_written_again)
+        for number, key in enumerate(range(0, 65_536, 8_192)):
+            response = await _get_until_answered(
+                vms[2], "/keyed/x", f"after-{number}", key
+            )
+            assert response.status == 200
+        store.put("evacuations", "za", b"{}")
+        sink = vms[1].target
+
+        async def has_moved():
+            return sum(row[1] - row[0] + 1 for row in sink.held) >= 65_000
+
+        await _until(has_moved)
+        assert max(row[2] for row in sink.held) > fence
+
+    _run(scenario)
+
+
 def test_daemon_that_cannot_register_still_finds_the_others():
     """Guards against a daemon that is alone while the store refuses writes."""
 
--- a/mustardloom/sidecar/tests/test_map_confirmation.py
+++ b/mustardloom/sidecar/tests/test_map_confirmation.py
@@ -7,6 +7,7 @@
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
+from mustardloom.keys import key_map
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import map_confirmation
@@ -193,3 +194,26 @@
         assert setup.store.lists == 2
 
     asyncio.run(run())
+
+
+def test_map_from_an_older_copy_of_the_store_confirms_nothing():
+    """Guards against grants by a map that is older than a lost one."""
+
+    async def run():
+        setup = _Setup(reader=_OWN)
+        restored = key_map.KeyMap(1, key_map.empty().rows, {}, era=1)
+        version = stored.version_of(2, 4)
+        setup.known = version
+        setup.state.apply_listing(
+            _KIND,
+            objects.Listing(
+                (objects.Versioned(_KEY, version, key_map.encode(restored)),),
+                version,
+            ),
+        )
+        assert await setup.confirmer.confirm() is None
+        assert await setup.confirmer.read() is False
+        reply = await setup.confirmer.on_query(frames.AuthorityQuery(1, "s"))
+        assert reply.version == 0
+
+    asyncio.run(run())
