Write again what daemons had written, and keep evacuations, after a restore

Daemons whose records a restored store had lost were unknown to those that started later, for good, and an evacuation that the copy lacks ended at once, though it was acknowledged and is written again.

Cause: what a store lists was taken for all there is, also right after it came back from an older copy; nobody looked whether his own record was lost.

Change: a daemon registers again if the new era lacks its record; records of others stay known. Evacuations stay for 3 s, in which operators write them again, and are not brought back by daemons that still keep them.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -103,6 +103,8 @@
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
         self._is_stopping = False
+        # Era of the store in which it held this daemon's record, if any.
+        self._registered_era: int | None = None
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[
@@ -286,9 +288,7 @@
         All list the records after they have written their own, so of any two
         daemons that start together one finds the other.
         """
-        registering = asyncio.ensure_future(
-            registration.register(self._store, self._record, self._clock)
-        )
+        registering = asyncio.ensure_future(self._register())
         try:
             await self._list_daemons(registering)
         finally:
@@ -297,6 +297,23 @@
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
+    async def _register(self) -> None:
+        await registration.register(self._store, self._record, self._clock)
+        self._registered_era = self._store.era
+
+    def _register_again_if_lost(self) -> None:
+        """Registers again if the store was restored from an older copy."""
+        replica = self._shared_state.by_kind[stored.Kind.DAEMON]
+        registered_era = self._registered_era
+        if registered_era is None or replica.era <= registered_era:
+            return
+        own = replica.by_key.get(
+            stored.key(stored.Kind.DAEMON, self._settings.vm)
+        )
+        self._registered_era = replica.era
+        if own is None or stored.era_of(own.version) < replica.era:
+            self._start(self._register())
+
     async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
         """Lists the daemons until a list has begun after the registration.
 
@@ -327,6 +344,7 @@
                 self._adopt_evacuations(set(by_key))
             case stored.Kind.DAEMON:
                 self._adopt_daemons(list(by_key.values()))
+                self._register_again_if_lost()
             case stored.Kind.KEY_MAP:
                 self._adopt_maps()
 
@@ -413,9 +431,12 @@
 
     def _adopt_daemons(self, stored_objects: list[objects.Versioned]) -> None:
         # Of two records with the same address the later one is valid: a new VM
-        # may have taken over the address of an earlier one.
+        # may have taken over the address of an earlier one. A store that was
+        # restored holds earlier records under their revisions of that time.
         by_address: dict[settings.Address, stored.DaemonRecord] = {}
-        for each in sorted(stored_objects, key=lambda item: item.version):
+        for each in sorted(
+            stored_objects, key=lambda item: stored.revision_of(item.version)
+        ):
             try:
                 record = msgspec.json.decode(
                     each.value, type=stored.DaemonRecord
@@ -448,11 +469,12 @@
             before=before,
             versions=self._shared_state.versions(),
         )
-        self._start(self._read_restored_maps())
+        self._start(self._read_restored())
 
-    async def _read_restored_maps(self) -> None:
-        """Lists the key maps, so that the planner soon knows of the restore."""
-        await self._shared_state.refresh(stored.Kind.KEY_MAP, _NO_AGE_MS)
+    async def _read_restored(self) -> None:
+        """Lists what daemons write, so that they soon know of the restore."""
+        for kind in (stored.Kind.KEY_MAP, stored.Kind.DAEMON):
+            await self._shared_state.refresh(kind, _NO_AGE_MS)
 
     def _on_store_answer_ignored(
         self, kind: stored.Kind, found: ids.Version, known: ids.Version
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -21,6 +21,8 @@
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
 _POLL_INTERVAL_MS = 4_000
+# What a restored store lacks, its writers write again within this time.
+_REWRITE_MS = 3_000
 # A daemon that starts beside others gets their replicas within this time. After
 # a restart of all there are none, and all wait in vain.
 _REPLICA_WAIT_MS = 250
@@ -155,6 +157,10 @@
             [stored.Kind, ids.Version, ids.Version], None
         ] = lambda *_: None
         self._era = 0
+        # Local time until which objects that the store lacks since a restore
+        # are kept.
+        self._kept_until_ms = dict.fromkeys(stored.Kind, 0)
+        self._forgetting: set[asyncio.Task[None]] = set()
         self._refresh_by_kind = {kind: _Refresh() for kind in stored.Kind}
         self._store = store
         self._clock = clock
@@ -221,15 +227,43 @@
         # An older replica may have a map of which the newer one lacks.
         if is_older and kind is not stored.Kind.KEY_MAP:
             return False
-        by_key = self._merged(kind, listing)
         is_new_era = stored.era_of(listing.version) > replica.era
+        if is_new_era:
+            self._kept_until_ms[kind] = self._clock.now_ms() + _REWRITE_MS
+        by_key = self._merged(kind, listing)
         if by_key == replica.by_key and replica.version and not is_new_era:
             return False
         replica.by_key = by_key
         replica.version = max(replica.version, listing.version)
+        self._forget_later(kind)
         self._on_change(kind)
         return True
 
+    def _forget_later(self, kind: stored.Kind) -> None:
+        """Forgets evacuations later that nobody writes again."""
+        if kind is stored.Kind.EVACUATION and self._unrestored(kind):
+            task = asyncio.ensure_future(self._forget_unrestored(kind))
+            self._forgetting.add(task)
+            task.add_done_callback(self._forgetting.discard)
+
+    async def _forget_unrestored(self, kind: stored.Kind) -> None:
+        left_ms = self._kept_until_ms[kind] - self._clock.now_ms()
+        await self._clock.sleep_ms(left_ms)
+        unrestored = self._unrestored(kind)
+        for key in unrestored:
+            del self.by_kind[kind].by_key[key]
+        if unrestored:
+            self._on_change(kind)
+
+    def _unrestored(self, kind: stored.Kind) -> list[str]:
+        """Returns the keys of objects that the store lacks since a restore."""
+        replica = self.by_kind[kind]
+        return [
+            key
+            for key, each in replica.by_key.items()
+            if stored.era_of(each.version) < replica.era
+        ]
+
     def _merged(
         self, kind: stored.Kind, listing: objects.Listing
     ) -> dict[str, objects.Versioned]:
@@ -246,6 +280,8 @@
             if self._outlives_listing(kind, each, listing)
         }
         for each in listing.objects:
+            if self._is_forgotten(kind, each, listing):
+                continue
             by_key[each.key] = replica.choose(each, known.get(each.key))
         return by_key
 
@@ -258,15 +294,28 @@
         """Returns whether an object stays though a listing may lack it.
 
         A store that was restored has lost what was written since the copy. Its
-        writers write it again; until then the configuration that is in force
-        must not be forgotten.
+        writers write it again, and until then it stays in force. Evacuations
+        end by being deleted, so one that is missing for long has ended.
         """
         if kind is stored.Kind.KEY_MAP:
             return True
-        is_earlier = stored.era_of(known.version) < stored.era_of(
-            listing.version
+        if stored.era_of(known.version) >= stored.era_of(listing.version):
+            return False
+        is_kept = self._clock.now_ms() < self._kept_until_ms[kind]
+        return is_kept or kind is not stored.Kind.EVACUATION
+
+    def _is_forgotten(
+        self,
+        kind: stored.Kind,
+        found: objects.Versioned,
+        listing: objects.Listing,
+    ) -> bool:
+        """Returns whether another daemon still keeps what has ended here."""
+        return (
+            kind is stored.Kind.EVACUATION
+            and stored.era_of(found.version) < stored.era_of(listing.version)
+            and self._clock.now_ms() >= self._kept_until_ms[kind]
         )
-        return is_earlier and kind is stored.Kind.CONFIGURATION
 
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind, then watches it, until cancelled.
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -419,6 +419,26 @@
     _run(scenario)
 
 
+def test_daemons_register_again_after_a_restore_of_the_store():
+    """Guards against daemons that new ones cannot find any more."""
+
+    async def scenario(store, vms):
+        copied = store.copy()
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        store.restore(copied)
+        store.put("config", "main", standins.configuration(version=3))
+
+        async def are_registered():
+            kinds = [kind for kind, _ in store.by_path]
+            return kinds.count("mustardloom-daemons") == len(vms)
+
+        await _until(are_registered)
+
+    _run(scenario)
+
+
 def test_daemon_that_cannot_register_still_finds_the_others():
     """Guards against a daemon that is alone while the store refuses writes."""
 
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -281,3 +281,63 @@
         stored.version_of(2, 27) if kind is _KIND else 0 for kind in stored.Kind
     )
     assert state.outdated_kinds(versions) == [_KIND]
+
+
+_ZONE = stored.key(stored.Kind.EVACUATION, "za")
+
+
+def _apply_evacuations(state, *keys, era, object_era=None):
+    version = stored.version_of(era, 9)
+    contents = tuple(
+        objects.Versioned(key, stored.version_of(object_era or era, 9), b"{}")
+        for key in keys
+    )
+    listing = objects.Listing(contents, version)
+    return state.apply_listing(stored.Kind.EVACUATION, listing)
+
+
+def _evacuations(state):
+    return set(state.by_kind[stored.Kind.EVACUATION].by_key)
+
+
+def test_evacuation_that_a_restored_store_lacks_stays_until_written_again():
+    """Guards against requests to a zone whose evacuation was acknowledged."""
+
+    async def run():
+        state = _new_state()
+        _apply_evacuations(state, _ZONE, era=1)
+        _apply_evacuations(state, era=2)
+        assert _evacuations(state) == {_ZONE}
+        _apply_evacuations(state, _ZONE, era=2)
+        await state._clock.advance(2 * shared_state._REWRITE_MS)
+        return _evacuations(state)
+
+    assert asyncio.run(run()) == {_ZONE}
+
+
+def test_evacuation_that_nobody_writes_again_ends():
+    """Guards against a zone that stays empty as daemons remind each other."""
+
+    async def run():
+        state = _new_state()
+        _apply_evacuations(state, _ZONE, era=1)
+        _apply_evacuations(state, era=2)
+        await state._clock.advance(shared_state._REWRITE_MS)
+        assert not _evacuations(state)
+        _apply_evacuations(state, _ZONE, era=2, object_era=1)
+        return _evacuations(state)
+
+    assert not asyncio.run(run())
+
+
+def test_records_that_a_restored_store_lacks_are_kept():
+    """Guards against links to living daemons that are closed."""
+    state = _new_state()
+    kind = stored.Kind.DAEMON
+    record = objects.Versioned(
+        stored.key(kind, "vm"), stored.version_of(1, 9), b"{}"
+    )
+    for era, contents in ((1, (record,)), (2, ()), (2, ())):
+        version = stored.version_of(era, 9)
+        state.apply_listing(kind, objects.Listing(contents, version))
+    assert state.by_kind[kind].by_key == {record.key: record}
