--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -285,7 +285,7 @@
         self.is_failing = False
         self.state = "ready"
         self.held = []
-        self.statement = ()
+        self.statement: tuple[messages.Header, ...] = ()
         self._service = service
         self._zone = zone
         self._control = control
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -51,10 +51,8 @@
 # A call that runs until it is cancelled.
 _LoopCall = Callable[[], Coroutine[Any, Any, None]]
 
-_LIST_RETRY_MS = 500
 _LOOP_RESTART_MS = 500
 _NO_AGE_MS = 0
-_MS_PER_S = 1_000
 _STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _PERCENT = 100
@@ -103,8 +101,6 @@
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
         self._is_stopping = False
-        # Era of the store in which it held this daemon's record, if any.
-        self._registered_era: int | None = None
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[
@@ -129,6 +125,9 @@
             own_settings.region,
             own_settings.service,
         )
+        self._registration = registration.Registration(
+            store, self._shared_state, self._record, clock
+        )
         self._links = links_lib.Links(self._record, clock, self._on_frame)
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
@@ -283,55 +282,12 @@
         self._log.write(events.Event.FAULT, error=repr(error), place=place)
 
     async def _join(self) -> None:
-        """Registers this daemon, finds the others and follows changes.
-
-        All list the records after they have written their own, so of any two
-        daemons that start together one finds the other.
-        """
-        registering = asyncio.ensure_future(self._register())
-        try:
-            await self._list_daemons(registering)
-        finally:
-            registering.cancel()
+        """Registers this daemon, finds the others and follows changes."""
+        await self._registration.join()
         await self._shared_state.poll(
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
-    async def _register(self) -> None:
-        await registration.register(self._store, self._record, self._clock)
-        self._registered_era = self._store.era
-
-    def _register_again_if_lost(self) -> None:
-        """Registers again if the store was restored from an older copy."""
-        replica = self._shared_state.by_kind[stored.Kind.DAEMON]
-        registered_era = self._registered_era
-        if registered_era is None or replica.era <= registered_era:
-            return
-        own = replica.by_key.get(
-            stored.key(stored.Kind.DAEMON, self._settings.vm)
-        )
-        self._registered_era = replica.era
-        if own is None or stored.era_of(own.version) < replica.era:
-            self._start(self._register())
-
-    async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
-        """Lists the daemons until a list has begun after the registration.
-
-        A store that refuses the registration may still answer reads.
-        """
-        while True:
-            await asyncio.wait(
-                (registering,), timeout=_LIST_RETRY_MS / _MS_PER_S
-            )
-            is_registered = registering.done()
-            listed_ms = await self._shared_state.refresh(
-                stored.Kind.DAEMON, _NO_AGE_MS
-            )
-            if is_registered and listed_ms is not None:
-                return
-            if is_registered:
-                await self._clock.sleep_ms(_LIST_RETRY_MS)
-
     # State of the fleet.
 
     def _on_state_change(self, kind: stored.Kind) -> None:
@@ -344,7 +300,8 @@
                 self._adopt_evacuations(set(by_key))
             case stored.Kind.DAEMON:
                 self._adopt_daemons(list(by_key.values()))
-                self._register_again_if_lost()
+                if self._registration.is_lost():
+                    self._start(self._registration.register())
             case stored.Kind.KEY_MAP:
                 self._adopt_maps()
 
--- a/mustardloom/sidecar/registration.py
+++ b/mustardloom/sidecar/registration.py
@@ -1,5 +1,7 @@
 """Registers a daemon in the store, where other daemons find it."""
 
+import asyncio
+
 import msgspec
 
 from mustardloom import clock as clock_lib
@@ -8,9 +10,85 @@
 from mustardloom.deployment import stored
 from mustardloom.sidecar import shared_state
 
-__all__ = ["register"]
+__all__ = ["Registration", "register"]
 
 _RETRY_MS = 500
+_LIST_RETRY_MS = 500
+_NO_AGE_MS = 0
+_MS_PER_S = 1_000
+
+
+class Registration:
+    """Keeps the record of this daemon in the store and finds the others.
+
+    Args:
+      store: The store.
+      state: Replicas of the stored objects.
+      record: Record of this daemon.
+      clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        store: shared_state.ObjectStore,
+        state: shared_state.SharedState,
+        record: stored.DaemonRecord,
+        clock: clock_lib.Clock,
+    ):
+        self._store = store
+        self._state = state
+        self._record = record
+        self._clock = clock
+        # Era of the store in which it held the record, None before that.
+        self._registered_era: int | None = None
+
+    async def join(self) -> None:
+        """Registers this daemon and lists the others.
+
+        All list the records after they have written their own, so of any two
+        daemons that start together one finds the other. A store that refuses
+        the registration may still answer reads.
+        """
+        registering = asyncio.ensure_future(self.register())
+        try:
+            await self._list_daemons(registering)
+        finally:
+            registering.cancel()
+
+    async def register(self) -> None:
+        """Returns once the store holds the record of this daemon."""
+        await register(self._store, self._record, self._clock)
+        self._registered_era = self._store.era
+
+    def is_lost(self) -> bool:
+        """Returns whether the store has lost the record since `register`.
+
+        A store that was restored from an older copy may lack it. The answer is
+        true once for each restore.
+        """
+        replica = self._state.by_kind[stored.Kind.DAEMON]
+        registered_era = self._registered_era
+        if registered_era is None or replica.era <= registered_era:
+            return False
+        self._registered_era = replica.era
+        key = stored.key(stored.Kind.DAEMON, self._record.vm)
+        own = replica.by_key.get(key)
+        return own is None or stored.era_of(own.version) < replica.era
+
+    async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
+        """Lists the daemons until a list has begun after the registration."""
+        while True:
+            await asyncio.wait(
+                (registering,), timeout=_LIST_RETRY_MS / _MS_PER_S
+            )
+            is_registered = registering.done()
+            listed_ms = await self._state.refresh(
+                stored.Kind.DAEMON, _NO_AGE_MS
+            )
+            if is_registered and listed_ms is not None:
+                return
+            if is_registered:
+                await self._clock.sleep_ms(_LIST_RETRY_MS)
 
 
 async def register(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
+import sys
 
 from soak import evidence as evidence_lib
 
 __all__ = ["BOUNDS", "CHECKS", "Violation", "violations"]
 
 _KEYS = 65_536
+_MS_PER_S = 1_000
 # Statuses that guarantee that a request has not run and will not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -34,6 +36,9 @@
       late_ms: Tolerance for an answer after the time limit of its route.
       recover_ms: Time after the last fault in which service recovers.
       max_attempts: Number of targets that a request may reach at most.
+      limit_factor: Multiple of its stated limit that a target may get.
+      limit_slack: Requests that it may get beyond that in a window.
+      limit_window_ms: Time in which requests are counted.
     """
 
     calm_ms: int = 4_000
@@ -46,6 +51,9 @@
     late_ms: int = 500
     recover_ms: int = 10_000
     max_attempts: int = 2
+    limit_factor: float = 1.5
+    limit_slack: int = 5
+    limit_window_ms: int = 4_000
 
 
 BOUNDS = Bounds()
@@ -311,6 +319,79 @@
             yield f"{run} began {run.began_ms - left_ms} ms after the leave"
 
 
+def stated_limits(evidence: evidence_lib.Evidence) -> _Findings:
+    """A target that states a limit gets at most half more, and some slack."""
+    starts_by_instance = defaultdict(list)
+    for run in evidence.runs:
+        if _was_fault_free(evidence, run):
+            starts_by_instance[run.life].append(run.began_ms)
+    for name, instance in evidence.instance_by_name.items():
+        for since_ms, until_ms, limit_per_s in _limited_times(instance):
+            starts = [
+                start_ms
+                for start_ms in sorted(starts_by_instance[name])
+                if since_ms + BOUNDS.calm_ms <= start_ms <= until_ms
+            ]
+            allowed = (
+                BOUNDS.limit_factor * limit_per_s * BOUNDS.limit_window_ms
+            ) / _MS_PER_S + BOUNDS.limit_slack
+            for start_ms in starts:
+                end_ms = start_ms + BOUNDS.limit_window_ms
+                count = sum(1 for each in starts if start_ms <= each < end_ms)
+                if count > allowed:
+                    yield (
+                        f"{name} started {count} requests from {start_ms} on; "
+                        f"allowed were {allowed}"
+                    )
+                    break
+
+
+def _limited_times(
+    instance: evidence_lib.TargetInstance,
+) -> Iterator[tuple[int, int, float]]:
+    """Yields start, end and limit of each time with a stated limit."""
+    ends = [each.at_ms for each in instance.statements[1:]]
+    last_ms = instance.ended_ms or sys.maxsize
+    for each, until_ms in zip(
+        instance.statements, [*ends, last_ms], strict=False
+    ):
+        if each.limit_per_s is not None:
+            yield each.at_ms, until_ms, each.limit_per_s
+
+
+def stated_leaves(evidence: evidence_lib.Evidence) -> _Findings:
+    """A target that states its leave gets no request after the drain time.
+
+    The time begins with the first response that states it.
+    """
+    for run in evidence.runs:
+        stated_ms = _leave_stated_ms(evidence, run.life)
+        if stated_ms is None or run.began_ms <= stated_ms + BOUNDS.drain_ms:
+            continue
+        if _was_fault_free(evidence, run):
+            yield f"{run} began {run.began_ms - stated_ms} ms after the leave"
+
+
+def _leave_stated_ms(
+    evidence: evidence_lib.Evidence, instance: str
+) -> int | None:
+    leaves = [
+        each.at_ms
+        for each in evidence.instance_by_name[instance].statements
+        if each.is_leaving
+    ]
+    if not leaves:
+        return None
+    ended = (
+        run.ended_ms
+        for run in evidence.runs
+        if run.life == instance
+        and run.ended_ms is not None
+        and run.ended_ms >= leaves[0]
+    )
+    return min(ended, default=None)
+
+
 def evacuated_zones(evidence: evidence_lib.Evidence) -> _Findings:
     """Nothing starts in an availability zone after its evacuation."""
     for run in evidence.runs:
@@ -404,6 +485,8 @@
     within_budget,
     home_regions,
     draining,
+    stated_limits,
+    stated_leaves,
     evacuated_zones,
     configuration_in_force,
     on_time,
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -10,6 +10,7 @@
     "Fault",
     "Holding",
     "Run",
+    "Statement",
     "TargetInstance",
     "in_force",
 ]
@@ -85,6 +86,19 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What a target states in its responses from `at_ms` on.
+
+    Attributes:
+      limit_per_s: Requests a second that it takes; None for any number.
+    """
+
+    at_ms: int
+    limit_per_s: float | None
+    is_leaving: bool
+
+
 @dataclasses.dataclass(slots=True)
 class TargetInstance:
     """One process of a target, from start to exit.
@@ -93,6 +107,7 @@
       leaving_ms: When the daemon acknowledged that the target leaves, None if
         it never did.
       ended_ms: When the process ended, None if it has not.
+      statements: What it stated in its responses, in order of time.
     """
 
     name: str
@@ -102,6 +117,7 @@
     region: str
     leaving_ms: int | None = None
     ended_ms: int | None = None
+    statements: list[Statement] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from soak import proxy as proxy_lib
 
-__all__ = ["LINKS", "Kind", "PlannedFault", "plan_faults"]
+__all__ = ["LINKS", "Kind", "PlannedFault", "plan_faults", "plan_statements"]
 
 LINKS = ("caller", "peer", "store", "target")
 
@@ -29,6 +29,9 @@
     EVACUATE = "evacuate"
     CONFIGURE = "configure"
     BURST = "burst"
+    STORE_RESTORED = "store-restored"
+    TARGET_LIMITED = "target-limited"
+    TARGET_LEAVES_QUIETLY = "target-leaves-quietly"
 
 
 # Relative frequency of each kind.
@@ -99,15 +102,44 @@
     kinds = list(_WEIGHT_BY_KIND)
     weights = list(_WEIGHT_BY_KIND.values())
     planned = [
-        PlannedFault(
-            kind=source.choices(kinds, weights)[0],
-            at_ms=source.randrange(length_ms),
-            for_ms=source.randint(_MIN_DURATION_MS, _MAX_DURATION_MS),
-            vm=source.randrange(vms),
-            link=source.choice(LINKS),
-            mode=source.choice(_MODES),
-            delay_ms=source.randint(1, _MAX_DELAY_MS),
-        )
+        _draw(source, source.choices(kinds, weights)[0], length_ms, vms)
         for _ in range(count)
     ]
     return sorted(planned, key=lambda each: each.at_ms)
+
+
+def plan_statements(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
+    """Returns faults that targets or the store state in their answers.
+
+    They are drawn apart from the others, so that a seed keeps its plan.
+
+    Args:
+      seed: The same seed and arguments give the same plan.
+      length_ms: Time over which they begin.
+      vms: Number of VMs.
+    """
+    source = random.Random(f"statements {seed}")
+    planned = [
+        _draw(source, kind, length_ms, vms)
+        for kind in (
+            Kind.STORE_RESTORED,
+            Kind.TARGET_LIMITED,
+            Kind.TARGET_LIMITED,
+            Kind.TARGET_LEAVES_QUIETLY,
+        )
+    ]
+    return sorted(planned, key=lambda each: each.at_ms)
+
+
+def _draw(
+    source: random.Random, kind: Kind, length_ms: int, vms: int
+) -> PlannedFault:
+    return PlannedFault(
+        kind=kind,
+        at_ms=source.randrange(length_ms),
+        for_ms=source.randint(_MIN_DURATION_MS, _MAX_DURATION_MS),
+        vm=source.randrange(vms),
+        link=source.choice(LINKS),
+        mode=source.choice(_MODES),
+        delay_ms=source.randint(1, _MAX_DELAY_MS),
+    )
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -22,7 +22,13 @@
 # Within this time a killed daemon is restarted and has read the store.
 _RESTART_WAIT_S = 1.5
 _EVACUATION_S = 7
+# Longer than the time after which a limit, or the end of a drain, is checked.
+_LIMITED_S = 8
+_QUIET_LEAVE_S = 4
+# Operators write again what a restored store has lost, within this time.
+_REWRITE_S = 0.5
 _UNAVAILABLE = 503
+_OPERATORS_KINDS = ("config", "evacuations")
 # Services to which the route `moving` leads in turn.
 _MOVING_ROUTE_SERVICES = ("plain", "other")
 
@@ -99,6 +105,18 @@
                 self.configure()
             case faults.Kind.BURST:
                 await self._burst(for_s)
+            case faults.Kind.STORE_RESTORED:
+                await self._restore_store(planned, for_s)
+            case faults.Kind.TARGET_LIMITED:
+                async with self._target_locks[planned.vm]:
+                    vm.signal_target(signal.SIGUSR1)
+                    await asyncio.sleep(_LIMITED_S)
+                    vm.signal_target(signal.SIGUSR1)
+            case faults.Kind.TARGET_LEAVES_QUIETLY:
+                async with self._target_locks[planned.vm]:
+                    vm.signal_target(signal.SIGUSR2)
+                    await asyncio.sleep(_QUIET_LEAVE_S)
+                    await vm.replace_target(signal.SIGKILL)
 
     async def _record_while(
         self,
@@ -158,6 +176,28 @@
         for proxy in proxies:
             proxy.set_mode(proxy_lib.Mode.PASS)
 
+    async def _restore_store(
+        self, planned: faults.PlannedFault, for_s: float
+    ) -> None:
+        """Lets the store be away and come back from a copy of now."""
+        copied = self._store.copy()
+        await asyncio.sleep(for_s)
+        with self._recorded(planned.kind.value, ""):
+            self._store.status = _UNAVAILABLE
+            await asyncio.sleep(_REWRITE_S)
+            operators = [
+                (path, each)
+                for path, each in self._store.by_path.items()
+                if path[0] in _OPERATORS_KINDS
+            ]
+            self._store.restore(copied)
+            for kind, name in list(self._store.by_path):
+                if kind in _OPERATORS_KINDS:
+                    self._store.delete(kind, name)
+            for (kind, name), each in operators:
+                self._store.put(kind, name, bytes(each["spec"]))
+            self._store.status = None
+
     # Actions of operators and callers.
 
     async def _evacuate(self, zone: str) -> None:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -263,6 +263,12 @@
                 run_by_id[str(line["request_id"])].ended_ms = at_ms
             case "leaving":
                 instance.leaving_ms = at_ms
+            case "statement":
+                instance.statements.append(
+                    msgspec.convert(
+                        {**line, "at_ms": at_ms}, evidence_lib.Statement
+                    )
+                )
             case other:
                 raise ValueError(f"unknown event {other!r}")
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -124,12 +124,13 @@
         self._injector = injector_lib.Injector(
             self._vms, self._store, self._evidence, self._clock, options.seed
         )
-        self._planned = faults.plan_faults(
-            options.seed,
-            options.faults,
-            options.length_s * _MS_PER_S,
-            options.vms,
-        )
+        length_ms = options.length_s * _MS_PER_S
+        self._planned = [
+            *faults.plan_faults(
+                options.seed, options.faults, length_ms, options.vms
+            ),
+            *faults.plan_statements(options.seed, length_ms, options.vms),
+        ]
 
     async def play(self) -> None:
         self._injector.configure()
--- a/soak/target.py
+++ b/soak/target.py
@@ -2,6 +2,8 @@
 
 On SIGTERM it drains: it announces that it leaves in its heartbeat, serves until
 the drain time and a margin have passed since the acknowledgement, and exits.
+SIGUSR1 makes it state a rate limit in its responses, or none again; SIGUSR2
+makes it state there that it leaves, which its heartbeats never tell.
 """
 
 import argparse
@@ -21,6 +23,7 @@
 # Shorter heartbeat interval while the target releases keys.
 _RELEASE_HEARTBEAT_MS = 80
 _SERVE_AFTER_DRAIN_MS = 800
+_LIMIT_PER_S = 3.0
 
 
 def main() -> int:
@@ -48,6 +51,8 @@
         self._clock = clock_lib.SystemClock()
         self._is_leaving = asyncio.Event()
         self._is_leave_acknowledged = asyncio.Event()
+        self._is_limited = False
+        self._states_leave = False
         self._target = standins.Target(
             arguments.name,
             arguments.service,
@@ -62,6 +67,8 @@
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._is_leaving.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._toggle_limit)
+        loop.add_signal_handler(signal.SIGUSR2, self._state_leave)
         options = self._arguments
         self._target.listen(options.port, options.host, options.announced)
         heartbeats = asyncio.ensure_future(self._send_heartbeats())
@@ -75,6 +82,27 @@
         heartbeats.cancel()
         await self._clock.sleep_ms(_SHORT_PAUSE_MS)
 
+    def _toggle_limit(self) -> None:
+        self._is_limited = not self._is_limited
+        self._state()
+
+    def _state_leave(self) -> None:
+        self._states_leave = True
+        self._state()
+
+    def _state(self) -> None:
+        """Sets the headers of all later responses."""
+        headers = []
+        if self._is_limited:
+            headers.append((b"Server-Limit", b"%.1f" % _LIMIT_PER_S))
+        if self._states_leave:
+            headers.append((b"Server-Leaving", b"1"))
+        self._target.statement = tuple(headers)
+        limit_per_s = _LIMIT_PER_S if self._is_limited else None
+        self._write_event(
+            "statement", limit_per_s=limit_per_s, is_leaving=self._states_leave
+        )
+
     async def _send_heartbeats(self) -> None:
         await self._clock.sleep_ms(_SHORT_PAUSE_MS)
         while True:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -67,6 +67,17 @@
     return evidence
 
 
+def _with_statement(statement, run_ms):
+    names = [f"r{number}" for number in range(len(run_ms))]
+    runs = [
+        _run(name, began_ms=at_ms, ended_ms=at_ms + 10)
+        for name, at_ms in zip(names, run_ms, strict=True)
+    ]
+    evidence = _evidence([_attempt(name) for name in names], runs)
+    evidence.instance_by_name["t-a"].statements.append(statement)
+    return evidence
+
+
 _KEYED = {"route": "keyed", "key": 5}
 _FAULTY_BY_CHECK = {
     "one_owner": _evidence(
@@ -96,6 +107,12 @@
     "within_budget": _evidence([_attempt("r")], [_run("r", deadline_ms=1_600)]),
     "home_regions": _evidence([_attempt("r")], [_run("r", "t-b")]),
     "draining": _run_after_leave(),
+    "stated_limits": _with_statement(
+        evidence_lib.Statement(1_000, 0.5, False), range(6_000, 9_000, 300)
+    ),
+    "stated_leaves": _with_statement(
+        evidence_lib.Statement(1_000, None, True), [1_100, 9_000]
+    ),
     "evacuated_zones": _evidence(
         [_attempt("r")],
         [_run("r", began_ms=7_000)],
