Watch from the first page of a listing, not from the last

A change between two pages of a listing was missed by both, if the object stood on an earlier page: the watch began at the revision of the last page. The version is that of the first page now; changes since may come twice. The test failed before.

--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -107,23 +107,25 @@
     async def list_objects(self, kind: stored.Kind) -> objects.Listing:
         """Returns all objects of a kind, with one call for each page.
 
-        Begins again if the store was restored between two pages.
+        The version is that of the first page, as objects on it may have changed
+        since. Begins again if the store was restored between two pages.
         """
         found: list[objects.Versioned] = []
         query: dict[str, str] = {}
-        era: int | None = None
+        version: ids.Version | None = None
         while True:
             answer = await self._call("GET", _path(kind, query))
-            if era is not None and answer.era != era:
-                found, query, era = [], {}, None
-                continue
-            era = answer.era
             page = self._decode(answer, _Listing)
-            found.extend(_to_versioned(kind, item, era) for item in page.items)
+            if version is None:
+                version = stored.version_of(answer.era, page.current_rev)
+            if stored.era_of(version) != answer.era:
+                found, query, version = [], {}, None
+                continue
+            found.extend(
+                _to_versioned(kind, item, answer.era) for item in page.items
+            )
             if not page.truncated or not page.items:
-                return objects.Listing(
-                    tuple(found), stored.version_of(era, page.current_rev)
-                )
+                return objects.Listing(tuple(found), version)
             query = {"after": page.items[-1].metadata.name}
 
     async def watch(
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -363,6 +363,31 @@
     assert _with_store(scenario) == ["vm-0", "vm-1", "vm-2"]
 
 
+def test_change_between_two_pages_of_a_listing_is_watched():
+    """Guards against a change that neither the listing nor the watch has.
+
+    The object was listed on the first page before it changed.
+    """
+
+    async def scenario(api, store):
+        for number in range(3):
+            store.put("mustardloom-daemons", f"vm-{number}", b"1")
+        list_page = store._list
+
+        def list_and_change(kind, after):
+            answer = list_page(kind, after)
+            if not after:
+                store.put("mustardloom-daemons", "vm-0", b"2")
+            return answer
+
+        store._list = list_and_change
+        listing = await api.list_objects(stored.Kind.DAEMON)
+        batch = await api.watch(stored.Kind.DAEMON, listing.version, 0)
+        return [event.value for event in batch.events]
+
+    assert _with_store(scenario) == [b"2"]
+
+
 def test_malformed_answer_of_the_store_is_unavailable():
     """Guards against crashes on a response that is not JSON."""
 
