Base no write on a copy from before the last restore

A daemon whose first confirmation fell into a restore never became a witness. Evacuations of a first restore ended in the middle of a second one's grace.

--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -146,7 +146,8 @@
         found = replica.by_key.get(self.key)
         if found is not None and stored.era_of(found.version) == replica.era:
             return found.version
-        return replica.held_version_by_key.get(self.key, ids.NO_VERSION)
+        held = replica.held_version_by_key.get(self.key, ids.NO_VERSION)
+        return held if stored.era_of(held) == replica.era else ids.NO_VERSION
 
     @property
     def store_era(self) -> int:
@@ -428,9 +429,12 @@
 
         From then on its answers count in a majority of daemons.
         """
-        while self.current_map is None or not await self.confirmer.confirm():
-            await self._clock.sleep_ms(_RENEW_RETRY_MS)
-        self.mark_listed()
+        while not self._authority.is_voter:
+            if self.current_map is None or not await self.confirmer.confirm():
+                await self._clock.sleep_ms(_RENEW_RETRY_MS)
+                continue
+            # Without effect if the store was restored meanwhile.
+            self.mark_listed()
 
     async def renew_authority(self) -> None:
         """Renews the authority to grant keys, until cancelled."""
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -137,7 +137,7 @@
       on_restored: Called with the era before and the new one after the store
         came back from an older copy.
       on_ignored: Called with the kind, the version found in the store and the
-        known one if the store's answer was taken for an older one.
+        known one if the store's answer was of an earlier era.
       store_answers: Whether the latest call of the store was answered.
     """
 
@@ -224,7 +224,7 @@
         """
         replica = self.by_kind[kind]
         is_older = listing.version < replica.version
-        # An older replica may have a map of which the newer one lacks.
+        # An older replica may have a map that the store has lost since.
         if is_older and kind is not stored.Kind.KEY_MAP:
             return False
         is_new_era = stored.era_of(listing.version) > replica.era
@@ -247,8 +247,8 @@
             task.add_done_callback(self._forgetting.discard)
 
     async def _forget_unrestored(self, kind: stored.Kind) -> None:
-        left_ms = self._kept_until_ms[kind] - self._clock.now_ms()
-        await self._clock.sleep_ms(left_ms)
+        while (now_ms := self._clock.now_ms()) < self._kept_until_ms[kind]:
+            await self._clock.sleep_ms(self._kept_until_ms[kind] - now_ms)
         unrestored = self._unrestored(kind)
         for key in unrestored:
             del self.by_kind[kind].by_key[key]
@@ -451,7 +451,7 @@
 
     def _check_ignored(self, kind: stored.Kind, found: ids.Version) -> None:
         known = self.by_kind[kind].version
-        if found < known:
+        if stored.era_of(found) < stored.era_of(known):
             self.on_ignored(kind, found, known)
 
     def _set_store_answers(self, answers: bool) -> None:
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -10,6 +10,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom.deployment import settings
+from mustardloom.deployment import stored
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
 from mustardloom.platform import object_api
@@ -419,6 +420,45 @@
     _run(scenario)
 
 
+def test_key_map_is_written_again_after_two_restores_in_a_row():
+    """Guards against a write whose precondition is of the restore before.
+
+    The first copy has an older map, the second one has none.
+    """
+
+    async def scenario(store, vms):
+        empty = store.copy()
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        older = store.copy()
+        store.put("evacuations", "za", b"{}")
+        sink = vms[1].target
+
+        async def has_moved():
+            return sum(row[1] - row[0] + 1 for row in sink.held) >= 65_000
+
+        await _until(has_moved)
+        store.restore(older)
+        # The first VM by name plans.
+        state = vms[0].daemon._shared_state
+        replica = state.by_kind[stored.Kind.KEY_MAP]
+
+        async def is_copy_seen():
+            return replica.held_version_by_key
+
+        await _until(is_copy_seen)
+        store.restore(empty)
+        store.put("config", "main", standins.configuration(version=3))
+
+        async def is_written_again():
+            return ("mustardloom-key-maps", "keyed") in store.by_path
+
+        await _until(is_written_again)
+
+    _run(scenario)
+
+
 def test_daemons_register_again_after_a_restore_of_the_store():
     """Guards against daemons that new ones cannot find any more."""
 
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -315,6 +315,23 @@
     assert asyncio.run(run()) == {_ZONE}
 
 
+def test_second_restore_gives_operators_the_whole_time_again():
+    """Guards against an evacuation that ends as the first wait is over."""
+
+    async def run():
+        state = _new_state()
+        _apply_evacuations(state, _ZONE, era=1)
+        _apply_evacuations(state, era=2)
+        await state._clock.advance(shared_state._REWRITE_MS - 1)
+        _apply_evacuations(state, era=3)
+        await state._clock.advance(shared_state._REWRITE_MS - 1)
+        assert _evacuations(state) == {_ZONE}
+        await state._clock.advance(1)
+        return _evacuations(state)
+
+    assert not asyncio.run(run())
+
+
 def test_evacuation_that_nobody_writes_again_ends():
     """Guards against a zone that stays empty as daemons remind each other."""
 
