--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -9,9 +9,9 @@
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
-from mustardloom.sidecar import replica_order
+from mustardloom.sidecar import kind_replica
 
-__all__ = ["KindReplica", "ObjectStore", "SharedState"]
+__all__ = ["ObjectStore", "SharedState"]
 
 # Each watch is billed, and a longer wait means fewer watches.
 _WATCH_WAIT_MS = 10_000
@@ -21,8 +21,6 @@
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
 _POLL_INTERVAL_MS = 4_000
-# What a restored store lacks, its writers write again within this time.
-_REWRITE_MS = 3_000
 # A daemon that starts beside others gets their replicas within this time. After
 # a restart of all there are none, and all wait in vain.
 _REPLICA_WAIT_MS = 250
@@ -65,44 +63,6 @@
         """
 
 
-@dataclasses.dataclass(slots=True)
-class KindReplica:
-    """Replica of all objects of one kind.
-
-    Attributes:
-      by_key: The objects by their keys.
-      version: Version of the store as of the last change that was seen; 0 if
-        nothing was read yet.
-      is_listed: Whether the store itself, rather than another daemon, has
-        listed the objects since this process began.
-      held_version_by_key: Versions that the store holds of objects of which
-        `by_key` has a newer value from before a restore of the store.
-    """
-
-    by_key: dict[str, objects.Versioned]
-    version: ids.Version = ids.NO_VERSION
-    is_listed: bool = False
-    held_version_by_key: dict[str, ids.Version] = dataclasses.field(
-        default_factory=dict
-    )
-
-    @property
-    def era(self) -> int:
-        """Returns the latest era of the store of which this kind is known."""
-        return stored.era_of(self.version)
-
-    def choose(
-        self, found: objects.Versioned, known: objects.Versioned | None
-    ) -> objects.Versioned:
-        """Returns the newer one of an object in the store and the known one."""
-        if known is None or replica_order.supersedes(found, known):
-            self.held_version_by_key.pop(found.key, None)
-            return found
-        if found.version > known.version:
-            self.held_version_by_key[found.key] = found.version
-        return known
-
-
 @dataclasses.dataclass(slots=True)
 class _Refresh:
     """Reads of one kind by `SharedState.refresh`.
@@ -150,16 +110,15 @@
         on_update: Callback,
         on_store: Callable[[bool], None] = lambda _: None,
     ):
-        self.by_kind = {kind: KindReplica({}) for kind in stored.Kind}
+        self.by_kind = {
+            kind: kind_replica.KindReplica(kind) for kind in stored.Kind
+        }
         self.store_answers = True
         self.on_restored: Callable[[int, int], None] = lambda *_: None
         self.on_ignored: Callable[
             [stored.Kind, ids.Version, ids.Version], None
         ] = lambda *_: None
         self._era = 0
-        # Local time until which objects that the store lacks since a restore
-        # are kept.
-        self._kept_until_ms = dict.fromkeys(stored.Kind, 0)
         self._forgetting: set[asyncio.Task[None]] = set()
         self._refresh_by_kind = {kind: _Refresh() for kind in stored.Kind}
         self._store = store
@@ -200,122 +159,34 @@
           up_to: Version of the store up to which changes are known with it.
         """
         kind = stored.kind_of(event.key)
-        replica = self.by_kind[kind]
-        known = replica.by_key.get(event.key)
-        replica.version = max(replica.version, up_to)
-        if event.value is None:
-            if known is None or event.version < known.version:
-                return
-            del replica.by_key[event.key]
-        else:
-            found = objects.Versioned(event.key, event.version, event.value)
-            if replica.choose(found, known) is not found:
-                return
-            replica.by_key[event.key] = found
-        self._on_change(kind)
+        if self.by_kind[kind].apply_event(event, up_to):
+            self._on_change(kind)
 
     def apply_listing(
         self, kind: stored.Kind, listing: objects.Listing
     ) -> bool:
-        """Replaces the replica of a kind unless it is newer than the listing.
+        """Brings the replica of a kind up to date with a listing.
 
         Returns:
           Whether any object changed.
         """
         replica = self.by_kind[kind]
-        is_older = listing.version < replica.version
-        # An older replica may have a map that the store has lost since.
-        if is_older and kind is not stored.Kind.KEY_MAP:
-            return False
-        is_new_era = stored.era_of(listing.version) > replica.era
-        if is_new_era:
-            self._kept_until_ms[kind] = self._clock.now_ms() + _REWRITE_MS
-        by_key = self._merged(kind, listing)
-        if by_key == replica.by_key and replica.version and not is_new_era:
+        if not replica.apply_listing(listing, self._clock.now_ms()):
             return False
-        replica.by_key = by_key
-        replica.version = max(replica.version, listing.version)
-        self._forget_later(kind)
-        self._on_change(kind)
-        return True
-
-    def _forget_later(self, kind: stored.Kind) -> None:
-        """Forgets evacuations later that nobody writes again."""
-        if kind is stored.Kind.EVACUATION and self._unrestored(kind):
+        if replica.has_kept_for_now():
             task = asyncio.ensure_future(self._forget_unrestored(kind))
             self._forgetting.add(task)
             task.add_done_callback(self._forgetting.discard)
+        self._on_change(kind)
+        return True
 
     async def _forget_unrestored(self, kind: stored.Kind) -> None:
-        while (now_ms := self._clock.now_ms()) < self._kept_until_ms[kind]:
-            await self._clock.sleep_ms(self._kept_until_ms[kind] - now_ms)
-        unrestored = self._unrestored(kind)
-        for key in unrestored:
-            del self.by_kind[kind].by_key[key]
-        if unrestored:
-            self._on_change(kind)
-
-    def _unrestored(self, kind: stored.Kind) -> list[str]:
-        """Returns the keys of objects that the store lacks since a restore."""
+        """Forgets what nobody has written again since a restore."""
         replica = self.by_kind[kind]
-        return [
-            key
-            for key, each in replica.by_key.items()
-            if stored.era_of(each.version) < replica.era
-        ]
-
-    def _merged(
-        self, kind: stored.Kind, listing: objects.Listing
-    ) -> dict[str, objects.Versioned]:
-        """Returns the newest known version of each object of a listing.
-
-        A daemon that has written one object sends a replica of that version,
-        though it may not know the latest changes of others.
-        """
-        replica = self.by_kind[kind]
-        known = replica.by_key
-        by_key = {
-            key: each
-            for key, each in known.items()
-            if self._outlives_listing(kind, each, listing)
-        }
-        for each in listing.objects:
-            if self._is_forgotten(kind, each, listing):
-                continue
-            by_key[each.key] = replica.choose(each, known.get(each.key))
-        return by_key
-
-    def _outlives_listing(
-        self,
-        kind: stored.Kind,
-        known: objects.Versioned,
-        listing: objects.Listing,
-    ) -> bool:
-        """Returns whether an object stays though a listing may lack it.
-
-        A store that was restored has lost what was written since the copy. Its
-        writers write it again, and until then it stays in force. Evacuations
-        end by being deleted, so one that is missing for long has ended.
-        """
-        if kind is stored.Kind.KEY_MAP:
-            return True
-        if stored.era_of(known.version) >= stored.era_of(listing.version):
-            return False
-        is_kept = self._clock.now_ms() < self._kept_until_ms[kind]
-        return is_kept or kind is not stored.Kind.EVACUATION
-
-    def _is_forgotten(
-        self,
-        kind: stored.Kind,
-        found: objects.Versioned,
-        listing: objects.Listing,
-    ) -> bool:
-        """Returns whether another daemon still keeps what has ended here."""
-        return (
-            kind is stored.Kind.EVACUATION
-            and stored.era_of(found.version) < stored.era_of(listing.version)
-            and self._clock.now_ms() >= self._kept_until_ms[kind]
-        )
+        while (now_ms := self._clock.now_ms()) < replica.kept_until_ms:
+            await self._clock.sleep_ms(replica.kept_until_ms - now_ms)
+        if replica.forget_unrestored():
+            self._on_change(kind)
 
     async def follow(self, kind: stored.Kind) -> None:
         """Lists a kind, then watches it, until cancelled.
--- a/mustardloom/sidecar/tests/test_shared_state.py
+++ b/mustardloom/sidecar/tests/test_shared_state.py
@@ -6,6 +6,7 @@
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
+from mustardloom.sidecar import kind_replica
 from mustardloom.sidecar import shared_state
 
 _KIND = stored.Kind.CONFIGURATION
@@ -309,7 +310,7 @@
         _apply_evacuations(state, era=2)
         assert _evacuations(state) == {_ZONE}
         _apply_evacuations(state, _ZONE, era=2)
-        await state._clock.advance(2 * shared_state._REWRITE_MS)
+        await state._clock.advance(2 * kind_replica.REWRITE_MS)
         return _evacuations(state)
 
     assert asyncio.run(run()) == {_ZONE}
@@ -322,9 +323,9 @@
         state = _new_state()
         _apply_evacuations(state, _ZONE, era=1)
         _apply_evacuations(state, era=2)
-        await state._clock.advance(shared_state._REWRITE_MS - 1)
+        await state._clock.advance(kind_replica.REWRITE_MS - 1)
         _apply_evacuations(state, era=3)
-        await state._clock.advance(shared_state._REWRITE_MS - 1)
+        await state._clock.advance(kind_replica.REWRITE_MS - 1)
         assert _evacuations(state) == {_ZONE}
         await state._clock.advance(1)
         return _evacuations(state)
@@ -339,7 +340,7 @@
         state = _new_state()
         _apply_evacuations(state, _ZONE, era=1)
         _apply_evacuations(state, era=2)
-        await state._clock.advance(shared_state._REWRITE_MS)
+        await state._clock.advance(kind_replica.REWRITE_MS)
         assert not _evacuations(state)
         _apply_evacuations(state, _ZONE, era=2, object_era=1)
         return _evacuations(state)
