--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,8 @@
 
 _KEYS = 65_536
 _MS_PER_S = 1_000
+# Kinds of faults in which a daemon or its links do not work.
+_DAEMON_FAULTS = ("daemon-", "peer-", "machine-stall")
 # Statuses that guarantee that a request has not run and will not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -323,7 +325,7 @@
     """A target that states a limit gets at most half more, and some slack."""
     starts_by_instance = defaultdict(list)
     for run in evidence.runs:
-        if _was_fault_free(evidence, run):
+        if _were_daemons_at_work(evidence, run):
             starts_by_instance[run.life].append(run.began_ms)
     for name, instance in evidence.instance_by_name.items():
         for since_ms, until_ms, limit_per_s in _limited_times(instance):
@@ -346,6 +348,26 @@
                     break
 
 
+def _were_daemons_at_work(
+    evidence: evidence_lib.Evidence, run: evidence_lib.Run
+) -> bool:
+    """Returns whether the daemons of caller and target ran and had links."""
+    attempt = evidence.attempt_by_id.get(run.request_id)
+    vms = {evidence.instance_by_name[run.life].vm}
+    if attempt is not None:
+        vms.add(attempt.vm)
+    return not any(
+        fault.kind.startswith(_DAEMON_FAULTS)
+        and fault.vm in ("", *vms)
+        and fault.began_ms <= run.began_ms
+        and (
+            fault.ended_ms is None
+            or fault.ended_ms >= run.began_ms - BOUNDS.calm_ms
+        )
+        for fault in evidence.faults
+    )
+
+
 def _limited_times(
     instance: evidence_lib.TargetInstance,
 ) -> Iterator[tuple[int, int, float]]:
@@ -368,7 +390,7 @@
         stated_ms = _leave_stated_ms(evidence, run.life)
         if stated_ms is None or run.began_ms <= stated_ms + BOUNDS.drain_ms:
             continue
-        if _was_fault_free(evidence, run):
+        if _were_daemons_at_work(evidence, run):
             yield f"{run} began {run.began_ms - stated_ms} ms after the leave"
 
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -23,8 +23,8 @@
 _RESTART_WAIT_S = 1.5
 _EVACUATION_S = 7
 # Longer than the time after which a limit, or the end of a drain, is checked.
-_LIMITED_S = 8
-_QUIET_LEAVE_S = 4
+_LIMITED_S = 10
+_QUIET_LEAVE_S = 6
 # Operators write again what a restored store has lost, within this time.
 _REWRITE_S = 0.5
 _UNAVAILABLE = 503
--- a/soak/target.py
+++ b/soak/target.py
@@ -23,7 +23,7 @@
 # Shorter heartbeat interval while the target releases keys.
 _RELEASE_HEARTBEAT_MS = 80
 _SERVE_AFTER_DRAIN_MS = 800
-_LIMIT_PER_S = 3.0
+_LIMIT_PER_S = 1.0
 
 
 def main() -> int:
