--- a/mustardloom/load_control/rate_limit.py
+++ b/mustardloom/load_control/rate_limit.py
@@ -7,6 +7,8 @@
 had only as many places as its rate fills.
 """
 
+import math
+
 __all__ = ["RateLimit", "effective_concurrency"]
 
 _MS_PER_S = 1_000
@@ -76,18 +78,12 @@
         self._rate_per_s = None
         self._stated_ms = 0
 
-    def wait_ms(self, now_ms: int, ahead: int = 0) -> int:
-        """Returns the time until a request may start; 0 if it may now.
-
-        Args:
-          now_ms: Local time.
-          ahead: Requests that start before it.
-        """
+    def wait_ms(self, now_ms: int) -> int:
+        """Returns the time until a request may start; 0 if it may now."""
         if self._rate_per_s is None:
             return 0
         earliest_ms = self._next_ms - self._burst_ms()
-        earliest_ms += ahead * self._interval_ms()
-        return max(0, -int((now_ms - earliest_ms) // 1))
+        return max(0, math.ceil(earliest_ms - now_ms))
 
     def interval_ms(self) -> float:
         """Returns the time between two starts; 0 without a limit."""
