--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -13,7 +13,10 @@
     drawn = [
         planned
         for seed in range(40)
-        for planned in faults.plan_faults(seed, 14, 20_000, 8)
+        for planned in (
+            *faults.plan_faults(seed, 14, 20_000, 8),
+            *faults.plan_statements(seed, 20_000, 8),
+        )
     ]
     assert {planned.kind for planned in drawn} == set(faults.Kind)
     link_faults = {
