Send no message to every daemon when a stated limit changes

A limit travels in answers, replies about load and regular statuses; the planner gets a status each second anyway. The lines are bounded like those about requests. A leave still sends a status to all, once.

test_limit_that_changes_with_each_response_makes_no_messages failed before.

--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -60,6 +60,8 @@
         Event.REQUEST_EXPIRED,
         Event.GATE_REFUSED,
         Event.GATE_FAILED,
+        # A target may state something else with each response.
+        Event.TARGET_STATEMENT,
     )
 )
 
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -197,9 +197,10 @@
         self.on_change()
 
     def _on_statement(self, statement: targets.Statement) -> None:
+        # A limit may change with each response, so it travels with answers and
+        # regular statuses, not with a message to every daemon.
         if statement.is_leaving:
             self._start_leaving("response")
-        self.on_change()
 
     def _reject(self, reason: str) -> messages.Response:
         self._log.write(events.Event.NOTICE_REJECTED, reason=reason)
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -75,6 +75,15 @@
         ]
         return self._tasks[0]
 
+    async def restart_daemon(self):
+        """Restarts the daemon; returns what the target ran before the start."""
+        self.daemon.stop()
+        await self._tasks[0]
+        self._tasks[1].cancel()
+        runs = len(self.target.runs)
+        self.start()
+        return runs
+
     async def _send_heartbeats(self):
         while True:
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
@@ -312,11 +321,7 @@
             return response.status == 503
 
         await _until(is_refused)
-        vms[2].daemon.stop()
-        await vms[2]._tasks[0]
-        vms[2]._tasks[1].cancel()
-        runs = len(vms[2].target.runs)
-        vms[2].start()
+        runs = await vms[2].restart_daemon()
         await _until(vms[2].is_ready)
         heartbeats = vms[2].target._sequence
         while vms[2].target._sequence < heartbeats + 10:
@@ -354,6 +359,25 @@
     _run(scenario)
 
 
+def test_limit_that_changes_with_each_response_makes_no_messages():
+    """Guards against a message to every daemon for each response."""
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        broadcasts = []
+        vms[2].daemon._local_target.on_change = lambda: broadcasts.append(1)
+        for number in range(6):
+            limit = b"%d" % (50 + 50 * (number % 2))
+            vms[2].target.statement = ((b"Server-Limit", limit),)
+            await _get_until_answered(vms[0], "/plain/x", f"r{number}")
+        assert vms[2].daemon._gate.load().rate_limit_per_s == 100.0
+        assert not broadcasts
+
+    _run(scenario)
+
+
 def test_limit_of_a_target_is_known_after_a_restart_of_its_daemon():
     """Guards against requests beyond a limit that only others remember."""
 
@@ -369,11 +393,7 @@
             return peer.view.rate_limit_per_s == 0.5
 
         await _until(is_known)
-        vms[2].daemon.stop()
-        await vms[2]._tasks[0]
-        vms[2]._tasks[1].cancel()
-        runs = len(vms[2].target.runs)
-        vms[2].start()
+        runs = await vms[2].restart_daemon()
 
         async def is_limited():
             return vms[2].daemon._gate.load().rate_limit_per_s == 0.5
