Ask the replica what the store holds since a restore, in one place

A daemon whose registration was written in one era and answered after the next had begun took it for the next one's; the era now comes from the version that the store gave.

--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -143,11 +143,7 @@
         if stored.era_of(self._version) == self.store_era:
             return self._version
         replica = self._state.by_kind[stored.Kind.KEY_MAP]
-        found = replica.by_key.get(self.key)
-        if found is not None and stored.era_of(found.version) == replica.era:
-            return found.version
-        held = replica.held_version_by_key.get(self.key, ids.NO_VERSION)
-        return held if stored.era_of(held) == replica.era else ids.NO_VERSION
+        return replica.version_in_store(self.key)
 
     @property
     def store_era(self) -> int:
--- a/mustardloom/sidecar/kind_replica.py
+++ b/mustardloom/sidecar/kind_replica.py
@@ -1,6 +1,6 @@
 """Replica of the stored objects of one kind, and how changes are merged.
 
-The store may come back from an older copy of its data, and rises its era then.
+The store may come back from an older copy of its data, and raises its era then.
 What it has lost, its writers write again: operators the configuration and the
 evacuations, daemons their records and the key maps. Until then it stays in
 force here.
@@ -52,6 +52,18 @@
         """Returns the latest era of the store of which this kind is known."""
         return stored.era_of(self.version)
 
+    def version_in_store(self, key: str) -> ids.Version:
+        """Returns the version that the store holds of an object.
+
+        `ids.NO_VERSION` if the store lacks it, as far as is known: it may have
+        lost the object with a restore.
+        """
+        known = self.by_key.get(key)
+        held = self.held_version_by_key.get(key, ids.NO_VERSION)
+        if known is not None and stored.era_of(known.version) == self.era:
+            held = known.version
+        return held if stored.era_of(held) == self.era else ids.NO_VERSION
+
     def apply_event(self, event: objects.Event, up_to: ids.Version) -> bool:
         """Applies one change; returns whether an object changed.
 
--- a/mustardloom/sidecar/registration.py
+++ b/mustardloom/sidecar/registration.py
@@ -57,8 +57,8 @@
 
     async def register(self) -> None:
         """Returns once the store holds the record of this daemon."""
-        await register(self._store, self._record, self._clock)
-        self._registered_era = self._store.era
+        version = await register(self._store, self._record, self._clock)
+        self._registered_era = stored.era_of(version)
 
     def is_lost(self) -> bool:
         """Returns whether the store has lost the record since `register`.
@@ -72,8 +72,7 @@
             return False
         self._registered_era = replica.era
         key = stored.key(stored.Kind.DAEMON, self._record.vm)
-        own = replica.by_key.get(key)
-        return own is None or stored.era_of(own.version) < replica.era
+        return replica.version_in_store(key) == ids.NO_VERSION
 
     async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
         """Lists the daemons until a list has begun after the registration."""
@@ -95,11 +94,13 @@
     store: shared_state.ObjectStore,
     record: stored.DaemonRecord,
     clock: clock_lib.Clock,
-) -> None:
+) -> ids.Version:
     """Writes the record of a daemon unless the store already holds it.
 
-    Returns once the store holds it. Most daemons are new, so the record is
-    written without a read before.
+    Most daemons are new, so the record is written without a read before.
+
+    Returns:
+      The version that the store holds of the record.
     """
     key = stored.key(stored.Kind.DAEMON, record.vm)
     value = msgspec.json.encode(record)
@@ -108,13 +109,13 @@
         try:
             result = await store.write(key, value, expected)
             if isinstance(result, objects.Written):
-                return
+                return result.version
             found = result.current or await store.get(key)
         except objects.PlatformUnavailable:
             await clock.sleep_ms(_RETRY_MS)
             continue
         if found is not None and _is_record(found, record):
-            return
+            return found.version
         expected = ids.NO_VERSION if found is None else found.version
 
 
