Let a first key map wait unless the whole fleet starts for the first time

The settings tell a first start (bootstrap); otherwise all keys of a first map wait for earlier grants.

--- a/mustardloom/deployment/settings.py
+++ b/mustardloom/deployment/settings.py
@@ -71,6 +71,7 @@
       heartbeat_ms: Usual time between two heartbeats of the target.
       bounds: Limits on the behaviour of the fleet.
       limits: Limits on the resources of this process.
+      is_first_start: Whether the whole fleet starts for the first time.
     """
 
     vm: ids.VmId
@@ -88,3 +89,4 @@
     heartbeat_ms: int = 1_000
     bounds: Bounds = Bounds()
     limits: ProcessLimits = ProcessLimits()
+    is_first_start: bool = True
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -94,13 +94,17 @@
 
 
 def initial_map(
-    candidates: Iterable[Candidate], era: int | None = None
+    candidates: Iterable[Candidate],
+    era: int | None = None,
+    may_be_held: bool = False,
 ) -> key_map.KeyMap:
     """Returns the first map: narrow stripes, spread by capacity.
 
     Args:
       candidates: The targets.
       era: Era of the store.
+      may_be_held: Whether targets may hold keys by a map that the store has
+        lost, so that all keys wait until such grants have expired.
     """
     owners = sorted(candidates, key=lambda each: each.vm)
     if not owners:
@@ -109,8 +113,9 @@
     count = len(stripe_owners)
     starts = [index * key_map.KEY_COUNT // count for index in range(count + 1)]
     version = restoration.first_version(era)
+    previous = restoration.UNKNOWN_VM if may_be_held else ids.VmId("")
     rows = (
-        key_map.Row(first, after - 1, vm, version)
+        key_map.Row(first, after - 1, vm, version, previous)
         for (first, after), vm in zip(
             itertools.pairwise(starts), stripe_owners, strict=True
         )
--- a/mustardloom/keys/tests/test_restoration.py
+++ b/mustardloom/keys/tests/test_restoration.py
@@ -78,3 +78,16 @@
     basis = _basis()
     assert key_map.decode(key_map.encode(basis)).era == 1
     assert key_map.era_of(key_map.encode(basis)) == 1
+
+
+def test_first_map_after_a_lost_one_waits_for_its_grants():
+    """Guards against two holders after a store has lost its only map.
+
+    All daemons have restarted and remember no map, but targets hold keys.
+    """
+    candidates = [_candidate(vm) for vm in _VMS]
+    fresh, later = claims.Claims(_VMS[0]), claims.Claims(_VMS[0])
+    fresh.adopt(planning.initial_map(candidates, _ERA))
+    later.adopt(planning.initial_map(candidates, _ERA, may_be_held=True))
+    assert list(fresh.grantable())
+    assert not list(later.grantable())
--- a/mustardloom/platform/settings_file.py
+++ b/mustardloom/platform/settings_file.py
@@ -84,6 +84,15 @@
     return port
 
 
+def _boolean(text: str) -> bool:
+    match text.lower():
+        case "true":
+            return True
+        case "false":
+            return False
+    raise ValueError(f"{text!r} is neither true nor false")
+
+
 class _Reader:
     """Parses one file and collects its faults."""
 
@@ -123,6 +132,7 @@
             heartbeat_ms=self._get("heartbeat", durations.parse_ms, 1_000),
             bounds=self._bounds(),
             limits=self._limits(),
+            is_first_start=self._get("bootstrap", _boolean, True),
         )
         findings.raise_if_any(self._findings)
         return result
--- a/mustardloom/platform/tests/test_settings_file.py
+++ b/mustardloom/platform/tests/test_settings_file.py
@@ -119,3 +119,12 @@
 def test_port_that_cannot_be_bound_is_rejected(port):
     """A port is a name, not a quantity: fractions and exponents are faults."""
     assert "app_addr" in _message(f"app_addr=127.0.0.1:{port}")
+
+
+@pytest.mark.parametrize(
+    ("line", "is_first"),
+    [("bootstrap=true", True), ("bootstrap=false", False), ("", True)],
+)
+def test_start_after_the_first_one_is_told_apart(line, is_first):
+    """Guards against a new first map granted while a lost one is in use."""
+    assert _parse(line).is_first_start is is_first
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -145,6 +145,11 @@
         replica = self._state.by_kind[stored.Kind.KEY_MAP]
         return replica.version_in_store(self.key)
 
+    @property
+    def is_first_start(self) -> bool:
+        """Returns whether no target can hold keys by an earlier map."""
+        return self._settings.is_first_start
+
     @property
     def store_era(self) -> int:
         """Returns the latest era of the store in which maps are known."""
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -243,7 +243,9 @@
         ):
             return None
         era = max(self._keyspace.store_era, self._store.era)
-        return planning.initial_map(candidates, era)
+        return planning.initial_map(
+            candidates, era, not self._keyspace.is_first_start
+        )
 
     def _is_lost(self, vm: ids.VmId) -> bool:
         peer = self._fleet.by_vm.get(vm)
