--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -303,15 +303,21 @@
     _with_store(scenario)
 
 
+async def _write_and_lose(api, store):
+    """Writes an object that a restore replaces; returns its key and write."""
+    key = stored.key(stored.Kind.KEY_MAP, "s")
+    copied = store.copy()
+    first = await api.write(key, b"1", ids.NO_VERSION)
+    store.restore(copied)
+    store.put("mustardloom-key-maps", "s", b"2")
+    return key, first
+
+
 def test_write_based_on_data_from_before_a_restore_changes_nothing():
     """Guards against a precondition that holds again by chance."""
 
     async def scenario(api, store):
-        key = stored.key(stored.Kind.KEY_MAP, "s")
-        copied = store.copy()
-        first = await api.write(key, b"1", ids.NO_VERSION)
-        store.restore(copied)
-        store.put("mustardloom-key-maps", "s", b"2")
+        key, first = await _write_and_lose(api, store)
         await api.get(key)
         result = await api.write(key, b"3", first.version)
         return result, (await api.get(key)).value
@@ -327,11 +333,7 @@
     """
 
     async def scenario(api, store):
-        key = stored.key(stored.Kind.KEY_MAP, "s")
-        copied = store.copy()
-        first = await api.write(key, b"1", ids.NO_VERSION)
-        store.restore(copied)
-        store.put("mustardloom-key-maps", "s", b"2")
+        key, first = await _write_and_lose(api, store)
         with pytest.raises(objects.PlatformUnavailable):
             await api.write(key, b"3", first.version)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -325,7 +325,7 @@
     """A target that states a limit gets at most half more, and some slack."""
     starts_by_instance = defaultdict(list)
     for run in evidence.runs:
-        if _were_daemons_at_work(evidence, run):
+        if _was_fault_free(evidence, run, _DAEMON_FAULTS):
             starts_by_instance[run.life].append(run.began_ms)
     for name, instance in evidence.instance_by_name.items():
         for since_ms, until_ms, limit_per_s in _limited_times(instance):
@@ -348,26 +348,6 @@
                     break
 
 
-def _were_daemons_at_work(
-    evidence: evidence_lib.Evidence, run: evidence_lib.Run
-) -> bool:
-    """Returns whether the daemons of caller and target ran and had links."""
-    attempt = evidence.attempt_by_id.get(run.request_id)
-    vms = {evidence.instance_by_name[run.life].vm}
-    if attempt is not None:
-        vms.add(attempt.vm)
-    return not any(
-        fault.kind.startswith(_DAEMON_FAULTS)
-        and fault.vm in ("", *vms)
-        and fault.began_ms <= run.began_ms
-        and (
-            fault.ended_ms is None
-            or fault.ended_ms >= run.began_ms - BOUNDS.calm_ms
-        )
-        for fault in evidence.faults
-    )
-
-
 def _limited_times(
     instance: evidence_lib.TargetInstance,
 ) -> Iterator[tuple[int, int, float]]:
@@ -390,7 +370,7 @@
         stated_ms = _leave_stated_ms(evidence, run.life)
         if stated_ms is None or run.began_ms <= stated_ms + BOUNDS.drain_ms:
             continue
-        if _were_daemons_at_work(evidence, run):
+        if _was_fault_free(evidence, run, _DAEMON_FAULTS):
             yield f"{run} began {run.began_ms - stated_ms} ms after the leave"
 
 
@@ -440,15 +420,25 @@
 
 
 def _was_fault_free(
-    evidence: evidence_lib.Evidence, run: evidence_lib.Run
+    evidence: evidence_lib.Evidence,
+    run: evidence_lib.Run,
+    kinds: tuple[str, ...] = (),
 ) -> bool:
-    """Returns whether the VMs of caller and target had no recent fault."""
+    """Returns whether the VMs of caller and target had no recent fault.
+
+    Args:
+      evidence: The records.
+      run: The run of a request.
+      kinds: Beginnings of the kinds of faults that count; empty for all.
+    """
     attempt = evidence.attempt_by_id.get(run.request_id)
     vms = {evidence.instance_by_name[run.life].vm}
     if attempt is not None:
         vms.add(attempt.vm)
     first_ms = run.began_ms - BOUNDS.calm_ms
-    return all(evidence.is_fault_free(vm, first_ms, run.began_ms) for vm in vms)
+    return all(
+        evidence.is_fault_free(vm, first_ms, run.began_ms, kinds) for vm in vms
+    )
 
 
 def on_time(evidence: evidence_lib.Evidence) -> _Findings:
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -169,10 +169,20 @@
     ended_ms: int = 0
     errors: list[str] = dataclasses.field(default_factory=list)
 
-    def is_fault_free(self, vm: str, first_ms: int, last_ms: int) -> bool:
-        """Returns whether a VM had no fault between two times, inclusive."""
+    def is_fault_free(
+        self, vm: str, first_ms: int, last_ms: int, kinds: tuple[str, ...] = ()
+    ) -> bool:
+        """Returns whether a VM had no fault between two times, inclusive.
+
+        Args:
+          vm: The VM.
+          first_ms: Start of the time.
+          last_ms: End of the time.
+          kinds: Beginnings of the kinds of faults that count; empty for all.
+        """
         return not any(
             fault.vm in ("", vm)
+            and fault.kind.startswith(kinds or "")
             and fault.began_ms <= last_ms
             and (fault.ended_ms is None or fault.ended_ms >= first_ms)
             for fault in self.faults
