--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from typing import Any
 
 from mustardloom.platform.tests import standins as platform_standins
@@ -43,11 +44,13 @@
 _LISTEN_VARIABLE = "MUSTARDLOOM_PEER_LISTEN_PORT"
 _RESTART_S = 0.3
 _START_LIMIT_S = 20.0
+_LIMIT_S = 105.0
 _HEARTBEAT_MS = 1_500
 _MEMORY_MB = 300
 _KB_PER_MB = 1_024
 _MEMORY_CHECK_S = 0.005
 _PORT_TRIES = 50
+_NET_TRIES = 20
 
 
 def has_trouble() -> bool:
@@ -333,9 +336,12 @@
 
     def add(self, places: list[dict]) -> None:
         """Adds machines and chooses free addresses for them."""
-        net = random.randrange(2, 250)
-        hosts = [f"127.{net}.7.{index + 1}" for index in range(len(places))]
-        self.ports = _free_ports(hosts, self._fixed_port)
+        for _ in range(_NET_TRIES):
+            net = random.randrange(2, 250)
+            hosts = [f"127.{net}.7.{index}" for index in _from_one(places)]
+            with contextlib.suppress(OSError):
+                self.ports = _free_ports(hosts, self._fixed_port)
+                break
         for index, (host, place) in enumerate(
             zip(hosts, places, strict=True), 1
         ):
@@ -366,6 +372,10 @@
         self.store.close()
 
 
+def _from_one(places: list[dict]) -> range:
+    return range(1, len(places) + 1)
+
+
 def _free_ports(hosts: list[str], fixed_port: int) -> dict[str, int]:
     """Returns ports that are free on all hosts.
 
@@ -407,8 +417,16 @@
     async def run() -> bool | None:
         with tempfile.TemporaryDirectory(prefix="review-") as folder:
             fleet = Fleet(pathlib.Path(folder), case)
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, asyncio.current_task().cancel
+            )
             try:
-                return await play(fleet)
+                async with asyncio.timeout(_LIMIT_S):
+                    return await play(fleet)
+            except (Exception, asyncio.CancelledError):
+                # A script that fails says nothing about the rule.
+                traceback.print_exc()
+                return None
             finally:
                 await fleet.stop()
                 _keep_logs(fleet, pathlib.Path(folder))
