Keep a leave also if the target is not known when it deregisters

What callers saw: a daemon was killed and was back after 0.3 s. Its target deregistered before the new process had a heartbeat and got a 200.

Cause: a leave was a flag of the known announcement. Without one, or with that of another target, it was acknowledged and dropped, and so no other daemon could tell it to the next process.

Change: `sidecar/departures.py` owns acknowledged leaves by target and start. A notice that names its start (`born`) binds that instance; one that names none binds all that may be meant. Statuses carry the latest leave, whether or not a heartbeat came first, and other daemons tell it to a restarted process.

--- a/mustardloom/platform/announcements.py
+++ b/mustardloom/platform/announcements.py
@@ -51,6 +51,10 @@
     freed: list[tuple[_Key, _Key, str]] = []
 
 
+class _DeregistrationBody(msgspec.Struct):
+    born: _Count
+
+
 class _HeartbeatAnswer(msgspec.Struct, omit_defaults=True):
     holds: list[tuple[int, int, int, str]] | None = None
     hold_time: str = ""
@@ -75,9 +79,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deregistration:
-    """A target deregisters before it stops; it still serves for a while."""
+    """A target deregisters before it stops; it still serves for a while.
+
+    Attributes:
+      target: Name of the target.
+      born_ms: Unix time of the start of its process; None if not given.
+    """
 
     target: targets.TargetId
+    born_ms: int | None = None
 
 
 Notice = Heartbeat | Deregistration
@@ -114,7 +124,8 @@
         case "instances.heartbeat":
             return _heartbeat(targets.TargetId(target_name), request.body)
         case "instances.deregister":
-            return Deregistration(targets.TargetId(target_name))
+            born_ms = _born_ms(request.body)
+            return Deregistration(targets.TargetId(target_name), born_ms)
         case other:
             raise InvalidNotice(f"unknown call {other!r}")
 
@@ -158,6 +169,14 @@
     return Heartbeat(announcement, report.address)
 
 
+def _born_ms(body: bytes) -> int | None:
+    """Returns the start that a deregistration names; its body is optional."""
+    try:
+        return msgspec.json.decode(body, type=_DeregistrationBody).born
+    except ValueError:
+        return None
+
+
 def _sorted_ranges(
     held: Iterable[targets.HeldRange],
 ) -> tuple[targets.HeldRange, ...]:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -26,6 +26,7 @@
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
+from mustardloom.sidecar import departures
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
@@ -479,9 +480,11 @@
             case frames.Hello(sender=sender):
                 self._fleet.add_connected(sender)
                 self._target_memory.on_hello(vm)
-            case frames.TargetLeft(target=target, born_ms=born_ms):
+            case frames.TargetLeft(target, born_until_ms):
                 self._local_target.on_left(
-                    targets.TargetInstance(targets.TargetId(target), born_ms)
+                    departures.Departure(
+                        targets.TargetId(target), born_until_ms
+                    )
                 )
             case frames.TargetLimited(target, born_ms, rate_per_s):
                 self._local_target.on_limited(
@@ -562,6 +565,7 @@
         load = self._gate.load()
         announcement = self._local_target.announcement
         instance = None if announcement is None else announcement.instance
+        departure = self._local_target.departure
         keyspace = self._keyspace_of(self._settings.service)
         return frames.Status(
             target="" if instance is None else instance.target,
@@ -582,6 +586,10 @@
             store_answers=self._shared_state.store_answers,
             changes=self._shared_state.versions(),
             rate_limit_per_s=load.rate_limit_per_s,
+            left_target="" if departure is None else departure.target,
+            left_born_until_ms=(
+                0 if departure is None else departure.born_until_ms
+            ),
         )
 
     def _gauges(self) -> dict[str, float]:
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -10,6 +10,7 @@
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
 from mustardloom.load_control import placement
+from mustardloom.sidecar import departures
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
 
@@ -61,6 +62,16 @@
         target = targets.TargetId(self.status.target)
         return targets.TargetInstance(target, self.status.born_ms)
 
+    @property
+    def departure(self) -> departures.Departure | None:
+        """Returns the leave of its target, None if it has not left."""
+        if self.status is None or not self.status.left_target:
+            return None
+        return departures.Departure(
+            targets.TargetId(self.status.left_target),
+            self.status.left_born_until_ms,
+        )
+
     @property
     def phase(self) -> TargetPhase:
         """Returns the state of its target, `ABSENT` before the first status."""
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -157,6 +157,9 @@
       changes: Version of the sender's replica of each kind of stored object.
       rate_limit_per_s: Requests a second that the target takes; None for any
         number.
+      left_target: Name of the target that left last, empty if none has left
+        since the last start.
+      left_born_until_ms: Unix time; its instances up to that time have left.
     """
 
     target: str
@@ -175,6 +178,8 @@
     store_answers: bool
     changes: tuple[int, ...]
     rate_limit_per_s: float | None = None
+    left_target: str = ""
+    left_born_until_ms: int = 0
 
 
 class Pong(_Base, frozen=True, tag=7):
@@ -321,11 +326,11 @@
 
     Attributes:
       target: Name of the target.
-      born_ms: Unix time of the start of the target.
+      born_until_ms: Unix time; instances that were started later have not left.
     """
 
     target: str
-    born_ms: int
+    born_until_ms: int
 
 
 class TargetLimited(_Base, frozen=True, tag=20):
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -7,6 +7,7 @@
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.platform import announcements
+from mustardloom.sidecar import departures
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import gate as gate_lib
@@ -17,6 +18,8 @@
 _BAD_REQUEST = 400
 # Requests to a leaving target end this long before the drain bound.
 _DRAIN_MARGIN_MS = 900
+# The drain bound of this leave counts from an earlier acknowledgement.
+_NO_WORK_MS = 0
 # The target counts as silent after this many heartbeat intervals without a
 # heartbeat or an answer.
 _SILENT_AFTER_HEARTBEATS = 2.6
@@ -54,15 +57,29 @@
         self._clock = clock
         self._log = log
         self._last_heartbeat_ms = 0
-        self._left_instances: set[targets.TargetInstance] = set()
+        self._departures = departures.Departures()
+        # Whether a target left of which this process has no heartbeat.
+        self._has_left_unseen = False
         self._rate_limit_by_instance: dict[targets.TargetInstance, float] = {}
         gate.on_reachability = self._on_reachability
         gate.on_statement = self._on_statement
 
+    @property
+    def departure(self) -> departures.Departure | None:
+        """Returns the latest leave, None if a later instance is known."""
+        known = self.announcement
+        latest = self._departures.latest
+        if latest is None or known is None:
+            return latest
+        is_later = known.instance.born_ms > latest.born_until_ms
+        return None if is_later else latest
+
     @property
     def phase(self) -> fleet_lib.TargetPhase:
         """Returns the state of the target as other daemons see it."""
         if self.announcement is None:
+            if self._has_left_unseen:
+                return fleet_lib.TargetPhase.LEAVING
             return fleet_lib.TargetPhase.ABSENT
         if self._gate.reachability is not gate_lib.Reachability.UP:
             return fleet_lib.TargetPhase.DOWN
@@ -82,8 +99,8 @@
         match notice:
             case announcements.Heartbeat(announcement, address):
                 return self._on_heartbeat(announcement, address)
-            case announcements.Deregistration(target):
-                return self._on_deregistration(target)
+            case announcements.Deregistration(target, born_ms):
+                return self._on_deregistration(target, born_ms)
 
     async def detect_silence(self) -> None:
         """Detects that the target has become silent, until cancelled."""
@@ -98,15 +115,13 @@
             if self._clock.now_ms() - latest_ms > limit_ms:
                 self._gate.mark_silent()
 
-    def on_left(self, instance: targets.TargetInstance) -> None:
-        """Records that an instance had left before this process began.
+    def on_left(self, departure: departures.Departure) -> None:
+        """Records a leave that was acknowledged before this process began.
 
-        Its delayed heartbeats may arrive only now.
+        Delayed heartbeats of the target may arrive only now.
         """
-        self._left_instances.add(instance)
-        known = self.announcement
-        if known is not None and known.instance == instance:
-            self._start_leaving("left before the restart")
+        self._departures.record(departure)
+        self._leave_if_departed()
 
     def on_limited(
         self, instance: targets.TargetInstance, rate_per_s: float
@@ -167,32 +182,68 @@
         told_per_s = self._rate_limit_by_instance.get(announcement.instance)
         if is_new and told_per_s is not None:
             self._gate.assume_rate_limit(told_per_s)
+        self._leave_if_departed()
         if announcement.phase is targets.Phase.DRAINING:
-            self._start_leaving("draining")
-        elif announcement.instance in self._left_instances:
-            self._start_leaving("left before the restart")
+            self._start_leaving("draining", self._work_time_ms())
         if is_new:
             self.on_change()
 
-    def _on_deregistration(self, target: targets.TargetId) -> messages.Response:
+    def _on_deregistration(
+        self, target: targets.TargetId, born_ms: int | None
+    ) -> messages.Response:
+        """Acknowledges a leave, which binds from now on."""
+        if born_ms is None:
+            born_ms = self._latest_born_ms(target)
+        departure = departures.Departure(target, born_ms)
+        self._departures.record(departure)
         known = self.announcement
-        if known is not None and known.instance.target == target:
-            self._start_leaving("goodbye")
+        if known is not None and departure.covers(known.instance):
+            self._start_leaving("goodbye", self._work_time_ms())
+        else:
+            self._has_left_unseen = known is None
+            self._log.write(
+                events.Event.TARGET_LEAVING,
+                notice="goodbye of a target without a heartbeat",
+                target=target,
+                born_until_ms=born_ms,
+            )
+            self.on_change()
         return messages.Response(_OK)
 
-    def _start_leaving(self, notice: str) -> None:
-        if self.is_leaving:
+    def _latest_born_ms(self, target: targets.TargetId) -> int:
+        """Returns when the instance that leaves now can have started at most.
+
+        The next instance of the same name can start only after this one has
+        ended, which takes it the drain time or longer; half of that allows for
+        clocks that differ.
+        """
+        latest_ms = self._clock.wall_ms() + self.bounds.drain_ms // 2
+        known = self.announcement
+        if known is not None and known.instance.target == target:
+            return max(latest_ms, known.instance.born_ms)
+        return latest_ms
+
+    def _leave_if_departed(self) -> None:
+        known = self.announcement
+        if known is not None and self._departures.covers(known.instance):
+            self._start_leaving("left before", _NO_WORK_MS)
+
+    def _work_time_ms(self) -> int:
+        """Returns how long a target that begins to leave gets requests."""
+        return max(0, self.bounds.drain_ms - _DRAIN_MARGIN_MS)
+
+    def _start_leaving(self, notice: str, work_for_ms: int) -> None:
+        if self.is_leaving or self.announcement is None:
             return
         self.is_leaving = True
-        allowed_ms = max(0, self.bounds.drain_ms - _DRAIN_MARGIN_MS)
-        if self.announcement and (
-            self.announcement.instance in self._left_instances
-        ):
-            # The bound counts from the earlier process's acknowledgement.
-            allowed_ms = 0
-        self._gate.stop_admission_at(self._clock.now_ms() + allowed_ms)
+        instance = self.announcement.instance
+        self._departures.record(departures.of(instance))
+        self._gate.stop_admission_at(self._clock.now_ms() + work_for_ms)
         self._log.write(
-            events.Event.TARGET_LEAVING, notice=notice, work_for_ms=allowed_ms
+            events.Event.TARGET_LEAVING,
+            notice=notice,
+            target=instance.target,
+            work_for_ms=work_for_ms,
         )
         self.on_change()
 
@@ -200,7 +251,7 @@
         # A limit may change with each response, so it travels with answers and
         # regular statuses, not with a message to every daemon.
         if statement.is_leaving:
-            self._start_leaving("response")
+            self._start_leaving("response", self._work_time_ms())
 
     def _reject(self, reason: str) -> messages.Response:
         self._log.write(events.Event.NOTICE_REJECTED, reason=reason)
--- a/mustardloom/sidecar/target_memory.py
+++ b/mustardloom/sidecar/target_memory.py
@@ -6,7 +6,7 @@
 """
 
 from mustardloom import ids
-from mustardloom.deployment import targets
+from mustardloom.sidecar import departures
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
@@ -20,22 +20,29 @@
     def __init__(self, fleet: fleet_lib.Fleet, links: links_lib.Links):
         self._fleet = fleet
         self._links = links
-        self._left_by_vm: dict[ids.VmId, targets.TargetInstance] = {}
+        self._departure_by_vm: dict[ids.VmId, departures.Departure] = {}
         self._limited_by_vm: dict[ids.VmId, frames.TargetLimited] = {}
 
     def on_hello(self, vm: ids.VmId) -> None:
         """Notes what a daemon that dials may have forgotten, and tells it."""
         peer = self._fleet.by_vm.get(vm)
-        instance = None if peer is None else peer.target_instance
-        if peer is not None and instance is not None:
-            self._note(peer, instance)
+        if peer is not None:
+            self._note_departure(peer)
+            self._note_limit(peer)
         self.tell(vm)
 
-    def _note(
-        self, peer: fleet_lib.Peer, instance: targets.TargetInstance
-    ) -> None:
-        if peer.phase is fleet_lib.TargetPhase.LEAVING:
-            self._left_by_vm[peer.vm] = instance
+    def _note_departure(self, peer: fleet_lib.Peer) -> None:
+        departure = peer.departure
+        if departure is not None:
+            self._departure_by_vm[peer.vm] = departure
+        elif peer.target_instance is not None:
+            # A later instance, beside which the earlier one cannot run.
+            self._departure_by_vm.pop(peer.vm, None)
+
+    def _note_limit(self, peer: fleet_lib.Peer) -> None:
+        instance = peer.target_instance
+        if instance is None:
+            return
         self._limited_by_vm.pop(peer.vm, None)
         rate_per_s = peer.view.rate_limit_per_s
         if rate_per_s is not None:
@@ -45,9 +52,9 @@
 
     def tell(self, vm: ids.VmId) -> None:
         """Tells a daemon what its target had stated, if anything."""
-        instance = self._left_by_vm.get(vm)
-        if instance is not None:
-            frame = frames.TargetLeft(instance.target, instance.born_ms)
+        departure = self._departure_by_vm.get(vm)
+        if departure is not None:
+            frame = frames.TargetLeft(departure.target, departure.born_until_ms)
             self._links.notify(vm, frame)
         limited = self._limited_by_vm.get(vm)
         if limited is not None:
