Free a claim only by the owner and the map that are waited for

A key was left out of a grant; the heartbeat that showed its release came late, when the key had moved to another owner and back, and ended the wait for that other owner.

Cause: `Claims.record_release` freed whatever keys it was given; whose release it was, and by which map, only its callers knew.

Change: a release names the earlier owner and the map by which it was asked, and `Claims` frees only what waits for that owner since that map or an earlier one. The release of the own target frees nothing; its handover token is kept for the fence it was given for. Ledger, claims and the key that is left out move to `keys/grants.py`, and the state machine of exclusive ownership uses them as they are, with late heartbeats and late answers.

With the old freeing put back, the state machine fails and so does `test_late_heartbeat_frees_no_key_that_moved_away_and_back`; without the check of the owner or of the version two tests and one test of test_claims.py fail.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 from typing import TypeVar
 
 import msgspec
@@ -13,7 +14,7 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
 
-__all__ = ["AUTHORITY_MS", "Claims", "PendingRange"]
+__all__ = ["AUTHORITY_MS", "Claims", "PendingRange", "Release"]
 
 # A daemon grants only for this long after it confirmed that its map is the
 # newest, so that the next owner knows when the earlier grants have expired.
@@ -41,6 +42,34 @@
     grants_expire_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """What an earlier owner said of the keys that its target no longer holds.
+
+    Attributes:
+      previous: VM of the earlier owner.
+      map_version: Version of a map that it knew and by which it owned none of
+        the keys.
+      parts: The keys.
+    """
+
+    previous: ids.VmId
+    map_version: int
+    parts: tuple[ledger.ReleasedRange, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Handover:
+    """A handover token for the next grant of some keys.
+
+    Attributes:
+      fence: Fencing token of that grant; the keys move on with a higher one.
+    """
+
+    part: ledger.ReleasedRange
+    fence: int
+
+
 _Range = TypeVar("_Range", PendingRange, key_map.Row)
 
 
@@ -59,7 +88,7 @@
         self.map = key_map.empty()
         self._vm = vm
         self._pending_ranges: list[PendingRange] = []
-        self._handovers: list[ledger.ReleasedRange] = []
+        self._handovers: list[_Handover] = []
         # Latest fence of each key under which this VM was free to grant it.
         self._free_fence = array.array("I", bytes(4 * key_map.KEY_COUNT))
 
@@ -74,6 +103,11 @@
         if new.version <= old.version:
             return
         self.map = new
+        self._handovers = [
+            kept
+            for kept in self._handovers
+            if new.row_of(kept.part.first).fence == kept.fence
+        ]
         for row in new.owned_by(self._vm):
             if not row.previous or row.previous == self._vm:
                 continue
@@ -127,43 +161,53 @@
             for pending in self._pending_ranges
         ]
 
-    def record_release(self, parts: Iterable[ledger.ReleasedRange]) -> None:
-        """Frees the pending keys that the earlier owner has released.
+    def record_release(self, release: Release) -> None:
+        """Frees the pending keys for which an earlier owner was waited for.
 
-        Keeps the handover tokens for the next grant.
+        Others that had the keys before or since are waited for still, as is
+        this owner if it got them again by a later map than it knew.
         """
-        had_pending = bool(self._pending_ranges)
-        for part in parts:
-            self._pending_ranges = [
-                rest
-                for pending in self._pending_ranges
-                for rest in _without(pending, part.first, part.last)
-            ]
-            if part.handover:
-                self._handovers.append(part)
-        if had_pending:
-            self._record_free()
+        for part in release.parts:
+            self._free(
+                part.first,
+                part.last,
+                lambda pending: (
+                    pending.previous == release.previous
+                    and pending.version <= release.map_version
+                ),
+            )
+            row = self.map.row_of(part.first)
+            if row.owner == self._vm and row.previous == release.previous:
+                self.keep_handovers([part], row.fence)
+
+    def keep_handovers(
+        self, parts: Iterable[ledger.ReleasedRange], fence: int
+    ) -> None:
+        """Keeps handover tokens for the next grant under a fencing token."""
+        self._handovers.extend(
+            _Handover(part, fence) for part in parts if part.handover
+        )
 
     def record_held(self, held: Iterable[targets.HeldRange]) -> None:
         """Frees the pending keys that the target holds under a current fence.
 
-        Handover tokens for keys that it holds are dropped.
+        It got them from this daemon or from its earlier process. Handover
+        tokens for keys that it holds are dropped.
         """
         held = tuple(held)
         self._handovers = [
-            part
-            for part in self._handovers
+            kept
+            for kept in self._handovers
             if not any(
-                each.first <= part.first and part.last <= each.last
+                each.first <= kept.part.first and kept.part.last <= each.last
                 for each in held
             )
         ]
         for each in held:
             row = self.map.row_of(each.first)
-            if row.owner != self._vm or each.fence < row.fence:
-                continue
-            last = min(each.last, row.last)
-            self.record_release([ledger.ReleasedRange(each.first, last)])
+            if row.owner == self._vm and each.fence >= row.fence:
+                last = min(each.last, row.last)
+                self._free(each.first, last, lambda _: True)
 
     def grantable(self) -> Iterator[key_map.Row]:
         """Yields this VM's rows that no other target can hold, in order."""
@@ -174,7 +218,11 @@
         """Yields the grants of a row, split where handover tokens differ."""
         start = row.first
         tokens = sorted(
-            (part for part in self._handovers if part.first in row),
+            (
+                kept.part
+                for kept in self._handovers
+                if kept.part.first in row and kept.fence == row.fence
+            ),
             key=lambda part: part.first,
         )
         for part in tokens:
@@ -204,6 +252,26 @@
         expected = array.array("I", [fence]) * (last + 1 - first)
         return self._free_fence[first : last + 1] == expected
 
+    def _free(
+        self,
+        first: int,
+        last: int,
+        is_meant: Callable[[PendingRange], bool],
+    ) -> None:
+        """Removes keys from those of the pending ranges that are meant."""
+        if not self._pending_ranges:
+            return
+        self._pending_ranges = [
+            rest
+            for pending in self._pending_ranges
+            for rest in (
+                _without(pending, first, last)
+                if is_meant(pending)
+                else (pending,)
+            )
+        ]
+        self._record_free()
+
     def _record_free(self) -> None:
         for row in self.grantable():
             fences = array.array("I", [row.fence]) * row.width
--- /dev/null
+++ b/mustardloom/keys/tests/test_claims.py
@@ -0,0 +1,94 @@
+"""Tests that a claim is freed only by what proves that its keys are free."""
+
+from mustardloom import ids
+from mustardloom.deployment import targets
+from mustardloom.keys import claims
+from mustardloom.keys import grants
+from mustardloom.keys import key_map
+from mustardloom.keys import ledger
+
+_OWN, _OTHER, _THIRD = (ids.VmId(f"vm-{number}") for number in range(3))
+_LAST = key_map.KEY_COUNT - 1
+_INSTANCE = targets.TargetInstance(targets.TargetId("t"), 1)
+
+
+def _map(version, owner, previous="", previous_fence=0):
+    row = key_map.Row(0, _LAST, owner, version, previous, previous_fence)
+    return key_map.KeyMap(version, (row,), {_OWN: _INSTANCE})
+
+
+def _heartbeat(sequence, held=(), freed=()):
+    return targets.Announcement(
+        _INSTANCE,
+        ids.ServiceId("s"),
+        ids.AvailabilityZoneId("z"),
+        4,
+        targets.Phase.READY,
+        0,
+        sequence,
+        held,
+        freed,
+    )
+
+
+def _granted_keys(granted):
+    return sum(each.last + 1 - each.first for each in granted)
+
+
+def _release(previous, map_version, handover=""):
+    part = ledger.ReleasedRange(0, _LAST, handover)
+    return claims.Release(previous, map_version, (part,))
+
+
+def test_late_heartbeat_frees_no_key_that_moved_away_and_back():
+    """Guards against a release of one map that is taken for that of another.
+
+    The target released a key that was left out of a grant. Its heartbeat comes
+    when the key has moved to another target and back.
+    """
+    own = grants.Grants(_OWN)
+    own.claims.adopt(_map(1, _OWN))
+    own.observe(_heartbeat(1), 0)
+    granted = own.grant(1_000, 0, True, lambda _: True)
+    assert _granted_keys(granted) == _LAST
+    own.claims.adopt(_map(2, _OTHER, _OWN, 1))
+    own.claims.adopt(_map(3, _OWN, _OTHER, 2))
+    freed = (targets.FreedRange(_LAST, _LAST, "token"),)
+    own.observe(_heartbeat(2, freed=freed), 2_500)
+    assert own.grant(1_000, 2_500, False, lambda _: True) == ()
+    assert own.claims.pending_ranges
+
+
+def test_late_answer_frees_no_key_that_its_sender_got_again():
+    """Guards against an answer of an earlier owner by an earlier map."""
+    own = claims.Claims(_OWN)
+    own.adopt(_map(2, _OWN, _OTHER, 1))
+    own.adopt(_map(3, _OTHER, _OWN, 2))
+    own.adopt(_map(4, _OWN, _OTHER, 3))
+    own.record_release(_release(_OTHER, 2))
+    assert list(own.grantable()) == []
+    own.record_release(_release(_OTHER, 4))
+    assert [row.first for row in own.grantable()] == [0]
+
+
+def test_release_of_one_earlier_owner_ends_no_wait_for_another():
+    """Guards against two earlier owners of a key, of which one answers."""
+    own = claims.Claims(_OWN)
+    own.adopt(_map(2, _OWN, _OTHER, 1))
+    own.adopt(_map(4, _OWN, _THIRD, 3))
+    own.record_release(_release(_THIRD, 4))
+    assert list(own.grantable()) == []
+
+
+def test_handover_token_is_granted_only_for_the_move_it_was_given_for():
+    """Guards against the token of an owner before the last one."""
+    own = claims.Claims(_OWN)
+    own.adopt(_map(2, _OWN, _OTHER, 1))
+    own.record_release(_release(_OTHER, 2, "token"))
+    row = next(own.grantable())
+    assert [each.handover for each in own.handovers(row)] == ["token"]
+    own.adopt(_map(3, _OTHER, _OWN, 2))
+    own.adopt(_map(4, _OWN, _OTHER, 3))
+    own.record_release(_release(_OTHER, 4))
+    row = next(own.grantable())
+    assert [each.handover for each in own.handovers(row)] == [""]
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -1,9 +1,10 @@
 """State machine test that no key is ever held by two targets.
 
-Each daemon has its claims, grant ledger and authority; each target holds the
-keys that the answers to its heartbeats list, until they expire. Daemons and
-targets restart, daemons lose the store or each other, planners move rows, and
-the store comes back from an older copy, in any order.
+Each daemon has its grants and authority; each target holds the keys that the
+answers to its heartbeats list, until they expire. Heartbeats and answers to
+questions for released keys arrive late and reordered, daemons and targets
+restart, daemons lose the store or each other, planners move rows, and the store
+comes back from an older copy, in any order.
 """
 
 import dataclasses
@@ -16,8 +17,8 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import authority
 from mustardloom.keys import claims
+from mustardloom.keys import grants
 from mustardloom.keys import key_map
-from mustardloom.keys import ledger
 from mustardloom.keys import planning
 from mustardloom.keys import restoration
 
@@ -27,7 +28,12 @@
 _SOME_VMS = strategies.sets(strategies.sampled_from(_VMS)) | strategies.just(
     set(_VMS)
 )
-_KEYS = range(0, key_map.KEY_COUNT, 1_024)
+# The first keys of ranges, and last ones, which are left out of grants.
+_KEYS = sorted(
+    {*range(0, key_map.KEY_COUNT, 1_024), *range(511, key_map.KEY_COUNT, 512)}
+)
+# A target takes an answer within this time after it sent the heartbeat.
+_ANSWER_LIMIT_MS = 1_000
 
 
 @dataclasses.dataclass
@@ -47,14 +53,29 @@
         return any(r.first <= key <= r.last for r in self.held(now_ms))
 
 
+@dataclasses.dataclass(frozen=True)
+class _SentHeartbeat:
+    """A heartbeat on its way.
+
+    Attributes:
+      withholds: Whether its answer leaves out an idle key.
+    """
+
+    vm: ids.VmId
+    announcement: targets.Announcement
+    sent_ms: int
+    withholds: bool
+
+
 class _Daemon:
-    """Claims, ledger and authority, wired as in `sidecar.keyspace`."""
+    """Grants and authority, wired as in `sidecar.keyspace`."""
 
     def __init__(self, vm):
         self.vm = vm
-        self.claims = claims.Claims(vm)
+        self.grants = grants.Grants(vm)
+        self.claims = self.grants.claims
         self.authority = authority.Authority()
-        self.ledger = None
+        self.sequence_by_instance = {}
         # Latest era of the store of which the daemon knows a map.
         self.era = 0
         self.has_listed = False
@@ -92,6 +113,9 @@
         self.daemons = {vm: _Daemon(vm) for vm in _VMS}
         self.store_up = True
         self.isolated = set()
+        # Heartbeats and answers of earlier owners that arrive late.
+        self.late_heartbeats = []
+        self.late_releases = []
         for vm in _VMS:
             self._read_store(vm)
 
@@ -277,8 +301,8 @@
         newest = daemon.authority.newest_reported()
         self._write(restoration.reestablish(basis, self.era, unmoved, newest))
 
-    def _heartbeat(self, vm):
-        daemon, target = self.daemons[vm], self.targets[vm]
+    def _send_heartbeat(self, vm, withholds):
+        target = self.targets[vm]
         target.sequence += 1
         held = tuple(
             targets.HeldRange(row.first, row.last, row.fence)
@@ -295,16 +319,21 @@
             held,
             tuple(target.freed),
         )
-        if daemon.ledger is None or daemon.ledger.instance != target.instance:
-            is_first = daemon.ledger is None
-            daemon.ledger = ledger.GrantLedger(target.instance)
-            if is_first:
-                daemon.ledger.assume_held_until(self.now_ms + 2 * _HOLD_MS)
-        daemon.ledger.observe(announcement, self.now_ms)
-        daemon.claims.expire(self.now_ms)
-        is_known = daemon.claims.map.instance_by_vm.get(vm) == target.instance
-        if is_known:
-            daemon.claims.record_held(held)
+        return _SentHeartbeat(vm, announcement, self.now_ms, withholds)
+
+    def _receive_heartbeat(self, sent):
+        daemon, target = self.daemons[sent.vm], self.targets[sent.vm]
+        announcement = sent.announcement
+        known = daemon.grants.instance
+        if known is not None and announcement.instance.born_ms < known.born_ms:
+            return
+        latest = daemon.sequence_by_instance.get(announcement.instance, 0)
+        if announcement.sequence <= latest:
+            return
+        daemon.sequence_by_instance[announcement.instance] = (
+            announcement.sequence
+        )
+        daemon.grants.observe(announcement, self.now_ms)
         confirmed_ms = daemon.authority.confirmed_ms(
             daemon.version(), len(_VMS)
         )
@@ -314,13 +343,14 @@
         hold_ms = min(_HOLD_MS, int(left_ms / _CLOCK_FACTOR) - 50)
         if hold_ms <= 0:
             return
-        rows = list(daemon.claims.grantable()) if is_known else []
-        daemon.ledger.grant(rows, hold_ms, self.now_ms)
-        target.rows = tuple(
-            targets.GrantedRange(row.first, row.last, row.fence) for row in rows
+        granted = daemon.grants.grant(
+            hold_ms, self.now_ms, sent.withholds, lambda _: True
         )
-        target.until_ms = self.now_ms + hold_ms * _CLOCK_FACTOR
-        self._check_fences(target)
+        is_in_time = self.now_ms - sent.sent_ms <= _ANSWER_LIMIT_MS
+        if announcement.instance == target.instance and is_in_time:
+            target.rows = granted
+            target.until_ms = sent.sent_ms + hold_ms * _CLOCK_FACTOR
+            self._check_fences(target)
 
     def _check_fences(self, target):
         """A key gets a fencing token above those of all other targets."""
@@ -335,7 +365,9 @@
                     self.fence_by_key[key] = (row.fence, target.instance)
 
     def _ask_release(self, vm):
+        """Yields the answers of the earlier owners that can be reached."""
         daemon = self.daemons[vm]
+        version = daemon.version()
         for pending in daemon.claims.pending_ranges:
             previous = pending.previous
             if previous == restoration.UNKNOWN_VM:
@@ -343,21 +375,16 @@
             if not self._can_reach(vm, previous):
                 continue
             other = self.daemons[previous]
-            if other.version() < daemon.version() or other.ledger is None:
+            if other.version() < version:
                 continue
-            owned = other.claims.map.owned_by(previous)
-            if any(
-                row.first <= pending.last and pending.first <= row.last
-                for row in owned
-            ):
-                continue
-            if other.claims.can_confirm_release(
-                pending.first, pending.last, pending.previous_fence
-            ) and other.ledger.holds_none(
-                pending.first, pending.last, self.now_ms
-            ):
-                part = ledger.ReleasedRange(pending.first, pending.last)
-                daemon.claims.record_release([part])
+            parts = other.grants.released(
+                pending.first,
+                pending.last,
+                pending.previous_fence,
+                self.now_ms,
+                False,
+            )
+            yield claims.Release(previous, version, tuple(parts))
 
     def _count_down(self, vm):
         daemon = self.daemons[vm]
@@ -369,6 +396,58 @@
         )
         daemon.claims.expire(self.now_ms)
 
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS), withholds=strategies.booleans()
+    )
+    def delay_heartbeat(self, vm, withholds):
+        self.late_heartbeats.append(self._send_heartbeat(vm, withholds))
+
+    @stateful.precondition(lambda self: self.late_heartbeats)
+    @stateful.rule(data=strategies.data())
+    def deliver_late_heartbeat(self, data):
+        last = len(self.late_heartbeats) - 1
+        index = data.draw(strategies.integers(0, last))
+        self._receive_heartbeat(self.late_heartbeats.pop(index))
+
+    @stateful.rule(vm=strategies.sampled_from(_VMS))
+    def delay_release(self, vm):
+        answers = self._ask_release(vm)
+        self.late_releases.extend(
+            (self.daemons[vm], release) for release in answers
+        )
+
+    @stateful.precondition(lambda self: self.late_releases)
+    @stateful.rule(data=strategies.data())
+    def deliver_late_release(self, data):
+        last = len(self.late_releases) - 1
+        index = data.draw(strategies.integers(0, last))
+        daemon, release = self.late_releases.pop(index)
+        daemon.claims.record_release(release)
+
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS), other=strategies.sampled_from(_VMS)
+    )
+    def move_away_and_back(self, vm, other):
+        """Moves all keys to another owner and some back.
+
+        Meanwhile a heartbeat is late that was sent before, after the target had
+        to release a key.
+        """
+        if vm == other:
+            return
+        everywhere = set(_VMS)
+        self.work(everywhere, everywhere, everywhere, everywhere, {vm}, True)
+        late = self._send_heartbeat(vm, True)
+        self.reassign(everywhere - {other})
+        self.now_ms += 5_000
+        for _ in range(3):
+            self.now_ms += 50
+            self.work(everywhere, everywhere, everywhere, everywhere, {other})
+        self.move_some(other, vm)
+        self._read_store(vm)
+        self._receive_heartbeat(late)
+        self._receive_heartbeat(self._send_heartbeat(vm, False))
+
     @stateful.rule(vm=strategies.sampled_from(_VMS))
     def restart_daemon(self, vm):
         self.daemons[vm] = _Daemon(vm)
@@ -393,8 +472,11 @@
         copying=_SOME_VMS,
         counting=_SOME_VMS,
         beating=_SOME_VMS,
+        withholds=strategies.booleans(),
     )
-    def work(self, reading, asking, copying, counting, beating):
+    def work(
+        self, reading, asking, copying, counting, beating, withholds=False
+    ):
         """Runs the periodic work of daemons, each part at some of them."""
         for vm in sorted(reading):
             self._read_store(vm)
@@ -406,9 +488,10 @@
             self._ask_others(vm)
         for vm in sorted(counting):
             self._count_down(vm)
-            self._ask_release(vm)
+            for release in list(self._ask_release(vm)):
+                self.daemons[vm].claims.record_release(release)
         for vm in sorted(beating):
-            self._heartbeat(vm)
+            self._receive_heartbeat(self._send_heartbeat(vm, withholds))
 
     @stateful.rule()
     def toggle_store(self):
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
-import msgspec
-
 from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom import objects
@@ -15,6 +13,7 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import authority as authority_lib
 from mustardloom.keys import claims as claims_lib
+from mustardloom.keys import grants as grants_lib
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger as ledger_lib
 from mustardloom.keys import planning
@@ -30,9 +29,6 @@
 
 __all__ = ["Keyspace"]
 
-# How long the target may hold granted keys: long enough to outlast a few lost
-# heartbeats or a short restart of the daemon.
-_HOLD_MS = 4_000
 # Timers of this process may fire this late.
 _GRANT_MARGIN_MS = 50
 # The authority to grant is renewed this long after the last confirmation.
@@ -110,18 +106,14 @@
             lambda: self._version,
             self.apply_stored,
         )
-        self._claims = claims_lib.Claims(own_settings.vm)
+        self._grants = grants_lib.Grants(own_settings.vm)
+        self._claims = self._grants.claims
         self._version = ids.NO_VERSION
-        self._ledger: ledger_lib.GrantLedger | None = None
         self._authority = authority_lib.Authority()
         self._has_authority = False
         self._hits: collections.Counter[int] = collections.Counter()
         self._hits_since_ms = clock.now_ms()
         self._key_rate = 0.0
-        # Key left out of the last grant so that the target reports soon, and
-        # the key that was left out last, as none is twice in a row.
-        self._withheld_key: int | None = None
-        self._last_withheld_key: int | None = None
         self._own_rows_changed_ms = 0
         self.on_settled: Callable[[ids.VmId], None] = lambda _: None
         self._pinged_ms = 0
@@ -171,9 +163,7 @@
     @property
     def local_instance(self) -> targets.TargetInstance | None:
         """Returns the local target's instance, None if it cannot take keys."""
-        if self._ledger is None or not self._is_target_up():
-            return None
-        return self._ledger.instance
+        return self._grants.instance if self._is_target_up() else None
 
     @property
     def key_rate(self) -> float:
@@ -203,7 +193,7 @@
     def check(self, key: int) -> gate_lib.KeyCheck:
         """Returns whether the local target holds a key, or who may hold it."""
         now_ms = self._clock.now_ms()
-        if self._ledger is not None and self._ledger.is_granted(key, now_ms):
+        if self._grants.is_granted(key, now_ms):
             return gate_lib.KeyCheck(True)
         row = self._claims.map.row_of(key)
         if row.owner != self._settings.vm:
@@ -229,76 +219,24 @@
           the authority to grant has run out.
         """
         now_ms = self._clock.now_ms()
-        ledger = self._ledger
-        if ledger is None or ledger.instance != announcement.instance:
-            ledger = self._new_ledger(announcement.instance, now_ms)
-        ledger.observe(announcement, now_ms)
-        self._claims.expire(now_ms)
-        instance = self._claims.map.instance_by_vm.get(self._settings.vm)
-        if instance == announcement.instance:
-            self._claims.record_held(announcement.held)
+        self._grants.observe(announcement, now_ms)
         hold_ms = self._hold_ms(now_ms)
         if hold_ms <= 0:
             return None
-        rows = (
-            list(self._claims.grantable())
-            if instance == ledger.instance
-            else []
-        )
-        rows = self._without_idle_key(rows, ledger, now_ms)
-        ledger.grant(rows, hold_ms, now_ms)
-        ranges = tuple(
-            each for row in rows for each in self._claims.handovers(row)
+        ranges = self._grants.grant(
+            hold_ms,
+            now_ms,
+            self._needs_reports(now_ms),
+            lambda key: not self._hits[key],
         )
         return announcements.Grant(ranges, hold_ms)
 
-    def _without_idle_key(
-        self,
-        rows: list[key_map.Row],
-        ledger: ledger_lib.GrantLedger,
-        now_ms: int,
-    ) -> list[key_map.Row]:
-        """Withholds one idle key while keys move or the target is busy.
-
-        Grants can only be sent in answers to heartbeats. A target that has to
-        release a key sends its next heartbeat within 100 ms, so withholding a
-        key that nobody asks for makes grants of moved keys arrive sooner.
-
-        Returns:
-          The rows to grant: `rows` itself, or with one row a key shorter.
-        """
-        if self._withheld_key is not None:
-            # The target had to release this key; the new grant gives its
-            # handover token back, if there is one.
-            key, self._withheld_key = self._withheld_key, None
-            self._claims.record_release(ledger.handovers(key, key))
+    def _needs_reports(self, now_ms: int) -> bool:
+        """Returns whether the target is to send its next heartbeat soon."""
         is_moving = bool(self._claims.pending_ranges) or (
             now_ms - self._own_rows_changed_ms < _FREQUENT_REPORTS_MS
         )
-        if not is_moving and self._gate.load().utilisation < _BUSY_UTILISATION:
-            return rows
-        for index, row in enumerate(rows):
-            if row.width > 1 and not self._hits[row.last]:
-                if row.last == self._last_withheld_key:
-                    continue
-                self._withheld_key = self._last_withheld_key = row.last
-                rows[index] = msgspec.structs.replace(row, last=row.last - 1)
-                break
-        return rows
-
-    def _new_ledger(
-        self, instance: targets.TargetInstance, now_ms: int
-    ) -> ledger_lib.GrantLedger:
-        ledger = ledger_lib.GrantLedger(instance)
-        if self._ledger is None:
-            # This process may have been restarted while the target kept
-            # running with grants that the previous process made.
-            ledger.assume_held_until(
-                now_ms + round(_HOLD_MS * ledger_lib.CLOCK_FACTOR)
-            )
-        self._ledger = ledger
-        self._claims.drop_handovers()
-        return ledger
+        return is_moving or self._gate.load().utilisation >= _BUSY_UTILISATION
 
     def _hold_ms(self, now_ms: int) -> int:
         """Returns for how long keys may be granted now; not at all if <= 0."""
@@ -317,7 +255,7 @@
             if has_authority:
                 event = events.Event.AUTHORITY_BACK
             self._log.write(event, service=self.service, left_ms=left_ms)
-        return min(_HOLD_MS, self.bounds.hold_limit_ms, allowed_ms)
+        return min(grants_lib.HOLD_MS, self.bounds.hold_limit_ms, allowed_ms)
 
     def _is_target_up(self) -> bool:
         return self._gate.reachability is gate_lib.Reachability.UP
@@ -454,7 +392,9 @@
             )
 
     def _needs_authority(self) -> bool:
-        if self._settings.service != self.service or self._ledger is None:
+        if self._settings.service != self.service:
+            return False
+        if self._grants.instance is None:
             return False
         return self.current_map is not None
 
@@ -551,12 +491,11 @@
                 )
         except (TimeoutError, links_lib.PeerLost, links_lib.PeerUnreachable):
             return
-        if version != self._claims.map.version:
-            # The keys may have moved back to the earlier owner meanwhile.
-            return
         if isinstance(reply, frames.ReleaseReply) and reply.released:
-            parts = [ledger_lib.ReleasedRange(*part) for part in reply.released]
-            self._claims.record_release(parts)
+            parts = (ledger_lib.ReleasedRange(*part) for part in reply.released)
+            self._claims.record_release(
+                claims_lib.Release(vm, version, tuple(parts))
+            )
             if not self._claims.pending_ranges:
                 self.on_settled(self._fleet.planner())
 
@@ -564,8 +503,15 @@
         """Returns which keys of a query the local target no longer holds."""
         released: list[tuple[int, int, str]] = []
         if self._claims.map.version >= query.map_version:
-            for first, last, fence in query.ranges:
-                released.extend(self._released(first, last, fence))
+            now_ms = self._clock.now_ms()
+            is_gone = self._gate.reachability is gate_lib.Reachability.DOWN
+            released = [
+                (part.first, part.last, part.handover)
+                for first, last, fence in query.ranges
+                for part in self._grants.released(
+                    first, last, fence, now_ms, is_gone
+                )
+            ]
         if released:
             self._log.write(
                 events.Event.KEYS_RELEASED,
@@ -576,29 +522,6 @@
             )
         return frames.ReleaseReply(query.number, tuple(released))
 
-    def _released(
-        self, first: int, last: int, fence: int
-    ) -> Iterator[tuple[int, int, str]]:
-        """Yields the range in parts with handover tokens if it is released.
-
-        Yields nothing if the local target may hold some of the keys, or if
-        this daemon cannot know who held them.
-        """
-        now_ms = self._clock.now_ms()
-        own_rows = self._claims.map.owned_by(self._settings.vm)
-        if any(row.first <= last and first <= row.last for row in own_rows):
-            return
-        if not self._claims.can_confirm_release(first, last, fence):
-            return
-        ledger = self._ledger
-        if ledger is None:
-            return
-        is_gone = self._gate.reachability is gate_lib.Reachability.DOWN
-        if not is_gone and not ledger.holds_none(first, last, now_ms):
-            return
-        for part in ledger.handovers(first, last):
-            yield (part.first, part.last, part.handover)
-
     # Load.
 
     async def report_load(self) -> None:
