Play planned work alone in the soak, and check that it cuts nothing

The check `nothing_cut` looks for requests that ended without a complete answer though they ran or lasted beyond the slack.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,14 @@
     regressions: Annotated[
         bool, typer.Option(help="run the seeds that once failed instead")
     ] = False,
+    work: Annotated[
+        bool,
+        typer.Option(help="stops, reloads and configurations only"),
+    ] = False,
+    callers: Annotated[int, typer.Option(help="callers on each VM")] = 2,
+    work_ms: Annotated[
+        int, typer.Option(help="time that most requests take, in ms")
+    ] = 20,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="keep settings and logs here")
     ] = None,
@@ -47,7 +55,15 @@
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
         options = run_lib.Options(
-            seed, seed_folder, network, vms, faults=faults, length_s=seconds
+            seed,
+            seed_folder,
+            network,
+            vms,
+            callers_per_vm=callers,
+            faults=faults,
+            length_s=seconds,
+            is_planned_work=work,
+            work_ms=work_ms,
         )
         result = asyncio.run(run_lib.play(options))
         print(run_lib.describe(result).decode(), flush=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -41,6 +41,8 @@
       limit_factor: Multiple of its stated limit that a target may get.
       limit_slack: Requests that it may get beyond that in a window.
       limit_window_ms: Time in which requests are counted.
+      loss_slack_ms: A request that crosses the end of its connection ends
+        within this time.
     """
 
     calm_ms: int = 4_000
@@ -56,6 +58,7 @@
     limit_factor: float = 1.5
     limit_slack: int = 5
     limit_window_ms: int = 4_000
+    loss_slack_ms: int = 200
 
 
 BOUNDS = Bounds()
@@ -467,6 +470,27 @@
         yield f"{len(late)} of {len(calm)} answers late, such as {late[0]}"
 
 
+def nothing_cut(evidence: evidence_lib.Evidence) -> _Findings:
+    """Planned work ends no request that was read without a complete answer.
+
+    A request that crosses the end of its connection was not read.
+    """
+    if not evidence.is_planned_work:
+        return
+    runs_by_id = evidence.runs_by_id()
+    for attempt in evidence.attempt_by_id.values():
+        if attempt.ended_ms is None or attempt.whole_ms is None:
+            continue
+        runs = runs_by_id.get(attempt.request_id, [])
+        lasted_ms = attempt.ended_ms - attempt.whole_ms
+        match attempt.ending:
+            case evidence_lib.Ending.CUT:
+                if runs or lasted_ms > BOUNDS.loss_slack_ms:
+                    yield f"{attempt} cut after {lasted_ms} ms; {runs}"
+            case evidence_lib.Ending.TIMED_OUT:
+                yield f"{attempt} got no answer; {runs}"
+
+
 def recovers(evidence: evidence_lib.Evidence) -> _Findings:
     """After the time for recovery nearly all requests succeed."""
     first_ms = evidence.calm_ms + BOUNDS.recover_ms
@@ -502,6 +526,7 @@
     evacuated_zones,
     configuration_in_force,
     on_time,
+    nothing_cut,
     recovers,
     no_faults_of_its_own,
 )
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -2,10 +2,12 @@
 
 import bisect
 import dataclasses
+import enum
 
 __all__ = [
     "Attempt",
     "Change",
+    "Ending",
     "Evidence",
     "Fault",
     "Holding",
@@ -19,6 +21,17 @@
 Row = tuple[int, int, int]
 
 
+class Ending(enum.Enum):
+    """How a request ended for its caller."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    # The connection ended without a complete answer.
+    CUT = "cut"
+    # The caller gave up without an answer.
+    TIMED_OUT = "timed-out"
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One request of a caller.
@@ -29,6 +42,8 @@
       key: Shard key, None on routes without keys.
       deadline_ms: How long the caller waits for the answer.
       ended_ms: When the caller got an answer or gave up, None before.
+      whole_ms: When its last byte was sent, None before.
+      ending: How it ended for the caller.
       status: Status of the answer, None if the connection broke.
       signer: Target that the answer names; empty if it names none.
       answer: Body of the answer.
@@ -43,6 +58,8 @@
     sent_ms: int
     deadline_ms: int
     ended_ms: int | None = None
+    whole_ms: int | None = None
+    ending: Ending = Ending.OPEN
     status: int | None = None
     signer: str = ""
     answer: str = ""
@@ -149,6 +166,7 @@
         time.
       calm_ms: When the last fault was over.
       ended_ms: When the run ended; requests that were open then are unfinished.
+      is_planned_work: Whether nothing but planned work disturbed the run.
       errors: Unexpected exits of daemons, unexpected errors in their logs, and
         failures of the soak itself.
     """
@@ -167,6 +185,7 @@
     )
     calm_ms: int = 0
     ended_ms: int = 0
+    is_planned_work: bool = False
     errors: list[str] = dataclasses.field(default_factory=list)
 
     def is_fault_free(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,14 @@
 
 from soak import proxy as proxy_lib
 
-__all__ = ["LINKS", "Kind", "PlannedFault", "plan_faults", "plan_statements"]
+__all__ = [
+    "LINKS",
+    "Kind",
+    "PlannedFault",
+    "plan_faults",
+    "plan_statements",
+    "plan_work",
+]
 
 LINKS = ("caller", "peer", "store", "target")
 
@@ -58,6 +65,13 @@
 _MIN_DURATION_MS = 300
 _MAX_DURATION_MS = 6_000
 _MAX_DELAY_MS = 1_500
+# Pause between the stops of two VMs; a stop takes longer, so they overlap.
+_MIN_STOP_PAUSE_MS = 100
+_MAX_STOP_PAUSE_MS = 1_500
+# Grace period that a reload of planned work sets.
+_GRACE_MS = 5_900
+# Changes of settings or configuration for each stop.
+_CHANGES_PER_STOP = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +145,28 @@
     return sorted(planned, key=lambda each: each.at_ms)
 
 
+def plan_work(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
+    """Returns planned work only: stops in turn, reloads and configurations.
+
+    Args:
+      seed: The same seed and arguments give the same plan.
+      length_ms: Time over which it begins.
+      vms: Number of VMs.
+    """
+    source = random.Random(f"work {seed}")
+    at_ms = 0
+    planned = []
+    while at_ms < length_ms:
+        stop = _draw(source, Kind.DAEMON_RESTART, length_ms, vms)
+        planned.append(dataclasses.replace(stop, at_ms=at_ms))
+        if source.random() < _CHANGES_PER_STOP:
+            kind = source.choice((Kind.DAEMON_RELOAD, Kind.CONFIGURE))
+            change = _draw(source, kind, length_ms, vms)
+            planned.append(dataclasses.replace(change, for_ms=_GRACE_MS))
+        at_ms += source.randint(_MIN_STOP_PAUSE_MS, _MAX_STOP_PAUSE_MS)
+    return sorted(planned, key=lambda each: each.at_ms)
+
+
 def _draw(
     source: random.Random, kind: Kind, length_ms: int, vms: int
 ) -> PlannedFault:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -55,6 +55,7 @@
         folder: pathlib.Path,
         evidence: evidence_lib.Evidence,
         clock: clock_lib.Clock,
+        work_ms: int,
     ):
         self.name = name
         self.service = service
@@ -64,6 +65,7 @@
         self._settings = folder / f"{name}.conf"
         self._evidence = evidence
         self._clock = clock
+        self._work_ms = work_ms
         self._daemon: asyncio.subprocess.Process | None = None
         self._target: asyncio.subprocess.Process | None = None
         self._instance_count = 0
@@ -88,6 +90,11 @@
         """Host and port to which callers send requests, through the proxy."""
         return self._host, _CALLER_PORT + _PROXY_OFFSET
 
+    @property
+    def direct_address(self) -> tuple[str, int]:
+        """Host and port on which the daemon itself listens for callers."""
+        return self._host, _CALLER_PORT
+
     async def start(self) -> None:
         """Starts proxies, target and daemon."""
         self.write_settings(grace_ms=_GRACE_S * 1_000)
@@ -199,6 +206,7 @@
         arguments = [name, self.service, self.availability_zone, self._host]
         ports = (_TARGET_PORT + _PROXY_OFFSET, _TARGET_PORT, _CONTROL_PORT)
         arguments += [str(port) for port in ports]
+        arguments.append(f"--work-ms={self._work_ms}")
         if self.service == "keyed":
             arguments.append("--keyed")
         self._target = await asyncio.create_subprocess_exec(
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,8 @@
 # check `recovers` counts them.
 _MEASURED_S = 4
 _STALL_PROBE_MS = 50
+# Share of the requests that are sent in pieces, in runs of planned work.
+_SLOW_SHARE = 0.2
 # A timer that fires later than this means that the machine is too busy.
 _MIN_STALL_MS = 200
 _STALL_KIND = "machine-stall"
@@ -53,6 +55,9 @@
       callers_per_vm: Number of callers on each VM, one connection each.
       faults: Number of faults.
       length_s: Time over which faults begin.
+      is_planned_work: Whether to play stops, reloads and configurations only,
+        with callers that are connected to the daemons without a proxy.
+      work_ms: Time that a target takes for most requests.
     """
 
     seed: int
@@ -62,6 +67,8 @@
     callers_per_vm: int = 2
     faults: int = 14
     length_s: int = 20
+    is_planned_work: bool = False
+    work_ms: int = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,15 +124,22 @@
                 options.folder,
                 self._evidence,
                 self._clock,
+                options.work_ms,
             )
             for index, row in enumerate(layout)
         ]
+        self._evidence.is_planned_work = options.is_planned_work
         self._tasks: list[asyncio.Task[None]] = []
         self._injector = injector_lib.Injector(
             self._vms, self._store, self._evidence, self._clock, options.seed
         )
-        length_ms = options.length_s * _MS_PER_S
-        self._planned = [
+        self._planned = self._plan(options.length_s * _MS_PER_S)
+
+    def _plan(self, length_ms: int) -> list[faults.PlannedFault]:
+        options = self._options
+        if options.is_planned_work:
+            return faults.plan_work(options.seed, length_ms, options.vms)
+        return [
             *faults.plan_faults(
                 options.seed, options.faults, length_ms, options.vms
             ),
@@ -180,10 +194,13 @@
                 name = f"{self._options.seed}-{vm.name}-{number}"
                 caller = callers_lib.Caller(
                     vm.name,
-                    vm.caller_address,
+                    vm.direct_address
+                    if self._options.is_planned_work
+                    else vm.caller_address,
                     name,
                     self._evidence,
                     self._clock,
+                    _SLOW_SHARE if self._options.is_planned_work else 0.0,
                 )
                 self._injector.callers.append(caller)
                 self._tasks.append(asyncio.ensure_future(caller.run()))
