Close no connection under a request that arrived or an answer being written

It counted a request as done once its answer was queued, and did not count one that was read in part. A cancelled handler closed the connection without an answer.

Change: a connection decides on its own end. It reads what has arrived before it closes as idle, ends after the last byte was written, and leaves the close to the caller, as a close with unread bytes drops what is on its way. The server accepts what the system has accepted before it stops, and `is_busy` counts reading and writing.

--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -4,14 +4,14 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import enum
-from typing import Any
+import socket
 
 import httptools
 from tornado import iostream
 from tornado import netutil
-from tornado import tcpserver
 
 from mustardloom import clock as clock_lib
 from mustardloom.http1 import messages
@@ -23,6 +23,8 @@
 
 _READ_BYTES = 65_536
 _TIME_CHECK_INTERVAL_MS = 500
+# A caller closes a connection that has ended within this time.
+_END_TIMEOUT_MS = 1_000
 # Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
 # chunk of one byte needs five.
 _MAX_FRAMING_RATIO = 7
@@ -107,9 +109,7 @@
         Raises:
           OSError: The address is in use or not available.
         """
-        sockets = netutil.bind_sockets(port, host, backlog=_BACKLOG)
-        self._acceptor.add_sockets(sockets)
-        return int(sockets[0].getsockname()[1])
+        return self._acceptor.listen(host, port)
 
     def active_requests(self) -> int:
         """Returns the number of requests whose responses are not written."""
@@ -120,15 +120,23 @@
         self.is_draining = True
 
     def stop_reading(self) -> None:
-        """Stops accepting connections and reading requests.
+        """Stops accepting connections, and closes those without a request.
 
-        Requests that were begun are read to their end and answered.
+        Requests that have arrived, even in part, are read to their end and
+        answered; `is_busy` tells whether there are any left.
         """
         self._acceptor.stop()
         self.is_draining = True
         for connection in list(self.connections):
             connection.finish()
 
+    def is_busy(self) -> bool:
+        """Returns whether a request is being read, run or answered.
+
+        An answer counts until the last byte has been passed to the system.
+        """
+        return any(each.is_busy() for each in self.connections)
+
     async def close_idle_connections(self) -> None:
         """Closes slow and idle connections; runs until cancelled."""
         while True:
@@ -138,25 +146,58 @@
                 connection.enforce_time_limits(limits)
 
 
-class _Acceptor(tcpserver.TCPServer):
-    """Creates a connection for each stream that is accepted."""
+class _Acceptor:
+    """Creates a connection for each socket that is accepted."""
 
     def __init__(self, http_server: HttpServer):
-        super().__init__(read_chunk_size=_READ_BYTES)
         self._http_server = http_server
+        self._remove_by_socket: dict[socket.socket, Callable[[], None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: tuple[Any, ...]
-    ) -> None:
-        """See base class."""
+    def listen(self, host: str, port: int) -> int:
+        """Starts to accept connections and returns the port.
+
+        Raises:
+          OSError: The address is in use or not available.
+        """
+        listening = netutil.bind_sockets(port, host, backlog=_BACKLOG)
+        for each in listening:
+            self._remove_by_socket[each] = netutil.add_accept_handler(
+                each, self._on_accept
+            )
+        return int(listening[0].getsockname()[1])
+
+    def stop(self) -> None:
+        """Stops listening; accepts what the system has accepted before.
+
+        Callers may have sent requests on those connections for some time.
+        """
+        for listening, remove in self._remove_by_socket.items():
+            remove()
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    self._on_accept(*listening.accept())
+            listening.close()
+        self._remove_by_socket.clear()
+
+    def _on_accept(self, accepted: socket.socket, address: object) -> None:
         del address
+        stream = iostream.IOStream(accepted, read_chunk_size=_READ_BYTES)
         stream.set_nodelay(True)
         connection = _Connection(self._http_server, stream)
         self._http_server.connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._http_server.connections.discard(connection)
+        task = asyncio.ensure_future(connection.run())
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._on_ended(connection, done))
+
+    def _on_ended(
+        self, connection: "_Connection", task: "asyncio.Task[None]"
+    ) -> None:
+        self._tasks.discard(task)
+        self._http_server.connections.discard(connection)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            connection.stream.close()
+            self._http_server.on_fault(error)
 
 
 class _PendingResponse:
@@ -181,6 +222,10 @@
         self._unparsed_bytes = 0
         self._closes_after_pending = False
         self._is_finishing = False
+        # Local time at which the end was sent, None before.
+        self._ended_ms: int | None = None
+        # Write of the latest bytes.
+        self._written: asyncio.Future[None] | None = None
         self._has_room = asyncio.Event()
         self._reset()
 
@@ -209,24 +254,52 @@
             for pending in self.pending:
                 pending.task.cancel()
 
+    def is_busy(self) -> bool:
+        """Returns whether a request is being read, run or answered."""
+        if self.stream.closed() or self._ended_ms is not None:
+            return False
+        is_last_awaited = self._is_finishing and not self._closes_after_pending
+        return (
+            bool(self.pending)
+            or self._phase is not _Phase.IDLE
+            or self.stream.writing()
+            or is_last_awaited
+        )
+
     def finish(self) -> None:
-        """Closes the connection after the requests that were begun."""
+        """Closes the connection after the requests that have arrived."""
         self._is_finishing = True
-        if self._phase is _Phase.IDLE:
+        if self._phase is not _Phase.IDLE:
+            return
+        if self.pending:
             self._closes_after_pending = True
-            if not self.pending:
+        else:
+            self._close_unless_request_waits()
+
+    def _close_unless_request_waits(self) -> None:
+        """Closes the connection; bytes that have arrived are read first."""
+        if sockets.is_open_and_empty(self.stream.socket):
+            self._closes_after_pending = True
+            if self._written is None or self._written.done():
                 self.stream.close()
+            else:
+                self._written.add_done_callback(self._end)
 
     def enforce_time_limits(self, limits: ServerLimits) -> None:
         """Adopts new limits; ends a connection that exceeds a time limit."""
         self._limits = limits
-        if self.pending or self._closes_after_pending:
+        now_ms = self._http_server.clock.now_ms()
+        if self._ended_ms is not None:
+            if now_ms - self._ended_ms > _END_TIMEOUT_MS:
+                self.stream.close()
             return
-        waited_ms = self._http_server.clock.now_ms() - self._waiting_since_ms
+        if self.pending or self._closes_after_pending or self.stream.writing():
+            return
+        waited_ms = now_ms - self._waiting_since_ms
         match self._phase:
             case _Phase.IDLE:
                 if waited_ms > limits.idle_timeout_ms:
-                    self.stream.close()
+                    self._close_unless_request_waits()
             case _Phase.HEAD:
                 if waited_ms > limits.header_timeout_ms:
                     self._reject(_TIMEOUT)
@@ -360,10 +433,7 @@
         self._has_room.set()
 
     def _respond(self, pending: _PendingResponse) -> None:
-        if pending.task.cancelled():
-            self.stream.close()
-            return
-        if pending.task.exception() is not None:
+        if pending.task.cancelled() or pending.task.exception() is not None:
             response = messages.Response(_INTERNAL_ERROR)
         else:
             response = pending.task.result()
@@ -374,15 +444,27 @@
             or (self._http_server.is_draining and self._phase is _Phase.IDLE)
         )
         self._closes_after_pending = self._closes_after_pending or closes
-        data = messages.encode_response(response, closes, pending.is_head)
-        written = self._write(data)
-        if closes and written is not None:
-            written.add_done_callback(lambda _: self.stream.close())
+        self._write(messages.encode_response(response, closes, pending.is_head))
+        if closes and self._written is not None:
+            self._written.add_done_callback(self._end)
 
-    def _write(self, data: bytes) -> "asyncio.Future[None] | None":
+    def _end(self, written: "asyncio.Future[None]") -> None:
+        """Ends the connection after the last response, which was written.
+
+        The caller closes it. A close on this side would drop what is still on
+        its way if something has arrived meanwhile and was not read.
+        """
+        del written
+        if self.stream.closed():
+            return
+        # It fails if the caller has reset the connection, as is noticed soon.
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        self._ended_ms = self._http_server.clock.now_ms()
+
+    def _write(self, data: bytes) -> None:
         try:
-            written = self.stream.write(data)
+            self._written = self.stream.write(data)
         except iostream.StreamClosedError:
-            return None
-        written.add_done_callback(sockets.ignore_write_error)
-        return written
+            return
+        self._written.add_done_callback(sockets.ignore_write_error)
--- a/mustardloom/http1/tests/test_server.py
+++ b/mustardloom/http1/tests/test_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server: pipelining, invalid requests, time limits, stop."""
 
 import asyncio
+import os
+import socket
 
 import pytest
 
@@ -234,3 +236,122 @@
         return int((await reader.readuntil(b"\r\n")).split(b" ")[1])
 
     assert _run(_echo, scenario) in (400, 413, 431)
+
+
+def _send_unseen(port, data):
+    """Sends before the event loop can notice; returns the socket."""
+    caller = socket.create_connection(("127.0.0.1", port))
+    caller.sendall(data)
+    return caller
+
+
+def _read_all(caller):
+    with caller:
+        caller.settimeout(5)
+        found = b""
+        while part := caller.recv(65_536):
+            found += part
+        return found
+
+
+_REQUEST = b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def test_request_that_arrived_before_a_stop_is_answered():
+    """Guards against a request that a busy process has not read at its stop."""
+
+    async def scenario(http_server, reader, writer):
+        del writer
+        port = reader._transport.get_extra_info("peername")[1]
+        first = await asyncio.to_thread(_send_unseen, port, b"")
+        while len(http_server.connections) < 2:
+            await asyncio.sleep(0)
+        # Neither the bytes nor the second connection are noticed until later.
+        first.sendall(_REQUEST)
+        second = _send_unseen(port, _REQUEST)
+        http_server.stop_reading()
+        assert http_server.is_busy()
+        return [
+            await asyncio.to_thread(_read_all, caller)
+            for caller in (first, second)
+        ]
+
+    for answer in _run(_echo, scenario):
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"/late")
+        assert b"Connection: close" in answer
+
+
+def test_stop_waits_for_a_request_that_was_read_in_part():
+    """Guards against a stop in the middle of a request."""
+
+    async def scenario(http_server, reader, writer):
+        writer.write(_REQUEST[:9])
+        while not any(each.is_busy() for each in http_server.connections):
+            await asyncio.sleep(0)
+        http_server.stop_reading()
+        assert http_server.is_busy()
+        writer.write(_REQUEST[9:])
+        (answer,) = await _responses(reader, 1)
+        assert await reader.read() == b""
+        while http_server.is_busy():
+            await asyncio.sleep(0)
+        return answer
+
+    assert _run(_echo, scenario)[:2] == (200, b"/late")
+
+
+def test_stop_waits_until_an_answer_is_written():
+    """Guards against answers that are cut as their callers read slowly."""
+    body = b"x" * 20_000_000
+
+    async def handler(request):
+        del request
+        return messages.Response(200, (), body)
+
+    async def scenario(http_server, reader, writer):
+        writer.write(_REQUEST)
+        while not http_server.connections or not any(
+            each.stream.writing() for each in http_server.connections
+        ):
+            await asyncio.sleep(0)
+        http_server.stop_reading()
+        assert not http_server.active_requests()
+        assert http_server.is_busy()
+        (answer,) = await _responses(reader, 1)
+        while http_server.is_busy():
+            await asyncio.sleep(0)
+        return answer
+
+    assert len(_run(handler, scenario)[1]) == len(body)
+
+
+def test_idle_connection_on_which_a_request_arrived_is_not_closed():
+    """Guards against the idle time-out of a request that was not read yet."""
+    clock = clock_lib.FakeClock()
+
+    async def scenario(http_server, reader, writer):
+        while not http_server.connections:
+            await asyncio.sleep(0)
+        (connection,) = http_server.connections
+        clock._now_ms += _LIMITS.idle_timeout_ms + 1
+        os.write(writer.get_extra_info("socket").fileno(), _REQUEST)
+        connection.enforce_time_limits(_LIMITS)
+        return (await _responses(reader, 1))[0][0]
+
+    assert _run(_echo, scenario, clock) == 200
+
+
+def test_cancelled_handler_is_answered():
+    """Guards against a connection that ends without an answer."""
+
+    async def handler(request):
+        del request
+        raise asyncio.CancelledError
+
+    async def scenario(http_server, reader, writer):
+        del http_server
+        writer.write(_REQUEST)
+        return (await _responses(reader, 1))[0][0]
+
+    assert _run(handler, scenario) == 500
