Refuse a request that waited for its key when the daemon began to stop

The wait for a key is outside the queue of the gate, which a stop waits for; such a request was admitted after the check for an idle gate and could run while the links to its daemon ended. The new test fails without the second check.

--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -326,6 +326,8 @@
         """
         refusal = self._refusal_on_arrival(request)
         refusal = refusal or await self._await_key(request, may_wait)
+        # The daemon may have begun to stop during the wait for the key.
+        refusal = refusal or self._refusal_on_arrival(request)
         refusal = refusal or self._admission_refusal(request)
         if refusal is None:
             return await self._run_admitted(request)
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -224,6 +224,20 @@
     )
 
 
+def test_request_that_waited_for_its_key_is_not_run_after_a_stop_began():
+    """Guards against runs whose answer the links no longer carry."""
+
+    async def scenario(harness):
+        harness.keys.pending.add(7)
+        (waiting,) = await harness.start("a", key=7)
+        harness.gate.is_stopping = True
+        harness.keys.held.add(7)
+        await harness.clock.advance(50)
+        return _reason(await waiting)
+
+    assert _run(scenario) is work.RefusalReason.STOPPING
+
+
 def test_leaving_target_gets_no_requests_after_admission_ends():
     """Guards against queued requests that start after the drain bound."""
 
