End links only after the last answer to another daemon is written

A stop now also waits for requests of other daemons and their answers, and ends the links so that the peers close them.

The steps of a stop move from `sidecar/daemon.py` to `sidecar/graceful_stop.py`.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -32,6 +32,7 @@
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import gate as gate_lib
+from mustardloom.sidecar import graceful_stop
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
 from mustardloom.sidecar import links as links_lib
@@ -58,12 +59,6 @@
 _SETTINGS_INTERVAL_MS = 2_000
 _PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
-# Callers notice within this time that the daemon is no longer ready, and go to
-# other daemons.
-_STOP_NOTICE_MS = 2_300
-# Time kept free at the end of the grace period.
-_STOP_MARGIN_MS = 700
-_STOP_POLL_MS = 50
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -191,6 +186,13 @@
         self._caller_server = self._new_server(
             self._ingress.handle, self._limits
         )
+        self._graceful_stop = graceful_stop.GracefulStop(
+            self._caller_server,
+            self._gate,
+            self._forwarder,
+            self._links,
+            clock,
+        )
         self._notice_server = self._new_server(self._local_target.handle)
         self._readiness_server = self._new_server(self._answer_readiness)
         page = metrics_page.MetricsPage(self._metrics, self._gauges)
@@ -689,29 +691,12 @@
             self._on_reload()
 
     async def _shut_down(self) -> None:
-        """Finishes open requests within the grace period, then stops.
-
-        Callers first get time to move to other daemons. Then no more requests
-        are read from callers, and last the gate refuses those of other daemons.
-        """
         self._is_stopping = True
-        started_ms = self._clock.now_ms()
         self._log.write(
             events.Event.STOP, open=self._caller_server.active_requests()
         )
-        self._caller_server.drain()
         self._status_sender.broadcast()
-        stop_by_ms = (
-            started_ms + self._settings.bounds.grace_ms - _STOP_MARGIN_MS
-        )
-        await self._clock.sleep_ms(_STOP_NOTICE_MS)
-        self._caller_server.stop_reading()
-        await self._await_idle(self._caller_server.active_requests, stop_by_ms)
-        # From here on requests of other daemons are refused, which tells them
-        # that nothing was run.
-        self._gate.is_stopping = True
-        await self._await_idle(lambda: not self._gate.is_idle(), stop_by_ms)
-        await self._clock.sleep_ms(_STOP_POLL_MS)
+        await self._graceful_stop.run(self._settings.bounds.grace_ms)
         for task in list(self._tasks):
             task.cancel()
         for each in (
@@ -721,9 +706,3 @@
         ):
             each.stop_reading()
         self._links.close()
-
-    async def _await_idle(
-        self, is_busy: Callable[[], object], stop_by_ms: int
-    ) -> None:
-        while is_busy() and self._clock.now_ms() < stop_by_ms:
-            await self._clock.sleep_ms(_STOP_POLL_MS)
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -39,6 +39,10 @@
         self._gate = gate
         self._clock = clock
 
+    def is_serving(self) -> bool:
+        """Returns whether requests of other daemons are open here."""
+        return self.open_by_vm.total() > 0
+
     async def send(
         self, vm: ids.VmId, request: work.Work, may_wait: bool
     ) -> work.Outcome:
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -8,7 +8,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import functools
+import socket
 from typing import Any
 
 import msgspec
@@ -191,6 +193,22 @@
             for link in list(self._link_by_vm.values()):
                 link.check(now_ms)
 
+    def is_writing(self) -> bool:
+        """Returns whether replies to other daemons are not written yet."""
+        return self._server.is_writing()
+
+    def has_incoming(self) -> bool:
+        """Returns whether links that peers dialled are open."""
+        return self._server.has_streams()
+
+    def end_incoming(self) -> None:
+        """Ends the links that peers dialled, after what was written on them.
+
+        The peers close them. A close on this side would drop what is still on
+        its way if something has arrived meanwhile and was not read.
+        """
+        self._server.end_streams()
+
     def close(self) -> None:
         """Closes all links, those that peers dialled included."""
         self._server.close()
@@ -213,6 +231,21 @@
         for stream in list(self._streams):
             stream.close()
 
+    def is_writing(self) -> bool:
+        """Returns whether a stream has bytes that are not written yet."""
+        return any(stream.writing() for stream in self._streams)
+
+    def has_streams(self) -> bool:
+        """Returns whether a stream is open."""
+        return bool(self._streams)
+
+    def end_streams(self) -> None:
+        """Accepts no more links; sends the end of all that are open."""
+        self.stop()
+        for stream in list(self._streams):
+            with contextlib.suppress(OSError):
+                stream.socket.shutdown(socket.SHUT_WR)
+
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[Any, ...]
     ) -> None:
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_graceful_stop.py
@@ -0,0 +1,86 @@
+"""Tests that a stop loses nothing that the daemon has accepted."""
+
+import asyncio
+
+from mustardloom import clock as clock_lib
+from mustardloom.sidecar import graceful_stop
+
+_GRACE_MS = 6_000
+
+
+class _Daemon:
+    """Fakes of all that a stop ends; the test sets what is still open."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.open = set()
+        self.steps = []
+        self.is_stopping = False
+        self._stop = graceful_stop.GracefulStop(self, self, self, self, clock)
+
+    def start(self):
+        return asyncio.ensure_future(self._stop.run(_GRACE_MS))
+
+    def drain(self):
+        self.steps.append("drain")
+
+    def stop_reading(self):
+        self.steps.append("stop-reading")
+
+    def end_incoming(self):
+        self.steps.append("end-links")
+
+    def is_busy(self):
+        return "caller" in self.open
+
+    def is_idle(self):
+        return "gate" not in self.open
+
+    def is_serving(self):
+        return "forwarded" in self.open
+
+    def is_writing(self):
+        return "reply" in self.open
+
+    def has_incoming(self):
+        return "link" in self.open
+
+
+def _run(scenario):
+    clock = clock_lib.FakeClock()
+    return asyncio.run(scenario(clock, _Daemon(clock)))
+
+
+def test_links_end_after_each_thing_that_needs_them():
+    """Guards against answers to other daemons that are cut by a stop.
+
+    A request may wait for its key, outside the queue of the gate, and its
+    reply may be written slowly.
+    """
+
+    async def scenario(clock, daemon):
+        daemon.open = {"caller", "gate", "forwarded", "reply"}
+        stop = daemon.start()
+        await clock.advance(2_400)
+        assert daemon.steps == ["drain", "stop-reading"]
+        assert not daemon.is_stopping
+        for each in ("caller", "gate", "forwarded", "reply"):
+            assert "end-links" not in daemon.steps
+            daemon.open.remove(each)
+            await clock.advance(200)
+        assert daemon.is_stopping
+        await stop
+
+    _run(scenario)
+
+
+def test_stop_ends_before_the_grace_period():
+    """Guards against a kill while a request or a link does not end."""
+
+    async def scenario(clock, daemon):
+        daemon.open = {"caller", "gate", "forwarded", "reply", "link"}
+        stop = daemon.start()
+        await clock.advance(_GRACE_MS - 200)
+        assert stop.done()
+
+    _run(scenario)
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import gc
+import os
 import socket
 import time
 import warnings
@@ -392,3 +393,39 @@
         return near.clock_offset_ms(vm)
 
     assert 4_900 <= _run(scenario, lambda *_: None) <= 5_000
+
+
+def test_links_end_only_after_what_was_written_on_them():
+    """Guards against replies that a stop drops on their way.
+
+    The far side writes faster than the near side reads, and has bytes of the
+    near side that it has not read.
+    """
+    size = 6_000_000
+
+    def handler(vm, frame):
+        del vm
+        if not isinstance(frame, frames.Fetch):
+            return None
+        value = os.urandom(size)
+        item = frames.StoredItem("k", 1, value)
+        return frames.Fetched(frame.number, frame.kind, 1, (item,))
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, port)})
+        await _connected(near, vm)
+        call = asyncio.ensure_future(near.call(vm, _fetch))
+        while not far.is_writing():
+            await asyncio.sleep(0)
+        while far.is_writing():
+            near.notify(vm, frames.Ping())
+            await asyncio.sleep(0)
+        near.notify(vm, frames.Ping())
+        far.end_incoming()
+        reply = await call
+        while far.has_incoming():
+            await asyncio.sleep(0)
+        return len(reply.items[0].value)
+
+    assert _run(scenario, handler) == size
