--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -7,8 +7,13 @@
 import asyncio
 import gc
 import os
+import signal
 import sys
 
+# A change of the settings during the slow imports must not end the process,
+# which reads them only afterwards.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from mustardloom import clock as clock_lib
 from mustardloom import findings
 from mustardloom.deployment import settings
