Decode bytes from outside in one way, and objects of the store one by one

Cause: `msgspec` raises RecursionError where all callers expect ValueError, and a page of a listing was decoded as one value.

Change: `mustardloom/decoding.py` raises one typed error for JSON, MessagePack and digits; pages and changes are decoded entry by entry where the whole cannot be, split without recursion; records, maps and numbers have bounds; only `config/main` is a configuration; unreadable values are logged once.

--- a/mustardloom/deployment/stored.py
+++ b/mustardloom/deployment/stored.py
@@ -1,15 +1,19 @@
 """Kinds of objects in the platform's store and their keys."""
 
 import enum
+import socket
+from typing import Annotated
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom import ids
 
 __all__ = [
     "DaemonRecord",
     "HistoryGone",
     "Kind",
+    "decode_daemon",
     "era_of",
     "key",
     "kind_of",
@@ -37,15 +41,37 @@
 
 
 class DaemonRecord(msgspec.Struct, frozen=True):
-    """Address and location of a daemon; it writes this once, at its start."""
+    """Address and location of a daemon; it writes this once, at its start.
+
+    Raises:
+      ValueError: The address is not one to which a link can be dialled, or the
+        VM has no name.
+    """
 
     vm: ids.VmId
     ip: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     availability_zone: ids.AvailabilityZoneId
     region: ids.RegionId
     service: ids.ServiceId
 
+    def __post_init__(self) -> None:
+        try:
+            socket.inet_pton(socket.AF_INET, self.ip)
+        except (OSError, UnicodeError) as error:
+            raise ValueError(f"{self.ip!r} is not an IPv4 address") from error
+        if not self.vm:
+            raise ValueError("the record names no VM")
+
+
+def decode_daemon(value: bytes) -> DaemonRecord:
+    """Returns the record in a stored value.
+
+    Raises:
+      decoding.Undecodable: The value is not a valid record.
+    """
+    return decoding.decode_json(value, DaemonRecord)
+
 
 def key(kind: Kind, name: str) -> str:
     """Returns the key of an object.
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom import ids
 from mustardloom.deployment import targets
 
@@ -30,6 +31,10 @@
 _NO_VM = ids.VmId("")
 _ROWS_FORM = 1
 _COLUMNS_FORM = 2
+# Far above a map with a row for each key.
+_MAX_MAP_BYTES = 16 * 1024 * 1024
+# Fences are kept in 32 bits for each key.
+_MAX_FENCE = (1 << 32) - 1
 
 
 class Row(msgspec.Struct, frozen=True, gc=False):
@@ -122,6 +127,9 @@
     previous_fences: list[int]
 
 
+_packed_decoder = msgspec.msgpack.Decoder(_PackedMap)
+
+
 class _EarlierPackedMap(msgspec.Struct):
     """Form that earlier releases wrote, with one entry for each row."""
 
@@ -205,7 +213,7 @@
     Raises:
       ValueError: The value is not an encoded map.
     """
-    return msgspec.json.decode(value, type=_StoredMap).version
+    return decoding.decode_json(value, _StoredMap).version
 
 
 def era_of(value: bytes) -> int | None:
@@ -214,7 +222,7 @@
     Raises:
       ValueError: The value is not an encoded map.
     """
-    return msgspec.json.decode(value, type=_StoredMap).era
+    return decoding.decode_json(value, _StoredMap).era
 
 
 def decode(value: bytes) -> KeyMap:
@@ -223,22 +231,33 @@
     Raises:
       ValueError: The value is not an encoded map.
     """
-    envelope = msgspec.json.decode(value, type=_StoredMap)
+    envelope = decoding.decode_json(value, _StoredMap)
     try:
         if envelope.form == _ROWS_FORM:
-            data = zlib.decompress(base64.b64decode(envelope.packed))
+            data = _decompress(base64.b64decode(envelope.packed))
             return _unpack(_to_columns(data), envelope.era)
         if envelope.form == _COLUMNS_FORM:
-            data = zlib.decompress(base64.b85decode(envelope.packed))
-            packed_map = msgspec.msgpack.decode(data, type=_PackedMap)
+            data = _decompress(base64.b85decode(envelope.packed))
+            packed_map = decoding.decode_msgpack(data, _packed_decoder)
             return _unpack(packed_map, envelope.era)
     except zlib.error as error:
         raise ValueError(repr(error)) from error
     raise ValueError(f"unknown form {envelope.form} of a key map")
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompresses a map; a small text may stand for any number of bytes."""
+    decompressor = zlib.decompressobj()
+    found = decompressor.decompress(data, _MAX_MAP_BYTES)
+    if not decompressor.eof:
+        raise ValueError(
+            f"the map is incomplete or has over {_MAX_MAP_BYTES} bytes"
+        )
+    return found
+
+
 def _to_columns(data: bytes) -> _PackedMap:
-    earlier = msgspec.json.decode(data, type=_EarlierPackedMap)
+    earlier = decoding.decode_json(data, _EarlierPackedMap)
     starts = [row[0] for row in earlier.rows]
     return _PackedMap(
         earlier.version,
@@ -262,6 +281,14 @@
         raise ValueError("the rows do not cover all keys")
     if min(packed_map.widths) <= 0:
         raise ValueError("a row covers no key")
+    for column, limit in (
+        (packed_map.owners, len(vms) - 1),
+        (packed_map.previous, len(vms) - 1),
+        (packed_map.fences, _MAX_FENCE),
+        (packed_map.previous_fences, _MAX_FENCE),
+    ):
+        if column and not 0 <= min(column) <= max(column) <= limit:
+            raise ValueError("a row names an unknown VM or an invalid fence")
     try:
         owners = [vms[index] for index in packed_map.owners]
         previous = [vms[index] for index in packed_map.previous]
--- a/mustardloom/platform/announcements.py
+++ b/mustardloom/platform/announcements.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
@@ -32,7 +33,8 @@
 }
 
 _Key = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+# Also the fencing tokens, times and numbers that daemons send each other.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class _HeartbeatBody(msgspec.Struct):
@@ -150,7 +152,7 @@
 
 def _heartbeat(target: targets.TargetId, body: bytes) -> Heartbeat:
     try:
-        report = msgspec.json.decode(body, type=_HeartbeatBody)
+        report = decoding.decode_json(body, _HeartbeatBody)
         phase = _PHASE_BY_STATE[report.state]
         cold_left_ms = durations.parse_ms(report.cold_left)
     except (ValueError, KeyError) as error:
@@ -172,8 +174,8 @@
 def _born_ms(body: bytes) -> int | None:
     """Returns the start that a deregistration names; its body is optional."""
     try:
-        return msgspec.json.decode(body, type=_DeregistrationBody).born
-    except ValueError:
+        return decoding.decode_json(body, _DeregistrationBody).born
+    except decoding.Undecodable:
         return None
 
 
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -5,11 +5,16 @@
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom import ids
 from mustardloom.deployment import configuration
+from mustardloom.deployment import stored
 from mustardloom.platform import durations
 
-__all__ = ["decode", "version_of"]
+__all__ = ["KEY", "decode", "version_of"]
+
+# The object that holds the configuration; others of its kind mean nothing.
+KEY = stored.key(stored.Kind.CONFIGURATION, "main")
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
@@ -81,7 +86,7 @@
     Raises:
       ValueError: The value is not JSON, or has no version.
     """
-    return msgspec.json.decode(value, type=_Versioned).version
+    return decoding.decode_json(value, _Versioned).version
 
 
 def decode(value: bytes) -> configuration.Configuration:
@@ -90,7 +95,7 @@
     Raises:
       ValueError: The value is not JSON, or a field is missing or invalid.
     """
-    wire = msgspec.json.decode(value, type=_Configuration)
+    wire = decoding.decode_json(value, _Configuration)
     services = [_service(each) for each in wire.clusters]
     return configuration.Configuration(
         wire.version,
--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import re
 
+from mustardloom import decoding
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.platform import numbers
@@ -211,7 +212,12 @@
 
 
 def _integer(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    if value is None:
+        return None
+    try:
+        return decoding.parse_digits(value)
+    except decoding.Undecodable:
+        return None
 
 
 def _rate_limit(value: bytes | None) -> float | None:
@@ -238,4 +244,5 @@
 
 def _idle_ms(value: bytes | None) -> int | None:
     found = _KEEP_ALIVE_TIMEOUT_S.search(value) if value else None
-    return int(found[1]) * _MS_PER_S if found else None
+    seconds = _integer(found[1]) if found else None
+    return None if seconds is None else seconds * _MS_PER_S
--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -1,19 +1,21 @@
 """Client of the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
-from typing import Annotated
-from typing import Any
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
+from mustardloom.platform import object_pages
 
 __all__ = ["ObjectApi"]
 
@@ -28,6 +30,9 @@
 _JSON_HEADER = (b"Content-Type", b"application/json")
 # Rises each time the store comes back from an older copy of its data.
 _ERA_HEADER = b"store-era"
+# Versions keep the era in what the revision leaves of 63 bits.
+_MAX_ERA = (1 << 23) - 1
+_Value = TypeVar("_Value")
 
 # Wire names of the kinds that belong to the platform; the kinds of this project
 # are stored under their own names.
@@ -36,38 +41,6 @@
     stored.Kind.EVACUATION: "evacuations",
 }
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-
-
-class _Metadata(msgspec.Struct, omit_defaults=True):
-    name: str
-    revision: _Count = 0
-    finalizers: list[str] = []
-    # Set on a deleted object that is kept until its finalizers are removed.
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _Listing(msgspec.Struct):
-    items: list[_Object]
-    current_rev: _Count
-    # Whether more objects follow after the last name.
-    truncated: bool = False
-
-
-class _Change(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Changes(msgspec.Struct):
-    events: list[_Change]
-    current_rev: _Count
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
@@ -88,11 +61,14 @@
       calls: HTTP requests attempted so far.
       era: Number of times that the store came back from an older copy, as its
         answers tell; 0 before the first answer.
+      on_unreadable: Called with the kind and the number of objects in an
+        answer that were left out, as the store's words of them are not valid.
     """
 
     def __init__(self, address: settings.Address):
         self.calls = 0
         self.era = 0
+        self.on_unreadable: Callable[[stored.Kind, int], None] = lambda *_: None
         self._address = address
         self._idle: list[client.Connection] = []
 
@@ -101,7 +77,7 @@
         answer = await self._call("GET", _object_path(key))
         if answer.response.status == _NOT_FOUND:
             return None
-        found = self._decode(answer, _Object)
+        found = self._decode(answer, object_pages.decode_object)
         return _to_versioned(stored.kind_of(key), found, answer.era)
 
     async def list_objects(self, kind: stored.Kind) -> objects.Listing:
@@ -115,15 +91,18 @@
         version: ids.Version | None = None
         while True:
             answer = await self._call("GET", _path(kind, query))
-            page = self._decode(answer, _Listing)
+            page = self._decode(answer, object_pages.decode_page)
             if version is None:
                 version = stored.version_of(answer.era, page.current_rev)
             if stored.era_of(version) != answer.era:
                 found, query, version = [], {}, None
                 continue
+            self._report_unreadable(kind, page.unreadable)
             found.extend(
                 _to_versioned(kind, item, answer.era) for item in page.items
             )
+            if page.truncated and page.unreadable and not page.items:
+                raise objects.PlatformUnavailable("no name to continue after")
             if not page.truncated or not page.items:
                 return objects.Listing(tuple(found), version)
             query = {"after": page.items[-1].metadata.name}
@@ -153,9 +132,11 @@
         is_other_era = answer.era != stored.era_of(after)
         if answer.response.status == _GONE or is_other_era:
             raise stored.HistoryGone(kind.value)
-        changes = self._decode(answer, _Changes)
+        changes = self._decode(answer, object_pages.decode_changes)
+        self._report_unreadable(kind, changes.unreadable)
         events = tuple(
-            _to_event(kind, change, answer.era) for change in changes.events
+            _to_event(kind, change.object, change.deleted, answer.era)
+            for change in changes.events
         )
         return objects.WatchBatch(
             events, stored.version_of(answer.era, changes.current_rev)
@@ -180,8 +161,10 @@
         if expected != ids.NO_VERSION and stored.era_of(expected) < self.era:
             return objects.Conflict(None)
         name = stored.name_of(key)
-        metadata = _Metadata(name, stored.revision_of(expected))
-        body = msgspec.json.encode(_Object(metadata, msgspec.Raw(value)))
+        metadata = object_pages.Metadata(name, stored.revision_of(expected))
+        body = msgspec.json.encode(
+            object_pages.StoredObject(metadata, msgspec.Raw(value))
+        )
         if expected == ids.NO_VERSION:
             path = _path(stored.kind_of(key))
             answer = await self._call("POST", path, body=body)
@@ -191,7 +174,7 @@
             return objects.Conflict(None)
         if answer.response.status == _CONFLICT:
             return objects.Conflict(self._current_object(key, answer))
-        written = self._decode(answer, _Object)
+        written = self._decode(answer, object_pages.decode_object)
         if expected != ids.NO_VERSION and answer.era != stored.era_of(expected):
             raise objects.PlatformUnavailable(
                 f"PUT {key}: the store was restored before the write"
@@ -209,22 +192,28 @@
         self, key: str, answer: _Answer
     ) -> objects.Versioned | None:
         try:
-            found = msgspec.json.decode(answer.response.body, type=_Object)
-        except ValueError:
+            found = object_pages.decode_object(answer.response.body)
+        except decoding.Undecodable:
             return None
         return _to_versioned(stored.kind_of(key), found, answer.era)
 
-    def _decode(self, answer: _Answer, type_: Any) -> Any:
+    def _decode(
+        self, answer: _Answer, decode: Callable[[bytes], _Value]
+    ) -> _Value:
         response = answer.response
         if response.status not in _OK_STATUSES:
             raise objects.PlatformUnavailable(
                 f"the store answered with status {response.status}"
             )
         try:
-            return msgspec.json.decode(response.body, type=type_)
-        except ValueError as error:
+            return decode(response.body)
+        except decoding.Undecodable as error:
             raise objects.PlatformUnavailable(repr(error)) from error
 
+    def _report_unreadable(self, kind: stored.Kind, count: int) -> None:
+        if count:
+            self.on_unreadable(kind, count)
+
     async def _call(
         self, method: str, path: str, wait_ms: int = 0, body: bytes = b""
     ) -> _Answer:
@@ -248,10 +237,16 @@
     def _era_of(self, response: messages.Response) -> int:
         """Returns the era of an answer, and keeps the highest one."""
         value = messages.find_header(response.headers, _ERA_HEADER)
-        if value is None or not value.isdigit():
+        if value is None:
             return self.era
-        self.era = max(self.era, int(value))
-        return int(value)
+        try:
+            era = decoding.parse_digits(value)
+        except decoding.Undecodable:
+            return self.era
+        if era > _MAX_ERA:
+            return self.era
+        self.era = max(self.era, era)
+        return era
 
     async def _exchange(
         self, method: str, path: str, body: bytes
@@ -297,7 +292,7 @@
 
 
 def _to_versioned(
-    kind: stored.Kind, found: _Object, era: int
+    kind: stored.Kind, found: object_pages.StoredObject, era: int
 ) -> objects.Versioned:
     metadata = found.metadata
     return objects.Versioned(
@@ -307,11 +302,15 @@
     )
 
 
-def _to_event(kind: stored.Kind, change: _Change, era: int) -> objects.Event:
-    metadata = change.object.metadata
-    value = None if change.deleted else bytes(change.object.spec)
+def _to_event(
+    kind: stored.Kind,
+    found: object_pages.StoredObject,
+    is_deleted: bool,
+    era: int,
+) -> objects.Event:
+    value = None if is_deleted else bytes(found.spec)
     return objects.Event(
-        stored.key(kind, metadata.name),
-        stored.version_of(era, metadata.revision),
+        stored.key(kind, found.metadata.name),
+        stored.version_of(era, found.metadata.revision),
         value,
     )
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -9,8 +9,6 @@
 import signal
 from typing import Any
 
-import msgspec
-
 from mustardloom import clock as clock_lib
 from mustardloom import findings
 from mustardloom import ids
@@ -47,6 +45,7 @@
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import target_memory
 from mustardloom.sidecar import target_selection
+from mustardloom.sidecar import unreadable_objects
 
 __all__ = ["Daemon", "Ports"]
 
@@ -111,8 +110,12 @@
             lambda kind: self._state_exchange.push(kind),
             self._on_store_change,
         )
+        self._unreadable_objects = unreadable_objects.UnreadableObjects(
+            self._log
+        )
         self._shared_state.on_restored = self._on_store_restored
         self._shared_state.on_ignored = self._on_store_answer_ignored
+        store.on_unreadable = self._on_objects_left_out
         self._record = stored.DaemonRecord(
             own_settings.vm,
             own_settings.ip,
@@ -297,8 +300,9 @@
         by_key = self._shared_state.by_kind[kind].by_key
         match kind:
             case stored.Kind.CONFIGURATION:
-                for stored_object in by_key.values():
-                    self._adopt_configuration(stored_object)
+                main = by_key.get(configuration_lib.KEY)
+                if main is not None:
+                    self._adopt_configuration(main)
             case stored.Kind.EVACUATION:
                 self._adopt_evacuations(set(by_key))
             case stored.Kind.DAEMON:
@@ -312,11 +316,7 @@
         try:
             new = configuration_lib.decode(stored_object.value)
         except ValueError as error:
-            self._log.write(
-                events.Event.CONFIGURATION_UNREADABLE,
-                store_version=stored_object.version,
-                error=repr(error),
-            )
+            self._unreadable_objects.report(stored_object, error)
             return
         known = self._configuration
         if known is not None and new.version <= known.version:
@@ -350,6 +350,7 @@
             self._gate,
             self._clock,
             self._log,
+            self._unreadable_objects,
         )
         keyspace.on_settled = self._status_sender.send
         keyspace.on_newer_map = lambda vm: self._state_exchange.fetch(
@@ -398,14 +399,11 @@
             stored_objects, key=lambda item: stored.revision_of(item.version)
         ):
             try:
-                record = msgspec.json.decode(
-                    each.value, type=stored.DaemonRecord
-                )
-                by_address[record.ip, record.port] = record
+                record = stored.decode_daemon(each.value)
             except ValueError as error:
-                self._log.write(
-                    events.Event.FAULT, object=each.key, error=repr(error)
-                )
+                self._unreadable_objects.report(each, error)
+                continue
+            by_address[record.ip, record.port] = record
         self._fleet.set_listed(list(by_address.values()))
 
     def _adopt_maps(self) -> None:
@@ -436,6 +434,11 @@
         for kind in (stored.Kind.KEY_MAP, stored.Kind.DAEMON):
             await self._shared_state.refresh(kind, _NO_AGE_MS)
 
+    def _on_objects_left_out(self, kind: stored.Kind, count: int) -> None:
+        self._log.write(
+            events.Event.OBJECTS_LEFT_OUT, kind=kind.value, objects=count
+        )
+
     def _on_store_answer_ignored(
         self, kind: stored.Kind, found: ids.Version, known: ids.Version
     ) -> None:
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mustardloom import decoding
 from mustardloom.deployment import stored
 from mustardloom.http1 import messages
 
@@ -415,6 +416,7 @@
             end = start + _LENGTH.size + size
             if len(self._data) < end:
                 break
-            yield _decoder.decode(self._data[start + _LENGTH.size : end])
+            frame = self._data[start + _LENGTH.size : end]
+            yield decoding.decode_msgpack(frame, _decoder)
             start = end
         del self._data[:start]
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -26,6 +26,7 @@
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import map_confirmation
 from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import unreadable_objects
 
 __all__ = ["Keyspace"]
 
@@ -86,6 +87,7 @@
         gate: gate_lib.Gate,
         clock: clock_lib.Clock,
         log: events.EventLog,
+        unreadable: unreadable_objects.UnreadableObjects,
     ):
         self.service = service
         self.bounds = own_settings.bounds
@@ -96,6 +98,7 @@
         self._gate = gate
         self._clock = clock
         self._log = log
+        self._unreadable_objects = unreadable
         self.key = stored.key(stored.Kind.KEY_MAP, service)
         self.confirmer = map_confirmation.MapConfirmer(
             service,
@@ -277,9 +280,7 @@
         try:
             new = key_map.decode(stored_map.value)
         except ValueError as error:
-            self._log.write(
-                events.Event.FAULT, object=stored_map.key, error=repr(error)
-            )
+            self._unreadable_objects.report(stored_map, error)
             return
         if new.version < self._claims.map.version:
             return
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -281,7 +281,9 @@
                         self._receive(frame)
         except iostream.StreamClosedError:
             pass
-        except ValueError as error:
+        except Exception as error:
+            # Invalid bytes, or a frame that its handler cannot process; either
+            # ends this link only.
             self._owner.on_fault(self._vm or ids.VmId(""), error)
         finally:
             self._stream.close()
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -306,7 +306,9 @@
                         self._receive(stream, frame)
         except iostream.StreamClosedError:
             pass
-        except ValueError as error:
+        except Exception as error:
+            # Invalid bytes, or a frame that its handler cannot process; either
+            # ends this link only.
             self._owner.on_fault(self._vm, error)
         finally:
             stream.close()
--- a/mustardloom/sidecar/registration.py
+++ b/mustardloom/sidecar/registration.py
@@ -123,9 +123,7 @@
     stored_object: objects.Versioned, record: stored.DaemonRecord
 ) -> bool:
     try:
-        found = msgspec.json.decode(
-            stored_object.value, type=stored.DaemonRecord
-        )
+        found = stored.decode_daemon(stored_object.value)
     except ValueError:
         return False
     return found == record
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -34,9 +34,12 @@
 
     Attributes:
       era: Number of times that the store came back from an older copy.
+      on_unreadable: Called with the kind and the number of objects that were
+        left out of an answer.
     """
 
     era: int
+    on_unreadable: Callable[[stored.Kind, int], None]
 
     async def get(self, key: str) -> objects.Versioned | None:
         """Returns an object, None if there is none."""
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -524,6 +524,50 @@
     _run(scenario)
 
 
+_DEEP = b"[" * 5_000 + b"]" * 5_000
+
+
+def test_odd_objects_of_another_writer_change_nothing_for_the_others():
+    """Guards against one object that ends the reading of all (LOST).
+
+    One of each kind is there before the start, more come while daemons run.
+    """
+
+    def write_odd(store, name):
+        for kind in (
+            "config",
+            "evacuations",
+            "mustardloom-daemons",
+            "mustardloom-key-maps",
+        ):
+            store.put(kind, f"{name}-deep", _DEEP)
+            store.put(kind, f"{name}-member", b'{"version":%s}' % _DEEP)
+            store.put(kind, f"{name}-text", b'"\xff"')
+
+    async def scenario(store, vms):
+        write_odd(store, "before")
+        store.put("config", "main", standins.configuration(1))
+        for vm in vms[:2]:
+            vm.start()
+        for vm in vms[:2]:
+            await _until(vm.is_ready)
+        write_odd(store, "while")
+        # It is found by the daemons that run, and finds them.
+        vms[2].start()
+        await _until(vms[2].is_ready)
+        await _get_until_answered(vms[0], "/plain/x", "plain")
+        await _get_until_answered(vms[2], "/keyed/x", "keyed")
+        store.put("evacuations", "za", b"{}")
+
+        async def is_refused():
+            response = await vms[1].get("/plain/x", os.urandom(4).hex())
+            return response.status == 503
+
+        await _until(is_refused)
+
+    _run(scenario)
+
+
 def test_unexpected_error_ends_no_background_loop():
     """Guards against one error that stops statuses or reads for good."""
 
--- a/mustardloom/sidecar/tests/test_keyspace.py
+++ b/mustardloom/sidecar/tests/test_keyspace.py
@@ -12,6 +12,7 @@
 from mustardloom.sidecar import events
 from mustardloom.sidecar import keyspace as keyspace_lib
 from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import unreadable_objects
 
 _KIND = stored.Kind.KEY_MAP
 _KEY = stored.key(_KIND, "s")
@@ -45,6 +46,7 @@
             None,
             self.clock,
             log,
+            unreadable_objects.UnreadableObjects(log),
         )
 
     def adopt(self):
