Believe a response only if it is to this very sending

Cause: a response without an id was taken for that to the latest request, and an id names a request, not a sending.

Change: on a kept connection a response must repeat the id, and an id is not sent twice on one connection.

--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -91,11 +91,14 @@
       is_reusable: Whether the last exchange was complete, nothing followed
         the response, and the server keeps the connection open.
       uses: Requests sent so far.
+      skipped: Responses received so far that answered none of them, or not the
+        latest one.
     """
 
     def __init__(self, stream: iostream.IOStream):
         self.is_reusable = True
         self.uses = 0
+        self.skipped = 0
         self._stream = stream
 
     def close(self) -> None:
@@ -123,7 +126,10 @@
           data: The encoded request.
           is_head: Whether it is a HEAD request, whose response has no body.
           echoed_header: Header of the request that the response repeats, its
-            name in lower case; a response with another value is skipped.
+            name in lower case. A response with another value is skipped, and
+            so is one without it unless this is the first request of the
+            connection, as it may be another copy of an earlier response. A
+            value must not be used twice on a connection.
           on_head: Called with the head of the response, also of one that
             breaks off afterwards.
 
@@ -141,7 +147,20 @@
             )
         except iostream.StreamClosedError as error:
             raise ClosedEarly from error
-        parser = _ResponseParser(is_head, echoed_header, on_head)
+        parser = _ResponseParser(is_head, echoed_header, on_head, self.uses > 1)
+        try:
+            await self._receive(parser)
+        finally:
+            self.skipped += parser.skipped
+        self.is_reusable = (
+            parser.is_connection_reusable and not self._stream.writing()
+        )
+        if not self.is_reusable:
+            self._stream.close()
+        return parser.response()
+
+    async def _receive(self, parser: "_ResponseParser") -> None:
+        """Reads until the response is complete or the connection ends."""
         unyielded_bytes = 0
         while not parser.is_complete():
             try:
@@ -161,12 +180,6 @@
                 # Reads of bytes that have arrived already do not yield.
                 unyielded_bytes = 0
                 await asyncio.sleep(0)
-        self.is_reusable = (
-            parser.is_connection_reusable and not self._stream.writing()
-        )
-        if not self.is_reusable:
-            self._stream.close()
-        return parser.response()
 
 
 class _ResponseParser:
@@ -177,9 +190,11 @@
         is_head: bool,
         identity: messages.Header | None,
         on_head: HeadCallback | None = None,
+        is_identity_needed: bool = False,
     ):
         self._is_head = is_head
         self._identity = identity
+        self._is_identity_needed = is_identity_needed
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._response: messages.Response | None = None
@@ -193,6 +208,11 @@
         self._header_bytes = 0
         self._reset()
 
+    @property
+    def skipped(self) -> int:
+        """Number of responses that were not to this request."""
+        return self._skipped
+
     @property
     def is_connection_reusable(self) -> bool:
         """Whether the connection can be used for another request."""
@@ -334,7 +354,7 @@
             return False
         name, value = self._identity
         found = messages.find_header(self._headers, name)
-        return found is not None and found != value
+        return self._is_identity_needed if found is None else found != value
 
     def _skip(self) -> None:
         self._skipped += 1
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -278,6 +278,8 @@
 
     def _close_unless_request_waits(self) -> None:
         """Closes the connection; bytes that have arrived are read first."""
+        if self.stream.closed():
+            return
         if sockets.is_open_and_empty(self.stream.socket):
             self._closes_after_pending = True
             if self._written is None or self._written.done():
--- a/mustardloom/http1/tests/test_client.py
+++ b/mustardloom/http1/tests/test_client.py
@@ -35,16 +35,18 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(sent)
         await writer.drain()
-        if resets:
-            await asyncio.sleep(0.02)
-            linger = struct.pack("ii", 1, 0)
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        elif ends:
-            writer.close()
-        else:
-            await reader.read()
+        try:
+            if resets:
+                await asyncio.sleep(0.02)
+                linger = struct.pack("ii", 1, 0)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+                writer.transport.abort()
+            elif not ends:
+                await reader.read()
+        finally:
             writer.close()
 
     async def run():
--- a/mustardloom/http1/tests/test_server.py
+++ b/mustardloom/http1/tests/test_server.py
@@ -326,6 +326,21 @@
     assert len(_run(handler, scenario)[1]) == len(body)
 
 
+def test_connection_that_its_caller_has_just_closed_is_no_fault_at_a_stop():
+    """Guards against a stop that ends at such a connection."""
+
+    async def scenario(http_server, reader, writer):
+        del reader, writer
+        while not http_server.connections:
+            await asyncio.sleep(0)
+        (connection,) = http_server.connections
+        connection.stream.close()
+        http_server.stop_reading()
+        return http_server.is_busy()
+
+    assert not _run(_echo, scenario)
+
+
 def test_idle_connection_on_which_a_request_arrived_is_not_closed():
     """Guards against the idle time-out of a request that was not read yet."""
     clock = clock_lib.FakeClock()
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -24,6 +24,8 @@
 # An idle connection is reused within this share of the idle time that the
 # target announces, as later the target may close it under a new request.
 _IDLE_SHARE = 0.8
+# Ids on one connection before those that were sent too long ago are dropped.
+_MAX_SENT_IDS = 32
 # Responses with this status or a higher one need no signature.
 _SERVER_ERROR = 500
 
@@ -50,16 +52,39 @@
     is_connection_lost: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _IdleConnection:
-    """An open connection without a request.
+class _KeptConnection:
+    """A connection, and the requests that were sent on it.
+
+    A target may write an earlier response once more, where that to the next
+    request is due. The id of the request tells them apart, unless the same one
+    was sent again, after the target had refused it.
 
     Attributes:
       until_ms: Local time until which it may be used again.
     """
 
-    connection: client.Connection
-    until_ms: int
+    def __init__(self, connection: client.Connection):
+        self.connection = connection
+        self.until_ms = 0
+        self._deadline_by_id: dict[str, int] = {}
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Returns whether another request can be sent."""
+        return now_ms < self.until_ms and self.connection.is_usable()
+
+    def has_sent(self, request_id: str) -> bool:
+        """Returns whether this request was sent here before."""
+        return request_id in self._deadline_by_id
+
+    def note(self, request: work.Work, now_ms: int) -> None:
+        """Records that a request is sent; it is not sent after its deadline."""
+        if len(self._deadline_by_id) >= _MAX_SENT_IDS:
+            self._deadline_by_id = {
+                request_id: deadline_ms
+                for request_id, deadline_ms in self._deadline_by_id.items()
+                if deadline_ms >= now_ms
+            }
+        self._deadline_by_id[request.request_id] = request.deadline_ms
 
 
 class TargetConnections:
@@ -79,7 +104,7 @@
         self._address = address
         self._clock = clock
         self._metrics = metrics
-        self._idle: list[_IdleConnection] = []
+        self._idle: list[_KeptConnection] = []
 
     def close(self) -> None:
         """Closes the idle connections; those with a request stay open."""
@@ -121,11 +146,14 @@
         on_statement: OnStatement,
     ) -> SendResult:
         try:
-            connection = await self._acquire()
+            kept = await self._acquire(request.request_id)
         except client.ConnectFailed as error:
             self._metrics.increment("target.connect_failed")
             refusal = work.Refused(work.RefusalReason.TARGET_DOWN)
             return SendResult(refusal, is_connection_refused=error.refused)
+        connection = kept.connection
+        kept.note(request, self._clock.now_ms())
+        skipped_before = connection.skipped
         try:
             response = await connection.exchange(
                 self._encode(request, target),
@@ -143,8 +171,11 @@
         except BaseException:
             connection.close()
             raise
+        finally:
+            skipped = connection.skipped - skipped_before
+            self._metrics.increment("target.responses_skipped", skipped)
         fields = headers.read_response(response)
-        self._release(connection, fields.idle_ms)
+        self._release(kept, fields.idle_ms)
         return SendResult(self._outcome(response, fields), fields.load)
 
     def _encode(self, request: work.Work, target: targets.TargetId) -> bytes:
@@ -176,22 +207,24 @@
             )
         )
 
-    async def _acquire(self) -> client.Connection:
+    async def _acquire(self, request_id: str) -> _KeptConnection:
+        """Returns a connection on which this request was not sent before."""
         now_ms = self._clock.now_ms()
-        while self._idle:
-            idle = self._idle.pop()
-            if now_ms < idle.until_ms and idle.connection.is_usable():
-                return idle.connection
-            idle.connection.close()
+        for kept in reversed(self._idle):
+            if kept.has_sent(request_id):
+                continue
+            self._idle.remove(kept)
+            if kept.is_usable(now_ms):
+                return kept
+            kept.connection.close()
         self.opened += 1
         self._metrics.increment("target.connections_opened")
-        return await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+        connection = await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+        return _KeptConnection(connection)
 
-    def _release(
-        self, connection: client.Connection, idle_ms: int | None
-    ) -> None:
-        if not connection.is_reusable:
+    def _release(self, kept: _KeptConnection, idle_ms: int | None) -> None:
+        if not kept.connection.is_reusable:
             return
         usable_ms = round((idle_ms or _DEFAULT_IDLE_MS) * _IDLE_SHARE)
-        until_ms = self._clock.now_ms() + usable_ms
-        self._idle.append(_IdleConnection(connection, until_ms))
+        kept.until_ms = self._clock.now_ms() + usable_ms
+        self._idle.append(kept)
