--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -132,6 +132,18 @@
     "on_time": _evidence(
         [_attempt(f"r{n}", status=None, ended_ms=2_800) for n in range(4)]
     ),
+    "nothing_cut": _evidence(
+        [
+            _attempt(
+                "r",
+                status=None,
+                whole_ms=1_000,
+                ending=evidence_lib.Ending.CUT,
+            )
+        ],
+        [_run("r")],
+        is_planned_work=True,
+    ),
     "recovers": _evidence([_attempt("r", status=503)]),
     "no_faults_of_its_own": _evidence(errors=["vm-0 ended with 1"]),
 }
@@ -169,6 +181,24 @@
     assert _failed_checks(evidence) == set()
 
 
+@pytest.mark.parametrize(
+    ("ending", "ended_ms", "is_broken"),
+    [
+        (evidence_lib.Ending.CUT, 1_150, False),
+        (evidence_lib.Ending.CUT, 1_250, True),
+        (evidence_lib.Ending.TIMED_OUT, 3_000, True),
+        (evidence_lib.Ending.ANSWERED, 1_250, False),
+    ],
+)
+def test_request_that_crosses_the_end_of_its_connection_is_not_lost(
+    ending, ended_ms, is_broken
+):
+    """Guards against reports of requests that no daemon can have read."""
+    attempt = _attempt("r", whole_ms=1_000, ending=ending, ended_ms=ended_ms)
+    evidence = _evidence([attempt], is_planned_work=True)
+    assert ("nothing_cut" in _failed_checks(evidence)) == is_broken
+
+
 def test_requests_running_at_the_end_are_not_late():
     """Guards against reports of requests that the end of the run cut off."""
     attempts = [
--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -30,6 +30,21 @@
     }
 
 
+def test_planned_work_overlaps_and_has_no_fault():
+    """Guards against stops that come one after the other only."""
+    planned = faults.plan_work(1, 20_000, 8)
+    assert {each.kind for each in planned} == {
+        faults.Kind.DAEMON_RESTART,
+        faults.Kind.DAEMON_RELOAD,
+        faults.Kind.CONFIGURE,
+    }
+    stops = [
+        each for each in planned if each.kind is faults.Kind.DAEMON_RESTART
+    ]
+    assert len(stops) > 10
+    assert {each.vm for each in stops} > {0}
+
+
 async def _echo(reader, writer):
     while data := await reader.read(100):
         writer.write(data)
