--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -63,7 +63,7 @@
 
 
 def _record(vm, zone, region):
-    return stored.DaemonRecord(vm, "ip", 1, zone, region, _SERVICE)
+    return stored.DaemonRecord(vm, "10.0.0.1", 1, zone, region, _SERVICE)
 
 
 def _status(phase=fleet_lib.TargetPhase.READY):
--- a/mustardloom/sidecar/tests/test_target_selection.py
+++ b/mustardloom/sidecar/tests/test_target_selection.py
@@ -32,7 +32,7 @@
 def _record(vm, zone, service=_SERVICE):
     return stored.DaemonRecord(
         ids.VmId(vm),
-        "ip",
+        "10.0.0.1",
         1,
         ids.AvailabilityZoneId(zone),
         ids.RegionId("r"),
@@ -248,7 +248,7 @@
     far = [
         stored.DaemonRecord(
             ids.VmId(f"far-{index}"),
-            "ip",
+            "10.0.0.1",
             1,
             ids.AvailabilityZoneId("zf"),
             ids.RegionId("rf"),
