--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -174,7 +174,8 @@
         """
         for listening, remove in self._remove_by_socket.items():
             remove()
-            with contextlib.suppress(BlockingIOError):
+            # Ends with an error once no connection waits, or none can be taken.
+            with contextlib.suppress(OSError):
                 while True:
                     self._on_accept(*listening.accept())
             listening.close()
