Move reports and crash suspects out of the daemon and the gate

`sidecar/self_report.py` builds statuses, load replies and gauges, `sidecar/crash_suspects.py` remembers the connections that a target lost.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -39,6 +39,7 @@
 from mustardloom.sidecar import planner as planner_lib
 from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
+from mustardloom.sidecar import self_report
 from mustardloom.sidecar import shared_state
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_sender
@@ -56,7 +57,6 @@
 _NO_AGE_MS = 0
 _STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
-_PERCENT = 100
 _CRASHES_TO_QUARANTINE = 3
 _OK = 200
 _UNAVAILABLE = 503
@@ -95,7 +95,6 @@
         self._metrics = metrics_lib.Metrics()
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
-        self._is_stopping = False
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[
@@ -137,7 +136,10 @@
             self._fleet, self._links
         )
         self._status_sender = status_sender.StatusSender(
-            self._fleet, self._links, clock, self._status
+            self._fleet,
+            self._links,
+            clock,
+            lambda receiver: self._report.status(receiver),
         )
         self._state_exchange = state_exchange_lib.StateExchange(
             self._shared_state, self._fleet, self._links, clock, self._start
@@ -165,6 +167,15 @@
         self._forwarder = forwarder_lib.Forwarder(
             self._fleet, self._links, self._gate, clock
         )
+        self._report = self_report.SelfReport(
+            self._fleet,
+            self._gate,
+            self._local_target,
+            self._forwarder,
+            self._shared_state,
+            self._links,
+            self._keyspace_by_service,
+        )
         selection = target_selection.TargetSelection(
             self._fleet, self._links, clock, random.Random()
         )
@@ -198,7 +209,7 @@
         )
         self._notice_server = self._new_server(self._local_target.handle)
         self._readiness_server = self._new_server(self._answer_readiness)
-        page = metrics_page.MetricsPage(self._metrics, self._gauges)
+        page = metrics_page.MetricsPage(self._metrics, self._report.gauges)
         self._metrics_server = self._new_server(page.handle)
 
     async def run(self) -> None:
@@ -322,6 +333,7 @@
         if known is not None and new.version <= known.version:
             return
         self._configuration = new
+        self._report.configuration_version = new.version
         self._log.write(
             events.Event.CONFIGURATION_ADOPTED,
             version=new.version,
@@ -514,7 +526,7 @@
                 if keyspace is not None:
                     return keyspace.on_release_query(frame)
             case frames.LoadQuery():
-                return self._load_reply(frame)
+                return self._report.load_reply(frame)
             case frames.KeyLoad(service=service, loads=loads):
                 planner = self._planner_by_service.get(ids.ServiceId(service))
                 if planner is not None:
@@ -525,19 +537,6 @@
                 pass
         return None
 
-    def _load_reply(self, query: frames.LoadQuery) -> frames.LoadReply:
-        load = self._gate.load()
-        return frames.LoadReply(
-            query.number,
-            self._gate.is_open(),
-            load.limit,
-            load.running,
-            load.waiting,
-            round(load.service_ms),
-            round(load.failure_share * _PERCENT),
-            load.rate_limit_per_s,
-        )
-
     def _make_pong(self) -> frames.Pong:
         is_listed = self._shared_state.by_kind[stored.Kind.KEY_MAP].is_listed
         reports = []
@@ -564,64 +563,6 @@
     def _keyspace_of(self, service: str) -> keyspace_lib.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
-    # Status.
-
-    def _status(self, receiver: ids.VmId) -> frames.Status:
-        load = self._gate.load()
-        announcement = self._local_target.announcement
-        instance = None if announcement is None else announcement.instance
-        departure = self._local_target.departure
-        keyspace = self._keyspace_of(self._settings.service)
-        return frames.Status(
-            target="" if instance is None else instance.target,
-            born_ms=0 if instance is None else instance.born_ms,
-            phase=int(self._local_target.phase),
-            limit=load.limit,
-            running=load.running,
-            waiting=load.waiting,
-            sent_by_you=self._forwarder.open_by_vm[receiver],
-            service_ms=round(load.service_ms),
-            steady_service_ms=round(load.steady_service_ms),
-            failure_percent=round(load.failure_share * _PERCENT),
-            key_rate=0 if keyspace is None else round(keyspace.key_rate),
-            is_stopping=self._is_stopping,
-            settled_version=(
-                0 if keyspace is None else keyspace.settled_version
-            ),
-            store_answers=self._shared_state.store_answers,
-            changes=self._shared_state.versions(),
-            rate_limit_per_s=load.rate_limit_per_s,
-            left_target="" if departure is None else departure.target,
-            left_born_until_ms=(
-                0 if departure is None else departure.born_until_ms
-            ),
-        )
-
-    def _gauges(self) -> dict[str, float]:
-        load = self._gate.load()
-        current = self._configuration
-        return {
-            "gate_running_requests": load.running,
-            "gate_waiting_requests": load.waiting,
-            "gate_limit_requests": load.limit,
-            "gate_service_time_ms": load.service_ms,
-            "gate_utilisation_ratio": load.utilisation,
-            "target_rate_limit_per_s": (load.rate_limit_per_s or 0.0),
-            "target_is_leaving": int(self._local_target.is_leaving),
-            "configuration_version": 0 if current is None else current.version,
-            "store_answers": int(self._shared_state.store_answers),
-            "store_era": self._store.era,
-            "peers_reachable": sum(1 for _ in self._links.reachable_vms()),
-            "keys_waiting_for_earlier_owner": sum(
-                each.pending_keys()
-                for each in self._keyspace_by_service.values()
-            ),
-            "keys_without_reachable_owner": sum(
-                each.unreachable_keys()
-                for each in self._keyspace_by_service.values()
-            ),
-        }
-
     # Callbacks of the components.
 
     def _limits(self) -> server.ServerLimits:
@@ -662,7 +603,8 @@
         self, request: messages.Request
     ) -> messages.Response:
         del request
-        is_ready = self._configuration is not None and not self._is_stopping
+        is_stopping = self._report.is_stopping
+        is_ready = self._configuration is not None and not is_stopping
         return messages.Response(_OK if is_ready else _UNAVAILABLE)
 
     # Reload and shutdown.
@@ -694,7 +636,7 @@
             self._on_reload()
 
     async def _shut_down(self) -> None:
-        self._is_stopping = True
+        self._report.is_stopping = True
         self._log.write(
             events.Event.STOP, open=self._caller_server.active_requests()
         )
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 import dataclasses
 import enum
@@ -21,6 +20,7 @@
 from mustardloom.load_control import rate_limit as rate_limit_lib
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
+from mustardloom.sidecar import crash_suspects
 from mustardloom.sidecar import events
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import work
@@ -37,10 +37,6 @@
 _FAILURE_HALF_LIFE_MS = 2_000
 _EXPIRY_INTERVAL_MS = 20
 _NOT_STARTED_MS = 0
-# A request may have caused a crash if its connection broke at most this long
-# before the crash was noticed.
-_SUSPECT_WINDOW_MS = 4_000
-_MAX_LOST_CONNECTIONS = 64
 # Longest wait for a key that is being handed over to the target.
 _KEY_WAIT_MS = 700
 _KEY_POLL_MS = 15
@@ -124,14 +120,6 @@
     started_ms: int = _NOT_STARTED_MS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _LostConnection:
-    """A connection that ended while the target had a request on it."""
-
-    lost_ms: int
-    fingerprint: int
-
-
 class Gate:
     """Admits, queues and dispatches requests for the local target.
 
@@ -194,9 +182,7 @@
         self._queue_last_empty_ms = clock.now_ms()
         self._last_answer_ms = 0
         self._last_end_ms = 0
-        self._lost_connections: collections.deque[_LostConnection] = (
-            collections.deque(maxlen=_MAX_LOST_CONNECTIONS)
-        )
+        self._crash_suspects = crash_suspects.CrashSuspects(quarantine, clock)
 
     # Updates from the daemon.
 
@@ -206,7 +192,7 @@
         """Adopts the instance and the capacity that a heartbeat reports."""
         if instance != self.target_instance:
             if self.target_instance is not None:
-                self._report_suspects()
+                self._crash_suspects.record_crash()
             self._connections.close()
             self._failure_share = 0.0
             self.admission_ends_ms = None
@@ -606,11 +592,9 @@
                 self._record_failure(True)
                 self._log_failure(request, reason, duration_ms, instance)
         if result.is_connection_lost:
-            self._lost_connections.append(
-                _LostConnection(now_ms, request.fingerprint)
-            )
+            self._crash_suspects.record_lost_connection(request.fingerprint)
         if result.is_connection_refused and instance == self.target_instance:
-            self._report_suspects()
+            self._crash_suspects.record_crash()
             self._set_reachability(Reachability.DOWN)
 
     def _record_failure(self, has_failed: bool) -> None:
@@ -635,18 +619,6 @@
             left_ms=request.deadline_ms - self._clock.now_ms(),
         )
 
-    def _report_suspects(self) -> None:
-        """Reports a crash and the requests that may have caused it."""
-        oldest_ms = self._clock.now_ms() - _SUSPECT_WINDOW_MS
-        suspects = {
-            lost.fingerprint: frozenset[ids.RegionId]()
-            for lost in self._lost_connections
-            if lost.lost_ms >= oldest_ms
-        }
-        self._lost_connections.clear()
-        if suspects:
-            self._quarantine.record_crash(suspects)
-
     def _set_reachability(self, reachability: Reachability) -> None:
         if reachability is self.reachability:
             return
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -131,6 +131,11 @@
         self._on_update = on_update
         self._on_store = on_store
 
+    @property
+    def store_era(self) -> int:
+        """Returns how often the store came back from an older copy."""
+        return self._store.era
+
     def versions(self) -> tuple[int, ...]:
         """Returns the version of each kind's replica, in order of `Kind`."""
         return tuple(replica.version for replica in self.by_kind.values())
