Close the proxies' writers in the tests of links

Cause of the SystemError of CPython in `pytest mustardloom/sidecar`, open in docs/findings.md: writers that a test left open were collected later, within `ast.parse` of another test, and their errors there upset its recursion count. Seen again now with a hypothesis test behind such a test; with the collection forced after each test, the two tests of links and one new one were to blame.

Change: the proxies wait for their copies, which close their writers.

--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -257,10 +257,12 @@
     def stop_listening(self):
         self._server.close()
 
-    def close(self):
+    async def close(self):
         self.stop_listening()
         for task in self._tasks:
             task.cancel()
+        # Each one closes its writer.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
         onward = await asyncio.open_connection(_HOST, self._port)
@@ -275,7 +277,8 @@
                 sink.write(data)
         except ConnectionError:
             pass
-        sink.close()
+        finally:
+            sink.close()
 
 
 async def _pause(proxy, links, vm, also_ms=0):
@@ -305,7 +308,7 @@
         yield proxy, vm
     finally:
         watch.cancel()
-        proxy.close()
+        await proxy.close()
 
 
 async def _start_call(links, vm, may_repeat):
