Let the body with the fewest bytes left pass first

Change: the order of turns goes by the bytes that are left; a body asks for its turn only with a piece at hand, and one that waits for its turn does not count as standing still.

--- a/mustardloom/http1/bodies.py
+++ b/mustardloom/http1/bodies.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
+import heapq
+import itertools
 from typing import Protocol
 
 __all__ = [
@@ -30,6 +31,8 @@
 # Bytes of one body that one process holds at most: what was read from the
 # connection and not parsed, two pieces to be read, and one being written.
 STREAM_BYTES = 4 * PIECE_BYTES
+# A body whose length was not announced goes after all others.
+_UNKNOWN_LENGTH_BYTES = 1 << 62
 
 
 class BodyBroken(Exception):
@@ -63,19 +66,20 @@
     """Lets one piece pass in each iteration of the event loop.
 
     Small requests need several iterations, and would otherwise wait in each of
-    them for as many pieces as there are bodies.
+    them for as many pieces as there are bodies. The body with the fewest bytes
+    left goes first: if all took turns, none of many long ones would end before
+    its deadline.
     """
 
     def __init__(self) -> None:
-        self._waiting: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._sequence = itertools.count()
         self._is_scheduled = False
 
-    async def next(self) -> None:
-        """Returns when it is the caller's turn."""
+    async def next(self, left_bytes: int) -> None:
+        """Returns when it is the turn of a body with so many bytes left."""
         turn: asyncio.Future[None] = asyncio.Future()
-        self._waiting.append(turn)
+        heapq.heappush(self._waiting, (left_bytes, next(self._sequence), turn))
         if not self._is_scheduled:
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._give)
@@ -83,7 +87,7 @@
 
     def _give(self) -> None:
         while self._waiting:
-            turn = self._waiting.popleft()
+            _, _, turn = heapq.heappop(self._waiting)
             if not turn.done():
                 turn.set_result(None)
                 break
@@ -139,6 +143,7 @@
       ended: Done when the source has ended; the result is whether it delivered
         the whole body.
       released: Done when the consumer has read everything or reads no more.
+      on_ready: Called when a piece waits for its turn only.
       on_moved: Called when the consumer has taken a piece.
     """
 
@@ -147,9 +152,11 @@
         self.is_taken = False
         self.ended: asyncio.Future[bool] = asyncio.Future()
         self.released: asyncio.Future[None] = asyncio.Future()
+        self.on_ready: Callable[[], None] = lambda: None
         self.on_moved: Callable[[], None] = lambda: None
         self._turns = turns
         self._is_dropped = False
+        self._passed_bytes = 0
         self._unread = bytearray()
         self._has_changed = asyncio.Event()
         self._has_room = asyncio.Event()
@@ -193,18 +200,20 @@
     async def read(self) -> bytes:
         """See `BodySource`."""
         self.is_taken = True
-        await self._turns.next()
         while not (self._unread or self._is_dropped or self.ended.done()):
             self._has_changed.clear()
             await self._has_changed.wait()
+        self.on_ready()
+        await self._turns.next(self._left_bytes())
         if self._is_dropped:
             raise BodyBroken
         piece = bytes(self._unread[:PIECE_BYTES])
         del self._unread[:PIECE_BYTES]
         if len(self._unread) < PIECE_BYTES:
             self._has_room.set()
+        self._passed_bytes += len(piece)
+        self.on_moved()
         if piece:
-            self.on_moved()
             return piece
         if not self.is_whole():
             self.close()
@@ -225,6 +234,11 @@
         """Returns whether the source has delivered the whole body."""
         return self.ended.done() and self.ended.result()
 
+    def _left_bytes(self) -> int:
+        if self.length is None:
+            return _UNKNOWN_LENGTH_BYTES
+        return self.length - self._passed_bytes
+
     def _end(self, is_whole: bool) -> None:
         if not self.ended.done():
             self.ended.set_result(is_whole)
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -214,6 +214,7 @@
         response = parser.start_passing(passage.turns)
         rest = parser.rest
         assert rest is not None
+        rest.on_ready = hold.mark_ready
         rest.on_moved = hold.mark_moved
         hold.on_evicted = rest.close
         rest.released.add_done_callback(lambda _: hold.release())
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -540,6 +540,7 @@
         if hold is None:
             raise _no_room()
         upload = bodies.Body(self._length, turns)
+        upload.on_ready = hold.mark_ready
         upload.on_moved = hold.mark_moved
         upload.released.add_done_callback(lambda _: hold.release())
         upload.feed(self._body)
--- a/mustardloom/http1/tests/test_bodies.py
+++ b/mustardloom/http1/tests/test_bodies.py
@@ -66,7 +66,7 @@
         order = []
 
         async def take(name):
-            await turns.next()
+            await turns.next(name)
             order.append(name)
 
         tasks = [asyncio.ensure_future(take(index)) for index in range(4)]
@@ -81,3 +81,45 @@
     assert order == [0, 2, 3]
     steps = itertools.pairwise(seen)
     assert all(later - earlier <= 1 for earlier, later in steps)
+
+
+def test_long_bodies_end_one_after_the_other():
+    """Guards against many bodies that all miss their deadlines together."""
+
+    async def run():
+        turns = bodies.Turns()
+        ended = []
+
+        async def read(name, length):
+            body = bodies.Body(length, turns)
+            read_bytes = 0
+            while read_bytes < length:
+                body.feed(b"x" * bodies.PIECE_BYTES)
+                read_bytes += len(await body.read())
+            ended.append((name, turn.count))
+
+        class Turn:
+            count = 0
+
+        turn = Turn()
+
+        async def count():
+            while True:
+                turn.count += 1
+                await asyncio.sleep(0)
+
+        counting = asyncio.ensure_future(count())
+        lengths = [40, 40, 2]
+        await asyncio.gather(
+            *(
+                read(name, pieces * bodies.PIECE_BYTES)
+                for name, pieces in enumerate(lengths)
+            )
+        )
+        counting.cancel()
+        return ended
+
+    ended = asyncio.run(run())
+    # The short one gets past, and the first long one ends halfway.
+    assert [name for name, _ in ended] == [2, 0, 1]
+    assert ended[1][1] < 0.6 * ended[2][1]
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -28,6 +28,8 @@
 # A body that has not moved for this long loses its room to one that needs it.
 _STALLED_MS = 2_000
 _ROOM_POLL_MS = 10
+# In place of the time of the last move: the body does not stand still.
+_READY = 1 << 62
 _BYTES_PER_MB = 1 << 20
 
 
@@ -71,6 +73,10 @@
         self.moved_ms = now_ms
         self.on_evicted: Callable[[], None] = lambda: None
 
+    def mark_ready(self) -> None:
+        """Records that the body waits for this process, not for its sender."""
+        self.moved_ms = _READY
+
     def mark_moved(self) -> None:
         """Records that a piece of the body has passed."""
         self.moved_ms = self._budget.clock.now_ms()
--- a/mustardloom/tests/test_memory_budget.py
+++ b/mustardloom/tests/test_memory_budget.py
@@ -104,6 +104,18 @@
     assert budget.try_hold_stream(400) is None
 
 
+def test_body_that_waits_for_its_turn_keeps_its_room():
+    """Guards against uploads that end because this process is busy."""
+    clock, budget = _budget()
+    ready = budget.try_hold_stream(700)
+    ready.mark_ready()
+    clock.jump(60_000)
+    assert budget.try_hold_stream(100) is None
+    ready.mark_moved()
+    clock.jump(3_000)
+    assert budget.try_hold_stream(100) is not None
+
+
 def test_answers_wait_for_room_in_order():
     """Guards against answers that are dropped, or overtaken for good."""
 
