Decide in one place which requests still start while a daemon stops

Hypotheses: parts are read to their end and passed on, whenever that is; the times of a stop are constants; queues and retries go on; a frame that crosses the end of a link is read by nobody and counts as lost.

Cause: nothing decided on the last request. Server, router, gate and queue went on until they were ended.

Change: `load_control.stop_admission` decides: until some time into the grace any request starts, later only one whose deadline comes before the daemon's end; its times are shares of the grace. The gate asks it on arrival, after the wait for a key, in the queue and at the start; the forwarder for each sending to another daemon. Others get "not run" at once. The last frame on a link tells which calls were read; later ones are known not to have run.

--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -545,6 +545,7 @@
         upload.released.add_done_callback(lambda _: hold.release())
         upload.feed(self._body)
         self._body = bytearray()
+        self._resize_hold(self._header_bytes + bodies.INLINE_BYTES)
         self._uploading = self._run_request(b"", upload)
         self._waiting_since_ms = self._http_server.clock.now_ms()
         hold.on_evicted = lambda: self._break_upload(
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -25,6 +25,7 @@
 from mustardloom.http1 import server
 from mustardloom.keys import authority
 from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import stop_admission
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
 from mustardloom.sidecar import departures
@@ -101,6 +102,7 @@
             memory_budget.capacity_for(own_settings.limits.memory_mb), clock
         )
         passage = client.Passage(self._budget, bodies.Turns())
+        stop = stop_admission.StopAdmission(clock)
         self._transfers = transfers_lib.Transfers(passage, clock)
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
@@ -169,6 +171,7 @@
             self._metrics,
             self,
             own_settings.bounds.cold_factor,
+            stop,
         )
         self._local_target = local_target.LocalTarget(
             own_settings, self._gate, self._grant_keys, clock, self._log
@@ -181,6 +184,7 @@
             clock,
             self._transfers,
             self._budget,
+            stop,
         )
         self._report = self_report.SelfReport(
             self._fleet,
@@ -216,6 +220,7 @@
             self._ingress.handle, self._limits, passage.turns
         )
         self._graceful_stop = graceful_stop.GracefulStop(
+            stop,
             self._caller_server,
             self._gate,
             self._forwarder,
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -8,6 +8,7 @@
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import gate as gate_lib
@@ -20,6 +21,7 @@
 _NO_KEY = -1
 _UNREACHABLE_RETRY_MS = 300
 _NO_ROOM_RETRY_MS = 500
+_ENDING_RETRY_MS = 300
 
 
 class Forwarder:
@@ -38,6 +40,7 @@
         clock: clock_lib.Clock,
         transfers: transfers_lib.Transfers,
         budget: memory_budget.MemoryBudget,
+        stop: stop_admission.StopAdmission,
     ):
         self.open_by_vm: collections.Counter[ids.VmId] = collections.Counter()
         self._fleet = fleet
@@ -46,6 +49,7 @@
         self._clock = clock
         self._transfers = transfers
         self._budget = budget
+        self._stop = stop
 
     def is_serving(self) -> bool:
         """Returns whether requests of other daemons are open here."""
@@ -67,6 +71,8 @@
         """
         if vm == self._fleet.own_record.vm:
             return await self._gate.run(request, may_wait)
+        if not self._stop.may_start(request.deadline_ms):
+            return work.Refused(work.RefusalReason.ENDING, _ENDING_RETRY_MS)
         peer = self._fleet.by_vm.get(vm)
         if peer is None:
             return work.Refused(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -20,6 +20,7 @@
     "Forward",
     "Frame",
     "FrameBuffer",
+    "Goodbye",
     "Hello",
     "KeyLoad",
     "LoadQuery",
@@ -379,6 +380,17 @@
     crashes: int
 
 
+class Goodbye(_Base, frozen=True, tag=21):
+    """Last frame of a daemon that stops: it reads nothing more on this stream.
+
+    Attributes:
+      last_number: Highest number of a call that it has read; calls with higher
+        numbers were certainly not run.
+    """
+
+    last_number: int
+
+
 Frame = (
     Hello
     | Forward
@@ -401,6 +413,7 @@
     | LoadReply
     | TargetLeft
     | TargetLimited
+    | Goodbye
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -18,6 +18,7 @@
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.load_control import rate_limit as rate_limit_lib
+from mustardloom.load_control import stop_admission
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import crash_suspects
@@ -132,7 +133,6 @@
       statement: What the target states in its responses, up to small changes
         of the limit; None before the first response.
       is_evacuated: Whether the availability zone of the target is evacuated.
-      is_stopping: Whether this daemon is shutting down.
       on_reachability: Called with the new reachability when it changes.
       on_statement: Called with what the target states when that changes.
     """
@@ -147,13 +147,13 @@
         metrics: metrics_lib.Metrics,
         keys: KeyOwnership,
         cold_factor: float,
+        stop: stop_admission.StopAdmission,
     ):
         self.target_instance: targets.TargetInstance | None = None
         self.reachability = Reachability.UNKNOWN
         self.admission_ends_ms: int | None = None
         self.statement: targets.Statement | None = None
         self.is_evacuated = False
-        self.is_stopping = False
         self.on_reachability: Callable[[Reachability], None] = lambda _: None
         self.on_statement: Callable[[targets.Statement], None] = lambda _: None
         self._service = service
@@ -163,6 +163,7 @@
         self._log = log
         self._metrics = metrics
         self._keys = keys
+        self._stop = stop
         self._capacity = 1
         self._queue: waiting.WaitingQueue[_Ticket] = waiting.WaitingQueue()
         self._has_waiting = asyncio.Event()
@@ -269,7 +270,7 @@
         ends_ms = self.admission_ends_ms
         return (
             self.reachability is Reachability.UP
-            and not (self.is_evacuated or self.is_stopping)
+            and not (self.is_evacuated or self._stop.is_limited())
             and (ends_ms is None or self._clock.now_ms() < ends_ms)
         )
 
@@ -350,9 +351,13 @@
     def _refusal_on_arrival(self, request: work.Work) -> work.Refused | None:
         if request.service != self._service:
             return work.Refused(work.RefusalReason.OTHER_SERVICE)
-        if self.is_stopping:
-            return work.Refused(work.RefusalReason.STOPPING, _RETRY_AFTER_MS)
-        return None
+        return self._refusal_if_stopping(request)
+
+    def _refusal_if_stopping(self, request: work.Work) -> work.Refused | None:
+        expected_ms = self._service_times.expected_ms(request.route)
+        if self._stop.may_start(request.deadline_ms, expected_ms):
+            return None
+        return work.Refused(work.RefusalReason.STOPPING, _RETRY_AFTER_MS)
 
     async def _await_key(
         self, request: work.Work, may_wait: bool
@@ -474,7 +479,8 @@
     ) -> work.Refused | None:
         """Repeats the checks whose result may have changed during the wait."""
         reasons = work.RefusalReason
-        closed = self._refusal_if_closed(request, now_ms)
+        closed = self._refusal_if_stopping(request)
+        closed = closed or self._refusal_if_closed(request, now_ms)
         if closed is not None:
             return closed
         if request.deadline_ms <= now_ms + 1:
@@ -488,12 +494,22 @@
         return None
 
     def _refuse_unservable(self) -> None:
+        if self._stop.is_stopping():
+            self._refuse_unfinishable()
         end_ms = self._clock.now_ms() + _REFUSAL_DELAY_MS
         spacing_ms = self._rate_limit.interval_ms()
         for ticket in self._queue.take_unservable(end_ms, spacing_ms):
             self._metrics.increment("gate.refused.deadline")
             _resolve(ticket, work.Refused(work.RefusalReason.DEADLINE))
 
+    def _refuse_unfinishable(self) -> None:
+        """Refuses queued requests that would not end before this daemon."""
+        for _, ticket in list(self._queue):
+            refusal = self._refusal_if_stopping(ticket.request)
+            if refusal is not None:
+                self._queue.remove(ticket)
+                _resolve(ticket, refusal)
+
     # Dispatch.
 
     def _start(self, ticket: _Ticket, now_ms: int) -> None:
--- a/mustardloom/sidecar/graceful_stop.py
+++ b/mustardloom/sidecar/graceful_stop.py
@@ -3,33 +3,29 @@
 Callers first get time to move to other daemons. Then no more requests are read
 from them, and those that have arrived are answered. Last the gate refuses the
 requests of other daemons, which tells them that nothing was run, and the links
-end once the last answer to another daemon has been written.
+end once the last answer to another daemon has been written. Which requests
+still start meanwhile is decided by `load_control.stop_admission`.
 """
 
 from collections.abc import Callable
 
 from mustardloom import clock as clock_lib
 from mustardloom.http1 import server
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import links as links_lib
 
 __all__ = ["GracefulStop"]
 
-# Callers notice within this time that the daemon is no longer ready, and go to
-# other daemons.
-_NOTICE_MS = 2_300
-# Time kept free at the end of the grace period.
-_MARGIN_MS = 700
 _POLL_MS = 50
-# Other daemons close a link that has ended within this time.
-_LINK_END_MS = 300
 
 
 class GracefulStop:
     """Stops one daemon.
 
     Args:
+      admission: Decides which requests still start.
       callers: Serves the callers.
       gate: Gate of the local target.
       forwarder: Runs the requests of other daemons.
@@ -39,12 +35,14 @@
 
     def __init__(
         self,
+        admission: stop_admission.StopAdmission,
         callers: server.HttpServer,
         gate: gate_lib.Gate,
         forwarder: forwarder_lib.Forwarder,
         links: links_lib.Links,
         clock: clock_lib.Clock,
     ):
+        self._admission = admission
         self._callers = callers
         self._gate = gate
         self._forwarder = forwarder
@@ -53,18 +51,20 @@
 
     async def run(self, grace_ms: int) -> None:
         """Returns once nothing is open, or shortly before the grace ends."""
-        stop_by_ms = self._clock.now_ms() + grace_ms - _MARGIN_MS
+        plan = self._admission.begin(grace_ms)
         self._callers.drain()
-        await self._clock.sleep_ms(_NOTICE_MS)
+        await self._clock.sleep_ms(
+            plan.admission_ends_ms - self._clock.now_ms()
+        )
         self._callers.stop_reading()
-        await self._await(self._callers.is_busy, stop_by_ms)
-        self._gate.is_stopping = True
-        await self._await(self._is_serving_others, stop_by_ms)
+        await self._await(self._callers.is_busy, plan.ends_ms)
+        self._admission.close()
+        await self._await(self._is_serving_others, plan.ends_ms)
         # The answer to the last request is written soon after its end.
-        await self._clock.sleep_ms(_POLL_MS)
-        await self._await(self._links.is_writing, stop_by_ms)
+        await self._pause(plan.ends_ms)
+        await self._await(self._links.is_writing, plan.ends_ms)
         self._links.end_incoming()
-        end_by_ms = min(stop_by_ms, self._clock.now_ms() + _LINK_END_MS)
+        end_by_ms = min(plan.ends_ms, self._clock.now_ms() + plan.link_end_ms)
         await self._await(self._links.has_incoming, end_by_ms)
 
     def _is_serving_others(self) -> bool:
@@ -72,4 +72,8 @@
 
     async def _await(self, is_busy: Callable[[], bool], limit_ms: int) -> None:
         while is_busy() and self._clock.now_ms() < limit_ms:
-            await self._clock.sleep_ms(_POLL_MS)
+            await self._pause(limit_ms)
+
+    async def _pause(self, limit_ms: int) -> None:
+        left_ms = max(0, limit_ms - self._clock.now_ms())
+        await self._clock.sleep_ms(min(_POLL_MS, left_ms))
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -53,6 +53,7 @@
 
 _READ_BYTES = 65_536
 _CHECK_INTERVAL_MS = 150
+_END_POLL_S = 0.01
 
 
 class Links:
@@ -233,28 +234,27 @@
     def __init__(self, owner: Links):
         super().__init__()
         self._owner = owner
-        self._streams: set[iostream.IOStream] = set()
+        self._link_by_stream: dict[iostream.IOStream, _IncomingLink] = {}
 
     def close(self) -> None:
         """Accepts no more links and closes those that are open."""
         self.stop()
-        for stream in list(self._streams):
+        for stream in list(self._link_by_stream):
             stream.close()
 
     def is_writing(self) -> bool:
         """Returns whether a stream has bytes that are not written yet."""
-        return any(stream.writing() for stream in self._streams)
+        return any(stream.writing() for stream in self._link_by_stream)
 
     def has_streams(self) -> bool:
         """Returns whether a stream is open."""
-        return bool(self._streams)
+        return bool(self._link_by_stream)
 
     def end_streams(self) -> None:
         """Accepts no more links; sends the end of all that are open."""
         self.stop()
-        for stream in list(self._streams):
-            with contextlib.suppress(OSError):
-                stream.socket.shutdown(socket.SHUT_WR)
+        for link in list(self._link_by_stream.values()):
+            link.end()
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[Any, ...]
@@ -269,11 +269,12 @@
         if first == transfers.PREFACE:
             self._owner.on_transfer(stream)
             return
-        self._streams.add(stream)
+        link = _IncomingLink(self._owner, stream)
+        self._link_by_stream[stream] = link
         try:
-            await _IncomingLink(self._owner, stream).run(first)
+            await link.run(first)
         finally:
-            self._streams.discard(stream)
+            del self._link_by_stream[stream]
 
 
 class _IncomingLink:
@@ -285,6 +286,25 @@
         self._compressor = compression.Compressor()
         self._vm: ids.VmId | None = None
         self._tasks: dict[int, asyncio.Future[frames.Frame | None]] = {}
+        # Highest number of a call so far.
+        self._last_number = 0
+        self._is_ending = False
+
+    def end(self) -> None:
+        """Sends the end of the link, and which calls were read before it."""
+        self._is_ending = True
+        self._reply(frames.Goodbye(self._last_number))
+        self._close_when_written()
+
+    def _close_when_written(self) -> None:
+        if self._stream.closed():
+            return
+        if self._stream.writing():
+            loop = asyncio.get_running_loop()
+            loop.call_later(_END_POLL_S, self._close_when_written)
+            return
+        with contextlib.suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
 
     async def run(self, data: bytes) -> None:
         """Reads frames until the stream is closed or its bytes are invalid.
@@ -312,6 +332,9 @@
                 task.cancel()
 
     def _receive(self, frame: frames.Frame) -> None:
+        if self._is_ending:
+            # The peer learns from the last frame that this was not read.
+            return
         if isinstance(frame, frames.Hello):
             if frame.receiver != self._owner.vm:
                 # The receiver had this address before this VM took it over.
@@ -335,6 +358,7 @@
             self._reply(result)
             return
         number: int = getattr(frame, "number", 0)
+        self._last_number = max(self._last_number, number)
         task = asyncio.ensure_future(result)
         self._tasks[number] = task
         task.add_done_callback(
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -91,6 +91,7 @@
       silent_since_ms: Local time at which the peer was found silent, or None.
       offset_ms: The peer's clock minus the local one, less the shortest way
         back; None before the first pong.
+      is_ending: Whether the peer reads nothing more on it.
     """
 
     def __init__(self, stream: iostream.IOStream, now_ms: int):
@@ -99,6 +100,7 @@
         self.ended = asyncio.Event()
         self.silent_since_ms: int | None = None
         self.offset_ms: int | None = None
+        self.is_ending = False
         # Times of the statuses and pings without an answer so far, in order.
         self.unanswered_ms: collections.deque[int] = collections.deque()
         self._stream = stream
@@ -106,6 +108,8 @@
 
     def write(self, frame: frames.Frame, now_ms: int) -> bool:
         """Sends a frame; returns whether the stream was open."""
+        if self.is_ending:
+            return False
         try:
             data = self._compressor.compress(frames.encode(frame))
             written = self._stream.write(data)
@@ -144,6 +148,15 @@
         if call is not None and not call.reply.done():
             call.reply.set_result(frame)
 
+    def on_goodbye(self, vm: ids.VmId, last_number: int) -> None:
+        """Ends the calls that the peer has not read; takes no others."""
+        self.is_ending = True
+        for number, call in list(self.calls.items()):
+            if number > last_number:
+                del self.calls[number]
+                if not call.reply.done():
+                    call.reply.set_exception(PeerUnreachable(vm))
+
     def fail_calls(self, vm: ids.VmId, only_repeatable: bool = False) -> None:
         """Ends the calls, all or those that may be repeated elsewhere."""
         for number, call in list(self.calls.items()):
@@ -315,9 +328,15 @@
             stream.fail_calls(self._vm)
 
     def _receive(self, stream: _Stream, frame: frames.Frame) -> None:
-        if not isinstance(frame, frames.Pong):
-            stream.resolve(frame)
-            return
+        match frame:
+            case frames.Goodbye(last_number):
+                stream.on_goodbye(self._vm, last_number)
+                return
+            case frames.Pong():
+                pass
+            case _:
+                stream.resolve(frame)
+                return
         if not stream.unanswered_ms:
             raise ValueError("pong without a ping")
         asked_ms = stream.unanswered_ms.popleft()
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -262,6 +262,7 @@
         work.RefusalReason.QUARANTINED,
         work.RefusalReason.DEADLINE,
         work.RefusalReason.BROKEN_OFF,
+        work.RefusalReason.ENDING,
     )
 )
 
--- a/mustardloom/sidecar/tests/test_departures.py
+++ b/mustardloom/sidecar/tests/test_departures.py
@@ -23,6 +23,7 @@
 from mustardloom.http1 import messages
 from mustardloom.load_control import placement
 from mustardloom.load_control import quarantine
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import departures
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -72,6 +73,7 @@
         metrics,
         None,
         1.5,
+        stop_admission.StopAdmission(clock),
     )
     target = local_target.LocalTarget(
         _SETTINGS, gate, lambda _: None, clock, log
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -8,6 +8,7 @@
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import transfers
@@ -47,7 +48,7 @@
         return frames.Failure(1, "internal")
 
 
-def _forwarder(clock, links, gate):
+def _forwarder(clock, links, gate, stop=None):
     peer = types.SimpleNamespace(view=types.SimpleNamespace(in_flight=0))
     fleet = types.SimpleNamespace(
         own_record=types.SimpleNamespace(vm=ids.VmId("near")),
@@ -62,6 +63,7 @@
         clock,
         transfers.Transfers(passage, clock),
         budget,
+        stop or stop_admission.StopAdmission(clock),
     )
 
 
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -10,6 +10,7 @@
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.load_control import quarantine
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import events
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import target_connections
@@ -77,6 +78,7 @@
         self.clock = clock_lib.FakeClock()
         self.connections = _Connections()
         self.keys = _Keys()
+        self.stop = stop_admission.StopAdmission(self.clock)
         metrics = metrics_lib.Metrics()
         self.null = os.open(os.devnull, os.O_WRONLY)
         log = events.EventLog("vm", self.clock, metrics, self.null)
@@ -89,6 +91,7 @@
             metrics,
             self.keys,
             1.5,
+            self.stop,
         )
         self.gate.on_heartbeat(_INSTANCE, capacity)
 
@@ -214,7 +217,7 @@
     async def scenario(harness):
         harness.gate.is_evacuated = True
         (first,) = await harness.start("a")
-        harness.gate.is_stopping = True
+        harness.stop.close()
         (second,) = await harness.start("b")
         return _reason(await first), _reason(await second)
 
@@ -230,7 +233,7 @@
     async def scenario(harness):
         harness.keys.pending.add(7)
         (waiting,) = await harness.start("a", key=7)
-        harness.gate.is_stopping = True
+        harness.stop.close()
         harness.keys.held.add(7)
         await harness.clock.advance(50)
         return _reason(await waiting)
@@ -238,6 +241,37 @@
     assert _run(scenario) is work.RefusalReason.STOPPING
 
 
+def test_queued_request_that_would_outlast_a_stop_is_refused_at_once():
+    """Guards against runs that are cut off at the end of the grace period."""
+
+    async def scenario(harness):
+        now_ms = harness.clock.now_ms()
+        (running,) = await harness.start("a", deadline_ms=now_ms + 60_000)
+        (late,) = await harness.start(
+            "b", deadline_ms=now_ms + 60_000, objective_ms=now_ms + 60_000
+        )
+        (short,) = await harness.start(
+            "c", deadline_ms=now_ms + 5_000, objective_ms=now_ms + 5_000
+        )
+        processing = asyncio.ensure_future(harness.gate.process_queue())
+        plan = harness.stop.begin(6_000)
+        await harness.clock.advance(2_200)
+        assert not late.done()
+        await harness.clock.advance(200)
+        assert plan.admission_ends_ms <= harness.clock.now_ms()
+        reason = _reason(await asyncio.wait_for(late, 1))
+        harness.connections.answer(_OK)
+        await harness.clock.advance(0)
+        names = [each.request_id for each, _ in harness.connections.open]
+        harness.connections.answer(_OK)
+        await asyncio.wait_for(short, 1)
+        await running
+        processing.cancel()
+        return reason, names
+
+    assert _run(scenario, capacity=1) == (work.RefusalReason.STOPPING, ["c"])
+
+
 def test_leaving_target_gets_no_requests_after_admission_ends():
     """Guards against queued requests that start after the drain bound."""
 
--- a/mustardloom/sidecar/tests/test_graceful_stop.py
+++ b/mustardloom/sidecar/tests/test_graceful_stop.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from mustardloom import clock as clock_lib
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import graceful_stop
 
 _GRACE_MS = 6_000
@@ -15,11 +18,18 @@
         self.clock = clock
         self.open = set()
         self.steps = []
-        self.is_stopping = False
-        self._stop = graceful_stop.GracefulStop(self, self, self, self, clock)
+        self.admission = stop_admission.StopAdmission(clock)
+        self._stop = graceful_stop.GracefulStop(
+            self.admission, self, self, self, self, clock
+        )
+
+    def start(self, grace_ms=_GRACE_MS):
+        return asyncio.ensure_future(self._stop.run(grace_ms))
 
-    def start(self):
-        return asyncio.ensure_future(self._stop.run(_GRACE_MS))
+    @property
+    def is_stopping(self):
+        """Whether no request may start any more, whatever its deadline."""
+        return not self.admission.may_start(self.clock.now_ms() + 1)
 
     def drain(self):
         self.steps.append("drain")
@@ -74,13 +84,28 @@
     _run(scenario)
 
 
-def test_stop_ends_before_the_grace_period():
+@pytest.mark.parametrize("grace_ms", [1_000, 2_000, 3_000, 6_000, 12_000])
+def test_stop_ends_before_the_grace_period(grace_ms):
     """Guards against a kill while a request or a link does not end."""
 
     async def scenario(clock, daemon):
         daemon.open = {"caller", "gate", "forwarded", "reply", "link"}
-        stop = daemon.start()
-        await clock.advance(_GRACE_MS - 200)
+        stop = daemon.start(grace_ms)
+        await clock.advance(grace_ms - grace_ms // 30)
         assert stop.done()
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("grace_ms", [1_000, 2_000, 3_000, 6_000, 12_000])
+def test_short_grace_leaves_time_for_the_last_requests(grace_ms):
+    """Guards against a stop that reads requests until its last moment."""
+
+    async def scenario(clock, daemon):
+        daemon.open = {"caller"}
+        daemon.start(grace_ms)
+        await clock.advance(grace_ms * 2 // 5 + 1)
+        assert daemon.steps == ["drain", "stop-reading"]
+        assert not daemon.admission.may_start(clock.now_ms() + 60_000)
+
+    _run(scenario)
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -398,6 +398,44 @@
     assert 4_900 <= _run(scenario, lambda *_: None) <= 5_000
 
 
+def test_calls_that_cross_the_end_of_a_link_are_known_not_to_have_run():
+    """Guards against a failure of a request that may be sent elsewhere.
+
+    The near side sends calls after the far side has ended the link and before
+    it learns of that; one call was read earlier and has no reply.
+    """
+    seen = []
+
+    def handler(vm, frame):
+        del vm
+        if not isinstance(frame, frames.Fetch):
+            return None
+        seen.append(frame.number)
+        return asyncio.sleep(30)
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, port)})
+        await _connected(near, vm)
+        read = asyncio.ensure_future(near.call(vm, _fetch))
+        while not seen:
+            await asyncio.sleep(0.01)
+        crossing = [
+            asyncio.ensure_future(near.call(vm, _fetch)) for _ in range(3)
+        ]
+        # They are on their way when the far side ends the link.
+        await asyncio.sleep(0)
+        far.end_incoming()
+        outcomes = await asyncio.gather(*crossing, read, return_exceptions=True)
+        return [type(each) for each in outcomes]
+
+    assert _run(scenario, handler) == [
+        *[links_lib.PeerUnreachable] * 3,
+        links_lib.PeerLost,
+    ]
+    assert len(seen) == 1
+
+
 def test_links_end_only_after_what_was_written_on_them():
     """Guards against replies that a stop drops on their way.
 
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -35,6 +35,8 @@
       UNREACHABLE: The daemon beside the target cannot be reached.
       OTHER_SERVICE: The target that was asked serves another service.
       NO_ROOM: A process has no room for more bytes.
+      STOPPING: The daemon beside the target ends before the request would.
+      ENDING: The daemon at which the request entered the fleet ends before it.
       BROKEN_OFF: The body of the request broke off before the target got any
         of it.
     """
@@ -57,6 +59,7 @@
     OTHER_SERVICE = "other-service"
     NO_ROOM = "no-room"
     BROKEN_OFF = "broken-off"
+    ENDING = "ending"
 
 
 class FailureReason(enum.Enum):
