Log rejected requests, show the account of bytes, blame no target for callers

Cause: a request that the server itself answers (no room, standing still, too large) left no line, so its id led to no cause; the account had no gauge; an upload that its caller broke off counted as a failure of the target, which then got fewer requests; a caller that read pipelined answers slowly, without a pause, was closed after the idle limit; offers of answers that nobody fetched kept their names.

Change: `request-rejected` with id, status and held bytes; gauges `held_bytes`, `held_peak_bytes`, `held_refusals`; the outcome `upload-broken`, which says nothing about the target; the time without progress counts from the last write; an offer ends with its body.

--- a/mustardloom/http1/bodies.py
+++ b/mustardloom/http1/bodies.py
@@ -216,7 +216,7 @@
         if piece:
             return piece
         if not self.is_whole():
-            self.close()
+            self._release()
             raise BodyBroken
         self._release()
         return b""
@@ -230,6 +230,10 @@
         self._release()
         self._end(False)
 
+    def is_dropped(self) -> bool:
+        """Returns whether the consumer read no further than a part of it."""
+        return self._is_dropped
+
     def is_whole(self) -> bool:
         """Returns whether the source has delivered the whole body."""
         return self.ended.done() and self.ended.result()
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -24,6 +24,7 @@
     "HeadCallback",
     "Incomplete",
     "Passage",
+    "UploadBroken",
     "connect",
 ]
 
@@ -65,6 +66,10 @@
     """The response is truncated, too large or not valid HTTP."""
 
 
+class UploadBroken(Incomplete):
+    """The body of the request broke off after a part of it was sent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Passage:
     """How long bodies pass through this process in pieces.
@@ -165,8 +170,8 @@
           BodyBroken: The body of the request broke off before its first piece;
             nothing was sent.
           ClosedEarly: The connection closed before the first byte.
-          Incomplete: The response is truncated, too large or not valid HTTP, or
-            the body of the request broke off.
+          Incomplete: The response is truncated, too large or not valid HTTP.
+          UploadBroken: The body of the request broke off later.
         """
         if body is not None:
             data += _encode_piece(body, await body.read())
@@ -188,7 +193,7 @@
             response = await self._response(parser, passage, upload)
         except (ClosedEarly, Incomplete):
             if upload.is_broken:
-                raise Incomplete("the body of the request broke off") from None
+                raise UploadBroken from None
             raise
         finally:
             self.skipped += parser.skipped
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import enum
@@ -19,9 +20,13 @@
 from mustardloom.http1 import messages
 from mustardloom.http1 import sockets
 
-__all__ = ["Handler", "HttpServer", "ServerLimits"]
+__all__ = ["Handler", "HttpServer", "RejectedCallback", "ServerLimits"]
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Called with the headers of a request, as far as known, and its answer.
+RejectedCallback = Callable[
+    [Sequence[messages.Header], messages.Response], None
+]
 
 _READ_BYTES = bodies.PIECE_BYTES
 _TIME_CHECK_INTERVAL_MS = 500
@@ -101,6 +106,8 @@
       limits: Returns the limits now in force.
       on_fault: Called with the exception that a handler raised; the client
         gets status 500.
+      on_rejected: Called with the headers of a request that the server itself
+        answers, and with that answer.
       budget: Grants room for what is read of requests, and for their answers.
       turns: Order in which bodies are read; None to read each body to its end
         before its request is handled.
@@ -114,11 +121,13 @@
         on_fault: Callable[[BaseException], None] = lambda _: None,
         budget: memory_budget.MemoryBudget | None = None,
         turns: bodies.Turns | None = None,
+        on_rejected: RejectedCallback = lambda *_: None,
     ):
         self.handler = handler
         self.clock = clock
         self.budget = budget or memory_budget.unlimited(clock)
         self.turns = turns
+        self.on_rejected = on_rejected
         self.limits = limits
         self.on_fault = on_fault
         self.is_draining = False
@@ -296,6 +305,7 @@
         self._ended_ms: int | None = None
         # Write of the latest bytes.
         self._written: asyncio.Future[None] | None = None
+        # Local time since which none of the bytes to write has left.
         self._written_since_ms = 0
         self._has_room = asyncio.Event()
         # Room for the request that is being read.
@@ -583,6 +593,7 @@
             return
         self._closes_after_pending = True
         if not broken.upload.is_taken and not broken.task.done():
+            self._http_server.on_rejected(self._headers, response)
             broken.task.cancel()
             broken.task = asyncio.Future()
             broken.task.set_result(response)
@@ -650,6 +661,7 @@
             self._break_upload(response)
             return
         self._closes_after_pending = True
+        self._http_server.on_rejected(self._headers, response)
         done: asyncio.Future[messages.Response] = asyncio.Future()
         done.set_result(response)
         hold, self._hold = self._hold, None
@@ -782,6 +794,10 @@
             self.stream.socket.shutdown(socket.SHUT_WR)
         self._ended_ms = self._http_server.clock.now_ms()
 
+    def _on_written(self, written: "asyncio.Future[None]") -> None:
+        self._written_since_ms = self._http_server.clock.now_ms()
+        sockets.ignore_write_error(written)
+
     def _write(self, data: bytes) -> None:
         if not self.stream.writing():
             self._written_since_ms = self._http_server.clock.now_ms()
@@ -789,4 +805,4 @@
             self._written = self.stream.write(data)
         except iostream.StreamClosedError:
             return
-        self._written.add_done_callback(sockets.ignore_write_error)
+        self._written.add_done_callback(self._on_written)
--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -13,6 +13,7 @@
     "CallerFields",
     "ResponseFields",
     "read_request",
+    "read_request_id",
     "read_response",
     "read_statement",
     "refusal",
@@ -112,6 +113,12 @@
     )
 
 
+def read_request_id(headers: Iterable[messages.Header]) -> str:
+    """Returns the id of a caller's request, empty if it gave none."""
+    value = messages.find_header(headers, REQUEST_ID)
+    return (value or b"").decode("latin1")
+
+
 def to_target(
     headers: Iterable[messages.Header],
     caller_service: str,
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Sequence
 import dataclasses
 import random
 import signal
@@ -28,6 +29,7 @@
 from mustardloom.load_control import stop_admission
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
+from mustardloom.platform import headers
 from mustardloom.sidecar import departures
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -194,6 +196,7 @@
             self._shared_state,
             self._links,
             self._keyspace_by_service,
+            self._budget,
         )
         selection = target_selection.TargetSelection(
             self._fleet, self._links, clock, random.Random()
@@ -267,7 +270,25 @@
         turns: bodies.Turns | None = None,
     ) -> server.HttpServer:
         return server.HttpServer(
-            handler, self._clock, limits, self._on_fault, self._budget, turns
+            handler,
+            self._clock,
+            limits,
+            self._on_fault,
+            self._budget,
+            turns,
+            self._on_rejected,
+        )
+
+    def _on_rejected(
+        self,
+        request_headers: Sequence[messages.Header],
+        response: messages.Response,
+    ) -> None:
+        self._log.write(
+            events.Event.REQUEST_REJECTED,
+            request=headers.read_request_id(request_headers),
+            status=response.status,
+            held_bytes=self._budget.held_bytes,
         )
 
     def _background_loops(self) -> list[_LoopCall]:
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -44,6 +44,7 @@
     KEYS_RELEASED = "keys-released"
     AUTHORITY_LOST = "authority-lost"
     AUTHORITY_BACK = "authority-back"
+    REQUEST_REJECTED = "request-rejected"
     REQUEST_REFUSED = "request-refused"
     REQUEST_REPEATED = "request-repeated"
     REQUEST_FAILED = "request-failed"
@@ -55,6 +56,7 @@
 
 _REQUEST_EVENTS = frozenset(
     (
+        Event.REQUEST_REJECTED,
         Event.REQUEST_REFUSED,
         Event.REQUEST_REPEATED,
         Event.REQUEST_FAILED,
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -605,6 +605,9 @@
                 self._last_answer_ms = now_ms
                 is_shed = reason is work.RefusalReason.TARGET_REFUSED
                 self._record_failure(is_shed)
+            case work.Failed(work.FailureReason.UPLOAD_BROKEN as reason):
+                # It says nothing about the target.
+                self._log_failure(request, reason, duration_ms, instance)
             case work.Failed(reason):
                 self._record_failure(True)
                 self._log_failure(request, reason, duration_ms, instance)
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -62,6 +62,9 @@
         rest = self.outcome.response.rest
         if not isinstance(rest, bodies.Body) or await rest.ended:
             return self
+        if rest.is_dropped():
+            # The caller has left, or the deadline has passed.
+            return self
         return SendResult(work.Failed(work.FailureReason.INCOMPLETE), self.load)
 
 
@@ -186,6 +189,9 @@
             self._metrics.increment("target.closed_early")
             reason = work.FailureReason.TARGET_LOST
             return SendResult(work.Failed(reason), is_connection_lost=True)
+        except client.UploadBroken:
+            self._metrics.increment("target.uploads_broken")
+            return SendResult(work.Failed(work.FailureReason.UPLOAD_BROKEN))
         except client.Incomplete:
             self._metrics.increment("target.incomplete")
             return SendResult(work.Failed(work.FailureReason.INCOMPLETE))
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -77,8 +77,8 @@
             SERVICE,
         )
         self.links = links_lib.Links(self.record, self.clock, self._on_frame)
-        transfers = transfers_lib.Transfers(passage, self.clock)
-        self.links.on_transfer = transfers.server.adopt
+        self.transfers = transfers_lib.Transfers(passage, self.clock)
+        self.links.on_transfer = self.transfers.server.adopt
         self.fleet = fleet_lib.Fleet(self.record, self.links, self.clock)
         self.gate = gate_lib.Gate(
             SERVICE,
@@ -99,7 +99,7 @@
             self.links,
             self.gate,
             self.clock,
-            transfers,
+            self.transfers,
             self.budget,
             self.stop,
         )
--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -49,9 +49,12 @@
         while not found[1].broken:
             await asyncio.sleep(0.01)
         await fleet.all_released(daemons)
-        return found[1].whole
+        while not daemons[1].gate.is_idle():
+            await asyncio.sleep(0.01)
+        return found[1].whole, daemons[1].gate.load().failure_share
 
-    assert fleet.play(scenario) == []
+    # It does not count against the target either.
+    assert fleet.play(scenario) == ([], 0)
 
 
 def test_body_that_went_by_is_not_sent_again():
@@ -253,21 +256,36 @@
     assert max(peaks) <= fleet.CAPACITY
 
 
+def test_offer_of_a_body_ends_with_the_body():
+    """Guards against answers that are offered for good, as nobody comes."""
+
+    async def scenario(daemons, found):
+        del found
+        transfers = daemons[0].transfers
+        body = bodies.Body(None, bodies.Turns())
+        transfers.offer(body)
+        assert transfers.offered() == 1
+        # As at the deadline of its request.
+        body.close()
+        await asyncio.sleep(0)
+        return transfers.offered()
+
+    assert fleet.play(scenario) == 0
+
+
 def test_body_is_fetched_once_only():
     """Guards against two readers that share one body."""
 
     async def scenario(daemons, found):
         del found
         near, far = daemons
-        transfers = near.forwarder._transfers
+        transfers = near.transfers
         source = bodies.WholeBody(fleet.BODY)
         transfer = transfers.offer(source)
         address = (fleet.HOST, near.peer_port)
         deadline_ms = near.clock.now_ms() + 5_000
         first, second = (
-            far.forwarder._transfers.fetch(
-                near.vm, address, transfer, deadline_ms
-            )
+            far.transfers.fetch(near.vm, address, transfer, deadline_ms)
             for _ in range(2)
         )
         found = bytearray()
@@ -277,9 +295,7 @@
             await second.read()
         withdrawn = transfers.offer(source)
         transfers.withdraw(withdrawn)
-        third = far.forwarder._transfers.fetch(
-            near.vm, address, withdrawn, deadline_ms
-        )
+        third = far.transfers.fetch(near.vm, address, withdrawn, deadline_ms)
         with pytest.raises(bodies.BodyBroken):
             await third.read()
         return bytes(found)
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -52,11 +52,19 @@
         """Returns the name under which another daemon can fetch a body once."""
         token = secrets.token_urlsafe(_TOKEN_BYTES)
         self._body_by_token[token] = body
+        if isinstance(body, bodies.Body):
+            body.released.add_done_callback(
+                lambda _: self._body_by_token.pop(token, None)
+            )
         length = body.length
         return frames.Transfer(
             token, frames.UNKNOWN_LENGTH if length is None else length
         )
 
+    def offered(self) -> int:
+        """Returns the number of bodies that nobody has fetched yet."""
+        return len(self._body_by_token)
+
     def withdraw(self, transfer: frames.Transfer) -> None:
         """Ends an offer; a body that is being fetched goes on."""
         self._body_by_token.pop(transfer.token, None)
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -68,6 +68,8 @@
     Attributes:
       INCOMPLETE: The response is truncated or not valid HTTP.
       NOT_SIGNED: The response lacks the target's signature.
+      UPLOAD_BROKEN: The body of the request broke off after the target had got
+        a part of it.
       ENCODED: The body of the response has a content coding, such as gzip.
     """
 
@@ -75,6 +77,7 @@
     TARGET_LOST = "target-lost"
     INCOMPLETE = "incomplete"
     NOT_SIGNED = "not-signed"
+    UPLOAD_BROKEN = "upload-broken"
     ENCODED = "encoded"
     DEADLINE = "deadline"
     INTERNAL = "internal"
