Split the HTTP server into acceptor, connection and server

Change: moves and renames only; connections and acceptor state what they need of the server as protocols.

--- /dev/null
+++ b/mustardloom/http1/connection.py
@@ -0,0 +1,685 @@
+"""One connection of a client to the HTTP server."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import enum
+import socket
+from typing import Protocol
+
+import httptools
+from tornado import iostream
+
+from mustardloom import clock as clock_lib
+from mustardloom import memory_budget
+from mustardloom.http1 import bodies
+from mustardloom.http1 import messages
+from mustardloom.http1 import sockets
+
+__all__ = [
+    "READ_BYTES",
+    "Connection",
+    "ConnectionOwner",
+    "Handler",
+    "RejectedCallback",
+    "ServerLimits",
+]
+
+Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Called with the headers of a request, as far as known, and its answer.
+RejectedCallback = Callable[
+    [Sequence[messages.Header], messages.Response], None
+]
+
+READ_BYTES = bodies.PIECE_BYTES
+# A caller closes a connection that has ended within this time.
+_END_TIMEOUT_MS = 1_000
+# Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
+# chunk of one byte needs five.
+_MAX_FRAMING_RATIO = 7
+# Requests of one connection that may run at once; further ones are read when
+# the first of these is answered.
+_MAX_PIPELINED = 64
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_BAD_REQUEST = 400
+_TIMEOUT = 408
+_BODY_TOO_LARGE = 413
+_HEADERS_TOO_LARGE = 431
+_INTERNAL_ERROR = 500
+# Version of HTTP whose clients know no chunks.
+_WITHOUT_CHUNKS = "1.0"
+_UNAVAILABLE = 503
+# Told to callers for whose bytes there is no room.
+_NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Limits on the size of requests and on waiting times.
+
+    Attributes:
+      max_header_bytes: Maximum size of all headers and the request target.
+      max_body_bytes: Maximum size of the body.
+      header_timeout_ms: Maximum time until all headers are read.
+      idle_timeout_ms: Maximum time until the body is read, or until the next
+        request begins.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 8 * 1024 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of its server; see `server.HttpServer`."""
+
+    handler: Handler
+    clock: clock_lib.Clock
+    budget: memory_budget.MemoryBudget
+    turns: bodies.Turns | None
+    is_draining: bool
+    on_fault: Callable[[BaseException], None]
+    on_rejected: RejectedCallback
+
+    def limits(self) -> ServerLimits:
+        """Returns the limits now in force."""
+
+
+class _RequestRejected(Exception):
+    """A request is answered with an error before it is read completely.
+
+    Attributes:
+      response: The answer.
+    """
+
+    def __init__(self, status: int, headers: tuple[messages.Header, ...] = ()):
+        super().__init__(str(status))
+        self.response = messages.Response(status, headers)
+
+
+def _no_room() -> _RequestRejected:
+    return _RequestRejected(_UNAVAILABLE, _NO_ROOM_HEADERS)
+
+
+class _AfterLastRequest(Exception):
+    """A request after the last one that this connection serves."""
+
+
+class _Phase(enum.Enum):
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+
+
+class _PendingResponse:
+    """A request whose response is not written yet.
+
+    Attributes:
+      is_head: Whether its response has no body.
+      is_chunk_known: Whether the client understands a body in chunks.
+      task: Result of the handler.
+      hold: Room for the request and its response.
+      upload: Its body, if that passes in pieces.
+    """
+
+    def __init__(
+        self,
+        method: str,
+        task: "asyncio.Future[messages.Response]",
+        hold: memory_budget.Hold | None = None,
+        is_chunk_known: bool = True,
+        upload: bodies.Body | None = None,
+    ):
+        self.is_head = method == "HEAD"
+        self.is_chunk_known = is_chunk_known
+        self.task = task
+        self.hold = hold
+        self.upload = upload
+
+    def release(self) -> None:
+        """Gives back the room; drops what is left of the body."""
+        if self.hold is not None:
+            self.hold.release()
+        if self.upload is not None:
+            self.upload.close()
+
+    def drop(self) -> None:
+        """Cancels the handler; nobody awaits its result any more."""
+        if not self.task.done():
+            self.task.cancel()
+        elif not self.task.cancelled() and self.task.exception() is None:
+            rest = self.task.result().rest
+            if rest is not None:
+                rest.close()
+        self.release()
+
+
+class Connection:
+    """One connection of a client."""
+
+    def __init__(self, owner: ConnectionOwner, stream: iostream.IOStream):
+        self.stream = stream
+        self.pending: collections.deque[_PendingResponse] = collections.deque()
+        self._owner = owner
+        self._limits = owner.limits()
+        self._parser = httptools.HttpRequestParser(self)
+        self._phase = _Phase.IDLE
+        self._waiting_since_ms = owner.clock.now_ms()
+        self._received_ms = self._waiting_since_ms
+        self._unparsed_bytes = 0
+        # Bytes that are being parsed, and as many if a request in them is not
+        # the first one.
+        self._parsing_bytes = 0
+        self._shared_bytes = 0
+        self._closes_after_pending = False
+        self._is_finishing = False
+        # Local time at which the end was sent, None before.
+        self._ended_ms: int | None = None
+        # Write of the latest bytes.
+        self._written: asyncio.Future[None] | None = None
+        # Local time since which none of the bytes to write has left.
+        self._written_since_ms = 0
+        self._has_room = asyncio.Event()
+        # Room for the request that is being read.
+        self._hold: memory_budget.Hold | None = None
+        # The last request, while its body passes in pieces.
+        self._uploading: _PendingResponse | None = None
+        # Writes a body that passes in pieces.
+        self._sending: asyncio.Task[None] | None = None
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._length: int | None = 0
+        self._reset()
+        stream.set_close_callback(self._on_closed)
+
+    async def run(self) -> None:
+        """Reads requests until the connection ends."""
+        unyielded_bytes = 0
+        try:
+            while True:
+                await self._await_reader()
+                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                self._on_received()
+                self._parse(data)
+                unyielded_bytes += len(data)
+                if unyielded_bytes >= READ_BYTES:
+                    # Reads of bytes that have arrived already do not yield.
+                    unyielded_bytes = 0
+                    await asyncio.sleep(0)
+                if self._closes_after_pending:
+                    # Goes on reading only to notice that the client closes the
+                    # connection.
+                    continue
+                while (
+                    len(self.pending) >= _MAX_PIPELINED
+                    and not self.stream.closed()
+                ):
+                    self._has_room.clear()
+                    await self._has_room.wait()
+        except iostream.StreamClosedError:
+            pass
+        finally:
+            self._release_all()
+
+    async def _await_reader(self) -> None:
+        """Returns once the reader of a body wants more of it."""
+        while self._uploading is not None:
+            upload = self._uploading.upload
+            if upload is None or not upload.is_full():
+                return
+            await upload.wait_for_room()
+            self._waiting_since_ms = self._owner.clock.now_ms()
+
+    def _on_closed(self) -> None:
+        """Wakes the reader, which may wait for something else than bytes."""
+        if self._uploading is not None and self._uploading.upload is not None:
+            self._uploading.upload.fail()
+        self._has_room.set()
+
+    def _release_all(self) -> None:
+        if self._hold is not None:
+            self._hold.release()
+        if self._uploading is not None and self._uploading.upload is not None:
+            self._uploading.upload.fail()
+        for pending in self.pending:
+            pending.drop()
+        if self._sending is not None:
+            self._sending.cancel()
+
+    def is_busy(self) -> bool:
+        """Returns whether a request is being read, run or answered."""
+        if self.stream.closed() or self._ended_ms is not None:
+            return False
+        is_last_awaited = self._is_finishing and not self._closes_after_pending
+        return (
+            bool(self.pending)
+            or self._phase is not _Phase.IDLE
+            or self._sending is not None
+            or self.stream.writing()
+            or is_last_awaited
+        )
+
+    def finish(self) -> None:
+        """Closes the connection after the requests that have arrived."""
+        self._is_finishing = True
+        if self._phase is not _Phase.IDLE:
+            return
+        if self.pending or self._sending is not None:
+            self._closes_after_pending = True
+        else:
+            self._close_unless_request_waits()
+
+    def _close_unless_request_waits(self) -> None:
+        """Closes the connection; bytes that have arrived are read first."""
+        if self.stream.closed():
+            return
+        if sockets.is_open_and_empty(self.stream.socket):
+            self._closes_after_pending = True
+            if self._written is None or self._written.done():
+                self.stream.close()
+            else:
+                self._after_written(self._end)
+
+    def enforce_time_limits(self, limits: ServerLimits) -> None:
+        """Adopts new limits; ends a connection that exceeds a time limit."""
+        self._limits = limits
+        now_ms = self._owner.clock.now_ms()
+        if self._ended_ms is not None:
+            # A caller that is still sending sees the answer only afterwards.
+            is_sending = now_ms - self._received_ms <= _END_TIMEOUT_MS
+            limit_ms = limits.idle_timeout_ms if is_sending else _END_TIMEOUT_MS
+            if now_ms - self._ended_ms > limit_ms:
+                self.stream.close()
+            return
+        waited_ms = now_ms - self._waiting_since_ms
+        if self.stream.writing():
+            if now_ms - self._written_since_ms > limits.idle_timeout_ms:
+                # The caller does not read its answer.
+                self.stream.close()
+            return
+        if self._uploading is not None:
+            upload = self._uploading.upload
+            if upload is None or upload.is_full():
+                if sockets.has_peer_ended(self.stream.socket):
+                    self.stream.close()
+                return
+            if waited_ms > limits.idle_timeout_ms:
+                self._break_upload(messages.Response(_TIMEOUT))
+            return
+        if self.pending or self._closes_after_pending or self._sending:
+            return
+        match self._phase:
+            case _Phase.IDLE:
+                if waited_ms > limits.idle_timeout_ms:
+                    self._close_unless_request_waits()
+            case _Phase.HEAD:
+                if waited_ms > limits.header_timeout_ms:
+                    self._reject(messages.Response(_TIMEOUT))
+            case _Phase.BODY:
+                if waited_ms > limits.idle_timeout_ms:
+                    self._reject(messages.Response(_TIMEOUT))
+
+    def _on_received(self) -> None:
+        self._received_ms = self._owner.clock.now_ms()
+        if self._uploading is not None:
+            # A body that passes in pieces may take as long as it moves.
+            self._waiting_since_ms = self._received_ms
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Starts a request, unless the last one was read already."""
+        if self._closes_after_pending:
+            # This request is not run and gets no response.
+            raise _AfterLastRequest
+        self._reset()
+        self._phase = _Phase.HEAD
+        # What was read along with an earlier request does not count.
+        self._unparsed_bytes = -self._shared_bytes
+        self._shared_bytes = self._parsing_bytes
+        self._waiting_since_ms = self._owner.clock.now_ms()
+
+    def on_url(self, url: bytes) -> None:
+        """Adds a piece of the request target."""
+        self._url += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header."""
+        self._headers.append((name, value))
+        self._count_header_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Checks the announced length; sends `100 Continue` if expected."""
+        self._phase = _Phase.BODY
+        length = messages.find_header(self._headers, b"content-length")
+        coding = messages.find_header(self._headers, b"transfer-encoding")
+        self._length = None if coding is not None else int(length or b"0")
+        if (self._length or 0) > self._limits.max_body_bytes:
+            raise _RequestRejected(_BODY_TOO_LARGE)
+        self._hold_for_request()
+        expect = messages.find_header(self._headers, b"expect") or b""
+        if expect.lower() == b"100-continue" and not self.pending:
+            self._write(_CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Adds a piece of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.max_body_bytes:
+            raise _RequestRejected(_BODY_TOO_LARGE)
+        if self._uploading is not None:
+            upload = self._uploading.upload
+            assert upload is not None
+            upload.feed(data)
+            return
+        # One buffer, as a piece of a few bytes is a large object.
+        self._body += data
+        if self._body_bytes <= bodies.INLINE_BYTES:
+            return
+        if self._owner.turns is not None:
+            self._start_upload(self._owner.turns)
+        elif self._hold is not None and not self._hold.resize(
+            self._header_bytes + self._body_bytes + bodies.INLINE_BYTES
+        ):
+            raise _no_room()
+
+    def on_message_complete(self) -> None:
+        """Runs the request, unless it runs already."""
+        self._phase = _Phase.IDLE
+        if self._is_finishing or not self._parser.should_keep_alive():
+            self._closes_after_pending = True
+        if self._uploading is None:
+            self._run_request(bytes(self._body), None)
+            return
+        upload = self._uploading.upload
+        self._uploading = None
+        assert upload is not None
+        upload.end()
+
+    def _hold_for_request(self) -> None:
+        """Takes room for the rest of a request and for a short answer."""
+        announced = (
+            bodies.INLINE_BYTES if self._length is None else self._length
+        )
+        size = (
+            self._header_bytes
+            + min(announced, bodies.INLINE_BYTES)
+            + bodies.INLINE_BYTES
+        )
+        self._resize_hold(size)
+
+    def _resize_hold(self, size: int) -> None:
+        if self._hold is None:
+            self._hold = self._owner.budget.try_hold(size)
+            if self._hold is None:
+                raise _no_room()
+        elif not self._hold.resize(size):
+            raise _no_room()
+
+    def _start_upload(self, turns: bodies.Turns) -> None:
+        """Runs a request whose body passes in pieces."""
+        hold = self._owner.budget.try_hold_stream(bodies.STREAM_BYTES)
+        if hold is None:
+            raise _no_room()
+        upload = bodies.Body(self._length, turns)
+        upload.on_ready = hold.mark_ready
+        upload.on_moved = hold.mark_moved
+        upload.released.add_done_callback(lambda _: hold.release())
+        upload.feed(self._body)
+        self._body = bytearray()
+        self._resize_hold(self._header_bytes + bodies.INLINE_BYTES)
+        self._uploading = self._run_request(b"", upload)
+        self._waiting_since_ms = self._owner.clock.now_ms()
+        hold.on_evicted = lambda: self._break_upload(
+            messages.Response(_TIMEOUT)
+        )
+
+    def _run_request(
+        self, body: bytes, upload: bodies.Body | None
+    ) -> _PendingResponse:
+        method = self._parser.get_method().decode("latin1")
+        request = messages.Request(
+            method,
+            self._url.decode("latin1"),
+            tuple(self._headers),
+            body,
+            self._began_ms,
+            upload,
+        )
+        task = asyncio.ensure_future(self._owner.handler(request))
+        is_chunk_known = self._parser.get_http_version() != _WITHOUT_CHUNKS
+        hold, self._hold = self._hold, None
+        pending = _PendingResponse(method, task, hold, is_chunk_known, upload)
+        self.pending.append(pending)
+        task.add_done_callback(self._on_done)
+        return pending
+
+    def _break_upload(self, response: messages.Response) -> None:
+        """Ends a body that will not be read to its end.
+
+        While nobody has begun to read it, the request was not run, and gets
+        this response. Otherwise its handler learns that the body is broken.
+        """
+        broken, self._uploading = self._uploading, None
+        if broken is None or broken.upload is None:
+            return
+        self._closes_after_pending = True
+        if not broken.upload.is_taken and not broken.task.done():
+            self._owner.on_rejected(self._headers, response)
+            broken.task.cancel()
+            broken.task = asyncio.Future()
+            broken.task.set_result(response)
+        broken.upload.fail()
+        self._flush()
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[messages.Header] = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._length = 0
+        self._began_ms = self._owner.clock.now_ms()
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
+        if self._header_bytes > self._limits.max_header_bytes:
+            raise _RequestRejected(_HEADERS_TOO_LARGE)
+
+    def _count_unparsed(self, count: int) -> None:
+        """Limits the bytes that lead to no complete header and no body.
+
+        The parser reports a header only once its line has ended, and the size
+        of a chunk and the end of its line not at all.
+        """
+        limit = self._limits.max_header_bytes
+        match self._phase:
+            case _Phase.IDLE:
+                self._unparsed_bytes = 0
+            case _Phase.HEAD:
+                self._unparsed_bytes += count
+                if self._unparsed_bytes > limit:
+                    raise _RequestRejected(_HEADERS_TOO_LARGE)
+                self._resize_hold(max(0, self._unparsed_bytes))
+            case _Phase.BODY:
+                self._unparsed_bytes += count
+                limit += READ_BYTES + _MAX_FRAMING_RATIO * self._body_bytes
+                if self._unparsed_bytes > limit:
+                    raise _RequestRejected(_BAD_REQUEST)
+
+    def _parse(self, data: bytes) -> None:
+        if self._closes_after_pending and self._uploading is None:
+            return
+        self._parsing_bytes = len(data)
+        self._shared_bytes = 0 if self._phase is _Phase.IDLE else len(data)
+        try:
+            self._parser.feed_data(data)
+            self._count_unparsed(len(data))
+        except _RequestRejected as rejected:
+            self._reject(rejected.response)
+        except httptools.HttpParserUpgrade:
+            self._reject(messages.Response(_BAD_REQUEST))
+        except httptools.HttpParserError as error:
+            # httptools wraps the exceptions of callbacks in its own.
+            cause = error.__context__
+            if isinstance(cause, _RequestRejected):
+                self._reject(cause.response)
+            elif not isinstance(cause, _AfterLastRequest):
+                self._reject(messages.Response(_BAD_REQUEST))
+
+    def _reject(self, response: messages.Response) -> None:
+        """Answers a request that cannot be read, after those before it."""
+        if self._uploading is not None:
+            self._break_upload(response)
+            return
+        self._closes_after_pending = True
+        self._owner.on_rejected(self._headers, response)
+        done: asyncio.Future[messages.Response] = asyncio.Future()
+        done.set_result(response)
+        hold, self._hold = self._hold, None
+        self.pending.append(_PendingResponse("", done, hold))
+        self._flush()
+
+    def _on_done(self, task: "asyncio.Future[messages.Response]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._owner.on_fault(task.exception())  # type: ignore[arg-type]
+        self._flush()
+
+    def _flush(self) -> None:
+        """Writes the responses that are ready, in order of the requests."""
+        while (
+            self._sending is None
+            and not self.stream.closed()
+            and self.pending
+            and self.pending[0].task.done()
+        ):
+            pending = self.pending.popleft()
+            self._respond(pending)
+        self._waiting_since_ms = self._owner.clock.now_ms()
+        self._has_room.set()
+
+    def _respond(self, pending: _PendingResponse) -> None:
+        if pending.task.cancelled() or pending.task.exception() is not None:
+            response = messages.Response(_INTERNAL_ERROR)
+        else:
+            response = pending.task.result()
+        if len(response.body) > bodies.PIECE_BYTES and not pending.is_head:
+            whole = bodies.WholeBody(response.body)
+            response = dataclasses.replace(response, body=b"", rest=whole)
+        rest = response.rest
+        is_early = pending is self._uploading
+        if is_early and rest is None:
+            self._drop_upload()
+        is_unframed = (
+            rest is not None
+            and rest.length is None
+            and not pending.is_chunk_known
+        )
+        # If later requests were read, the connection closes after the last one.
+        is_last = not self.pending
+        closes = is_last and (
+            is_early
+            or is_unframed
+            or self._closes_after_pending
+            or (self._owner.is_draining and self._phase is _Phase.IDLE)
+        )
+        self._closes_after_pending = self._closes_after_pending or closes
+        self._write(
+            messages.encode_response(
+                response, closes, pending.is_head, pending.is_chunk_known
+            )
+        )
+        if rest is not None:
+            is_chunked = rest.length is None and pending.is_chunk_known
+            self._sending = asyncio.ensure_future(
+                self._send_rest(rest, is_chunked, closes, pending)
+            )
+            # Also if it is cancelled before it begins.
+            self._sending.add_done_callback(lambda _: rest.close())
+            self._sending.add_done_callback(lambda _: pending.release())
+            return
+        self._after_written(pending.release)
+        if closes:
+            self._after_written(self._end)
+
+    async def _send_rest(
+        self,
+        rest: bodies.BodySource,
+        is_chunked: bool,
+        closes: bool,
+        pending: _PendingResponse,
+    ) -> None:
+        """Writes a body in pieces, each one after the last one has left.
+
+        A body that breaks off takes the connection with it, so that the client
+        does not take it for a whole one.
+        """
+        is_complete = False
+        try:
+            while piece := await rest.read():
+                await self._write_piece(
+                    bodies.encode_chunk(piece) if is_chunked else piece
+                )
+            if is_chunked:
+                await self._write_piece(bodies.encode_last_chunk())
+            is_complete = True
+        except (bodies.BodyBroken, iostream.StreamClosedError):
+            pass
+        finally:
+            self._sending = None
+            if pending is self._uploading:
+                self._drop_upload()
+            if not is_complete:
+                sockets.reset(self.stream)
+        if closes or (self._closes_after_pending and not self.pending):
+            self._end()
+        else:
+            self._flush()
+
+    def _drop_upload(self) -> None:
+        """Reads no more of a body whose request is answered already."""
+        self._uploading = None
+        self._phase = _Phase.IDLE
+
+    async def _write_piece(self, data: bytes) -> None:
+        self._write(data)
+        if self._written is not None:
+            await self._written
+
+    def _after_written(self, call: Callable[[], None]) -> None:
+        """Calls once the latest bytes are written, or the connection failed."""
+        if self._written is None or self._written.done():
+            call()
+        else:
+            self._written.add_done_callback(lambda _: call())
+
+    def _end(self) -> None:
+        """Ends the connection after the last response, which was written.
+
+        The caller closes it. A close on this side would drop what is still on
+        its way if something has arrived meanwhile and was not read.
+        """
+        if self.stream.closed():
+            return
+        # It fails if the caller has reset the connection, as is noticed soon.
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        self._ended_ms = self._owner.clock.now_ms()
+
+    def _on_written(self, written: "asyncio.Future[None]") -> None:
+        self._written_since_ms = self._owner.clock.now_ms()
+        sockets.ignore_write_error(written)
+
+    def _write(self, data: bytes) -> None:
+        if not self.stream.writing():
+            self._written_since_ms = self._owner.clock.now_ms()
+        try:
+            self._written = self.stream.write(data)
+        except iostream.StreamClosedError:
+            return
+        self._written.add_done_callback(self._on_written)
