Count the frames that wait to be written in the account of bytes

Found on reading the diff: short answers to daemons that do not read, and requests to them, stood in the write buffers of links after their room had been given back, so the sum of bytes held was bounded for all but these.

Change: `FrameWriter` writes the frames of both sides of a link, in place of two copies of the same lines, and counts what has not left.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -139,7 +139,9 @@
         self._registration = registration.Registration(
             store, self._shared_state, self._record, clock
         )
-        self._links = links_lib.Links(self._record, clock, self._on_frame)
+        self._links = links_lib.Links(
+            self._record, clock, self._on_frame, self._budget
+        )
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
         self._links.make_pong = self._make_pong
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -20,10 +20,11 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
+from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
-from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
+from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import outgoing_link
 from mustardloom.sidecar import transfers
@@ -61,6 +62,7 @@
 
     Attributes:
       clock: Source of time.
+      budget: Account of the bytes that this process holds.
       handler: Called with each frame of a peer.
       vm: VM of this daemon.
       make_pong: Returns the answer to a status or ping.
@@ -76,8 +78,10 @@
         record: stored.DaemonRecord,
         clock: clock_lib.Clock,
         handler: FrameHandler,
+        budget: memory_budget.MemoryBudget | None = None,
     ):
         self.clock = clock
+        self.budget = budget or memory_budget.unlimited(clock)
         self.handler = handler
         self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
         self.on_fault: Callable[[ids.VmId, Exception], None] = lambda *_: None
@@ -283,7 +287,7 @@
     def __init__(self, owner: Links, stream: iostream.IOStream):
         self._owner = owner
         self._stream = stream
-        self._compressor = compression.Compressor()
+        self._writer = frame_writer.FrameWriter(stream, owner.budget)
         self._vm: ids.VmId | None = None
         self._tasks: dict[int, asyncio.Future[frames.Frame | None]] = {}
         # Highest number of a call so far.
@@ -383,9 +387,5 @@
             self._reply(reply)
 
     def _reply(self, frame: frames.Frame) -> None:
-        try:
-            data = self._compressor.compress(frames.encode(frame))
-            written = self._stream.write(data)
-        except iostream.StreamClosedError:
-            return
-        written.add_done_callback(sockets.ignore_write_error)
+        # A peer that has closed its link waits for no reply.
+        self._writer.write(frame)
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -18,9 +18,10 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
+from mustardloom import memory_budget
 from mustardloom.deployment import settings
-from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
+from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
 
 __all__ = ["LinkOwner", "OutgoingLink", "PeerLost", "PeerUnreachable"]
@@ -52,6 +53,7 @@
 
     Attributes:
       clock: Source of time.
+      budget: Account of the bytes that this process holds.
       on_pong: Called with a peer's answer to a status or ping, and the local
         time at which that was sent.
       on_change: Called when the link to a VM goes up or down.
@@ -59,6 +61,7 @@
     """
 
     clock: clock_lib.Clock
+    budget: memory_budget.MemoryBudget
     on_pong: Callable[[ids.VmId, int, frames.Pong], None]
     on_change: Callable[[ids.VmId, bool], None]
     on_fault: Callable[[ids.VmId, Exception], None]
@@ -94,7 +97,12 @@
       is_ending: Whether the peer reads nothing more on it.
     """
 
-    def __init__(self, stream: iostream.IOStream, now_ms: int):
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        now_ms: int,
+        budget: memory_budget.MemoryBudget,
+    ):
         self.calls: dict[int, _Call] = {}
         self.received_ms = now_ms
         self.ended = asyncio.Event()
@@ -104,18 +112,12 @@
         # Times of the statuses and pings without an answer so far, in order.
         self.unanswered_ms: collections.deque[int] = collections.deque()
         self._stream = stream
-        self._compressor = compression.Compressor()
+        self._writer = frame_writer.FrameWriter(stream, budget)
 
     def write(self, frame: frames.Frame, now_ms: int) -> bool:
         """Sends a frame; returns whether the stream was open."""
-        if self.is_ending:
-            return False
-        try:
-            data = self._compressor.compress(frames.encode(frame))
-            written = self._stream.write(data)
-        except iostream.StreamClosedError:
+        if self.is_ending or not self._writer.write(frame):
             return False
-        written.add_done_callback(sockets.ignore_write_error)
         if isinstance(frame, frames.Status | frames.Ping):
             self.unanswered_ms.append(now_ms)
         return True
@@ -293,7 +295,7 @@
             return None
         dialled.set_nodelay(True)
         now_ms = self._owner.clock.now_ms()
-        stream = _Stream(dialled, now_ms)
+        stream = _Stream(dialled, now_ms, self._owner.budget)
         self._current = stream
         stream.write(self._owner.hello(self._vm), now_ms)
         stream.write(frames.Ping(), now_ms)
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -76,7 +76,9 @@
             ids.RegionId("r"),
             SERVICE,
         )
-        self.links = links_lib.Links(self.record, self.clock, self._on_frame)
+        self.links = links_lib.Links(
+            self.record, self.clock, self._on_frame, self.budget
+        )
         self.transfers = transfers_lib.Transfers(passage, self.clock)
         self.links.on_transfer = self.transfers.server.adopt
         self.fleet = fleet_lib.Fleet(self.record, self.links, self.clock)
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -48,13 +48,13 @@
         return frames.Failure(1, "internal")
 
 
-def _forwarder(clock, links, gate, stop=None):
+def _forwarder(clock, links, gate, budget=None):
     peer = types.SimpleNamespace(view=types.SimpleNamespace(in_flight=0))
     fleet = types.SimpleNamespace(
         own_record=types.SimpleNamespace(vm=ids.VmId("near")),
         by_vm={_VM: peer},
     )
-    budget = memory_budget.unlimited(clock)
+    budget = budget or memory_budget.unlimited(clock)
     passage = client.Passage(budget, bodies.Turns())
     return forwarder_lib.Forwarder(
         fleet,
@@ -63,7 +63,7 @@
         clock,
         transfers.Transfers(passage, clock),
         budget,
-        stop or stop_admission.StopAdmission(clock),
+        stop_admission.StopAdmission(clock),
     )
 
 
@@ -130,3 +130,17 @@
     ):
         _, may_repeat = _send(request, _Links(), clock)
         assert not may_repeat
+
+
+def test_request_of_another_daemon_without_room_is_not_run():
+    """Guards against a sum of requests that no daemon alone exceeds."""
+    clock = clock_lib.FakeClock(now_ms=5_000)
+    frame, _ = _send(_request(5_000), _Links(), clock)
+    gate = _Gate()
+    budget = memory_budget.MemoryBudget(bodies.INLINE_BYTES, clock)
+    forwarder = _forwarder(clock, _Links(), gate, budget)
+    reply = asyncio.run(forwarder.receive(_VM, frame))
+    assert isinstance(reply, frames.Refusal)
+    assert reply.reason == work.RefusalReason.NO_ROOM.value
+    assert not gate.requests
+    assert not budget.held_bytes
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_frame_writer.py
@@ -0,0 +1,38 @@
+"""Tests of frames that wait for a peer that does not read."""
+
+import asyncio
+import os
+import socket
+
+from tornado import iostream
+
+from mustardloom import clock as clock_lib
+from mustardloom import memory_budget
+from mustardloom.sidecar import frame_writer
+from mustardloom.sidecar import frames
+
+
+def test_frames_that_wait_for_a_slow_peer_are_counted():
+    """Guards against answers that fill the process behind a silent daemon."""
+
+    async def run():
+        near, far = socket.socketpair()
+        stream = iostream.IOStream(near)
+        budget = memory_budget.unlimited(clock_lib.FakeClock())
+        writer = frame_writer.FrameWriter(stream, budget)
+        body = os.urandom(16_000)
+        frame = frames.Answer(1, 200, (), body, 0, 0)
+        while not budget.held_bytes:
+            assert writer.write(frame)
+        for _ in range(10):
+            writer.write(frame)
+        held = budget.held_bytes
+        stream.close()
+        await asyncio.sleep(0)
+        far.close()
+        return held, budget.held_bytes, writer.write(frame)
+
+    held, held_after, is_written = asyncio.run(run())
+    assert held >= 10 * 16_000
+    assert held_after == 0
+    assert not is_written
