--- a/mustardloom/sidecar/tests/test_planned_stops.py
+++ b/mustardloom/sidecar/tests/test_planned_stops.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from mustardloom.deployment import configuration
 from mustardloom.sidecar import graceful_stop
 from mustardloom.sidecar.tests import small_fleet as fleet
 
@@ -127,6 +128,58 @@
     assert runs == []
 
 
+@pytest.mark.parametrize("owner", ["a", "b"])
+def test_upload_that_is_being_passed_on_ends_whole_within_a_stop(owner):
+    """Guards against stops that cut a body between its first and last piece."""
+    runs = []
+
+    async def scenario(daemons, found):
+        del found
+        caller = _Caller(daemons[0], b"r", size=1_000_000)
+        await caller.begin(100_000)
+        await asyncio.sleep(0.1)
+        stopping = _stop(daemons[0])
+        await asyncio.sleep(_LATE_S)
+        status = await caller.end()
+        await asyncio.wait_for(stopping, _GRACE_MS / 1_000)
+        return status
+
+    serve = _runs(runs)
+    assert fleet.play(scenario, (serve, serve), (owner,)) == 200
+    assert runs == ["r"]
+
+
+def test_pipelined_requests_behind_a_long_answer_are_answered_in_a_stop():
+    """Guards against requests that wait on their connection and are cut.
+
+    The last one arrives after the last admission.
+    """
+    runs = []
+
+    async def scenario(daemons, found):
+        del found
+        daemons[0].kind = configuration.RequestKind.IDEMPOTENT
+        reader, writer = await asyncio.open_connection(
+            fleet.HOST, daemons[0].port
+        )
+        writer.write(fleet.request(0, b"GET", b"0"))
+        writer.write(fleet.request(0, b"GET", b"1"))
+        await asyncio.sleep(0.05)
+        stopping = _stop(daemons[0])
+        await asyncio.sleep(_LATE_S)
+        writer.write(fleet.request(0, b"GET", b"2"))
+        answers = await reader.read()
+        writer.close()
+        await asyncio.wait_for(stopping, _GRACE_MS / 1_000)
+        return answers.count(b"HTTP/1.1 200"), answers.count(b"HTTP/1.1 ")
+
+    serve = _runs(runs, work_s=_LATE_S + 0.1)
+    whole, answered = fleet.play(scenario, (serve,), ("a",))
+    assert sorted(runs) == ["0", "1"]
+    assert whole == 2
+    assert answered >= 2
+
+
 def test_retry_does_not_start_late_in_a_stop():
     """Guards against a second attempt that a stop cuts off."""
     runs = []
