--- a/mustardloom/http1/bodies.py
+++ b/mustardloom/http1/bodies.py
@@ -171,10 +171,12 @@
         self._unread += data
         if len(self._unread) >= PIECE_BYTES:
             self._has_room.clear()
+            self._mark_waiting()
         self._has_changed.set()
 
     def end(self) -> None:
         """Marks the body as complete."""
+        self._mark_waiting()
         self._end(True)
 
     def fail(self) -> None:
@@ -238,6 +240,11 @@
         """Returns whether the source has delivered the whole body."""
         return self.ended.done() and self.ended.result()
 
+    def _mark_waiting(self) -> None:
+        """Tells that a body waits for its consumer to begin, not its sender."""
+        if not self.is_taken:
+            self.on_ready()
+
     def _left_bytes(self) -> int:
         if self.length is None:
             return _UNKNOWN_LENGTH_BYTES
