--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,17 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock pyproject.toml 2>/dev/null | sha256sum | cut -c1-16)
+# Of the packages, the kind of machine and the version of Python, so that an
+# environment that was carried over is made anew.
+STAMP := $(VENV)/.installed-$(shell (cat requirements.lock pyproject.toml; \
+	uname -sm; $(PYTHON) --version) 2>/dev/null | sha256sum | cut -c1-16)
 
 .PHONY: demo test bench format generate clean
 
 $(STAMP): requirements.lock pyproject.toml
-	$(PYTHON) -m venv $(VENV)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
-	rm -f $(VENV)/.installed-*
 	touch $(STAMP)
 
 demo: $(STAMP)
@@ -18,7 +20,7 @@
 test: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy mustardloom bench soak conftest.py
+	$(BIN)/mypy mustardloom bench soak deploy conftest.py
 	$(BIN)/lint-imports
 	@sed 's/^/known red: /' KNOWN-RED.txt
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""What the deploy file runs: the build, and tests of real daemons."""
