--- /dev/null
+++ b/deploy/tests/test_stops_of_daemons.py
@@ -0,0 +1,150 @@
+"""Tests of planned stops of real daemons under load.
+
+They need no type of the product and run on earlier versions, too.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+
+import pytest
+
+from deploy.tests import daemons
+
+_SEED = 39
+_REQUESTS = 150
+_PAUSE_S = 0.03
+# The signal comes while this many requests have begun.
+_BEFORE_STOP = 30
+_WORK_S = 2.2
+_BODY_BYTES = 100
+_DEADLINE_MS = 8_000
+_ANSWER_LIMIT_S = 12.0
+
+
+async def _request_in_parts(
+    vm: daemons.Vm, pause_s: float, status_by_id: dict[str, int]
+) -> None:
+    """Sends a request whose last bytes come later than its first."""
+    with contextlib.suppress(OSError):
+        caller = await daemons.Caller.connect(vm.caller_address)
+        with contextlib.closing(caller):
+            request_id = caller.send_head(
+                "POST", daemons.PATH, _BODY_BYTES, _DEADLINE_MS
+            )
+            status_by_id[request_id] = 0
+            await asyncio.sleep(pause_s)
+            caller.writer.write(bytes(_BODY_BYTES))
+            async with asyncio.timeout(_ANSWER_LIMIT_S):
+                status_by_id[request_id] = await caller.read_status()
+
+
+async def _load(vm: daemons.Vm, status_by_id: dict[str, int]) -> None:
+    """Sends requests at a constant rate and awaits their answers."""
+    chance = random.Random(_SEED)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(_REQUESTS):
+            pause_s = chance.uniform(0.0, 1.5)
+            group.create_task(_request_in_parts(vm, pause_s, status_by_id))
+            await asyncio.sleep(_PAUSE_S)
+
+
+def _cut(fleet: daemons.Fleet, status_by_id: dict[str, int]) -> list[int]:
+    """Returns the statuses of requests that ran and were not answered whole."""
+    ran = {each for vm in fleet.vms for each in vm.target.runs}
+    return [
+        status
+        for request_id, status in status_by_id.items()
+        if request_id in ran and status != 200
+    ]
+
+
+async def _stop(vm: daemons.Vm, grace_ms: int) -> None:
+    await asyncio.sleep(_BEFORE_STOP * _PAUSE_S)
+    vm.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(grace_ms / 1_000):
+        assert await vm.wait() == 0
+
+
+@pytest.mark.parametrize("grace_ms", [6_000, 3_000])
+def test_stop_cuts_requests_that_came_late(tmp_path, grace_ms):
+    """Guards against requests that are passed on but not awaited (LOST)."""
+
+    async def play() -> None:
+        async with daemons.Fleet(
+            tmp_path, ["desk", "archive"], grace_ms
+        ) as fleet:
+            for vm in fleet.vms:
+                vm.target.work_s = min(_WORK_S, grace_ms / 3_000)
+            status_by_id: dict[str, int] = {}
+            await asyncio.gather(
+                _load(fleet.vms[0], status_by_id),
+                _stop(fleet.vms[0], grace_ms),
+            )
+            answered = list(status_by_id.values())
+            assert answered.count(200) >= _BEFORE_STOP // 2
+            assert _cut(fleet, status_by_id) == []
+
+    asyncio.run(play())
+
+
+def test_overlapping_stops_cut_requests(tmp_path):
+    """Guards against a second stop, at the target, that begins meanwhile."""
+
+    async def play() -> None:
+        async with daemons.Fleet(
+            tmp_path, ["desk", "archive", "archive"]
+        ) as fleet:
+            for vm in fleet.vms:
+                vm.target.work_s = 1.0
+            status_by_id: dict[str, int] = {}
+            await asyncio.gather(
+                _load(fleet.vms[0], status_by_id),
+                _stop(fleet.vms[0], fleet.grace_ms),
+                _stop(fleet.vms[1], fleet.grace_ms),
+            )
+            assert _cut(fleet, status_by_id) == []
+
+    asyncio.run(play())
+
+
+def test_stop_cuts_an_upload_under_way(tmp_path):
+    """Guards against a stop that breaks off a body that still moves."""
+
+    async def play() -> None:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            vm = fleet.vms[0]
+            caller = await daemons.Caller.connect(vm.caller_address)
+            with contextlib.closing(caller):
+                size = 8 * daemons.MIB
+                caller.send_head("POST", daemons.PATH, 2 * size)
+                await daemons.write_zeros(caller.writer, size)
+                vm.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.5)
+                await daemons.write_zeros(caller.writer, size)
+                assert await caller.read_status() == 200
+            assert await vm.wait() == 0
+
+    asyncio.run(play())
+
+
+def test_reload_within_the_grace_ends_the_stop(tmp_path):
+    """Guards against a change of settings that changes a stop under way."""
+
+    async def play() -> None:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            vm = fleet.vms[0]
+            fleet.vms[1].target.work_s = 1.5
+            sending = asyncio.create_task(
+                daemons.upload(vm.caller_address, _BODY_BYTES)
+            )
+            await asyncio.sleep(0.5)
+            vm.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            vm.send_signal(signal.SIGHUP)
+            vm.send_signal(signal.SIGTERM)
+            assert await sending == 200
+            assert await vm.wait() == 0
+
+    asyncio.run(play())
