Bound what many connections have sent and the daemon has not parsed

What callers saw: the platform ends a daemon whose memory, bytes received and not read included, exceeds its limit. Cause, found by 3,500 callers that upload at once while the daemon is suspended: (1) the system chose each receive buffer, 80 KB and more per connection, outside of any account; (2) a connection read 32 KiB before anything was held for its request, and all may become readable at once; (3) the local variable of the reading loop kept the last bytes of each connection until the next ones came; (4) a rejected request kept its body.

Change: sockets.bound_unread on every socket (16 KiB for callers and targets of the same VM, 128 KiB for daemons and the store); 8 KiB are read until a head is complete and room is held; no reference outlives the parsing; a rejected request drops its body.

--- a/deploy/tests/test_memory_of_daemons.py
+++ b/deploy/tests/test_memory_of_daemons.py
@@ -5,6 +5,9 @@
 
 import asyncio
 import contextlib
+import resource
+import signal
+import socket
 
 from deploy.tests import daemons
 
@@ -67,3 +70,64 @@
                 _assert_within_limit(fleet)
 
     asyncio.run(play())
+
+
+_CALLERS = 3_500
+# Descriptors of this process beside those of the callers.
+_OTHER_DESCRIPTORS = 200
+# So that these callers leave the system's memory for TCP to others.
+_SEND_BUFFER_BYTES = 65_536
+_CONNECTS_AT_ONCE = 100
+
+
+async def _connect_many(vm: daemons.Vm) -> list[socket.socket]:
+    """Opens as many connections as a daemon has descriptors for, nearly."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    assert hard >= _CALLERS + _OTHER_DESCRIPTORS
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    callers = []
+    for index in range(_CALLERS):
+        caller = socket.socket()
+        caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
+        )
+        caller.connect(vm.caller_address)
+        caller.setblocking(False)
+        callers.append(caller)
+        if index % _CONNECTS_AT_ONCE == 0:
+            await asyncio.sleep(0.05)
+    return callers
+
+
+def _begin_upload(caller: socket.socket, number: int) -> None:
+    """Sends as much of an upload as the system takes."""
+    head = (
+        f"POST {daemons.PATH} HTTP/1.1\r\nHost: {daemons.HOST}\r\n"
+        f"X-Request-Id: {number}\r\nX-Deadline-Ms: 10000\r\n"
+        f"Content-Length: {60 * _MIB}\r\n\r\n"
+    )
+    with contextlib.suppress(OSError):
+        caller.send(head.encode())
+        while caller.send(bytes(65_536)):
+            pass
+
+
+def test_unread_bytes_of_many_callers_take_a_daemon_over_its_limit(tmp_path):
+    """Guards against receive buffers, and pieces per connection, unbounded."""
+
+    async def play() -> None:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            vm = fleet.vms[0]
+            callers = await _connect_many(vm)
+            vm.send_signal(signal.SIGSTOP)
+            for number, caller in enumerate(callers):
+                _begin_upload(caller, number)
+            await asyncio.sleep(0.5)
+            vm.send_signal(signal.SIGCONT)
+            await asyncio.sleep(4)
+            for caller in callers:
+                caller.close()
+            _assert_within_limit(fleet)
+            assert await daemons.upload(vm.caller_address, _MIB) == 200
+
+    asyncio.run(play())
--- a/mustardloom/http1/acceptor.py
+++ b/mustardloom/http1/acceptor.py
@@ -10,6 +10,7 @@
 from tornado import netutil
 
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import sockets
 
 __all__ = ["Acceptor", "AcceptorOwner"]
 
@@ -42,6 +43,7 @@
         """
         listening = netutil.bind_sockets(port, host, backlog=_BACKLOG)
         for each in listening:
+            sockets.bound_unread(each, sockets.LOCAL_UNREAD_BYTES)
             self._remove_by_socket[each] = netutil.add_accept_handler(
                 each, self._on_accept
             )
@@ -63,11 +65,7 @@
 
     def _on_accept(self, accepted: socket.socket, address: object) -> None:
         del address
-        self.adopt(
-            iostream.IOStream(
-                accepted, read_chunk_size=connection_lib.READ_BYTES
-            )
-        )
+        self.adopt(iostream.IOStream(accepted))
 
     def adopt(self, stream: iostream.IOStream) -> None:
         """Serves a connection."""
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -83,15 +83,26 @@
     turns: bodies.Turns
 
 
-async def connect(address: Address, timeout_ms: int) -> "Connection":
+async def connect(
+    address: Address,
+    timeout_ms: int,
+    unread_bytes: int = sockets.REMOTE_UNREAD_BYTES,
+) -> "Connection":
     """Opens a connection.
 
+    Args:
+      address: Host and port.
+      timeout_ms: Time within which it has to open.
+      unread_bytes: Bytes that may arrive before they are read.
+
     Raises:
       ConnectFailed: It was refused, failed or did not open in time.
     """
     try:
+        opened = socket.socket()
+        sockets.bound_unread(opened, unread_bytes)
         stream = iostream.IOStream(
-            socket.socket(),
+            opened,
             max_buffer_size=_MAX_BODY_BYTES,
             read_chunk_size=_READ_BYTES,
         )
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -36,6 +36,9 @@
 ]
 
 READ_BYTES = bodies.PIECE_BYTES
+# Nothing is held for a request before its head is complete, and all connections
+# may become readable at once.
+_HEAD_READ_BYTES = 8_192
 # A caller closes a connection that has ended within this time.
 _END_TIMEOUT_MS = 1_000
 # Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
@@ -203,10 +206,7 @@
         try:
             while True:
                 await self._await_reader()
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
-                self._on_received()
-                self._parse(data)
-                unyielded_bytes += len(data)
+                unyielded_bytes += await self._read_part()
                 if unyielded_bytes >= READ_BYTES:
                     # Reads of bytes that have arrived already do not yield.
                     unyielded_bytes = 0
@@ -226,6 +226,19 @@
         finally:
             self._release_all()
 
+    async def _read_part(self) -> int:
+        """Reads and parses some bytes; returns how many.
+
+        No local variable of the caller may refer to them, as it would keep them
+        until the next ones arrive.
+        """
+        size = READ_BYTES if self._phase is _Phase.BODY else _HEAD_READ_BYTES
+        self.stream.read_chunk_size = size
+        data = await self.stream.read_bytes(size, partial=True)
+        self._on_received()
+        self._parse(data)
+        return len(data)
+
     async def _await_reader(self) -> None:
         """Returns once the reader of a body wants more of it."""
         while self._uploading is not None:
@@ -541,6 +554,7 @@
             self._break_upload(self._uploading, response)
             return
         self._closes_after_pending = True
+        self._body = bytearray()
         self._owner.on_rejected(self._headers, response)
         done: asyncio.Future[messages.Response] = asyncio.Future()
         done.set_result(response)
--- a/mustardloom/http1/sockets.py
+++ b/mustardloom/http1/sockets.py
@@ -1,4 +1,4 @@
-"""Checks of idle sockets, from which no task reads."""
+"""Checks and settings of sockets."""
 
 import asyncio
 import contextlib
@@ -8,18 +8,45 @@
 from tornado import iostream
 
 __all__ = [
+    "LOCAL_UNREAD_BYTES",
+    "REMOTE_UNREAD_BYTES",
+    "bound_unread",
     "has_peer_ended",
     "ignore_write_error",
     "is_open_and_empty",
     "reset",
 ]
 
+# Received bytes that the system keeps for a process until it reads them count
+# as its memory. Callers and targets are on the same VM, where a small window
+# is enough; callers may have as many connections as there are descriptors.
+LOCAL_UNREAD_BYTES = 16_384
+# For other daemons, which may be in another region, and for the store.
+REMOTE_UNREAD_BYTES = 131_072
+# The system reserves twice what it is asked for, to cover its own overhead.
+_RESERVED_RATIO = 2
 # State of a connection whose other side has sent its end.
 _CLOSE_WAIT = 8
 # Lingers for no time, so that a close resets the connection.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
+def bound_unread(connection: socket.socket, size: int) -> None:
+    """Bounds the bytes that may arrive on a socket before they are read.
+
+    Without it the system chooses, up to megabytes for each connection. It has
+    to be set before the connection is open; connections take it over from the
+    socket that accepted them.
+
+    Args:
+      connection: A socket that is not connected.
+      size: Number of bytes.
+    """
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, size // _RESERVED_RATIO
+    )
+
+
 def is_open_and_empty(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has nothing to read."""
     try:
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -23,6 +23,7 @@
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
+from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
@@ -106,9 +107,11 @@
         Raises:
           OSError: The address is in use or not available.
         """
-        sockets = netutil.bind_sockets(port, host)
-        self._server.add_sockets(sockets)
-        return int(sockets[0].getsockname()[1])
+        listening = netutil.bind_sockets(port, host)
+        for each in listening:
+            sockets.bound_unread(each, sockets.REMOTE_UNREAD_BYTES)
+        self._server.add_sockets(listening)
+        return int(listening[0].getsockname()[1])
 
     def set_peers(self, address_by_vm: dict[ids.VmId, Address]) -> None:
         """Opens and closes links until there is one to each of these VMs."""
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -20,6 +20,7 @@
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
+from mustardloom.http1 import sockets
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
@@ -282,7 +283,9 @@
             backoff_ms = min(2 * backoff_ms, _MAX_RECONNECT_MS)
 
     async def _connect(self) -> _Stream | None:
-        dialled = iostream.IOStream(socket.socket())
+        opened = socket.socket()
+        sockets.bound_unread(opened, sockets.REMOTE_UNREAD_BYTES)
+        dialled = iostream.IOStream(opened)
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
                 await dialled.connect(self.address)
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -11,6 +11,7 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
+from mustardloom.http1 import sockets
 from mustardloom.platform import headers
 from mustardloom.sidecar import work
 
@@ -282,7 +283,9 @@
             kept.connection.close()
         self.opened += 1
         self._metrics.increment("target.connections_opened")
-        connection = await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+        connection = await client.connect(
+            self._address, _CONNECT_TIMEOUT_MS, sockets.LOCAL_UNREAD_BYTES
+        )
         return _KeptConnection(connection)
 
     def _release(self, kept: _KeptConnection, idle_ms: int | None) -> None:
