Take frames in part and frames unread by a peer into the account of bytes

What callers saw: the platform ends a daemon above its limit of memory.

Change: sidecar/frame_reader.py holds room before it collects a frame; frames in part take a quarter of the account at most. A peer that leaves 1 MiB of replies unread gets no further calls read; a stream whose frame finds no room (half of the account) is closed. Both directions use the same reader.

--- a/deploy/tests/test_memory_of_daemons.py
+++ b/deploy/tests/test_memory_of_daemons.py
@@ -8,6 +8,10 @@
 import resource
 import signal
 import socket
+import struct
+import zlib
+
+import pytest
 
 from deploy.tests import daemons
 
@@ -131,3 +135,36 @@
             assert await daemons.upload(vm.caller_address, _MIB) == 200
 
     asyncio.run(play())
+
+
+_FRAME_BYTES = 16 * _MIB
+
+
+def _frame_in_part() -> bytes:
+    """Returns all but the last byte of the largest frame, compressed."""
+    compressor = zlib.compressobj(1, zlib.DEFLATED, -12)
+    data = struct.pack("!I", _FRAME_BYTES) + bytes(_FRAME_BYTES - 1)
+    return compressor.compress(data) + compressor.flush(zlib.Z_SYNC_FLUSH)
+
+
+@pytest.mark.parametrize("peers", [2, 20, 200])
+def test_frames_in_part_take_a_daemon_over_its_limit(tmp_path, peers):
+    """Guards against frames of many peers that have arrived in part."""
+
+    async def play() -> None:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            vm = fleet.vms[1]
+            data = _frame_in_part()
+            async with contextlib.AsyncExitStack() as stack:
+                for _ in range(peers):
+                    _, writer = await asyncio.open_connection(
+                        vm.host, daemons.PEER_PORT
+                    )
+                    stack.callback(writer.close)
+                    writer.write(data)
+                await asyncio.sleep(3)
+                address = fleet.vms[0].caller_address
+                assert await daemons.upload(address, _MIB) == 200
+            _assert_within_limit(fleet)
+
+    asyncio.run(play())
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
+import enum
 
 from mustardloom import clock as clock_lib
 
 __all__ = [
     "Hold",
+    "HoldKind",
     "MemoryBudget",
     "StreamHold",
     "capacity_for",
@@ -22,9 +25,6 @@
 # Share of the limit of a process that bytes for others may take. The rest is
 # for the code, connections, replicas, and copies that exist for a moment.
 _CAPACITY_DIVISOR = 6
-# Share of the capacity that is left to small messages, so that they get past
-# any number of large bodies.
-_SMALL_RESERVE_DIVISOR = 4
 # A body that has not moved for this long loses its room to one that needs it.
 _STALLED_MS = 2_000
 _ROOM_POLL_MS = 10
@@ -33,16 +33,39 @@
 _BYTES_PER_MB = 1 << 20
 
 
+class HoldKind(enum.Enum):
+    """What the bytes belong to."""
+
+    # Heads, bodies and answers that travel in one frame.
+    MESSAGE = "message"
+    # Bodies that pass through in pieces.
+    STREAM = "stream"
+    # Frames of other daemons that have arrived in part.
+    PARTIAL_FRAME = "partial_frame"
+    # Frames that wait until another daemon reads them.
+    UNWRITTEN_FRAME = "unwritten_frame"
+
+
+# Shares of the capacity; the rest is left to the other kinds, so that small
+# messages get past any number of large bodies and frames.
+_SHARE_BY_KIND = {
+    HoldKind.STREAM: 0.75,
+    HoldKind.PARTIAL_FRAME: 0.25,
+    HoldKind.UNWRITTEN_FRAME: 0.5,
+}
+
+
 class Hold:
     """Room for some bytes; given back by `release`.
 
     Attributes:
       size: Bytes that may be held.
+      kind: What they belong to.
     """
 
-    def __init__(self, budget: "MemoryBudget", size: int, is_large: bool):
+    def __init__(self, budget: "MemoryBudget", size: int, kind: HoldKind):
         self.size = size
-        self.is_large = is_large
+        self.kind = kind
         self._budget = budget
 
     def resize(self, size: int) -> bool:
@@ -69,7 +92,7 @@
     """
 
     def __init__(self, budget: "MemoryBudget", size: int, now_ms: int):
-        super().__init__(budget, size, True)
+        super().__init__(budget, size, HoldKind.STREAM)
         self.moved_ms = now_ms
         self.on_evicted: Callable[[], None] = lambda: None
 
@@ -91,6 +114,7 @@
 
     Attributes:
       held_bytes: Bytes for which room is given now.
+      held_by_kind: The same by what they belong to.
       peak_bytes: Most bytes so far.
       refused: Number of requests for room that were refused.
     """
@@ -99,35 +123,26 @@
         self.capacity_bytes = capacity_bytes
         self.clock = clock
         self.held_bytes = 0
+        self.held_by_kind: collections.Counter[HoldKind] = collections.Counter()
         self.peak_bytes = 0
         self.refused = 0
         self._holds: set[Hold] = set()
         # In the order in which they were taken.
         self._streams: dict[StreamHold, None] = {}
-        self._stream_bytes = 0
         # Those who wait for room for a body, in order.
         self._queue = asyncio.Lock()
 
-    def try_hold(self, size: int) -> Hold | None:
-        """Returns room for a small message, None if there is none."""
-        hold = Hold(self, 0, False)
+    def try_hold(
+        self, size: int, kind: HoldKind = HoldKind.MESSAGE
+    ) -> Hold | None:
+        """Returns room for bytes of a kind, None if there is none."""
+        hold = Hold(self, 0, kind)
         self._holds.add(hold)
         if self.resize(hold, size):
             return hold
         self._holds.discard(hold)
         return None
 
-    def hold_written(self, size: int) -> Hold:
-        """Returns room for bytes that exist already and wait to be written.
-
-        They come in place of bytes that are about to be given back, so they are
-        counted but never refused.
-        """
-        hold = Hold(self, 0, False)
-        self._holds.add(hold)
-        self._set_size(hold, size)
-        return hold
-
     def try_hold_stream(self, size: int) -> StreamHold | None:
         """Returns room for a body in pieces, None if there is none.
 
@@ -148,7 +163,7 @@
     def resize(self, hold: Hold, size: int) -> bool:
         """Changes the size of a hold; returns False if there is no room."""
         grown = size - hold.size
-        if grown > 0 and self.held_bytes + grown > self.capacity_bytes:
+        if grown > 0 and not self._has_room(grown, hold.kind):
             self.refused += 1
             return False
         self._set_size(hold, size)
@@ -169,8 +184,7 @@
         grown = size - hold.size
         hold.size = size
         self.held_bytes += grown
-        if hold.is_large:
-            self._stream_bytes += grown
+        self.held_by_kind[hold.kind] += grown
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
     def _add_stream(self, size: int) -> StreamHold:
@@ -180,15 +194,15 @@
         self._set_size(hold, size)
         return hold
 
-    def _has_stream_room(self, size: int) -> bool:
-        reserve = self.capacity_bytes // _SMALL_RESERVE_DIVISOR
+    def _has_room(self, size: int, kind: HoldKind) -> bool:
+        most_bytes = self.capacity_bytes * _SHARE_BY_KIND.get(kind, 1)
         return (
-            self._stream_bytes + size <= self.capacity_bytes - reserve
+            self.held_by_kind[kind] + size <= most_bytes
             and self.held_bytes + size <= self.capacity_bytes
         )
 
     def _make_stream_room(self, size: int) -> bool:
-        while not self._has_stream_room(size):
+        while not self._has_room(size, HoldKind.STREAM):
             stalled = min(
                 self._streams, key=lambda hold: hold.moved_ms, default=None
             )
--- a/mustardloom/sidecar/compression.py
+++ b/mustardloom/sidecar/compression.py
@@ -15,7 +15,7 @@
 _MEMORY_LEVEL = 5
 _LEVEL = 1
 # A few bytes can decompress to a thousand times as many.
-_MAX_PART_BYTES = 262_144
+_MAX_PART_BYTES = 65_536
 
 
 class Compressor:
--- a/mustardloom/sidecar/frame_writer.py
+++ b/mustardloom/sidecar/frame_writer.py
@@ -1,5 +1,7 @@
 """Writes the frames of one direction of a stream between daemons."""
 
+import asyncio
+
 from tornado import iostream
 
 from mustardloom import memory_budget
@@ -9,12 +11,15 @@
 
 __all__ = ["FrameWriter"]
 
+# A peer that leaves more than this unread gets no answers to further calls.
+_MAX_UNWRITTEN_BYTES = 1_048_576
+
 
 class FrameWriter:
-    """Compresses and writes frames; counts those that wait to be sent.
+    """Compresses and writes frames; accounts for those that wait to be sent.
 
     Args:
-      stream: The stream.
+      stream: The stream; it is closed if there is no room for a frame.
       budget: Account of the bytes that this process holds.
     """
 
@@ -26,16 +31,38 @@
         self._stream = stream
         self._budget = budget
         self._compressor = compression.Compressor()
+        self._unwritten_bytes = 0
+        # Write of the latest frame that had to wait.
+        self._latest: asyncio.Future[None] | None = None
 
     def write(self, frame: frames.Frame) -> bool:
-        """Writes a frame; returns whether the stream was open."""
+        """Writes a frame; returns whether the stream was open and had room."""
+        data = self._compressor.compress(frames.encode(frame))
         try:
-            data = self._compressor.compress(frames.encode(frame))
             written = self._stream.write(data)
         except iostream.StreamClosedError:
             return False
-        if not written.done():
-            hold = self._budget.hold_written(len(data))
-            written.add_done_callback(lambda _: hold.release())
         written.add_done_callback(sockets.ignore_write_error)
+        if written.done():
+            return True
+        hold = self._budget.try_hold(
+            len(data), memory_budget.HoldKind.UNWRITTEN_FRAME
+        )
+        if hold is None:
+            # Others need the room that this peer fills by not reading.
+            self._stream.close()
+            return False
+        self._unwritten_bytes += hold.size
+        self._latest = written
+        written.add_done_callback(lambda _: self._release(hold))
         return True
+
+    async def wait_until_read(self) -> None:
+        """Returns once the peer has read most of what was written."""
+        while self._unwritten_bytes > _MAX_UNWRITTEN_BYTES:
+            assert self._latest is not None
+            await asyncio.wait((self._latest,))
+
+    def _release(self, hold: memory_budget.Hold) -> None:
+        self._unwritten_bytes -= hold.size
+        hold.release()
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -432,6 +432,11 @@
     def __init__(self) -> None:
         self._data = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Bytes of a frame that has arrived in part."""
+        return len(self._data)
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Adds bytes and yields the frames that are complete.
 
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -24,7 +24,7 @@
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
 from mustardloom.http1 import sockets
-from mustardloom.sidecar import compression
+from mustardloom.sidecar import frame_reader
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import outgoing_link
@@ -53,7 +53,6 @@
 # Called with the VM, the local time of the status or ping, and its answer.
 PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
 
-_READ_BYTES = 65_536
 _CHECK_INTERVAL_MS = 150
 _END_POLL_S = 0.01
 
@@ -319,14 +318,14 @@
         Args:
           data: The first bytes, which were read already.
         """
-        buffer = frames.FrameBuffer()
-        decompressor = compression.Decompressor()
+        reader = frame_reader.FrameReader(
+            self._stream,
+            self._owner.budget,
+            self._receive,
+            before_read=self._writer.wait_until_read,
+        )
         try:
-            while True:
-                for part in decompressor.decompress(data):
-                    for frame in buffer.feed(part):
-                        self._receive(frame)
-                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+            await reader.run(data)
         except iostream.StreamClosedError:
             pass
         except Exception as error:
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 import itertools
 import socket
 from typing import Protocol
@@ -21,13 +22,12 @@
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.http1 import sockets
-from mustardloom.sidecar import compression
+from mustardloom.sidecar import frame_reader
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
 
 __all__ = ["LinkOwner", "OutgoingLink", "PeerLost", "PeerUnreachable"]
 
-_READ_BYTES = 65_536
 _CONNECT_TIMEOUT_MS = 400
 _MIN_RECONNECT_MS = 250
 _MAX_RECONNECT_MS = 1_500
@@ -123,11 +123,6 @@
             self.unanswered_ms.append(now_ms)
         return True
 
-    async def read(self) -> bytes:
-        """Returns some bytes; raises StreamClosedError at the end."""
-        data = await self._stream.read_bytes(_READ_BYTES, partial=True)
-        return bytes(data)
-
     def is_overdue(self, now_ms: int) -> bool:
         """Returns whether an answer of the peer is overdue."""
         if not self.unanswered_ms:
@@ -302,26 +297,20 @@
         self._current = stream
         stream.write(self._owner.hello(self._vm), now_ms)
         stream.write(frames.Ping(), now_ms)
-        reader = asyncio.create_task(self._read(stream))
+        reader = asyncio.create_task(self._read(stream, dialled))
         self._readers.add(reader)
         reader.add_done_callback(self._readers.discard)
         return stream
 
-    async def _read(self, stream: _Stream) -> None:
-        buffer = frames.FrameBuffer()
-        decompressor = compression.Decompressor()
+    async def _read(self, stream: _Stream, dialled: iostream.IOStream) -> None:
+        reader = frame_reader.FrameReader(
+            dialled,
+            self._owner.budget,
+            functools.partial(self._receive, stream),
+            functools.partial(self._on_received, stream),
+        )
         try:
-            while True:
-                data = await stream.read()
-                stream.received_ms = self._owner.clock.now_ms()
-                if stream is self._current and not self.is_up:
-                    # Only now, as the kernel also accepts connections for a
-                    # process that is paused.
-                    self.is_up = True
-                    self._owner.on_change(self._vm, True)
-                for part in decompressor.decompress(data):
-                    for frame in buffer.feed(part):
-                        self._receive(stream, frame)
+            await reader.run()
         except iostream.StreamClosedError:
             pass
         except Exception as error:
@@ -332,6 +321,14 @@
             stream.close()
             stream.fail_calls(self._vm)
 
+    def _on_received(self, stream: _Stream) -> None:
+        stream.received_ms = self._owner.clock.now_ms()
+        if stream is self._current and not self.is_up:
+            # Only now, as the kernel also accepts connections for a process
+            # that is paused.
+            self.is_up = True
+            self._owner.on_change(self._vm, True)
+
     def _receive(self, stream: _Stream, frame: frames.Frame) -> None:
         match frame:
             case frames.Goodbye(last_number):
--- a/mustardloom/sidecar/tests/test_frame_writer.py
+++ b/mustardloom/sidecar/tests/test_frame_writer.py
@@ -36,3 +36,28 @@
     assert held >= 10 * 16_000
     assert held_after == 0
     assert not is_written
+
+
+def test_peer_that_does_not_read_takes_all_room():
+    """Guards against replies without end for a peer that reads none."""
+
+    async def run():
+        near, far = socket.socketpair()
+        stream = iostream.IOStream(near)
+        budget = memory_budget.MemoryBudget(1_000_000, clock_lib.FakeClock())
+        writer = frame_writer.FrameWriter(stream, budget)
+        frame = frames.Answer(1, 200, (), os.urandom(16_000), 0, 0)
+        count = 0
+        while writer.write(frame):
+            count += 1
+            assert count < 1_000
+        peak = budget.peak_bytes
+        is_closed = stream.closed()
+        await asyncio.sleep(0)
+        far.close()
+        return peak, is_closed, budget.held_bytes
+
+    peak, is_closed, held_after = asyncio.run(run())
+    assert peak <= 500_000
+    assert is_closed
+    assert held_after == 0
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -470,3 +470,33 @@
         return len(reply.items[0].value)
 
     assert _run(scenario, handler) == size
+
+
+def test_calls_of_a_peer_that_reads_no_replies_are_read_on():
+    """Guards against replies without end for a peer that reads none."""
+    body = os.urandom(100_000)
+    handled = []
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+        handled.append(frame.number)
+        return frames.Fetched(frame.number, "configuration", (), body.hex())
+
+    async def scenario(near, far, port):
+        compressor = compression.Compressor()
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        hello = frames.Hello(_record("raw"), "far", 1)
+        writer.write(compressor.compress(frames.encode(hello)))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(2):
+                for number in range(1, 2_000):
+                    data = compressor.compress(frames.encode(_fetch(number)))
+                    writer.write(data)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+        del reader
+        writer.transport.abort()
+
+    _run(scenario, handler)
+    assert 0 < len(handled) < 200
