Tell in log and metrics where the memory of a daemon is

Change: the start line tells a digest of the loaded modules, Python, machine, libc, page size, huge pages, allocator variables and limits. memory-high is logged at 50, 75 and 90 % of the limit with what is resident, anonymous, unread and held by kind; the same are gauges.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -41,6 +41,7 @@
 from mustardloom.sidecar import keyspace as keyspace_lib
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
+from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar import planner as planner_lib
 from mustardloom.sidecar import registration
@@ -198,7 +199,9 @@
             self._shared_state,
             self._links,
             self._keyspace_by_service,
-            self._budget,
+        )
+        self._memory = memory_report.MemoryReport(
+            self._budget, own_settings.limits.memory_mb, self._log, clock
         )
         selection = target_selection.TargetSelection(
             self._fleet, self._links, clock, random.Random()
@@ -234,7 +237,10 @@
         )
         self._notice_server = self._new_server(self._local_target.handle)
         self._readiness_server = self._new_server(self._answer_readiness)
-        page = metrics_page.MetricsPage(self._metrics, self._report.gauges)
+        page = metrics_page.MetricsPage(
+            self._metrics,
+            lambda: {**self._report.gauges(), **self._memory.gauges()},
+        )
         self._metrics_server = self._new_server(page.handle)
 
     async def run(self) -> None:
@@ -253,6 +259,7 @@
             service=own_settings.service,
             availability_zone=own_settings.availability_zone,
             region=own_settings.region,
+            **self._memory.at_start(),
         )
         for loop_call in self._background_loops():
             self._start(self._keep_running(loop_call))
@@ -311,6 +318,7 @@
             self._local_target.detect_silence,
             lambda: self._status_sender.run(self._gate.sample_utilisation),
             self._follow_settings,
+            self._memory.watch,
         ]
 
     async def _keep_running(self, loop_call: _LoopCall) -> None:
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -22,6 +22,7 @@
 
     START = "start"
     STOP = "stop"
+    MEMORY_HIGH = "memory-high"
     RELOAD = "reload"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
--- a/mustardloom/sidecar/self_report.py
+++ b/mustardloom/sidecar/self_report.py
@@ -1,7 +1,6 @@
 """What a daemon reports of itself and its target: statuses, load, gauges."""
 
 from mustardloom import ids
-from mustardloom import memory_budget
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
@@ -27,7 +26,6 @@
       state: Replicas of the stored objects.
       links: Links to the other daemons.
       keyspace_by_service: The key spaces; the daemon adds to them.
-      budget: Account of the bytes that the process holds for others.
 
     Attributes:
       is_stopping: Whether this daemon is shutting down.
@@ -44,7 +42,6 @@
         state: shared_state.SharedState,
         links: links_lib.Links,
         keyspace_by_service: dict[ids.ServiceId, keyspace_lib.Keyspace],
-        budget: memory_budget.MemoryBudget,
     ):
         self.is_stopping = False
         self.configuration_version = 0
@@ -55,7 +52,6 @@
         self._state = state
         self._links = links
         self._keyspace_by_service = keyspace_by_service
-        self._budget = budget
 
     def load_reply(self, query: frames.LoadQuery) -> frames.LoadReply:
         """Returns the answer to a question for the load of the target."""
@@ -115,9 +111,6 @@
             "gate_utilisation_ratio": load.utilisation,
             "target_rate_limit_per_s": (load.rate_limit_per_s or 0.0),
             "target_is_leaving": int(self._target.is_leaving),
-            "held_bytes": self._budget.held_bytes,
-            "held_peak_bytes": self._budget.peak_bytes,
-            "held_refusals": self._budget.refused,
             "configuration_version": self.configuration_version,
             "store_answers": int(self._state.store_answers),
             "store_era": self._state.store_era,
