Let more of a long body arrive at a time, within the account of bytes

Change: HoldKind.RECEIVE_WINDOW, a quarter of the account. A connection on which a long body arrives holds 64 KiB and widens its window, and keeps both, since a window that shrinks drops what was sent; one that fetches a body from another daemon holds 128 KiB before it connects.

--- a/deploy/tests/test_memory_of_daemons.py
+++ b/deploy/tests/test_memory_of_daemons.py
@@ -41,6 +41,21 @@
     asyncio.run(play())
 
 
+def test_many_uploads_at_once_miss_their_deadline(tmp_path):
+    """Guards against windows too small for bodies that were on time before."""
+
+    async def play() -> None:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            address = fleet.vms[0].caller_address
+            statuses = await asyncio.gather(
+                *(daemons.upload(address, 20 * _MIB) for _ in range(60))
+            )
+            _assert_within_limit(fleet)
+            assert statuses == [200] * 60
+
+    asyncio.run(play())
+
+
 def test_long_answers_at_once_take_a_daemon_over_its_limit(tmp_path):
     """Guards against answers that stand whole in a process."""
 
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -190,6 +190,8 @@
         self._has_room = asyncio.Event()
         # Room for the request that is being read.
         self._hold: memory_budget.Hold | None = None
+        # Room for what the socket receives, once a long body has arrived.
+        self._window: memory_budget.Hold | None = None
         # The last request, while its body passes in pieces.
         self._uploading: _PendingResponse | None = None
         # Writes a body that passes in pieces.
@@ -255,8 +257,9 @@
         self._has_room.set()
 
     def _release_all(self) -> None:
-        if self._hold is not None:
-            self._hold.release()
+        for hold in (self._hold, self._window):
+            if hold is not None:
+                hold.release()
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         for pending in self.pending:
@@ -439,6 +442,7 @@
         hold = self._owner.budget.try_hold_stream(bodies.STREAM_BYTES)
         if hold is None:
             raise _no_room()
+        self._widen_window()
         upload = bodies.Body(self._length, turns)
         upload.on_ready = hold.mark_ready
         upload.on_moved = hold.mark_moved
@@ -453,6 +457,21 @@
             pending, messages.Response(_TIMEOUT)
         )
 
+    def _widen_window(self) -> None:
+        """Lets more of a long body arrive at a time, if there is room for it.
+
+        The connection keeps it: a window that became smaller would drop what
+        the client has sent meanwhile.
+        """
+        if self._window is not None:
+            return
+        size = sockets.WIDE_UNREAD_BYTES
+        self._window = self._owner.budget.try_hold(
+            size, memory_budget.HoldKind.RECEIVE_WINDOW
+        )
+        if self._window is not None:
+            sockets.widen(self.stream.socket, size)
+
     def _run_request(
         self, body: bytes, upload: bodies.Body | None
     ) -> _PendingResponse:
--- a/mustardloom/http1/sockets.py
+++ b/mustardloom/http1/sockets.py
@@ -10,17 +10,21 @@
 __all__ = [
     "LOCAL_UNREAD_BYTES",
     "REMOTE_UNREAD_BYTES",
+    "WIDE_UNREAD_BYTES",
     "bound_unread",
     "has_peer_ended",
     "ignore_write_error",
     "is_open_and_empty",
     "reset",
+    "widen",
 ]
 
 # Received bytes that the system keeps for a process until it reads them count
 # as its memory. Callers and targets are on the same VM, where a small window
 # is enough; callers may have as many connections as there are descriptors.
 LOCAL_UNREAD_BYTES = 16_384
+# For a connection on which a long body arrives.
+WIDE_UNREAD_BYTES = 65_536
 # For other daemons, which may be in another region, and for the store.
 REMOTE_UNREAD_BYTES = 131_072
 # The system reserves twice what it is asked for, to cover its own overhead.
@@ -47,6 +51,13 @@
     )
 
 
+def widen(connection: socket.socket, size: int) -> None:
+    """Raises the bound on unread bytes of a connection that is open."""
+    with contextlib.suppress(OSError):
+        bound_unread(connection, size)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
+
+
 def is_open_and_empty(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has nothing to read."""
     try:
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -42,6 +42,8 @@
     STREAM = "stream"
     # Frames of other daemons that have arrived in part.
     PARTIAL_FRAME = "partial_frame"
+    # What sockets may receive beyond the small window of each connection.
+    RECEIVE_WINDOW = "receive_window"
     # Frames that wait until another daemon reads them.
     UNWRITTEN_FRAME = "unwritten_frame"
 
@@ -51,6 +53,7 @@
 _SHARE_BY_KIND = {
     HoldKind.STREAM: 0.75,
     HoldKind.PARTIAL_FRAME: 0.25,
+    HoldKind.RECEIVE_WINDOW: 0.25,
     HoldKind.UNWRITTEN_FRAME: 0.5,
 }
 
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -12,11 +12,13 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
+from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
 from mustardloom.http1 import server
+from mustardloom.http1 import sockets
 from mustardloom.sidecar import frames
 
 __all__ = ["PREFACE", "FetchedBody", "Transfers"]
@@ -121,6 +123,8 @@
         self._clock = clock
         self._is_closed = False
         self._connection: client.Connection | None = None
+        # Room for what the connection receives.
+        self._window: memory_budget.Hold | None = None
         self._source: bodies.BodySource | None = None
 
     async def open(self) -> None:
@@ -144,6 +148,9 @@
         ) as error:
             self.close()
             raise bodies.BodyBroken(f"body at {self._vm}: {error!r}") from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
         timer = asyncio.get_running_loop().call_later(left_s, self.close)
         if isinstance(self._source, bodies.Body):
             self._source.released.add_done_callback(lambda _: timer.cancel())
@@ -162,10 +169,12 @@
             self._source.close()
         if self._connection is not None:
             self._connection.close()
+        if self._window is not None:
+            self._window.release()
 
     async def _request(self) -> bodies.BodySource:
         self._connection = await client.connect(
-            self._address, _CONNECT_TIMEOUT_MS
+            self._address, _CONNECT_TIMEOUT_MS, self._unread_bytes()
         )
         request = messages.Request(
             "GET", f"/{self._token}", ((b"Host", b"transfer"),), b""
@@ -176,3 +185,13 @@
         if response.status != _OK:
             raise client.Incomplete(f"status {response.status}")
         return response.rest or bodies.WholeBody(response.body)
+
+    def _unread_bytes(self) -> int:
+        """Returns how much may arrive at a time, by the room there is."""
+        self._window = self._passage.budget.try_hold(
+            sockets.REMOTE_UNREAD_BYTES,
+            memory_budget.HoldKind.RECEIVE_WINDOW,
+        )
+        if self._window is None:
+            return sockets.LOCAL_UNREAD_BYTES
+        return sockets.REMOTE_UNREAD_BYTES
