--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -1,7 +1,6 @@
 """The daemon that runs on a VM beside a target: wiring, start and stop."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
@@ -24,13 +23,11 @@
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
 from mustardloom.http1 import server
-from mustardloom.keys import authority
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.load_control import stop_admission
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
 from mustardloom.platform import headers
-from mustardloom.sidecar import departures
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
@@ -43,6 +40,7 @@
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
+from mustardloom.sidecar import peer_frames
 from mustardloom.sidecar import planner as planner_lib
 from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
@@ -141,12 +139,13 @@
             store, self._shared_state, self._record, clock
         )
         self._links = links_lib.Links(
-            self._record, clock, self._on_frame, self._budget
+            self._record,
+            clock,
+            lambda vm, frame: self._peer_frames.receive(vm, frame),
+            self._budget,
         )
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
-        self._links.make_pong = self._make_pong
-        self._links.on_pong = self._on_pong
         self._links.on_transfer = self._transfers.server.adopt
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
         self._target_memory = target_memory.TargetMemory(
@@ -200,6 +199,21 @@
             self._links,
             self._keyspace_by_service,
         )
+        self._peer_frames = peer_frames.PeerFrames(
+            self._fleet,
+            self._target_memory,
+            self._local_target,
+            self._forwarder,
+            self._shared_state,
+            self._state_exchange,
+            self._report,
+            self._quarantine,
+            self._keyspace_by_service,
+            self._planner_by_service,
+            clock,
+        )
+        self._links.make_pong = self._peer_frames.make_pong
+        self._links.on_pong = self._peer_frames.on_pong
         self._memory = memory_report.MemoryReport(
             self._budget, own_settings.limits.memory_mb, self._log, clock
         )
@@ -543,78 +557,6 @@
         del regions
         self._links.broadcast(frames.Suspect(fingerprint, crashes))
 
-    # Frames from other daemons.
-
-    def _on_frame(
-        self, vm: ids.VmId, frame: frames.Frame
-    ) -> Awaitable[frames.Frame | None] | frames.Frame | None:
-        match frame:
-            case frames.Hello(sender=sender):
-                self._fleet.add_connected(sender)
-                self._target_memory.on_hello(vm)
-            case frames.TargetLeft(target, born_until_ms):
-                self._local_target.on_left(
-                    departures.Departure(
-                        targets.TargetId(target), born_until_ms
-                    )
-                )
-            case frames.TargetLimited(target, born_ms, rate_per_s):
-                self._local_target.on_limited(
-                    targets.TargetInstance(targets.TargetId(target), born_ms),
-                    rate_per_s,
-                )
-            case frames.Forward():
-                return self._forwarder.receive(vm, frame)
-            case frames.Status():
-                self._fleet.update_status(vm, frame)
-                self._state_exchange.fetch_newer(vm, frame.changes)
-            case frames.Fetch():
-                return self._state_exchange.on_fetch(frame)
-            case frames.Fetched():
-                self._state_exchange.on_pushed(vm, frame)
-            case frames.AuthorityQuery(service=service):
-                keyspace = self._keyspace_of(service)
-                if keyspace is not None:
-                    return keyspace.confirmer.on_query(frame)
-            case frames.ReleaseQuery(service=service):
-                keyspace = self._keyspace_of(service)
-                if keyspace is not None:
-                    return keyspace.on_release_query(frame)
-            case frames.LoadQuery():
-                return self._report.load_reply(frame)
-            case frames.KeyLoad(service=service, loads=loads):
-                planner = self._planner_by_service.get(ids.ServiceId(service))
-                if planner is not None:
-                    planner.on_key_load(vm, loads)
-            case frames.Suspect(fingerprint=fingerprint, crashes=crashes):
-                self._quarantine.record_peer_report(fingerprint, crashes)
-            case _:
-                pass
-        return None
-
-    def _make_pong(self) -> frames.Pong:
-        is_listed = self._shared_state.by_kind[stored.Kind.KEY_MAP].is_listed
-        reports = []
-        for keyspace in self._keyspace_by_service.values():
-            if is_listed:
-                keyspace.mark_listed()
-            reports.append(keyspace.map_report())
-        return frames.Pong(
-            tuple(reports),
-            len(self._fleet.by_vm),
-            self._clock.now_ms(),
-            self._shared_state.by_kind[stored.Kind.KEY_MAP].era,
-        )
-
-    def _on_pong(self, vm: ids.VmId, asked_ms: int, pong: frames.Pong) -> None:
-        for service, version, is_voter in pong.words:
-            keyspace = self._keyspace_of(service)
-            if keyspace is not None:
-                report = authority.MapReport(
-                    asked_ms, version, is_voter, pong.daemons, pong.map_era
-                )
-                keyspace.on_map_report(vm, report)
-
     def _keyspace_of(self, service: str) -> keyspace_lib.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
