Give links and receive windows their own room beside that of callers

Cause: frames in part, frames unread by a peer and receive windows shared one capacity with messages and bodies. Callers that fill it would have ended links, and with them the answers on those; 200 uploads would have left none to small messages (three quarters for bodies, one for windows).

Change: each of the three kinds has its own share (a quarter, a quarter, a half of the capacity) beside it, so the account is a third of limits.memory_mb in all.

--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -22,8 +22,9 @@
     "unlimited",
 ]
 
-# Share of the limit of a process that bytes for others may take. The rest is
-# for the code, connections, replicas, and copies that exist for a moment.
+# Share of the limit of a process that messages and bodies may take; links and
+# receive buffers have as much again. The rest is for the code, connections,
+# replicas, and copies that exist for a moment.
 _CAPACITY_DIVISOR = 6
 # A body that has not moved for this long loses its room to one that needs it.
 _STALLED_MS = 2_000
@@ -48,10 +49,12 @@
     UNWRITTEN_FRAME = "unwritten_frame"
 
 
-# Shares of the capacity; the rest is left to the other kinds, so that small
-# messages get past any number of large bodies and frames.
-_SHARE_BY_KIND = {
-    HoldKind.STREAM: 0.75,
+# Share of the capacity that bodies in pieces may take, so that small messages
+# get past any number of them.
+_STREAM_SHARE = 0.75
+# Room beside the capacity, as shares of it. Links must not end because callers
+# fill the capacity, nor callers be refused because of a link.
+_OWN_SHARE_BY_KIND = {
     HoldKind.PARTIAL_FRAME: 0.25,
     HoldKind.RECEIVE_WINDOW: 0.25,
     HoldKind.UNWRITTEN_FRAME: 0.5,
@@ -112,13 +115,14 @@
     """Grants room for bytes up to a capacity.
 
     Args:
-      capacity_bytes: Most bytes that may be held at a time.
+      capacity_bytes: Most bytes of messages and bodies at a time; frames and
+        receive windows have as much beside it, each kind its own share.
       clock: Source of time.
 
     Attributes:
       held_bytes: Bytes for which room is given now.
       held_by_kind: The same by what they belong to.
-      peak_bytes: Most bytes so far.
+      peak_bytes: Most bytes of messages and bodies so far.
       refused: Number of requests for room that were refused.
     """
 
@@ -188,7 +192,7 @@
         hold.size = size
         self.held_bytes += grown
         self.held_by_kind[hold.kind] += grown
-        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+        self.peak_bytes = max(self.peak_bytes, self._capacity_used())
 
     def _add_stream(self, size: int) -> StreamHold:
         hold = StreamHold(self, 0, self.clock.now_ms())
@@ -198,11 +202,19 @@
         return hold
 
     def _has_room(self, size: int, kind: HoldKind) -> bool:
-        most_bytes = self.capacity_bytes * _SHARE_BY_KIND.get(kind, 1)
-        return (
-            self.held_by_kind[kind] + size <= most_bytes
-            and self.held_bytes + size <= self.capacity_bytes
-        )
+        held = self.held_by_kind
+        own_share = _OWN_SHARE_BY_KIND.get(kind)
+        if own_share is not None:
+            return held[kind] + size <= self.capacity_bytes * own_share
+        if kind is HoldKind.STREAM:
+            most_bytes = self.capacity_bytes * _STREAM_SHARE
+            if held[kind] + size > most_bytes:
+                return False
+        return self._capacity_used() + size <= self.capacity_bytes
+
+    def _capacity_used(self) -> int:
+        held = self.held_by_kind
+        return held[HoldKind.MESSAGE] + held[HoldKind.STREAM]
 
     def _make_stream_room(self, size: int) -> bool:
         while not self._has_room(size, HoldKind.STREAM):
--- a/mustardloom/sidecar/frame_reader.py
+++ b/mustardloom/sidecar/frame_reader.py
@@ -14,8 +14,9 @@
 __all__ = ["FrameReader", "NoRoomForFrame"]
 
 _READ_BYTES = 65_536
-# Frames up to this size need no room of their own while they arrive.
-_SMALL_FRAME_BYTES = 16_384
+# Frames up to this size, those of requests among them, need no room while they
+# arrive.
+_SMALL_FRAME_BYTES = 65_536
 # While there is no room, a peer has to wait for this long before its link ends.
 _ROOM_WAIT_MS = 500
 _ROOM_POLL_MS = 10
@@ -91,16 +92,14 @@
 
     async def _process(self, data: bytes) -> None:
         for part in self._decompressor.decompress(data):
-            await self._make_room(self._buffer.size + len(part))
             for frame in self._buffer.feed(part):
                 self._on_frame(frame)
-        if self._hold.size:
-            self._hold.resize(self._buffer.size)
+            size = self._buffer.size
+            if size > _SMALL_FRAME_BYTES or self._hold.size:
+                await self._make_room(size)
 
     async def _make_room(self, size: int) -> None:
         """Returns once there is room for a frame that has arrived in part."""
-        if size <= max(_SMALL_FRAME_BYTES, self._hold.size):
-            return
         until_ms = self._clock.now_ms() + _ROOM_WAIT_MS
         while not self._hold.resize(size):
             if self._clock.now_ms() >= until_ms:
--- a/mustardloom/sidecar/frame_writer.py
+++ b/mustardloom/sidecar/frame_writer.py
@@ -13,6 +13,8 @@
 
 # A peer that leaves more than this unread gets no answers to further calls.
 _MAX_UNWRITTEN_BYTES = 1_048_576
+# A peer that leaves less than this unread keeps its link if there is no room.
+_SMALL_UNWRITTEN_BYTES = 65_536
 
 
 class FrameWriter:
@@ -48,13 +50,13 @@
         hold = self._budget.try_hold(
             len(data), memory_budget.HoldKind.UNWRITTEN_FRAME
         )
-        if hold is None:
+        if hold is None and self._unwritten_bytes > _SMALL_UNWRITTEN_BYTES:
             # Others need the room that this peer fills by not reading.
             self._stream.close()
             return False
-        self._unwritten_bytes += hold.size
+        self._unwritten_bytes += len(data)
         self._latest = written
-        written.add_done_callback(lambda _: self._release(hold))
+        written.add_done_callback(lambda _: self._release(len(data), hold))
         return True
 
     async def wait_until_read(self) -> None:
@@ -63,6 +65,7 @@
             assert self._latest is not None
             await asyncio.wait((self._latest,))
 
-    def _release(self, hold: memory_budget.Hold) -> None:
-        self._unwritten_bytes -= hold.size
-        hold.release()
+    def _release(self, size: int, hold: memory_budget.Hold | None) -> None:
+        self._unwritten_bytes -= size
+        if hold is not None:
+            hold.release()
--- a/mustardloom/tests/test_memory_budget.py
+++ b/mustardloom/tests/test_memory_budget.py
@@ -137,3 +137,15 @@
         return budget.held_bytes
 
     assert asyncio.run(run()) == 100
+
+
+def test_links_and_callers_take_each_others_room():
+    """Guards against links that end because callers fill the account."""
+    kinds = memory_budget.HoldKind
+    _, budget = _budget()
+    assert budget.try_hold(_CAPACITY) is not None
+    assert budget.try_hold(_CAPACITY // 4, kinds.PARTIAL_FRAME) is not None
+    assert budget.try_hold(_CAPACITY // 4, kinds.RECEIVE_WINDOW) is not None
+    assert budget.try_hold(_CAPACITY // 2, kinds.UNWRITTEN_FRAME) is not None
+    assert budget.held_bytes == 2 * _CAPACITY
+    assert all(budget.try_hold(1, kind) is None for kind in kinds)
