Let long answers of the target arrive through a wide window

Cause: connections to the target had the small window of callers, though the target's limit keeps them few.

Change: 64 KiB for connections to the target.

--- a/mustardloom/http1/sockets.py
+++ b/mustardloom/http1/sockets.py
@@ -20,10 +20,11 @@
 ]
 
 # Received bytes that the system keeps for a process until it reads them count
-# as its memory. Callers and targets are on the same VM, where a small window
-# is enough; callers may have as many connections as there are descriptors.
+# as its memory. Callers are on the same VM, where a small window is enough, and
+# may have as many connections as there are descriptors.
 LOCAL_UNREAD_BYTES = 16_384
-# For a connection on which a long body arrives.
+# For a connection on which a long body arrives, and for those to the target,
+# which are few.
 WIDE_UNREAD_BYTES = 65_536
 # For other daemons, which may be in another region, and for the store.
 REMOTE_UNREAD_BYTES = 131_072
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -284,7 +284,7 @@
         self.opened += 1
         self._metrics.increment("target.connections_opened")
         connection = await client.connect(
-            self._address, _CONNECT_TIMEOUT_MS, sockets.LOCAL_UNREAD_BYTES
+            self._address, _CONNECT_TIMEOUT_MS, sockets.WIDE_UNREAD_BYTES
         )
         return _KeptConnection(connection)
 
