Never call a frame unsent of which parts may have left

What callers saw: nothing yet; found when the diff was read. Cause: if a frame found no room, write closed the stream and told that the frame was not sent, though the system may have taken its bytes; the forwarder would have sent the request elsewhere, also one that may run once only (TWICE).

Change: such a frame counts as sent; its call fails as lost with the stream. Measured: the new test is red without the change; writer and links pass.

--- a/mustardloom/sidecar/frame_writer.py
+++ b/mustardloom/sidecar/frame_writer.py
@@ -38,7 +38,11 @@
         self._latest: asyncio.Future[None] | None = None
 
     def write(self, frame: frames.Frame) -> bool:
-        """Writes a frame; returns whether the stream was open and had room."""
+        """Writes a frame; returns whether the stream was open.
+
+        If it was not, nothing of the frame was sent. Otherwise the peer may
+        have it, also if the stream was closed for want of room.
+        """
         data = self._compressor.compress(frames.encode(frame))
         try:
             written = self._stream.write(data)
@@ -51,9 +55,10 @@
             len(data), memory_budget.HoldKind.UNWRITTEN_FRAME
         )
         if hold is None and self._unwritten_bytes > _SMALL_UNWRITTEN_BYTES:
-            # Others need the room that this peer fills by not reading.
+            # Others need the room that this peer fills by not reading. Parts
+            # of the frame may have left.
             self._stream.close()
-            return False
+            return True
         self._unwritten_bytes += len(data)
         self._latest = written
         written.add_done_callback(lambda _: self._release(len(data), hold))
--- a/mustardloom/sidecar/tests/test_frame_writer.py
+++ b/mustardloom/sidecar/tests/test_frame_writer.py
@@ -62,3 +62,24 @@
     assert 0 < peak <= 500_000
     assert is_closed
     assert held_after == 0
+
+
+def test_frame_that_may_have_left_counts_as_not_sent():
+    """Guards against a request that runs twice because its link had no room."""
+
+    async def run():
+        near, far = socket.socketpair()
+        stream = iostream.IOStream(near)
+        budget = memory_budget.MemoryBudget(1_000_000, clock_lib.FakeClock())
+        writer = frame_writer.FrameWriter(stream, budget)
+        frame = frames.Answer(1, 200, (), os.urandom(16_000), 0, 0)
+        results = []
+        while not stream.closed():
+            results.append(writer.write(frame))
+        await asyncio.sleep(0)
+        far.close()
+        return results, writer.write(frame)
+
+    results, after = asyncio.run(run())
+    assert all(results)
+    assert not after
