Give the descriptors of a process one owner, and pause refused accepts

Seen: 4,600 idle callers' connections with `ulimit -n` 4100 (the value of limits.max_fds): no answer of readiness and metrics, one core and megabytes a second of tracebacks. The same with 800 connections to any one port of a daemon with 600 descriptors.

Cause: `limits.max_fds` was read and used by nothing. A daemon accepted until the system refused; the event loop reported the waiting connection again at once, and the handler raised each time. Whatever else needed a descriptor found none. A link that could not open a socket raised outside its try, so that its task ended and it was never dialled again.

Change: `descriptor_budget.py` divides what limits.max_fds (less 200 for files) or the system leaves, whichever is less, among callers, dialled and accepted peers, target, store, readiness, metrics and announcements. All but callers have a part that nobody else gets. Each stream gives its descriptor back when it closes its socket. One listener for all ports (HTTP and links) takes a descriptor first; without one it closes connections that stand still, else it stops listening for 20 ms and the queue waits; errors of accept do the same. An attempt to open a connection without a descriptor is a typed OSError, which connect, links, target and store know. The limit of the system is not raised: the start line tells it.

Connections on which nothing was sent go first, then those between two requests (0.5 s for callers), then heads in part (1 s, with 408). What has arrived on a connection is read before it is closed.

Peers' incoming links moved out of links.py (incoming_link, peer_server).

--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 import pathlib
 import random
+import resource
 import shlex
 import signal
 import socket
@@ -22,14 +24,24 @@
 from deploy.tests import raw_target
 from mustardloom.platform.tests import standins
 
-__all__ = ["MEMORY_MB", "PEER_PORT", "Fleet", "Vm"]
+__all__ = [
+    "CALLER_PORT",
+    "MEMORY_MB",
+    "METRICS_PORT",
+    "PEER_PORT",
+    "READY_PORT",
+    "Fleet",
+    "Vm",
+]
 
 MEMORY_MB = 300
+CALLER_PORT = 8304
+METRICS_PORT = 9464
 PEER_PORT = 7620
+READY_PORT = 8302
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
-_CALLER_PORT = 8304
-_READY_PORT = 8302
+_MAX_DESCRIPTORS = 4_100
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
 _POLL_S = 0.05
@@ -52,7 +64,13 @@
     @property
     def caller_address(self) -> tuple[str, int]:
         """Where the daemon accepts callers."""
-        return self.host, _CALLER_PORT
+        return self.host, CALLER_PORT
+
+    @property
+    def pid(self) -> int:
+        """Id of the daemon's process."""
+        assert self._process is not None
+        return self._process.pid
 
     @property
     def memory(self) -> memory_watch.MemoryWatch:
@@ -67,7 +85,16 @@
         environment = {**os.environ, "MUSTARDLOOM_CONFIG": str(settings)}
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *_command(), cwd=_ROOT, env=environment, stdout=log, stderr=log
+                *_command(),
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=functools.partial(
+                    resource.setrlimit,
+                    resource.RLIMIT_NOFILE,
+                    (self._fleet.max_descriptors,) * 2,
+                ),
             )
         self._memory = memory_watch.MemoryWatch(self._process.pid)
         self.target.start()
@@ -99,7 +126,7 @@
     async def is_ready(self) -> bool:
         """Returns whether the daemon answers that it is ready."""
         try:
-            caller = await raw_http.Caller.connect((self.host, _READY_PORT))
+            caller = await raw_http.Caller.connect((self.host, READY_PORT))
         except OSError:
             return False
         with contextlib.closing(caller):
@@ -114,12 +141,12 @@
             "zone=za",
             "region=ra",
             "zones.za=ra",
-            f"listen.outbound={host}:{_CALLER_PORT}",
-            f"listen.ready={host}:{_READY_PORT}",
+            f"listen.outbound={host}:{CALLER_PORT}",
+            f"listen.ready={host}:{READY_PORT}",
             f"listen.control={host}:{raw_target.CONTROL_PORT}",
             f"internal_ports={PEER_PORT},{PEER_PORT + 1}",
             f"limits.memory_mb={MEMORY_MB}",
-            "limits.max_fds=4100",
+            f"limits.max_fds={self._fleet.max_descriptors}",
             "heartbeat=400ms",
             f"bounds=drain=2500ms,grace={self._fleet.grace_ms}ms,"
             "hold_max=10000ms",
@@ -136,13 +163,20 @@
       folder: For settings and logs.
       services: Service of each VM.
       grace_ms: Time that a daemon has to stop.
+      max_descriptors: Limit on the descriptors of a daemon; it holds for the
+        process, and the settings name it.
     """
 
     def __init__(
-        self, folder: pathlib.Path, services: list[str], grace_ms: int = 6_000
+        self,
+        folder: pathlib.Path,
+        services: list[str],
+        grace_ms: int = 6_000,
+        max_descriptors: int = _MAX_DESCRIPTORS,
     ):
         self.folder = folder
         self.grace_ms = grace_ms
+        self.max_descriptors = max_descriptors
         self._store = standins.Store()
         self.store_port = 0
         self.vms = [
@@ -195,7 +229,7 @@
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind((host, _CALLER_PORT))
+            probe.bind((host, CALLER_PORT))
         except OSError:
             return False
     return True
--- a/mustardloom/http1/acceptor.py
+++ b/mustardloom/http1/acceptor.py
@@ -1,21 +1,17 @@
-"""Accepts the connections of clients."""
+"""Serves the connections of clients that a listener accepts."""
 
 import asyncio
-from collections.abc import Callable
-import contextlib
-import socket
 from typing import Protocol
 
 from tornado import iostream
-from tornado import netutil
 
+from mustardloom import descriptor_budget
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import listener
 from mustardloom.http1 import sockets
 
 __all__ = ["Acceptor", "AcceptorOwner"]
 
-_BACKLOG = 512
-
 
 class AcceptorOwner(connection_lib.ConnectionOwner, Protocol):
     """What an acceptor needs of its server; see `server.HttpServer`.
@@ -30,9 +26,11 @@
 class Acceptor:
     """Creates a connection for each socket that is accepted."""
 
-    def __init__(self, owner: AcceptorOwner):
+    def __init__(self, owner: AcceptorOwner, share: descriptor_budget.Share):
         self._owner = owner
-        self._remove_by_socket: dict[socket.socket, Callable[[], None]] = {}
+        self._listener = listener.Listener(
+            share, self.adopt, sockets.LOCAL_UNREAD_BYTES
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     def listen(self, host: str, port: int) -> int:
@@ -41,31 +39,11 @@
         Raises:
           OSError: The address is in use or not available.
         """
-        listening = netutil.bind_sockets(port, host, backlog=_BACKLOG)
-        for each in listening:
-            sockets.bound_unread(each, sockets.LOCAL_UNREAD_BYTES)
-            self._remove_by_socket[each] = netutil.add_accept_handler(
-                each, self._on_accept
-            )
-        return int(listening[0].getsockname()[1])
+        return self._listener.listen(host, port)
 
     def stop(self) -> None:
-        """Stops listening; accepts what the system has accepted before.
-
-        Callers may have sent requests on those connections for some time.
-        """
-        for listening, remove in self._remove_by_socket.items():
-            remove()
-            # Ends with an error once no connection waits, or none can be taken.
-            with contextlib.suppress(OSError):
-                while True:
-                    self._on_accept(*listening.accept())
-            listening.close()
-        self._remove_by_socket.clear()
-
-    def _on_accept(self, accepted: socket.socket, address: object) -> None:
-        del address
-        self.adopt(iostream.IOStream(accepted))
+        """Stops listening; accepts what the system has accepted before."""
+        self._listener.drain()
 
     def adopt(self, stream: iostream.IOStream) -> None:
         """Serves a connection."""
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -5,16 +5,17 @@
 from collections.abc import Coroutine
 from collections.abc import Sequence
 import dataclasses
-import socket
 from typing import Any
 
 import httptools
 from tornado import iostream
 
+from mustardloom import descriptor_budget
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
 from mustardloom.http1 import sockets
+from mustardloom.http1 import streams
 
 __all__ = [
     "Address",
@@ -87,6 +88,7 @@
     address: Address,
     timeout_ms: int,
     unread_bytes: int = sockets.REMOTE_UNREAD_BYTES,
+    share: descriptor_budget.Share | None = None,
 ) -> "Connection":
     """Opens a connection.
 
@@ -94,15 +96,15 @@
       address: Host and port.
       timeout_ms: Time within which it has to open.
       unread_bytes: Bytes that may arrive before they are read.
+      share: Descriptors for connections of this kind.
 
     Raises:
       ConnectFailed: It was refused, failed or did not open in time.
     """
     try:
-        opened = socket.socket()
-        sockets.bound_unread(opened, unread_bytes)
-        stream = iostream.IOStream(
-            opened,
+        stream = streams.open_stream(
+            share or descriptor_budget.unlimited(),
+            unread_bytes,
             max_buffer_size=_MAX_BODY_BYTES,
             read_chunk_size=_READ_BYTES,
         )
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -17,6 +17,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
+from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
 from mustardloom.http1 import sockets
 
@@ -301,6 +302,38 @@
             else:
                 self._after_written(self._end)
 
+    def standstill(self) -> tuple[idle_eviction.Standstill, int] | None:
+        """See `idle_eviction.Evictable`."""
+        if self.stream.closed():
+            return None
+        if self._ended_ms is not None:
+            return idle_eviction.Standstill.ENDED, self._ended_ms
+        if self._closes_after_pending or self.pending or self._is_finishing:
+            return None
+        if self._sending is not None or self.stream.writing():
+            return None
+        match self._phase:
+            case _Phase.IDLE if self._written is None:
+                reason = idle_eviction.Standstill.UNUSED
+            case _Phase.IDLE:
+                reason = idle_eviction.Standstill.IDLE
+            case _Phase.HEAD:
+                reason = idle_eviction.Standstill.SLOW
+            case _Phase.BODY:
+                return None
+        return reason, self._waiting_since_ms
+
+    def evict(self) -> bool:
+        """See `idle_eviction.Evictable`."""
+        if not sockets.is_open_and_empty(self.stream.socket):
+            # What has arrived is read first.
+            return False
+        if self._phase is _Phase.HEAD:
+            self._reject(messages.Response(_TIMEOUT))
+        if not self.stream.writing():
+            self.stream.close()
+        return self.stream.closed()
+
     def enforce_time_limits(self, limits: ServerLimits) -> None:
         """Adopts new limits; ends a connection that exceeds a time limit."""
         self._limits = limits
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -5,10 +5,12 @@
 from tornado import iostream
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import memory_budget
 from mustardloom.http1 import acceptor
 from mustardloom.http1 import bodies
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import idle_eviction
 
 __all__ = ["Handler", "HttpServer", "RejectedCallback", "ServerLimits"]
 
@@ -17,6 +19,7 @@
 ServerLimits = connection_lib.ServerLimits
 
 _TIME_CHECK_INTERVAL_MS = 500
+_PATIENCE = idle_eviction.Patience()
 
 
 class HttpServer:
@@ -34,6 +37,9 @@
       budget: Grants room for what is read of requests, and for their answers.
       turns: Order in which bodies are read; None to read each body to its end
         before its request is handled.
+      share: Descriptors for its connections.
+      patience: How long a connection may stand still while another needs its
+        descriptor.
     """
 
     def __init__(
@@ -45,6 +51,8 @@
         budget: memory_budget.MemoryBudget | None = None,
         turns: bodies.Turns | None = None,
         on_rejected: RejectedCallback = lambda *_: None,
+        share: descriptor_budget.Share | None = None,
+        patience: idle_eviction.Patience = _PATIENCE,
     ):
         self.handler = handler
         self.clock = clock
@@ -55,7 +63,11 @@
         self.on_fault = on_fault
         self.is_draining = False
         self.connections: set[connection_lib.Connection] = set()
-        self._acceptor = acceptor.Acceptor(self)
+        share = share or descriptor_budget.unlimited()
+        share.add_evictor(
+            idle_eviction.IdleEvictor(self.connections, clock, patience).evict
+        )
+        self._acceptor = acceptor.Acceptor(self, share)
 
     def listen(self, host: str, port: int) -> int:
         """Starts to accept connections and returns the port.
@@ -83,9 +95,13 @@
         Requests that have arrived, even in part, are read to their end and
         answered; `is_busy` tells whether there are any left.
         """
-        self._acceptor.stop()
         self.is_draining = True
-        for connection in list(self.connections):
+        # Those that are idle make room for those that wait to be accepted.
+        known = list(self.connections)
+        for connection in known:
+            connection.finish()
+        self._acceptor.stop()
+        for connection in self.connections.difference(known):
             connection.finish()
 
     def is_busy(self) -> bool:
--- /dev/null
+++ b/mustardloom/http1/streams.py
@@ -0,0 +1,52 @@
+"""Streams whose descriptors are counted until they are closed."""
+
+import socket
+from typing import Any
+
+from tornado import iostream
+
+from mustardloom import descriptor_budget
+from mustardloom.http1 import sockets
+
+__all__ = ["CountedStream", "open_stream"]
+
+
+class CountedStream(iostream.IOStream):
+    """A stream that gives its descriptor back as soon as it is closed."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        descriptor: descriptor_budget.Descriptor,
+        **options: Any,
+    ):
+        self._descriptor = descriptor
+        super().__init__(connection, **options)
+
+    def close_fd(self) -> None:
+        """See base class."""
+        super().close_fd()
+        self._descriptor.release()
+
+
+def open_stream(
+    share: descriptor_budget.Share, unread_bytes: int, **options: Any
+) -> CountedStream:
+    """Returns a stream that is not connected yet.
+
+    Args:
+      share: Descriptors for connections of this kind.
+      unread_bytes: Bytes that may arrive before they are read.
+      options: Options of the stream.
+
+    Raises:
+      OSError: There is no descriptor left.
+    """
+    descriptor = share.take()
+    try:
+        opened = socket.socket()
+    except OSError:
+        descriptor.release()
+        raise
+    sockets.bound_unread(opened, unread_bytes)
+    return CountedStream(opened, descriptor, **options)
--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mustardloom import decoding
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import settings
@@ -63,12 +64,14 @@
         answers tell; 0 before the first answer.
       on_unreadable: Called with the kind and the number of objects in an
         answer that were left out, as the store's words of them are not valid.
+      share: Descriptors for its connections.
     """
 
     def __init__(self, address: settings.Address):
         self.calls = 0
         self.era = 0
         self.on_unreadable: Callable[[stored.Kind, int], None] = lambda *_: None
+        self.share = descriptor_budget.unlimited()
         self._address = address
         self._idle: list[client.Connection] = []
 
@@ -270,7 +273,9 @@
             if connection.is_usable():
                 return connection
             connection.close()
-        return await client.connect(self._address, _CONNECT_TIMEOUT_MS)
+        return await client.connect(
+            self._address, _CONNECT_TIMEOUT_MS, share=self.share
+        )
 
     def _release(self, connection: client.Connection) -> None:
         if not connection.is_reusable:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import findings
 from mustardloom import ids
 from mustardloom import memory_budget
@@ -21,6 +22,7 @@
 from mustardloom.deployment import targets
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client
+from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
 from mustardloom.http1 import server
 from mustardloom.load_control import quarantine as quarantine_lib
@@ -28,6 +30,7 @@
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
 from mustardloom.platform import headers
+from mustardloom.sidecar import descriptor_report
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
@@ -64,6 +67,10 @@
 _STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _CRASHES_TO_QUARANTINE = 3
+# The platform and the target send their requests as soon as they have
+# connected.
+_SMALL_PATIENCE = idle_eviction.Patience(idle_ms=20, slow_ms=200)
+_PATIENCE_BY_USER = {descriptor_budget.User.CALLERS: idle_eviction.Patience()}
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -102,9 +109,18 @@
         self._budget = memory_budget.MemoryBudget(
             memory_budget.capacity_for(own_settings.limits.memory_mb), clock
         )
+        self._descriptors = descriptor_budget.DescriptorBudget(
+            descriptor_budget.capacity_for(own_settings.limits.max_descriptors)
+        )
+        share = self._descriptors.share
+        dial_share = share(descriptor_budget.User.DIALLED_PEERS)
+        accept_share = share(descriptor_budget.User.ACCEPTED_PEERS)
+        store.share = share(descriptor_budget.User.STORE)
         passage = client.Passage(self._budget, bodies.Turns())
         stop = stop_admission.StopAdmission(clock)
-        self._transfers = transfers_lib.Transfers(passage, clock)
+        self._transfers = transfers_lib.Transfers(
+            passage, clock, dial_share, accept_share
+        )
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
         self._stop = asyncio.Event()
@@ -143,6 +159,8 @@
             clock,
             lambda vm, frame: self._peer_frames.receive(vm, frame),
             self._budget,
+            dial_share,
+            accept_share,
         )
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
@@ -164,7 +182,11 @@
             clock, self._on_suspect, _CRASHES_TO_QUARANTINE
         )
         self._connections = target_connections.TargetConnections(
-            own_settings.target_address, clock, self._metrics, passage
+            own_settings.target_address,
+            clock,
+            self._metrics,
+            passage,
+            share(descriptor_budget.User.TARGET),
         )
         self._gate = gate_lib.Gate(
             own_settings.service,
@@ -217,6 +239,12 @@
         self._memory = memory_report.MemoryReport(
             self._budget, own_settings.limits.memory_mb, self._log, clock
         )
+        self._descriptor_report = descriptor_report.DescriptorReport(
+            self._descriptors,
+            own_settings.limits.max_descriptors,
+            self._log,
+            clock,
+        )
         selection = target_selection.TargetSelection(
             self._fleet, self._links, clock, random.Random()
         )
@@ -239,7 +267,10 @@
             self._metrics,
         )
         self._caller_server = self._new_server(
-            self._ingress.handle, self._limits, passage.turns
+            self._ingress.handle,
+            descriptor_budget.User.CALLERS,
+            self._limits,
+            passage.turns,
         )
         self._graceful_stop = graceful_stop.GracefulStop(
             stop,
@@ -249,13 +280,23 @@
             self._links,
             clock,
         )
-        self._notice_server = self._new_server(self._local_target.handle)
-        self._readiness_server = self._new_server(self._answer_readiness)
+        self._notice_server = self._new_server(
+            self._local_target.handle, descriptor_budget.User.ANNOUNCEMENTS
+        )
+        self._readiness_server = self._new_server(
+            self._answer_readiness, descriptor_budget.User.READINESS
+        )
         page = metrics_page.MetricsPage(
             self._metrics,
-            lambda: {**self._report.gauges(), **self._memory.gauges()},
+            lambda: {
+                **self._report.gauges(),
+                **self._memory.gauges(),
+                **self._descriptor_report.gauges(),
+            },
+        )
+        self._metrics_server = self._new_server(
+            page.handle, descriptor_budget.User.METRICS
         )
-        self._metrics_server = self._new_server(page.handle)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then finishes open requests and returns."""
@@ -274,6 +315,7 @@
             availability_zone=own_settings.availability_zone,
             region=own_settings.region,
             **self._memory.at_start(),
+            **self._descriptor_report.at_start(),
         )
         for loop_call in self._background_loops():
             self._start(self._keep_running(loop_call))
@@ -289,6 +331,7 @@
     def _new_server(
         self,
         handler: server.Handler,
+        user: descriptor_budget.User,
         limits: Any = server.ServerLimits,
         turns: bodies.Turns | None = None,
     ) -> server.HttpServer:
@@ -300,6 +343,8 @@
             self._budget,
             turns,
             self._on_rejected,
+            self._descriptors.share(user),
+            _PATIENCE_BY_USER.get(user, _SMALL_PATIENCE),
         )
 
     def _on_rejected(
@@ -325,6 +370,7 @@
             self._join,
             self._caller_server.close_idle_connections,
             self._notice_server.close_idle_connections,
+            self._metrics_server.close_idle_connections,
             self._readiness_server.close_idle_connections,
             self._links.check_links,
             self._transfers.server.close_idle_connections,
@@ -333,6 +379,7 @@
             lambda: self._status_sender.run(self._gate.sample_utilisation),
             self._follow_settings,
             self._memory.watch,
+            self._descriptor_report.watch,
         ]
 
     async def _keep_running(self, loop_call: _LoopCall) -> None:
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -23,6 +23,8 @@
     START = "start"
     STOP = "stop"
     MEMORY_HIGH = "memory-high"
+    DESCRIPTORS_SHORT = "descriptors-short"
+    DESCRIPTORS_BACK = "descriptors-back"
     RELOAD = "reload"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -4,31 +4,19 @@
 calls of a peer on the stream that the peer dialled.
 """
 
-import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
-import contextlib
-import functools
-import socket
-from typing import Any
-
-import msgspec
-from tornado import iostream
-from tornado import netutil
-from tornado import tcpserver
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
-from mustardloom.http1 import sockets
-from mustardloom.sidecar import frame_reader
-from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
+from mustardloom.sidecar import incoming_link
 from mustardloom.sidecar import outgoing_link
-from mustardloom.sidecar import transfers
+from mustardloom.sidecar import peer_server
 
 __all__ = [
     "FrameHandler",
@@ -38,23 +26,15 @@
 ]
 
 Address = settings.Address
-# Called with each frame of a peer; returns the reply to a call, None for frames
-# that have no reply.
-FrameHandler = Callable[
-    [ids.VmId, frames.Frame],
-    Awaitable[frames.Frame | None] | frames.Frame | None,
-]
-
+FrameHandler = incoming_link.FrameHandler
 PeerLost = outgoing_link.PeerLost
 PeerUnreachable = outgoing_link.PeerUnreachable
 
-# Called with a stream whose first byte was `transfers.PREFACE`.
-TransferHandler = Callable[[iostream.IOStream], None]
+TransferHandler = peer_server.TransferHandler
 # Called with the VM, the local time of the status or ping, and its answer.
 PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
 
 _CHECK_INTERVAL_MS = 150
-_END_POLL_S = 0.01
 
 
 class Links:
@@ -63,6 +43,8 @@
     Attributes:
       clock: Source of time.
       budget: Account of the bytes that this process holds.
+      dial_share: Descriptors for the links that this daemon dials.
+      accept_share: Descriptors for the connections that peers open.
       handler: Called with each frame of a peer.
       vm: VM of this daemon.
       make_pong: Returns the answer to a status or ping.
@@ -79,8 +61,12 @@
         clock: clock_lib.Clock,
         handler: FrameHandler,
         budget: memory_budget.MemoryBudget | None = None,
+        dial_share: descriptor_budget.Share | None = None,
+        accept_share: descriptor_budget.Share | None = None,
     ):
         self.clock = clock
+        self.dial_share = dial_share or descriptor_budget.unlimited()
+        self.accept_share = accept_share or descriptor_budget.unlimited()
         self.budget = budget or memory_budget.unlimited(clock)
         self.handler = handler
         self.on_change: Callable[[ids.VmId, bool], None] = lambda *_: None
@@ -94,7 +80,7 @@
         self._record = record
         self._started_ms = clock.wall_ms()
         self._link_by_vm: dict[ids.VmId, outgoing_link.OutgoingLink] = {}
-        self._server = _PeerServer(self)
+        self._server = peer_server.PeerServer(self)
 
     def hello(self, receiver: ids.VmId) -> frames.Hello:
         """Returns the first frame of a link, which names both sides."""
@@ -106,11 +92,7 @@
         Raises:
           OSError: The address is in use or not available.
         """
-        listening = netutil.bind_sockets(port, host)
-        for each in listening:
-            sockets.bound_unread(each, sockets.REMOTE_UNREAD_BYTES)
-        self._server.add_sockets(listening)
-        return int(listening[0].getsockname()[1])
+        return self._server.listen(host, port)
 
     def set_peers(self, address_by_vm: dict[ids.VmId, Address]) -> None:
         """Opens and closes links until there is one to each of these VMs."""
@@ -232,162 +214,3 @@
         for link in self._link_by_vm.values():
             link.close()
         self._link_by_vm.clear()
-
-
-class _PeerServer(tcpserver.TCPServer):
-    """Accepts the links that peers dial."""
-
-    def __init__(self, owner: Links):
-        super().__init__()
-        self._owner = owner
-        self._link_by_stream: dict[iostream.IOStream, _IncomingLink] = {}
-
-    def close(self) -> None:
-        """Accepts no more links and closes those that are open."""
-        self.stop()
-        for stream in list(self._link_by_stream):
-            stream.close()
-
-    def is_writing(self) -> bool:
-        """Returns whether a stream has bytes that are not written yet."""
-        return any(stream.writing() for stream in self._link_by_stream)
-
-    def has_streams(self) -> bool:
-        """Returns whether a stream is open."""
-        return bool(self._link_by_stream)
-
-    def end_streams(self) -> None:
-        """Accepts no more links; sends the end of all that are open."""
-        self.stop()
-        for link in list(self._link_by_stream.values()):
-            link.end()
-
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: tuple[Any, ...]
-    ) -> None:
-        """See base class."""
-        del address
-        stream.set_nodelay(True)
-        try:
-            first = await stream.read_bytes(len(transfers.PREFACE))
-        except iostream.StreamClosedError:
-            return
-        if first == transfers.PREFACE:
-            self._owner.on_transfer(stream)
-            return
-        link = _IncomingLink(self._owner, stream)
-        self._link_by_stream[stream] = link
-        try:
-            await link.run(first)
-        finally:
-            del self._link_by_stream[stream]
-
-
-class _IncomingLink:
-    """A link that a peer dialled."""
-
-    def __init__(self, owner: Links, stream: iostream.IOStream):
-        self._owner = owner
-        self._stream = stream
-        self._writer = frame_writer.FrameWriter(stream, owner.budget)
-        self._vm: ids.VmId | None = None
-        self._tasks: dict[int, asyncio.Future[frames.Frame | None]] = {}
-        # Highest number of a call so far.
-        self._last_number = 0
-        self._is_ending = False
-
-    def end(self) -> None:
-        """Sends the end of the link, and which calls were read before it."""
-        self._is_ending = True
-        self._reply(frames.Goodbye(self._last_number))
-        self._close_when_written()
-
-    def _close_when_written(self) -> None:
-        if self._stream.closed():
-            return
-        if self._stream.writing():
-            loop = asyncio.get_running_loop()
-            loop.call_later(_END_POLL_S, self._close_when_written)
-            return
-        with contextlib.suppress(OSError):
-            self._stream.socket.shutdown(socket.SHUT_WR)
-
-    async def run(self, data: bytes) -> None:
-        """Reads frames until the stream is closed or its bytes are invalid.
-
-        Args:
-          data: The first bytes, which were read already.
-        """
-        reader = frame_reader.FrameReader(
-            self._stream,
-            self._owner.budget,
-            self._receive,
-            before_read=self._writer.wait_until_read,
-        )
-        try:
-            await reader.run(data)
-        except iostream.StreamClosedError:
-            pass
-        except Exception as error:
-            # Invalid bytes, or a frame that its handler cannot process; either
-            # ends this link only.
-            self._owner.on_fault(self._vm or ids.VmId(""), error)
-        finally:
-            self._stream.close()
-            for task in list(self._tasks.values()):
-                task.cancel()
-
-    def _receive(self, frame: frames.Frame) -> None:
-        if self._is_ending:
-            # The peer learns from the last frame that this was not read.
-            return
-        if isinstance(frame, frames.Hello):
-            if frame.receiver != self._owner.vm:
-                # The receiver had this address before this VM took it over.
-                raise ValueError(f"link meant for {frame.receiver}")
-            self._vm = frame.sender.vm
-            self._owner.handler(self._vm, frame)
-            return
-        if self._vm is None:
-            raise ValueError("first frame of the link is not a Hello")
-        if isinstance(frame, frames.Cancel):
-            task = self._tasks.get(frame.number)
-            if task is not None:
-                task.cancel()
-            return
-        if isinstance(frame, frames.Status | frames.Ping):
-            self._reply(self._owner.make_pong())
-        result = self._owner.handler(self._vm, frame)
-        if result is None:
-            return
-        if isinstance(result, msgspec.Struct):
-            self._reply(result)
-            return
-        number: int = getattr(frame, "number", 0)
-        self._last_number = max(self._last_number, number)
-        task = asyncio.ensure_future(result)
-        self._tasks[number] = task
-        task.add_done_callback(
-            functools.partial(self._on_done, self._vm, number)
-        )
-
-    def _on_done(
-        self,
-        vm: ids.VmId,
-        number: int,
-        task: "asyncio.Future[frames.Frame | None]",
-    ) -> None:
-        self._tasks.pop(number, None)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if isinstance(error, Exception):
-            self._owner.on_fault(vm, error)
-            return
-        reply = task.result()
-        if reply is not None:
-            self._reply(reply)
-
-    def _reply(self, frame: frames.Frame) -> None:
-        # A peer that has closed its link waits for no reply.
-        self._writer.write(frame)
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -12,16 +12,17 @@
 import dataclasses
 import functools
 import itertools
-import socket
 from typing import Protocol
 
 from tornado import iostream
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
 from mustardloom.http1 import sockets
+from mustardloom.http1 import streams
 from mustardloom.sidecar import frame_reader
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
@@ -55,6 +56,7 @@
     Attributes:
       clock: Source of time.
       budget: Account of the bytes that this process holds.
+      dial_share: Descriptors for the links that this daemon dials.
       on_pong: Called with a peer's answer to a status or ping, and the local
         time at which that was sent.
       on_change: Called when the link to a VM goes up or down.
@@ -63,6 +65,7 @@
 
     clock: clock_lib.Clock
     budget: memory_budget.MemoryBudget
+    dial_share: descriptor_budget.Share
     on_pong: Callable[[ids.VmId, int, frames.Pong], None]
     on_change: Callable[[ids.VmId, bool], None]
     on_fault: Callable[[ids.VmId, Exception], None]
@@ -278,9 +281,13 @@
             backoff_ms = min(2 * backoff_ms, _MAX_RECONNECT_MS)
 
     async def _connect(self) -> _Stream | None:
-        opened = socket.socket()
-        sockets.bound_unread(opened, sockets.REMOTE_UNREAD_BYTES)
-        dialled = iostream.IOStream(opened)
+        try:
+            dialled = streams.open_stream(
+                self._owner.dial_share, sockets.REMOTE_UNREAD_BYTES
+            )
+        except OSError:
+            # Counted by the share; tried again after a pause.
+            return None
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_MS / _MS_PER_S):
                 await dialled.connect(self.address)
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom import objects
 from mustardloom.deployment import stored
@@ -36,10 +37,12 @@
       era: Number of times that the store came back from an older copy.
       on_unreadable: Called with the kind and the number of objects that were
         left out of an answer.
+      share: Descriptors for connections to the store.
     """
 
     era: int
     on_unreadable: Callable[[stored.Kind, int], None]
+    share: descriptor_budget.Share
 
     async def get(self, key: str) -> objects.Versioned | None:
         """Returns an object, None if there is none."""
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import settings
 from mustardloom.deployment import targets
@@ -117,12 +118,14 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         passage: client.Passage | None = None,
+        share: descriptor_budget.Share | None = None,
     ):
         self.opened = 0
         self._address = address
         self._clock = clock
         self._metrics = metrics
         self._passage = passage
+        self._share = share
         self._idle: list[_KeptConnection] = []
 
     def close(self) -> None:
@@ -284,7 +287,10 @@
         self.opened += 1
         self._metrics.increment("target.connections_opened")
         connection = await client.connect(
-            self._address, _CONNECT_TIMEOUT_MS, sockets.WIDE_UNREAD_BYTES
+            self._address,
+            _CONNECT_TIMEOUT_MS,
+            sockets.WIDE_UNREAD_BYTES,
+            self._share,
         )
         return _KeptConnection(connection)
 
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -11,6 +11,7 @@
 import secrets
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom.deployment import settings
@@ -39,13 +40,22 @@
     Args:
       passage: How bodies pass through this process.
       clock: Source of time.
+      dial_share: Descriptors for the connections that it opens.
+      accept_share: Descriptors for those that other daemons open.
 
     Attributes:
       server: Serves the bodies that are offered.
     """
 
-    def __init__(self, passage: client.Passage, clock: clock_lib.Clock):
-        self.server = server.HttpServer(self._serve, clock)
+    def __init__(
+        self,
+        passage: client.Passage,
+        clock: clock_lib.Clock,
+        dial_share: descriptor_budget.Share | None = None,
+        accept_share: descriptor_budget.Share | None = None,
+    ):
+        self.server = server.HttpServer(self._serve, clock, share=accept_share)
+        self._dial_share = dial_share
         self._passage = passage
         self._clock = clock
         self._body_by_token: dict[str, bodies.BodySource] = {}
@@ -87,7 +97,13 @@
           deadline_ms: Local time at which the body is broken off.
         """
         return FetchedBody(
-            vm, address, transfer, deadline_ms, self._passage, self._clock
+            vm,
+            address,
+            transfer,
+            deadline_ms,
+            self._passage,
+            self._clock,
+            self._dial_share,
         )
 
     async def _serve(self, request: messages.Request) -> messages.Response:
@@ -111,6 +127,7 @@
         deadline_ms: int,
         passage: client.Passage,
         clock: clock_lib.Clock,
+        share: descriptor_budget.Share | None = None,
     ):
         known = transfer.length != frames.UNKNOWN_LENGTH
         self.length = transfer.length if known else None
@@ -121,6 +138,7 @@
         self._deadline_ms = deadline_ms
         self._passage = passage
         self._clock = clock
+        self._share = share
         self._is_closed = False
         self._connection: client.Connection | None = None
         # Room for what the connection receives.
@@ -174,7 +192,10 @@
 
     async def _request(self) -> bodies.BodySource:
         self._connection = await client.connect(
-            self._address, _CONNECT_TIMEOUT_MS, self._unread_bytes()
+            self._address,
+            _CONNECT_TIMEOUT_MS,
+            self._unread_bytes(),
+            self._share,
         )
         request = messages.Request(
             "GET", f"/{self._token}", ((b"Host", b"transfer"),), b""
