Let the floods of the descriptor tests come at a pace

Cause: the test opened its connections without a pause, so that the system dropped most opening packets and sent them again after 1 s and 3 s.

Now 100 connections at a time.

--- a/deploy/tests/test_descriptors_of_daemons.py
+++ b/deploy/tests/test_descriptors_of_daemons.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
 import os
@@ -21,6 +21,8 @@
 _MAX_DESCRIPTORS = 600
 _CONNECTIONS = 800
 _HALF_HEAD = b"POST /scans/1 HTTP/1.1\r\nHost: a.exa"
+_CONNECTS_AT_ONCE = 100
+_CONNECT_PAUSE_S = 0.03
 _WATCH_S = 4.0
 _REQUEST_INTERVAL_S = 0.2
 _ROUNDS_PER_SCRAPE = 5
@@ -54,17 +56,22 @@
     new: int = _NO_ANSWER
 
 
-@contextlib.contextmanager
-def _flood(
+@contextlib.asynccontextmanager
+async def _flood(
     address: tuple[str, int], count: int
-) -> Iterator[list[socket.socket]]:
-    """Begins to open connections, which are closed at the end."""
+) -> AsyncIterator[list[socket.socket]]:
+    """Opens connections, which are closed at the end.
+
+    They come at a pace at which the system drops few opening packets.
+    """
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     assert hard >= 2 * count
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     with contextlib.ExitStack() as stack:
         opened = []
-        for _ in range(count):
+        for index in range(count):
+            if index % _CONNECTS_AT_ONCE == 0:
+                await asyncio.sleep(_CONNECT_PAUSE_S)
             connection = stack.enter_context(socket.socket())
             connection.setblocking(False)
             connection.connect_ex(address)
@@ -151,7 +158,7 @@
         assert await _use(kept) == 200
         log_bytes = vm.log.stat().st_size
         before_s = _processor_s(vm.pid)
-        with _flood((vm.host, port), count) as connections:
+        async with _flood((vm.host, port), count) as connections:
             sending = asyncio.create_task(_send_all(connections, data))
             seen = await _watch(vm, kept)
             await sending
@@ -228,7 +235,7 @@
                 vm.pid, resource.RLIMIT_NOFILE, (_TOO_FEW, limits[1])
             )
             with contextlib.closing(kept):
-                with _flood(vm.caller_address, _CONNECTIONS):
+                async with _flood(vm.caller_address, _CONNECTIONS):
                     await asyncio.sleep(_WATCH_S)
                     assert await _use(kept) == 200
                 used_s = _processor_s(vm.pid) - before_s
