Bound what a process writes, whatever is done to it

Seen: 2.5 MB/s of tracebacks on standard error when accept failed; a line for each invalid notice, reload and link, of any length.

Cause: only lines about requests had a rate. `fault` and what others may cause as often as they like (notice-rejected, object-unreadable, objects-left-out, reload, store-answer-ignored) had none, nor had changes of state; no line had a limit of its length. What libraries, the event loop, warnings and the interpreter report went to standard error past the log.

Change: each event has a token bucket (those about requests share theirs as before): 2 a second and 20 at once for the reports above, 5 a second and 400 at once for changes of state, so that a storm of one kind hides no change of another. What is left out is counted as before.

--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -20,6 +20,7 @@
 from mustardloom.platform import object_api
 from mustardloom.platform import settings_file
 from mustardloom.sidecar import daemon
+from mustardloom.sidecar import process_log
 
 __all__ = ["main"]
 
@@ -74,6 +75,7 @@
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
+    process_log.ProcessLog(sidecar.log).install(asyncio.get_running_loop())
     await sidecar.run()
 
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -298,6 +298,11 @@
             page.handle, descriptor_budget.User.METRICS
         )
 
+    @property
+    def log(self) -> events.EventLog:
+        """Where this daemon writes."""
+        return self._log
+
     async def run(self) -> None:
         """Serves until SIGTERM, then finishes open requests and returns."""
         loop = asyncio.get_running_loop()
@@ -405,14 +410,7 @@
             self._on_fault(error)
 
     def _on_fault(self, error: BaseException) -> None:
-        trace = error.__traceback__
-        while trace is not None and trace.tb_next is not None:
-            trace = trace.tb_next
-        place = ""
-        if trace is not None:
-            code = trace.tb_frame.f_code
-            place = f"{code.co_filename}:{trace.tb_lineno}"
-        self._log.write(events.Event.FAULT, error=repr(error), place=place)
+        self._log.write_fault(error)
 
     async def _join(self) -> None:
         """Registers this daemon, finds the others and follows changes."""
@@ -596,7 +594,7 @@
         self._log.write(event, peer=vm)
 
     def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
-        self._log.write(events.Event.FAULT, peer=vm, error=repr(error))
+        self._log.write_fault(error, peer=vm)
 
     def _on_suspect(
         self, fingerprint: int, crashes: int, regions: frozenset[ids.RegionId]
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -1,4 +1,4 @@
-"""Structured log: one line for each decision, rate-limited, never blocking."""
+"""Structured log: one line for each decision, bounded, never blocking."""
 
 import enum
 import os
@@ -8,13 +8,13 @@
 from mustardloom import clock as clock_lib
 from mustardloom import metrics as metrics_lib
 
-__all__ = ["Event", "EventLog"]
+__all__ = ["Event", "EventLog", "describe"]
 
 _STDOUT = 1
-# Rate limit of lines about single requests; changes of state have none.
-_LINES_PER_S = 20
-_BURST_LINES = 60
 _MS_PER_S = 1_000
+# A line that is not longer is written to a pipe whole or not at all.
+_MAX_LINE_BYTES = 4_096
+_MAX_TEXT_CHARACTERS = 1_000
 
 
 class Event(enum.Enum):
@@ -72,10 +72,51 @@
 )
 
 
+_REQUEST_LINES_PER_S = 20
+_REQUEST_BURST_LINES = 60
+# What others may cause as often as they like.
+_REPORTS = frozenset(
+    (
+        Event.FAULT,
+        Event.NOTICE_REJECTED,
+        Event.OBJECT_UNREADABLE,
+        Event.OBJECTS_LEFT_OUT,
+        Event.RELOAD,
+        Event.STORE_ANSWER_IGNORED,
+    )
+)
+_REPORTS_PER_S = 2
+_BURST_REPORTS = 20
+# Many peers may be lost and found at once, and a zone is moved at once.
+_CHANGES_PER_S = 5
+_BURST_CHANGES = 400
+
+
+class _TokenBucket:
+    """Limits the rate of lines."""
+
+    def __init__(self, lines_per_s: float, burst_lines: int, now_ms: int):
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
+        self._tokens = float(burst_lines)
+        self._refilled_ms = now_ms
+
+    def take(self, now_ms: int) -> bool:
+        """Returns whether a line may be written."""
+        refill = (now_ms - self._refilled_ms) * self._lines_per_s / _MS_PER_S
+        self._tokens = min(self._burst_lines, self._tokens + refill)
+        self._refilled_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 class EventLog:
     """Writes JSON lines to a file descriptor.
 
-    A token bucket limits the rate of lines about requests. Lines over the limit
+    Lines about requests share one token bucket; each other event has its own,
+    so that a storm of one kind hides no change of another. Lines over the limit
     and lines that cannot be written at once are dropped; the next line tells
     how many were dropped.
 
@@ -97,39 +138,100 @@
         self._clock = clock
         self._metrics = metrics
         self._descriptor = descriptor
-        self._tokens = float(_BURST_LINES)
-        self._refilled_ms = clock.now_ms()
+        now_ms = clock.now_ms()
+        requests = _TokenBucket(
+            _REQUEST_LINES_PER_S, _REQUEST_BURST_LINES, now_ms
+        )
+        self._bucket_by_event = {
+            event: requests
+            if event in _REQUEST_EVENTS
+            else _own_bucket(event, now_ms)
+            for event in Event
+        }
         self._dropped_lines = 0
         os.set_blocking(descriptor, False)
 
     def write(self, event: Event, **fields: object) -> None:
         """Writes one line; names of numeric fields end in their unit."""
         self._metrics.increment(f"event.{event.value}")
-        if event in _REQUEST_EVENTS and not self._take_token():
+        if not self._bucket_by_event[event].take(self._clock.now_ms()):
             self._dropped_lines += 1
             return
         line: dict[str, object] = {
             "wall_ms": self._clock.wall_ms(),
             "vm": self._vm,
             "event": event.value,
-            **fields,
         }
         if self._dropped_lines:
-            line["lines_left_out"] = self._dropped_lines
-        data = msgspec.json.encode(line) + b"\n"
+            fields["lines_left_out"] = self._dropped_lines
         try:
-            os.write(self._descriptor, data)
+            os.write(self._descriptor, _encode(line, fields))
             self._dropped_lines = 0
         except OSError:
             # A slow or closed reader must not delay requests.
             self._dropped_lines += 1
 
-    def _take_token(self) -> bool:
-        now_ms = self._clock.now_ms()
-        refill = (now_ms - self._refilled_ms) * _LINES_PER_S / _MS_PER_S
-        self._tokens = min(_BURST_LINES, self._tokens + refill)
-        self._refilled_ms = now_ms
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+    def write_fault(
+        self, error: BaseException | None, **fields: object
+    ) -> None:
+        """Writes a line about an error of the program, with its place."""
+        if error is not None:
+            fields = {
+                "error": describe(error),
+                "place": _place_of(error),
+                **fields,
+            }
+        self.write(Event.FAULT, **fields)
+
+
+def describe(value: object) -> str:
+    """Returns a short text for a value, also if it has no valid one."""
+    try:
+        return _shorten(repr(value))
+    except Exception as error:
+        return f"{type(value).__name__} without a text: {type(error).__name__}"
+
+
+def _own_bucket(event: Event, now_ms: int) -> _TokenBucket:
+    """Returns the bucket of an event that is not about a request."""
+    if event in _REPORTS:
+        return _TokenBucket(_REPORTS_PER_S, _BURST_REPORTS, now_ms)
+    return _TokenBucket(_CHANGES_PER_S, _BURST_CHANGES, now_ms)
+
+
+def _encode(line: dict[str, object], fields: dict[str, object]) -> bytes:
+    """Returns a line of bounded length; texts that are too long are cut."""
+    try:
+        data = msgspec.json.encode({**line, **fields})
+    except (TypeError, ValueError):
+        # Something in it has no form in JSON.
+        fields = {name: describe(value) for name, value in fields.items()}
+        data = msgspec.json.encode({**line, **fields})
+    if len(data) >= _MAX_LINE_BYTES:
+        cut = {
+            name: _shorten(value) if isinstance(value, str) else value
+            for name, value in fields.items()
+            if isinstance(value, str | int | float)
+        }
+        data = msgspec.json.encode({**line, **cut, "line_bytes": len(data)})
+    if len(data) >= _MAX_LINE_BYTES:
+        data = msgspec.json.encode({**line, "line_bytes": len(data)})
+    return data + b"\n"
+
+
+def _shorten(value: str) -> str:
+    # Escapes what is no valid text.
+    text = value.encode("utf-8", "backslashreplace").decode()
+    if len(text) <= _MAX_TEXT_CHARACTERS:
+        return text
+    return f"{text[:_MAX_TEXT_CHARACTERS]}..."
+
+
+def _place_of(error: BaseException) -> str:
+    """Returns the line that raised an error."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- a/mustardloom/sidecar/gate.py
+++ b/mustardloom/sidecar/gate.py
@@ -573,11 +573,7 @@
             ticket.started_ms, self._interval_start_ms
         )
         if not task.cancelled() and (error := task.exception()) is not None:
-            self._log.write(
-                events.Event.FAULT,
-                request=ticket.request.request_id,
-                error=repr(error),
-            )
+            self._log.write_fault(error, request=ticket.request.request_id)
         # Without effect unless the dispatch ended without an outcome.
         _resolve(ticket, work.Failed(work.FailureReason.INTERNAL))
         self._start_waiting()
--- a/mustardloom/sidecar/tests/test_events.py
+++ b/mustardloom/sidecar/tests/test_events.py
@@ -70,3 +70,46 @@
     ]
     assert [line.vm for line in trace.context] == ["a"]
     assert trace.unreadable == 2
+
+
+def test_faults_are_written_without_bounds():
+    """Guards against an error that repeats and fills the log."""
+    reader, writer = os.pipe()
+    clock = clock_lib.FakeClock()
+    log = _log(writer, clock)
+    for number in range(2_000):
+        log.write_fault(ValueError(number))
+        log.write(events.Event.NOTICE_REJECTED, reason="x")
+        clock.jump(5)
+    log.write(events.Event.TARGET_DOWN)
+    lines = _read(reader)
+    # 20 of each at once, and 2 a second for nearly 10 s.
+    assert len(lines) == 2 * (20 + 19) + 1
+    assert lines[-1]["event"] == "target-down"
+    written = sum(line.get("lines_left_out", 0) for line in lines) + len(lines)
+    assert written == 4_001
+    os.close(reader)
+    os.close(writer)
+
+
+def test_long_or_odd_values_are_written_whole():
+    """Guards against lines of any length, and values that end the writer."""
+
+    class _Odd(Exception):
+        def __repr__(self):
+            raise ValueError("no text")
+
+    reader, writer = os.pipe()
+    log = _log(writer)
+    log.write_fault(ValueError("x" * 1_000_000))
+    log.write_fault(_Odd())
+    log.write_fault(ValueError("\udcff"), message="\udcff")
+    log.write(events.Event.RELOAD, rejected="\x00" * 100_000, found=[1] * 9_999)
+    log.write(events.Event.RELOAD, **{f"name_{i}": "y" * 99 for i in range(99)})
+    os.set_blocking(reader, False)
+    data = os.read(reader, 1 << 20)
+    assert max(map(len, data.splitlines())) < 4_096
+    lines = [msgspec.json.decode(line) for line in data.splitlines()]
+    assert [line["event"] for line in lines] == ["fault"] * 3 + ["reload"] * 2
+    os.close(reader)
+    os.close(writer)
--- a/mustardloom/sidecar/unreadable_objects.py
+++ b/mustardloom/sidecar/unreadable_objects.py
@@ -27,5 +27,5 @@
             events.Event.OBJECT_UNREADABLE,
             object=found.key,
             store_version=found.version,
-            error=repr(error),
+            error=events.describe(error),
         )
