Hold signals back from the first instruction of a daemon

Seen: SIGHUP in the first 95 ms of a daemon ends it with -1, SIGTERM in its start with -15; callers lose the daemon, and the platform sees a process that ended by itself.

Cause: until the program's first line, and for SIGTERM until the event loop has its handler, the default action of the signal is in force, which ends a process. The interpreter alone takes tens of milliseconds to that line.

Change: the deploy file runs a small compiled launcher, which holds back the ordinary signals that end a process and runs the interpreter's library within the same process. `process_signals` names them, holds them before the slow imports, too (for `python3 -m`), and lets them go once the loop has handlers for each. SIGINT and SIGQUIT now stop like SIGTERM; signals without a meaning leave a line. The build compiles the launcher for the interpreter that runs it, checks that it runs before it takes the place of an earlier one, and makes it a link to the interpreter where there is no compiler or no shared library: the build succeeds as before, and the window stays as it was.

The test in cli/tests/test_sidecar.py awaited that SIGHUP is ignored. It is held back now, so the test awaits that, sends it, and expects the same exit code.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -5,7 +5,7 @@
 anew. The installation takes place in another folder, which replaces the
 previous one only when it is complete and the daemon can be imported with it.
 A manifest inside names what the folder was made for and the digest of each of
-its files.
+its files. The program that starts the daemon is built by `launcher`.
 """
 
 from collections.abc import Iterator
@@ -21,6 +21,8 @@
 import sys
 import tempfile
 
+from deploy import launcher
+
 __all__ = ["build", "is_whole", "main"]
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -159,13 +161,15 @@
 
 
 def main() -> int:
-    """Builds and returns the exit code: 0 if `target/deps` is whole."""
+    """Builds and returns the exit code: 0 if all is whole."""
     try:
         is_new = build(_ROOT)
-    except BuildFailed as error:
+        launcher_state = launcher.build(_ROOT)
+    except (BuildFailed, OSError) as error:
         print(f"build failed: {error}", file=sys.stderr)
         return 1
     print("target/deps installed" if is_new else "target/deps is whole")
+    print(f"{launcher.PROGRAM} {launcher_state}")
     return 0
 
 
--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -5,16 +5,23 @@
 """
 
 import asyncio
+import atexit
 import contextlib
+import functools
 import json
 import os
 import pathlib
 import random
 import shlex
+import shutil
 import signal
 import socket
+import subprocess
 import sys
+import sysconfig
+import tempfile
 import tomllib
+from typing import Any
 from typing import Self
 
 from deploy.tests import memory_watch
@@ -62,16 +69,35 @@
 
     async def start(self) -> None:
         """Starts daemon and target."""
-        settings = self._fleet.folder / f"{self.name}.conf"
-        settings.write_text("\n".join(self._settings()) + "\n")
-        environment = {**os.environ, "MUSTARDLOOM_CONFIG": str(settings)}
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *_command(), cwd=_ROOT, env=environment, stdout=log, stderr=log
+                *_command(),
+                cwd=_ROOT,
+                env=self._environment(),
+                stdout=log,
+                stderr=log,
             )
         self._memory = memory_watch.MemoryWatch(self._process.pid)
         self.target.start()
 
+    def spawn(self) -> subprocess.Popen[bytes]:
+        """Starts a daemon alone, which the caller ends."""
+        with self.log.open("ab") as log:
+            return subprocess.Popen(
+                _command(),
+                cwd=_ROOT,
+                env=self._environment(),
+                stdout=log,
+                stderr=log,
+            )
+
+    def events(self) -> list[dict[str, Any]]:
+        """Returns the lines of the log that are objects, in their order."""
+        if not self.log.exists():
+            return []
+        lines = self.log.read_text().split("\n")[:-1]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the daemon."""
         assert self._process is not None
@@ -106,6 +132,18 @@
             caller.send_head("GET", "/readiness", 0)
             return await caller.read_status() == 200
 
+    def _environment(self) -> dict[str, str]:
+        """Writes the settings and returns the variables of the process."""
+        settings = self._fleet.folder / f"{self.name}.conf"
+        settings.write_text("\n".join(self._settings()) + "\n")
+        # The platform has the packages of the daemon on this path.
+        packages = sysconfig.get_path("purelib")
+        return {
+            **os.environ,
+            "MUSTARDLOOM_CONFIG": str(settings),
+            "PYTHONPATH": packages,
+        }
+
     def _settings(self) -> list[str]:
         host = self.host
         return [
@@ -177,8 +215,23 @@
     program, *arguments = shlex.split(
         deploy["roles"]["mustardloom-sidecar"]["run"]
     )
-    assert program == "python3"
-    return [sys.executable, *arguments]
+    if program == "python3":
+        return [sys.executable, *arguments]
+    assert program == "target/bin/mustardloom-sidecar"
+    return [_launcher(), *arguments]
+
+
+@functools.cache
+def _launcher() -> str:
+    """Builds the program of the deploy file for this interpreter."""
+    # Versions that run the interpreter itself do not have this module.
+    from deploy import launcher
+
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardloom-launcher-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    program = folder / launcher.PROGRAM.name
+    launcher.make(program)
+    return str(program)
 
 
 def _free_hosts(count: int) -> list[str]:
--- a/deploy/tests/test_build.py
+++ b/deploy/tests/test_build.py
@@ -12,8 +12,11 @@
 
 import pytest
 
+from mustardloom import process_signals
+
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _DEPS = pathlib.Path("target/deps")
+_PROGRAM = pathlib.Path("target/bin/mustardloom-sidecar")
 _PACKAGE = "tinypackage"
 _DIST_INFO = f"{_PACKAGE}-1.0.dist-info"
 _LATER_S = 1_000
@@ -60,12 +63,12 @@
     return root
 
 
-def _build(root: pathlib.Path) -> int:
+def _build(root: pathlib.Path, has_compiler: bool = True) -> int:
     """Runs the command of the deploy file; returns its exit code."""
     deploy = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text())
-    folder = pathlib.Path(sys.executable).parent
+    folder = str(pathlib.Path(sys.executable).parent)
     environment = {
-        "PATH": f"{folder}:{os.environ['PATH']}",
+        "PATH": f"{folder}:{os.environ['PATH']}" if has_compiler else folder,
         "HOME": os.environ.get("HOME", "/"),
         "PIP_NO_INDEX": "1",
         "PIP_FIND_LINKS": str(root.parent / "wheels"),
@@ -171,3 +174,58 @@
     shutil.rmtree(checkout.parent / "wheels")
     assert _build(checkout) == 0
     assert (checkout / _DEPS).stat().st_ino == before
+
+
+def _held_signals(root: pathlib.Path) -> set[str]:
+    """Returns the signals that wait when the interpreter has started."""
+    code = "import signal\nfor each in signal.pthread_sigmask(0, []):"
+    code += " print(each.name)"
+    command = [str(root / _PROGRAM), "-S", "-c", code]
+    output = subprocess.run(command, check=True, capture_output=True).stdout
+    return set(output.decode().split())
+
+
+def test_program_is_started_without_the_signals_held(checkout):
+    """Guards against a list of the launcher that differs from the daemon's."""
+    assert _build(checkout) == 0
+    held = process_signals.STOP | process_signals.UNUSED
+    names = {each.name for each in held | {process_signals.RELOAD}}
+    assert _held_signals(checkout) == names
+
+
+def test_program_of_another_kind_of_machine_counts_as_built(checkout):
+    """Guards against a program that was carried over."""
+    assert _build(checkout) == 0
+    (checkout / _PROGRAM).write_bytes(b"\x7fELF of another machine")
+    assert _build(checkout) == 0
+    assert _held_signals(checkout)
+
+
+def test_program_of_another_interpreter_counts_as_built(checkout):
+    """Guards against a program that starts a Python that was replaced."""
+    assert _build(checkout) == 0
+    (manifest,) = (checkout / _PROGRAM).parent.glob(".*.manifest.json")
+    text = manifest.read_text()
+    manifest.write_text(text.replace(sys.version.split()[0], "3.11.0"))
+    before = (checkout / _PROGRAM).stat().st_ino
+    assert _build(checkout) == 0
+    assert manifest.read_text() == text
+    assert (checkout / _PROGRAM).stat().st_ino != before
+
+
+def test_program_that_is_whole_is_compiled_again(checkout):
+    """Guards against a build that needs the compiler each time."""
+    assert _build(checkout) == 0
+    assert _build(checkout, has_compiler=False) == 0
+    assert _held_signals(checkout)
+
+
+def test_machine_without_a_compiler_fails_the_build(checkout):
+    """Guards against a build that needs more than the packages do.
+
+    The program is then the interpreter, and is compiled once that is possible.
+    """
+    assert _build(checkout, has_compiler=False) == 0
+    assert _held_signals(checkout) == set()
+    assert _build(checkout) == 0
+    assert _held_signals(checkout)
--- /dev/null
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -0,0 +1,89 @@
+"""Tests of signals during the start and the end of real daemons.
+
+They need no type of the product and run on earlier versions, too.
+"""
+
+import pathlib
+import signal
+import subprocess
+import time
+
+import pytest
+
+from deploy.tests import daemons
+
+_GRACE_MS = 500
+# Time from the first sign of the interpreter to the signal.
+_MOMENTS_S = (0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16)
+_INTERPRETER_LIMIT_S = 0.5
+_START_LIMIT_S = 30.0
+_END_LIMIT_S = 10.0
+_POLL_S = 0.01
+_SIGNAL_INTERVAL_S = 0.001
+# Nothing listens there; a daemon starts without its store, too.
+_NO_STORE_PORT = 1
+
+
+@pytest.fixture
+def vm(tmp_path):
+    """Returns a VM whose daemon is not started yet."""
+    fleet = daemons.Fleet(tmp_path, ["archive"], _GRACE_MS)
+    fleet.store_port = _NO_STORE_PORT
+    return fleet.vms[0]
+
+
+def _await_interpreter(process: subprocess.Popen[bytes]) -> None:
+    """Returns once the interpreter's library is loaded, or after a while."""
+    limit_s = time.monotonic() + _INTERPRETER_LIMIT_S
+    maps = pathlib.Path(f"/proc/{process.pid}/maps")
+    while "libpython" not in maps.read_text():
+        if time.monotonic() > limit_s:
+            return
+
+
+def _signal_at(
+    process: subprocess.Popen[bytes], moment_s: float, number: signal.Signals
+) -> None:
+    _await_interpreter(process)
+    time.sleep(moment_s)
+    process.send_signal(number)
+
+
+def _has_event(vm: daemons.Vm, event: str, count: int) -> bool:
+    return [each["event"] for each in vm.events()].count(event) >= count
+
+
+def _await_start(vm: daemons.Vm, process: subprocess.Popen[bytes]) -> None:
+    """Returns once the log has the line of the start, or the process ended."""
+    limit_s = time.monotonic() + _START_LIMIT_S
+    while not _has_event(vm, "start", 1) and process.poll() is None:
+        assert time.monotonic() < limit_s
+        time.sleep(_POLL_S)
+
+
+@pytest.mark.parametrize("moment_s", _MOMENTS_S)
+def test_hangup_while_the_interpreter_starts_ends_the_daemon(vm, moment_s):
+    """Guards against SIGHUP before its handler is set, which ends a process."""
+    process = vm.spawn()
+    try:
+        _signal_at(process, moment_s, signal.SIGHUP)
+        _await_start(vm, process)
+        assert process.poll() is None
+        process.terminate()
+        assert process.wait(_END_LIMIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize("moment_s", _MOMENTS_S)
+def test_stop_while_the_interpreter_starts_counts_as_a_fault(vm, moment_s):
+    """Guards against SIGTERM before its handler is set: exit code -15."""
+    process = vm.spawn()
+    try:
+        _signal_at(process, moment_s, signal.SIGTERM)
+        assert process.wait(_START_LIMIT_S) == 0
+        assert "Traceback" not in vm.log.read_text()
+    finally:
+        process.kill()
+        process.wait()
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -3,17 +3,18 @@
 Exit codes: 0 after SIGTERM, 2 if the settings are not valid, 1 otherwise.
 """
 
+from mustardloom import process_signals
+
+if __name__ == "__main__":
+    # Before the slow imports: no signal must end the process meanwhile.
+    process_signals.hold()
+
 import argparse
 import asyncio
 import gc
 import os
-import signal
 import sys
 
-# A change of the settings during the slow imports must not end the process,
-# which reads them only afterwards.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
 from mustardloom import clock as clock_lib
 from mustardloom import findings
 from mustardloom.deployment import settings
@@ -35,6 +36,7 @@
 
 def main() -> int:
     """Runs the daemon and returns its exit code."""
+    process_signals.hold()
     parser = argparse.ArgumentParser(
         prog="mustardloom-sidecar",
         description="Routes requests to the targets of a deployment. "
--- a/mustardloom/cli/tests/test_sidecar.py
+++ b/mustardloom/cli/tests/test_sidecar.py
@@ -10,12 +10,12 @@
 _POLL_S = 0.001
 
 
-def _ignores_hangup(pid):
+def _holds_hangup(pid):
     with open(f"/proc/{pid}/status", encoding="ascii") as status:
         for line in status:
-            if line.startswith("SigIgn:"):
-                ignored = int(line.split()[1], 16)
-                return bool(ignored >> (signal.SIGHUP - 1) & 1)
+            if line.startswith("SigBlk:"):
+                held = int(line.split()[1], 16)
+                return bool(held >> (signal.SIGHUP - 1) & 1)
     return False
 
 
@@ -31,11 +31,11 @@
         stderr=subprocess.DEVNULL,
     )
     try:
-        is_ignored = False
-        while not is_ignored and process.poll() is None:
-            is_ignored = _ignores_hangup(process.pid)
+        is_held = False
+        while not is_held and process.poll() is None:
+            is_held = _holds_hangup(process.pid)
             time.sleep(_POLL_S)
-        assert is_ignored
+        assert is_held
         process.send_signal(signal.SIGHUP)
         assert process.wait(_START_LIMIT_S) == 2
     finally:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -15,6 +15,7 @@
 from mustardloom import memory_budget
 from mustardloom import metrics as metrics_lib
 from mustardloom import objects
+from mustardloom import process_signals
 from mustardloom.deployment import configuration
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
@@ -259,9 +260,12 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM, then finishes open requests and returns."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        process_signals.take(
+            asyncio.get_running_loop(),
+            lambda _: self.stop(),
+            self._on_reload,
+            self._on_unused_signal,
+        )
         own_settings = self._settings
         self._links.listen(own_settings.ip, self._ports.peer_listen)
         self._notice_server.listen(*own_settings.announcement_address)
@@ -626,6 +630,9 @@
             events.Event.RELOAD, bounds=dataclasses.asdict(new.bounds)
         )
 
+    def _on_unused_signal(self, number: signal.Signals) -> None:
+        self._log.write(events.Event.SIGNAL_IGNORED, signal=number.name)
+
     async def _follow_settings(self) -> None:
         """Polls for changes of the settings that came without a SIGHUP."""
         while True:
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -24,6 +24,7 @@
     STOP = "stop"
     MEMORY_HIGH = "memory-high"
     RELOAD = "reload"
+    SIGNAL_IGNORED = "signal-ignored"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
     STORE_RESTORED = "store-restored"
@@ -66,6 +67,7 @@
         Event.GATE_FAILED,
         # A target may state something else with each response.
         Event.TARGET_STATEMENT,
+        Event.SIGNAL_IGNORED,
     )
 )
 
