Let a stop wait until the other daemon has fetched an answer

What callers saw: 502 for a request that its target had answered with 200. The daemon beside the target was stopped, the answer was longer than passes with its head (16 KB), and the target wrote it in pieces.

Cause: such a body is offered to the other daemon, which fetches it over a new connection. Once it had arrived whole from the target, nothing counted as open until the fetch came: the stop closed the listening socket, and the fetch was refused. On loopback the gap is shorter than the pause of the stop; between regions a fetch takes four ways of 20 ms.

Why it works: the offer is what is open. A body that is offered counts until it is fetched, and then until its last byte is written.

--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -21,6 +21,7 @@
 from deploy.tests import raw_http
 from deploy.tests import raw_target
 from mustardloom.platform.tests import standins
+from soak import proxy as proxy_lib
 
 __all__ = ["MEMORY_MB", "PEER_PORT", "Fleet", "Vm"]
 
@@ -30,6 +31,8 @@
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _CALLER_PORT = 8304
 _READY_PORT = 8302
+# The daemon's own port where others reach it through a proxy.
+_PEER_LISTEN_PORT = 8620
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
 _POLL_S = 0.05
@@ -37,13 +40,25 @@
 
 
 class Vm:
-    """A VM: a daemon, which is not started again, and its target."""
+    """A VM: a daemon, which is not started again, and its target.
+
+    Attributes:
+      name: Name of the VM.
+      host: Its address.
+      log: Log of the daemon.
+      target: The target.
+      peer_link: Proxy through which other daemons reach this one, if the fleet
+        has proxies.
+    """
 
     def __init__(self, fleet: "Fleet", name: str, host: str, service: str):
         self.name = name
         self.host = host
         self.log = fleet.folder / f"{name}.log"
         self.target = raw_target.Target(f"t-{name}", service, "za", host)
+        self.peer_link = proxy_lib.Proxy(
+            host, PEER_PORT, (host, _PEER_LISTEN_PORT)
+        )
         self._fleet = fleet
         self._service = service
         self._process: asyncio.subprocess.Process | None = None
@@ -65,6 +80,9 @@
         settings = self._fleet.folder / f"{self.name}.conf"
         settings.write_text("\n".join(self._settings()) + "\n")
         environment = {**os.environ, "MUSTARDLOOM_CONFIG": str(settings)}
+        if self._fleet.has_proxies:
+            environment["MUSTARDLOOM_PEER_LISTEN_PORT"] = str(_PEER_LISTEN_PORT)
+            await self.peer_link.listen()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *_command(), cwd=_ROOT, env=environment, stdout=log, stderr=log
@@ -88,7 +106,8 @@
             return await self._process.wait()
 
     async def stop(self) -> None:
-        """Ends daemon and target."""
+        """Ends daemon, target and proxy."""
+        self.peer_link.close()
         if self._memory is not None:
             self.target.stop()
             self._memory.stop()
@@ -136,12 +155,18 @@
       folder: For settings and logs.
       services: Service of each VM.
       grace_ms: Time that a daemon has to stop.
+      has_proxies: Whether a proxy stands before the links of each daemon.
     """
 
     def __init__(
-        self, folder: pathlib.Path, services: list[str], grace_ms: int = 6_000
+        self,
+        folder: pathlib.Path,
+        services: list[str],
+        grace_ms: int = 6_000,
+        has_proxies: bool = False,
     ):
         self.folder = folder
+        self.has_proxies = has_proxies
         self.grace_ms = grace_ms
         self._store = standins.Store()
         self.store_port = 0
@@ -201,6 +226,22 @@
     return True
 
 
+def _rule(kind: str, prefix: str) -> dict[str, object]:
+    return {
+        "name": f"r-{kind}",
+        "kind": kind,
+        "target_latency": "300ms",
+        "priority": 1,
+        "match": {"path_prefix": prefix},
+        "action": {
+            "service": "archive",
+            "timeout": "20000ms",
+            "max_attempts": 2,
+            "allowed_regions": [],
+        },
+    }
+
+
 _CONFIGURATION = {
     "version": 1,
     "limits": {
@@ -212,21 +253,7 @@
     "listeners": [
         {
             "host": raw_http.HOST,
-            "rules": [
-                {
-                    "name": "r-1",
-                    "kind": "upload",
-                    "target_latency": "300ms",
-                    "priority": 1,
-                    "match": {"path_prefix": "/scans/"},
-                    "action": {
-                        "service": "archive",
-                        "timeout": "20000ms",
-                        "max_attempts": 2,
-                        "allowed_regions": [],
-                    },
-                }
-            ],
+            "rules": [_rule("upload", "/scans/"), _rule("safe", "/plans/")],
         }
     ],
     "clusters": [{"name": "archive"}, {"name": "desk"}],
--- a/deploy/tests/raw_target.py
+++ b/deploy/tests/raw_target.py
@@ -25,6 +25,7 @@
       runs: Ids of the requests whose head it has read.
       answer_bytes: Size of the body of each answer.
       work_s: Time that a request takes.
+      pause_s: Time between the halves of the body of an answer.
       slots: Requests that it reports to run at once.
     """
 
@@ -33,6 +34,7 @@
         self.runs: list[str] = []
         self.answer_bytes = 100
         self.work_s = 0.01
+        self.pause_s = 0.0
         self.slots = 100
         self._service = service
         self._zone = zone
@@ -124,4 +126,7 @@
                         self.answer_bytes,
                     )
                 )
-                await raw_http.write_zeros(writer, self.answer_bytes)
+                half = self.answer_bytes // 2
+                await raw_http.write_zeros(writer, self.answer_bytes - half)
+                await asyncio.sleep(self.pause_s)
+                await raw_http.write_zeros(writer, half)
--- /dev/null
+++ b/deploy/tests/test_losses_of_daemons.py
@@ -0,0 +1,58 @@
+"""Tests that real daemons lose no answer of a target at a planned stop.
+
+They need no type of the product and run on earlier versions, too.
+"""
+
+import asyncio
+import contextlib
+import signal
+
+from deploy.tests import daemons
+from deploy.tests import raw_http
+from soak import proxy as proxy_lib
+
+_SAFE_PATH = "/plans/1"
+_DEADLINE_MS = 8_000
+# One way between two regions takes 20 ms; a fetch needs four ways.
+_WAY_MS = 100
+# Half of it is too long to pass with the head, all of it short enough for the
+# daemon beside the target to hold it.
+_LONG_ANSWER_BYTES = 36_000
+_PAUSE_S = 0.02
+# The target answers after the stop has ended its notice.
+_WORK_S = 2.9
+_BEFORE_STOP_S = 0.3
+
+
+async def _get(vm: daemons.Vm, path: str) -> int:
+    """Sends a request on a new connection; returns its status."""
+    caller = await raw_http.Caller.connect(vm.caller_address)
+    with contextlib.closing(caller):
+        caller.send_head("GET", path, 0, _DEADLINE_MS)
+        return await caller.read_status()
+
+
+def test_stop_beside_the_target_loses_an_answer_that_is_fetched(tmp_path):
+    """Guards against a stop that ends before the other daemon has a body.
+
+    The body of a long answer is offered to the other daemon, which fetches it
+    over a connection of its own.
+    """
+
+    async def play() -> int:
+        async with daemons.Fleet(
+            tmp_path, ["desk", "archive"], has_proxies=True
+        ) as fleet:
+            near, far = fleet.vms
+            far.target.work_s = _WORK_S
+            far.target.answer_bytes = _LONG_ANSWER_BYTES
+            far.target.pause_s = _PAUSE_S
+            far.peer_link.set_mode(proxy_lib.Mode.DELAY, _WAY_MS)
+            sending = asyncio.create_task(_get(near, _SAFE_PATH))
+            await asyncio.sleep(_BEFORE_STOP_S)
+            far.send_signal(signal.SIGTERM)
+            status = await sending
+            assert await far.wait() == 0
+            return status
+
+    assert asyncio.run(play()) == 200
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -52,8 +52,11 @@
         self._stop = stop
 
     def is_serving(self) -> bool:
-        """Returns whether requests of other daemons are open here."""
-        return self.open_by_vm.total() > 0 or self._transfers.server.is_busy()
+        """Returns whether requests or answers of other daemons are open here.
+
+        An answer is open until the other daemon has fetched its body.
+        """
+        return self.open_by_vm.total() > 0 or self._transfers.is_busy()
 
     async def send(
         self, vm: ids.VmId, request: work.Work, may_wait: bool
--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -273,6 +273,36 @@
     assert fleet.play(scenario) == 0
 
 
+def test_answer_is_open_until_its_body_is_fetched():
+    """Guards against a stop that ends before the other daemon has a body.
+
+    The whole body has arrived from the target, so nothing runs any more.
+    """
+
+    async def scenario(daemons, found):
+        del found
+        near, far = daemons
+        body = bodies.Body(None, bodies.Turns())
+        transfer = near.transfers.offer(body)
+        body.feed(fleet.BODY[:20_000])
+        body.end()
+        assert near.forwarder.is_serving()
+        fetched = far.transfers.fetch(
+            near.vm,
+            (fleet.HOST, near.peer_port),
+            transfer,
+            near.clock.now_ms() + 5_000,
+        )
+        size = 0
+        while piece := await fetched.read():
+            size += len(piece)
+        while near.forwarder.is_serving():
+            await asyncio.sleep(0.01)
+        return size
+
+    assert fleet.play(scenario) == 20_000
+
+
 def test_body_is_fetched_once_only():
     """Guards against two readers that share one body."""
 
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -67,6 +67,10 @@
         """Returns the number of bodies that nobody has fetched yet."""
         return len(self._body_by_token)
 
+    def is_busy(self) -> bool:
+        """Returns whether a body is offered, or being fetched."""
+        return bool(self._body_by_token) or self.server.is_busy()
+
     def withdraw(self, transfer: frames.Transfer) -> None:
         """Ends an offer; a body that is being fetched goes on."""
         self._body_by_token.pop(transfer.token, None)
