--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -28,6 +28,7 @@
 from deploy.tests import raw_http
 from deploy.tests import raw_target
 from mustardloom.platform.tests import standins
+from soak import proxy as proxy_lib
 
 __all__ = ["MEMORY_MB", "PEER_PORT", "Fleet", "Vm"]
 
@@ -37,6 +38,8 @@
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _CALLER_PORT = 8304
 _READY_PORT = 8302
+# The daemon's own port where others reach it through a proxy.
+_PEER_LISTEN_PORT = 8620
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
 _POLL_S = 0.05
@@ -44,13 +47,25 @@
 
 
 class Vm:
-    """A VM: a daemon, which is not started again, and its target."""
+    """A VM: a daemon, which is not started again, and its target.
+
+    Attributes:
+      name: Name of the VM.
+      host: Its address.
+      log: Log of the daemon.
+      target: The target.
+      peer_link: Proxy through which other daemons reach this one, if the fleet
+        has proxies.
+    """
 
     def __init__(self, fleet: "Fleet", name: str, host: str, service: str):
         self.name = name
         self.host = host
         self.log = fleet.folder / f"{name}.log"
         self.target = raw_target.Target(f"t-{name}", service, "za", host)
+        self.peer_link = proxy_lib.Proxy(
+            host, PEER_PORT, (host, _PEER_LISTEN_PORT)
+        )
         self._fleet = fleet
         self._service = service
         self._process: asyncio.subprocess.Process | None = None
@@ -69,6 +84,8 @@
 
     async def start(self) -> None:
         """Starts daemon and target."""
+        if self._fleet.has_proxies:
+            await self.peer_link.listen()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *_command(),
@@ -114,7 +131,8 @@
             return await self._process.wait()
 
     async def stop(self) -> None:
-        """Ends daemon and target."""
+        """Ends daemon, target and proxy."""
+        self.peer_link.close()
         if self._memory is not None:
             self.target.stop()
             self._memory.stop()
@@ -138,11 +156,14 @@
         settings.write_text("\n".join(self._settings()) + "\n")
         # The platform has the packages of the daemon on this path.
         packages = sysconfig.get_path("purelib")
-        return {
+        environment = {
             **os.environ,
             "MUSTARDLOOM_CONFIG": str(settings),
             "PYTHONPATH": packages,
         }
+        if self._fleet.has_proxies:
+            environment["MUSTARDLOOM_PEER_LISTEN_PORT"] = str(_PEER_LISTEN_PORT)
+        return environment
 
     def _settings(self) -> list[str]:
         host = self.host
@@ -174,12 +195,18 @@
       folder: For settings and logs.
       services: Service of each VM.
       grace_ms: Time that a daemon has to stop.
+      has_proxies: Whether a proxy stands before the links of each daemon.
     """
 
     def __init__(
-        self, folder: pathlib.Path, services: list[str], grace_ms: int = 6_000
+        self,
+        folder: pathlib.Path,
+        services: list[str],
+        grace_ms: int = 6_000,
+        has_proxies: bool = False,
     ):
         self.folder = folder
+        self.has_proxies = has_proxies
         self.grace_ms = grace_ms
         self._store = standins.Store()
         self.store_port = 0
@@ -254,6 +281,22 @@
     return True
 
 
+def _rule(kind: str, prefix: str) -> dict[str, object]:
+    return {
+        "name": f"r-{kind}",
+        "kind": kind,
+        "target_latency": "300ms",
+        "priority": 1,
+        "match": {"path_prefix": prefix},
+        "action": {
+            "service": "archive",
+            "timeout": "20000ms",
+            "max_attempts": 2,
+            "allowed_regions": [],
+        },
+    }
+
+
 _CONFIGURATION = {
     "version": 1,
     "limits": {
@@ -265,21 +308,7 @@
     "listeners": [
         {
             "host": raw_http.HOST,
-            "rules": [
-                {
-                    "name": "r-1",
-                    "kind": "upload",
-                    "target_latency": "300ms",
-                    "priority": 1,
-                    "match": {"path_prefix": "/scans/"},
-                    "action": {
-                        "service": "archive",
-                        "timeout": "20000ms",
-                        "max_attempts": 2,
-                        "allowed_regions": [],
-                    },
-                }
-            ],
+            "rules": [_rule("upload", "/scans/"), _rule("safe", "/plans/")],
         }
     ],
     "clusters": [{"name": "archive"}, {"name": "desk"}],
