Keep signals held while a daemon ends

Seen: SIGHUP after SIGTERM, with all answers written, ends the daemon with -1 rather than 0: to the platform a fault, not a planned stop.

Cause: the event loop gives its handlers back when it is closed, which puts the default action in force; then the interpreter takes time to end.

Change: the daemon holds the signals before its loop is closed, and ends with os._exit once its output is flushed, so that nothing of the interpreter's end can be interrupted. It has one thread, so no other can take them.

--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -87,3 +87,25 @@
     finally:
         process.kill()
         process.wait()
+
+
+@pytest.mark.parametrize(
+    "number",
+    (signal.SIGHUP, signal.SIGUSR1, signal.SIGINT, signal.SIGTERM),
+    ids=lambda number: number.name,
+)
+def test_signal_while_the_process_ends_changes_its_exit_code(vm, number):
+    """Guards against handlers that are given back before the process ends."""
+    process = vm.spawn()
+    try:
+        _await_start(vm, process)
+        process.terminate()
+        limit_s = time.monotonic() + _END_LIMIT_S
+        while process.poll() is None and time.monotonic() < limit_s:
+            process.send_signal(number)
+            time.sleep(_SIGNAL_INTERVAL_S)
+        assert process.poll() == 0
+        assert "Traceback" not in vm.log.read_text()
+    finally:
+        process.kill()
+        process.wait()
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -11,9 +11,11 @@
 
 import argparse
 import asyncio
+import contextlib
 import gc
 import os
 import sys
+from typing import NoReturn
 
 from mustardloom import clock as clock_lib
 from mustardloom import findings
@@ -34,9 +36,20 @@
 _GC_THRESHOLD_OBJECTS = 50_000
 
 
-def main() -> int:
-    """Runs the daemon and returns its exit code."""
+def main() -> NoReturn:
+    """Runs the daemon and ends the process."""
     process_signals.hold()
+    exit_code = _run_command()
+    for each in filter(None, (sys.stdout, sys.stderr)):
+        # Whoever reads it may have closed it.
+        with contextlib.suppress(OSError, ValueError):
+            each.flush()
+    # The interpreter would take its time to end, and run more code meanwhile.
+    os._exit(exit_code)
+
+
+def _run_command() -> int:
+    """Runs the daemon and returns its exit code."""
     parser = argparse.ArgumentParser(
         prog="mustardloom-sidecar",
         description="Routes requests to the targets of a deployment. "
@@ -76,8 +89,12 @@
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
-    await sidecar.run()
+    try:
+        await sidecar.run()
+    finally:
+        # The loop gives its handlers back when it is closed.
+        process_signals.hold()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
