Wait for an address that an earlier process still uses

Seen: a second process on the addresses of a living one, or of one that is in its grace time, exits with 1 at once; to the platform a process that ended by itself.

Cause: a start took an address in use for an error like any other.

One line tells which address is in use, one that it is free. Signals work meanwhile: a stop ends the process with 0. Other errors of an address, and the end of the time, end it with 1 and name the address. It listens for callers last, so that none reaches a daemon that still waits for another address.

--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -53,10 +53,15 @@
     return [each["event"] for each in vm.events()].count(event) >= count
 
 
-def _await_start(vm: daemons.Vm, process: subprocess.Popen[bytes]) -> None:
+def _await_start(
+    vm: daemons.Vm,
+    process: subprocess.Popen[bytes],
+    event: str = "start",
+    count: int = 1,
+) -> None:
     """Returns once the log has the line of the start, or the process ended."""
     limit_s = time.monotonic() + _START_LIMIT_S
-    while not _has_event(vm, "start", 1) and process.poll() is None:
+    while not _has_event(vm, event, count) and process.poll() is None:
         assert time.monotonic() < limit_s
         time.sleep(_POLL_S)
 
@@ -109,3 +114,56 @@
     finally:
         process.kill()
         process.wait()
+
+
+def _end(*processes: subprocess.Popen[bytes]) -> None:
+    for process in processes:
+        process.kill()
+        process.wait()
+
+
+def test_process_beside_one_in_its_grace_ends_at_once(vm):
+    """Guards against a start that fails as its predecessor still stops."""
+    earlier = vm.spawn()
+    _await_start(vm, earlier)
+    later = vm.spawn()
+    try:
+        _await_start(vm, later, "address-in-use")
+        assert later.poll() is None
+        earlier.terminate()
+        assert earlier.wait(_END_LIMIT_S) == 0
+        _await_start(vm, later, "start", 2)
+        assert later.poll() is None
+        assert _has_event(vm, "address-free", 1)
+        later.terminate()
+        assert later.wait(_END_LIMIT_S) == 0
+    finally:
+        _end(earlier, later)
+
+
+def test_stop_of_a_process_that_waits_for_an_address_counts_as_a_fault(vm):
+    """Guards against a wait that a signal does not end."""
+    earlier = vm.spawn()
+    _await_start(vm, earlier)
+    later = vm.spawn()
+    try:
+        _await_start(vm, later, "address-in-use")
+        later.send_signal(signal.SIGHUP)
+        later.terminate()
+        assert later.wait(_END_LIMIT_S) == 0
+        assert earlier.poll() is None
+    finally:
+        _end(earlier, later)
+
+
+def test_process_waits_for_an_address_for_ever(vm):
+    """Guards against a process that neither serves nor ends."""
+    earlier = vm.spawn()
+    _await_start(vm, earlier)
+    later = vm.spawn()
+    try:
+        assert later.wait(_START_LIMIT_S) == 1
+        assert _has_event(vm, "address-in-use", 1)
+        assert earlier.poll() is None
+    finally:
+        _end(earlier, later)
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -38,6 +39,7 @@
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import listening
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
@@ -266,12 +268,10 @@
             self._on_reload,
             self._on_unused_signal,
         )
+        if not await self._listen():
+            self._close()
+            return
         own_settings = self._settings
-        self._links.listen(own_settings.ip, self._ports.peer_listen)
-        self._notice_server.listen(*own_settings.announcement_address)
-        self._readiness_server.listen(*own_settings.readiness_address)
-        self._caller_server.listen(*own_settings.caller_address)
-        self._metrics_server.listen(own_settings.ip, self._ports.metrics)
         self._log.write(
             events.Event.START,
             service=own_settings.service,
@@ -288,6 +288,28 @@
         """Starts a graceful shutdown, as SIGTERM does."""
         self._stop.set()
 
+    async def _listen(self) -> bool:
+        """Listens on all addresses; returns False if a stop came first."""
+        wait = listening.AddressWait(
+            self._settings.bounds.grace_ms,
+            self._clock,
+            self._log,
+            self._stop.is_set,
+        )
+        for listen, address in self._listeners():
+            if not await wait.listen(listen, address):
+                return False
+        return True
+
+    def _listeners(self) -> Iterator[tuple[listening.Listen, settings.Address]]:
+        own = self._settings
+        # Callers come last: nobody must reach a daemon that is not complete.
+        yield self._links.listen, (own.ip, self._ports.peer_listen)
+        yield self._notice_server.listen, own.announcement_address
+        yield self._readiness_server.listen, own.readiness_address
+        yield self._metrics_server.listen, (own.ip, self._ports.metrics)
+        yield self._caller_server.listen, own.caller_address
+
     # Wiring.
 
     def _new_server(
@@ -646,6 +668,9 @@
         )
         self._status_sender.broadcast()
         await self._graceful_stop.run(self._settings.bounds.grace_ms)
+        self._close()
+
+    def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
         for each in (
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -22,6 +22,8 @@
 
     START = "start"
     STOP = "stop"
+    ADDRESS_IN_USE = "address-in-use"
+    ADDRESS_FREE = "address-free"
     MEMORY_HIGH = "memory-high"
     RELOAD = "reload"
     SIGNAL_IGNORED = "signal-ignored"
