--- a/deploy/tests/test_losses_of_daemons.py
+++ b/deploy/tests/test_losses_of_daemons.py
@@ -22,6 +22,8 @@
 # The target answers after the stop has ended its notice.
 _WORK_S = 2.9
 _BEFORE_STOP_S = 0.3
+# A daemon that runs nothing for this long counts as silent.
+_FREEZE_S = 1.2
 
 
 async def _get(vm: daemons.Vm, path: str) -> int:
@@ -56,3 +58,28 @@
             return status
 
     assert asyncio.run(play()) == 200
+
+
+def test_stop_gives_up_a_request_at_a_daemon_that_is_held_up(tmp_path):
+    """Guards against an answer of its own while the target is at work (LOST).
+
+    A safe request is sent elsewhere once a daemon is silent; a daemon that
+    stops can send it nowhere any more.
+    """
+
+    async def play() -> int:
+        async with daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet:
+            near, far = fleet.vms
+            far.target.work_s = _WORK_S
+            sending = asyncio.create_task(_get(near, _SAFE_PATH))
+            await asyncio.sleep(_BEFORE_STOP_S)
+            near.send_signal(signal.SIGTERM)
+            await asyncio.sleep(_WORK_S - 2 * _BEFORE_STOP_S)
+            far.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(_FREEZE_S)
+            far.send_signal(signal.SIGCONT)
+            status = await sending
+            assert await near.wait() == 0
+            return status
+
+    assert asyncio.run(play()) == 200
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -347,6 +347,29 @@
     assert _run(scenario, handler) == "late"
 
 
+def test_stop_awaits_the_answer_of_a_peer_that_is_silent_for_a_while():
+    """Guards against work that is given up and cannot be repeated (LOST)."""
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+
+        async def answer():
+            await asyncio.sleep(0.2)
+            return frames.Failure(frame.number, "late")
+
+        return answer()
+
+    async def scenario(near, far, port):
+        async with _through_proxy(near, port) as (proxy, vm):
+            near.is_stopping = lambda: True
+            repeatable = await _start_call(near, vm, may_repeat=True)
+            await _pause(proxy, near, vm, also_ms=300)
+            return (await repeatable).reason
+
+    assert _run(scenario, handler) == "late"
+
+
 def test_calls_on_a_silent_stream_end_when_it_is_closed():
     """Guards against callers that wait for a peer that was restarted."""
 
