Split the gate of the sidecar into a package

Why: one file of 655 lines held the types, the checks of keys, the limits, the load, the running requests and the records of their results.

What moved, from sidecar/gate.py to sidecar/gate/:

* gate.py: class Gate, that is admission, queue and the updates it gets
* keys.py: KeyCheck, KeyOwnership, the wait for a key, the check at the start
* target_state.py: Reachability and what is known of the target
* limits.py: places, rate, cold start and the decision on admission
* load.py: GateLoad and the samples behind it
* dispatcher.py: the requests that run at the target
* results.py: what their results tell: service times, failures, quarantine
* ticket.py: an admitted request; timing.py: times that the checks share

The package re-exports the five names that others import. No behaviour changed. No test was added or left out; what they assert is the same.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -466,7 +466,9 @@
         if zones == self._fleet.evacuated_zones:
             return
         self._fleet.evacuated_zones = zones
-        self._gate.is_evacuated = self._settings.availability_zone in zones
+        self._gate.target.is_evacuated = (
+            self._settings.availability_zone in zones
+        )
         self._log.write(
             events.Event.EVACUATION_CHANGED, availability_zones=sorted(zones)
         )
--- /dev/null
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -0,0 +1,113 @@
+"""Sends requests to the target and keeps those that run there."""
+
+import asyncio
+from collections.abc import Callable
+
+from mustardloom import clock as clock_lib
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import targets
+from mustardloom.sidecar import crash_suspects
+from mustardloom.sidecar import events
+from mustardloom.sidecar import target_connections
+from mustardloom.sidecar import work
+from mustardloom.sidecar.gate import load as load_lib
+from mustardloom.sidecar.gate import results
+from mustardloom.sidecar.gate import target_state
+from mustardloom.sidecar.gate import ticket as ticket_lib
+
+__all__ = ["Dispatcher"]
+
+
+class Dispatcher:
+    """Runs admitted requests at the target.
+
+    Attributes:
+      running: Requests that the target runs now.
+      on_statement: Called with what an instance of the target states in a
+        response.
+      on_refused_connection: Called when the current instance of the target
+        refuses a connection.
+      on_end: Called when a request has ended.
+    """
+
+    def __init__(
+        self,
+        connections: target_connections.TargetConnections,
+        target: target_state.TargetState,
+        recorder: results.ResultRecorder,
+        meter: load_lib.LoadMeter,
+        suspects: crash_suspects.CrashSuspects,
+        clock: clock_lib.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.running: set[ticket_lib.Ticket] = set()
+        self.on_statement: Callable[
+            [targets.TargetInstance, targets.Statement], None
+        ] = lambda *_: None
+        self.on_refused_connection: Callable[[], None] = lambda: None
+        self.on_end: Callable[[], None] = lambda: None
+        self._connections = connections
+        self._target = target
+        self._recorder = recorder
+        self._meter = meter
+        self._suspects = suspects
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, ticket: ticket_lib.Ticket, now_ms: int) -> None:
+        """Starts a request at the target.
+
+        Args:
+          ticket: The request; it is resolved with its outcome.
+          now_ms: Local time.
+        """
+        ticket.started_ms = now_ms
+        self._metrics.increment("gate.started")
+        self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
+        self.running.add(ticket)
+        task = asyncio.ensure_future(self._dispatch(ticket))
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._finish(ticket, done))
+        if ticket.request.is_idempotent:
+            # Nobody waits for the answer of a cancelled call any more, so the
+            # run may end. A run that is not idempotent goes on, as half of its
+            # effects could remain.
+            ticket.outcome.add_done_callback(
+                lambda outcome: task.cancel() if outcome.cancelled() else None
+            )
+
+    async def _dispatch(self, ticket: ticket_lib.Ticket) -> None:
+        assert self._target.instance is not None
+        instance = self._target.instance
+        result = await self._connections.send(
+            ticket.request,
+            instance.target,
+            lambda statement: self.on_statement(instance, statement),
+        )
+        ticket.resolve(result.outcome)
+        result = await result.after_body()
+        self._recorder.record(ticket, result, instance)
+        if result.is_connection_lost:
+            self._suspects.record_lost_connection(ticket.request.fingerprint)
+        if result.is_connection_refused and instance == self._target.instance:
+            self._suspects.record_crash()
+            self.on_refused_connection()
+
+    def _finish(
+        self, ticket: ticket_lib.Ticket, task: "asyncio.Task[None]"
+    ) -> None:
+        self._tasks.discard(task)
+        self.running.discard(ticket)
+        self._meter.record_end(ticket.started_ms, self._clock.now_ms())
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.write(
+                events.Event.FAULT,
+                request=ticket.request.request_id,
+                error=repr(error),
+            )
+        # Without effect unless the dispatch ended without an outcome.
+        ticket.resolve(work.Failed(work.FailureReason.INTERNAL))
+        self.on_end()
--- /dev/null
+++ b/mustardloom/sidecar/gate/limits.py
@@ -0,0 +1,107 @@
+"""How many requests the target takes: places, rate, cold start and queue."""
+
+from mustardloom.load_control import cold_start
+from mustardloom.load_control import rate_limit as rate_limit_lib
+from mustardloom.load_control import urgency
+from mustardloom.load_control import waiting
+from mustardloom.sidecar import work
+from mustardloom.sidecar.gate import ticket as ticket_lib
+from mustardloom.sidecar.gate import timing
+
+__all__ = ["TargetLimits"]
+
+
+class TargetLimits:
+    """Limits of the target, and the requests that they allow.
+
+    Attributes:
+      capacity: Requests that the target runs at once.
+      service_times: Service times of its requests.
+      cold: Limit while it is cold.
+      rate: Limit that it states in its responses.
+    """
+
+    def __init__(self, cold_factor: float, now_ms: int):
+        """Creates the limits of a target with one place.
+
+        Args:
+          cold_factor: Multiple of a cold target's rate that is tolerated.
+          now_ms: Local time.
+        """
+        self.capacity = 1
+        self.service_times = waiting.ServiceTimes()
+        self.cold = cold_start.ColdStartLimit(cold_factor)
+        self.rate = rate_limit_lib.RateLimit()
+        self._urgent_load = urgency.UrgentLoad()
+        self._queue_last_empty_ms = now_ms
+
+    def concurrency(self, now_ms: int) -> float:
+        """Returns how many requests run at once at the target's full rate."""
+        return rate_limit_lib.effective_concurrency(
+            self.capacity,
+            self.service_times.overall_mean_ms(now_ms),
+            self.rate.rate_per_s,
+        )
+
+    def demand_of(self, request: work.Work) -> waiting.RequestDemand:
+        """Returns the timing and priority of a request."""
+        return waiting.RequestDemand(
+            request.priority,
+            request.is_call,
+            request.objective_ms,
+            request.deadline_ms,
+            self.service_times.expected_ms(request.route),
+        )
+
+    def refusal(
+        self,
+        request: work.Work,
+        queue: waiting.WaitingQueue[ticket_lib.Ticket],
+        running: int,
+        now_ms: int,
+    ) -> work.Refused | None:
+        """Returns why a request may not join the queue, None if it may.
+
+        Args:
+          request: The request.
+          queue: Requests that wait for the target.
+          running: Requests that it runs now.
+          now_ms: Local time.
+        """
+        if not len(queue):
+            self._queue_last_empty_ms = now_ms
+        demand = self.demand_of(request)
+        concurrency = self.concurrency(now_ms)
+        decision = waiting.decide_admission(
+            demand,
+            now_ms,
+            running,
+            concurrency,
+            queue.work_ahead_ms(demand, now_ms),
+            len(queue),
+            self.service_times.overall_mean_ms(now_ms),
+            now_ms - self._queue_last_empty_ms > waiting.STANDING_QUEUE_MS,
+            self._urgent_load.share_above(demand.rank, now_ms, concurrency),
+            self.rate.wait_ms(now_ms),
+        )
+        reasons = work.RefusalReason
+        if not decision.admitted:
+            return work.Refused(reasons.OVERLOADED, decision.retry_after_ms)
+        if not self.cold.has_room(now_ms, len(queue)):
+            return work.Refused(reasons.COLD, timing.RETRY_AFTER_MS)
+        return None
+
+    def record_admission(
+        self, demand: waiting.RequestDemand, now_ms: int
+    ) -> None:
+        """Counts a request that was admitted."""
+        self._urgent_load.record(demand.rank, demand.service_ms, now_ms)
+
+    def may_start(self, now_ms: int) -> bool:
+        """Returns whether the rates allow one more request to start now."""
+        return self.cold.may_start(now_ms) and not self.rate.wait_ms(now_ms)
+
+    def record_start(self, now_ms: int) -> None:
+        """Counts a request that starts now."""
+        self.cold.record_start(now_ms)
+        self.rate.record_start(now_ms)
--- /dev/null
+++ b/mustardloom/sidecar/gate/results.py
@@ -0,0 +1,95 @@
+"""What the results of the requests at the target tell about it."""
+
+from mustardloom import clock as clock_lib
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import targets
+from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import waiting
+from mustardloom.sidecar import events
+from mustardloom.sidecar import target_connections
+from mustardloom.sidecar import work
+from mustardloom.sidecar.gate import load as load_lib
+from mustardloom.sidecar.gate import ticket as ticket_lib
+
+__all__ = ["ResultRecorder"]
+
+_FIRST_ERROR_STATUS = 500
+
+
+class ResultRecorder:
+    """Records the results of requests in service times, load and metrics.
+
+    Attributes:
+      last_answer_ms: Local time of the target's last answer, 0 if none.
+    """
+
+    def __init__(
+        self,
+        service_times: waiting.ServiceTimes,
+        meter: load_lib.LoadMeter,
+        quarantine: quarantine_lib.Quarantine,
+        clock: clock_lib.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.last_answer_ms = 0
+        self._service_times = service_times
+        self._meter = meter
+        self._quarantine = quarantine
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    def record(
+        self,
+        ticket: ticket_lib.Ticket,
+        result: target_connections.SendResult,
+        instance: targets.TargetInstance,
+    ) -> None:
+        """Records the result of a request.
+
+        Args:
+          ticket: The request.
+          result: Its result, after the end of its body.
+          instance: Instance of the target to which it was sent.
+        """
+        now_ms = self._clock.now_ms()
+        request = ticket.request
+        duration_ms = now_ms - ticket.started_ms
+        self._metrics.observe("gate.service_ms", duration_ms)
+        match result.outcome:
+            case work.Answered(response):
+                self.last_answer_ms = now_ms
+                self._service_times.record(request.route, duration_ms, now_ms)
+                is_error = response.status >= _FIRST_ERROR_STATUS
+                self._meter.record_failure(is_error)
+                self._quarantine.record_success(
+                    request.fingerprint, frozenset()
+                )
+            case work.Refused(reason):
+                self.last_answer_ms = now_ms
+                is_shed = reason is work.RefusalReason.TARGET_REFUSED
+                self._meter.record_failure(is_shed)
+            case work.Failed(work.FailureReason.UPLOAD_BROKEN as reason):
+                # It says nothing about the target.
+                self._log_failure(request, reason, duration_ms, instance)
+            case work.Failed(reason):
+                self._meter.record_failure(True)
+                self._log_failure(request, reason, duration_ms, instance)
+
+    def _log_failure(
+        self,
+        request: work.Work,
+        reason: work.FailureReason,
+        duration_ms: int,
+        instance: targets.TargetInstance,
+    ) -> None:
+        self._metrics.increment(f"gate.failed.{reason.value}")
+        self._log.write(
+            events.Event.GATE_FAILED,
+            request=request.request_id,
+            reason=reason.value,
+            target=instance.target,
+            duration_ms=duration_ms,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
+        )
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -261,7 +261,7 @@
         return min(grants_lib.HOLD_MS, self.bounds.hold_limit_ms, allowed_ms)
 
     def _is_target_up(self) -> bool:
-        return self._gate.reachability is gate_lib.Reachability.UP
+        return self._gate.target.reachability is gate_lib.Reachability.UP
 
     # The map.
 
@@ -505,7 +505,9 @@
         released: list[tuple[int, int, str]] = []
         if self._claims.map.version >= query.map_version:
             now_ms = self._clock.now_ms()
-            is_gone = self._gate.reachability is gate_lib.Reachability.DOWN
+            is_gone = (
+                self._gate.target.reachability is gate_lib.Reachability.DOWN
+            )
             released = [
                 (part.first, part.last, part.handover)
                 for first, last, fence in query.ranges
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -81,7 +81,7 @@
             if self._has_left_unseen:
                 return fleet_lib.TargetPhase.LEAVING
             return fleet_lib.TargetPhase.ABSENT
-        if self._gate.reachability is not gate_lib.Reachability.UP:
+        if self._gate.target.reachability is not gate_lib.Reachability.UP:
             return fleet_lib.TargetPhase.DOWN
         if self.is_leaving:
             return fleet_lib.TargetPhase.LEAVING
--- a/mustardloom/sidecar/tests/test_departures.py
+++ b/mustardloom/sidecar/tests/test_departures.py
@@ -268,7 +268,7 @@
     @stateful.invariant()
     def target_that_left_gets_nothing(self):
         process = self.process
-        if self.gate.target_instance != process.instance:
+        if self.gate.target.instance != process.instance:
             return
         left_ms = process.acknowledged_ms
         if left_ms is not None and self.clock.now_ms() > left_ms + _DRAIN_MS:
@@ -309,7 +309,7 @@
         assert target.phase is fleet_lib.TargetPhase.LEAVING
         await clock.advance(1_000)
         await target.handle(_heartbeat(instance, 7))
-        assert gate.target_instance == instance
+        assert gate.target.instance == instance
         assert not gate.is_open()
         assert target.phase is fleet_lib.TargetPhase.LEAVING
 
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -15,6 +15,7 @@
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import work
+from mustardloom.sidecar.gate import timing
 
 _SERVICE = ids.ServiceId("s")
 _INSTANCE = targets.TargetInstance(targets.TargetId("t"), 1)
@@ -215,7 +216,7 @@
     """Guards against requests run in an evacuated zone or during shutdown."""
 
     async def scenario(harness):
-        harness.gate.is_evacuated = True
+        harness.gate.target.is_evacuated = True
         (first,) = await harness.start("a")
         harness.stop.close()
         (second,) = await harness.start("b")
@@ -319,7 +320,7 @@
         running = await harness.start("a", "b")
         queue = asyncio.ensure_future(harness.gate.process_queue())
         (queued,) = await harness.start("q", deadline_ms=deadline_ms)
-        await harness.clock.advance(400 - gate_lib._REFUSAL_DELAY_MS + 20)
+        await harness.clock.advance(400 - timing.REFUSAL_DELAY_MS + 20)
         assert _reason(for_key.result()) is work.RefusalReason.NOT_OWNER
         assert _reason(queued.result()) is work.RefusalReason.DEADLINE
         for task in (queue, *running):
@@ -353,7 +354,9 @@
             (other,) = await harness.start(f"other-{born_ms}")
             harness.connections.answer(_CONNECTION_REFUSED)
             await other
-            assert harness.gate.reachability is gate_lib.Reachability.DOWN
+            assert (
+                harness.gate.target.reachability is gate_lib.Reachability.DOWN
+            )
             harness.gate.on_heartbeat(
                 targets.TargetInstance(_INSTANCE.target, born_ms), 2
             )
@@ -368,7 +371,7 @@
 
     async def scenario(harness):
         harness.gate.mark_silent()
-        assert harness.gate.reachability is gate_lib.Reachability.SILENT
+        assert harness.gate.target.reachability is gate_lib.Reachability.SILENT
         (task,) = await harness.start("a")
         return _reason(await task)
 
--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -90,7 +90,7 @@
     """Guards against a refusal that costs a body that nobody has read."""
 
     async def scenario(daemons, found):
-        daemons[1].gate.is_evacuated = True
+        daemons[1].gate.target.is_evacuated = True
         status, _, _ = await fleet.send(
             daemons[0],
             fleet.request(len(fleet.BODY)),
