Give up silent daemons as before while a stop still admits requests

In the first part of a stop a call that may be repeated can still be sent elsewhere, which is better than a wait for a daemon that may be gone.

--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -71,7 +71,7 @@
       on_fault: Called when a peer sends invalid bytes or the handler of its
         frame fails.
       on_transfer: Called with a connection on which a peer fetches a body.
-      is_stopping: Whether this daemon stops.
+      is_limited: Whether a stop lets this daemon repeat calls no more.
     """
 
     def __init__(
@@ -92,7 +92,7 @@
         )
         self.on_pong: PongCallback = lambda *_: None
         self.on_transfer: TransferHandler = lambda stream: stream.close()
-        self.is_stopping: Callable[[], bool] = lambda: False
+        self.is_limited: Callable[[], bool] = lambda: False
         self._record = record
         self._started_ms = clock.wall_ms()
         self._link_by_vm: dict[ids.VmId, outgoing_link.OutgoingLink] = {}
@@ -191,8 +191,8 @@
           vm: The receiver.
           make: Returns the frame for a call number.
           may_repeat: Whether the call fails as soon as the peer falls silent,
-            so that it can be repeated elsewhere; otherwise, and while this
-            daemon stops, a late reply is awaited.
+            so that it can be repeated elsewhere; otherwise, and once a
+            stop refuses requests, a late reply is awaited.
 
         Raises:
           PeerUnreachable: The frame was certainly not sent.
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -59,8 +59,8 @@
         time at which that was sent.
       on_change: Called when the link to a VM goes up or down.
       on_fault: Called when a peer sends invalid bytes.
-      is_stopping: Whether this daemon stops, so that it may not be able to
-        repeat a call elsewhere.
+      is_limited: Whether a stop refuses requests, so that a call may have
+        nowhere else to go.
     """
 
     clock: clock_lib.Clock
@@ -68,7 +68,7 @@
     on_pong: Callable[[ids.VmId, int, frames.Pong], None]
     on_change: Callable[[ids.VmId, bool], None]
     on_fault: Callable[[ids.VmId, Exception], None]
-    is_stopping: Callable[[], bool]
+    is_limited: Callable[[], bool]
 
     def hello(self, receiver: ids.VmId) -> frames.Hello:
         """Returns the first frame of a stream."""
@@ -80,7 +80,7 @@
 
     Attributes:
       may_repeat: Whether it may be repeated elsewhere at once if the peer falls
-        silent; others go on waiting, and all do while this daemon stops.
+        silent; others go on waiting, and all do once a stop refuses requests.
     """
 
     reply: "asyncio.Future[frames.Frame]"
@@ -350,7 +350,7 @@
 
     def _set_silent(self, stream: _Stream, now_ms: int) -> None:
         stream.silent_since_ms = now_ms
-        if not self._owner.is_stopping():
+        if not self._owner.is_limited():
             stream.fail_calls(self._vm, only_repeatable=True)
         if stream.calls:
             self._silent.append(stream)
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -362,7 +362,7 @@
 
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
-            near.is_stopping = lambda: True
+            near.is_limited = lambda: True
             repeatable = await _start_call(near, vm, may_repeat=True)
             await _pause(proxy, near, vm, also_ms=300)
             return (await repeatable).reason
