Answer the calls that were read last before a link ends

What callers saw: 502 for a request that the stopping daemon had refused, so that nothing had run. Three requests of one stop, at three daemons, in the same millisecond; an unsafe one is not sent again after a 502.

Cause: a stop ended the links with a last frame that named the last call that was read, and at once closed its side for writing. A call that was read in the same turn of the event loop was named there, but its refusal came after the end and was dropped.

The new test got PeerLost before.

Why it works: a link first takes no more calls, then ends once those that it took are answered, at most 100 ms later.

--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -55,6 +55,8 @@
 
 _CHECK_INTERVAL_MS = 150
 _END_POLL_S = 0.01
+# Calls that are read last are refused within this time.
+_LAST_REPLIES_MS = 100
 
 
 class Links:
@@ -299,8 +301,18 @@
         self._is_ending = False
 
     def end(self) -> None:
-        """Sends the end of the link, and which calls were read before it."""
+        """Reads no more calls; sends the end of the link after the replies."""
+        if self._is_ending:
+            return
         self._is_ending = True
+        self._end_when_replied(self._owner.clock.now_ms() + _LAST_REPLIES_MS)
+
+    def _end_when_replied(self, limit_ms: int) -> None:
+        """Sends the end, and which calls were read before it."""
+        if self._tasks and self._owner.clock.now_ms() < limit_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_END_POLL_S, self._end_when_replied, limit_ms)
+            return
         self._reply(frames.Goodbye(self._last_number))
         self._close_when_written()
 
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -459,6 +459,34 @@
     assert len(seen) == 1
 
 
+def test_calls_that_were_read_before_the_end_of_a_link_are_answered():
+    """Guards against a refusal that is lost because a stop ends the link.
+
+    A request that arrives last is refused by then. Without the refusal the
+    other daemon must take it for one that may have run.
+    """
+
+    async def scenario(near, far, port):
+        async def refuse(frame):
+            # The link ends between the arrival of the call and its reply.
+            far.end_incoming()
+            await asyncio.sleep(0.02)
+            return frames.Refusal(frame.number, "stopping", 300, False, "")
+
+        far.handler = lambda vm, frame: (
+            refuse(frame) if isinstance(frame, frames.Fetch) else None
+        )
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, port)})
+        await _connected(near, vm)
+        reply = await near.call(vm, _fetch)
+        while far.has_incoming():
+            await asyncio.sleep(0)
+        return reply.reason
+
+    assert _run(scenario, lambda *_: None) == "stopping"
+
+
 def test_links_end_only_after_what_was_written_on_them():
     """Guards against replies that a stop drops on their way.
 
