Take the adoption of stored state out of the daemon's wiring

What moved, from sidecar/daemon.py:

* state_adoption.py: configuration, evacuated zones, records of daemons
* keyspaces.py: opens a key space and its planner for each service with keys; hands them the key maps
* store_events.py: losses, returns, restores and odd answers of the store

No behaviour changed: the callbacks run in the same order with the same values. A key space that opens after a reload still gets the settings in force. The own service and zone are read from the record of the daemon, which holds those of the settings and which no reload changes.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -14,8 +14,6 @@
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom import metrics as metrics_lib
-from mustardloom import objects
-from mustardloom.deployment import configuration
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
@@ -26,7 +24,6 @@
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.load_control import stop_admission
 from mustardloom.platform import announcements
-from mustardloom.platform import configuration as configuration_lib
 from mustardloom.platform import headers
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -36,18 +33,20 @@
 from mustardloom.sidecar import graceful_stop
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
+from mustardloom.sidecar import keyspaces as keyspaces_lib
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar import peer_frames
-from mustardloom.sidecar import planner as planner_lib
 from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import self_report
 from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import state_adoption
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_sender
+from mustardloom.sidecar import store_events
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import target_memory
 from mustardloom.sidecar import target_selection
@@ -60,8 +59,6 @@
 _LoopCall = Callable[[], Coroutine[Any, Any, None]]
 
 _LOOP_RESTART_MS = 500
-_NO_AGE_MS = 0
-_STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _CRASHES_TO_QUARANTINE = 3
 _OK = 200
@@ -106,27 +103,17 @@
         stop = stop_admission.StopAdmission(clock)
         self._transfers = transfers_lib.Transfers(passage, clock)
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
-        self._configuration: configuration.Configuration | None = None
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._keyspace_by_service: dict[
-            ids.ServiceId, keyspace_lib.Keyspace
-        ] = {}
-        self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
         self._shared_state = shared_state.SharedState(
             store,
             clock,
-            self._on_state_change,
+            lambda kind: self._adoption.on_change(kind),
             lambda: self._fleet.is_watcher(),
             lambda kind: self._state_exchange.push(kind),
-            self._on_store_change,
+            lambda answers: store_watch.on_change(answers),
         )
-        self._unreadable_objects = unreadable_objects.UnreadableObjects(
-            self._log
-        )
-        self._shared_state.on_restored = self._on_store_restored
-        self._shared_state.on_ignored = self._on_store_answer_ignored
-        store.on_unreadable = self._on_objects_left_out
+        unreadable = unreadable_objects.UnreadableObjects(self._log)
         self._record = stored.DaemonRecord(
             own_settings.vm,
             own_settings.ip,
@@ -157,6 +144,16 @@
             clock,
             lambda receiver: self._report.status(receiver),
         )
+        store_watch = store_events.StoreEvents(
+            self._shared_state,
+            self._status_sender,
+            clock,
+            self._log,
+            self._start,
+        )
+        self._shared_state.on_restored = store_watch.on_restored
+        self._shared_state.on_ignored = store_watch.on_answer_ignored
+        store.on_unreadable = store_watch.on_objects_left_out
         self._state_exchange = state_exchange_lib.StateExchange(
             self._shared_state, self._fleet, self._links, clock, self._start
         )
@@ -190,6 +187,22 @@
             self._budget,
             stop,
         )
+        keyspaces = keyspaces_lib.Keyspaces(
+            lambda: self._settings,
+            store,
+            self._shared_state,
+            self._state_exchange,
+            self._status_sender,
+            self._fleet,
+            self._links,
+            self._gate,
+            unreadable,
+            clock,
+            self._log,
+            self._metrics,
+            lambda call: self._start(self._keep_running(call)),
+        )
+        self._keyspace_by_service = keyspaces.by_service
         self._report = self_report.SelfReport(
             self._fleet,
             self._gate,
@@ -199,6 +212,18 @@
             self._links,
             self._keyspace_by_service,
         )
+        self._adoption = state_adoption.StateAdoption(
+            self._record,
+            self._shared_state,
+            self._fleet,
+            self._gate,
+            self._report,
+            self._registration,
+            keyspaces,
+            unreadable,
+            self._log,
+            self._start,
+        )
         self._peer_frames = peer_frames.PeerFrames(
             self._fleet,
             self._target_memory,
@@ -209,7 +234,7 @@
             self._report,
             self._quarantine,
             self._keyspace_by_service,
-            self._planner_by_service,
+            keyspaces.planner_by_service,
             clock,
         )
         self._links.make_pong = self._peer_frames.make_pong
@@ -233,7 +258,7 @@
         self._ingress = ingress_lib.Ingress(
             self._router,
             own_settings.service,
-            lambda: self._configuration,
+            lambda: self._adoption.configuration,
             clock,
             self._log,
             self._metrics,
@@ -374,173 +399,7 @@
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
-    # State of the fleet.
-
-    def _on_state_change(self, kind: stored.Kind) -> None:
-        by_key = self._shared_state.by_kind[kind].by_key
-        match kind:
-            case stored.Kind.CONFIGURATION:
-                main = by_key.get(configuration_lib.KEY)
-                if main is not None:
-                    self._adopt_configuration(main)
-            case stored.Kind.EVACUATION:
-                self._adopt_evacuations(set(by_key))
-            case stored.Kind.DAEMON:
-                self._adopt_daemons(list(by_key.values()))
-                if self._registration.is_lost():
-                    self._start(self._registration.register())
-            case stored.Kind.KEY_MAP:
-                self._adopt_maps()
-
-    def _adopt_configuration(self, stored_object: objects.Versioned) -> None:
-        try:
-            new = configuration_lib.decode(stored_object.value)
-        except ValueError as error:
-            self._unreadable_objects.report(stored_object, error)
-            return
-        known = self._configuration
-        if known is not None and new.version <= known.version:
-            return
-        self._configuration = new
-        self._report.configuration_version = new.version
-        self._log.write(
-            events.Event.CONFIGURATION_ADOPTED,
-            version=new.version,
-            replaces=None if known is None else known.version,
-            store_version=stored_object.version,
-            routes=len(new.routes),
-        )
-        own_service = new.service_by_name.get(self._settings.service)
-        if own_service is not None:
-            self._gate.set_cold_rate(own_service.cold_per_s)
-        for service in new.service_by_name.values():
-            if service.is_keyed:
-                self._open_keyspace(service.name)
-        for name, planner in self._planner_by_service.items():
-            planner.objective_ms = new.objective_of(name)
-
-    def _open_keyspace(self, service: ids.ServiceId) -> None:
-        if service in self._keyspace_by_service:
-            return
-        keyspace = keyspace_lib.Keyspace(
-            service,
-            self._settings,
-            self._shared_state,
-            self._fleet,
-            self._links,
-            self._gate,
-            self._clock,
-            self._log,
-            self._unreadable_objects,
-        )
-        keyspace.on_settled = self._status_sender.send
-        keyspace.on_newer_map = lambda vm: self._state_exchange.fetch(
-            vm, stored.Kind.KEY_MAP
-        )
-        self._keyspace_by_service[service] = keyspace
-        self._adopt_maps()
-        planner = planner_lib.Planner(
-            self._settings.vm,
-            keyspace,
-            self._store,
-            self._fleet,
-            self._links,
-            self._clock,
-            self._log,
-            self._metrics,
-        )
-        planner.send_status = self._status_sender.send
-        planner.publish_maps = lambda: self._state_exchange.publish(
-            stored.Kind.KEY_MAP
-        )
-        self._planner_by_service[service] = planner
-        self._start(self._keep_running(planner.run))
-        self._start(self._keep_running(keyspace.become_voter))
-        if service == self._settings.service:
-            self._start(self._keep_running(keyspace.renew_authority))
-            self._start(self._keep_running(keyspace.request_releases))
-            self._start(self._keep_running(keyspace.report_load))
-
-    def _adopt_evacuations(self, keys: set[str]) -> None:
-        zones = {ids.AvailabilityZoneId(stored.name_of(key)) for key in keys}
-        if zones == self._fleet.evacuated_zones:
-            return
-        self._fleet.evacuated_zones = zones
-        self._gate.target.is_evacuated = (
-            self._settings.availability_zone in zones
-        )
-        self._log.write(
-            events.Event.EVACUATION_CHANGED, availability_zones=sorted(zones)
-        )
-
-    def _adopt_daemons(self, stored_objects: list[objects.Versioned]) -> None:
-        # Of two records with the same address the later one is valid: a new VM
-        # may have taken over the address of an earlier one. A store that was
-        # restored holds earlier records under their revisions of that time.
-        by_address: dict[settings.Address, stored.DaemonRecord] = {}
-        for each in sorted(
-            stored_objects, key=lambda item: stored.revision_of(item.version)
-        ):
-            try:
-                record = stored.decode_daemon(each.value)
-            except ValueError as error:
-                self._unreadable_objects.report(each, error)
-                continue
-            by_address[record.ip, record.port] = record
-        self._fleet.set_listed(list(by_address.values()))
-
-    def _adopt_maps(self) -> None:
-        by_key = self._shared_state.by_kind[stored.Kind.KEY_MAP].by_key
-        for service, keyspace in self._keyspace_by_service.items():
-            found = by_key.get(stored.key(stored.Kind.KEY_MAP, service))
-            if found is not None:
-                keyspace.adopt(found)
-
-    def _on_store_change(self, answers: bool) -> None:
-        event = events.Event.STORE_LOST
-        if answers:
-            event = events.Event.STORE_BACK
-        self._log.write(event)
-        self._start(self._announce_store_change(answers))
-
-    def _on_store_restored(self, before: int, era: int) -> None:
-        self._log.write(
-            events.Event.STORE_RESTORED,
-            era=era,
-            before=before,
-            versions=self._shared_state.versions(),
-        )
-        self._start(self._read_restored())
-
-    async def _read_restored(self) -> None:
-        """Lists what daemons write, so that they soon know of the restore."""
-        for kind in (stored.Kind.KEY_MAP, stored.Kind.DAEMON):
-            await self._shared_state.refresh(kind, _NO_AGE_MS)
-
-    def _on_objects_left_out(self, kind: stored.Kind, count: int) -> None:
-        self._log.write(
-            events.Event.OBJECTS_LEFT_OUT, kind=kind.value, objects=count
-        )
-
-    def _on_store_answer_ignored(
-        self, kind: stored.Kind, found: ids.Version, known: ids.Version
-    ) -> None:
-        self._log.write(
-            events.Event.STORE_ANSWER_IGNORED,
-            kind=kind.value,
-            found=found,
-            known=known,
-        )
-
-    async def _announce_store_change(self, answers: bool) -> None:
-        """Tells all daemons that the store is lost or back, if it stays so.
-
-        They choose the planner and the watchers by this. A single call that
-        fails must not make another daemon plan.
-        """
-        await self._clock.sleep_ms(_STORE_CHANGE_DELAY_MS)
-        if self._shared_state.store_answers == answers:
-            self._status_sender.broadcast()
+    # Callbacks of the components.
 
     def _on_link_change(self, vm: ids.VmId, is_up: bool) -> None:
         event = events.Event.PEER_LOST
@@ -562,12 +421,11 @@
     def _keyspace_of(self, service: str) -> keyspace_lib.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
-    # Callbacks of the components.
-
     def _limits(self) -> server.ServerLimits:
-        if self._configuration is None:
+        current = self._adoption.configuration
+        if current is None:
             return server.ServerLimits()
-        limits = self._configuration.limits
+        limits = current.limits
         return server.ServerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -603,7 +461,8 @@
     ) -> messages.Response:
         del request
         is_stopping = self._report.is_stopping
-        is_ready = self._configuration is not None and not is_stopping
+        has_configuration = self._adoption.configuration is not None
+        is_ready = has_configuration and not is_stopping
         return messages.Response(_OK if is_ready else _UNAVAILABLE)
 
     # Reload and shutdown.
--- a/mustardloom/sidecar/peer_frames.py
+++ b/mustardloom/sidecar/peer_frames.py
@@ -36,7 +36,7 @@
       state_exchange: Exchanges replicas with other daemons.
       report: Reports of this daemon.
       quarantine: Requests that are suspected to crash targets.
-      keyspace_by_service: The key spaces; the daemon adds to them.
+      keyspace_by_service: The key spaces, also those that open later.
       planner_by_service: Their planners, likewise.
       clock: Source of time.
     """
--- a/mustardloom/sidecar/self_report.py
+++ b/mustardloom/sidecar/self_report.py
@@ -25,7 +25,7 @@
       forwarder: Runs the requests of other daemons.
       state: Replicas of the stored objects.
       links: Links to the other daemons.
-      keyspace_by_service: The key spaces; the daemon adds to them.
+      keyspace_by_service: The key spaces, also those that open later.
 
     Attributes:
       is_stopping: Whether this daemon is shutting down.
