Tell in the log why a daemon ended, and what its stop waits for

Seen: processes that "ended by themselves" and left no line; a stop that ran to the end of its grace time looked like a kill by the platform.

Cause: nothing was written at the end; an error that nothing handled left a traceback on standard error, which is no part of the log.

Change: each process ends with a line `end`: a stop with its signal, its time and the steps that the grace time cut short; settings with faults; or an error with its place; and the exit code. A signal to stop that came before the daemon was set up ends the process at once, with 0. A stop that waits for a second or more after its last admission tells once a second for what, with the counts of requests. An unhandled error leaves the line in place of the traceback.

The two new tests of the stop's steps pass.

--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -53,6 +53,13 @@
     return [each["event"] for each in vm.events()].count(event) >= count
 
 
+def _check_last_line(vm: daemons.Vm, **expected: object) -> None:
+    """Checks that the log ends with the line that tells why."""
+    last = vm.events()[-1]
+    assert last["event"] == "end"
+    assert {name: last[name] for name in expected} == expected
+
+
 def _await_start(
     vm: daemons.Vm,
     process: subprocess.Popen[bytes],
@@ -88,6 +95,7 @@
     try:
         _signal_at(process, moment_s, signal.SIGTERM)
         assert process.wait(_START_LIMIT_S) == 0
+        _check_last_line(vm, reason="stop", exit_code=0, signal="SIGTERM")
         assert "Traceback" not in vm.log.read_text()
     finally:
         process.kill()
@@ -111,6 +119,7 @@
             time.sleep(_SIGNAL_INTERVAL_S)
         assert process.poll() == 0
         assert "Traceback" not in vm.log.read_text()
+        _check_last_line(vm, reason="stop", exit_code=0, signal="SIGTERM")
     finally:
         process.kill()
         process.wait()
@@ -152,6 +161,7 @@
         later.terminate()
         assert later.wait(_END_LIMIT_S) == 0
         assert earlier.poll() is None
+        _check_last_line(vm, reason="stop", exit_code=0, signal="SIGTERM")
     finally:
         _end(earlier, later)
 
@@ -165,5 +175,31 @@
         assert later.wait(_START_LIMIT_S) == 1
         assert _has_event(vm, "address-in-use", 1)
         assert earlier.poll() is None
+        _check_last_line(vm, reason="fault", exit_code=1)
+        assert vm.host in vm.events()[-1]["error"]
     finally:
         _end(earlier, later)
+
+
+def test_process_that_cannot_have_its_address_ends_without_a_reason(vm):
+    """Guards against an exit code of 1 that only a traceback explains."""
+    vm.host = "192.0.2.1"
+    process = vm.spawn()
+    try:
+        assert process.wait(_START_LIMIT_S) == 1
+        _check_last_line(vm, reason="fault", exit_code=1)
+        assert vm.host in vm.events()[-1]["error"]
+        assert "Traceback" not in vm.log.read_text()
+    finally:
+        _end(process)
+
+
+def test_process_with_invalid_settings_ends_without_a_line(vm):
+    """Guards against an end that is told on standard error only."""
+    vm.name = ""
+    process = vm.spawn()
+    try:
+        assert process.wait(_START_LIMIT_S) == 2
+        _check_last_line(vm, reason="settings", exit_code=2)
+    finally:
+        _end(process)
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -1,6 +1,7 @@
 """`mustardloom-sidecar`: the daemon on the VM of a target of a deployment.
 
-Exit codes: 0 after SIGTERM, 2 if the settings are not valid, 1 otherwise.
+Exit codes: 0 after a signal to stop, 2 if the settings are not valid, 1
+otherwise.
 """
 
 from mustardloom import process_signals
@@ -19,10 +20,13 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import findings
+from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import settings
 from mustardloom.platform import object_api
 from mustardloom.platform import settings_file
 from mustardloom.sidecar import daemon
+from mustardloom.sidecar import ending
+from mustardloom.sidecar import events
 
 __all__ = ["main"]
 
@@ -30,7 +34,6 @@
 _METRICS_PORT_VARIABLE = "MUSTARDLOOM_METRICS_PORT"
 _DEFAULT_METRICS_PORT = "9464"
 _PEER_PORT_VARIABLE = "MUSTARDLOOM_PEER_LISTEN_PORT"
-_EXIT_INVALID_SETTINGS = 2
 # Container objects allocated, less those freed, before a collection of the
 # youngest generation. It can be rare, as few objects of the daemon form cycles.
 _GC_THRESHOLD_OBJECTS = 50_000
@@ -72,25 +75,40 @@
     )
     parser.add_argument("--version", action="version", version=VERSION)
     arguments = parser.parse_args()
+    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
     try:
         loaded = settings_file.read()
     except findings.FindingsError as error:
         print(error, file=sys.stderr)
-        return _EXIT_INVALID_SETTINGS
-    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
+        return ending.write(ending.InvalidSettings(str(error)), _log())
     ports = daemon.Ports(
         arguments.metrics_port, arguments.peer_listen_port or loaded.peer_port
     )
-    asyncio.run(_run(loaded, ports))
-    return 0
+    return ending.write(_serve(loaded, ports), _log(loaded.vm))
+
+
+def _log(vm: str = "") -> events.EventLog:
+    return events.EventLog(vm, clock_lib.SystemClock(), metrics_lib.Metrics())
+
+
+def _serve(loaded: settings.Settings, ports: daemon.Ports) -> ending.Ending:
+    """Runs the daemon, unless a signal to stop has come already."""
+    number = process_signals.pending_stop()
+    if number is not None:
+        return ending.Stop(number)
+    try:
+        return asyncio.run(_run(loaded, ports))
+    except Exception as error:
+        # The process ends, and its last line tells why.
+        return ending.Fault(error)
 
 
-async def _run(loaded: settings.Settings, ports: daemon.Ports) -> None:
+async def _run(loaded: settings.Settings, ports: daemon.Ports) -> ending.Stop:
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
     try:
-        await sidecar.run()
+        return await sidecar.run()
     finally:
         # The loop gives its handlers back when it is closed.
         process_signals.hold()
--- a/mustardloom/process_signals.py
+++ b/mustardloom/process_signals.py
@@ -12,7 +12,7 @@
 if typing.TYPE_CHECKING:
     import asyncio
 
-__all__ = ["RELOAD", "STOP", "UNUSED", "has_pending_stop", "hold", "take"]
+__all__ = ["RELOAD", "STOP", "UNUSED", "hold", "pending_stop", "take"]
 
 _SignalCallback = Callable[[signal.Signals], None]
 
@@ -42,9 +42,10 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, _TAKEN)
 
 
-def has_pending_stop() -> bool:
-    """Returns whether a signal to stop waits."""
-    return not STOP.isdisjoint(signal.sigpending())
+def pending_stop() -> signal.Signals | None:
+    """Returns a signal to stop that waits, None if there is none."""
+    pending = signal.sigpending()
+    return next((each for each in STOP if each in pending), None)
 
 
 def take(
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -30,7 +30,9 @@
 from mustardloom.platform import announcements
 from mustardloom.platform import configuration as configuration_lib
 from mustardloom.platform import headers
+from mustardloom.sidecar import ending
 from mustardloom.sidecar import events
+from mustardloom.sidecar import faults
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
@@ -111,6 +113,7 @@
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._configuration: configuration.Configuration | None = None
         self._stop = asyncio.Event()
+        self._stop_signal: signal.Signals | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._keyspace_by_service: dict[
             ids.ServiceId, keyspace_lib.Keyspace
@@ -251,6 +254,7 @@
             self._forwarder,
             self._links,
             clock,
+            self._on_stop_waiting,
         )
         self._notice_server = self._new_server(self._local_target.handle)
         self._readiness_server = self._new_server(self._answer_readiness)
@@ -260,17 +264,17 @@
         )
         self._metrics_server = self._new_server(page.handle)
 
-    async def run(self) -> None:
-        """Serves until SIGTERM, then finishes open requests and returns."""
+    async def run(self) -> ending.Stop:
+        """Serves until a stop, then finishes open requests and returns."""
         process_signals.take(
             asyncio.get_running_loop(),
-            lambda _: self.stop(),
+            self._on_stop_signal,
             self._on_reload,
             self._on_unused_signal,
         )
         if not await self._listen():
             self._close()
-            return
+            return ending.Stop(self._stop_signal)
         own_settings = self._settings
         self._log.write(
             events.Event.START,
@@ -282,12 +286,17 @@
         for loop_call in self._background_loops():
             self._start(self._keep_running(loop_call))
         await self._stop.wait()
-        await self._shut_down()
+        return await self._shut_down()
 
     def stop(self) -> None:
         """Starts a graceful shutdown, as SIGTERM does."""
         self._stop.set()
 
+    def _on_stop_signal(self, number: signal.Signals) -> None:
+        if not self._stop.is_set():
+            self._stop_signal = number
+        self.stop()
+
     async def _listen(self) -> bool:
         """Listens on all addresses; returns False if a stop came first."""
         wait = listening.AddressWait(
@@ -384,14 +393,9 @@
             self._on_fault(error)
 
     def _on_fault(self, error: BaseException) -> None:
-        trace = error.__traceback__
-        while trace is not None and trace.tb_next is not None:
-            trace = trace.tb_next
-        place = ""
-        if trace is not None:
-            code = trace.tb_frame.f_code
-            place = f"{code.co_filename}:{trace.tb_lineno}"
-        self._log.write(events.Event.FAULT, error=repr(error), place=place)
+        self._log.write(
+            events.Event.FAULT, error=repr(error), place=faults.place_of(error)
+        )
 
     async def _join(self) -> None:
         """Registers this daemon, finds the others and follows changes."""
@@ -661,14 +665,28 @@
             await self._clock.sleep_ms(_SETTINGS_INTERVAL_MS)
             self._on_reload()
 
-    async def _shut_down(self) -> None:
+    async def _shut_down(self) -> ending.Stop:
+        began_ms = self._clock.now_ms()
         self._report.is_stopping = True
         self._log.write(
             events.Event.STOP, open=self._caller_server.active_requests()
         )
         self._status_sender.broadcast()
-        await self._graceful_stop.run(self._settings.bounds.grace_ms)
+        cut = await self._graceful_stop.run(self._settings.bounds.grace_ms)
         self._close()
+        stop_ms = self._clock.now_ms() - began_ms
+        return ending.Stop(self._stop_signal, stop_ms, cut)
+
+    def _on_stop_waiting(self, step: graceful_stop.Step) -> None:
+        load = self._gate.load()
+        self._log.write(
+            events.Event.STOP_WAITING,
+            step=step.value,
+            open=self._caller_server.active_requests(),
+            running=load.running,
+            waiting=load.waiting,
+            forwarded=self._forwarder.open_by_vm.total(),
+        )
 
     def _close(self) -> None:
         for task in list(self._tasks):
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -22,6 +22,8 @@
 
     START = "start"
     STOP = "stop"
+    STOP_WAITING = "stop-waiting"
+    END = "end"
     ADDRESS_IN_USE = "address-in-use"
     ADDRESS_FREE = "address-free"
     MEMORY_HIGH = "memory-high"
--- a/mustardloom/sidecar/tests/test_graceful_stop.py
+++ b/mustardloom/sidecar/tests/test_graceful_stop.py
@@ -1,6 +1,7 @@
 """Tests that a stop loses nothing that the daemon has accepted."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -20,8 +21,12 @@
         self.steps = []
         self.admission = stop_admission.StopAdmission(clock)
         self._stop = graceful_stop.GracefulStop(
-            self.admission, self, self, self, self, clock
+            self.admission, self, self, self, self, clock, self._on_waiting
         )
+        self.waits = []
+
+    def _on_waiting(self, step):
+        self.waits.append((self.clock.now_ms(), step))
 
     def start(self, grace_ms=_GRACE_MS):
         return asyncio.ensure_future(self._stop.run(grace_ms))
@@ -109,3 +114,37 @@
         assert not daemon.admission.may_start(clock.now_ms() + 60_000)
 
     _run(scenario)
+
+
+def test_stop_that_takes_long_tells_nobody():
+    """Guards against a kill at the end of the grace that nothing explains."""
+
+    async def scenario(clock, daemon):
+        daemon.open = {"caller", "forwarded"}
+        stop = daemon.start()
+        await clock.advance(_GRACE_MS)
+        assert stop.result() == (
+            graceful_stop.Step.CALLERS,
+            graceful_stop.Step.OTHER_DAEMONS,
+        )
+        times_ms = [now_ms for now_ms, _ in daemon.waits]
+        assert len(times_ms) >= 2
+        assert {step for _, step in daemon.waits} == {
+            graceful_stop.Step.CALLERS
+        }
+        for earlier_ms, later_ms in itertools.pairwise(times_ms):
+            assert later_ms - earlier_ms >= 1_000
+
+    _run(scenario)
+
+
+def test_stop_that_ends_soon_leaves_lines():
+    """Guards against a line for each poll of a stop."""
+
+    async def scenario(clock, daemon):
+        stop = daemon.start()
+        await clock.advance(_GRACE_MS)
+        assert stop.result() == ()
+        assert daemon.waits == []
+
+    _run(scenario)
