--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Coroutine
 import dataclasses
-import socket
 from typing import Any
 
 from tornado import iostream
 
+from mustardloom import descriptor_budget
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client_errors
@@ -15,6 +15,7 @@
 from mustardloom.http1 import request_upload
 from mustardloom.http1 import response_parser
 from mustardloom.http1 import sockets
+from mustardloom.http1 import streams
 
 __all__ = [
     "Address",
@@ -57,6 +58,7 @@
     address: Address,
     timeout_ms: int,
     unread_bytes: int = sockets.REMOTE_UNREAD_BYTES,
+    share: descriptor_budget.Share | None = None,
 ) -> "Connection":
     """Opens a connection.
 
@@ -64,15 +66,15 @@
       address: Host and port.
       timeout_ms: Time within which it has to open.
       unread_bytes: Bytes that may arrive before they are read.
+      share: Descriptors for connections of this kind.
 
     Raises:
       ConnectFailed: It was refused, failed or did not open in time.
     """
     try:
-        opened = socket.socket()
-        sockets.bound_unread(opened, unread_bytes)
-        stream = iostream.IOStream(
-            opened,
+        stream = streams.open_stream(
+            share or descriptor_budget.unlimited(),
+            unread_bytes,
             max_buffer_size=response_parser.MAX_BODY_BYTES,
             read_chunk_size=_READ_BYTES,
         )
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -27,6 +27,8 @@
     ADDRESS_IN_USE = "address-in-use"
     ADDRESS_FREE = "address-free"
     MEMORY_HIGH = "memory-high"
+    DESCRIPTORS_SHORT = "descriptors-short"
+    DESCRIPTORS_BACK = "descriptors-back"
     RELOAD = "reload"
     SIGNAL_IGNORED = "signal-ignored"
     STORE_LOST = "store-lost"
