Start although the settings file is still being written

Seen: a daemon that finds its settings file absent, empty or in part ends at once with exit code 2; to the platform a system that did not start.

Cause: a file with faults was taken for a wrong one, though the platform writes it at each start and at each change of the settings, at the same moments.

A signal to stop ends the wait with 0. A file that stays wrong ends the process with 2, as before.

--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -121,13 +121,21 @@
         self._memory = memory_watch.MemoryWatch(self._process.pid)
         self.target.start()
 
-    def spawn(self) -> subprocess.Popen[bytes]:
-        """Starts a daemon alone, which the caller ends."""
+    def spawn(self, has_settings: bool = True) -> subprocess.Popen[bytes]:
+        """Starts a daemon alone, which the caller ends.
+
+        Args:
+          has_settings: Whether its file is complete; otherwise it is empty, and
+            `write_settings` makes it complete.
+        """
+        environment = self._environment()
+        if not has_settings:
+            self._settings_path.write_text("")
         with self.log.open("ab") as log:
             return subprocess.Popen(
                 _command(),
                 cwd=_ROOT,
-                env=self._environment(),
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
@@ -174,15 +182,22 @@
             caller.send_head("GET", "/readiness", 0)
             return await caller.read_status() == 200
 
+    def write_settings(self) -> None:
+        """Writes the settings file, whole."""
+        self._settings_path.write_text("\n".join(self._settings()) + "\n")
+
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._fleet.folder / f"{self.name}.conf"
+
     def _environment(self) -> dict[str, str]:
         """Writes the settings and returns the variables of the process."""
-        settings = self._fleet.folder / f"{self.name}.conf"
-        settings.write_text("\n".join(self._settings()) + "\n")
+        self.write_settings()
         # The platform has the packages of the daemon on this path.
         packages = sysconfig.get_path("purelib")
         environment = {
             **os.environ,
-            "MUSTARDLOOM_CONFIG": str(settings),
+            "MUSTARDLOOM_CONFIG": str(self._settings_path),
             "PYTHONPATH": packages,
         }
         if self._fleet.has_proxies:
--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -19,6 +19,7 @@
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
 _POLL_S = 0.01
+_SETTINGS_DELAY_S = 1.2
 _SIGNAL_INTERVAL_S = 0.001
 # Nothing listens there; a daemon starts without its store, too.
 _NO_STORE_PORT = 1
@@ -203,3 +204,30 @@
         _check_last_line(vm, reason="settings", exit_code=2)
     finally:
         _end(process)
+
+
+def test_process_that_starts_before_its_settings_file_ends(vm):
+    """Guards against a file that the platform is about to write or replace."""
+    process = vm.spawn(has_settings=False)
+    try:
+        time.sleep(_SETTINGS_DELAY_S)
+        vm.write_settings()
+        _await_start(vm, process)
+        assert process.poll() is None
+        process.terminate()
+        assert process.wait(_END_LIMIT_S) == 0
+        _check_last_line(vm, reason="stop", exit_code=0)
+    finally:
+        _end(process)
+
+
+def test_stop_of_a_process_without_settings_counts_as_a_fault(vm):
+    """Guards against a wait that a signal does not end."""
+    process = vm.spawn(has_settings=False)
+    try:
+        _await_start(vm, process, "settings-awaited")
+        process.terminate()
+        assert process.wait(_END_LIMIT_S) == 0
+        _check_last_line(vm, reason="stop", exit_code=0, signal="SIGTERM")
+    finally:
+        _end(process)
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -27,6 +27,7 @@
 from mustardloom.sidecar import daemon
 from mustardloom.sidecar import ending
 from mustardloom.sidecar import events
+from mustardloom.sidecar import first_settings
 
 __all__ = ["main"]
 
@@ -77,10 +78,12 @@
     arguments = parser.parse_args()
     gc.set_threshold(_GC_THRESHOLD_OBJECTS)
     try:
-        loaded = settings_file.read()
+        loaded = asyncio.run(_await_settings())
     except findings.FindingsError as error:
         print(error, file=sys.stderr)
         return ending.write(ending.InvalidSettings(str(error)), _log())
+    if loaded is None:
+        return ending.write(ending.Stop(process_signals.pending_stop()), _log())
     ports = daemon.Ports(
         arguments.metrics_port, arguments.peer_listen_port or loaded.peer_port
     )
@@ -91,11 +94,20 @@
     return events.EventLog(vm, clock_lib.SystemClock(), metrics_lib.Metrics())
 
 
+async def _await_settings() -> settings.Settings | None:
+    """Returns the settings, None if a signal to stop came first."""
+    return await first_settings.await_settings(
+        settings_file.read,
+        clock_lib.SystemClock(),
+        lambda error: _log().write(
+            events.Event.SETTINGS_AWAITED, error=str(error)
+        ),
+        lambda: process_signals.pending_stop() is not None,
+    )
+
+
 def _serve(loaded: settings.Settings, ports: daemon.Ports) -> ending.Ending:
-    """Runs the daemon, unless a signal to stop has come already."""
-    number = process_signals.pending_stop()
-    if number is not None:
-        return ending.Stop(number)
+    """Runs the daemon and returns how it ended."""
     try:
         return asyncio.run(_run(loaded, ports))
     except Exception as error:
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -24,6 +24,7 @@
     STOP = "stop"
     STOP_WAITING = "stop-waiting"
     END = "end"
+    SETTINGS_AWAITED = "settings-awaited"
     ADDRESS_IN_USE = "address-in-use"
     ADDRESS_FREE = "address-free"
     MEMORY_HIGH = "memory-high"
--- a/mustardloom/sidecar/first_settings.py
+++ b/mustardloom/sidecar/first_settings.py
@@ -22,20 +22,24 @@
     read: Callable[[], settings.Settings],
     clock: clock_lib.Clock,
     on_wait: Callable[[findings.FindingsError], None],
-) -> settings.Settings:
+    is_stopping: Callable[[], bool],
+) -> settings.Settings | None:
     """Returns the settings once the file can be read and has no faults.
 
+    Returns None if this process is to stop first.
+
     Args:
       read: Reads the file.
       clock: Source of time.
       on_wait: Called once, with the faults, if the file is waited for.
+      is_stopping: Returns whether this process is to stop.
 
     Raises:
       findings.FindingsError: The file still has faults after `WAIT_LIMIT_MS`.
     """
     give_up_ms = clock.now_ms() + WAIT_LIMIT_MS
     is_waiting = False
-    while True:
+    while not is_stopping():
         try:
             return read()
         except findings.FindingsError as error:
@@ -45,3 +49,4 @@
                 is_waiting = True
                 on_wait(error)
         await clock.sleep_ms(_RETRY_MS)
+    return None
--- a/mustardloom/sidecar/tests/test_first_settings.py
+++ b/mustardloom/sidecar/tests/test_first_settings.py
@@ -18,6 +18,7 @@
         self._clock = clock
         self._valid_from_ms = valid_from_ms
         self.waits = []
+        self.is_stopping = False
 
     def read(self):
         if self._clock.now_ms() >= self._valid_from_ms:
@@ -28,7 +29,10 @@
     def await_settings(self):
         return asyncio.ensure_future(
             first_settings.await_settings(
-                self.read, self._clock, self.waits.append
+                self.read,
+                self._clock,
+                self.waits.append,
+                lambda: self.is_stopping,
             )
         )
 
@@ -61,6 +65,21 @@
     asyncio.run(play())
 
 
+def test_stop_waits_for_a_file():
+    """Guards against a start that cannot be stopped."""
+
+    async def play():
+        clock = clock_lib.FakeClock(now_ms=0)
+        file = _File(clock, first_settings.WAIT_LIMIT_MS)
+        waiting = file.await_settings()
+        await clock.advance(100)
+        file.is_stopping = True
+        await clock.advance(100)
+        assert waiting.result() is None
+
+    asyncio.run(play())
+
+
 def test_valid_file_is_waited_for():
     """Guards against a start that is slower than it has to be."""
 
