--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import contextlib
 import functools
 import json
@@ -13,16 +14,22 @@
 import random
 import resource
 import shlex
+import shutil
 import signal
 import socket
+import subprocess
 import sys
+import sysconfig
+import tempfile
 import tomllib
+from typing import Any
 from typing import Self
 
 from deploy.tests import memory_watch
 from deploy.tests import raw_http
 from deploy.tests import raw_target
 from mustardloom.platform.tests import standins
+from soak import proxy as proxy_lib
 
 __all__ = [
     "CALLER_PORT",
@@ -41,6 +48,10 @@
 READY_PORT = 8302
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
+_CALLER_PORT = 8304
+_READY_PORT = 8302
+# The daemon's own port where others reach it through a proxy.
+_PEER_LISTEN_PORT = 8620
 _MAX_DESCRIPTORS = 4_100
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
@@ -49,13 +60,25 @@
 
 
 class Vm:
-    """A VM: a daemon, which is not started again, and its target."""
+    """A VM: a daemon, which is not started again, and its target.
+
+    Attributes:
+      name: Name of the VM.
+      host: Its address.
+      log: Log of the daemon.
+      target: The target.
+      peer_link: Proxy through which other daemons reach this one, if the fleet
+        has proxies.
+    """
 
     def __init__(self, fleet: "Fleet", name: str, host: str, service: str):
         self.name = name
         self.host = host
         self.log = fleet.folder / f"{name}.log"
         self.target = raw_target.Target(f"t-{name}", service, "za", host)
+        self.peer_link = proxy_lib.Proxy(
+            host, PEER_PORT, (host, _PEER_LISTEN_PORT)
+        )
         self._fleet = fleet
         self._service = service
         self._process: asyncio.subprocess.Process | None = None
@@ -80,14 +103,13 @@
 
     async def start(self) -> None:
         """Starts daemon and target."""
-        settings = self._fleet.folder / f"{self.name}.conf"
-        settings.write_text("\n".join(self._settings()) + "\n")
-        environment = {**os.environ, "MUSTARDLOOM_CONFIG": str(settings)}
+        if self._fleet.has_proxies:
+            await self.peer_link.listen()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *_command(),
                 cwd=_ROOT,
-                env=environment,
+                env=self._environment(),
                 stdout=log,
                 stderr=log,
                 preexec_fn=functools.partial(
@@ -99,6 +121,32 @@
         self._memory = memory_watch.MemoryWatch(self._process.pid)
         self.target.start()
 
+    def spawn(self, has_settings: bool = True) -> subprocess.Popen[bytes]:
+        """Starts a daemon alone, which the caller ends.
+
+        Args:
+          has_settings: Whether its file is complete; otherwise it is empty, and
+            `write_settings` makes it complete.
+        """
+        environment = self._environment()
+        if not has_settings:
+            self._settings_path.write_text("")
+        with self.log.open("ab") as log:
+            return subprocess.Popen(
+                _command(),
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def events(self) -> list[dict[str, Any]]:
+        """Returns the lines of the log that are objects, in their order."""
+        if not self.log.exists():
+            return []
+        lines = self.log.read_text().split("\n")[:-1]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the daemon."""
         assert self._process is not None
@@ -115,7 +163,8 @@
             return await self._process.wait()
 
     async def stop(self) -> None:
-        """Ends daemon and target."""
+        """Ends daemon, target and proxy."""
+        self.peer_link.close()
         if self._memory is not None:
             self.target.stop()
             self._memory.stop()
@@ -133,6 +182,28 @@
             caller.send_head("GET", "/readiness", 0)
             return await caller.read_status() == 200
 
+    def write_settings(self) -> None:
+        """Writes the settings file, whole."""
+        self._settings_path.write_text("\n".join(self._settings()) + "\n")
+
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._fleet.folder / f"{self.name}.conf"
+
+    def _environment(self) -> dict[str, str]:
+        """Writes the settings and returns the variables of the process."""
+        self.write_settings()
+        # The platform has the packages of the daemon on this path.
+        packages = sysconfig.get_path("purelib")
+        environment = {
+            **os.environ,
+            "MUSTARDLOOM_CONFIG": str(self._settings_path),
+            "PYTHONPATH": packages,
+        }
+        if self._fleet.has_proxies:
+            environment["MUSTARDLOOM_PEER_LISTEN_PORT"] = str(_PEER_LISTEN_PORT)
+        return environment
+
     def _settings(self) -> list[str]:
         host = self.host
         return [
@@ -163,6 +234,7 @@
       folder: For settings and logs.
       services: Service of each VM.
       grace_ms: Time that a daemon has to stop.
+      has_proxies: Whether a proxy stands before the links of each daemon.
       max_descriptors: Limit on the descriptors of a daemon; it holds for the
         process, and the settings name it.
     """
@@ -172,9 +244,11 @@
         folder: pathlib.Path,
         services: list[str],
         grace_ms: int = 6_000,
+        has_proxies: bool = False,
         max_descriptors: int = _MAX_DESCRIPTORS,
     ):
         self.folder = folder
+        self.has_proxies = has_proxies
         self.grace_ms = grace_ms
         self.max_descriptors = max_descriptors
         self._store = standins.Store()
@@ -211,8 +285,23 @@
     program, *arguments = shlex.split(
         deploy["roles"]["mustardloom-sidecar"]["run"]
     )
-    assert program == "python3"
-    return [sys.executable, *arguments]
+    if program == "python3":
+        return [sys.executable, *arguments]
+    assert program == "target/bin/mustardloom-sidecar"
+    return [_launcher(), *arguments]
+
+
+@functools.cache
+def _launcher() -> str:
+    """Builds the program of the deploy file for this interpreter."""
+    # Versions that run the interpreter itself do not have this module.
+    from deploy import launcher
+
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardloom-launcher-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    program = folder / launcher.PROGRAM.name
+    launcher.make(program)
+    return str(program)
 
 
 def _free_hosts(count: int) -> list[str]:
@@ -235,6 +324,22 @@
     return True
 
 
+def _rule(kind: str, prefix: str) -> dict[str, object]:
+    return {
+        "name": f"r-{kind}",
+        "kind": kind,
+        "target_latency": "300ms",
+        "priority": 1,
+        "match": {"path_prefix": prefix},
+        "action": {
+            "service": "archive",
+            "timeout": "20000ms",
+            "max_attempts": 2,
+            "allowed_regions": [],
+        },
+    }
+
+
 _CONFIGURATION = {
     "version": 1,
     "limits": {
@@ -246,21 +351,7 @@
     "listeners": [
         {
             "host": raw_http.HOST,
-            "rules": [
-                {
-                    "name": "r-1",
-                    "kind": "upload",
-                    "target_latency": "300ms",
-                    "priority": 1,
-                    "match": {"path_prefix": "/scans/"},
-                    "action": {
-                        "service": "archive",
-                        "timeout": "20000ms",
-                        "max_attempts": 2,
-                        "allowed_regions": [],
-                    },
-                }
-            ],
+            "rules": [_rule("upload", "/scans/"), _rule("safe", "/plans/")],
         }
     ],
     "clusters": [{"name": "archive"}, {"name": "desk"}],
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -1,25 +1,33 @@
 """`mustardloom-sidecar`: the daemon on the VM of a target of a deployment.
 
-Exit codes: 0 after SIGTERM, 2 if the settings are not valid, 1 otherwise.
+Exit codes: 0 after a signal to stop, 2 if the settings are not valid, 1
+otherwise.
 """
 
+from mustardloom import process_signals
+
+if __name__ == "__main__":
+    # Before the slow imports: no signal must end the process meanwhile.
+    process_signals.hold()
+
 import argparse
 import asyncio
+import contextlib
 import gc
 import os
-import signal
 import sys
-
-# A change of the settings during the slow imports must not end the process,
-# which reads them only afterwards.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from typing import NoReturn
 
 from mustardloom import clock as clock_lib
 from mustardloom import findings
+from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import settings
 from mustardloom.platform import object_api
 from mustardloom.platform import settings_file
 from mustardloom.sidecar import daemon
+from mustardloom.sidecar import ending
+from mustardloom.sidecar import events
+from mustardloom.sidecar import first_settings
 from mustardloom.sidecar import process_log
 
 __all__ = ["main"]
@@ -28,13 +36,24 @@
 _METRICS_PORT_VARIABLE = "MUSTARDLOOM_METRICS_PORT"
 _DEFAULT_METRICS_PORT = "9464"
 _PEER_PORT_VARIABLE = "MUSTARDLOOM_PEER_LISTEN_PORT"
-_EXIT_INVALID_SETTINGS = 2
 # Container objects allocated, less those freed, before a collection of the
 # youngest generation. It can be rare, as few objects of the daemon form cycles.
 _GC_THRESHOLD_OBJECTS = 50_000
 
 
-def main() -> int:
+def main() -> NoReturn:
+    """Runs the daemon and ends the process."""
+    process_signals.hold()
+    exit_code = _run_command()
+    for each in filter(None, (sys.stdout, sys.stderr)):
+        # Whoever reads it may have closed it.
+        with contextlib.suppress(OSError, ValueError):
+            each.flush()
+    # The interpreter would take its time to end, and run more code meanwhile.
+    os._exit(exit_code)
+
+
+def _run_command() -> int:
     """Runs the daemon and returns its exit code."""
     parser = argparse.ArgumentParser(
         prog="mustardloom-sidecar",
@@ -58,26 +77,56 @@
     )
     parser.add_argument("--version", action="version", version=VERSION)
     arguments = parser.parse_args()
+    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
     try:
-        loaded = settings_file.read()
+        loaded = asyncio.run(_await_settings())
     except findings.FindingsError as error:
         print(error, file=sys.stderr)
-        return _EXIT_INVALID_SETTINGS
-    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
+        return ending.write(ending.InvalidSettings(str(error)), _log())
+    if loaded is None:
+        return ending.write(ending.Stop(process_signals.pending_stop()), _log())
     ports = daemon.Ports(
         arguments.metrics_port, arguments.peer_listen_port or loaded.peer_port
     )
-    asyncio.run(_run(loaded, ports))
-    return 0
+    return ending.write(_serve(loaded, ports), _log(loaded.vm))
+
+
+def _log(vm: str = "") -> events.EventLog:
+    return events.EventLog(vm, clock_lib.SystemClock(), metrics_lib.Metrics())
+
+
+async def _await_settings() -> settings.Settings | None:
+    """Returns the settings, None if a signal to stop came first."""
+    return await first_settings.await_settings(
+        settings_file.read,
+        clock_lib.SystemClock(),
+        lambda error: _log().write(
+            events.Event.SETTINGS_AWAITED, error=str(error)
+        ),
+        lambda: process_signals.pending_stop() is not None,
+    )
 
 
-async def _run(loaded: settings.Settings, ports: daemon.Ports) -> None:
+def _serve(loaded: settings.Settings, ports: daemon.Ports) -> ending.Ending:
+    """Runs the daemon and returns how it ended."""
+    try:
+        return asyncio.run(_run(loaded, ports))
+    except Exception as error:
+        # The process ends, and its last line tells why.
+        return ending.Fault(error)
+
+
+async def _run(loaded: settings.Settings, ports: daemon.Ports) -> ending.Stop:
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
     process_log.ProcessLog(sidecar.log).install(asyncio.get_running_loop())
-    await sidecar.run()
+    try:
+        return await sidecar.run()
+    finally:
+        # The loop gives its handlers back when it is closed.
+        process_signals.hold()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/mustardloom/descriptor_budget.py
+++ b/mustardloom/descriptor_budget.py
@@ -60,8 +60,8 @@
 # Most that these may have, out of what is not guaranteed to others.
 _MOST_DIVISOR_BY_USER = {
     User.CALLERS: 1,
-    User.DIALLED_PEERS: 4,
-    User.ACCEPTED_PEERS: 4,
+    User.DIALLED_PEERS: 2,
+    User.ACCEPTED_PEERS: 2,
     User.TARGET: 4,
     User.READINESS: 8,
     User.METRICS: 8,
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -15,8 +16,7 @@
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom import metrics as metrics_lib
-from mustardloom import objects
-from mustardloom.deployment import configuration
+from mustardloom import process_signals
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
@@ -28,9 +28,9 @@
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.load_control import stop_admission
 from mustardloom.platform import announcements
-from mustardloom.platform import configuration as configuration_lib
 from mustardloom.platform import headers
 from mustardloom.sidecar import descriptor_report
+from mustardloom.sidecar import ending
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
@@ -39,18 +39,21 @@
 from mustardloom.sidecar import graceful_stop
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import keyspace as keyspace_lib
+from mustardloom.sidecar import keyspaces as keyspaces_lib
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import listening
 from mustardloom.sidecar import local_target
 from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar import peer_frames
-from mustardloom.sidecar import planner as planner_lib
 from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import self_report
 from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import state_adoption
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_sender
+from mustardloom.sidecar import store_events
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import target_memory
 from mustardloom.sidecar import target_selection
@@ -63,8 +66,6 @@
 _LoopCall = Callable[[], Coroutine[Any, Any, None]]
 
 _LOOP_RESTART_MS = 500
-_NO_AGE_MS = 0
-_STORE_CHANGE_DELAY_MS = 1_000
 _SETTINGS_INTERVAL_MS = 2_000
 _CRASHES_TO_QUARANTINE = 3
 # The platform and the target send their requests as soon as they have
@@ -122,27 +123,18 @@
             passage, clock, dial_share, accept_share
         )
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
-        self._configuration: configuration.Configuration | None = None
         self._stop = asyncio.Event()
+        self._stop_signal: signal.Signals | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._keyspace_by_service: dict[
-            ids.ServiceId, keyspace_lib.Keyspace
-        ] = {}
-        self._planner_by_service: dict[ids.ServiceId, planner_lib.Planner] = {}
         self._shared_state = shared_state.SharedState(
             store,
             clock,
-            self._on_state_change,
+            lambda kind: self._adoption.on_change(kind),
             lambda: self._fleet.is_watcher(),
             lambda kind: self._state_exchange.push(kind),
-            self._on_store_change,
+            lambda answers: store_watch.on_change(answers),
         )
-        self._unreadable_objects = unreadable_objects.UnreadableObjects(
-            self._log
-        )
-        self._shared_state.on_restored = self._on_store_restored
-        self._shared_state.on_ignored = self._on_store_answer_ignored
-        store.on_unreadable = self._on_objects_left_out
+        unreadable = unreadable_objects.UnreadableObjects(self._log)
         self._record = stored.DaemonRecord(
             own_settings.vm,
             own_settings.ip,
@@ -165,6 +157,7 @@
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
         self._links.on_transfer = self._transfers.server.adopt
+        self._links.is_limited = stop.is_limited
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
         self._target_memory = target_memory.TargetMemory(
             self._fleet, self._links
@@ -175,6 +168,16 @@
             clock,
             lambda receiver: self._report.status(receiver),
         )
+        store_watch = store_events.StoreEvents(
+            self._shared_state,
+            self._status_sender,
+            clock,
+            self._log,
+            self._start,
+        )
+        self._shared_state.on_restored = store_watch.on_restored
+        self._shared_state.on_ignored = store_watch.on_answer_ignored
+        store.on_unreadable = store_watch.on_objects_left_out
         self._state_exchange = state_exchange_lib.StateExchange(
             self._shared_state, self._fleet, self._links, clock, self._start
         )
@@ -212,6 +215,22 @@
             self._budget,
             stop,
         )
+        keyspaces = keyspaces_lib.Keyspaces(
+            lambda: self._settings,
+            store,
+            self._shared_state,
+            self._state_exchange,
+            self._status_sender,
+            self._fleet,
+            self._links,
+            self._gate,
+            unreadable,
+            clock,
+            self._log,
+            self._metrics,
+            lambda call: self._start(self._keep_running(call)),
+        )
+        self._keyspace_by_service = keyspaces.by_service
         self._report = self_report.SelfReport(
             self._fleet,
             self._gate,
@@ -221,6 +240,18 @@
             self._links,
             self._keyspace_by_service,
         )
+        self._adoption = state_adoption.StateAdoption(
+            self._record,
+            self._shared_state,
+            self._fleet,
+            self._gate,
+            self._report,
+            self._registration,
+            keyspaces,
+            unreadable,
+            self._log,
+            self._start,
+        )
         self._peer_frames = peer_frames.PeerFrames(
             self._fleet,
             self._target_memory,
@@ -231,7 +262,7 @@
             self._report,
             self._quarantine,
             self._keyspace_by_service,
-            self._planner_by_service,
+            keyspaces.planner_by_service,
             clock,
         )
         self._links.make_pong = self._peer_frames.make_pong
@@ -261,7 +292,7 @@
         self._ingress = ingress_lib.Ingress(
             self._router,
             own_settings.service,
-            lambda: self._configuration,
+            lambda: self._adoption.configuration,
             clock,
             self._log,
             self._metrics,
@@ -279,6 +310,7 @@
             self._forwarder,
             self._links,
             clock,
+            self._on_stop_waiting,
         )
         self._notice_server = self._new_server(
             self._local_target.handle, descriptor_budget.User.ANNOUNCEMENTS
@@ -303,17 +335,18 @@
         """Where this daemon writes."""
         return self._log
 
-    async def run(self) -> None:
-        """Serves until SIGTERM, then finishes open requests and returns."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+    async def run(self) -> ending.Stop:
+        """Serves until a stop, then finishes open requests and returns."""
+        process_signals.take(
+            asyncio.get_running_loop(),
+            self._on_stop_signal,
+            self._on_reload,
+            self._on_unused_signal,
+        )
+        if not await self._listen():
+            self._close()
+            return ending.Stop(self._stop_signal)
         own_settings = self._settings
-        self._links.listen(own_settings.ip, self._ports.peer_listen)
-        self._notice_server.listen(*own_settings.announcement_address)
-        self._readiness_server.listen(*own_settings.readiness_address)
-        self._caller_server.listen(*own_settings.caller_address)
-        self._metrics_server.listen(own_settings.ip, self._ports.metrics)
         self._log.write(
             events.Event.START,
             service=own_settings.service,
@@ -325,12 +358,39 @@
         for loop_call in self._background_loops():
             self._start(self._keep_running(loop_call))
         await self._stop.wait()
-        await self._shut_down()
+        return await self._shut_down()
 
     def stop(self) -> None:
         """Starts a graceful shutdown, as SIGTERM does."""
         self._stop.set()
 
+    def _on_stop_signal(self, number: signal.Signals) -> None:
+        if not self._stop.is_set():
+            self._stop_signal = number
+        self.stop()
+
+    async def _listen(self) -> bool:
+        """Listens on all addresses; returns False if a stop came first."""
+        wait = listening.AddressWait(
+            self._settings.bounds.grace_ms,
+            self._clock,
+            self._log,
+            self._stop.is_set,
+        )
+        for listen, address in self._listeners():
+            if not await wait.listen(listen, address):
+                return False
+        return True
+
+    def _listeners(self) -> Iterator[tuple[listening.Listen, settings.Address]]:
+        own = self._settings
+        # Callers come last: nobody must reach a daemon that is not complete.
+        yield self._links.listen, (own.ip, self._ports.peer_listen)
+        yield self._notice_server.listen, own.announcement_address
+        yield self._readiness_server.listen, own.readiness_address
+        yield self._metrics_server.listen, (own.ip, self._ports.metrics)
+        yield self._caller_server.listen, own.caller_address
+
     # Wiring.
 
     def _new_server(
@@ -419,171 +479,7 @@
             stored.Kind.DAEMON, self._fleet.is_store_reader
         )
 
-    # State of the fleet.
-
-    def _on_state_change(self, kind: stored.Kind) -> None:
-        by_key = self._shared_state.by_kind[kind].by_key
-        match kind:
-            case stored.Kind.CONFIGURATION:
-                main = by_key.get(configuration_lib.KEY)
-                if main is not None:
-                    self._adopt_configuration(main)
-            case stored.Kind.EVACUATION:
-                self._adopt_evacuations(set(by_key))
-            case stored.Kind.DAEMON:
-                self._adopt_daemons(list(by_key.values()))
-                if self._registration.is_lost():
-                    self._start(self._registration.register())
-            case stored.Kind.KEY_MAP:
-                self._adopt_maps()
-
-    def _adopt_configuration(self, stored_object: objects.Versioned) -> None:
-        try:
-            new = configuration_lib.decode(stored_object.value)
-        except ValueError as error:
-            self._unreadable_objects.report(stored_object, error)
-            return
-        known = self._configuration
-        if known is not None and new.version <= known.version:
-            return
-        self._configuration = new
-        self._report.configuration_version = new.version
-        self._log.write(
-            events.Event.CONFIGURATION_ADOPTED,
-            version=new.version,
-            replaces=None if known is None else known.version,
-            store_version=stored_object.version,
-            routes=len(new.routes),
-        )
-        own_service = new.service_by_name.get(self._settings.service)
-        if own_service is not None:
-            self._gate.set_cold_rate(own_service.cold_per_s)
-        for service in new.service_by_name.values():
-            if service.is_keyed:
-                self._open_keyspace(service.name)
-        for name, planner in self._planner_by_service.items():
-            planner.objective_ms = new.objective_of(name)
-
-    def _open_keyspace(self, service: ids.ServiceId) -> None:
-        if service in self._keyspace_by_service:
-            return
-        keyspace = keyspace_lib.Keyspace(
-            service,
-            self._settings,
-            self._shared_state,
-            self._fleet,
-            self._links,
-            self._gate,
-            self._clock,
-            self._log,
-            self._unreadable_objects,
-        )
-        keyspace.on_settled = self._status_sender.send
-        keyspace.on_newer_map = lambda vm: self._state_exchange.fetch(
-            vm, stored.Kind.KEY_MAP
-        )
-        self._keyspace_by_service[service] = keyspace
-        self._adopt_maps()
-        planner = planner_lib.Planner(
-            self._settings.vm,
-            keyspace,
-            self._store,
-            self._fleet,
-            self._links,
-            self._clock,
-            self._log,
-            self._metrics,
-        )
-        planner.send_status = self._status_sender.send
-        planner.publish_maps = lambda: self._state_exchange.publish(
-            stored.Kind.KEY_MAP
-        )
-        self._planner_by_service[service] = planner
-        self._start(self._keep_running(planner.run))
-        self._start(self._keep_running(keyspace.become_voter))
-        if service == self._settings.service:
-            self._start(self._keep_running(keyspace.renew_authority))
-            self._start(self._keep_running(keyspace.request_releases))
-            self._start(self._keep_running(keyspace.report_load))
-
-    def _adopt_evacuations(self, keys: set[str]) -> None:
-        zones = {ids.AvailabilityZoneId(stored.name_of(key)) for key in keys}
-        if zones == self._fleet.evacuated_zones:
-            return
-        self._fleet.evacuated_zones = zones
-        self._gate.is_evacuated = self._settings.availability_zone in zones
-        self._log.write(
-            events.Event.EVACUATION_CHANGED, availability_zones=sorted(zones)
-        )
-
-    def _adopt_daemons(self, stored_objects: list[objects.Versioned]) -> None:
-        # Of two records with the same address the later one is valid: a new VM
-        # may have taken over the address of an earlier one. A store that was
-        # restored holds earlier records under their revisions of that time.
-        by_address: dict[settings.Address, stored.DaemonRecord] = {}
-        for each in sorted(
-            stored_objects, key=lambda item: stored.revision_of(item.version)
-        ):
-            try:
-                record = stored.decode_daemon(each.value)
-            except ValueError as error:
-                self._unreadable_objects.report(each, error)
-                continue
-            by_address[record.ip, record.port] = record
-        self._fleet.set_listed(list(by_address.values()))
-
-    def _adopt_maps(self) -> None:
-        by_key = self._shared_state.by_kind[stored.Kind.KEY_MAP].by_key
-        for service, keyspace in self._keyspace_by_service.items():
-            found = by_key.get(stored.key(stored.Kind.KEY_MAP, service))
-            if found is not None:
-                keyspace.adopt(found)
-
-    def _on_store_change(self, answers: bool) -> None:
-        event = events.Event.STORE_LOST
-        if answers:
-            event = events.Event.STORE_BACK
-        self._log.write(event)
-        self._start(self._announce_store_change(answers))
-
-    def _on_store_restored(self, before: int, era: int) -> None:
-        self._log.write(
-            events.Event.STORE_RESTORED,
-            era=era,
-            before=before,
-            versions=self._shared_state.versions(),
-        )
-        self._start(self._read_restored())
-
-    async def _read_restored(self) -> None:
-        """Lists what daemons write, so that they soon know of the restore."""
-        for kind in (stored.Kind.KEY_MAP, stored.Kind.DAEMON):
-            await self._shared_state.refresh(kind, _NO_AGE_MS)
-
-    def _on_objects_left_out(self, kind: stored.Kind, count: int) -> None:
-        self._log.write(
-            events.Event.OBJECTS_LEFT_OUT, kind=kind.value, objects=count
-        )
-
-    def _on_store_answer_ignored(
-        self, kind: stored.Kind, found: ids.Version, known: ids.Version
-    ) -> None:
-        self._log.write(
-            events.Event.STORE_ANSWER_IGNORED,
-            kind=kind.value,
-            found=found,
-            known=known,
-        )
-
-    async def _announce_store_change(self, answers: bool) -> None:
-        """Tells all daemons that the store is lost or back, if it stays so.
-
-        They choose the planner and the watchers by this. A single call that
-        fails must not make another daemon plan.
-        """
-        await self._clock.sleep_ms(_STORE_CHANGE_DELAY_MS)
-        if self._shared_state.store_answers == answers:
-            self._status_sender.broadcast()
+    # Callbacks of the components.
 
     def _on_link_change(self, vm: ids.VmId, is_up: bool) -> None:
         event = events.Event.PEER_LOST
@@ -605,12 +501,11 @@
     def _keyspace_of(self, service: str) -> keyspace_lib.Keyspace | None:
         return self._keyspace_by_service.get(ids.ServiceId(service))
 
-    # Callbacks of the components.
-
     def _limits(self) -> server.ServerLimits:
-        if self._configuration is None:
+        current = self._adoption.configuration
+        if current is None:
             return server.ServerLimits()
-        limits = self._configuration.limits
+        limits = current.limits
         return server.ServerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -646,7 +541,8 @@
     ) -> messages.Response:
         del request
         is_stopping = self._report.is_stopping
-        is_ready = self._configuration is not None and not is_stopping
+        has_configuration = self._adoption.configuration is not None
+        is_ready = has_configuration and not is_stopping
         return messages.Response(_OK if is_ready else _UNAVAILABLE)
 
     # Reload and shutdown.
@@ -671,19 +567,39 @@
             events.Event.RELOAD, bounds=dataclasses.asdict(new.bounds)
         )
 
+    def _on_unused_signal(self, number: signal.Signals) -> None:
+        self._log.write(events.Event.SIGNAL_IGNORED, signal=number.name)
+
     async def _follow_settings(self) -> None:
         """Polls for changes of the settings that came without a SIGHUP."""
         while True:
             await self._clock.sleep_ms(_SETTINGS_INTERVAL_MS)
             self._on_reload()
 
-    async def _shut_down(self) -> None:
+    async def _shut_down(self) -> ending.Stop:
+        began_ms = self._clock.now_ms()
         self._report.is_stopping = True
         self._log.write(
             events.Event.STOP, open=self._caller_server.active_requests()
         )
         self._status_sender.broadcast()
-        await self._graceful_stop.run(self._settings.bounds.grace_ms)
+        cut = await self._graceful_stop.run(self._settings.bounds.grace_ms)
+        self._close()
+        stop_ms = self._clock.now_ms() - began_ms
+        return ending.Stop(self._stop_signal, stop_ms, cut)
+
+    def _on_stop_waiting(self, step: graceful_stop.Step) -> None:
+        load = self._gate.load()
+        self._log.write(
+            events.Event.STOP_WAITING,
+            step=step.value,
+            open=self._caller_server.active_requests(),
+            running=load.running,
+            waiting=load.waiting,
+            forwarded=self._forwarder.open_by_vm.total(),
+        )
+
+    def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
         for each in (
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -7,6 +7,7 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import metrics as metrics_lib
+from mustardloom.sidecar import faults
 
 __all__ = ["Event", "EventLog", "describe"]
 
@@ -22,10 +23,16 @@
 
     START = "start"
     STOP = "stop"
+    STOP_WAITING = "stop-waiting"
+    END = "end"
+    SETTINGS_AWAITED = "settings-awaited"
+    ADDRESS_IN_USE = "address-in-use"
+    ADDRESS_FREE = "address-free"
     MEMORY_HIGH = "memory-high"
     DESCRIPTORS_SHORT = "descriptors-short"
     DESCRIPTORS_BACK = "descriptors-back"
     RELOAD = "reload"
+    SIGNAL_IGNORED = "signal-ignored"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
     STORE_RESTORED = "store-restored"
@@ -68,6 +75,7 @@
         Event.GATE_FAILED,
         # A target may state something else with each response.
         Event.TARGET_STATEMENT,
+        Event.SIGNAL_IGNORED,
     )
 )
 
@@ -82,6 +90,8 @@
         Event.OBJECT_UNREADABLE,
         Event.OBJECTS_LEFT_OUT,
         Event.RELOAD,
+        Event.SETTINGS_AWAITED,
+        Event.SIGNAL_IGNORED,
         Event.STORE_ANSWER_IGNORED,
     )
 )
@@ -178,7 +188,7 @@
         if error is not None:
             fields = {
                 "error": describe(error),
-                "place": _place_of(error),
+                "place": faults.place_of(error),
                 **fields,
             }
         self.write(Event.FAULT, **fields)
@@ -225,13 +235,3 @@
     if len(text) <= _MAX_TEXT_CHARACTERS:
         return text
     return f"{text[:_MAX_TEXT_CHARACTERS]}..."
-
-
-def _place_of(error: BaseException) -> str:
-    """Returns the line that raised an error."""
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
-        return ""
-    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- a/mustardloom/sidecar/incoming_link.py
+++ b/mustardloom/sidecar/incoming_link.py
@@ -11,6 +11,7 @@
 import msgspec
 from tornado import iostream
 
+from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom.sidecar import frame_reader
@@ -27,11 +28,14 @@
 ]
 
 _END_POLL_S = 0.01
+# Calls that are read last are refused within this time.
+_LAST_REPLIES_MS = 100
 
 
 class LinkReceiver(Protocol):
     """What a link needs of the links of its daemon; see `links.Links`."""
 
+    clock: clock_lib.Clock
     budget: memory_budget.MemoryBudget
     handler: FrameHandler
     vm: ids.VmId
@@ -57,8 +61,18 @@
         self._is_ending = False
 
     def end(self) -> None:
-        """Sends the end of the link, and which calls were read before it."""
+        """Reads no more calls; sends the end of the link after the replies."""
+        if self._is_ending:
+            return
         self._is_ending = True
+        self._end_when_replied(self._owner.clock.now_ms() + _LAST_REPLIES_MS)
+
+    def _end_when_replied(self, limit_ms: int) -> None:
+        """Sends the end, and which calls were read before it."""
+        if self._tasks and self._owner.clock.now_ms() < limit_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_END_POLL_S, self._end_when_replied, limit_ms)
+            return
         self._reply(frames.Goodbye(self._last_number))
         self._close_when_written()
 
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -347,6 +347,29 @@
     assert _run(scenario, handler) == "late"
 
 
+def test_stop_awaits_the_answer_of_a_peer_that_is_silent_for_a_while():
+    """Guards against work that is given up and cannot be repeated (LOST)."""
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+
+        async def answer():
+            await asyncio.sleep(0.2)
+            return frames.Failure(frame.number, "late")
+
+        return answer()
+
+    async def scenario(near, far, port):
+        async with _through_proxy(near, port) as (proxy, vm):
+            near.is_limited = lambda: True
+            repeatable = await _start_call(near, vm, may_repeat=True)
+            await _pause(proxy, near, vm, also_ms=300)
+            return (await repeatable).reason
+
+    assert _run(scenario, handler) == "late"
+
+
 def test_calls_on_a_silent_stream_end_when_it_is_closed():
     """Guards against callers that wait for a peer that was restarted."""
 
@@ -436,6 +459,34 @@
     assert len(seen) == 1
 
 
+def test_calls_that_were_read_before_the_end_of_a_link_are_answered():
+    """Guards against a refusal that is lost because a stop ends the link.
+
+    A request that arrives last is refused by then. Without the refusal the
+    other daemon must take it for one that may have run.
+    """
+
+    async def scenario(near, far, port):
+        async def refuse(frame):
+            # The link ends between the arrival of the call and its reply.
+            far.end_incoming()
+            await asyncio.sleep(0.02)
+            return frames.Refusal(frame.number, "stopping", 300, False, "")
+
+        far.handler = lambda vm, frame: (
+            refuse(frame) if isinstance(frame, frames.Fetch) else None
+        )
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, port)})
+        await _connected(near, vm)
+        reply = await near.call(vm, _fetch)
+        while far.has_incoming():
+            await asyncio.sleep(0)
+        return reply.reason
+
+    assert _run(scenario, lambda *_: None) == "stopping"
+
+
 def test_links_end_only_after_what_was_written_on_them():
     """Guards against replies that a stop drops on their way.
 
