--- a/deploy/tests/test_build.py
+++ b/deploy/tests/test_build.py
@@ -12,8 +12,6 @@
 
 import pytest
 
-from mustardloom import process_signals
-
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _DEPS = pathlib.Path("target/deps")
 _PROGRAM = pathlib.Path("target/bin/mustardloom-sidecar")
@@ -185,14 +183,6 @@
     return set(output.decode().split())
 
 
-def test_program_is_started_without_the_signals_held(checkout):
-    """Guards against a list of the launcher that differs from the daemon's."""
-    assert _build(checkout) == 0
-    held = process_signals.STOP | process_signals.UNUSED
-    names = {each.name for each in held | {process_signals.RELOAD}}
-    assert _held_signals(checkout) == names
-
-
 def test_program_of_another_kind_of_machine_counts_as_built(checkout):
     """Guards against a program that was carried over."""
     assert _build(checkout) == 0
