Log each request whose caller got no answer

A request that the end of a daemon cut, or whose caller left, had no line, so that a log could not tell the two from a request that never came. It has one now, by its id, with how long it waited and what was left; after 'stop' it is one that the stop did not await. Such lines count against the bound of lines about single requests, and a counter says how many there were.

Evidence: the test with a real daemon, whose target works for longer than the grace, found no line before.

--- a/deploy/tests/test_losses_of_daemons.py
+++ b/deploy/tests/test_losses_of_daemons.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 
 from deploy.tests import daemons
@@ -24,6 +25,7 @@
 _BEFORE_STOP_S = 0.3
 # A daemon that runs nothing for this long counts as silent.
 _FREEZE_S = 1.2
+_SHORT_GRACE_MS = 1_500
 
 
 async def _get(vm: daemons.Vm, path: str) -> int:
@@ -83,3 +85,33 @@
             return status
 
     assert asyncio.run(play()) == 200
+
+
+def test_request_that_outlasts_a_stop_leaves_no_line(tmp_path):
+    """Guards against lost requests of which the log of a daemon tells nothing.
+
+    The target works for longer than the grace.
+    """
+
+    async def play() -> None:
+        async with daemons.Fleet(
+            tmp_path, ["archive"], _SHORT_GRACE_MS
+        ) as fleet:
+            (vm,) = fleet.vms
+            vm.target.work_s = _WORK_S
+            caller = await raw_http.Caller.connect(vm.caller_address)
+            with contextlib.closing(caller):
+                request_id = caller.send_head("GET", _SAFE_PATH, 0)
+                await asyncio.sleep(_BEFORE_STOP_S)
+                vm.send_signal(signal.SIGTERM)
+                assert await caller.read_status() != 200
+                assert await vm.wait() == 0
+            lines = [json.loads(line) for line in vm.log.open()]
+            events = [
+                line["event"]
+                for line in lines
+                if line.get("request") == request_id
+            ]
+            assert events == ["request-abandoned"]
+
+    asyncio.run(play())
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -50,6 +50,7 @@
     REQUEST_REPEATED = "request-repeated"
     REQUEST_FAILED = "request-failed"
     REQUEST_EXPIRED = "request-expired"
+    REQUEST_ABANDONED = "request-abandoned"
     GATE_REFUSED = "gate-refused"
     GATE_FAILED = "gate-failed"
     FAULT = "fault"
@@ -62,6 +63,7 @@
         Event.REQUEST_REPEATED,
         Event.REQUEST_FAILED,
         Event.REQUEST_EXPIRED,
+        Event.REQUEST_ABANDONED,
         Event.GATE_REFUSED,
         Event.GATE_FAILED,
         # A target may state something else with each response.
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -142,6 +142,10 @@
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
+        except asyncio.CancelledError:
+            # The caller has left, or this daemon ends.
+            self._log_abandoned(request, started_ms)
+            raise
         outcome_name = type(outcome).__name__.lower()
         self._metrics.increment(f"ingress.{outcome_name}")
         waited_ms = self._clock.now_ms() - started_ms
@@ -154,6 +158,17 @@
             case work.Failed(reason):
                 return self._fail(request, reason, started_ms)
 
+    def _log_abandoned(self, request: work.Work, started_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        self._metrics.increment("ingress.abandoned")
+        self._log.write(
+            events.Event.REQUEST_ABANDONED,
+            request=request.request_id,
+            route=request.route,
+            waited_ms=now_ms - started_ms,
+            left_ms=request.deadline_ms - now_ms,
+        )
+
     def _refuse(
         self,
         request_id: str,
