--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -28,6 +28,7 @@
 from mustardloom.sidecar import ending
 from mustardloom.sidecar import events
 from mustardloom.sidecar import first_settings
+from mustardloom.sidecar import process_log
 
 __all__ = ["main"]
 
@@ -119,6 +120,7 @@
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
+    process_log.ProcessLog(sidecar.log).install(asyncio.get_running_loop())
     try:
         return await sidecar.run()
     finally:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -32,7 +32,6 @@
 from mustardloom.sidecar import descriptor_report
 from mustardloom.sidecar import ending
 from mustardloom.sidecar import events
-from mustardloom.sidecar import faults
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
@@ -331,6 +330,11 @@
             page.handle, descriptor_budget.User.METRICS
         )
 
+    @property
+    def log(self) -> events.EventLog:
+        """Where this daemon writes."""
+        return self._log
+
     async def run(self) -> ending.Stop:
         """Serves until a stop, then finishes open requests and returns."""
         process_signals.take(
@@ -466,9 +470,7 @@
             self._on_fault(error)
 
     def _on_fault(self, error: BaseException) -> None:
-        self._log.write(
-            events.Event.FAULT, error=repr(error), place=faults.place_of(error)
-        )
+        self._log.write_fault(error)
 
     async def _join(self) -> None:
         """Registers this daemon, finds the others and follows changes."""
@@ -488,7 +490,7 @@
         self._log.write(event, peer=vm)
 
     def _on_peer_fault(self, vm: ids.VmId, error: Exception) -> None:
-        self._log.write(events.Event.FAULT, peer=vm, error=repr(error))
+        self._log.write_fault(error, peer=vm)
 
     def _on_suspect(
         self, fingerprint: int, crashes: int, regions: frozenset[ids.RegionId]
--- a/mustardloom/sidecar/ending.py
+++ b/mustardloom/sidecar/ending.py
@@ -82,7 +82,7 @@
                 events.Event.END,
                 reason="fault",
                 exit_code=code,
-                error=repr(error),
+                error=events.describe(error),
                 place=faults.place_of(error),
             )
     return code
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -103,11 +103,7 @@
         self.running.discard(ticket)
         self._meter.record_end(ticket.started_ms, self._clock.now_ms())
         if not task.cancelled() and (error := task.exception()) is not None:
-            self._log.write(
-                events.Event.FAULT,
-                request=ticket.request.request_id,
-                error=repr(error),
-            )
+            self._log.write_fault(error, request=ticket.request.request_id)
         # Without effect unless the dispatch ended without an outcome.
         ticket.resolve(work.Failed(work.FailureReason.INTERNAL))
         self.on_end()
