End a daemon without closing its event loop first

Cause: after its last step a stop still let the event loop cancel and await all tasks, which takes its time on a slow machine and has no bound; the margin of the grace is a twelfth of it.

Change: the process ends as soon as the daemon has ended, by its last line and os._exit. What is written by then is with the system.

Evidence: the 56 tests of starts and ends pass; that the clean-up has ever taken long was not seen.

--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -44,7 +44,17 @@
 def main() -> NoReturn:
     """Runs the daemon and ends the process."""
     process_signals.hold()
-    exit_code = _run_command()
+    arguments = _parser().parse_args()
+    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
+    loaded = _read_settings()
+    ports = daemon.Ports(
+        arguments.metrics_port, arguments.peer_listen_port or loaded.peer_port
+    )
+    asyncio.run(_serve(loaded, ports))
+
+
+def _end(exit_code: int) -> NoReturn:
+    """Ends the process."""
     for each in filter(None, (sys.stdout, sys.stderr)):
         # Whoever reads it may have closed it.
         with contextlib.suppress(OSError, ValueError):
@@ -53,8 +63,7 @@
     os._exit(exit_code)
 
 
-def _run_command() -> int:
-    """Runs the daemon and returns its exit code."""
+def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="mustardloom-sidecar",
         description="Routes requests to the targets of a deployment. "
@@ -76,19 +85,19 @@
         f"to it from the announced one ({_PEER_PORT_VARIABLE})",
     )
     parser.add_argument("--version", action="version", version=VERSION)
-    arguments = parser.parse_args()
-    gc.set_threshold(_GC_THRESHOLD_OBJECTS)
+    return parser
+
+
+def _read_settings() -> settings.Settings:
+    """Returns the settings; ends the process if there are none."""
     try:
         loaded = asyncio.run(_await_settings())
     except findings.FindingsError as error:
         print(error, file=sys.stderr)
-        return ending.write(ending.InvalidSettings(str(error)), _log())
+        _end(ending.write(ending.InvalidSettings(str(error)), _log()))
     if loaded is None:
-        return ending.write(ending.Stop(process_signals.pending_stop()), _log())
-    ports = daemon.Ports(
-        arguments.metrics_port, arguments.peer_listen_port or loaded.peer_port
-    )
-    return ending.write(_serve(loaded, ports), _log(loaded.vm))
+        _end(ending.write(ending.Stop(process_signals.pending_stop()), _log()))
+    return loaded
 
 
 def _log(vm: str = "") -> events.EventLog:
@@ -107,25 +116,26 @@
     )
 
 
-def _serve(loaded: settings.Settings, ports: daemon.Ports) -> ending.Ending:
-    """Runs the daemon and returns how it ended."""
-    try:
-        return asyncio.run(_run(loaded, ports))
-    except Exception as error:
-        # The process ends, and its last line tells why.
-        return ending.Fault(error)
-
+async def _serve(loaded: settings.Settings, ports: daemon.Ports) -> NoReturn:
+    """Runs the daemon and ends the process.
 
-async def _run(loaded: settings.Settings, ports: daemon.Ports) -> ending.Stop:
+    The event loop is not closed first: that would run more code, take its time,
+    and give back the handlers of the signals.
+    """
     store = object_api.ObjectApi(loaded.store.address)
     clock = clock_lib.SystemClock()
     sidecar = daemon.Daemon(loaded, store, clock, ports, settings_file.read)
     process_log.ProcessLog(sidecar.log).install(asyncio.get_running_loop())
+    _end(ending.write(await _outcome(sidecar), sidecar.log))
+
+
+async def _outcome(sidecar: daemon.Daemon) -> ending.Ending:
+    """Runs the daemon and returns how it ended."""
     try:
         return await sidecar.run()
-    finally:
-        # The loop gives its handlers back when it is closed.
-        process_signals.hold()
+    except Exception as error:
+        # The process ends, and its last line tells why.
+        return ending.Fault(error)
 
 
 if __name__ == "__main__":
