Keep the log of a daemon out of its sockets

Seen: a daemon that is started with its standard output closed writes its log lines into the first socket that it opens, which may be one of a caller.

Cause: the system gives a new socket the lowest descriptor that is free, and the log writes to descriptor 1 whatever that is.

Change: standard streams that are closed are opened on nothing first.

--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -121,12 +121,15 @@
         self._memory = memory_watch.MemoryWatch(self._process.pid)
         self.target.start()
 
-    def spawn(self, has_settings: bool = True) -> subprocess.Popen[bytes]:
+    def spawn(
+        self, has_settings: bool = True, has_streams: bool = True
+    ) -> subprocess.Popen[bytes]:
         """Starts a daemon alone, which the caller ends.
 
         Args:
           has_settings: Whether its file is complete; otherwise it is empty, and
             `write_settings` makes it complete.
+          has_streams: Whether its standard streams are open.
         """
         environment = self._environment()
         if not has_settings:
@@ -138,6 +141,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=None if has_streams else _close_streams,
             )
 
     def events(self) -> list[dict[str, Any]]:
@@ -280,6 +284,11 @@
         self._store.close()
 
 
+def _close_streams() -> None:
+    for descriptor in (0, 1, 2):
+        os.close(descriptor)
+
+
 def _command() -> list[str]:
     deploy = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text())
     program, *arguments = shlex.split(
--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -5,6 +5,7 @@
 
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 
@@ -54,6 +55,19 @@
     return [each["event"] for each in vm.events()].count(event) >= count
 
 
+def _await_listener(vm: daemons.Vm) -> None:
+    """Returns once the daemon accepts callers."""
+    limit_s = time.monotonic() + _START_LIMIT_S
+    while True:
+        try:
+            socket.create_connection(vm.caller_address).close()
+        except ConnectionRefusedError:
+            assert time.monotonic() < limit_s
+            time.sleep(_POLL_S)
+        else:
+            return
+
+
 def _check_last_line(vm: daemons.Vm, **expected: object) -> None:
     """Checks that the log ends with the line that tells why."""
     last = vm.events()[-1]
@@ -231,3 +245,18 @@
         _check_last_line(vm, reason="stop", exit_code=0, signal="SIGTERM")
     finally:
         _end(process)
+
+
+def test_log_of_a_process_without_standard_output_goes_to_a_socket(vm):
+    """Guards against a socket that gets the descriptor of the log."""
+    process = vm.spawn(has_streams=False)
+    try:
+        _await_listener(vm)
+        folder = pathlib.Path(f"/proc/{process.pid}/fd")
+        assert {str((folder / each).readlink()) for each in "012"} == {
+            "/dev/null"
+        }
+        process.terminate()
+        assert process.wait(_END_LIMIT_S) == 0
+    finally:
+        _end(process)
--- a/mustardloom/cli/sidecar.py
+++ b/mustardloom/cli/sidecar.py
@@ -21,6 +21,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import findings
 from mustardloom import metrics as metrics_lib
+from mustardloom import standard_streams
 from mustardloom.deployment import settings
 from mustardloom.platform import object_api
 from mustardloom.platform import settings_file
@@ -44,6 +45,7 @@
 def main() -> NoReturn:
     """Runs the daemon and ends the process."""
     process_signals.hold()
+    standard_streams.open_missing()
     arguments = _parser().parse_args()
     gc.set_threshold(_GC_THRESHOLD_OBJECTS)
     loaded = _read_settings()
