Handle signals of the project's own daemon as those of the sidecar

Seen: SIGHUP and SIGUSR1 end mustardloomd by default, SIGTERM does during its start and its end. The same cause as in the sidecar, found by reading.

Change: it holds and takes the signals by process_signals.

--- a/mustardloom/cli/daemon.py
+++ b/mustardloom/cli/daemon.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import gc
-import signal
 from typing import Annotated
 
 from loguru import logger
 import typer
 
+from mustardloom import process_signals
 from mustardloom.cli import common
 from mustardloom.daemon import daemon as daemon_lib
 from mustardloom.daemon import settings as settings_lib
@@ -119,8 +119,12 @@
     daemon = daemon_lib.Daemon(settings)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+    process_signals.take(
+        loop,
+        lambda _: stop_requested.set(),
+        lambda: logger.info("settings are read at the start only"),
+        lambda number: logger.info("{} means nothing here", number.name),
+    )
     start = asyncio.create_task(daemon.start())
     stop_waiter = asyncio.create_task(stop_requested.wait())
     try:
@@ -136,10 +140,13 @@
         await daemon.drain()
     finally:
         stop_waiter.cancel()
+        # The loop gives its handlers back when it is closed.
+        process_signals.hold()
 
 
 def main() -> None:
     """Runs the binary."""
+    process_signals.hold()
     common.run(_app)
 
 
