Tell of requests that the end of a grace cuts, within the grace

Cause: closing the loop cancels and awaits all tasks, for as long as that takes.

Change: the handlers of open requests are cancelled in batches for at most 50 ms; their callers get 500 and the log a line each, and the last line tells how many were open.

--- a/deploy/tests/test_losses_of_daemons.py
+++ b/deploy/tests/test_losses_of_daemons.py
@@ -6,7 +6,9 @@
 import asyncio
 import contextlib
 import json
+import resource
 import signal
+import time
 
 from deploy.tests import daemons
 from deploy.tests import raw_http
@@ -26,13 +28,21 @@
 # A daemon that runs nothing for this long counts as silent.
 _FREEZE_S = 1.2
 _SHORT_GRACE_MS = 1_500
+_MANY_GRACE_MS = 3_000
+_MANY_REQUESTS = 1_500
+_MOST_REQUESTS = 1_000
+_START_LIMIT_S = 30.0
+# None of them ends before the stop does.
+_LONG_DEADLINE_MS = 20_000
 
 
-async def _get(vm: daemons.Vm, path: str) -> int:
+async def _get(
+    vm: daemons.Vm, path: str, deadline_ms: int = _DEADLINE_MS
+) -> int:
     """Sends a request on a new connection; returns its status."""
     caller = await raw_http.Caller.connect(vm.caller_address)
     with contextlib.closing(caller):
-        caller.send_head("GET", path, 0, _DEADLINE_MS)
+        caller.send_head("GET", path, 0, deadline_ms)
         return await caller.read_status()
 
 
@@ -104,7 +114,7 @@
                 request_id = caller.send_head("GET", _SAFE_PATH, 0)
                 await asyncio.sleep(_BEFORE_STOP_S)
                 vm.send_signal(signal.SIGTERM)
-                assert await caller.read_status() != 200
+                assert await caller.read_status() == 500
                 assert await vm.wait() == 0
             lines = [json.loads(line) for line in vm.log.open()]
             events = [
@@ -115,3 +125,43 @@
             assert events == ["request-abandoned"]
 
     asyncio.run(play())
+
+
+def test_stop_with_many_open_requests_outlasts_its_grace(tmp_path):
+    """Guards against an end that takes longer the more requests it cuts.
+
+    The platform kills a process that is still there after its grace.
+    """
+
+    async def play() -> float:
+        async with daemons.Fleet(
+            tmp_path, ["archive"], _MANY_GRACE_MS
+        ) as fleet:
+            (vm,) = fleet.vms
+            vm.target.slots = _MANY_REQUESTS
+            vm.target.work_s = _LONG_DEADLINE_MS / 1_000
+            # The daemon knows the slots by the next heartbeat.
+            await asyncio.sleep(1)
+            async with asyncio.TaskGroup() as group:
+                for _ in range(_MANY_REQUESTS):
+                    group.create_task(_get(vm, _SAFE_PATH, _LONG_DEADLINE_MS))
+                await _all_run(vm)
+                began_s = time.monotonic()
+                vm.send_signal(signal.SIGTERM)
+                assert await vm.wait() == 0
+                return time.monotonic() - began_s
+
+    _raise_descriptor_limit()
+    assert asyncio.run(play()) < _MANY_GRACE_MS / 1_000
+
+
+async def _all_run(vm: daemons.Vm) -> None:
+    """Returns once most of the requests are at the target."""
+    async with asyncio.timeout(_START_LIMIT_S):
+        while len(vm.target.runs) < _MOST_REQUESTS:
+            await asyncio.sleep(0.05)
+
+
+def _raise_descriptor_limit() -> None:
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -1,6 +1,10 @@
 """HTTP/1.1 server that runs pipelined requests concurrently."""
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
+from typing import TypeVar
 
 from tornado import iostream
 
@@ -20,6 +24,15 @@
 
 _TIME_CHECK_INTERVAL_MS = 500
 _PATIENCE = idle_eviction.Patience()
+# Handlers that are cancelled before the time is looked at again.
+_ABANDONED_AT_ONCE = 20
+
+
+_Item = TypeVar("_Item")
+
+
+def _batches(items: Sequence[_Item], size: int) -> Iterator[Sequence[_Item]]:
+    return (items[start : start + size] for start in range(0, len(items), size))
 
 
 class HttpServer:
@@ -111,6 +124,29 @@
         """
         return any(each.is_busy() for each in self.connections)
 
+    async def abandon_requests(self, limit_ms: int) -> int:
+        """Cancels the handlers of open requests, whose clients get status 500.
+
+        Args:
+          limit_ms: Time that it may take; what is open after it stays open.
+
+        Returns:
+          The number of requests that were open.
+        """
+        ends_ms = self.clock.now_ms() + limit_ms
+        waiting = [
+            pending for each in self.connections for pending in each.pending
+        ]
+        for batch in _batches(waiting, _ABANDONED_AT_ONCE):
+            for pending in batch:
+                pending.task.cancel()
+            # Lets the handlers end, and their answers leave.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            if self.clock.now_ms() >= ends_ms:
+                break
+        return len(waiting)
+
     async def close_idle_connections(self) -> None:
         """Closes slow and idle connections; runs until cancelled."""
         while True:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -67,6 +67,8 @@
 
 _LOOP_RESTART_MS = 500
 _SETTINGS_INTERVAL_MS = 2_000
+# Time to tell of requests that the end of the grace cuts.
+_LAST_WORDS_MS = 50
 _CRASHES_TO_QUARANTINE = 3
 # The platform and the target send their requests as soon as they have
 # connected.
@@ -584,9 +586,10 @@
         )
         self._status_sender.broadcast()
         cut = await self._graceful_stop.run(self._settings.bounds.grace_ms)
+        abandoned = await self._caller_server.abandon_requests(_LAST_WORDS_MS)
         self._close()
         stop_ms = self._clock.now_ms() - began_ms
-        return ending.Stop(self._stop_signal, stop_ms, cut)
+        return ending.Stop(self._stop_signal, stop_ms, cut, abandoned)
 
     def _on_stop_waiting(self, step: graceful_stop.Step) -> None:
         load = self._gate.load()
--- a/mustardloom/sidecar/ending.py
+++ b/mustardloom/sidecar/ending.py
@@ -27,11 +27,13 @@
       number: Signal that asked for it; None if none did.
       stop_ms: Time from the signal to the end.
       cut: Steps of the stop that the grace time cut short.
+      abandoned: Requests of callers that were open at the end.
     """
 
     number: signal.Signals | None
     stop_ms: int = 0
     cut: tuple[graceful_stop.Step, ...] = ()
+    abandoned: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +60,7 @@
 def write(ending: Ending, log: events.EventLog) -> ExitCode:
     """Writes the last line of a process and returns its exit code."""
     match ending:
-        case Stop(number, stop_ms, cut):
+        case Stop(number, stop_ms, cut, abandoned):
             code = ExitCode.STOPPED
             log.write(
                 events.Event.END,
@@ -67,6 +69,7 @@
                 signal=None if number is None else number.name,
                 stop_ms=stop_ms,
                 cut=[each.value for each in cut],
+                abandoned=abandoned,
             )
         case InvalidSettings(message):
             code = ExitCode.INVALID_SETTINGS
