Hold signals where the interpreter has no shared library

Seen: without a shared libpython the launcher is a plain link to the interpreter, and a signal during the start ends the daemon. A build on a read-only target fails though its link is right. `_await_interpreter` returns silently after 0.5 s when no libpython appears, so the signals come late.

Change: compiled without LIBRARY, launcher.c executes the interpreter, which keeps the mask. It is the second choice, also where the library cannot be loaded; the link is the third. A link that is right is left where it cannot be replaced. The wait looks for the interpreter's program or library among the mapped files and fails without either (within 10 s).

--- a/deploy/launcher.c
+++ b/deploy/launcher.c
@@ -4,15 +4,18 @@
    that comes earlier waits here until the daemon has its handlers; which ones
    these are is the same as in mustardloom/process_signals.py.
 
-   LIBRARY is the path of the interpreter's library, INTERPRETER that of its
-   program, from which it finds its modules. */
+   INTERPRETER is the path of the interpreter's program, from which it finds its
+   modules. LIBRARY is that of its shared library; without one the program is
+   executed, which keeps the signals held. */
 
-#include <dlfcn.h>
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
-
-typedef int (*interpreter_main)(int argc, char **argv);
+#ifdef LIBRARY
+#include <dlfcn.h>
+#else
+#include <unistd.h>
+#endif
 
 static const int held_signals[] = {
     SIGHUP, SIGINT,  SIGQUIT,   SIGUSR1, SIGUSR2, SIGALRM,
@@ -35,8 +38,11 @@
   sigprocmask(SIG_BLOCK, &held, NULL);
 }
 
-int main(int argc, char **argv) {
-  hold_signals();
+#ifdef LIBRARY
+
+typedef int (*interpreter_main)(int argc, char **argv);
+
+static int run_interpreter(int argc, char **argv) {
   void *library = dlopen(LIBRARY, RTLD_NOW | RTLD_GLOBAL);
   if (library == NULL) {
     fprintf(stderr, "%s\n", dlerror());
@@ -47,6 +53,22 @@
     fprintf(stderr, "%s\n", dlerror());
     return 1;
   }
-  argv[0] = INTERPRETER;
   return run(argc, argv);
 }
+
+#else
+
+static int run_interpreter(int argc, char **argv) {
+  (void)argc;
+  execv(INTERPRETER, argv);
+  perror(INTERPRETER);
+  return 1;
+}
+
+#endif
+
+int main(int argc, char **argv) {
+  hold_signals();
+  argv[0] = INTERPRETER;
+  return run_interpreter(argc, argv);
+}
--- a/deploy/launcher.py
+++ b/deploy/launcher.py
@@ -1,8 +1,9 @@
 """Builds `target/bin/mustardloom-sidecar`, the program that the daemon runs in.
 
-It is compiled from `launcher.c` for the interpreter that runs the build. Where
-that is not possible, it is a link to the interpreter: the daemon runs, and only
-a signal that comes before its first line still ends it.
+It is compiled from `launcher.c` for the interpreter that runs the build: it
+loads the interpreter's shared library or, where that is not possible, executes
+the interpreter. Without a compiler it is a link to the interpreter: the daemon
+runs, and only a signal that comes before its first line still ends it.
 """
 
 import hashlib
@@ -25,6 +26,7 @@
 _COMPILERS = ("cc", "gcc", "clang")
 _COMPILE_LIMIT_S = 120
 _CHECK_LIMIT_S = 60
+_LINKED = "is a link to the interpreter"
 # Ends with an error unless it runs in the same interpreter with signals held.
 _CHECK = """
 import signal, sys
@@ -46,7 +48,12 @@
     if _is_whole(program):
         return "is whole"
     program.parent.mkdir(parents=True, exist_ok=True)
-    return make(program)
+    try:
+        return make(program)
+    except OSError as error:
+        if not _is_right_link(program):
+            raise
+        return f"{_LINKED}: {error}"
 
 
 def make(program: pathlib.Path) -> str:
@@ -65,28 +72,53 @@
         prefix=f"{program.name}.partial-", dir=program.parent
     ) as folder:
         partial = pathlib.Path(folder) / program.name
-        reason = _compile(partial)
-        if reason:
-            partial.unlink(missing_ok=True)
-            partial.symlink_to(_interpreter())
-        else:
+        made = _make(partial)
+        if not partial.is_symlink():
             _write_manifest(partial, program)
         partial.replace(program)
-    return f"is a link to the interpreter: {reason}" if reason else "compiled"
+    return made
 
 
-def _compile(program: pathlib.Path) -> str:
-    """Returns why the program cannot be compiled here, "" if it was."""
+def _make(program: pathlib.Path) -> str:
+    """Makes the best program that runs here; returns which one it is."""
     compiler = next(filter(None, map(shutil.which, _COMPILERS)), None)
-    library = _library()
     if compiler is None:
-        return "there is no C compiler"
-    if library is None:
-        return "the interpreter has no shared library"
+        return _link(program, "there is no C compiler")
+    library = _library()
+    reason = "the interpreter has no shared library"
+    if library is not None:
+        reason = _compile(program, compiler, library)
+        if not reason:
+            return "compiled"
+    exec_reason = _compile(program, compiler, None)
+    if not exec_reason:
+        return f"compiled to execute the interpreter: {reason}"
+    return _link(program, exec_reason)
+
+
+def _link(program: pathlib.Path, reason: str) -> str:
+    program.unlink(missing_ok=True)
+    program.symlink_to(_interpreter())
+    return f"{_LINKED}: {reason}"
+
+
+def _compile(
+    program: pathlib.Path, compiler: str, library: pathlib.Path | None
+) -> str:
+    """Compiles the program.
+
+    Args:
+      program: Path of the program.
+      compiler: Path of the compiler.
+      library: What the program loads; if None, it executes the interpreter.
+
+    Returns:
+      Why that is not possible here, "" if it is.
+    """
     command = [compiler, "-O2", "-o", str(program), str(_SOURCE)]
-    command.append(f"-DLIBRARY={json.dumps(str(library))}")
     command.append(f"-DINTERPRETER={json.dumps(_interpreter())}")
-    command.append("-ldl")
+    if library is not None:
+        command += [f"-DLIBRARY={json.dumps(str(library))}", "-ldl"]
     if not _succeeds(command, _COMPILE_LIMIT_S):
         return f"{compiler} failed"
     return "" if _runs(program) else "the compiled program does not run"
@@ -144,6 +176,10 @@
     return is_known and not program.is_symlink() and _runs(program)
 
 
+def _is_right_link(program: pathlib.Path) -> bool:
+    return program.is_symlink() and str(program.readlink()) == _interpreter()
+
+
 def _manifest(program: pathlib.Path) -> pathlib.Path:
     return program.with_name(f".{program.name}{_MANIFEST_SUFFIX}")
 
--- a/deploy/tests/test_starts_and_ends_of_daemons.py
+++ b/deploy/tests/test_starts_and_ends_of_daemons.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -16,7 +17,9 @@
 _GRACE_MS = 500
 # Time from the first sign of the interpreter to the signal.
 _MOMENTS_S = (0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16)
-_INTERPRETER_LIMIT_S = 0.5
+_INTERPRETER_LIMIT_S = 10.0
+# The interpreter's program or its library among the files of a process.
+_INTERPRETER = re.compile(r"/(lib)?python3[^/]*$", re.MULTILINE)
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
 _POLL_S = 0.01
@@ -34,13 +37,15 @@
     return fleet.vms[0]
 
 
-def _await_interpreter(process: subprocess.Popen[bytes]) -> None:
-    """Returns once the interpreter's library is loaded, or after a while."""
-    limit_s = time.monotonic() + _INTERPRETER_LIMIT_S
+def _await_interpreter(
+    process: subprocess.Popen[bytes], wait_s: float = _INTERPRETER_LIMIT_S
+) -> None:
+    """Returns once the process runs or has loaded the interpreter."""
+    limit_s = time.monotonic() + wait_s
     maps = pathlib.Path(f"/proc/{process.pid}/maps")
-    while "libpython" not in maps.read_text():
-        if time.monotonic() > limit_s:
-            return
+    while not _INTERPRETER.search(maps.read_text()):
+        assert process.poll() is None, "ended without the interpreter"
+        assert time.monotonic() < limit_s, "no interpreter"
 
 
 def _signal_at(
@@ -88,6 +93,16 @@
         time.sleep(_POLL_S)
 
 
+def test_process_without_an_interpreter_is_signalled():
+    """Guards against signals that come after the time they are meant for."""
+    process = subprocess.Popen(["sleep", "60"])
+    try:
+        with pytest.raises(AssertionError, match="no interpreter"):
+            _await_interpreter(process, wait_s=0.1)
+    finally:
+        _end(process)
+
+
 @pytest.mark.parametrize("moment_s", _MOMENTS_S)
 def test_hangup_while_the_interpreter_starts_ends_the_daemon(vm, moment_s):
     """Guards against SIGHUP before its handler is set, which ends a process."""
