--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -301,6 +301,9 @@
                 # A paused process still accepts connections, so this one ended.
                 self._end_silent_streams()
             return None
+        except BaseException:
+            dialled.close()
+            raise
         dialled.set_nodelay(True)
         now_ms = self._owner.clock.now_ms()
         stream = _Stream(dialled, now_ms, self._owner.budget)
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -14,6 +14,7 @@
 import pytest
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import ids
 from mustardloom.deployment import stored
 from mustardloom.sidecar import compression
@@ -551,3 +552,40 @@
 
     _run(scenario, handler)
     assert 0 < len(handled) < 200
+
+
+@contextlib.contextmanager
+def _full_queue():
+    """Yields an address whose connects hang, as a machine without power."""
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.socket())
+        listening.bind((_HOST, 0))
+        listening.listen(0)
+        for _ in range(3):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listening.getsockname())
+        yield listening.getsockname()
+
+
+def test_links_removed_while_they_connect_keep_their_descriptors():
+    """Guards against a connect that is cancelled and leaves its socket open."""
+    budget = descriptor_budget.DescriptorBudget(400)
+    share = budget.share(descriptor_budget.User.DIALLED_PEERS)
+
+    async def play(address):
+        clock = clock_lib.SystemClock()
+        links = links_lib.Links(
+            _record("near"), clock, lambda *_: None, None, share
+        )
+        for _ in range(5):
+            links.set_peers({ids.VmId("far"): address})
+            await asyncio.sleep(0.02)
+            assert share.held == 1
+            links.set_peers({})
+            await asyncio.sleep(0.02)
+            assert share.held == 0
+        links.close()
+
+    with _full_queue() as address:
+        asyncio.run(play(address))
