Wait for a descriptor when a body is fetched

A request that had run got 502 because callers held what the fetch of its answer needed. Fetches have a share of their own, wait for their turn until the deadline, and callers get none that a fetch waits for.

--- a/mustardloom/descriptor_budget.py
+++ b/mustardloom/descriptor_budget.py
@@ -6,6 +6,7 @@
 other daemons, the target, the store and the checks of the platform.
 """
 
+import asyncio
 from collections.abc import Callable
 import enum
 import resource
@@ -29,16 +30,20 @@
 _OWN_SOCKETS = 16
 _MIN_CAPACITY = 128
 _UNLIMITED = 1 << 62
+# Pause between two attempts of whoever waits for a descriptor.
+_RETRY_S = 0.02
 
 
 class User(enum.Enum):
     """What a connection is for."""
 
     CALLERS = "callers"
-    # Links to other daemons and bodies that are fetched from them.
+    # Links to other daemons.
     DIALLED_PEERS = "dialled_peers"
     # Links of other daemons and bodies that they fetch.
     ACCEPTED_PEERS = "accepted_peers"
+    # Bodies that are fetched from other daemons, for requests that run.
+    FETCHES = "fetches"
     TARGET = "target"
     STORE = "store"
     READINESS = "readiness"
@@ -50,6 +55,7 @@
 _GUARANTEED_DIVISOR_BY_USER = {
     User.DIALLED_PEERS: 48,
     User.ACCEPTED_PEERS: 48,
+    User.FETCHES: 96,
     User.TARGET: 48,
     User.STORE: 160,
     User.READINESS: 160,
@@ -62,6 +68,7 @@
     User.CALLERS: 1,
     User.DIALLED_PEERS: 2,
     User.ACCEPTED_PEERS: 2,
+    User.FETCHES: 2,
     User.TARGET: 4,
     User.READINESS: 8,
     User.METRICS: 8,
@@ -99,8 +106,10 @@
       guaranteed: Number that nobody else gets.
       most: Most that it may have at a time.
       held: Number that it has now.
+      waiting: Number of those who wait for one in `take_when_free`.
       refused: Connections that were not opened for want of a descriptor.
-      waits: Times at which connections had to wait until they were accepted.
+      waits: Times at which connections had to wait until they were accepted
+        or opened.
       evicted: Idle connections that were closed for others.
       accept_errors: Errors of the system when a connection was accepted.
       last_error: The last one of these errors.
@@ -117,6 +126,7 @@
         self.guaranteed = guaranteed
         self.most = most
         self.held = 0
+        self.waiting = 0
         self.refused = 0
         self.waits = 0
         self.evicted = 0
@@ -124,6 +134,7 @@
         self.last_error = ""
         self._budget = budget
         self._evictors: list[Callable[[], int]] = []
+        self._turn = asyncio.Lock()
 
     def take(self) -> Descriptor:
         """Takes a descriptor for a connection that is opened.
@@ -133,14 +144,27 @@
         Raises:
           OutOfDescriptors: None is left.
         """
-        found = self.try_take()
-        if found is None and self.make_room():
-            found = self.try_take()
+        found = self._take_or_evict()
         if found is None:
             self.refused += 1
             raise OutOfDescriptors(self.user)
         return found
 
+    async def take_when_free(self) -> Descriptor:
+        """Takes a descriptor; waits for its turn while there is none.
+
+        Callers get no descriptor that somebody waits for.
+        """
+        self.waiting += 1
+        try:
+            async with self._turn:
+                while (found := self._take_or_evict()) is None:
+                    self.waits += 1
+                    await asyncio.sleep(_RETRY_S)
+                return found
+        finally:
+            self.waiting -= 1
+
     def try_take(self) -> Descriptor | None:
         """Takes a descriptor, or returns None if none is left.
 
@@ -158,6 +182,12 @@
         self.held += 1
         return Descriptor(self)
 
+    def _take_or_evict(self) -> Descriptor | None:
+        found = self.try_take()
+        if found is None and self.make_room():
+            found = self.try_take()
+        return found
+
     def make_room(self) -> bool:
         """Closes idle connections; returns whether there were any."""
         return self._budget.make_room(self)
@@ -209,8 +239,17 @@
             max(each.held, each.guaranteed)
             for each in self._share_by_user.values()
         )
+        if share.user is User.CALLERS:
+            spoken_for += self._awaited()
         return spoken_for < self.capacity
 
+    def _awaited(self) -> int:
+        """Returns how many descriptors those who wait can get."""
+        return sum(
+            min(each.waiting, each.most - each.held)
+            for each in self._share_by_user.values()
+        )
+
     def make_room(self, share: Share) -> bool:
         """Closes idle connections, so that a user may take a descriptor.
 
--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -59,21 +59,24 @@
     timeout_ms: int,
     unread_bytes: int = sockets.REMOTE_UNREAD_BYTES,
     share: descriptor_budget.Share | None = None,
+    may_wait: bool = False,
 ) -> "Connection":
     """Opens a connection.
 
     Args:
       address: Host and port.
-      timeout_ms: Time within which it has to open.
+      timeout_ms: Time within which it has to open, once it has a descriptor.
       unread_bytes: Bytes that may arrive before they are read.
       share: Descriptors for connections of this kind.
+      may_wait: Whether it waits until there is a descriptor.
 
     Raises:
       ConnectFailed: It was refused, failed or did not open in time.
     """
+    share = share or descriptor_budget.unlimited()
     try:
         stream = streams.open_stream(
-            share or descriptor_budget.unlimited(),
+            await share.take_when_free() if may_wait else share.take(),
             unread_bytes,
             max_buffer_size=response_parser.MAX_BODY_BYTES,
             read_chunk_size=_READ_BYTES,
--- a/mustardloom/http1/streams.py
+++ b/mustardloom/http1/streams.py
@@ -30,19 +30,18 @@
 
 
 def open_stream(
-    share: descriptor_budget.Share, unread_bytes: int, **options: Any
+    descriptor: descriptor_budget.Descriptor, unread_bytes: int, **options: Any
 ) -> CountedStream:
     """Returns a stream that is not connected yet.
 
     Args:
-      share: Descriptors for connections of this kind.
+      descriptor: What was taken for it; given back if it cannot be opened.
       unread_bytes: Bytes that may arrive before they are read.
       options: Options of the stream.
 
     Raises:
-      OSError: There is no descriptor left.
+      OSError: The system has no descriptor left.
     """
-    descriptor = share.take()
     try:
         opened = socket.socket()
     except OSError:
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -120,7 +120,10 @@
         passage = client.Passage(self._budget, bodies.Turns())
         stop = stop_admission.StopAdmission(clock)
         self._transfers = transfers_lib.Transfers(
-            passage, clock, dial_share, accept_share
+            passage,
+            clock,
+            share(descriptor_budget.User.FETCHES),
+            accept_share,
         )
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._stop = asyncio.Event()
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -286,7 +286,7 @@
     async def _connect(self) -> _Stream | None:
         try:
             dialled = streams.open_stream(
-                self._owner.dial_share, sockets.REMOTE_UNREAD_BYTES
+                self._owner.dial_share.take(), sockets.REMOTE_UNREAD_BYTES
             )
         except OSError:
             # Counted by the share; tried again after a pause.
--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from mustardloom import descriptor_budget
 from mustardloom.deployment import configuration
 from mustardloom.http1 import bodies
+from mustardloom.http1 import client
+from mustardloom.sidecar import transfers as transfers_lib
 from mustardloom.sidecar.tests import small_fleet as fleet
 
 
@@ -331,3 +334,34 @@
         return bytes(found)
 
     assert fleet.play(scenario) == fleet.BODY
+
+
+def test_answer_is_lost_for_want_of_a_descriptor():
+    """Guards against a fetch that fails at once while others hold them all."""
+    budget = descriptor_budget.DescriptorBudget(400)
+    share = budget.share(descriptor_budget.User.DIALLED_PEERS)
+
+    async def scenario(daemons, found):
+        del found
+        near, far = daemons
+        held = []
+        while (descriptor := share.try_take()) is not None:
+            held.append(descriptor)
+        fetching = transfers_lib.Transfers(
+            client.Passage(near.budget, bodies.Turns()), near.clock, share
+        )
+        transfer = far.transfers.offer(bodies.WholeBody(fleet.BODY))
+        body = fetching.fetch(
+            far.vm,
+            (fleet.HOST, far.peer_port),
+            transfer,
+            near.clock.now_ms() + 5_000,
+        )
+        reading = asyncio.create_task(body.read())
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        held.pop().release()
+        assert await reading
+        body.close()
+
+    fleet.play(scenario)
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -40,7 +40,7 @@
     Args:
       passage: How bodies pass through this process.
       clock: Source of time.
-      dial_share: Descriptors for the connections that it opens.
+      fetch_share: Descriptors for the connections that it opens.
       accept_share: Descriptors for those that other daemons open.
 
     Attributes:
@@ -51,11 +51,11 @@
         self,
         passage: client.Passage,
         clock: clock_lib.Clock,
-        dial_share: descriptor_budget.Share | None = None,
+        fetch_share: descriptor_budget.Share | None = None,
         accept_share: descriptor_budget.Share | None = None,
     ):
         self.server = server.HttpServer(self._serve, clock, share=accept_share)
-        self._dial_share = dial_share
+        self._fetch_share = fetch_share
         self._passage = passage
         self._clock = clock
         self._body_by_token: dict[str, bodies.BodySource] = {}
@@ -107,7 +107,7 @@
             deadline_ms,
             self._passage,
             self._clock,
-            self._dial_share,
+            self._fetch_share,
         )
 
     async def _serve(self, request: messages.Request) -> messages.Response:
@@ -200,6 +200,7 @@
             _CONNECT_TIMEOUT_MS,
             self._unread_bytes(),
             self._share,
+            may_wait=True,
         )
         request = messages.Request(
             "GET", f"/{self._token}", ((b"Host", b"transfer"),), b""
--- a/mustardloom/tests/test_descriptor_budget.py
+++ b/mustardloom/tests/test_descriptor_budget.py
@@ -1,5 +1,6 @@
 """Tests of the account of descriptors."""
 
+import asyncio
 import resource
 
 import pytest
@@ -79,3 +80,37 @@
     monkeypatch.setattr(resource, "getrlimit", lambda _: (1_024, 4_096))
     assert descriptor_budget.capacity_for(4_100) < 1_024
     assert descriptor_budget.capacity_for(600) < 400
+
+
+def test_callers_take_what_a_fetch_waits_for():
+    """Guards against a request that ran and gets no descriptor for its answer.
+
+    The fetches get them in the order in which they came.
+    """
+    budget = descriptor_budget.DescriptorBudget(400)
+    callers = budget.share(_USERS.CALLERS)
+    fetches = budget.share(_USERS.FETCHES)
+    got = []
+
+    async def fetch(name: str) -> None:
+        await fetches.take_when_free()
+        got.append(name)
+
+    async def play() -> None:
+        last = callers.take()
+        _take_all(callers)
+        waiting = [asyncio.create_task(fetch(name)) for name in "ab"]
+        await asyncio.sleep(0)
+        last.release()
+        assert callers.try_take() is None
+        async with asyncio.timeout(5):
+            await waiting[0]
+        assert got == ["a"]
+        waiting[1].cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    for _ in range(fetches.guaranteed):
+        fetches.take()
+    asyncio.run(play())
+    assert fetches.waiting == 0
+    assert budget.held() <= budget.capacity
