--- a/mustardloom/descriptor_budget.py
+++ b/mustardloom/descriptor_budget.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import enum
 import resource
 
@@ -18,6 +19,7 @@
     "Share",
     "User",
     "capacity_for",
+    "raise_system_limit",
     "system_limit",
     "unlimited",
 ]
@@ -286,6 +288,24 @@
     return max(_MIN_CAPACITY, sockets - _OWN_SOCKETS)
 
 
+def raise_system_limit(max_descriptors: int) -> None:
+    """Raises the limit of the system on this process if it is lower.
+
+    It stays as it is if the system refuses.
+
+    Args:
+      max_descriptors: Limit of the platform, files included.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = max_descriptors
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def system_limit() -> int:
     """Returns how many descriptors the system lets this process have."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -110,6 +110,9 @@
         self._budget = memory_budget.MemoryBudget(
             memory_budget.capacity_for(own_settings.limits.memory_mb), clock
         )
+        descriptor_budget.raise_system_limit(
+            own_settings.limits.max_descriptors
+        )
         self._descriptors = descriptor_budget.DescriptorBudget(
             descriptor_budget.capacity_for(own_settings.limits.max_descriptors)
         )
--- a/mustardloom/tests/test_descriptor_budget.py
+++ b/mustardloom/tests/test_descriptor_budget.py
@@ -114,3 +114,47 @@
     asyncio.run(play())
     assert fetches.waiting == 0
     assert budget.held() <= budget.capacity
+
+
+def _asked_limits(monkeypatch, limits, wanted):
+    """Returns the limits that the system was asked for."""
+    asked = []
+    monkeypatch.setattr(resource, "getrlimit", lambda _: limits)
+    monkeypatch.setattr(
+        resource, "setrlimit", lambda _, limits: asked.append(limits)
+    )
+    descriptor_budget.raise_system_limit(wanted)
+    return asked
+
+
+_INFINITY = resource.RLIM_INFINITY
+
+
+@pytest.mark.parametrize(
+    ("limits", "wanted", "asked"),
+    [
+        ((1_024, 1_048_576), 4_100, [(4_100, 1_048_576)]),
+        ((1_024, 2_048), 4_100, [(2_048, 2_048)]),
+        ((1_024, _INFINITY), 4_100, [(4_100, _INFINITY)]),
+        ((8_192, 8_192), 4_100, []),
+        ((4_100, 8_192), 4_100, []),
+        ((_INFINITY, _INFINITY), 4_100, []),
+    ],
+)
+def test_soft_limit_takes_most_of_the_descriptors(
+    monkeypatch, limits, wanted, asked
+):
+    """Guards against a default of the system below what the platform gives."""
+    assert _asked_limits(monkeypatch, limits, wanted) == asked
+
+
+def test_refusal_of_a_higher_limit_ends_the_process(monkeypatch):
+    """Guards against a start that fails where the limit may not be raised."""
+
+    def refuse(*_):
+        raise PermissionError
+
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (1_024, 4_096))
+    monkeypatch.setattr(resource, "setrlimit", refuse)
+    descriptor_budget.raise_system_limit(4_100)
+    assert descriptor_budget.capacity_for(4_100) < 1_024
