--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -112,6 +112,9 @@
         self._budget = memory_budget.MemoryBudget(
             memory_budget.capacity_for(own_settings.limits.memory_mb), clock
         )
+        descriptor_budget.raise_system_limit(
+            own_settings.limits.max_descriptors
+        )
         self._descriptors = descriptor_budget.DescriptorBudget(
             descriptor_budget.capacity_for(own_settings.limits.max_descriptors)
         )
@@ -122,7 +125,10 @@
         passage = client.Passage(self._budget, bodies.Turns())
         stop = stop_admission.StopAdmission(clock)
         self._transfers = transfers_lib.Transfers(
-            passage, clock, dial_share, accept_share
+            passage,
+            clock,
+            share(descriptor_budget.User.FETCHES),
+            accept_share,
         )
         self._log = events.EventLog(own_settings.vm, clock, self._metrics)
         self._stop = asyncio.Event()
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -286,7 +286,7 @@
     async def _connect(self) -> _Stream | None:
         try:
             dialled = streams.open_stream(
-                self._owner.dial_share, sockets.REMOTE_UNREAD_BYTES
+                self._owner.dial_share.take(), sockets.REMOTE_UNREAD_BYTES
             )
         except OSError:
             # Counted by the share; tried again after a pause.
@@ -301,6 +301,9 @@
                 # A paused process still accepts connections, so this one ended.
                 self._end_silent_streams()
             return None
+        except BaseException:
+            dialled.close()
+            raise
         dialled.set_nodelay(True)
         now_ms = self._owner.clock.now_ms()
         stream = _Stream(dialled, now_ms, self._owner.budget)
--- a/mustardloom/tests/test_descriptor_budget.py
+++ b/mustardloom/tests/test_descriptor_budget.py
@@ -1,5 +1,6 @@
 """Tests of the account of descriptors."""
 
+import asyncio
 import resource
 
 import pytest
@@ -79,3 +80,81 @@
     monkeypatch.setattr(resource, "getrlimit", lambda _: (1_024, 4_096))
     assert descriptor_budget.capacity_for(4_100) < 1_024
     assert descriptor_budget.capacity_for(600) < 400
+
+
+def test_callers_take_what_a_fetch_waits_for():
+    """Guards against a request that ran and gets no descriptor for its answer.
+
+    The fetches get them in the order in which they came.
+    """
+    budget = descriptor_budget.DescriptorBudget(400)
+    callers = budget.share(_USERS.CALLERS)
+    fetches = budget.share(_USERS.FETCHES)
+    got = []
+
+    async def fetch(name: str) -> None:
+        await fetches.take_when_free()
+        got.append(name)
+
+    async def play() -> None:
+        last = callers.take()
+        _take_all(callers)
+        waiting = [asyncio.create_task(fetch(name)) for name in "ab"]
+        await asyncio.sleep(0)
+        last.release()
+        assert callers.try_take() is None
+        async with asyncio.timeout(5):
+            await waiting[0]
+        assert got == ["a"]
+        waiting[1].cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    for _ in range(fetches.guaranteed):
+        fetches.take()
+    asyncio.run(play())
+    assert fetches.waiting == 0
+    assert budget.held() <= budget.capacity
+
+
+def _asked_limits(monkeypatch, limits, wanted):
+    """Returns the limits that the system was asked for."""
+    asked = []
+    monkeypatch.setattr(resource, "getrlimit", lambda _: limits)
+    monkeypatch.setattr(
+        resource, "setrlimit", lambda _, limits: asked.append(limits)
+    )
+    descriptor_budget.raise_system_limit(wanted)
+    return asked
+
+
+_INFINITY = resource.RLIM_INFINITY
+
+
+@pytest.mark.parametrize(
+    ("limits", "wanted", "asked"),
+    [
+        ((1_024, 1_048_576), 4_100, [(4_100, 1_048_576)]),
+        ((1_024, 2_048), 4_100, [(2_048, 2_048)]),
+        ((1_024, _INFINITY), 4_100, [(4_100, _INFINITY)]),
+        ((8_192, 8_192), 4_100, []),
+        ((4_100, 8_192), 4_100, []),
+        ((_INFINITY, _INFINITY), 4_100, []),
+    ],
+)
+def test_soft_limit_takes_most_of_the_descriptors(
+    monkeypatch, limits, wanted, asked
+):
+    """Guards against a default of the system below what the platform gives."""
+    assert _asked_limits(monkeypatch, limits, wanted) == asked
+
+
+def test_refusal_of_a_higher_limit_ends_the_process(monkeypatch):
+    """Guards against a start that fails where the limit may not be raised."""
+
+    def refuse(*_):
+        raise PermissionError
+
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (1_024, 4_096))
+    monkeypatch.setattr(resource, "setrlimit", refuse)
+    descriptor_budget.raise_system_limit(4_100)
+    assert descriptor_budget.capacity_for(4_100) < 1_024
