--- a/mustardloom/platform/tests/test_boundary.py
+++ b/mustardloom/platform/tests/test_boundary.py
@@ -4,6 +4,8 @@
 import re
 import tomllib
 
+from deploy import launcher
+
 _PACKAGE = pathlib.Path(__file__).parents[2]
 _ROOT = _PACKAGE.parent
 # Names that occur only in the platform's wire formats.
@@ -45,5 +47,8 @@
     deploy = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text())
     (role,) = deploy["roles"].values()
     assert role["serves"] == ["sidecar"]
-    module = role["run"].split()[2]
+    program, *words = role["run"].split()
+    # The build makes it.
+    assert program == str(launcher.PROGRAM)
+    module = words[words.index("-m") + 1]
     assert (_ROOT / (module.replace(".", "/") + ".py")).exists()
