--- a/deploy/launcher.py
+++ b/deploy/launcher.py
@@ -6,6 +6,8 @@
 runs, and only a signal that comes before its first line still ends it.
 """
 
+import atexit
+import functools
 import hashlib
 import json
 import os
@@ -17,7 +19,7 @@
 import sysconfig
 import tempfile
 
-__all__ = ["PROGRAM", "build", "make"]
+__all__ = ["PROGRAM", "build", "make", "temporary"]
 
 PROGRAM = pathlib.Path("target/bin/mustardloom-sidecar")
 
@@ -79,6 +81,20 @@
     return made
 
 
+@functools.cache
+def temporary() -> str:
+    """Makes the program in a folder that lasts as long as this process.
+
+    Returns:
+      Its path.
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardloom-launcher-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    program = folder / PROGRAM.name
+    make(program)
+    return str(program)
+
+
 def _make(program: pathlib.Path) -> str:
     """Makes the best program that runs here; returns which one it is."""
     compiler = next(filter(None, map(shutil.which, _COMPILERS)), None)
--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import atexit
 import contextlib
 import functools
 import json
@@ -14,13 +13,11 @@
 import random
 import resource
 import shlex
-import shutil
 import signal
 import socket
 import subprocess
 import sys
 import sysconfig
-import tempfile
 import tomllib
 from typing import Any
 from typing import Self
@@ -300,17 +297,12 @@
     return [_launcher(), *arguments]
 
 
-@functools.cache
 def _launcher() -> str:
-    """Builds the program of the deploy file for this interpreter."""
+    """Returns the program of the deploy file for this interpreter."""
     # Versions that run the interpreter itself do not have this module.
     from deploy import launcher
 
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardloom-launcher-"))
-    atexit.register(shutil.rmtree, folder, ignore_errors=True)
-    program = folder / launcher.PROGRAM.name
-    launcher.make(program)
-    return str(program)
+    return launcher.temporary()
 
 
 def _free_hosts(count: int) -> list[str]:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -6,10 +6,12 @@
 import pathlib
 import signal
 import sys
+import sysconfig
 import tempfile
 
 import msgspec
 
+from deploy import launcher
 from mustardloom import clock as clock_lib
 from mustardloom.platform import settings_file
 from soak import evidence as evidence_lib
@@ -168,12 +170,18 @@
             _signal(process, signal.SIGKILL)
 
     async def _run_daemon(self) -> None:
-        environment = {**os.environ, _CONFIG_VARIABLE: str(self._settings)}
+        environment = {
+            **os.environ,
+            _CONFIG_VARIABLE: str(self._settings),
+            # The platform has the packages of the daemon on this path.
+            "PYTHONPATH": sysconfig.get_path("purelib"),
+        }
         while not self._is_closing:
             self._is_end_expected = False
             with self.log.open("ab") as log:
                 self._daemon = await asyncio.create_subprocess_exec(
-                    _PYTHON,
+                    launcher.temporary(),
+                    "-S",
                     "-m",
                     "mustardloom.cli.sidecar",
                     f"--peer-listen-port={_PEER_PORT + _PROXY_OFFSET}",
