--- a/mustardloom/http1/listener.py
+++ b/mustardloom/http1/listener.py
@@ -88,7 +88,7 @@
         Callers may have sent requests on those connections for some time.
         """
         for listening in self._listening:
-            while self._accept(listening) in _TAKEN:
+            while self._accept(listening, is_awaited=True) in _TAKEN:
                 pass
         self.close()
 
@@ -124,21 +124,28 @@
         self, listening: socket.socket, fd: object, events: int
     ) -> None:
         del fd, events
-        for _ in range(_MAX_ACCEPTED_AT_ONCE):
-            match self._accept(listening):
-                case _Result.NONE_WAITS:
-                    return
-                case _Result.NO_ROOM:
-                    self._pause(listening)
-                    return
-
-    def _accept(self, listening: socket.socket) -> _Result:
-        """Accepts a connection, if one waits and there is room for it."""
+        # Only now is it certain that a connection waits.
+        result = self._accept(listening, is_awaited=True)
+        if result is _Result.NO_ROOM:
+            self._pause(listening)
+            return
+        for _ in range(_MAX_ACCEPTED_AT_ONCE - 1):
+            if result not in _TAKEN:
+                return
+            result = self._accept(listening, is_awaited=False)
+
+    def _accept(self, listening: socket.socket, is_awaited: bool) -> _Result:
+        """Accepts a connection, if one waits and there is room for it.
+
+        Args:
+          listening: Where it waits.
+          is_awaited: Whether idle connections may be closed for it.
+        """
         descriptor = self._share.try_take()
-        if descriptor is None and self._share.make_room():
+        if descriptor is None and is_awaited and self._share.make_room():
             descriptor = self._share.try_take()
         if descriptor is None:
-            self._share.waits += 1
+            self._share.waits += is_awaited
             return _Result.NO_ROOM
         try:
             accepted, _ = listening.accept()
