--- a/mustardloom/descriptor_budget.py
+++ b/mustardloom/descriptor_budget.py
@@ -71,7 +71,7 @@
     User.DIALLED_PEERS: 2,
     User.ACCEPTED_PEERS: 2,
     User.FETCHES: 2,
-    User.TARGET: 4,
+    User.TARGET: 2,
     User.READINESS: 8,
     User.METRICS: 8,
     User.ANNOUNCEMENTS: 8,
--- a/mustardloom/tests/test_descriptor_budget.py
+++ b/mustardloom/tests/test_descriptor_budget.py
@@ -158,3 +158,9 @@
     monkeypatch.setattr(resource, "setrlimit", refuse)
     descriptor_budget.raise_system_limit(4_100)
     assert descriptor_budget.capacity_for(4_100) < 1_024
+
+
+def test_target_gets_few_of_the_free_descriptors():
+    """Guards against requests refused at the target while half are free."""
+    budget = descriptor_budget.DescriptorBudget(400)
+    assert _take_all(budget.share(_USERS.TARGET)) == 200
