--- a/mustardloom/http1/streams.py
+++ b/mustardloom/http1/streams.py
@@ -40,12 +40,17 @@
       options: Options of the stream.
 
     Raises:
-      OSError: The system has no descriptor left.
+      OSError: The system has no descriptor left, or refuses an option.
     """
     try:
         opened = socket.socket()
     except OSError:
         descriptor.release()
         raise
-    sockets.bound_unread(opened, unread_bytes)
-    return CountedStream(opened, descriptor, **options)
+    stream = CountedStream(opened, descriptor, **options)
+    try:
+        sockets.bound_unread(opened, unread_bytes)
+    except BaseException:
+        stream.close()
+        raise
+    return stream
--- a/mustardloom/http1/tests/test_listener.py
+++ b/mustardloom/http1/tests/test_listener.py
@@ -1,11 +1,16 @@
-"""Tests of the acceptance of connections, on loopback."""
+"""Tests of how connections are accepted and opened, on loopback."""
 
 import asyncio
+import socket
+
+import pytest
 
 from mustardloom import clock as clock_lib
 from mustardloom import descriptor_budget
 from mustardloom.http1 import messages
 from mustardloom.http1 import server as server_lib
+from mustardloom.http1 import sockets
+from mustardloom.http1 import streams
 
 _HOST = "127.0.0.1"
 _MOST = 3
@@ -47,3 +52,22 @@
         server.drain()
 
     asyncio.run(play())
+
+
+def test_option_that_the_system_refuses_keeps_the_descriptor(monkeypatch):
+    """Guards against a stream that fails between its socket and its use."""
+    share = descriptor_budget.DescriptorBudget(400).share(
+        descriptor_budget.User.TARGET
+    )
+    opened = []
+
+    def refuse(connection: socket.socket, unread_bytes: int) -> None:
+        del unread_bytes
+        opened.append(connection)
+        raise OSError
+
+    monkeypatch.setattr(sockets, "bound_unread", refuse)
+    with pytest.raises(OSError):
+        streams.open_stream(share.take(), 1_000)
+    assert share.held == 0
+    assert opened[0].fileno() == -1
