Let the fetch of a body outlast a full queue of its peer

A burst of fetches overflows the queue of 128; the opening packet is sent again after a second, but the fetch gave up after 400 ms and its request, which had run, got 502.

--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -1,6 +1,8 @@
 """Tests of long bodies on their way through daemons, in both directions."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -365,3 +367,45 @@
         body.close()
 
     fleet.play(scenario)
+
+
+def test_answer_is_lost_while_the_queue_of_a_peer_is_full():
+    """Guards against a connect that ends before its packet is sent again.
+
+    The system drops the opening packet and sends it again after a second.
+    """
+
+    async def scenario(daemons, found):
+        del found
+        near, far = daemons
+        with contextlib.ExitStack() as stack:
+            listening = stack.enter_context(socket.socket())
+            listening.bind((fleet.HOST, 0))
+            listening.listen(0)
+            listening.setblocking(False)
+            address = listening.getsockname()
+            # As many as the system takes with such a queue, and more.
+            for _ in range(3):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(address)
+            transfer = far.transfers.offer(bodies.WholeBody(fleet.BODY))
+            body = near.transfers.fetch(
+                far.vm, address, transfer, near.clock.now_ms() + 5_000
+            )
+            reading = asyncio.create_task(body.read())
+            await asyncio.sleep(0.6)
+            assert not reading.done()
+            loop = asyncio.get_running_loop()
+            while not reading.done():
+                accepted, _ = await loop.sock_accept(listening)
+                stack.enter_context(accepted)
+                with contextlib.suppress(OSError):
+                    accepted.send(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+                    )
+                await asyncio.sleep(0.1)
+            assert await reading == b"ab"
+            body.close()
+
+    fleet.play(scenario)
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -28,7 +28,9 @@
 # data, which cannot begin with it.
 PREFACE = b"\xff"
 _TOKEN_BYTES = 12
-_CONNECT_TIMEOUT_MS = 400
+# Time for an opening packet that is dropped at a full queue and sent again
+# after a second.
+_CONNECT_TIMEOUT_MS = 2_000
 _MS_PER_S = 1_000
 _OK = 200
 _NOT_FOUND = 404
