Let the requests of the stop test come at a pace

It failed once in the whole script: its 1,500 requests came at once, the queue of the test's target overflowed, and the gate refused most of them as target-down, so that the test never had its 1,000 open requests.

--- a/deploy/tests/test_losses_of_daemons.py
+++ b/deploy/tests/test_losses_of_daemons.py
@@ -29,8 +29,9 @@
 _FREEZE_S = 1.2
 _SHORT_GRACE_MS = 1_500
 _MANY_GRACE_MS = 3_000
-_MANY_REQUESTS = 1_500
-_MOST_REQUESTS = 1_000
+_MANY_REQUESTS = 1_200
+_REQUESTS_AT_ONCE = 40
+_PACE_S = 0.1
 _START_LIMIT_S = 30.0
 # None of them ends before the stop does.
 _LONG_DEADLINE_MS = 20_000
@@ -143,9 +144,7 @@
             # The daemon knows the slots by the next heartbeat.
             await asyncio.sleep(1)
             async with asyncio.TaskGroup() as group:
-                for _ in range(_MANY_REQUESTS):
-                    group.create_task(_get(vm, _SAFE_PATH, _LONG_DEADLINE_MS))
-                await _all_run(vm)
+                await _fill(vm, group)
                 began_s = time.monotonic()
                 vm.send_signal(signal.SIGTERM)
                 assert await vm.wait() == 0
@@ -155,11 +154,17 @@
     assert asyncio.run(play()) < _MANY_GRACE_MS / 1_000
 
 
-async def _all_run(vm: daemons.Vm) -> None:
-    """Returns once most of the requests are at the target."""
+async def _fill(vm: daemons.Vm, group: asyncio.TaskGroup) -> None:
+    """Sends requests until the target runs many of them.
+
+    They come at a pace at which the queue of the target takes their
+    connections; others would be refused.
+    """
     async with asyncio.timeout(_START_LIMIT_S):
-        while len(vm.target.runs) < _MOST_REQUESTS:
-            await asyncio.sleep(0.05)
+        while len(vm.target.runs) < _MANY_REQUESTS:
+            for _ in range(_REQUESTS_AT_ONCE):
+                group.create_task(_get(vm, _SAFE_PATH, _LONG_DEADLINE_MS))
+            await asyncio.sleep(_PACE_S)
 
 
 def _raise_descriptor_limit() -> None:
