--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -77,11 +77,9 @@
         Event.GATE_FAILED,
         # A target may state something else with each response.
         Event.TARGET_STATEMENT,
-        Event.SIGNAL_IGNORED,
     )
 )
 
-
 _REQUEST_LINES_PER_S = 20
 _REQUEST_BURST_LINES = 60
 # What others may cause as often as they like.
--- a/mustardloom/sidecar/tests/test_events.py
+++ b/mustardloom/sidecar/tests/test_events.py
@@ -113,3 +113,8 @@
     assert [line["event"] for line in lines] == ["fault"] * 3 + ["reload"] * 2
     os.close(reader)
     os.close(writer)
+
+
+def test_event_has_two_rates():
+    """Guards against a rate that another one hides."""
+    assert not events._REQUEST_EVENTS & events._REPORTS
