Let the last words of a stop follow its grace

Found on reading the diff: 50 ms for the requests that the grace cuts were more than the margin of a short grace, and less than that of a long one. It is half of the margin now.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -67,8 +67,8 @@
 
 _LOOP_RESTART_MS = 500
 _SETTINGS_INTERVAL_MS = 2_000
-# Time to tell of requests that the end of the grace cuts.
-_LAST_WORDS_MS = 50
+# Share of the grace period to tell of requests that its end cuts.
+_LAST_WORDS_SHARE = 1 / 24
 _CRASHES_TO_QUARANTINE = 3
 # The platform and the target send their requests as soon as they have
 # connected.
@@ -591,8 +591,11 @@
             events.Event.STOP, open=self._caller_server.active_requests()
         )
         self._status_sender.broadcast()
-        cut = await self._graceful_stop.run(self._settings.bounds.grace_ms)
-        abandoned = await self._caller_server.abandon_requests(_LAST_WORDS_MS)
+        grace_ms = self._settings.bounds.grace_ms
+        cut = await self._graceful_stop.run(grace_ms)
+        abandoned = await self._caller_server.abandon_requests(
+            round(grace_ms * _LAST_WORDS_SHARE)
+        )
         self._close()
         stop_ms = self._clock.now_ms() - began_ms
         return ending.Stop(self._stop_signal, stop_ms, cut, abandoned)
