Let the wait for the last replies of a link follow the grace

Found on reading the diff: 100 ms were more than the time in which links end when the grace is below 2 s, so that their end, which names the last call that was read, was never sent.

--- a/mustardloom/sidecar/graceful_stop.py
+++ b/mustardloom/sidecar/graceful_stop.py
@@ -86,7 +86,8 @@
         # The answer to the last request is written soon after its end.
         await self._pause(plan.ends_ms)
         await self._await(Step.REPLIES, self._links.is_writing, plan.ends_ms)
-        self._links.end_incoming()
+        # The rest of the time is left to the peers, which close their links.
+        self._links.end_incoming(plan.link_end_ms // 2)
         end_by_ms = min(plan.ends_ms, self._clock.now_ms() + plan.link_end_ms)
         await self._await(Step.LINKS, self._links.has_incoming, end_by_ms)
         return tuple(self._cut)
--- a/mustardloom/sidecar/incoming_link.py
+++ b/mustardloom/sidecar/incoming_link.py
@@ -28,8 +28,6 @@
 ]
 
 _END_POLL_S = 0.01
-# Calls that are read last are refused within this time.
-_LAST_REPLIES_MS = 100
 
 
 class LinkReceiver(Protocol):
@@ -60,12 +58,16 @@
         self._last_number = 0
         self._is_ending = False
 
-    def end(self) -> None:
-        """Reads no more calls; sends the end of the link after the replies."""
+    def end(self, replies_ms: int) -> None:
+        """Reads no more calls; sends the end of the link after the replies.
+
+        Args:
+          replies_ms: Longest time for which these are waited for.
+        """
         if self._is_ending:
             return
         self._is_ending = True
-        self._end_when_replied(self._owner.clock.now_ms() + _LAST_REPLIES_MS)
+        self._end_when_replied(self._owner.clock.now_ms() + replies_ms)
 
     def _end_when_replied(self, limit_ms: int) -> None:
         """Sends the end, and which calls were read before it."""
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -202,13 +202,16 @@
         """Returns whether links that peers dialled are open."""
         return self._server.has_streams()
 
-    def end_incoming(self) -> None:
+    def end_incoming(self, replies_ms: int) -> None:
         """Ends the links that peers dialled, after what was written on them.
 
         The peers close them. A close on this side would drop what is still on
         its way if something has arrived meanwhile and was not read.
+
+        Args:
+          replies_ms: Longest time for which replies are waited for.
         """
-        self._server.end_streams()
+        self._server.end_streams(replies_ms)
 
     def close(self) -> None:
         """Closes all links, those that peers dialled included."""
--- a/mustardloom/sidecar/peer_server.py
+++ b/mustardloom/sidecar/peer_server.py
@@ -83,11 +83,11 @@
         """Returns whether a link is open."""
         return bool(self._link_by_stream)
 
-    def end_streams(self) -> None:
+    def end_streams(self, replies_ms: int) -> None:
         """Accepts no more connections; sends the end of all links."""
         self._listener.close()
         for link in list(self._link_by_stream.values()):
-            link.end()
+            link.end(replies_ms)
 
     def _on_accepted(self, stream: iostream.IOStream) -> None:
         stream.set_nodelay(True)
--- a/mustardloom/sidecar/tests/test_graceful_stop.py
+++ b/mustardloom/sidecar/tests/test_graceful_stop.py
@@ -42,7 +42,8 @@
     def stop_reading(self):
         self.steps.append("stop-reading")
 
-    def end_incoming(self):
+    def end_incoming(self, replies_ms):
+        self.replies_ms = replies_ms
         self.steps.append("end-links")
 
     def is_busy(self):
@@ -116,6 +117,19 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("grace_ms", [1_000, 2_000, 6_000])
+def test_wait_for_the_last_replies_takes_the_time_of_the_links(grace_ms):
+    """Guards against links whose end is not sent within a short grace."""
+
+    async def scenario(clock, daemon):
+        stop = daemon.start(grace_ms)
+        await clock.advance(grace_ms)
+        await stop
+        assert 0 < daemon.replies_ms < grace_ms / 20
+
+    _run(scenario)
+
+
 def test_stop_that_takes_long_tells_nobody():
     """Guards against a kill at the end of the grace that nothing explains."""
 
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -23,6 +23,7 @@
 from mustardloom.sidecar import outgoing_link
 
 _HOST = "127.0.0.1"
+_REPLIES_MS = 100
 
 
 def _record(name, port=0):
@@ -449,7 +450,7 @@
         ]
         # They are on their way when the far side ends the link.
         await asyncio.sleep(0)
-        far.end_incoming()
+        far.end_incoming(_REPLIES_MS)
         outcomes = await asyncio.gather(*crossing, read, return_exceptions=True)
         return [type(each) for each in outcomes]
 
@@ -470,7 +471,7 @@
     async def scenario(near, far, port):
         async def refuse(frame):
             # The link ends between the arrival of the call and its reply.
-            far.end_incoming()
+            far.end_incoming(_REPLIES_MS)
             await asyncio.sleep(0.02)
             return frames.Refusal(frame.number, "stopping", 300, False, "")
 
@@ -515,7 +516,7 @@
             near.notify(vm, frames.Ping())
             await asyncio.sleep(0)
         near.notify(vm, frames.Ping())
-        far.end_incoming()
+        far.end_incoming(_REPLIES_MS)
         reply = await call
         while far.has_incoming():
             await asyncio.sleep(0)
