Confirm no release of keys by heartbeats from before a restart

Callers could have requests for one key run at two targets: after a restart of a daemon, a heartbeat of its target that had been delayed since before the target held keys seemed to prove that it holds none, and the daemon confirmed the release of keys that the target held by a grant of the earlier process.

Cause: the ledger covered grants of the earlier process only for the keys that heartbeats report, and only in the ledger of the first instance.

Now no release is confirmed until the grants of an earlier process have expired, unless the target refuses connections. That bound needs no word of the target, so no delayed heartbeat can shorten it.

--- a/mustardloom/keys/grants.py
+++ b/mustardloom/keys/grants.py
@@ -50,6 +50,9 @@
         self.claims = claims_lib.Claims(vm)
         self._vm = vm
         self._ledger: ledger_lib.GrantLedger | None = None
+        # Local time at which all grants of an earlier process of this daemon
+        # have expired; None before the first heartbeat.
+        self._earlier_grants_expire_ms: int | None = None
         self._withheld: _WithheldKey | None = None
         # No key is left out twice in a row.
         self._last_withheld_key: int | None = None
@@ -144,11 +147,13 @@
         self, instance: targets.TargetInstance, now_ms: int
     ) -> ledger_lib.GrantLedger:
         ledger = ledger_lib.GrantLedger(instance)
-        if self._ledger is None:
+        if self._earlier_grants_expire_ms is None:
             # This process may have been restarted while the target kept
             # running with grants that the previous process made.
             hold_ms = round(HOLD_MS * ledger_lib.CLOCK_FACTOR)
-            ledger.assume_held_until(now_ms + hold_ms)
+            self._earlier_grants_expire_ms = now_ms + hold_ms
+        # Delayed heartbeats of instances that have ended may come first.
+        ledger.assume_held_until(self._earlier_grants_expire_ms)
         self._ledger = ledger
         self._withheld = None
         self.claims.drop_handovers()
--- a/mustardloom/keys/ledger.py
+++ b/mustardloom/keys/ledger.py
@@ -50,6 +50,8 @@
         self._listed_keys = bytearray(key_map.KEY_COUNT)
         self._listed_until_ms = 0
         self._held_until_ms = 0
+        # Until then the target may hold keys by grants of an earlier process.
+        self._unknown_until_ms = 0
         self._freed: list[ReleasedRange] = []
 
     def observe(self, announcement: targets.Announcement, now_ms: int) -> None:
@@ -60,16 +62,18 @@
             if released not in self._freed:
                 self._freed.append(released)
         if not self._held_until_ms:
-            # If the daemon restarted beside a running target, a later time is
-            # set by `assume_held_until`; otherwise no earlier grant is valid.
+            # Grants of an earlier process of the daemon are covered by
+            # `assume_held_until`; otherwise no earlier grant is valid.
             self._held_until_ms = now_ms
 
     def assume_held_until(self, until_ms: int) -> None:
-        """Assumes that the target holds the keys it reports until `until_ms`.
+        """Assumes that the target may hold any key until `until_ms`.
 
-        Covers grants of a daemon process that ran before this one.
+        Covers grants of a daemon process that ran before this one. The target
+        may have taken them after it sent the heartbeats that arrive first, as
+        those may be delayed for seconds.
         """
-        self._held_until_ms = max(self._held_until_ms, until_ms)
+        self._unknown_until_ms = until_ms
 
     def grant(
         self, rows: Iterable[key_map.Row], hold_ms: int, now_ms: int
@@ -100,6 +104,8 @@
 
     def holds_none(self, first: int, last: int, now_ms: int) -> bool:
         """Returns whether the target certainly holds none of these keys."""
+        if now_ms <= self._unknown_until_ms:
+            return False
         if now_ms > self._held_until_ms:
             return True
         key_range = ReleasedRange(first, last)
--- a/mustardloom/keys/tests/test_claims.py
+++ b/mustardloom/keys/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Tests that a claim is freed only by what proves that its keys are free."""
 
+import dataclasses
+
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import claims
@@ -92,3 +94,34 @@
     own.record_release(_release(_OTHER, 4))
     row = next(own.grantable())
     assert [each.handover for each in own.handovers(row)] == [""]
+
+
+def test_restarted_daemon_confirms_no_release_by_a_delayed_heartbeat():
+    """Guards against a release that a heartbeat of long ago seems to prove.
+
+    The target sent it before the earlier process of this daemon granted it the
+    keys; the new process receives it first, without authority to grant.
+    """
+    own = grants.Grants(_OWN)
+    own.claims.adopt(_map(1, _OWN))
+    own.observe(_heartbeat(1), 0)
+    own.claims.adopt(_map(2, _OTHER, _OWN, 1))
+    assert list(own.released(0, _LAST, 1, 100, False)) == []
+    assert list(own.released(0, _LAST, 1, 100, True))
+    assert list(own.released(0, _LAST, 1, 5_000, False))
+
+
+def test_delayed_heartbeat_of_an_ended_instance_confirms_no_release():
+    """Guards against a release by an instance that ended before a restart.
+
+    The instance that runs now holds keys of the earlier process of the daemon,
+    and its own first heartbeat is delayed, too.
+    """
+    own = grants.Grants(_OWN)
+    own.claims.adopt(_map(1, _OWN))
+    ended = targets.TargetInstance(targets.TargetId("t"), 0)
+    own.observe(dataclasses.replace(_heartbeat(9), instance=ended), 0)
+    own.observe(_heartbeat(1), 10)
+    own.claims.adopt(_map(2, _OTHER, _OWN, 1))
+    assert list(own.released(0, _LAST, 1, 100, False)) == []
+    assert list(own.released(0, _LAST, 1, 5_000, False))
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -448,6 +448,31 @@
         self._receive_heartbeat(late)
         self._receive_heartbeat(self._send_heartbeat(vm, False))
 
+    @stateful.rule(
+        vm=strategies.sampled_from(_VMS), other=strategies.sampled_from(_VMS)
+    )
+    def restart_before_delayed_heartbeat(self, vm, other):
+        """Restarts a daemon, which receives its target's first heartbeat last.
+
+        The target has held keys since that heartbeat. The daemon knows the map
+        from the others and has no authority yet when the keys move on.
+        """
+        if vm == other:
+            return
+        everywhere = set(_VMS)
+        self.restart_target(vm)
+        delayed = self._send_heartbeat(vm, False)
+        for _ in range(2):
+            self.work(everywhere, everywhere, everywhere, everywhere, {vm})
+        self.restart_daemon(vm)
+        self.work(set(), set(), {vm}, set(), set())
+        self._receive_heartbeat(delayed)
+        self.reassign({vm})
+        informed = everywhere - {vm}
+        for _ in range(3):
+            self.now_ms += 50
+            self.work(informed, informed, everywhere, informed, {other})
+
     @stateful.rule(vm=strategies.sampled_from(_VMS))
     def restart_daemon(self, vm):
         self.daemons[vm] = _Daemon(vm)
