--- a/mustardloom/daemon/adapters.py
+++ b/mustardloom/daemon/adapters.py
@@ -12,6 +12,7 @@
 from mustardloom.membership import lease as lease_lib
 from mustardloom.membership import records
 from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.ownership import slot_admission
 from mustardloom.relay import dissemination
 from mustardloom.relay.wire import peer_pb2
 
@@ -26,25 +27,25 @@
 ]
 
 
-def refusal_of(result: holdings_lib.AdmitResult) -> outcomes.Refused | None:
+def refusal_of(result: slot_admission.AdmitResult) -> outcomes.Refused | None:
     """Returns why a slot did not admit a request, None if it did."""
     reason = outcomes.RefusalReason
     match result:
-        case holdings_lib.Admitted():
+        case slot_admission.Admitted():
             return None
-        case holdings_lib.NotOwner(None):
+        case slot_admission.NotOwner(None):
             return outcomes.Refused(
                 reason.NOT_OWNER, "another member owns the slot"
             )
-        case holdings_lib.NotOwner(hint):
+        case slot_admission.NotOwner(hint):
             return outcomes.Refused(
                 reason.MOVED, "the slot has moved", owner=hint
             )
-        case holdings_lib.Incoming():
+        case slot_admission.Incoming():
             return outcomes.Refused(
                 reason.NO_OWNER, "the slot is not served here yet"
             )
-        case holdings_lib.LeaseLapsed():
+        case slot_admission.LeaseLapsed():
             return outcomes.Refused(
                 reason.LEASE_LAPSED, "this member does not hold its lease"
             )
@@ -90,7 +91,7 @@
     def acquire(self) -> ids.Epoch | outcomes.Refused:
         """See `admission.dispatch.SlotPermit`."""
         result = self._holdings.admit(self._group, self._slot)
-        if isinstance(result, holdings_lib.Admitted):
+        if isinstance(result, slot_admission.Admitted):
             self.was_admitted = True
             return result.epoch
         refusal = refusal_of(result)
@@ -118,7 +119,7 @@
 
     async def grant(
         self,
-        epoch_by_slot: Mapping[holdings_lib.SlotKey, ids.Epoch],
+        epoch_by_slot: Mapping[slot_admission.SlotKey, ids.Epoch],
         expires_ms: int,
     ) -> None:
         """See `ownership.holdings.Grants`.
--- a/mustardloom/daemon/daemon.py
+++ b/mustardloom/daemon/daemon.py
@@ -30,7 +30,7 @@
 from mustardloom.membership import records
 from mustardloom.membership import witness
 from mustardloom.ownership import cleanup
-from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.ownership import serving_intervals
 from mustardloom.ownership import slot_map
 from mustardloom.relay import authentication
 from mustardloom.relay import dissemination
@@ -86,7 +86,7 @@
         self._grants = adapters.TargetGrants()
         self._is_leaving = False
         self._incarnation_ended = asyncio.Event()
-        self._past_intervals: list[holdings_lib.ServingInterval] = []
+        self._past_intervals: list[serving_intervals.ServingInterval] = []
         self._tasks: list[asyncio.Task[Any]] = []
         member = ids.new_member_id(settings.vm)
         self._wire_network(member)
--- a/mustardloom/daemon/serving.py
+++ b/mustardloom/daemon/serving.py
@@ -13,7 +13,7 @@
 from mustardloom.daemon import adapters
 from mustardloom.daemon import configuration as configuration_lib
 from mustardloom.daemon import incarnation as incarnation_lib
-from mustardloom.ownership import holdings as holdings_lib
+from mustardloom.ownership import slot_admission
 from mustardloom.ownership import slots
 from mustardloom.routing import forwarders
 
@@ -183,10 +183,10 @@
         starts.
         """
         result = incarnation.holdings.admit(group, slot)
-        if isinstance(result, holdings_lib.Incoming):
+        if isinstance(result, slot_admission.Incoming):
             self._metrics.increment("serving.waits_for_slot")
             result = await result.wait(request.deadline_ms)
-        if isinstance(result, holdings_lib.Admitted):
+        if isinstance(result, slot_admission.Admitted):
             incarnation.holdings.end_request(group, slot)
         return adapters.refusal_of(result)
 
--- a/mustardloom/ownership/holdings.py
+++ b/mustardloom/ownership/holdings.py
@@ -1,11 +1,11 @@
 """Tracks which slots this daemon may serve and admits requests to them."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import enum
 from typing import Protocol
@@ -15,29 +15,22 @@
 from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
+from mustardloom.ownership import serving_intervals
+from mustardloom.ownership import slot_admission
 from mustardloom.ownership import slot_map
+from mustardloom.ownership import slot_waiters
 
 __all__ = [
-    "AdmitResult",
-    "Admitted",
     "Grants",
     "Holdings",
-    "Incoming",
-    "LeaseLapsed",
     "LeaseView",
-    "NotOwner",
     "PlannedMove",
-    "ServingInterval",
-    "SlotKey",
 ]
 
 _GRANT_INTERVAL_MS = 500
 _GRANT_RETRY_MS = 50
 _FIRST_GRANT_WAIT_MS = 500
 _ANNOUNCEMENT_TTL_MS = 5_000
-_MAX_INTERVALS = 100_000
-
-SlotKey = tuple[ids.GroupId, ids.SlotIndex]
 
 
 class LeaseView(Protocol):
@@ -58,7 +51,9 @@
     """
 
     async def grant(
-        self, epoch_by_slot: Mapping[SlotKey, ids.Epoch], expires_ms: int
+        self,
+        epoch_by_slot: Mapping[slot_admission.SlotKey, ids.Epoch],
+        expires_ms: int,
     ) -> None:
         """Permits the target to serve the slots until `expires_ms`."""
 
@@ -68,64 +63,6 @@
         """Withdraws the grants of slots before they expire."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admitted:
-    """The request may run; call `Holdings.end_request` when it has ended."""
-
-    epoch: ids.Epoch
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotOwner:
-    """The slot is not served here.
-
-    Attributes:
-      likely_owner: Likely owner, None if unknown.
-    """
-
-    likely_owner: ids.MemberId | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseLapsed:
-    """No slot is served here, because the lease is not held."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Incoming:
-    """The slot will be served here soon.
-
-    Attributes:
-      wait: Called with a deadline in ms on the local clock. Waits for the slot
-        and tries again; the result is `Incoming` only if the deadline passed.
-    """
-
-    wait: Callable[[int], "asyncio.Future[AdmitResult]"]
-
-
-AdmitResult = Admitted | NotOwner | Incoming | LeaseLapsed
-
-
-@dataclasses.dataclass(slots=True)
-class ServingInterval:
-    """A period during which this member served a slot.
-
-    Attributes:
-      group: Placement group.
-      slot: Slot of the group.
-      epoch: Epoch at which it was served.
-      from_wall_ms: Start.
-      to_wall_ms: End, None while it is served. Never after the expiry of the
-        lease, even if the process was paused and noticed the expiry late.
-    """
-
-    group: ids.GroupId
-    slot: ids.SlotIndex
-    epoch: ids.Epoch
-    from_wall_ms: int
-    to_wall_ms: int | None = None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedMove:
     """A planned move of a slot of this member that has not been sent.
@@ -172,7 +109,6 @@
       unknown_before_wall_ms: Cut-off of request ids that applies here.
       receiver: Receiver of the move, while STOPPING or SENT.
       running: Number of requests that run in the slot.
-      interval: Open entry of the log of intervals.
     """
 
     state: _State
@@ -181,7 +117,6 @@
     unknown_before_wall_ms: int = 0
     receiver: ids.MemberId | None = None
     running: int = 0
-    interval: ServingInterval | None = None
 
 
 class Holdings:
@@ -189,8 +124,6 @@
 
     Attributes:
       member: Id of this member.
-      intervals: Log of the periods in which slots were served, empty if it is
-        off. The oldest entries beyond 100,000 are dropped.
     """
 
     def __init__(
@@ -204,24 +137,26 @@
         log_intervals: bool = False,
     ):
         self.member = member
-        self.intervals: collections.deque[ServingInterval] = collections.deque(
-            maxlen=_MAX_INTERVALS
-        )
         self._map = slots
         self._lease = lease
         self._grants = grants
         self._clock = clock
         self._metrics = metrics
-        self._log_intervals = log_intervals
+        self._log = serving_intervals.IntervalLog(clock, log_intervals)
         self._is_closed = False
         self._are_grants_failing = False
-        self._by_slot: dict[SlotKey, _Holding] = {}
-        self._announced_until_ms: dict[SlotKey, int] = {}
-        self._waiters: dict[SlotKey, list[asyncio.Future[None]]] = {}
+        self._by_slot: dict[slot_admission.SlotKey, _Holding] = {}
+        self._announced_until_ms: dict[slot_admission.SlotKey, int] = {}
+        self._waiters = slot_waiters.SlotWaiters(clock)
         self._grant_wanted = asyncio.Event()
         self._subscribers: list[Callable[[], None]] = []
         slots.subscribe(self._on_chunk)
 
+    @property
+    def intervals(self) -> Sequence[serving_intervals.ServingInterval]:
+        """Returns the logged periods in which slots were served."""
+        return self._log.intervals
+
     def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
         """Calls `callback` when planned moves may have appeared or ended.
 
@@ -231,21 +166,23 @@
         self._subscribers.append(callback)
         return lambda: self._subscribers.remove(callback)
 
-    def admit(self, group: ids.GroupId, slot: ids.SlotIndex) -> AdmitResult:
+    def admit(
+        self, group: ids.GroupId, slot: ids.SlotIndex
+    ) -> slot_admission.AdmitResult:
         """Admits a request to a slot, or returns why it may not run here."""
         if self._is_closed or not self._lease.is_held():
-            return LeaseLapsed()
+            return slot_admission.LeaseLapsed()
         key = (group, slot)
         holding = self._by_slot.get(key)
         if holding is not None:
             match holding.state:
                 case _State.SERVING:
                     holding.running += 1
-                    return Admitted(holding.served_epoch)
+                    return slot_admission.Admitted(holding.served_epoch)
                 case _State.GRANTING:
                     return self._incoming(key)
                 case _State.STOPPING | _State.SENT:
-                    return NotOwner(holding.receiver)
+                    return slot_admission.NotOwner(holding.receiver)
                 case _State.GONE:
                     pass
         return self._admit_unowned(key)
@@ -307,9 +244,9 @@
         """Drops all slots at once; no request is admitted afterwards."""
         self._is_closed = True
         for key, holding in self._by_slot.items():
-            self._close_interval(holding)
+            self._close_interval(key)
             holding.state = _State.GONE
-            self._wake_waiters(key)
+            self._waiters.wake(key)
         self._notify()
 
     async def run(self) -> None:
@@ -353,7 +290,7 @@
         if holding.state in (_State.SERVING, _State.GRANTING):
             holding.state = _State.STOPPING
             holding.receiver = move.receiver
-            self._wake_waiters((move.group, move.slot))
+            self._waiters.wake((move.group, move.slot))
 
     def resume(self, group: ids.GroupId, slot: ids.SlotIndex) -> None:
         """Serves a stopped or sent slot again.
@@ -366,11 +303,11 @@
         holding.receiver = None
         if holding.served_epoch:
             holding.state = _State.SERVING
-            self._open_interval(group, slot, holding)
+            self._log.open((group, slot), holding.served_epoch)
         else:
             holding.state = _State.GRANTING
             self._grant_wanted.set()
-        self._wake_waiters((group, slot))
+        self._waiters.wake((group, slot))
 
     def is_drained(self, group: ids.GroupId, slot: ids.SlotIndex) -> bool:
         """Returns whether a stopped slot has no running request."""
@@ -392,7 +329,7 @@
             return None
         holding = self._by_slot[group, slot]
         holding.state = _State.SENT
-        self._close_interval(holding)
+        self._close_interval((group, slot))
         return ids.Epoch(holding.epoch + 1)
 
     def is_sent(
@@ -495,54 +432,38 @@
                 return True
             if self._clock.now_ms() >= deadline_ms:
                 return True
-            await self._wait_for_change(key, deadline_ms)
+            await self._waiters.wait(key, deadline_ms)
 
-    def _admit_unowned(self, key: SlotKey) -> AdmitResult:
+    def _admit_unowned(
+        self, key: slot_admission.SlotKey
+    ) -> slot_admission.AdmitResult:
         entry = self._map.entry(*key)
         if entry is not None and entry.moving_to == self.member:
             return self._incoming(key)
         if self._announced_until_ms.get(key, 0) > self._clock.now_ms():
             return self._incoming(key)
         if entry is None or entry.owner == self.member:
-            return NotOwner(None)
-        return NotOwner(entry.owner)
+            return slot_admission.NotOwner(None)
+        return slot_admission.NotOwner(entry.owner)
 
-    def _incoming(self, key: SlotKey) -> Incoming:
-        def wait(deadline_ms: int) -> "asyncio.Future[AdmitResult]":
+    def _incoming(self, key: slot_admission.SlotKey) -> slot_admission.Incoming:
+        def wait(
+            deadline_ms: int,
+        ) -> "asyncio.Future[slot_admission.AdmitResult]":
             return asyncio.ensure_future(self._wait(key, deadline_ms))
 
-        return Incoming(wait)
+        return slot_admission.Incoming(wait)
 
-    async def _wait(self, key: SlotKey, deadline_ms: int) -> AdmitResult:
+    async def _wait(
+        self, key: slot_admission.SlotKey, deadline_ms: int
+    ) -> slot_admission.AdmitResult:
         while True:
             result = self.admit(*key)
-            if not isinstance(result, Incoming):
+            if not isinstance(result, slot_admission.Incoming):
                 return result
             if self._clock.now_ms() >= deadline_ms:
                 return result
-            await self._wait_for_change(key, deadline_ms)
-
-    async def _wait_for_change(self, key: SlotKey, deadline_ms: int) -> None:
-        """Waits for a change of a slot until `deadline_ms` at most."""
-        loop = asyncio.get_running_loop()
-        waiter: asyncio.Future[None] = loop.create_future()
-        self._waiters.setdefault(key, []).append(waiter)
-        remaining_ms = deadline_ms - self._clock.now_ms()
-        deadline = asyncio.ensure_future(self._clock.sleep_ms(remaining_ms))
-        try:
-            await asyncio.wait(
-                (waiter, deadline), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            deadline.cancel()
-            waiters = self._waiters.get(key, [])
-            if waiter in waiters:
-                waiters.remove(waiter)
-
-    def _wake_waiters(self, key: SlotKey) -> None:
-        for waiter in self._waiters.pop(key, ()):
-            if not waiter.done():
-                waiter.set_result(None)
+            await self._waiters.wait(key, deadline_ms)
 
     def _notify(self) -> None:
         for callback in list(self._subscribers):
@@ -560,12 +481,12 @@
             elif holding is not None:
                 self._on_entry_of_other(key, holding, entry)
             elif key in self._waiters and entry.moving_to != self.member:
-                self._wake_waiters(key)
+                self._waiters.wake(key)
         self._notify()
 
     def _on_owned_entry(
         self,
-        key: SlotKey,
+        key: slot_admission.SlotKey,
         holding: _Holding | None,
         entry: slot_map.SlotEntry,
     ) -> None:
@@ -588,7 +509,7 @@
 
     def _on_entry_of_other(
         self,
-        key: SlotKey,
+        key: slot_admission.SlotKey,
         holding: _Holding,
         entry: slot_map.SlotEntry,
     ) -> None:
@@ -596,14 +517,17 @@
         # epoch than the one received here.
         if entry.epoch <= holding.epoch:
             return
-        self._close_interval(holding)
+        self._close_interval(key)
         holding.state = _State.GONE
         holding.epoch = entry.epoch
         holding.receiver = None
-        self._wake_waiters(key)
+        self._waiters.wake(key)
 
     def _acquire(
-        self, key: SlotKey, epoch: ids.Epoch, unknown_before_wall_ms: int
+        self,
+        key: slot_admission.SlotKey,
+        epoch: ids.Epoch,
+        unknown_before_wall_ms: int,
     ) -> None:
         earlier = self._by_slot.get(key)
         self._by_slot[key] = _Holding(
@@ -615,7 +539,9 @@
         self._announced_until_ms.pop(key, None)
         self._grant_wanted.set()
 
-    async def _grant(self, epoch_by_slot: Mapping[SlotKey, ids.Epoch]) -> bool:
+    async def _grant(
+        self, epoch_by_slot: Mapping[slot_admission.SlotKey, ids.Epoch]
+    ) -> bool:
         expires_ms = self._lease.expires_ms()
         try:
             await self._grants.grant(epoch_by_slot, expires_ms)
@@ -634,7 +560,9 @@
             self._on_granted(key, epoch)
         return True
 
-    def _on_granted(self, key: SlotKey, epoch: ids.Epoch) -> None:
+    def _on_granted(
+        self, key: slot_admission.SlotKey, epoch: ids.Epoch
+    ) -> None:
         holding = self._by_slot[key]
         if holding.epoch != epoch or holding.state not in _OWNED_STATES:
             return
@@ -643,29 +571,13 @@
         holding.served_epoch = epoch
         if holding.state is _State.GRANTING:
             holding.state = _State.SERVING
-        self._close_interval(holding)
-        self._open_interval(*key, holding)
-        self._wake_waiters(key)
+        self._close_interval(key)
+        self._log.open(key, epoch)
+        self._waiters.wake(key)
         self._notify()
 
-    def _open_interval(
-        self, group: ids.GroupId, slot: ids.SlotIndex, holding: _Holding
-    ) -> None:
-        if not self._log_intervals or holding.interval is not None:
-            return
-        epoch = holding.served_epoch
-        holding.interval = ServingInterval(
-            group, slot, epoch, self._clock.wall_ms()
-        )
-        self.intervals.append(holding.interval)
-
-    def _close_interval(self, holding: _Holding) -> None:
-        if holding.interval is None:
-            return
-        now_ms = self._clock.now_ms()
-        past_expiry_ms = max(0, now_ms - self._lease.expires_ms())
-        holding.interval.to_wall_ms = self._clock.wall_ms() - past_expiry_ms
-        holding.interval = None
+    def _close_interval(self, key: slot_admission.SlotKey) -> None:
+        self._log.close(key, self._lease.expires_ms())
 
     async def _sleep_until_grant_wanted(self, delay_ms: int) -> None:
         timer = asyncio.ensure_future(self._clock.sleep_ms(delay_ms))
