Make heartbeats of a keyed target cost what has changed

Claims keep the rows that are free to grant until the map or the pending ranges change, and look ranges up by binary search in place of comparing all rows with all pending and held ranges. The ledger keeps the listed ranges sorted in place of a byte for each key.

--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -1,11 +1,12 @@
 """Which rows a daemon may grant: those that no other target can hold."""
 
 import array
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-from typing import TypeVar
+import itertools
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
+from mustardloom.keys import ranges
 
 __all__ = ["AUTHORITY_MS", "Claims", "PendingRange", "Release"]
 
@@ -70,9 +72,6 @@
     fence: int
 
 
-_Range = TypeVar("_Range", PendingRange, key_map.Row)
-
-
 class Claims:
     """Rows that one VM owns, and which of them its daemon may grant.
 
@@ -88,6 +87,8 @@
         self.map = key_map.empty()
         self._vm = vm
         self._pending_ranges: list[PendingRange] = []
+        self._grantable: tuple[key_map.Row, ...] = ()
+        # In the order of their first keys.
         self._handovers: list[_Handover] = []
         # Latest fence of each key under which this VM was free to grant it.
         self._free_fence = array.array("I", bytes(4 * key_map.KEY_COUNT))
@@ -103,11 +104,12 @@
         if new.version <= old.version:
             return
         self.map = new
-        self._handovers = [
-            kept
-            for kept in self._handovers
-            if new.row_of(kept.part.first).fence == kept.fence
-        ]
+        if self._handovers:
+            self._handovers = [
+                kept
+                for kept in self._handovers
+                if new.row_of(kept.part.first).fence == kept.fence
+            ]
         for row in new.owned_by(self._vm):
             if not row.previous or row.previous == self._vm:
                 continue
@@ -153,10 +155,21 @@
           now_ms: Local time.
         """
         grants_expire_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
+        known_versions = {
+            version
+            for version in {
+                pending.version
+                for pending in self._pending_ranges
+                if pending.grants_expire_ms is None
+            }
+            if excludes_stale_majority(version)
+        }
+        if not known_versions:
+            return
         self._pending_ranges = [
             msgspec.structs.replace(pending, grants_expire_ms=grants_expire_ms)
             if pending.grants_expire_ms is None
-            and excludes_stale_majority(pending.version)
+            and pending.version in known_versions
             else pending
             for pending in self._pending_ranges
         ]
@@ -167,15 +180,18 @@
         Others that had the keys before or since are waited for still, as is
         this owner if it got them again by a later map than it knew.
         """
+        self._free(
+            ranges.KeyRanges(
+                (part.first, part.last)
+                for part in release.parts
+                if part.first <= part.last
+            ),
+            lambda pending: (
+                pending.previous == release.previous
+                and pending.version <= release.map_version
+            ),
+        )
         for part in release.parts:
-            self._free(
-                part.first,
-                part.last,
-                lambda pending: (
-                    pending.previous == release.previous
-                    and pending.version <= release.map_version
-                ),
-            )
             row = self.map.row_of(part.first)
             if row.owner == self._vm and row.previous == release.previous:
                 self.keep_handovers([part], row.fence)
@@ -184,9 +200,11 @@
         self, parts: Iterable[ledger.ReleasedRange], fence: int
     ) -> None:
         """Keeps handover tokens for the next grant under a fencing token."""
-        self._handovers.extend(
-            _Handover(part, fence) for part in parts if part.handover
-        )
+        added = [_Handover(part, fence) for part in parts if part.handover]
+        if added:
+            self._handovers = sorted(
+                [*self._handovers, *added], key=_first_of_handover
+            )
 
     def record_held(self, held: Iterable[targets.HeldRange]) -> None:
         """Frees the pending keys that the target holds under a current fence.
@@ -194,38 +212,57 @@
         It got them from this daemon or from its earlier process. Handover
         tokens for keys that it holds are dropped.
         """
+        if not self._handovers and not self._pending_ranges:
+            return
         held = tuple(held)
+        held_ranges = ranges.KeyRanges((each.first, each.last) for each in held)
         self._handovers = [
             kept
             for kept in self._handovers
-            if not any(
-                each.first <= kept.part.first and kept.part.last <= each.last
-                for each in held
-            )
+            if not held_ranges.cover(kept.part.first, kept.part.last)
         ]
+        if self._pending_ranges:
+            current = ranges.KeyRanges(self._under_current_fence(held))
+            self._free(current, lambda _: True)
+
+    def _under_current_fence(
+        self, held: Iterable[targets.HeldRange]
+    ) -> Iterator[tuple[int, int]]:
+        """Yields the keys of this VM that are held under a current fence."""
         for each in held:
             row = self.map.row_of(each.first)
             if row.owner == self._vm and each.fence >= row.fence:
                 last = min(each.last, row.last)
-                self._free(each.first, last, lambda _: True)
+                if each.first <= last:
+                    yield each.first, last
 
     def grantable(self) -> Iterator[key_map.Row]:
         """Yields this VM's rows that no other target can hold, in order."""
-        for row in self.map.owned_by(self._vm):
-            yield from self._free_parts(row)
+        yield from self._grantable
+
+    def granted(
+        self, rows: Iterable[key_map.Row]
+    ) -> tuple[targets.GrantedRange, ...]:
+        """Returns the grants of rows, split where handover tokens differ."""
+        if not self._handovers:
+            return tuple(
+                targets.GrantedRange(row.first, row.last, row.fence)
+                for row in rows
+            )
+        return tuple(each for row in rows for each in self.handovers(row))
 
     def handovers(self, row: key_map.Row) -> Iterator[targets.GrantedRange]:
         """Yields the grants of a row, split where handover tokens differ."""
         start = row.first
-        tokens = sorted(
-            (
-                kept.part
-                for kept in self._handovers
-                if kept.part.first in row and kept.fence == row.fence
-            ),
-            key=lambda part: part.first,
+        index = bisect.bisect_left(
+            self._handovers, row.first, key=_first_of_handover
         )
-        for part in tokens:
+        for kept in itertools.islice(self._handovers, index, None):
+            part = kept.part
+            if part.first > row.last:
+                break
+            if kept.fence != row.fence:
+                continue
             if part.first < start or part.last > row.last:
                 continue
             if part.first > start:
@@ -254,46 +291,50 @@
 
     def _free(
         self,
-        first: int,
-        last: int,
+        freed: ranges.KeyRanges,
         is_meant: Callable[[PendingRange], bool],
     ) -> None:
         """Removes keys from those of the pending ranges that are meant."""
-        if not self._pending_ranges:
-            return
-        self._pending_ranges = [
-            rest
-            for pending in self._pending_ranges
-            for rest in (
-                _without(pending, first, last)
-                if is_meant(pending)
-                else (pending,)
+        is_changed = False
+        left: list[PendingRange] = []
+        for pending in self._pending_ranges:
+            if not freed.overlap(pending.first, pending.last) or not is_meant(
+                pending
+            ):
+                left.append(pending)
+                continue
+            is_changed = True
+            left.extend(
+                msgspec.structs.replace(pending, first=first, last=last)
+                for first, last in freed.gaps(pending.first, pending.last)
             )
-        ]
-        self._record_free()
+        if is_changed:
+            self._pending_ranges = left
+            self._record_free()
 
     def _record_free(self) -> None:
-        for row in self.grantable():
-            fences = array.array("I", [row.fence]) * row.width
-            self._free_fence[row.first : row.last + 1] = fences
+        """Notes which keys this VM may grant after a change."""
+        before = set(self._grantable)
+        self._grantable = tuple(self._free_rows())
+        for row in self._grantable:
+            # Rows that were free already were noted then, and no other row can
+            # have been noted for their keys since.
+            if row not in before:
+                fences = array.array("I", [row.fence]) * row.width
+                self._free_fence[row.first : row.last + 1] = fences
+
+    def _free_rows(self) -> Iterator[key_map.Row]:
+        """Yields the parts of this VM's rows outside the pending ranges."""
+        pending = ranges.KeyRanges(
+            (each.first, each.last) for each in self._pending_ranges
+        )
+        for row in self.map.owned_by(self._vm):
+            if not pending.overlap(row.first, row.last):
+                yield row
+                continue
+            for first, last in pending.gaps(row.first, row.last):
+                yield msgspec.structs.replace(row, first=first, last=last)
 
-    def _free_parts(self, row: key_map.Row) -> Iterator[key_map.Row]:
-        parts = [row]
-        for pending in self._pending_ranges:
-            parts = [
-                rest
-                for part in parts
-                for rest in _without(part, pending.first, pending.last)
-            ]
-        yield from parts
-
-
-def _without(key_range: _Range, first: int, last: int) -> Iterator[_Range]:
-    """Yields the parts of a range that lie outside `first` to `last`."""
-    if last < key_range.first or key_range.last < first:
-        yield key_range
-        return
-    if key_range.first < first:
-        yield msgspec.structs.replace(key_range, last=first - 1)
-    if last < key_range.last:
-        yield msgspec.structs.replace(key_range, first=last + 1)
+
+def _first_of_handover(kept: _Handover) -> int:
+    return kept.part.first
--- a/mustardloom/keys/grants.py
+++ b/mustardloom/keys/grants.py
@@ -108,9 +108,7 @@
         if withholds:
             rows = self._without_idle_key(rows, is_idle)
         ledger.grant(rows, hold_ms, now_ms)
-        return tuple(
-            each for row in rows for each in self.claims.handovers(row)
-        )
+        return self.claims.granted(rows)
 
     def released(
         self,
--- a/mustardloom/keys/ledger.py
+++ b/mustardloom/keys/ledger.py
@@ -6,6 +6,7 @@
 
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
+from mustardloom.keys import ranges
 
 __all__ = ["CLOCK_FACTOR", "GrantLedger", "ReleasedRange"]
 
@@ -47,7 +48,7 @@
         self.instance = instance
         self._held: tuple[targets.HeldRange, ...] = ()
         self._listed: tuple[key_map.Row, ...] = ()
-        self._listed_keys = bytearray(key_map.KEY_COUNT)
+        self._listed_ranges = ranges.KeyRanges()
         self._listed_until_ms = 0
         self._held_until_ms = 0
         # Until then the target may hold keys by grants of an earlier process.
@@ -85,22 +86,24 @@
           hold_ms: For how long the target may hold them.
           now_ms: Local time.
         """
-        self._listed = tuple(rows)
-        self._listed_keys = bytearray(key_map.KEY_COUNT)
-        for row in self._listed:
-            self._listed_keys[row.first : row.last + 1] = b"\1" * row.width
+        listed = tuple(rows)
+        if listed != self._listed:
+            self._listed = listed
+            self._listed_ranges = ranges.KeyRanges(
+                (row.first, row.last) for row in listed
+            )
         self._listed_until_ms = now_ms + hold_ms
         slowest_clock_ms = now_ms + round(hold_ms * CLOCK_FACTOR) + 1
         self._held_until_ms = max(self._held_until_ms, slowest_clock_ms)
         self._freed = [
             freed
             for freed in self._freed
-            if not any(_overlap(freed, row) for row in self._listed)
+            if not self._listed_ranges.overlap(freed.first, freed.last)
         ]
 
     def is_granted(self, key: int, now_ms: int) -> bool:
         """Returns whether the latest grant lists a key and has not expired."""
-        return bool(self._listed_keys[key]) and now_ms < self._listed_until_ms
+        return now_ms < self._listed_until_ms and key in self._listed_ranges
 
     def holds_none(self, first: int, last: int, now_ms: int) -> bool:
         """Returns whether the target certainly holds none of these keys."""
@@ -108,10 +111,10 @@
             return False
         if now_ms > self._held_until_ms:
             return True
-        key_range = ReleasedRange(first, last)
-        in_held = any(_overlap(key_range, each) for each in self._held)
-        return not in_held and not any(
-            _overlap(key_range, each) for each in self._listed
+        if self._listed_ranges.overlap(first, last):
+            return False
+        return not any(
+            first <= each.last and each.first <= last for each in self._held
         )
 
     def holds(self, row: key_map.Row) -> bool:
@@ -136,10 +139,3 @@
             start = high + 1
         if start <= last:
             yield ReleasedRange(start, last)
-
-
-def _overlap(
-    left: ReleasedRange | targets.HeldRange | key_map.Row,
-    right: ReleasedRange | targets.HeldRange | key_map.Row,
-) -> bool:
-    return left.first <= right.last and right.first <= left.last
