Decode organisations and routes that need no API key

Decoded configurations hold keyed digests of the API keys, never the keys. An empty list of organisations counts as an absent one.

--- a/mustardloom/deployment/configuration.py
+++ b/mustardloom/deployment/configuration.py
@@ -1,23 +1,32 @@
-"""Routes and services that operators declared."""
+"""Routes, services and organisations that operators declared."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import enum
 import functools
+import hashlib
+import secrets
 
 from mustardloom import ids
 
 __all__ = [
     "CallerLimits",
     "Configuration",
+    "Organisation",
     "RequestKind",
     "Route",
     "Service",
     "Share",
+    "key_digest",
 ]
 
 
 _DEFAULT_OBJECTIVE_MS = 300
+_DIGEST_BYTES = 16
+# API keys are short enough to be found from a plain digest by trying, so
+# digests are keyed and mean nothing outside this process.
+_DIGEST_SECRET = secrets.token_bytes(32)
 
 
 class RequestKind(enum.Enum):
@@ -60,6 +69,7 @@
       max_attempts: Maximum number of targets that a request is sent to.
       priority: Rank, 0 is the most urgent.
       home_regions: Regions that may serve; empty allows all.
+      is_exempt: Whether its requests need no API key.
     """
 
     name: ids.RouteId
@@ -72,6 +82,7 @@
     max_attempts: int
     priority: int
     home_regions: frozenset[ids.RegionId]
+    is_exempt: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -118,14 +129,44 @@
     idle_timeout_ms: int = 15_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation whose callers share API keys and a usage cap.
+
+    Attributes:
+      name: Name, unique in the configuration.
+      priority: Rank of its requests, 0 is the most urgent; it replaces the
+        priority of the route.
+      rate_per_s: Cap on its requests a second; None for no cap.
+      burst: Requests that it may send at once above that rate.
+      home_regions: Regions that may serve; empty allows all.
+    """
+
+    name: ids.OrganisationId
+    priority: int
+    rate_per_s: float | None
+    burst: float
+    home_regions: frozenset[ids.RegionId]
+
+
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One version of everything that operators declared."""
+    """One version of everything that operators declared.
+
+    Attributes:
+      organisation_by_key_digest: Organisations by `key_digest` of their API
+        keys. The keys themselves are not kept.
+      has_organisations: Whether requests need an API key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[ids.ServiceId, Service]
     limits: CallerLimits = CallerLimits()
+    organisation_by_key_digest: Mapping[bytes, Organisation] = (
+        dataclasses.field(default_factory=dict, repr=False)
+    )
+    has_organisations: bool = False
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Returns the route of the longest matching prefix, None if none."""
@@ -156,5 +197,21 @@
         return by_host
 
 
+def key_digest(key: bytes) -> bytes:
+    """Returns the digest of an API key, different in each process.
+
+    Comparing digests takes a time that says nothing about the keys.
+
+    Example:
+      >>> key_digest(b"k1") == key_digest(b"k1")
+      True
+      >>> key_digest(b"k1") == key_digest(b"k2")
+      False
+    """
+    return hashlib.blake2b(
+        key, digest_size=_DIGEST_BYTES, key=_DIGEST_SECRET
+    ).digest()
+
+
 def _longest_first(routes: Iterable[Route]) -> list[Route]:
     return sorted(routes, key=lambda route: -len(route.prefix))
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -1,6 +1,9 @@
 """Decodes the configuration object that operators write."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
+import re
+import types
 from typing import Annotated
 
 import msgspec
@@ -18,7 +21,11 @@
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Rate = Annotated[float, msgspec.Meta(ge=0)]
 _IDEMPOTENT_KIND = "safe"
+# Characters that a header cannot carry, so that a name with one of them could
+# add headers to a request.
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 
 
 class _WeightedCluster(msgspec.Struct):
@@ -45,6 +52,7 @@
     action: _Action
     target_latency: str = ""
     priority: int = 0
+    auth_exempt: bool = False
 
 
 class _Listener(msgspec.Struct):
@@ -69,11 +77,25 @@
     idle_timeout: str
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    rate_per_s: _Rate = 0.0
+    burst: _Rate = 0.0
+    allowed_regions: list[str] = []
+
+    def __repr__(self) -> str:
+        """Returns a text without the API keys."""
+        return f"_Tenant(name={self.name!r})"
+
+
 class _Configuration(msgspec.Struct):
     version: int
     listeners: list[_Listener]
     clusters: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class _Versioned(msgspec.Struct):
@@ -102,6 +124,9 @@
         tuple(_routes(wire.listeners)),
         {service.name: service for service in services},
         _limits(wire.limits),
+        _organisations(wire.tenants or []),
+        # An empty list declares no organisations, like an absent one.
+        bool(wire.tenants),
     )
 
 
@@ -133,6 +158,7 @@
         max_attempts=action.max_attempts,
         priority=rule.priority,
         home_regions=frozenset(map(ids.RegionId, action.allowed_regions)),
+        is_exempt=rule.auth_exempt,
     )
 
 
@@ -145,6 +171,53 @@
     return (configuration.Share(ids.ServiceId(action.service), 1.0),)
 
 
+def _organisations(
+    tenants: list[_Tenant],
+) -> Mapping[bytes, configuration.Organisation]:
+    """Returns organisations by the digests of their keys.
+
+    Errors name organisations, never a key.
+    """
+    names: set[str] = set()
+    found: dict[bytes, configuration.Organisation] = {}
+    for tenant in tenants:
+        organisation = _organisation(tenant)
+        if tenant.name in names:
+            raise ValueError(f"two organisations are named {tenant.name!r}")
+        names.add(tenant.name)
+        for key in tenant.api_keys:
+            digest = configuration.key_digest(_encode_key(key, tenant.name))
+            other = found.setdefault(digest, organisation)
+            if other.name != organisation.name:
+                raise ValueError(
+                    f"organisations {other.name!r} and {tenant.name!r}"
+                    " have an API key in common"
+                )
+    return types.MappingProxyType(found)
+
+
+def _organisation(tenant: _Tenant) -> configuration.Organisation:
+    name = tenant.name
+    if not name or name != name.strip() or _CONTROL.search(name):
+        raise ValueError(f"{name!r} cannot be sent as an organisation's name")
+    name.encode()  # Fails for a lone surrogate.
+    return configuration.Organisation(
+        name=ids.OrganisationId(name),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s or None,
+        burst=tenant.burst,
+        home_regions=frozenset(map(ids.RegionId, tenant.allowed_regions)),
+    )
+
+
+def _encode_key(key: str, name: str) -> bytes:
+    try:
+        return key.encode()
+    except UnicodeEncodeError:
+        # The error of the codec contains the key.
+        raise ValueError(f"organisation {name!r} has an invalid key") from None
+
+
 def _service(wire: _Service) -> configuration.Service:
     return configuration.Service(
         name=ids.ServiceId(wire.name),
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """Tests of the formats that the adapter decodes and encodes."""
 
 import asyncio
+import traceback
 
 import hypothesis
 from hypothesis import strategies
@@ -102,6 +103,98 @@
         configuration.decode(msgspec.json.encode(wire))
 
 
+_KEY = "2thhkm-secret"
+
+
+def _with_tenants(tenants, **rule):
+    wire = msgspec.json.decode(standins.configuration(version=7))
+    wire["tenants"] = tenants
+    wire["listeners"][0]["rules"][0].update(rule)
+    return msgspec.json.encode(wire)
+
+
+def test_organisations_are_decoded():
+    """Guards against lost priorities, caps, regions or exempt routes."""
+    found = configuration.decode(
+        _with_tenants(
+            [
+                {
+                    "name": "pulo780",
+                    "api_keys": [_KEY, "rcpihh", "rcpihh"],
+                    "priority": 1,
+                    "rate_per_s": 127,
+                    "burst": 12.5,
+                    "allowed_regions": ["ra", "rb"],
+                },
+                {"name": "q", "api_keys": ["other"], "rate_per_s": 0},
+                {"name": "no keys", "an unknown field": 1},
+            ],
+            auth_exempt=True,
+        )
+    )
+    assert found.has_organisations
+    organisations = {
+        key: found.organisation_by_key_digest.get(
+            configuration_lib.key_digest(key)
+        )
+        for key in (_KEY.encode(), b"rcpihh", b"other", b"", b"no keys")
+    }
+    first = configuration_lib.Organisation(
+        ids.OrganisationId("pulo780"), 1, 127.0, 12.5, frozenset(("ra", "rb"))
+    )
+    other = configuration_lib.Organisation(
+        ids.OrganisationId("q"), 0, None, 0.0, frozenset()
+    )
+    assert list(organisations.values()) == [first, first, other, None, None]
+    assert found.route_for("a.example", "/keyed/x").is_exempt
+    assert not found.route_for("a.example", "/plain/x").is_exempt
+
+
+@pytest.mark.parametrize("tenants", [None, []])
+def test_configuration_without_organisations_needs_no_keys(tenants):
+    """Guards against a 401 in a deployment that declares no organisations."""
+    found = configuration.decode(_with_tenants(tenants))
+    assert not found.has_organisations
+    assert not found.organisation_by_key_digest
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {"name": "a"},
+        ["a"],
+        [{"api_keys": [_KEY]}],
+        [{"name": ""}],
+        [{"name": 5}],
+        [{"name": "a\r\nX-Forged: 1"}],
+        [{"name": "a "}, {"name": "a"}],
+        [{"name": "a"}, {"name": "a"}],
+        [{"name": "a", "api_keys": _KEY}],
+        [{"name": "a", "api_keys": [_KEY, 5]}],
+        [{"name": "a", "api_keys": [_KEY, None]}],
+        [{"name": "a", "api_keys": [_KEY]}, {"name": "b", "api_keys": [_KEY]}],
+        [{"name": "a", "api_keys": [_KEY], "priority": _KEY}],
+        [{"name": "a", "api_keys": [_KEY], "rate_per_s": -1}],
+        [{"name": "a", "api_keys": [_KEY], "burst": "many"}],
+        [{"name": "a", "api_keys": [_KEY], "allowed_regions": [1]}],
+    ],
+)
+def test_invalid_organisation_makes_the_configuration_invalid(tenants):
+    """Guards against half of the keys in force, and keys in an error."""
+    with pytest.raises(ValueError) as caught:
+        configuration.decode(_with_tenants(tenants))
+    assert _KEY not in "".join(traceback.format_exception(caught.value))
+
+
+def test_decoded_configuration_does_not_contain_a_key():
+    """Guards against a key in a log line that prints a configuration."""
+    found = configuration.decode(
+        _with_tenants([{"name": "a", "api_keys": [_KEY]}])
+    )
+    assert _KEY not in repr(found)
+    assert _KEY not in repr(dict(found.organisation_by_key_digest))
+
+
 def _notice(call, body):
     return messages.Request("POST", f"/rpc?call={call}&of=i-1", (), body)
 
