Identify the organisation of a request by its API key

A request without a valid key gets 401. The organisation's name travels in frames and reaches the target as X-Tenant; both headers of the caller are removed at the first daemon. Configurations read from the store hold digests in place of the keys, since daemons send each other the stored object.

--- a/mustardloom/deployment/configuration.py
+++ b/mustardloom/deployment/configuration.py
@@ -6,7 +6,6 @@
 import enum
 import functools
 import hashlib
-import secrets
 
 from mustardloom import ids
 
@@ -24,9 +23,7 @@
 
 _DEFAULT_OBJECTIVE_MS = 300
 _DIGEST_BYTES = 16
-# API keys are short enough to be found from a plain digest by trying, so
-# digests are keyed and mean nothing outside this process.
-_DIGEST_SECRET = secrets.token_bytes(32)
+_DIGEST_PURPOSE = b"api-key"
 
 
 class RequestKind(enum.Enum):
@@ -198,9 +195,10 @@
 
 
 def key_digest(key: bytes) -> bytes:
-    """Returns the digest of an API key, different in each process.
+    """Returns the digest by which an API key is known; all daemons have one.
 
-    Comparing digests takes a time that says nothing about the keys.
+    Comparing digests takes a time that says nothing about the keys. A short key
+    can be found from its digest by trying, so digests are not public.
 
     Example:
       >>> key_digest(b"k1") == key_digest(b"k1")
@@ -209,7 +207,7 @@
       False
     """
     return hashlib.blake2b(
-        key, digest_size=_DIGEST_BYTES, key=_DIGEST_SECRET
+        key, digest_size=_DIGEST_BYTES, person=_DIGEST_PURPOSE
     ).digest()
 
 
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -26,6 +26,7 @@
     "Connection",
     "ConnectionOwner",
     "Handler",
+    "MalformedCallback",
     "RejectedCallback",
     "ServerLimits",
 ]
@@ -35,6 +36,11 @@
 RejectedCallback = Callable[
     [Sequence[messages.Header], messages.Response], None
 ]
+# Called with a request as far as its head was read, and with the latest bytes,
+# which are not valid; returns the answer, None for status 400.
+MalformedCallback = Callable[
+    [messages.Request, bytes], messages.Response | None
+]
 
 READ_BYTES = bodies.PIECE_BYTES
 # Nothing is held for a request before its head is complete, and all connections
@@ -89,6 +95,7 @@
     is_draining: bool
     on_fault: Callable[[BaseException], None]
     on_rejected: RejectedCallback
+    on_malformed: MalformedCallback
 
     def limits(self) -> ServerLimits:
         """Returns the limits now in force."""
@@ -598,7 +605,19 @@
             if isinstance(cause, _RequestRejected):
                 self._reject(cause.response)
             elif not isinstance(cause, _AfterLastRequest):
-                self._reject(messages.Response(_BAD_REQUEST))
+                self._reject(self._answer_malformed(data))
+
+    def _answer_malformed(self, data: bytes) -> messages.Response:
+        """Returns the answer to bytes that are not a valid request."""
+        response = None
+        if self._phase is _Phase.HEAD:
+            response = self._owner.on_malformed(
+                messages.Request(
+                    "", self._url.decode("latin1"), tuple(self._headers), b""
+                ),
+                data,
+            )
+        return response or messages.Response(_BAD_REQUEST)
 
     def _reject(self, response: messages.Response) -> None:
         """Answers a request that cannot be read, after those before it."""
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -53,6 +53,10 @@
       share: Descriptors for its connections.
       patience: How long a connection may stand still while another needs its
         descriptor.
+
+    Attributes:
+      on_malformed: Returns the answer to a request whose head is not valid,
+        None for status 400.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         self.on_rejected = on_rejected
         self.limits = limits
         self.on_fault = on_fault
+        self.on_malformed: connection_lib.MalformedCallback = lambda *_: None
         self.is_draining = False
         self.connections: set[connection_lib.Connection] = set()
         share = share or descriptor_budget.unlimited()
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -14,7 +14,7 @@
 from mustardloom.deployment import stored
 from mustardloom.platform import durations
 
-__all__ = ["KEY", "decode", "version_of"]
+__all__ = ["KEY", "decode", "hide_keys", "version_of"]
 
 # The object that holds the configuration; others of its kind mean nothing.
 KEY = stored.key(stored.Kind.CONFIGURATION, "main")
@@ -23,6 +23,11 @@
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
 _Rate = Annotated[float, msgspec.Meta(ge=0)]
 _IDEMPOTENT_KIND = "safe"
+_TENANTS = "tenants"
+_API_KEYS = "api_keys"
+_DIGESTS = "api_key_digests"
+_NULL = b"null"
+_INVALID = msgspec.Raw(b'"invalid"')
 # Characters that a header cannot carry, so that a name with one of them could
 # add headers to a request.
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
@@ -80,6 +85,8 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    # What `hide_keys` puts in their place.
+    api_key_digests: list[str] = []
     priority: int = 0
     rate_per_s: _Rate = 0.0
     burst: _Rate = 0.0
@@ -111,6 +118,47 @@
     return decoding.decode_json(value, _Versioned).version
 
 
+def hide_keys(value: bytes) -> bytes:
+    """Returns a configuration object with digests in place of its API keys.
+
+    Daemons send each other the object, and no frame may contain a key. An
+    object without organisations is returned as it is. If those it has are not
+    valid, the result is not valid either, so that it is reported.
+    """
+    try:
+        members = decoding.decode_json(value, dict[str, msgspec.Raw])
+    except decoding.Undecodable:
+        # It is no object, so it has no organisations.
+        return value
+    tenants = bytes(members.get(_TENANTS, _NULL))
+    if tenants == _NULL:
+        return value
+    try:
+        hidden = [
+            _hide_keys_of(each)
+            for each in decoding.decode_json(
+                tenants, list[dict[str, msgspec.Raw]]
+            )
+        ]
+        members[_TENANTS] = msgspec.Raw(msgspec.json.encode(hidden))
+    except ValueError:
+        members[_TENANTS] = _INVALID
+    return msgspec.json.encode(members)
+
+
+def _hide_keys_of(tenant: dict[str, msgspec.Raw]) -> dict[str, msgspec.Raw]:
+    known = _Tenant.__struct_fields__
+    shown = {name: value for name, value in tenant.items() if name in known}
+    keys = shown.pop(_API_KEYS, None)
+    if keys is not None:
+        digests = [
+            configuration.key_digest(key.encode()).hex()
+            for key in decoding.decode_json(bytes(keys), list[str])
+        ]
+        shown[_DIGESTS] = msgspec.Raw(msgspec.json.encode(digests))
+    return shown
+
+
 def decode(value: bytes) -> configuration.Configuration:
     """Decodes the value of the configuration object.
 
@@ -185,8 +233,7 @@
         if tenant.name in names:
             raise ValueError(f"two organisations are named {tenant.name!r}")
         names.add(tenant.name)
-        for key in tenant.api_keys:
-            digest = configuration.key_digest(_encode_key(key, tenant.name))
+        for digest in _digests(tenant):
             other = found.setdefault(digest, organisation)
             if other.name != organisation.name:
                 raise ValueError(
@@ -210,12 +257,16 @@
     )
 
 
-def _encode_key(key: str, name: str) -> bytes:
+def _digests(tenant: _Tenant) -> Iterator[bytes]:
     try:
-        return key.encode()
-    except UnicodeEncodeError:
-        # The error of the codec contains the key.
-        raise ValueError(f"organisation {name!r} has an invalid key") from None
+        for key in tenant.api_keys:
+            yield configuration.key_digest(key.encode())
+        for digest in tenant.api_key_digests:
+            yield bytes.fromhex(digest)
+    except ValueError:
+        # The error of the codec contains a part of the key.
+        message = f"organisation {tenant.name!r} has an invalid key"
+        raise ValueError(message) from None
 
 
 def _service(wire: _Service) -> configuration.Service:
--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -5,6 +5,7 @@
 import re
 
 from mustardloom import decoding
+from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.platform import numbers
@@ -12,6 +13,8 @@
 __all__ = [
     "CallerFields",
     "ResponseFields",
+    "has_folded_credential",
+    "read_credentials",
     "read_request",
     "read_request_id",
     "read_response",
@@ -20,6 +23,7 @@
     "request_id_header",
     "to_caller",
     "to_target",
+    "without_identity",
 ]
 
 REQUEST_ID = b"x-request-id"
@@ -34,6 +38,8 @@
 _COLD_MS = b"x-cold-ms"
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_CREDENTIAL = b"x-credential"
+_ORGANISATION = b"x-tenant"
 _KEEP_ALIVE = b"keep-alive"
 _HOST = b"host"
 _PARENT_SEPARATOR = "."
@@ -43,12 +49,18 @@
 _FALSE = b"0"
 _MS_PER_S = 1_000
 _MISDIRECTED_STATUS = 421
+# A field of an API key whose value continues on another line.
+_FOLDED_CREDENTIAL = re.compile(
+    rb"\n%b[ \t]*:[^\r\n]*\r?\n[ \t]" % _CREDENTIAL, re.IGNORECASE
+)
 _KEEP_ALIVE_TIMEOUT_S = re.compile(rb"timeout=(\d+)")
 
 # Set by the router for each target; what the caller sent is dropped.
 _REPLACED_FOR_TARGET = frozenset(
     (_DEADLINE, _EXPECTED_INSTANCE, _CALLER_SERVICE)
 )
+# Never passed on where callers belong to organisations.
+_IDENTITY = frozenset((_CREDENTIAL, _ORGANISATION))
 # Meant for the daemon on the target's VM only.
 _HIDDEN_FROM_CALLER = frozenset(
     (_LOAD, _TARGET_INSTANCE, _COLD_MS, _NOT_EXECUTED, b"date")
@@ -119,11 +131,45 @@
     return (value or b"").decode("latin1")
 
 
+def read_credentials(headers: Iterable[messages.Header]) -> list[bytes]:
+    """Returns the values of all headers that carry an API key.
+
+    Example:
+      >>> read_credentials([(b"X-Credential", b"k "), (b"Host", b"a")])
+      [b'k']
+    """
+    return [
+        value.strip(b" \t")
+        for name, value in headers
+        if len(name) == len(_CREDENTIAL) and name.lower() == _CREDENTIAL
+    ]
+
+
+def has_folded_credential(head: bytes) -> bool:
+    r"""Returns whether the head of a request has an API key on several lines.
+
+    Example:
+      >>> has_folded_credential(b"GET / HTTP/1.1\r\nX-Credential: k\r\n l")
+      True
+    """
+    return _FOLDED_CREDENTIAL.search(head) is not None
+
+
+def without_identity(
+    headers: Iterable[messages.Header],
+) -> tuple[messages.Header, ...]:
+    """Returns headers without API keys and names of organisations."""
+    return tuple(
+        header for header in headers if header[0].lower() not in _IDENTITY
+    )
+
+
 def to_target(
     headers: Iterable[messages.Header],
     caller_service: str,
     deadline_ms: int,
     target: targets.TargetId,
+    organisation: ids.OrganisationId | None = None,
 ) -> tuple[messages.Header, ...]:
     """Returns the headers with which a request is sent to a target.
 
@@ -132,7 +178,12 @@
       caller_service: Service of the VM at which the request entered the fleet.
       deadline_ms: Time that is left for the response.
       target: The only target that may run the request; others reject it.
+      organisation: Organisation of the caller, None if it has none.
     """
+    identity: tuple[messages.Header, ...] = ()
+    if organisation is not None:
+        headers = without_identity(headers)
+        identity = ((b"X-Tenant", organisation.encode()),)
     kept = tuple(
         header
         for header in headers
@@ -143,6 +194,7 @@
         (b"X-Deadline-Ms", b"%d" % deadline_ms),
         (b"X-Expected-Instance", target.encode()),
         (b"X-Caller-Service", caller_service.encode()),
+        *identity,
     )
 
 
--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -16,6 +16,7 @@
 from mustardloom.deployment import stored
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
+from mustardloom.platform import configuration
 from mustardloom.platform import object_pages
 
 __all__ = ["ObjectApi"]
@@ -303,7 +304,7 @@
     return objects.Versioned(
         stored.key(kind, metadata.name),
         stored.version_of(era, metadata.revision),
-        bytes(found.spec),
+        _value_of(kind, found),
     )
 
 
@@ -313,9 +314,17 @@
     is_deleted: bool,
     era: int,
 ) -> objects.Event:
-    value = None if is_deleted else bytes(found.spec)
+    value = None if is_deleted else _value_of(kind, found)
     return objects.Event(
         stored.key(kind, found.metadata.name),
         stored.version_of(era, found.metadata.revision),
         value,
     )
+
+
+def _value_of(kind: stored.Kind, found: object_pages.StoredObject) -> bytes:
+    """Returns the value of an object, without API keys."""
+    value = bytes(found.spec)
+    if kind is stored.Kind.CONFIGURATION:
+        return configuration.hide_keys(value)
+    return value
--- a/mustardloom/platform/tests/test_boundary.py
+++ b/mustardloom/platform/tests/test_boundary.py
@@ -11,9 +11,11 @@
 # Names that occur only in the platform's wire formats.
 _WIRE_NAMES = re.compile(
     r"x-(shard-key|server-load|not-executed|response-signature|deadline-ms"
-    r"|expected-instance|caller-service|instance-id|cold-ms|credential|tenant)\b"
+    r"|expected-instance|caller-service|instance-id|cold-ms"
+    r"|credential|tenant)\b"
     r"|instances\.(heartbeat|deregister)|weighted_clusters|allowed_regions"
-    r"|api_keys|auth_exempt|path_prefix|current_rev|cold_left\"|hold_time|app_addr|/objects/",
+    r"|api_keys|auth_exempt|path_prefix|current_rev|cold_left\"|hold_time|app_addr"
+    r"|/objects/",
     re.IGNORECASE,
 )
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -311,6 +311,7 @@
             self._limits,
             passage.turns,
         )
+        self._caller_server.on_malformed = self._ingress.answer_malformed
         self._graceful_stop = graceful_stop.GracefulStop(
             stop,
             self._caller_server,
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -55,6 +55,8 @@
     AUTHORITY_LOST = "authority-lost"
     AUTHORITY_BACK = "authority-back"
     REQUEST_REJECTED = "request-rejected"
+    REQUEST_UNAUTHORISED = "request-unauthorised"
+    REQUEST_OVER_CAP = "request-over-cap"
     REQUEST_REFUSED = "request-refused"
     REQUEST_REPEATED = "request-repeated"
     REQUEST_FAILED = "request-failed"
@@ -80,6 +82,9 @@
     )
 )
 
+# Each has a limit of its own: callers may cause as many of them as they like,
+# and must not hide the lines about requests of others.
+_CALLER_EVENTS = frozenset((Event.REQUEST_UNAUTHORISED, Event.REQUEST_OVER_CAP))
 _REQUEST_LINES_PER_S = 20
 _REQUEST_BURST_LINES = 60
 # What others may cause as often as they like.
@@ -125,10 +130,10 @@
 class EventLog:
     """Writes JSON lines to a file descriptor.
 
-    Lines about requests share one token bucket; each other event has its own,
-    so that a storm of one kind hides no change of another. Lines over the limit
-    and lines that cannot be written at once are dropped; the next line tells
-    how many were dropped.
+    Lines about requests share one token bucket, except those about callers that
+    may not send them; each other event has its own, so that a storm of one kind
+    hides no change of another. Lines over the limit and lines that cannot be
+    written at once are dropped; the next line tells how many were dropped.
 
     Args:
       vm: VM that each line names.
@@ -203,7 +208,9 @@
 
 
 def _own_bucket(event: Event, now_ms: int) -> _TokenBucket:
-    """Returns the bucket of an event that is not about a request."""
+    """Returns the bucket of an event that shares none with others."""
+    if event in _CALLER_EVENTS:
+        return _TokenBucket(_REQUEST_LINES_PER_S, _REQUEST_BURST_LINES, now_ms)
     if event in _REPORTS:
         return _TokenBucket(_REPORTS_PER_S, _BURST_REPORTS, now_ms)
     return _TokenBucket(_CHANGES_PER_S, _BURST_CHANGES, now_ms)
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -191,6 +191,7 @@
             request.is_call,
             expires_ms,
             transfer,
+            request.organisation or "",
         )
 
     def _decode(self, vm: ids.VmId, frame: frames.Forward) -> work.Work:
@@ -215,6 +216,7 @@
             frame.fingerprint,
             frame.is_call,
             self._body_of(vm, frame, deadline_ms),
+            ids.OrganisationId(frame.organisation) or None,
         )
 
     def _body_of(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -88,6 +88,7 @@
       expires_ms: The deadline by the receiver's clock, so that a frame that
         is delayed gets no more time; 0 if that clock is not known.
       transfer: The body if it is not in the frame.
+      organisation: Organisation of the caller, empty if it has none.
     """
 
     number: int
@@ -109,6 +110,7 @@
     is_call: bool
     expires_ms: int = 0
     transfer: Transfer | None = None
+    organisation: str = ""
 
 
 class Answer(_Base, frozen=True, tag=2):
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -10,6 +11,7 @@
 from mustardloom.deployment import configuration
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
+from mustardloom.load_control import organisations
 from mustardloom.load_control import weighted_round_robin
 from mustardloom.platform import headers
 from mustardloom.sidecar import events
@@ -21,10 +23,13 @@
 _MS_PER_S = 1_000
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
+_UNAUTHORISED = 401
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMEOUT = 504
 _NO_CONFIGURATION_RETRY_MS = 300
+# Only a new configuration changes which regions are allowed.
+_NO_REGION_RETRY_MS = 3_000
 # Callers are told to retry within a third of the time that they have left, so
 # that the retry can still be answered.
 _RETRY_AFTER_DIVISOR = 3
@@ -53,9 +58,10 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Runs a caller's request and returns the response to it.
 
-        The status is 404 without a matching route, 400 without a request id,
-        503 if the request was certainly not run, and 502 or 504 if it may have
-        run; otherwise the response is that of the target.
+        The status is 404 without a matching route, 401 without a valid API key
+        where one is needed, 400 without a request id, 503 if the request was
+        certainly not run, and 502 or 504 if it may have run; otherwise the
+        response is that of the target.
         """
         fields = headers.read_request(request)
         current = self._current_configuration()
@@ -73,6 +79,17 @@
             return headers.refusal(
                 _NOT_FOUND, fields.request_id, None, "no route"
             )
+        organisation = None
+        if current.has_organisations:
+            identified = organisations.identify(
+                current, route, headers.read_credentials(request.headers)
+            )
+            if isinstance(identified, organisations.Rejection):
+                return self._reject(fields.request_id, route, identified)
+            organisation = identified
+            request = dataclasses.replace(
+                request, headers=headers.without_identity(request.headers)
+            )
         if not fields.request_id:
             return headers.refusal(_BAD_REQUEST, "", None, "no request id")
         wait_ms = route.timeout_ms
@@ -81,17 +98,72 @@
         service_name = self._service_choice.next_service(
             route.name, route.shares
         )
-        routed = self._make_work(request, fields, route, service_name, wait_ms)
+        routed = self._make_work(
+            request, fields, route, organisation, service_name, wait_ms
+        )
+        regions = organisations.common_regions(route, organisation)
+        if regions is None:
+            refused = work.Refused(
+                work.RefusalReason.NO_REGION, _NO_REGION_RETRY_MS
+            )
+            return self._refuse(routed.request_id, refused, routed)
+        if regions != route.home_regions:
+            route = dataclasses.replace(route, home_regions=regions)
         service = current.service_by_name.get(
             service_name, configuration.Service(service_name)
         )
         return await self._respond(routed, route, service)
 
+    def answer_malformed(
+        self, request: messages.Request, data: bytes
+    ) -> messages.Response | None:
+        """Returns the answer to a request whose head is not valid.
+
+        Args:
+          request: The request as far as it was read.
+          data: The latest bytes.
+
+        Returns:
+          The answer if the fault is an API key on several lines, else None.
+        """
+        current = self._current_configuration()
+        if current is None or not current.has_organisations:
+            return None
+        if not headers.has_folded_credential(data):
+            return None
+        fields = headers.read_request(request)
+        route = current.route_for(fields.host, request.target)
+        if route is not None and route.is_exempt:
+            return None
+        return self._reject(
+            fields.request_id, route, organisations.Rejection.FOLDED
+        )
+
+    def _reject(
+        self,
+        request_id: str,
+        route: configuration.Route | None,
+        rejection: organisations.Rejection,
+    ) -> messages.Response:
+        """Logs why a request has no valid API key; the caller isn't told."""
+        self._metrics.increment(f"ingress.unauthorised.{rejection.value}")
+        self._log.write(
+            events.Event.REQUEST_UNAUTHORISED,
+            request=request_id,
+            route=None if route is None else route.name,
+            organisation=None,
+            reason=rejection.value,
+        )
+        return headers.refusal(
+            _UNAUTHORISED, request_id, None, "no valid API key"
+        )
+
     def _make_work(
         self,
         request: messages.Request,
         fields: headers.CallerFields,
         route: configuration.Route,
+        organisation: configuration.Organisation | None,
         service: ids.ServiceId,
         wait_ms: int,
     ) -> work.Work:
@@ -103,6 +175,10 @@
         first_bytes = request.body
         if isinstance(request.rest, bodies.Body):
             first_bytes = request.rest.first_bytes(bodies.INLINE_BYTES)
+        name = None if organisation is None else organisation.name
+        priority = route.priority
+        if organisation is not None:
+            priority = organisation.priority
         return work.Work(
             service=service,
             method=request.method,
@@ -113,7 +189,7 @@
             route=route.name,
             caller_service=self._service,
             is_idempotent=route.is_idempotent,
-            priority=route.priority,
+            priority=priority,
             objective_ms=request.received_ms + route.objective_ms,
             deadline_ms=request.received_ms + wait_ms,
             key=fields.key,
@@ -121,12 +197,13 @@
                 route.name,
                 request.method,
                 request.target,
-                None,
+                name,
                 None if fields.key is None else str(fields.key),
                 first_bytes,
             ),
             is_call=fields.is_call,
             rest=request.rest,
+            organisation=name,
         )
 
     async def _respond(
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -241,7 +241,11 @@
     def _encode(self, request: work.Work, target: targets.TargetId) -> bytes:
         left_ms = max(1, request.deadline_ms - self._clock.now_ms())
         sent = headers.to_target(
-            request.headers, request.caller_service, left_ms, target
+            request.headers,
+            request.caller_service,
+            left_ms,
+            target,
+            request.organisation,
         )
         return messages.encode_request(
             messages.Request(
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -140,6 +140,7 @@
         return self
 
     service_by_name: dict[ids.ServiceId, configuration.Service] = {}
+    has_organisations = False
 
     def route_for(self, host, target):
         return configuration.Route(
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -37,6 +37,7 @@
       NO_ROOM: A process has no room for more bytes.
       STOPPING: The daemon beside the target ends before the request would.
       ENDING: The daemon at which the request entered the fleet ends before it.
+      NO_REGION: No region is allowed by both the route and the organisation.
       BROKEN_OFF: The body of the request broke off before the target got any
         of it.
     """
@@ -60,6 +61,7 @@
     NO_ROOM = "no-room"
     BROKEN_OFF = "broken-off"
     ENDING = "ending"
+    NO_REGION = "no-region"
 
 
 class FailureReason(enum.Enum):
@@ -100,6 +102,7 @@
       fingerprint: Equal for repetitions of the same request.
       is_call: Whether a running request waits for the answer.
       rest: The body if it passes in pieces, else None.
+      organisation: Organisation of the caller, None if it has none.
     """
 
     service: ids.ServiceId
@@ -118,6 +121,7 @@
     fingerprint: int
     is_call: bool
     rest: bodies.BodySource | None = None
+    organisation: ids.OrganisationId | None = None
 
     def is_whole(self) -> bool:
         """Returns whether it can still be sent from its first byte."""
