--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -57,17 +57,25 @@
 
 
 class Daemon:
-    """What of a daemon moves requests; the decisions around it are fakes."""
+    """What of a daemon moves requests; the decisions around it are fakes.
+
+    Attributes:
+      configuration: The configuration in force; None for one route to the
+        service.
+      frames: The requests of other daemons, as they were sent.
+    """
 
     def __init__(self, name, target_port, choices):
         self.clock = clock_lib.SystemClock()
         self.budget = memory_budget.MemoryBudget(CAPACITY, self.clock)
         passage = client.Passage(self.budget, bodies.Turns())
-        metrics = metrics_lib.Metrics()
+        self.metrics = metrics = metrics_lib.Metrics()
+        self.configuration = None
+        self.frames = []
         self.vm = ids.VmId(name)
         self.stop = stop_admission.StopAdmission(self.clock)
-        self.null = os.open(os.devnull, os.O_WRONLY)
-        log = events.EventLog(name, self.clock, metrics, self.null)
+        self._log_file = os.memfd_create(name)
+        log = events.EventLog(name, self.clock, metrics, self._log_file)
         self.record = stored.DaemonRecord(
             self.vm,
             HOST,
@@ -126,6 +134,7 @@
             budget=self.budget,
             turns=passage.turns,
         )
+        self.http.on_malformed = self.ingress.answer_malformed
         self.peer_port = self.links.listen(HOST, 0)
         self.port = self.http.listen(HOST, 0)
         self.checks = asyncio.ensure_future(self.http.close_idle_connections())
@@ -137,7 +146,7 @@
         )
 
     def _configuration(self):
-        return self
+        return self.configuration or self
 
     service_by_name: dict[ids.ServiceId, configuration.Service] = {}
     has_organisations = False
@@ -164,13 +173,19 @@
 
     def _on_frame(self, vm, frame):
         if isinstance(frame, frames.Forward):
+            self.frames.append(frames.encode(frame))
             return self.forwarder.receive(vm, frame)
         return None
 
+    def log(self):
+        """Returns all lines of the log."""
+        size = os.fstat(self._log_file).st_size
+        return os.pread(self._log_file, size, 0)
+
     def close(self):
         self.links.close()
         self.http.stop_reading()
-        os.close(self.null)
+        os.close(self._log_file)
 
 
 class Target:
