--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -6,6 +6,9 @@
 import dataclasses
 import os
 import socket
+import time
+
+import msgspec
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -13,6 +16,7 @@
 from mustardloom.deployment import stored
 from mustardloom.http1 import client
 from mustardloom.http1 import messages
+from mustardloom.platform import configuration
 from mustardloom.platform import object_api
 from mustardloom.platform.tests import standins
 from mustardloom.sidecar import daemon as daemon_lib
@@ -90,11 +94,13 @@
             with contextlib.suppress(client.ConnectFailed, client.ClosedEarly):
                 await self.target.send_heartbeat()
 
-    async def get(self, path, request_id, key=0, address=None):
+    async def get(self, path, request_id, key=0, address=None, more=()):
         connection = await client.connect(
             address or self.own_settings.caller_address, 1_000
         )
         data = standins.encode_request(request_id, path, b"", key, 1_200)
+        for name, value in more:
+            data = data.replace(b"\r\n", b"\r\n%b: %b\r\n" % (name, value), 1)
         try:
             return await connection.exchange(data)
         finally:
@@ -657,3 +663,73 @@
         await _until(has_unreachable_keys)
 
     _run(scenario)
+
+
+def _with_keys(version, *api_keys):
+    wire = msgspec.json.decode(standins.configuration(version))
+    wire["tenants"] = [
+        {"name": f"of {index}", "api_keys": [key]}
+        for index, key in enumerate(api_keys)
+    ]
+    return msgspec.json.encode(wire)
+
+
+def test_keys_change_with_new_versions_of_the_configuration_only():
+    """Guards against keys that an older or invalid configuration changes.
+
+    Also against keys in what daemons know of it and send each other.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        vm = vms[1]
+
+        async def status(key):
+            path = "/keyed/x"
+            credential = ((b"X-Credential", key),)
+            number = time.monotonic_ns()
+            response = await vm.get(path, f"r{number}", 7, None, credential)
+            # Keys of the service may move.
+            if response.status == 503:
+                return await status(key)
+            return response.status
+
+        async def write(value):
+            written = store.put("config", "main", value)["metadata"]
+            for other in vms:
+                replica = other.daemon._shared_state.by_kind[
+                    stored.Kind.CONFIGURATION
+                ]
+                while (
+                    stored.revision_of(
+                        replica.by_key[configuration.KEY].version
+                    )
+                    < written["revision"]
+                ):
+                    await asyncio.sleep(0.02)
+                known = replica.by_key[configuration.KEY]
+                assert b"-key" not in known.value
+
+        await write(_with_keys(5, "first-key", "second-key"))
+        assert await status(b"first-key") == 200
+        assert await status(b"second-key") == 200
+        assert await status(b"third-key") == 401
+        await write(_with_keys(6, "second-key", "third-key"))
+        assert await status(b"first-key") == 401
+        assert await status(b"second-key") == 200
+        assert await status(b"third-key") == 200
+        for value in (
+            # An older version, and two that are not valid.
+            _with_keys(5, "first-key", "second-key"),
+            _with_keys(7, "third-key", "third-key"),
+            _with_keys(8, "first-key").replace(
+                b'["first-key"]', b'"first-key"'
+            ),
+            standins.configuration(4),
+        ):
+            await write(value)
+            assert await status(b"first-key") == 401
+            assert await status(b"third-key") == 200
+            assert await status(b"") == 401
+
+    _run(scenario)
--- a/mustardloom/sidecar/tests/test_organisations.py
+++ b/mustardloom/sidecar/tests/test_organisations.py
@@ -22,9 +22,9 @@
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar.tests import small_fleet
 
-_KEY = b"2thhkm-first-key"
+_KEY = b"2thhkm1stkey"
 _OTHER_KEY = 'schlüssel "zwei"'.encode()
-_UNKNOWN_KEY = b"never-issued-key"
+_UNKNOWN_KEY = b"neverissuedkey"
 _FORGED = b"forged-organisation"
 _NAME = "pulo 780/ü"
 _HOST = b"a.example"
@@ -75,13 +75,16 @@
 
 
 class _Target:
-    """Answers every request, and keeps their heads."""
+    """Answers every request while it may, and keeps their heads."""
 
     def __init__(self):
         self.heads = []
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
 
     async def serve(self, head, reader, writer):
         self.heads.append(head)
+        await self.may_answer.wait()
         writer.write(small_fleet.response(head, b"200 OK", b"done"))
 
 
@@ -345,33 +348,17 @@
     """Guards against a change that breaks running requests, or comes late."""
 
     async def scenario(near, far, target):
-        started, finish = asyncio.Event(), asyncio.Event()
-
-        async def serve(head, reader, writer):
-            started.set()
-            await finish.wait()
-            writer.write(small_fleet.response(head, b"200 OK", b"done"))
-
-        target.serve_slowly = serve
+        target.may_answer.clear()
         data = _request((b"X-Credential: " + _KEY,))
         running = asyncio.ensure_future(_exchange(near, data))
-        await started.wait()
+        while not target.heads:
+            await asyncio.sleep(0.01)
         near.configuration = _configuration(keys=(_OTHER_KEY,))
         assert _status(await _exchange(near, data)) == 401
-        finish.set()
+        target.may_answer.set()
         assert _status(await running) == 200
 
-    target = _Target()
-
-    async def serve(head, reader, writer):
-        await target.serve_slowly(head, reader, writer)
-
-    async def play(daemons, _):
-        for each in daemons:
-            each.configuration = _configuration()
-        await scenario(*daemons, target)
-
-    small_fleet.play(play, (None, serve))
+    _play(scenario, _configuration())
 
 
 def test_forward_of_an_earlier_release_has_no_organisation():
