--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -30,6 +30,7 @@
 
 __all__ = [
     "CALLER_PORT",
+    "EXEMPT_PATH",
     "MEMORY_MB",
     "METRICS_PORT",
     "PEER_PORT",
@@ -40,6 +41,7 @@
 
 MEMORY_MB = 300
 CALLER_PORT = 8304
+EXEMPT_PATH = "/probes/"
 METRICS_PORT = 9464
 PEER_PORT = 7620
 READY_PORT = 8302
@@ -274,6 +276,23 @@
                 await asyncio.sleep(_POLL_S)
         return self
 
+    def write_configuration(
+        self, version: int, tenants: list[dict[str, Any]]
+    ) -> None:
+        """Writes a version of the configuration that has organisations.
+
+        Requests to `EXEMPT_PATH` need no key.
+        """
+        exempt = {**_rule("exempt", EXEMPT_PATH), "auth_exempt": True}
+        (listener,) = _CONFIGURATION["listeners"]
+        changed = {
+            **_CONFIGURATION,
+            "version": version,
+            "tenants": tenants,
+            "listeners": [{**listener, "rules": [*listener["rules"], exempt]}],
+        }
+        self._store.put("config", "main", json.dumps(changed).encode())
+
     async def __aexit__(self, *_: object) -> None:
         """Ends everything."""
         for vm in self.vms:
@@ -341,7 +360,7 @@
     }
 
 
-_CONFIGURATION = {
+_CONFIGURATION: dict[str, Any] = {
     "version": 1,
     "limits": {
         "max_header_bytes": 16_384,
--- a/deploy/tests/raw_target.py
+++ b/deploy/tests/raw_target.py
@@ -1,6 +1,7 @@
 """A target that speaks HTTP without any code of the product."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import threading
@@ -13,6 +14,7 @@
 CONTROL_PORT = 8306
 TARGET_PORT = 8301
 _HEARTBEAT_S = 0.4
+_KEPT_HEADS = 100
 
 
 class Target:
@@ -23,6 +25,7 @@
 
     Attributes:
       runs: Ids of the requests whose head it has read.
+      heads: The latest of these heads, each field once.
       answer_bytes: Size of the body of each answer.
       work_s: Time that a request takes.
       pause_s: Time between the halves of the body of an answer.
@@ -32,6 +35,9 @@
     def __init__(self, name: str, service: str, zone: str, host: str):
         self.name = name
         self.runs: list[str] = []
+        self.heads: collections.deque[dict[str, str]] = collections.deque(
+            maxlen=_KEPT_HEADS
+        )
         self.answer_bytes = 100
         self.work_s = 0.01
         self.pause_s = 0.0
@@ -113,6 +119,7 @@
                 headers = await raw_http.read_headers(reader)
                 request_id = headers.get("x-request-id", "")
                 self.runs.append(request_id)
+                self.heads.append(headers)
                 await raw_http.skip_body(reader, headers)
                 await asyncio.sleep(self.work_s)
                 writer.write(
