Give up requests that a target at work leaves unanswered

A target that cannot queue a request answers neither it nor anything else on that connection. The request kept its place at the gate and its caller until the deadline, and the timeout counted as a failure of the target.

A request is presumed unanswered once it has taken three times the mean of its route and longer than any recent answer, while as many later requests as the target has places were answered. An idempotent one then fails while there is time for another attempt; its connection is closed and its place is free. One that may run only once keeps its place until it can no longer be answered, and its caller gets 504 as before. Neither counts as a failure of a target that has answered since.

The tests of silent targets failed before the change; that unanswered requests of a target that answers nothing count as failures held before.

--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -120,6 +120,10 @@
         """Returns the expected service time in ms of a request on a route."""
         return self._mean_by_route.get(route, self._overall_mean_ms)
 
+    def measured_ms(self, route: str) -> float | None:
+        """Returns the mean service time of a route, None before the first."""
+        return self._mean_by_route.get(route)
+
     def overall_mean_ms(self, now_ms: int) -> float:
         """Returns the mean of all routes in ms, decayed by its age."""
         age_ms = max(0, now_ms - self._recorded_ms)
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -55,7 +55,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._task_by_ticket: dict[ticket_lib.Ticket, asyncio.Task[None]] = {}
 
     def start(self, ticket: ticket_lib.Ticket, now_ms: int) -> None:
         """Starts a request at the target.
@@ -69,7 +69,7 @@
         self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
         self.running.add(ticket)
         task = asyncio.ensure_future(self._dispatch(ticket))
-        self._tasks.add(task)
+        self._task_by_ticket[ticket] = task
         task.add_done_callback(lambda done: self._finish(ticket, done))
         if ticket.request.is_idempotent:
             # Nobody waits for the answer of a cancelled call any more, so the
@@ -79,6 +79,16 @@
                 lambda outcome: task.cancel() if outcome.cancelled() else None
             )
 
+    def give_up(self, ticket: ticket_lib.Ticket) -> None:
+        """Ends a running request that the target will not answer.
+
+        Its connection is closed, so that a target that has the request after
+        all ends it.
+        """
+        self._recorder.record_unanswered(ticket, self._target.instance)
+        ticket.resolve(work.Failed(work.FailureReason.DEADLINE))
+        self._task_by_ticket[ticket].cancel()
+
     async def _dispatch(self, ticket: ticket_lib.Ticket) -> None:
         assert self._target.instance is not None
         instance = self._target.instance
@@ -99,7 +109,7 @@
     def _finish(
         self, ticket: ticket_lib.Ticket, task: "asyncio.Task[None]"
     ) -> None:
-        self._tasks.discard(task)
+        self._task_by_ticket.pop(ticket, None)
         self.running.discard(ticket)
         self._meter.record_end(ticket.started_ms, self._clock.now_ms())
         if not task.cancelled() and (error := task.exception()) is not None:
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -9,6 +9,7 @@
 from mustardloom.deployment import targets
 from mustardloom.load_control import quarantine as quarantine_lib
 from mustardloom.load_control import stop_admission
+from mustardloom.load_control import unanswered
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import crash_suspects
 from mustardloom.sidecar import events
@@ -91,7 +92,7 @@
         )
         self._dispatcher.on_statement = self._on_statement
         self._dispatcher.on_refused_connection = self._mark_down
-        self._dispatcher.on_end = self._start_waiting
+        self._dispatcher.on_end = self._on_end
 
     # Updates from the daemon.
 
@@ -172,8 +173,12 @@
         return not self._dispatcher.running and not len(self._queue)
 
     def sample_utilisation(self) -> None:
-        """Samples the service time and the utilisation since the last call."""
+        """Samples the service time and the utilisation since the last call.
+
+        Also gives up requests that the target will not answer.
+        """
         now_ms = self._clock.now_ms()
+        self._give_up_unanswered(now_ms)
         self._meter.sample(
             (ticket.started_ms for ticket in self._dispatcher.running),
             len(self._queue),
@@ -314,6 +319,31 @@
             self._limits.record_start(now_ms)
             self._dispatcher.start(ticket, now_ms)
 
+    def _on_end(self) -> None:
+        # Answers to later requests tell which earlier ones are missing.
+        self._give_up_unanswered(self._clock.now_ms())
+        self._start_waiting()
+
+    def _give_up_unanswered(self, now_ms: int) -> None:
+        """Gives up requests without an answer that may be tried elsewhere."""
+        for ticket in list(self._dispatcher.running):
+            request = ticket.request
+            expected_ms = self._limits.service_times.measured_ms(request.route)
+            if (
+                ticket.outcome.done()
+                or not request.is_idempotent
+                or request.rest is not None
+                or expected_ms is None
+            ):
+                continue
+            left_ms = request.deadline_ms - now_ms
+            if unanswered.has_time_for_retry(
+                left_ms, expected_ms
+            ) and self._recorder.answers.is_unanswered(
+                ticket.started_ms, now_ms, expected_ms, self._limits.capacity
+            ):
+                self._dispatcher.give_up(ticket)
+
     def _refuse_unservable(self) -> None:
         if self._stop.is_stopping():
             self._refuse_unfinishable()
--- a/mustardloom/sidecar/gate/results.py
+++ b/mustardloom/sidecar/gate/results.py
@@ -4,6 +4,7 @@
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import targets
 from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import unanswered
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import events
 from mustardloom.sidecar import target_connections
@@ -14,6 +15,7 @@
 __all__ = ["ResultRecorder"]
 
 _FIRST_ERROR_STATUS = 500
+_UNANSWERED = "unanswered"
 
 
 class ResultRecorder:
@@ -21,6 +23,7 @@
 
     Attributes:
       last_answer_ms: Local time of the target's last answer, 0 if none.
+      answers: Answers of the target, to tell which others are missing.
     """
 
     def __init__(
@@ -33,6 +36,7 @@
         metrics: metrics_lib.Metrics,
     ):
         self.last_answer_ms = 0
+        self.answers = unanswered.AnswerHistory()
         self._service_times = service_times
         self._meter = meter
         self._quarantine = quarantine
@@ -61,6 +65,12 @@
             case work.Answered(response):
                 self.last_answer_ms = now_ms
                 self._service_times.record(request.route, duration_ms, now_ms)
+                self.answers.record(
+                    ticket.started_ms,
+                    duration_ms,
+                    self._service_times.expected_ms(request.route),
+                    now_ms,
+                )
                 is_error = response.status >= _FIRST_ERROR_STATUS
                 self._meter.record_failure(is_error)
                 self._quarantine.record_success(
@@ -72,24 +82,41 @@
                 self._meter.record_failure(is_shed)
             case work.Failed(work.FailureReason.UPLOAD_BROKEN as reason):
                 # It says nothing about the target.
-                self._log_failure(request, reason, duration_ms, instance)
+                self._log_failure(request, reason.value, duration_ms, instance)
+            case work.Failed(work.FailureReason.DEADLINE) if (
+                self.last_answer_ms > ticket.started_ms
+            ):
+                # The target is at work, so only this request is missing.
+                self.record_unanswered(ticket, instance)
             case work.Failed(reason):
                 self._meter.record_failure(True)
-                self._log_failure(request, reason, duration_ms, instance)
+                self._log_failure(request, reason.value, duration_ms, instance)
+
+    def record_unanswered(
+        self,
+        ticket: ticket_lib.Ticket,
+        instance: targets.TargetInstance | None,
+    ) -> None:
+        """Records a request that a target at work did not answer.
+
+        It is no failure of the target, which others would avoid for it.
+        """
+        duration_ms = self._clock.now_ms() - ticket.started_ms
+        self._log_failure(ticket.request, _UNANSWERED, duration_ms, instance)
 
     def _log_failure(
         self,
         request: work.Work,
-        reason: work.FailureReason,
+        reason: str,
         duration_ms: int,
-        instance: targets.TargetInstance,
+        instance: targets.TargetInstance | None,
     ) -> None:
-        self._metrics.increment(f"gate.failed.{reason.value}")
+        self._metrics.increment(f"gate.failed.{reason}")
         self._log.write(
             events.Event.GATE_FAILED,
             request=request.request_id,
-            reason=reason.value,
-            target=instance.target,
+            reason=reason,
+            target=None if instance is None else instance.target,
             duration_ms=duration_ms,
             left_ms=request.deadline_ms - self._clock.now_ms(),
         )
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -243,3 +243,26 @@
     harness.forwarder.asked.clear()
     _, asked = harness.ask()
     assert len(asked) == 1
+
+
+_UNANSWERED = work.Failed(work.FailureReason.DEADLINE)
+
+
+def test_unanswered_request_is_tried_elsewhere_within_the_budget():
+    """Guards against a caller whose time passes at a silent connection."""
+    harness = _Harness()
+    harness.forwarder.outcomes = {_VMS[0]: [_UNANSWERED]}
+    assert harness.ask() == (_OK, _VMS[:2])
+    harness = _Harness()
+    harness.forwarder.outcomes = {_VMS[0]: [_UNANSWERED]}
+    harness.router.set_bounds(
+        settings.Bounds(retry_ratio=0.0, retry_minimum=0.0)
+    )
+    assert harness.ask() == (_UNANSWERED, _VMS[:1])
+
+
+def test_unanswered_request_that_may_run_once_is_not_tried_elsewhere():
+    """Guards against two runs, and against "not run" after a possible one."""
+    harness = _Harness()
+    harness.forwarder.outcomes = {_VMS[0]: [_UNANSWERED]}
+    assert harness.ask(is_idempotent=False) == (_UNANSWERED, _VMS[:1])
