Learn how much a target can hold from requests that it does not take

A target may be at work on requests of an earlier daemon process or of callers that have left. Filled up to the places of its heartbeat, it loses requests.

A request that stays unanswered, or that the target refuses while its load header shows all places taken, lowers the number of requests that run at once to one below the number at its start; each round of answers raises it by one.

--- a/mustardloom/deployment/targets.py
+++ b/mustardloom/deployment/targets.py
@@ -157,3 +157,8 @@
     waiting: int
     capacity: int
     slowdown: float = 1.0
+
+    @property
+    def is_full(self) -> bool:
+        """Returns whether all its places are taken."""
+        return self.running >= self.capacity
--- a/mustardloom/load_control/unanswered.py
+++ b/mustardloom/load_control/unanswered.py
@@ -81,17 +81,27 @@
           expected_ms: Mean service time of its route.
           places: Requests that the target runs at once.
         """
-        waited_ms = now_ms - started_ms
+        if not self.is_overdue(now_ms - started_ms, now_ms, expected_ms):
+            return False
+        later = sum(1 for start_ms in self._starts_ms if start_ms > started_ms)
+        return later >= min(max(2, places), _MAX_ANSWERS)
+
+    def is_overdue(
+        self, waited_ms: int, now_ms: int, expected_ms: float
+    ) -> bool:
+        """Returns whether a target at work answers no request so late.
+
+        Args:
+          waited_ms: Time since the request was started.
+          now_ms: Local time.
+          expected_ms: Mean service time of its route.
+        """
         if waited_ms <= _SLOW_BURST_MS:
             return False
         factor = max(_MIN_FACTOR, _SLOWEST_FACTOR * self._slowest(now_ms))
-        limit_ms = max(
+        return waited_ms >= max(
             factor * expected_ms, _SLOW_FACTOR * expected_ms + _SLOW_BURST_MS
         )
-        if waited_ms < limit_ms:
-            return False
-        later = sum(1 for start_ms in self._starts_ms if start_ms > started_ms)
-        return later >= min(max(2, places), _MAX_ANSWERS)
 
     def _slowest(self, now_ms: int) -> float:
         age_ms = max(0, now_ms - self._slowest_ms)
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -68,6 +68,7 @@
         self._metrics.increment("gate.started")
         self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
         self.running.add(ticket)
+        ticket.running = len(self.running)
         task = asyncio.ensure_future(self._dispatch(ticket))
         self._task_by_ticket[ticket] = task
         task.add_done_callback(lambda done: self._finish(ticket, done))
@@ -112,7 +113,9 @@
         self._task_by_ticket.pop(ticket, None)
         self.running.discard(ticket)
         self._meter.record_end(ticket.started_ms, self._clock.now_ms())
-        if not task.cancelled() and (error := task.exception()) is not None:
+        if task.cancelled():
+            self._recorder.record_cancelled(ticket)
+        elif (error := task.exception()) is not None:
             self._log.write_fault(error, request=ticket.request.request_id)
         # Without effect unless the dispatch ended without an outcome.
         ticket.resolve(work.Failed(work.FailureReason.INTERNAL))
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -73,6 +73,7 @@
         )
         self._recorder = results.ResultRecorder(
             self._limits.service_times,
+            self._limits.room,
             self._meter,
             quarantine,
             clock,
@@ -106,6 +107,7 @@
             self._connections.close()
             self._meter.forget_failures()
             self._limits.rate.clear()
+            self._limits.room.clear()
             self.target.start_instance(instance)
         self._limits.capacity = capacity
         self._set_reachability(target_state.Reachability.UP)
@@ -305,7 +307,7 @@
     def _start_waiting(self) -> None:
         """Starts queued requests as capacity and rate limits allow."""
         running = self._dispatcher.running
-        while len(self._queue) and len(running) < self._limits.capacity:
+        while len(self._queue) and len(running) < self._limits.places():
             now_ms = self._clock.now_ms()
             if not self._limits.may_start(now_ms):
                 return
--- a/mustardloom/sidecar/gate/limits.py
+++ b/mustardloom/sidecar/gate/limits.py
@@ -2,6 +2,7 @@
 
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import rate_limit as rate_limit_lib
+from mustardloom.load_control import target_room
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import work
@@ -19,6 +20,7 @@
       service_times: Service times of its requests.
       cold: Limit while it is cold.
       rate: Limit that it states in its responses.
+      room: Limit learned from requests that it could not hold.
     """
 
     def __init__(self, cold_factor: float, now_ms: int):
@@ -32,13 +34,21 @@
         self.service_times = waiting.ServiceTimes()
         self.cold = cold_start.ColdStartLimit(cold_factor)
         self.rate = rate_limit_lib.RateLimit()
+        self.room = target_room.TargetRoom()
         self._urgent_load = urgency.UrgentLoad()
         self._queue_last_empty_ms = now_ms
 
+    def places(self) -> int:
+        """Returns how many requests may run at once, as far as is known."""
+        return self.room.limit(self.capacity)
+
     def concurrency(self, now_ms: int) -> float:
         """Returns how many requests run at once at the target's full rate."""
+        return self._concurrency(self.capacity, now_ms)
+
+    def _concurrency(self, places: int, now_ms: int) -> float:
         return rate_limit_lib.effective_concurrency(
-            self.capacity,
+            places,
             self.service_times.overall_mean_ms(now_ms),
             self.rate.rate_per_s,
         )
@@ -71,7 +81,7 @@
         if not len(queue):
             self._queue_last_empty_ms = now_ms
         demand = self.demand_of(request)
-        concurrency = self.concurrency(now_ms)
+        concurrency = self._concurrency(self.places(), now_ms)
         decision = waiting.decide_admission(
             demand,
             now_ms,
--- a/mustardloom/sidecar/gate/results.py
+++ b/mustardloom/sidecar/gate/results.py
@@ -4,6 +4,7 @@
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import targets
 from mustardloom.load_control import quarantine as quarantine_lib
+from mustardloom.load_control import target_room
 from mustardloom.load_control import unanswered
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import events
@@ -11,6 +12,7 @@
 from mustardloom.sidecar import work
 from mustardloom.sidecar.gate import load as load_lib
 from mustardloom.sidecar.gate import ticket as ticket_lib
+from mustardloom.sidecar.gate import timing
 
 __all__ = ["ResultRecorder"]
 
@@ -29,6 +31,7 @@
     def __init__(
         self,
         service_times: waiting.ServiceTimes,
+        room: target_room.TargetRoom,
         meter: load_lib.LoadMeter,
         quarantine: quarantine_lib.Quarantine,
         clock: clock_lib.Clock,
@@ -38,6 +41,7 @@
         self.last_answer_ms = 0
         self.answers = unanswered.AnswerHistory()
         self._service_times = service_times
+        self._room = room
         self._meter = meter
         self._quarantine = quarantine
         self._clock = clock
@@ -71,6 +75,7 @@
                     self._service_times.expected_ms(request.route),
                     now_ms,
                 )
+                self._room.record_answer()
                 is_error = response.status >= _FIRST_ERROR_STATUS
                 self._meter.record_failure(is_error)
                 self._quarantine.record_success(
@@ -80,6 +85,8 @@
                 self.last_answer_ms = now_ms
                 is_shed = reason is work.RefusalReason.TARGET_REFUSED
                 self._meter.record_failure(is_shed)
+                if is_shed and result.load and result.load.is_full:
+                    self._record_overflow(ticket)
             case work.Failed(work.FailureReason.UPLOAD_BROKEN as reason):
                 # It says nothing about the target.
                 self._log_failure(request, reason.value, duration_ms, instance)
@@ -89,6 +96,8 @@
                 # The target is at work, so only this request is missing.
                 self.record_unanswered(ticket, instance)
             case work.Failed(reason):
+                if reason is work.FailureReason.DEADLINE:
+                    self._record_if_overdue(ticket)
                 self._meter.record_failure(True)
                 self._log_failure(request, reason.value, duration_ms, instance)
 
@@ -101,9 +110,35 @@
 
         It is no failure of the target, which others would avoid for it.
         """
+        self._record_if_overdue(ticket)
         duration_ms = self._clock.now_ms() - ticket.started_ms
         self._log_failure(ticket.request, _UNANSWERED, duration_ms, instance)
 
+    def record_cancelled(self, ticket: ticket_lib.Ticket) -> None:
+        """Records a run that was ended because nobody waits any more.
+
+        If it had time until its deadline, it may be an unanswered request.
+        """
+        latest_ms = ticket.request.deadline_ms - timing.REFUSAL_DELAY_MS
+        if self._clock.now_ms() >= latest_ms:
+            self._record_if_overdue(ticket)
+
+    def _record_if_overdue(self, ticket: ticket_lib.Ticket) -> None:
+        """Records a request without an answer if the target did not hold it."""
+        now_ms = self._clock.now_ms()
+        expected_ms = self._service_times.measured_ms(ticket.request.route)
+        waited_ms = now_ms - ticket.started_ms
+        if expected_ms is not None and self.answers.is_overdue(
+            waited_ms, now_ms, expected_ms
+        ):
+            self._record_overflow(ticket)
+
+    def _record_overflow(self, ticket: ticket_lib.Ticket) -> None:
+        self._metrics.increment("gate.overflows")
+        self._room.record_overflow(
+            ticket.started_ms, ticket.running, self._clock.now_ms()
+        )
+
     def _log_failure(
         self,
         request: work.Work,
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -491,3 +491,60 @@
         return harness.gate.load().rate_limit_per_s
 
     assert _run(scenario, capacity=11) is None
+
+
+def _refusal_at(running, capacity):
+    return target_connections.SendResult(
+        work.Refused(work.RefusalReason.TARGET_REFUSED, was_offered=True),
+        targets.TargetLoad(running, 0, capacity),
+    )
+
+
+async def _refuse_one_of_four(harness, result):
+    """Runs four requests; returns how many may run after one was refused."""
+    tasks = await harness.start("a", "b", "c", "d")
+    harness.connections.answer(result, number=3)
+    await harness.clock.advance(0)
+    tasks += await harness.start("e", "f")
+    started = len(harness.connections.open)
+    for task in tasks:
+        task.cancel()
+    await harness.clock.advance(0)
+    return started
+
+
+def test_target_that_refuses_as_full_gets_fewer_requests_until_it_answers():
+    """Guards against a target that is filled up beside work of others."""
+
+    async def scenario(harness):
+        few = await _refuse_one_of_four(harness, _refusal_at(5, 5))
+        # Each round of answers allows one more.
+        for number in range(8):
+            await harness.start(f"g{number}")
+            harness.connections.answer(_OK)
+            await harness.clock.advance(0)
+        await harness.start(*"hijkl")
+        return few, len(harness.connections.open)
+
+    assert _run(scenario, capacity=4) == (3, 4)
+
+
+def test_refusal_of_a_target_with_free_places_limits_nothing():
+    """Guards against empty places after refusals for other reasons."""
+
+    async def scenario(harness):
+        return await _refuse_one_of_four(harness, _refusal_at(3, 5))
+
+    assert _run(scenario, capacity=4) == 4
+
+
+def test_next_instance_of_a_target_is_filled_up():
+    """Guards against a limit that outlasts the target that was full."""
+
+    async def scenario(harness):
+        await _refuse_one_of_four(harness, _refusal_at(5, 5))
+        harness.gate.on_heartbeat(dataclasses.replace(_INSTANCE, born_ms=2), 4)
+        await harness.start(*"hijkl")
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=4) == 4
