Give up no unanswered request while the daemon stops

A stop leaves no other daemon to try, so a request that is given up gets an answer of our own while its target may be at work on it. The test of a stop failed before.

--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -327,7 +327,12 @@
         self._start_waiting()
 
     def _give_up_unanswered(self, now_ms: int) -> None:
-        """Gives up requests without an answer that may be tried elsewhere."""
+        """Gives up requests without an answer that may be tried elsewhere.
+
+        A stop leaves no other daemon to try, and must not cut a request short.
+        """
+        if self._stop.is_stopping():
+            return
         for ticket in list(self._dispatcher.running):
             request = ticket.request
             expected_ms = self._limits.service_times.measured_ms(request.route)
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -548,3 +548,46 @@
         return len(harness.connections.open)
 
     assert _run(scenario, capacity=4) == 4
+
+
+async def _leave_one_unanswered(harness):
+    """Returns the task of a request that the target has not answered.
+
+    It has answered others meanwhile.
+    """
+    now_ms = harness.clock.now_ms()
+    (missing,) = await harness.start("missing", deadline_ms=now_ms + 10_000)
+    for _ in range(10):
+        (other,) = await harness.start("other")
+        await harness.clock.advance(100)
+        harness.connections.answer(_OK, number=-1)
+        await other
+    await harness.clock.advance(1_000)
+    harness.gate.sample_utilisation()
+    await harness.clock.advance(0)
+    return missing
+
+
+def test_request_that_a_target_at_work_leaves_unanswered_is_given_up():
+    """Guards against a check of stops that never lets a gate give up."""
+
+    async def scenario(harness):
+        missing = await _leave_one_unanswered(harness)
+        return missing.done()
+
+    assert _run(scenario)
+
+
+def test_stopping_daemon_gives_up_no_request_that_its_target_may_run():
+    """Guards against answers of our own in place of the target's in a stop."""
+
+    async def scenario(harness):
+        harness.stop.begin(60_000)
+        missing = await _leave_one_unanswered(harness)
+        is_given_up = missing.done()
+        harness.connections.answer(_OK)
+        return is_given_up, await missing
+
+    is_given_up, outcome = _run(scenario)
+    assert not is_given_up
+    assert isinstance(outcome, work.Answered)
