Pass frames on and end writes in the same iteration of the event loop

A link hands what arrives to its frame reader from the event's callback in place of a future that a task waits for, and a write that the socket takes whole has no callbacks to run in the next iteration. test_frame_reader uses the stream class of the links, which the reader now needs; what it checks is unchanged.

--- a/mustardloom/http1/client.py
+++ b/mustardloom/http1/client.py
@@ -169,7 +169,7 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError as error:
             raise ClosedEarly from error
-        written.add_done_callback(sockets.ignore_write_error)
+        sockets.when_written(written, sockets.ignore_write_error)
         upload = request_upload.Upload(self._stream, body, written)
         if body is not None:
             self._pass(upload.run())
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -751,4 +751,4 @@
             self._written = self.stream.write(data)
         except iostream.StreamClosedError:
             return
-        self._written.add_done_callback(self._on_written)
+        sockets.when_written(self._written, self._on_written)
--- a/mustardloom/http1/sockets.py
+++ b/mustardloom/http1/sockets.py
@@ -1,6 +1,7 @@
 """Checks and settings of sockets."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import socket
 import struct
@@ -16,6 +17,7 @@
     "ignore_write_error",
     "is_open_and_empty",
     "reset",
+    "when_written",
     "widen",
 ]
 
@@ -93,6 +95,21 @@
         written.exception()
 
 
+def when_written(
+    written: "asyncio.Future[None]",
+    call: Callable[["asyncio.Future[None]"], object],
+) -> None:
+    """Calls once a write has ended, at once if it has ended already.
+
+    A callback that is added to a future that is done costs an iteration of the
+    event loop, and most writes are done when they return.
+    """
+    if written.done():
+        call(written)
+    else:
+        written.add_done_callback(call)
+
+
 def reset(stream: iostream.IOStream) -> None:
     """Closes a stream so that the other side learns that it was broken off."""
     if not stream.closed():
--- a/mustardloom/http1/streams.py
+++ b/mustardloom/http1/streams.py
@@ -1,5 +1,7 @@
 """Streams whose descriptors are counted until they are closed."""
 
+import asyncio
+from collections.abc import Callable
 import socket
 from typing import Any
 
@@ -18,6 +20,10 @@
     It reads from the socket only when there is something to read: after a read
     that did not fill its buffer, the socket is empty until the event loop
     reports it. Its base class would try again before each wait.
+
+    A write that the socket takes whole ends at once; that of its base class
+    takes a further iteration of the event loop to run the callbacks of its
+    future.
     """
 
     def __init__(
@@ -29,6 +35,7 @@
         self._descriptor = descriptor
         # Whether the latest read has left nothing in the socket.
         self._is_drained = False
+        self._on_data: Callable[[bytes], None] | None = None
         super().__init__(connection, **options)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -49,6 +56,70 @@
             return
         self._add_io_state(ioloop.IOLoop.READ)
 
+    def start_reading(
+        self,
+        on_data: Callable[[bytes], None],
+        on_closed: Callable[[], None],
+    ) -> None:
+        """Passes on what arrives in the iteration in which it arrives.
+
+        The future of `read_bytes` takes one more. Neither function may raise.
+
+        Args:
+          on_data: Called with what has arrived.
+          on_closed: Called once the stream is closed.
+        """
+        self._on_data = on_data
+        self.set_close_callback(on_closed)
+        self._pass_on()
+        if self.closed():
+            on_closed()
+        elif self._on_data is not None:
+            self._add_io_state(ioloop.IOLoop.READ)
+
+    def stop_reading(self) -> None:
+        """Ends `start_reading`; what arrives is kept for the next read."""
+        self._on_data = None
+        self.set_close_callback(None)
+
+    def reading(self) -> bool:
+        """See base class."""
+        return self._on_data is not None or bool(super().reading())
+
+    def _handle_read(self) -> None:
+        """See base class."""
+        if self._on_data is None:
+            super()._handle_read()
+            return
+        try:
+            self._read_to_buffer()
+        except (OSError, iostream.StreamBufferFullError):
+            # The base class has closed the stream, which `on_closed` tells.
+            return
+        self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Passes on what has been read."""
+        if self._on_data is not None and self._read_buffer_size:
+            self._on_data(self._consume(self._read_buffer_size))
+
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """See base class."""
+        self._check_closed()
+        if self._connecting or self._write_buffer:
+            return super().write(data)
+        try:
+            count = self.write_to_fd(memoryview(data))
+        except OSError:
+            # The base class tries again, and waits or closes the stream.
+            count = 0
+        if count < len(data):
+            return super().write(memoryview(data)[count:])
+        self._maybe_add_error_listener()
+        written: asyncio.Future[None] = asyncio.Future()
+        written.set_result(None)
+        return written
+
     def close_fd(self) -> None:
         """See base class."""
         super().close_fd()
--- a/mustardloom/sidecar/frame_writer.py
+++ b/mustardloom/sidecar/frame_writer.py
@@ -48,7 +48,7 @@
             written = self._stream.write(data)
         except iostream.StreamClosedError:
             return False
-        written.add_done_callback(sockets.ignore_write_error)
+        sockets.when_written(written, sockets.ignore_write_error)
         if written.done():
             return True
         hold = self._budget.try_hold(
@@ -64,9 +64,13 @@
         written.add_done_callback(lambda _: self._release(len(data), hold))
         return True
 
+    def is_full(self) -> bool:
+        """Returns whether the peer has left much unread."""
+        return self._unwritten_bytes > _MAX_UNWRITTEN_BYTES
+
     async def wait_until_read(self) -> None:
         """Returns once the peer has read most of what was written."""
-        while self._unwritten_bytes > _MAX_UNWRITTEN_BYTES:
+        while self.is_full():
             assert self._latest is not None
             await asyncio.wait((self._latest,))
 
--- a/mustardloom/sidecar/incoming_link.py
+++ b/mustardloom/sidecar/incoming_link.py
@@ -14,6 +14,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom import memory_budget
+from mustardloom.http1 import streams
 from mustardloom.sidecar import frame_reader
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
@@ -48,7 +49,7 @@
       vm: The VM of the peer, None before it has told.
     """
 
-    def __init__(self, owner: LinkReceiver, stream: iostream.IOStream):
+    def __init__(self, owner: LinkReceiver, stream: streams.CountedStream):
         self._owner = owner
         self._stream = stream
         self._writer = frame_writer.FrameWriter(stream, owner.budget)
@@ -98,7 +99,7 @@
             self._stream,
             self._owner.budget,
             self._receive,
-            before_read=self._writer.wait_until_read,
+            writer=self._writer,
         )
         try:
             await reader.run(data)
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -315,7 +315,9 @@
         reader.add_done_callback(self._readers.discard)
         return stream
 
-    async def _read(self, stream: _Stream, dialled: iostream.IOStream) -> None:
+    async def _read(
+        self, stream: _Stream, dialled: streams.CountedStream
+    ) -> None:
         reader = frame_reader.FrameReader(
             dialled,
             self._owner.budget,
--- a/mustardloom/sidecar/peer_server.py
+++ b/mustardloom/sidecar/peer_server.py
@@ -12,6 +12,7 @@
 from mustardloom import ids
 from mustardloom.http1 import listener
 from mustardloom.http1 import sockets
+from mustardloom.http1 import streams
 from mustardloom.sidecar import incoming_link
 from mustardloom.sidecar import transfers
 
@@ -89,7 +90,7 @@
         for link in list(self._link_by_stream.values()):
             link.end(replies_ms)
 
-    def _on_accepted(self, stream: iostream.IOStream) -> None:
+    def _on_accepted(self, stream: streams.CountedStream) -> None:
         stream.set_nodelay(True)
         self._accepted_ms[stream] = self._owner.clock.now_ms()
         task = asyncio.ensure_future(self._serve(stream))
@@ -104,7 +105,7 @@
         if isinstance(error, Exception):
             self._owner.on_fault(ids.VmId(""), error)
 
-    async def _serve(self, stream: iostream.IOStream) -> None:
+    async def _serve(self, stream: streams.CountedStream) -> None:
         try:
             first = await stream.read_bytes(len(transfers.PREFACE))
             if first == transfers.PREFACE:
--- a/mustardloom/sidecar/tests/test_frame_reader.py
+++ b/mustardloom/sidecar/tests/test_frame_reader.py
@@ -6,10 +6,11 @@
 import socket
 
 import pytest
-from tornado import iostream
 
 from mustardloom import clock as clock_lib
+from mustardloom import descriptor_budget
 from mustardloom import memory_budget
+from mustardloom.http1 import streams
 from mustardloom.sidecar import compression
 from mustardloom.sidecar import frame_reader
 from mustardloom.sidecar import frames
@@ -29,7 +30,8 @@
     """Yields the far socket, the frames that were read, and the reader."""
     near, far = socket.socketpair()
     far.setblocking(False)
-    stream = iostream.IOStream(near)
+    descriptor = descriptor_budget.unlimited().take()
+    stream = streams.CountedStream(near, descriptor)
     read = []
     reader = frame_reader.FrameReader(stream, budget, read.append)
     task = asyncio.create_task(reader.run())
