Let periodic loops share their wake-ups

Clock.tick_ms waits for the next multiple of a period, counted from a random moment of the process, so loops of 125, 250, 375, 500, 1000 and 2000 ms wake together. Links are checked each 125 ms in place of 150, heartbeats each 125 in place of 200, and who watches the store each 375 in place of 400, so nothing is noticed later than before.

--- a/mustardloom/clock.py
+++ b/mustardloom/clock.py
@@ -3,12 +3,18 @@
 import asyncio
 import heapq
 import itertools
+import math
+import random
 import time
 
 __all__ = ["Clock", "FakeClock", "SystemClock"]
 
 _NS_PER_MS = 1_000_000
 _MS_PER_S = 1_000
+# Differs between processes, so that those of one machine, or daemons that send
+# each other something at each tick, do not all wake at the same moment.
+_TICK_PHASE_S = random.random()
+_TICK_TOLERANCE_S = 0.001
 # Iterations of the event loop in which tasks can proceed after a fake wake-up.
 _ITERATIONS_PER_WAKE_UP = 20
 
@@ -28,6 +34,15 @@
         """Suspends the calling task for `duration_ms`."""
         raise NotImplementedError
 
+    async def tick_ms(self, period_ms: int) -> None:
+        """Suspends the calling task until the next multiple of `period_ms`.
+
+        Loops that run for good use this: those with the same period, or a
+        multiple of it, share the wake-ups of the process, each of which costs
+        system calls. The first wait may be shorter than the period.
+        """
+        await self.sleep_ms(period_ms)
+
 
 class SystemClock(Clock):
     """Clock of the VM; monotonic time is CLOCK_BOOTTIME."""
@@ -44,6 +59,25 @@
         """See base class."""
         await asyncio.sleep(duration_ms / _MS_PER_S)
 
+    async def tick_ms(self, period_ms: int) -> None:
+        """See base class."""
+        loop = asyncio.get_running_loop()
+        wake: asyncio.Future[None] = loop.create_future()
+        period_s = period_ms / _MS_PER_S
+        # A timer may fire a little early; the next tick is then a period away.
+        passed_s = loop.time() + _TICK_TOLERANCE_S - _TICK_PHASE_S
+        ticks = math.floor(passed_s / period_s) + 1
+        timer = loop.call_at(_TICK_PHASE_S + ticks * period_s, _wake_up, wake)
+        try:
+            await wake
+        finally:
+            timer.cancel()
+
+
+def _wake_up(wake: "asyncio.Future[None]") -> None:
+    if not wake.done():
+        wake.set_result(None)
+
 
 class FakeClock(Clock):
     """Clock that moves only when a test advances it.
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -150,7 +150,7 @@
     async def close_idle_connections(self) -> None:
         """Closes slow and idle connections; runs until cancelled."""
         while True:
-            await self.clock.sleep_ms(_TIME_CHECK_INTERVAL_MS)
+            await self.clock.tick_ms(_TIME_CHECK_INTERVAL_MS)
             limits = self.limits()
             for connection in list(self.connections):
                 connection.enforce_time_limits(limits)
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -581,7 +581,7 @@
     async def _follow_settings(self) -> None:
         """Polls for changes of the settings that came without a SIGHUP."""
         while True:
-            await self._clock.sleep_ms(_SETTINGS_INTERVAL_MS)
+            await self._clock.tick_ms(_SETTINGS_INTERVAL_MS)
             self._on_reload()
 
     async def _shut_down(self) -> ending.Stop:
--- a/mustardloom/sidecar/descriptor_report.py
+++ b/mustardloom/sidecar/descriptor_report.py
@@ -78,7 +78,7 @@
     async def watch(self) -> None:
         """Logs shortages, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_INTERVAL_MS)
+            await self._clock.tick_ms(_INTERVAL_MS)
             for share in self._budget.shares():
                 self.check(share)
 
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -530,7 +530,7 @@
     async def report_load(self) -> None:
         """Reports rates of busy keys to `on_range_loads`, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_LOAD_INTERVAL_MS)
+            await self._clock.tick_ms(_LOAD_INTERVAL_MS)
             self.on_range_loads(tuple(self._measured_loads()))
 
     def _measured_loads(self) -> Iterator[tuple[int, int, float]]:
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -34,7 +34,8 @@
 # Called with the VM, the local time of the status or ping, and its answer.
 PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
 
-_CHECK_INTERVAL_MS = 150
+# Half of the interval at which statuses are sent, whose wake-ups it shares.
+_CHECK_INTERVAL_MS = 125
 
 
 class Links:
@@ -189,7 +190,7 @@
     async def check_links(self) -> None:
         """Checks all links for silent peers, until cancelled."""
         while True:
-            await self.clock.sleep_ms(_CHECK_INTERVAL_MS)
+            await self.clock.tick_ms(_CHECK_INTERVAL_MS)
             now_ms = self.clock.now_ms()
             for link in list(self._link_by_vm.values()):
                 link.check(now_ms)
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -23,7 +23,8 @@
 # The target counts as silent after this many heartbeat intervals without a
 # heartbeat or an answer.
 _SILENT_AFTER_HEARTBEATS = 2.6
-_CHECK_INTERVAL_MS = 200
+# The interval at which links are checked, whose wake-ups it shares.
+_CHECK_INTERVAL_MS = 125
 
 # Returns the grant that answers a heartbeat, None to renew nothing.
 GrantKeys = Callable[[targets.Announcement], announcements.Grant | None]
@@ -106,7 +107,7 @@
         """Detects that the target has become silent, until cancelled."""
         limit_ms = round(_SILENT_AFTER_HEARTBEATS * self._settings.heartbeat_ms)
         while True:
-            await self._clock.sleep_ms(_CHECK_INTERVAL_MS)
+            await self._clock.tick_ms(_CHECK_INTERVAL_MS)
             if self.announcement is None:
                 continue
             latest_ms = max(
--- a/mustardloom/sidecar/memory_report.py
+++ b/mustardloom/sidecar/memory_report.py
@@ -88,7 +88,7 @@
     async def watch(self) -> None:
         """Logs when the use of memory comes near the limit, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_INTERVAL_MS)
+            await self._clock.tick_ms(_INTERVAL_MS)
             if self._steps.reaches_next(process_memory.resident_bytes()):
                 memory = process_memory.read()
                 self._log.write(
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -121,7 +121,7 @@
     async def run(self) -> None:
         """Plans and writes changes of the map, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_PLAN_INTERVAL_MS)
+            await self._clock.tick_ms(_PLAN_INTERVAL_MS)
             self._ping_quiet_owners()
             planned = self._own_instance_change() or self._planned()
             if planned is not None:
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -17,7 +17,7 @@
 # Each watch is billed, and a longer wait means fewer watches.
 _WATCH_WAIT_MS = 10_000
 # How often a daemon that does not watch checks whether it is to watch.
-_IDLE_CHECK_MS = 400
+_IDLE_CHECK_MS = 375
 # Back-off while the store is unavailable.
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 1_500
@@ -212,7 +212,7 @@
         while True:
             if self.by_kind[kind].version and not self._may_watch():
                 after = None
-                await self._clock.sleep_ms(_IDLE_CHECK_MS)
+                await self._clock.tick_ms(_IDLE_CHECK_MS)
                 continue
             try:
                 if after is None:
@@ -256,7 +256,7 @@
         await self._await_replica(kind)
         while True:
             if not may_poll():
-                await self._clock.sleep_ms(_IDLE_CHECK_MS)
+                await self._clock.tick_ms(_IDLE_CHECK_MS)
                 continue
             if await self.refresh(kind, _POLL_INTERVAL_MS) is None:
                 self._set_store_answers(False)
--- a/mustardloom/sidecar/status_sender.py
+++ b/mustardloom/sidecar/status_sender.py
@@ -47,7 +47,7 @@
           sample: Called before each round to sample the load.
         """
         while True:
-            await self._clock.sleep_ms(_SAMPLE_INTERVAL_MS)
+            await self._clock.tick_ms(_SAMPLE_INTERVAL_MS)
             sample()
             self._update_own()
             self._send_due()
