Keep one organisation from using up a target that several ask for

Equally urgent requests of an organisation with few of them waiting go first, and one whose requests are started less than 0.3 times as often as those of all goes first whatever its priority. Without organisations the order of the queue is as before.

--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -12,6 +12,7 @@
 from typing import Generic
 from typing import TypeVar
 
+from mustardloom import ids
 from mustardloom.load_control import urgency
 
 __all__ = [
@@ -24,6 +25,7 @@
 ]
 
 _Item = TypeVar("_Item")
+_SortKey = tuple[bool, bool, bool, int, int, float]
 # Weight of the newest service time in the running mean.
 _SMOOTHING = 0.1
 # A late request is admitted only if it meets its deadline even when its service
@@ -55,6 +57,9 @@
       objective_ms: Local time by which an answer meets the latency objective.
       deadline_ms: Local time after which an answer is useless.
       service_ms: Expected service time at the target.
+      organisation: Organisation of the caller, None if it has none.
+      level: See `fair_shares.level`.
+      is_owed: See `fair_shares.ServedShares.is_owed`.
     """
 
     priority: int
@@ -62,16 +67,29 @@
     objective_ms: float
     deadline_ms: float
     service_ms: float
+    organisation: ids.OrganisationId | None = None
+    level: int = 0
+    is_owed: bool = False
 
     @property
     def rank(self) -> urgency.Rank:
         """Returns the urgency, apart from the time that is left."""
         return urgency.Rank(not self.is_call, self.priority)
 
-    def sort_key(self, now_ms: float) -> tuple[bool, bool, int, float]:
-        """Returns the sort key; requests that can still be in time go first."""
+    def sort_key(self, now_ms: float) -> _SortKey:
+        """Returns the sort key; requests that can still be in time go first.
+
+        Only those that are owed service go before them.
+        """
         is_late = now_ms + self.service_ms > self.objective_ms
-        return (is_late, not self.is_call, self.priority, self.deadline_ms)
+        return (
+            not self.is_owed,
+            is_late,
+            not self.is_call,
+            self.priority,
+            self.level,
+            self.deadline_ms,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,9 +156,7 @@
     """
 
     def __init__(self) -> None:
-        self._entries: list[
-            tuple[tuple[bool, bool, int, float], int, RequestDemand, _Item]
-        ] = []
+        self._entries: list[tuple[_SortKey, int, RequestDemand, _Item]] = []
         self._sequence = 0
 
     def __len__(self) -> int:
@@ -168,7 +184,7 @@
         if not self._entries:
             return None
         for index, entry in enumerate(self._entries):
-            if entry[0][0] or not entry[2].sort_key(now_ms)[0]:
+            if entry[0][1] or not entry[2].sort_key(now_ms)[1]:
                 del self._entries[index]
                 return entry[3]
         return self._entries.pop(0)[3]
@@ -193,6 +209,17 @@
             self._entries.remove(entry)
         return [entry[3] for entry in unservable]
 
+    def waiting_of(self, organisation: ids.OrganisationId) -> int:
+        """Returns how many requests of an organisation wait."""
+        return sum(
+            entry[2].organisation == organisation for entry in self._entries
+        )
+
+    def count_ahead(self, demand: RequestDemand, now_ms: float) -> int:
+        """Returns how many requests are ahead of a new one."""
+        sort_key = demand.sort_key(now_ms)
+        return sum(entry[0] <= sort_key for entry in self._entries)
+
     def work_ahead_ms(self, demand: RequestDemand, now_ms: float) -> float:
         """Returns the total service time of requests ahead of a new one."""
         sort_key = demand.sort_key(now_ms)
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -26,6 +26,14 @@
 __all__ = ["Gate"]
 
 _EXPIRY_INTERVAL_MS = 20
+# Refusals of requests that the target would have run if it had got fewer.
+_CONTENTION_REASONS = frozenset(
+    (
+        work.RefusalReason.OVERLOADED,
+        work.RefusalReason.COLD,
+        work.RefusalReason.DEADLINE,
+    )
+)
 
 
 class Gate:
@@ -267,6 +275,7 @@
         self, request: work.Work, refusal: work.Refused
     ) -> None:
         self._metrics.increment(f"gate.refused.{refusal.reason.value}")
+        self._record_unserved(request, refusal.reason)
         load = self.load()
         self._log.write(
             events.Event.GATE_REFUSED,
@@ -279,13 +288,22 @@
             retry_after_ms=refusal.retry_after_ms,
         )
 
+    def _record_unserved(
+        self, request: work.Work, reason: work.RefusalReason
+    ) -> None:
+        """Counts a request that was refused as others took the target."""
+        if reason in _CONTENTION_REASONS:
+            self._limits.shares.record(
+                request.organisation, False, self._clock.now_ms()
+            )
+
     # Queue.
 
     async def _run_admitted(self, request: work.Work) -> work.Outcome:
         outcome: asyncio.Future[work.Outcome] = asyncio.Future()
         now_ms = self._clock.now_ms()
         ticket = ticket_lib.Ticket(request, outcome, now_ms)
-        demand = self._limits.demand_of(request)
+        demand = self._limits.demand_of(request, self._queue)
         self._limits.record_admission(demand, now_ms)
         self._queue.push(demand, ticket, now_ms)
         self._start_waiting()
@@ -309,9 +327,13 @@
                 return
             refusal = self._refusal_at_start(ticket.request, now_ms)
             if refusal is not None:
+                self._record_unserved(ticket.request, refusal.reason)
                 ticket.resolve(refusal)
                 continue
             self._limits.record_start(now_ms)
+            self._limits.shares.record(
+                ticket.request.organisation, True, now_ms
+            )
             self._dispatcher.start(ticket, now_ms)
 
     def _refuse_unservable(self) -> None:
@@ -321,7 +343,9 @@
         spacing_ms = self._limits.rate.interval_ms()
         for ticket in self._queue.take_unservable(end_ms, spacing_ms):
             self._metrics.increment("gate.refused.deadline")
-            ticket.resolve(work.Refused(work.RefusalReason.DEADLINE))
+            refusal = work.Refused(work.RefusalReason.DEADLINE)
+            self._record_unserved(ticket.request, refusal.reason)
+            ticket.resolve(refusal)
 
     def _refuse_unfinishable(self) -> None:
         """Refuses queued requests that would not end before this daemon."""
--- a/mustardloom/sidecar/gate/limits.py
+++ b/mustardloom/sidecar/gate/limits.py
@@ -1,6 +1,7 @@
 """How many requests the target takes: places, rate, cold start and queue."""
 
 from mustardloom.load_control import cold_start
+from mustardloom.load_control import fair_shares
 from mustardloom.load_control import rate_limit as rate_limit_lib
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
@@ -19,6 +20,7 @@
       service_times: Service times of its requests.
       cold: Limit while it is cold.
       rate: Limit that it states in its responses.
+      shares: How often requests of each organisation are started.
     """
 
     def __init__(self, cold_factor: float, now_ms: int):
@@ -32,6 +34,7 @@
         self.service_times = waiting.ServiceTimes()
         self.cold = cold_start.ColdStartLimit(cold_factor)
         self.rate = rate_limit_lib.RateLimit()
+        self.shares = fair_shares.ServedShares()
         self._urgent_load = urgency.UrgentLoad()
         self._queue_last_empty_ms = now_ms
 
@@ -43,14 +46,27 @@
             self.rate.rate_per_s,
         )
 
-    def demand_of(self, request: work.Work) -> waiting.RequestDemand:
-        """Returns the timing and priority of a request."""
+    def demand_of(
+        self,
+        request: work.Work,
+        queue: waiting.WaitingQueue[ticket_lib.Ticket],
+    ) -> waiting.RequestDemand:
+        """Returns the timing and priority of a request that is to wait."""
+        organisation = request.organisation
+        level = 0
+        if organisation is not None:
+            level = fair_shares.level(
+                queue.waiting_of(organisation), self.capacity
+            )
         return waiting.RequestDemand(
             request.priority,
             request.is_call,
             request.objective_ms,
             request.deadline_ms,
             self.service_times.expected_ms(request.route),
+            organisation,
+            level,
+            self.shares.is_owed(organisation),
         )
 
     def refusal(
@@ -70,15 +86,19 @@
         """
         if not len(queue):
             self._queue_last_empty_ms = now_ms
-        demand = self.demand_of(request)
+        demand = self.demand_of(request, queue)
         concurrency = self.concurrency(now_ms)
+        ahead = len(queue)
+        if demand.is_owed:
+            # How long the rest of the queue is does not matter to it.
+            ahead = queue.count_ahead(demand, now_ms)
         decision = waiting.decide_admission(
             demand,
             now_ms,
             running,
             concurrency,
             queue.work_ahead_ms(demand, now_ms),
-            len(queue),
+            ahead,
             self.service_times.overall_mean_ms(now_ms),
             now_ms - self._queue_last_empty_ms > waiting.STANDING_QUEUE_MS,
             self._urgent_load.share_above(demand.rank, now_ms, concurrency),
@@ -87,7 +107,7 @@
         reasons = work.RefusalReason
         if not decision.admitted:
             return work.Refused(reasons.OVERLOADED, decision.retry_after_ms)
-        if not self.cold.has_room(now_ms, len(queue)):
+        if not self.cold.has_room(now_ms, ahead):
             return work.Refused(reasons.COLD, timing.RETRY_AFTER_MS)
         return None
 
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -491,3 +491,38 @@
         return harness.gate.load().rate_limit_per_s
 
     assert _run(scenario, capacity=11) is None
+
+
+def test_organisation_whose_requests_were_refused_goes_first():
+    """Guards against an urgent organisation that takes the whole target.
+
+    A refusal for another reason than the load of the target does not count.
+    """
+
+    async def scenario(harness):
+        async def order_of_starts(other, **refused):
+            tasks = await harness.start("a", "b", organisation="urgent")
+            tasks += await harness.start(
+                "refused", priority=5, organisation=other, **refused
+            )
+            await harness.clock.advance(40)
+            assert isinstance(tasks.pop().result(), work.Refused)
+            tasks += await harness.start("c", priority=5, organisation=other)
+            started = []
+            while harness.connections.open:
+                started.append(harness.connections.open[0][0].request_id)
+                harness.connections.answer(_OK)
+                await harness.clock.advance(0)
+            return "".join(started)
+
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        assert await order_of_starts("not an owner", key=7) == "abc"
+        now_ms = harness.clock.now_ms()
+        soon_ms = now_ms + 20
+        # Refused in the queue, then on arrival.
+        assert await order_of_starts("late", deadline_ms=soon_ms) == "acb"
+        late = {"objective_ms": now_ms, "deadline_ms": now_ms + 50}
+        assert await order_of_starts("too late", **late) == "acb"
+        queue.cancel()
+
+    _run(scenario, capacity=1)
