Spread returns, know requests that return, and refuse blocked ones at once

Callers that one queue refused were told the same time to return. A request that returned counted as a new one, so that it displaced requests that could still be in time and was refused again as often as any other. A queued request that had become late was held until no time was left.

The gate spreads Retry-After over the end of the time until the queue has been run, and the ingress spreads what is later than a third of the time left. The ingress remembers the objective of a refused request until its return. A queued request that those ahead keep from its deadline is refused at once.

Refusing blocked requests without knowing returns loses answers in time, so these changes come together.

--- /dev/null
+++ b/mustardloom/load_control/returning.py
@@ -0,0 +1,84 @@
+"""Recognises requests whose callers were refused before and have returned.
+
+Load pattern: more requests arrive than the targets can finish, and refused
+callers return within the time that they have left. A request that returns
+counted as a new one: its objective began anew, so that it displaced requests
+that could still be in time, and it was refused again as often as any other.
+"""
+
+import collections
+from collections.abc import Hashable
+
+__all__ = ["ReturningRequests"]
+
+# Refusals that are remembered; a daemon under the heaviest measured load
+# refuses some hundred requests a second, for seconds each.
+_MAX_REFUSED = 4_096
+# Refusals of equal requests that are remembered.
+_MAX_EQUAL = 8
+# A caller states anew how long it waits, in whole milliseconds and before the
+# request is on its way.
+_DEADLINE_TOLERANCE_MS = 250
+
+
+class ReturningRequests:
+    """Requests that were refused and whose callers still have time.
+
+    Each refusal stands for one return, so that callers who send the same
+    request share the entries without more returns than refusals.
+
+    Example:
+      >>> returning = ReturningRequests()
+      >>> returning.record_refusal(7, objective_ms=300, deadline_ms=1_200)
+      >>> returning.objective_ms(7, objective_ms=700, deadline_ms=1_203)
+      300
+      >>> returning.objective_ms(7, objective_ms=700, deadline_ms=1_203)
+      700
+    """
+
+    def __init__(self) -> None:
+        # Objectives and deadlines by request, the latest refusal last.
+        self._refused: collections.OrderedDict[
+            Hashable, list[tuple[int, int]]
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._refused)
+
+    def record_refusal(
+        self, request: Hashable, objective_ms: int, deadline_ms: int
+    ) -> None:
+        """Records that a request was refused.
+
+        Args:
+          request: Equal for repetitions of the same request.
+          objective_ms: Local time of its objective, from its first attempt on.
+          deadline_ms: Local time after which its caller does not wait.
+        """
+        waits = self._refused.setdefault(request, [])
+        self._refused.move_to_end(request)
+        waits.append((objective_ms, deadline_ms))
+        del waits[:-_MAX_EQUAL]
+        if len(self._refused) > _MAX_REFUSED:
+            self._refused.popitem(last=False)
+
+    def objective_ms(
+        self, request: Hashable, objective_ms: int, deadline_ms: int
+    ) -> int:
+        """Returns the objective of a request, from its first attempt on.
+
+        Args:
+          request: Equal for repetitions of the same request.
+          objective_ms: Local time of its objective, from this attempt on.
+          deadline_ms: Local time after which its caller does not wait.
+        """
+        waits = self._refused.get(request)
+        if waits is None:
+            return objective_ms
+        for index, (first_ms, refused_deadline_ms) in enumerate(waits):
+            if abs(deadline_ms - refused_deadline_ms) <= _DEADLINE_TOLERANCE_MS:
+                del waits[index]
+                if not waits:
+                    del self._refused[request]
+                return min(objective_ms, first_ms)
+        return objective_ms
--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -21,6 +21,8 @@
     "ServiceTimes",
     "WaitingQueue",
     "decide_admission",
+    "honoured_ms",
+    "return_after_ms",
 ]
 
 _Item = TypeVar("_Item")
@@ -30,10 +32,18 @@
 # time is this multiple of the mean.
 _LATE_SERVICE_FACTOR = 1.3
 _MIN_RETRY_AFTER_MS = 50
+# Callers honour a time to return up to a third of the time they have left, so
+# that the retry can still be answered.
+_HONOURED_DIVISOR = 3
+# Callers return within this last part of the time until there is room.
+_RETURN_SPREAD = 0.5
 # Queue length, as a multiple of the target's concurrency, from which on late
 # requests are refused: in a burst and with a standing queue.
 _BURST_LATE_QUEUE_RATIO = 1.5
 _STANDING_LATE_QUEUE_RATIO = 0.5
+# The same for requests that have missed their objective before they arrive, in
+# relation to the late ones in the queue.
+_RETURNED_LATE_QUEUE_RATIO = 3.0
 # A queue that has not been empty for this long is standing, no longer a burst.
 STANDING_QUEUE_MS = 400
 _DEFAULT_SERVICE_MS = 30.0
@@ -82,11 +92,14 @@
       admitted: Whether it may run or wait in the queue.
       wait_ms: Expected time in the queue.
       retry_after_ms: For refused requests, the time until the queue has room.
+      room_ms: For refused requests, the time after which an equal request would
+        be admitted if no others arrived.
     """
 
     admitted: bool
     wait_ms: float
     retry_after_ms: int = 0
+    room_ms: float = 0.0
 
 
 class ServiceTimes:
@@ -153,6 +166,13 @@
     def __iter__(self) -> Iterator[tuple[RequestDemand, _Item]]:
         return ((entry[2], entry[3]) for entry in self._entries)
 
+    def late_count(self) -> int:
+        """Returns how many of the requests were late on arrival."""
+        first = bisect.bisect_left(
+            self._entries, True, key=lambda each: each[0][0]
+        )
+        return len(self._entries) - first
+
     def push(self, demand: RequestDemand, item: _Item, now_ms: float) -> None:
         """Adds a request to the queue."""
         self._sequence += 1
@@ -197,6 +217,44 @@
             self._entries.remove(entry)
         return [entry[3] for entry in unservable]
 
+    def take_blocked(
+        self, now_ms: float, places: float
+    ) -> list[tuple[_Item, float]]:
+        """Removes requests that those ahead keep from meeting their deadline.
+
+        More urgent ones that arrived later are ahead of them, or they became
+        late and go after all that can still be in time. Another target may
+        still answer them, and their callers have time to return.
+
+        Args:
+          now_ms: Local time.
+          places: Requests that the target runs at once.
+
+        Returns:
+          The requests, each with the time until it would have started.
+        """
+        late = []
+        ahead_ms = 0.0
+        for entry in self._entries:
+            demand = entry[2]
+            if now_ms + demand.service_ms > demand.objective_ms:
+                late.append(entry)
+            else:
+                ahead_ms += demand.service_ms
+        # Those that were late on arrival are taken first; see `take`.
+        late.sort(key=lambda entry: not entry[0][0])
+        blocked = []
+        for entry in late:
+            demand = entry[2]
+            wait_ms = ahead_ms / places
+            if now_ms + wait_ms + demand.service_ms > demand.deadline_ms:
+                blocked.append((entry, wait_ms))
+            else:
+                ahead_ms += demand.service_ms
+        for entry, _ in blocked:
+            self._entries.remove(entry)
+        return [(entry[3], wait_ms) for entry, wait_ms in blocked]
+
     def work_ahead_ms(self, demand: RequestDemand, now_ms: float) -> float:
         """Returns the total service time of requests ahead of a new one."""
         sort_key = demand.sort_key(now_ms)
@@ -218,6 +276,7 @@
     is_standing: bool,
     urgent_share: float = 0.0,
     blocked_ms: float = 0.0,
+    late_waiting: int = 0,
 ) -> AdmissionDecision:
     """Decides whether a request may wait for the target.
 
@@ -238,6 +297,7 @@
       urgent_share: Share of the target that more urgent requests take, below 1;
         those that arrive during the wait go first.
       blocked_ms: Time until the target's rate limit allows the next start.
+      late_waiting: Queued requests that were late on arrival.
 
     Returns:
       The decision, with the expected time in the queue.
@@ -258,10 +318,52 @@
     if is_standing:
         late_queue_ratio = _STANDING_LATE_QUEUE_RATIO
     is_short = waiting < limit * late_queue_ratio
+    if demand.objective_ms <= now_ms:
+        # It was refused before; requests that can be in time go first.
+        is_short = late_waiting < limit * _RETURNED_LATE_QUEUE_RATIO
     if is_short and now_ms + late_latency_ms <= demand.deadline_ms:
         return AdmissionDecision(True, wait_ms)
     retry_ms = max(_MIN_RETRY_AFTER_MS, round(wait_ms))
-    return AdmissionDecision(False, wait_ms, retry_ms)
+    queued_too_long = max(0.0, waiting + 1 - limit * late_queue_ratio)
+    room_ms = min(
+        done_ms - demand.objective_ms, queued_too_long * mean_service_ms / limit
+    )
+    room_ms = max(blocked_ms, room_ms)
+    return AdmissionDecision(False, wait_ms, retry_ms, room_ms)
+
+
+def return_after_ms(room_ms: float, wait_ms: float, chance: float) -> int:
+    """Returns after which time the caller of a refused request is to return.
+
+    Callers that one queue refuses return spread over a range that ends when the
+    present queue has been run.
+
+    Args:
+      room_ms: Time after which there may be room for the request.
+      wait_ms: Time until the present queue has been run.
+      chance: Random number from 0 to 1.
+    """
+    latest_ms = max(wait_ms, _MIN_RETRY_AFTER_MS)
+    earliest_ms = max(room_ms, wait_ms * _RETURN_SPREAD, _MIN_RETRY_AFTER_MS)
+    earliest_ms = min(earliest_ms, latest_ms)
+    return round(earliest_ms + chance * (latest_ms - earliest_ms))
+
+
+def honoured_ms(retry_after_ms: int, left_ms: int, chance: float) -> int:
+    """Returns a time to return that the caller honours.
+
+    Those that would return later are spread over the end of the time allowed.
+
+    Args:
+      retry_after_ms: Time after which a retry may succeed.
+      left_ms: Time that the caller has left.
+      chance: Random number from 0 to 1.
+    """
+    latest_ms = max(0, left_ms // _HONOURED_DIVISOR)
+    if retry_after_ms <= latest_ms:
+        return retry_after_ms
+    share = _RETURN_SPREAD + chance * (1.0 - _RETURN_SPREAD)
+    return int(latest_ms * share)
 
 
 def _smooth(mean: float, value: float) -> float:
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -354,6 +354,11 @@
         for ticket in self._queue.take_unservable(end_ms, spacing_ms):
             self._metrics.increment("gate.refused.deadline")
             ticket.resolve(work.Refused(work.RefusalReason.DEADLINE))
+        for ticket, refusal in self._limits.blocked(
+            self._queue, self._clock.now_ms()
+        ):
+            self._record_refusal(ticket.request, refusal)
+            ticket.resolve(refusal)
 
     def _refuse_unfinishable(self) -> None:
         """Refuses queued requests that would not end before this daemon."""
--- a/mustardloom/sidecar/gate/limits.py
+++ b/mustardloom/sidecar/gate/limits.py
@@ -1,5 +1,7 @@
 """How many requests the target takes: places, rate, cold start and queue."""
 
+import random
+
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import rate_limit as rate_limit_lib
 from mustardloom.load_control import target_room
@@ -35,6 +37,7 @@
         self.cold = cold_start.ColdStartLimit(cold_factor)
         self.rate = rate_limit_lib.RateLimit()
         self.room = target_room.TargetRoom()
+        self._chance = random.Random()
         self._urgent_load = urgency.UrgentLoad()
         self._queue_last_empty_ms = now_ms
 
@@ -93,14 +96,39 @@
             now_ms - self._queue_last_empty_ms > waiting.STANDING_QUEUE_MS,
             self._urgent_load.share_above(demand.rank, now_ms, concurrency),
             self.rate.wait_ms(now_ms),
+            queue.late_count(),
         )
         reasons = work.RefusalReason
         if not decision.admitted:
-            return work.Refused(reasons.OVERLOADED, decision.retry_after_ms)
+            retry_ms = waiting.return_after_ms(
+                decision.room_ms, decision.wait_ms, self._chance.random()
+            )
+            return work.Refused(reasons.OVERLOADED, retry_ms)
         if not self.cold.has_room(now_ms, len(queue)):
             return work.Refused(reasons.COLD, timing.RETRY_AFTER_MS)
         return None
 
+    def blocked(
+        self, queue: waiting.WaitingQueue[ticket_lib.Ticket], now_ms: int
+    ) -> list[tuple[ticket_lib.Ticket, work.Refused]]:
+        """Removes requests that will not be run in time; returns refusals."""
+        reason = work.RefusalReason.OVERLOADED
+        places = self._concurrency(self.places(), now_ms)
+        return [
+            (
+                ticket,
+                work.Refused(
+                    reason,
+                    waiting.return_after_ms(
+                        0.0, wait_ms, self._chance.random()
+                    ),
+                ),
+            )
+            for ticket, wait_ms in queue.take_blocked(
+                now_ms + timing.REFUSAL_DELAY_MS, places
+            )
+        ]
+
     def record_admission(
         self, demand: waiting.RequestDemand, now_ms: int
     ) -> None:
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -10,6 +11,8 @@
 from mustardloom.deployment import configuration
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
+from mustardloom.load_control import returning
+from mustardloom.load_control import waiting
 from mustardloom.load_control import weighted_round_robin
 from mustardloom.platform import headers
 from mustardloom.sidecar import events
@@ -25,9 +28,6 @@
 _BAD_GATEWAY = 502
 _TIMEOUT = 504
 _NO_CONFIGURATION_RETRY_MS = 300
-# Callers are told to retry within a third of the time that they have left, so
-# that the retry can still be answered.
-_RETRY_AFTER_DIVISOR = 3
 
 
 class Ingress:
@@ -45,6 +45,7 @@
         self._router = router
         self._service = service
         self._current_configuration = current
+        self._returning = returning.ReturningRequests()
         self._service_choice = weighted_round_robin.WeightedRoundRobin()
         self._clock = clock
         self._log = log
@@ -103,6 +104,19 @@
         first_bytes = request.body
         if isinstance(request.rest, bodies.Body):
             first_bytes = request.rest.first_bytes(bodies.INLINE_BYTES)
+        fingerprint = requests.fingerprint(
+            route.name,
+            request.method,
+            request.target,
+            None,
+            None if fields.key is None else str(fields.key),
+            first_bytes,
+        )
+        deadline_ms = request.received_ms + wait_ms
+        # A caller that was refused and returns has waited longer already.
+        objective_ms = self._returning.objective_ms(
+            fingerprint, request.received_ms + route.objective_ms, deadline_ms
+        )
         return work.Work(
             service=service,
             method=request.method,
@@ -114,17 +128,10 @@
             caller_service=self._service,
             is_idempotent=route.is_idempotent,
             priority=route.priority,
-            objective_ms=request.received_ms + route.objective_ms,
-            deadline_ms=request.received_ms + wait_ms,
+            objective_ms=objective_ms,
+            deadline_ms=deadline_ms,
             key=fields.key,
-            fingerprint=requests.fingerprint(
-                route.name,
-                request.method,
-                request.target,
-                None,
-                None if fields.key is None else str(fields.key),
-                first_bytes,
-            ),
+            fingerprint=fingerprint,
             is_call=fields.is_call,
             rest=request.rest,
         )
@@ -179,7 +186,10 @@
         left_ms = None
         if request is not None:
             left_ms = request.deadline_ms - self._clock.now_ms()
-            retry_ms = max(0, min(retry_ms, left_ms // _RETRY_AFTER_DIVISOR))
+            self._returning.record_refusal(
+                request.fingerprint, request.objective_ms, request.deadline_ms
+            )
+            retry_ms = waiting.honoured_ms(retry_ms, left_ms, random.random())
         self._log.write(
             events.Event.REQUEST_REFUSED,
             request=request_id,
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -548,3 +548,30 @@
         return len(harness.connections.open)
 
     assert _run(scenario, capacity=4) == 4
+
+
+def test_request_that_others_keep_from_its_deadline_is_refused_at_once():
+    """Guards against a caller that is held until it has no time to return.
+
+    More requests that can be in time arrived than run before its deadline.
+    """
+
+    async def scenario(harness):
+        now_ms = harness.clock.now_ms()
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        (running,) = await harness.start("a")
+        (late,) = await harness.start("late", objective_ms=now_ms)
+        others = await harness.start(
+            *(f"r{number}" for number in range(45)),
+            objective_ms=now_ms + 5_000,
+            deadline_ms=now_ms + 6_000,
+        )
+        await harness.clock.advance(40)
+        assert not any(task.done() for task in others)
+        for task in (queue, running, *others):
+            task.cancel()
+        return late.result()
+
+    refusal = _run(scenario, capacity=1)
+    assert _reason(refusal) is work.RefusalReason.OVERLOADED
+    assert refusal.retry_after_ms >= 600
