End the calls of a target when the run that sent them has ended

Work of callers who have left ended at each hop but the last: calls that a target had sent for the request went on unless the target closed its own connections. The ingress beside the target now answers them 504 when the gate ends the run, and the hops above end them.

--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -12,6 +12,7 @@
 __all__ = [
     "CallerFields",
     "ResponseFields",
+    "parent_of",
     "read_request",
     "read_request_id",
     "read_response",
@@ -113,6 +114,18 @@
     )
 
 
+def parent_of(request_id: str) -> str:
+    """Returns the id of the request for which a target sent a call.
+
+    Empty if the id is not that of a call.
+
+    Example:
+      >>> parent_of("call.request")
+      'request'
+    """
+    return request_id.partition(_PARENT_SEPARATOR)[2]
+
+
 def read_request_id(headers: Iterable[messages.Header]) -> str:
     """Returns the id of a caller's request, empty if it gave none."""
     value = messages.find_header(headers, REQUEST_ID)
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -305,6 +305,7 @@
             self._log,
             self._metrics,
         )
+        self._gate.on_cancelled = self._ingress.end_calls
         self._caller_server = self._new_server(
             self._ingress.handle,
             descriptor_budget.User.CALLERS,
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -28,6 +28,8 @@
       on_refused_connection: Called when the current instance of the target
         refuses a connection.
       on_end: Called when a request has ended.
+      on_cancelled: Called with the id of a request whose run was ended, as
+        nobody waits for it any more.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         ] = lambda *_: None
         self.on_refused_connection: Callable[[], None] = lambda: None
         self.on_end: Callable[[], None] = lambda: None
+        self.on_cancelled: Callable[[str], None] = lambda _: None
         self._connections = connections
         self._target = target
         self._recorder = recorder
@@ -115,8 +118,14 @@
         self._meter.record_end(ticket.started_ms, self._clock.now_ms())
         if task.cancelled():
             self._recorder.record_cancelled(ticket)
+            self._report_cancelled(ticket.request.request_id)
         elif (error := task.exception()) is not None:
             self._log.write_fault(error, request=ticket.request.request_id)
         # Without effect unless the dispatch ended without an outcome.
         ticket.resolve(work.Failed(work.FailureReason.INTERNAL))
         self.on_end()
+
+    def _report_cancelled(self, request_id: str) -> None:
+        """Reports a run that was ended, unless its caller has sent it again."""
+        if all(each.request.request_id != request_id for each in self.running):
+            self.on_cancelled(request_id)
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -36,6 +36,8 @@
       target: What is known of the target.
       on_reachability: Called with the new reachability when it changes.
       on_statement: Called with what the target states when that changes.
+      on_cancelled: Called with the id of a request whose run was ended, as
+        nobody waits for it any more.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
             lambda _: None
         )
         self.on_statement: Callable[[targets.Statement], None] = lambda _: None
+        self.on_cancelled: Callable[[str], None] = lambda _: None
         self._service = service
         self._connections = connections
         self._quarantine = quarantine
@@ -94,6 +97,7 @@
         self._dispatcher.on_statement = self._on_statement
         self._dispatcher.on_refused_connection = self._mark_down
         self._dispatcher.on_end = self._on_end
+        self._dispatcher.on_cancelled = lambda each: self.on_cancelled(each)
 
     # Updates from the daemon.
 
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -45,6 +45,8 @@
         self._router = router
         self._service = service
         self._current_configuration = current
+        # Timers of the open calls of targets, by the request that they run.
+        self._timers_by_parent: dict[str, set[asyncio.Timeout]] = {}
         self._returning = returning.ReturningRequests()
         self._service_choice = weighted_round_robin.WeightedRoundRobin()
         self._clock = clock
@@ -88,6 +90,35 @@
         )
         return await self._respond(routed, route, service)
 
+    def end_calls(self, parent: str) -> None:
+        """Ends the calls that the target sent for a request.
+
+        Args:
+          parent: Id of the request, whose run was ended.
+        """
+        for timer in self._timers_by_parent.get(parent, ()):
+            if not timer.expired():
+                timer.reschedule(asyncio.get_running_loop().time())
+                self._metrics.increment("ingress.calls_ended")
+
+    def _start_timer(self, request: work.Work) -> asyncio.Timeout:
+        """Returns the timer of a request; that of a call may be ended."""
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        timer = asyncio.timeout(max(0, left_ms) / _MS_PER_S)
+        if request.is_call:
+            parent = headers.parent_of(request.request_id)
+            self._timers_by_parent.setdefault(parent, set()).add(timer)
+        return timer
+
+    def _drop_timer(self, request: work.Work, timer: asyncio.Timeout) -> None:
+        if not request.is_call:
+            return
+        parent = headers.parent_of(request.request_id)
+        timers = self._timers_by_parent[parent]
+        timers.discard(timer)
+        if not timers:
+            del self._timers_by_parent[parent]
+
     def _make_work(
         self,
         request: messages.Request,
@@ -143,9 +174,9 @@
         service: configuration.Service,
     ) -> messages.Response:
         started_ms = self._clock.now_ms()
-        left_ms = request.deadline_ms - started_ms
+        timer = self._start_timer(request)
         try:
-            async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
+            async with timer:
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
@@ -153,6 +184,8 @@
             # The caller has left, or this daemon ends.
             self._log_abandoned(request, started_ms)
             raise
+        finally:
+            self._drop_timer(request, timer)
         outcome_name = type(outcome).__name__.lower()
         self._metrics.increment(f"ingress.{outcome_name}")
         waited_ms = self._clock.now_ms() - started_ms
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -47,13 +47,13 @@
     """Offers the VMs that a test names, in order."""
 
     def __init__(self, vms):
-        self._vms = vms
+        self.vms = vms
 
     def max_gates(self, service, regions):
-        return len(self._vms)
+        return len(self.vms)
 
     async def choose(self, service, regions, tried):
-        return next((vm for vm in self._vms if vm not in tried), None)
+        return next((vm for vm in self.vms if vm not in tried), None)
 
 
 class Daemon:
@@ -106,9 +106,10 @@
             self.stop,
         )
         self.kind = configuration.RequestKind.AT_MOST_ONCE
+        self.choice = Choice(choices)
         router = router_lib.Router(
             self.fleet,
-            Choice(choices),
+            self.choice,
             self.forwarder,
             lambda _: None,
             settings.Bounds(),
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -575,3 +575,24 @@
     refusal = _run(scenario, capacity=1)
     assert _reason(refusal) is work.RefusalReason.OVERLOADED
     assert refusal.retry_after_ms >= 600
+
+
+def test_run_that_was_ended_is_reported_unless_it_runs_again():
+    """Guards against calls that are ended although their run goes on."""
+
+    async def scenario(harness):
+        ended = []
+        harness.gate.on_cancelled = ended.append
+        tasks = await harness.start("a", "a", "b")
+        for task in tasks[:2]:
+            task.cancel()
+            await harness.clock.advance(0)
+            ended.append("-")
+        (once,) = await harness.start("c", is_idempotent=False)
+        once.cancel()
+        await harness.clock.advance(0)
+        harness.connections.answer(_OK, number=1)
+        await harness.clock.advance(0)
+        return list(ended)
+
+    assert _run(scenario, capacity=3) == ["-", "a", "-"]
