--- a/mustardloom/platform/headers.py
+++ b/mustardloom/platform/headers.py
@@ -14,6 +14,7 @@
     "CallerFields",
     "ResponseFields",
     "has_folded_credential",
+    "parent_of",
     "read_credentials",
     "read_request",
     "read_request_id",
@@ -125,6 +126,18 @@
     )
 
 
+def parent_of(request_id: str) -> str:
+    """Returns the id of the request for which a target sent a call.
+
+    Empty if the id is not that of a call.
+
+    Example:
+      >>> parent_of("call.request")
+      'request'
+    """
+    return request_id.partition(_PARENT_SEPARATOR)[2]
+
+
 def read_request_id(headers: Iterable[messages.Header]) -> str:
     """Returns the id of a caller's request, empty if it gave none."""
     value = messages.find_header(headers, REQUEST_ID)
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import random
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -12,6 +13,8 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
 from mustardloom.load_control import organisations
+from mustardloom.load_control import returning
+from mustardloom.load_control import waiting
 from mustardloom.load_control import weighted_round_robin
 from mustardloom.platform import headers
 from mustardloom.sidecar import events
@@ -30,9 +33,6 @@
 _NO_CONFIGURATION_RETRY_MS = 300
 # Only a new configuration changes which regions are allowed.
 _NO_REGION_RETRY_MS = 3_000
-# Callers are told to retry within a third of the time that they have left, so
-# that the retry can still be answered.
-_RETRY_AFTER_DIVISOR = 3
 
 
 class Ingress:
@@ -50,6 +50,9 @@
         self._router = router
         self._service = service
         self._current_configuration = current
+        # Timers of the open calls of targets, by the request that they run.
+        self._timers_by_parent: dict[str, set[asyncio.Timeout]] = {}
+        self._returning = returning.ReturningRequests()
         self._service_choice = weighted_round_robin.WeightedRoundRobin()
         self._clock = clock
         self._log = log
@@ -158,6 +161,35 @@
             _UNAUTHORISED, request_id, None, "no valid API key"
         )
 
+    def end_calls(self, parent: str) -> None:
+        """Ends the calls that the target sent for a request.
+
+        Args:
+          parent: Id of the request, whose run was ended.
+        """
+        for timer in self._timers_by_parent.get(parent, ()):
+            if not timer.expired():
+                timer.reschedule(asyncio.get_running_loop().time())
+                self._metrics.increment("ingress.calls_ended")
+
+    def _start_timer(self, request: work.Work) -> asyncio.Timeout:
+        """Returns the timer of a request; that of a call may be ended."""
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        timer = asyncio.timeout(max(0, left_ms) / _MS_PER_S)
+        if request.is_call:
+            parent = headers.parent_of(request.request_id)
+            self._timers_by_parent.setdefault(parent, set()).add(timer)
+        return timer
+
+    def _drop_timer(self, request: work.Work, timer: asyncio.Timeout) -> None:
+        if not request.is_call:
+            return
+        parent = headers.parent_of(request.request_id)
+        timers = self._timers_by_parent[parent]
+        timers.discard(timer)
+        if not timers:
+            del self._timers_by_parent[parent]
+
     def _make_work(
         self,
         request: messages.Request,
@@ -176,7 +208,19 @@
         if isinstance(request.rest, bodies.Body):
             first_bytes = request.rest.first_bytes(bodies.INLINE_BYTES)
         name = None if organisation is None else organisation.name
-        priority = organisations.priority_of(route, organisation)
+        fingerprint = requests.fingerprint(
+            route.name,
+            request.method,
+            request.target,
+            name,
+            None if fields.key is None else str(fields.key),
+            first_bytes,
+        )
+        deadline_ms = request.received_ms + wait_ms
+        # A caller that was refused and returns has waited longer already.
+        objective_ms = self._returning.objective_ms(
+            fingerprint, request.received_ms + route.objective_ms, deadline_ms
+        )
         return work.Work(
             service=service,
             method=request.method,
@@ -187,18 +231,11 @@
             route=route.name,
             caller_service=self._service,
             is_idempotent=route.is_idempotent,
-            priority=priority,
-            objective_ms=request.received_ms + route.objective_ms,
-            deadline_ms=request.received_ms + wait_ms,
+            priority=organisations.priority_of(route, organisation),
+            objective_ms=objective_ms,
+            deadline_ms=deadline_ms,
             key=fields.key,
-            fingerprint=requests.fingerprint(
-                route.name,
-                request.method,
-                request.target,
-                name,
-                None if fields.key is None else str(fields.key),
-                first_bytes,
-            ),
+            fingerprint=fingerprint,
             is_call=fields.is_call,
             rest=request.rest,
             organisation=name,
@@ -211,9 +248,9 @@
         service: configuration.Service,
     ) -> messages.Response:
         started_ms = self._clock.now_ms()
-        left_ms = request.deadline_ms - started_ms
+        timer = self._start_timer(request)
         try:
-            async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
+            async with timer:
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
@@ -221,6 +258,8 @@
             # The caller has left, or this daemon ends.
             self._log_abandoned(request, started_ms)
             raise
+        finally:
+            self._drop_timer(request, timer)
         outcome_name = type(outcome).__name__.lower()
         self._metrics.increment(f"ingress.{outcome_name}")
         waited_ms = self._clock.now_ms() - started_ms
@@ -254,7 +293,10 @@
         left_ms = None
         if request is not None:
             left_ms = request.deadline_ms - self._clock.now_ms()
-            retry_ms = max(0, min(retry_ms, left_ms // _RETRY_AFTER_DIVISOR))
+            self._returning.record_refusal(
+                request.fingerprint, request.objective_ms, request.deadline_ms
+            )
+            retry_ms = waiting.honoured_ms(retry_ms, left_ms, random.random())
         self._log.write(
             events.Event.REQUEST_REFUSED,
             request=request_id,
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -626,3 +626,51 @@
         queue.cancel()
 
     _run(scenario, capacity=1)
+
+
+def test_request_that_others_keep_from_its_deadline_is_refused_at_once():
+    """Guards against a caller that is held until it has no time to return.
+
+    More requests that can be in time arrived than run before its deadline.
+    """
+
+    async def scenario(harness):
+        now_ms = harness.clock.now_ms()
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        (running,) = await harness.start("a")
+        (late,) = await harness.start("late", objective_ms=now_ms)
+        others = await harness.start(
+            *(f"r{number}" for number in range(45)),
+            objective_ms=now_ms + 5_000,
+            deadline_ms=now_ms + 6_000,
+        )
+        await harness.clock.advance(40)
+        assert not any(task.done() for task in others)
+        for task in (queue, running, *others):
+            task.cancel()
+        return late.result()
+
+    refusal = _run(scenario, capacity=1)
+    assert _reason(refusal) is work.RefusalReason.OVERLOADED
+    assert refusal.retry_after_ms >= 600
+
+
+def test_run_that_was_ended_is_reported_unless_it_runs_again():
+    """Guards against calls that are ended although their run goes on."""
+
+    async def scenario(harness):
+        ended = []
+        harness.gate.on_cancelled = ended.append
+        tasks = await harness.start("a", "a", "b")
+        for task in tasks[:2]:
+            task.cancel()
+            await harness.clock.advance(0)
+            ended.append("-")
+        (once,) = await harness.start("c", is_idempotent=False)
+        once.cancel()
+        await harness.clock.advance(0)
+        harness.connections.answer(_OK, number=1)
+        await harness.clock.advance(0)
+        return list(ended)
+
+    assert _run(scenario, capacity=3) == ["-", "a", "-"]
