--- /dev/null
+++ b/mustardloom/load_control/tests/test_usage_caps.py
@@ -0,0 +1,512 @@
+"""Tests of usage caps: rules, sums under faults, and uneven demand."""
+
+import collections
+import heapq
+import itertools
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from mustardloom import ids
+from mustardloom.load_control import usage_caps
+from mustardloom.load_control import usage_ledger
+
+TOLERANCE = usage_caps.Tolerance()
+ORGANISATION = ids.OrganisationId("o")
+
+
+def vms(count):
+    """Returns names of VMs."""
+    return [ids.VmId(f"vm-{index}") for index in range(count)]
+
+
+def confirmed(vm, listed, now_ms=0, caps=None):
+    """Returns a ledger that fills all places its list gives it."""
+    ledger = usage_ledger.Ledger(vm, TOLERANCE, now_ms)
+    ledger.set_caps(caps or {ORGANISATION: usage_caps.Cap(10.0, 10.0)})
+    ledger.office.set_listed(listed)
+    for other in ledger.office.unconfirmed():
+        ledger.office.on_confirmed(other)
+    ledger.open_buckets(now_ms)
+    return ledger
+
+
+def test_parts_of_the_tolerance_stay_below_it():
+    """Guards against parts that add up to more than the bound."""
+    for rate, burst, overage, slack in itertools.product(
+        (0.1, 1.0, 16.0, 127.0, 5_000.0),
+        (0.0, 1.0, 127.0),
+        (0.1, 0.3),
+        (0.0, 5.0, 20.0),
+    ):
+        tolerance = usage_caps.Tolerance(5_000, overage, slack)
+        cap = usage_caps.Cap(rate, burst)
+        held = rate * tolerance.lifetime_ms() / 1_000
+        total = rate * 5 + tolerance.stock(cap) + held
+        assert total + tolerance.allowance(cap) <= tolerance.bound(cap)
+
+
+def test_buckets_of_small_caps_hold_whole_tokens():
+    """Guards against shares that never reach a whole request."""
+    cap = usage_caps.Cap(0.5, 0.0)
+    assert TOLERANCE.stock(cap) / TOLERANCE.places() >= 1.5
+
+
+def test_places_are_spread_over_daemons():
+    """Guards against a daemon that is asked for most organisations."""
+    ring = usage_caps.Ring(vms(68))
+    places = collections.Counter()
+    for number in range(680):
+        organisation = ids.OrganisationId(f"o-{number}")
+        places.update(map(ring.owner, ring.places(organisation, 6)))
+    mean = 680 * 6 / 68
+    assert len(places) == 68
+    assert max(places.values()) < 4 * mean
+
+
+def test_allowances_of_all_daemons_add_up():
+    """Guards against rounding up at each of many daemons."""
+    listed = vms(68)
+    ring = usage_caps.Ring(listed)
+    for total in (0, 7, 68, 150):
+        parts = [ring.allowance(ORGANISATION, vm, total) for vm in listed]
+        assert sum(parts) == total
+        assert max(parts) - min(parts) <= 1
+    assert ring.allowance(ORGANISATION, ids.VmId("other"), 150) == 0
+
+
+def test_joined_daemon_fills_places_once_the_earlier_holders_know_it():
+    """Guards against places that are filled on both sides of a partition."""
+    listed = vms(8)
+    joined = listed[-1]
+    office = usage_caps.Office(joined)
+    office.set_listed(listed)
+    places = office.ring.places(ORGANISATION, 200)
+    assert office.filled(places) == 0
+    asked = office.unconfirmed()
+    before = usage_caps.Ring(listed[:-1])
+    for place, earlier in zip(
+        places, before.places(ORGANISATION, 200), strict=True
+    ):
+        if office.ring.owner(place) == joined:
+            assert before.owner(earlier) in asked
+    for other in asked:
+        office.on_confirmed(other)
+    assert office.filled(places) > 0
+    office.set_listed(listed[:-1])
+    office.set_listed(listed)
+    assert office.filled(places) == 0
+
+
+def test_restarted_trustee_has_no_tokens():
+    """Guards against a burst after each restart."""
+    own = vms(1)
+    ledger = confirmed(own[0], own, now_ms=1_000)
+    assert not ledger.spend(ORGANISATION, 1_000)
+    assert ledger.spend(ORGANISATION, 1_100)
+    assert not ledger.spend(ORGANISATION, 1_150)
+
+
+def test_tokens_expire_by_the_time_of_the_question():
+    """Guards against tokens of a late answer that add to later ones."""
+    wallet = usage_caps.Wallet()
+    wallet.add(2, 300, now_ms=300)
+    assert not wallet.take(300)
+    wallet.add(2, 600, now_ms=400)
+    assert wallet.take(599)
+    assert not wallet.take(600)
+
+
+def test_token_is_given_back_only_while_valid():
+    """Guards against a token that is revived after it was minted again."""
+    wallet = usage_caps.Wallet()
+    wallet.add(1, 300, now_ms=0)
+    assert not wallet.give_back(0)
+    assert wallet.take(0)
+    assert wallet.give_back(299)
+    assert not wallet.give_back(299)
+    assert wallet.take(299)
+    assert not wallet.give_back(300)
+
+
+def test_tokens_ahead_come_from_the_upper_half_only():
+    """Guards against daemons that take tokens ahead while others wait."""
+    trustee = usage_caps.Trustee(0)
+    assert trustee.grant(0, 100, 10.0, 20.0, 10_000).tokens == 10
+    assert trustee.grant(0, 100, 10.0, 20.0, 10_000).tokens == 0
+    assert trustee.grant(4, 100, 10.0, 20.0, 10_000).tokens == 4
+    short = trustee.grant(7, 0, 10.0, 20.0, 10_000)
+    assert short.tokens == 6
+    assert 100 <= short.retry_ms <= 1_000
+
+
+def test_waits_grow_with_the_denied_requests():
+    """Guards against an organisation above its cap that asks all the time."""
+    trustee = usage_caps.Trustee(0)
+    waits = [trustee.grant(1, 0, 4.0, 2.0, 0).retry_ms for _ in range(5)]
+    assert waits == [250, 500, 750, 1_000, 1_000]
+
+
+def test_allowance_is_empty_for_a_window_after_the_start():
+    """Guards against an allowance that each restart renews."""
+    allowance = usage_caps.Allowance(1_000, 5_000)
+    assert not allowance.take(1, 5_999)
+    assert allowance.retry_ms(1, 5_999) == 1
+    assert allowance.take(1, 6_000)
+    assert not allowance.take(1, 11_000)
+    assert allowance.retry_ms(1, 10_000) == 1_001
+    assert allowance.take(1, 11_001)
+
+
+def test_clock_that_stood_still_is_found_by_the_clock_of_a_peer():
+    """Guards against tokens that outlive a freeze of the whole VM."""
+    watch = usage_caps.ClockWatch()
+    vm = ids.VmId("v")
+    assert not watch.stood_still(vm, 10_000, 1_000, 300)
+    assert not watch.stood_still(vm, 11_200, 2_000, 300)
+    assert watch.stood_still(vm, 18_000, 3_000, 300)
+    assert not watch.stood_still(vm, 19_000, 4_000, 300)
+    watch.keep(frozenset())
+    assert not watch.stood_still(vm, 90_000, 5_000, 300)
+
+
+def test_nothing_is_kept_of_organisations_without_cap():
+    """Guards against memory that grows with names that callers send."""
+    own = vms(1)
+    ledger = confirmed(own[0], own)
+    assert ledger.grant(ids.OrganisationId("x"), 1, 0, 0).tokens == 0
+    assert ledger.accounts == 1
+    ledger.set_caps({})
+    assert ledger.accounts == 0
+    assert not ledger.give_back(ORGANISATION, 0)
+
+
+class Fleet:
+    """Daemons that buy tokens from each other over a faulty network.
+
+    Time is in ms. Each message is delayed, lost or repeated as a test says.
+    A frozen daemon does nothing; its messages arrive when it goes on.
+    """
+
+    def __init__(self, count, cap):
+        self.now_ms = 100_000
+        self.caps = {ORGANISATION: cap}
+        self.listed = vms(count)
+        self.ledgers = {}
+        self.lists = {}
+        self.side = {}
+        self.frozen = set()
+        self.inbox = {}
+        self.admitted_ms = collections.deque()
+        self.most = 0
+        self.queue = []
+        self.order = itertools.count()
+        self.delay_ms = 5
+        self.lost = 0
+        self.repeated = 0
+        self.random = random.Random(1)
+        self.watches = {}
+        # How far the clock of a daemon is behind, as it stood still.
+        self.behind_ms = collections.Counter()
+        self.stands_still = set()
+        for vm in self.listed:
+            self.start(vm)
+        for _ in range(10):
+            self.advance(100)
+
+    def clock(self, vm):
+        return self.now_ms - self.behind_ms[vm]
+
+    def start(self, vm):
+        self.frozen.discard(vm)
+        self.stands_still.discard(vm)
+        self.side.setdefault(vm, 0)
+        ledger = usage_ledger.Ledger(vm, TOLERANCE, self.clock(vm))
+        self.ledgers[vm] = ledger
+        self.watches[vm] = usage_caps.ClockWatch()
+        ledger.set_caps(dict(self.caps))
+        self.lists[vm] = list(self.listed)
+        ledger.office.set_listed(self.listed)
+
+    def later(self, delay_ms, call, vm):
+        due_ms = self.now_ms + delay_ms
+        heapq.heappush(self.queue, (due_ms, next(self.order), call, vm))
+
+    def send(self, sender, receiver, call):
+        if sender == receiver:
+            call()
+            return
+        if self.side.get(sender) != self.side.get(receiver):
+            return
+        if self.lost:
+            self.lost -= 1
+            return
+        copies = 1
+        if self.repeated:
+            self.repeated -= 1
+            copies = 2
+        ledger = self.ledgers.get(receiver)
+        for _ in range(copies):
+            delay_ms = self.random.randint(1, self.delay_ms)
+            stamped = self._stamped(sender, receiver, ledger, call)
+            self.later(delay_ms, stamped, receiver)
+
+    def _stamped(self, sender, receiver, ledger, call):
+        sent_ms = self.clock(sender)
+
+        def deliver():
+            # A process that was started later does not get it.
+            if self.ledgers.get(receiver) is not ledger or ledger is None:
+                return
+            watch = self.watches[receiver]
+            if watch.stood_still(sender, sent_ms, self.clock(receiver), 300):
+                ledger.drop_tokens()
+            call()
+
+        return deliver
+
+    def advance(self, duration_ms):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms = min(end_ms, (self.now_ms // 50 + 1) * 50)
+            while self.queue and self.queue[0][0] <= self.now_ms:
+                _, _, call, vm = heapq.heappop(self.queue)
+                if vm in self.frozen:
+                    self.inbox.setdefault(vm, []).append(call)
+                else:
+                    call()
+            for vm in self.stands_still:
+                self.behind_ms[vm] += 50
+            if self.now_ms % 250 == 0:
+                self._confirm()
+
+    def _confirm(self):
+        for vm, ledger in self.ledgers.items():
+            if vm in self.frozen:
+                continue
+            ledger.open_buckets(self.clock(vm))
+            for other in ledger.office.unconfirmed():
+                if other in self.ledgers:
+                    self.send(vm, other, self._listing_query(vm, other))
+
+    def _listing_query(self, vm, other):
+        def ask():
+            if self.ledgers[other].office.knows(vm):
+                self.send(other, vm, answer)
+
+        ledger = self.ledgers[vm]
+
+        def answer():
+            ledger.office.on_confirmed(other)
+
+        return ask
+
+    def resume(self):
+        self.frozen.clear()
+        self.stands_still.clear()
+        for calls in self.inbox.values():
+            for call in calls:
+                call()
+        self.inbox.clear()
+
+    def request(self, vm, count=1):
+        """Admits what the daemon holds, and asks all trustees for the rest."""
+        ledger = self.ledgers.get(vm)
+        if ledger is None or vm in self.frozen:
+            return
+        now_ms = self.clock(vm)
+        for _ in range(count):
+            ledger.record_request(ORGANISATION, now_ms)
+            if ledger.spend(ORGANISATION, now_ms):
+                self._admit()
+            else:
+                self._ask_all(vm)
+                if ledger.spend_allowance(ORGANISATION, now_ms):
+                    self._admit()
+
+    def _ask_all(self, vm):
+        ledger = self.ledgers[vm]
+        asked_ms = self.clock(vm)
+
+        def ask(trustee):
+            grant = self.ledgers[trustee].grant(
+                ORGANISATION, 1, 2, self.clock(trustee)
+            )
+            self.send(trustee, vm, lambda: receive(grant.tokens))
+
+        def receive(tokens):
+            now_ms = self.clock(vm)
+            ledger.receive(ORGANISATION, tokens, asked_ms, now_ms)
+            if ledger.spend(ORGANISATION, now_ms):
+                self._admit()
+
+        for trustee in ledger.trustees(ORGANISATION) - {vm}:
+            if trustee in self.ledgers:
+                self.send(vm, trustee, lambda trustee=trustee: ask(trustee))
+
+    def _admit(self):
+        self.admitted_ms.append(self.now_ms)
+        self.forget_old()
+        self.most = max(self.most, len(self.admitted_ms))
+
+    def forget_old(self):
+        """Forgets what was admitted before the current window."""
+        begin_ms = self.now_ms - TOLERANCE.window_ms
+        while self.admitted_ms and self.admitted_ms[0] <= begin_ms:
+            self.admitted_ms.popleft()
+
+
+COUNT = 7
+DAEMONS = strategies.integers(0, COUNT + 1)
+
+
+class Faults(stateful.RuleBasedStateMachine):
+    """Guards against more requests in a window than the bound.
+
+    Daemons join at most three at a time and leave the list only once they have
+    ended. The greatest cap of the last window and the 3 s before it counts.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.cap = usage_caps.Cap(20.0, 10.0)
+        self.fleet = Fleet(COUNT, self.cap)
+        # Caps that some daemon may use, and those that count for a window yet.
+        self.in_force = [self.cap]
+        self.retired = []
+        self.checked_ms = self.fleet.now_ms
+        self.joined = 0
+
+    def vm(self, number):
+        return sorted(self.fleet.ledgers)[number % len(self.fleet.ledgers)]
+
+    @stateful.rule(
+        steps=strategies.integers(1, 40), crowd=strategies.integers(0, 12)
+    )
+    def advance(self, steps, crowd):
+        for step in range(steps):
+            self.fleet.advance(50)
+            for vm in list(self.fleet.ledgers):
+                self.fleet.request(vm, crowd if step % 4 == 0 else 0)
+
+    @stateful.rule(number=DAEMONS, count=strategies.integers(1, 200))
+    def rush(self, number, count):
+        self.fleet.request(self.vm(number), count)
+
+    @stateful.rule(
+        sides=strategies.lists(
+            strategies.integers(0, 2), min_size=COUNT, max_size=COUNT
+        )
+    )
+    def cut(self, sides):
+        for vm, side in zip(sorted(self.fleet.ledgers), sides, strict=False):
+            self.fleet.side[vm] = side
+
+    @stateful.rule()
+    def heal(self):
+        for vm in self.fleet.side:
+            self.fleet.side[vm] = 0
+
+    @stateful.rule()
+    def cut_each(self):
+        for number, vm in enumerate(self.fleet.side):
+            self.fleet.side[vm] = number
+
+    @stateful.rule(number=DAEMONS)
+    def restart(self, number):
+        self.fleet.start(self.vm(number))
+
+    @stateful.rule(number=DAEMONS, is_still=strategies.booleans())
+    def freeze(self, number, is_still):
+        vm = self.vm(number)
+        self.fleet.frozen.add(vm)
+        if is_still:
+            self.fleet.stands_still.add(vm)
+
+    @stateful.rule()
+    def resume(self):
+        self.fleet.resume()
+
+    @stateful.rule(
+        lost=strategies.integers(0, 20),
+        repeated=strategies.integers(0, 20),
+        delay_ms=strategies.sampled_from((5, 80, 2_000)),
+    )
+    def disturb(self, lost, repeated, delay_ms):
+        self.fleet.lost = lost
+        self.fleet.repeated = repeated
+        self.fleet.delay_ms = delay_ms
+
+    @stateful.rule(
+        rate=strategies.sampled_from((2.0, 20.0, 60.0)),
+        burst=strategies.sampled_from((0.0, 10.0, 60.0)),
+        adopters=strategies.sets(DAEMONS),
+    )
+    def change_cap(self, rate, burst, adopters):
+        """The others adopt it only with the next change of all."""
+        self.cap = usage_caps.Cap(rate, burst)
+        self.in_force.append(self.cap)
+        self.fleet.caps = {ORGANISATION: self.cap}
+        for number in adopters:
+            self.fleet.ledgers[self.vm(number)].set_caps(self.fleet.caps)
+
+    @stateful.rule()
+    def adopt_cap(self):
+        for ledger in self.fleet.ledgers.values():
+            ledger.set_caps(self.fleet.caps)
+        counts_until_ms = self.fleet.now_ms + TOLERANCE.window_ms
+        self.retired += [(counts_until_ms, cap) for cap in self.in_force]
+        self.in_force = [self.cap]
+
+    def _greatest_cap(self):
+        caps = [*self.in_force, *(cap for _, cap in self.retired)]
+        return usage_caps.Cap(
+            max(cap.rate_per_s for cap in caps), max(cap.burst for cap in caps)
+        )
+
+    @stateful.precondition(lambda self: self.joined < 3)
+    @stateful.rule(knowing=strategies.sets(DAEMONS))
+    def join(self, knowing):
+        self.joined += 1
+        vm = ids.VmId(f"new-{self.joined}")
+        self.fleet.listed = [*self.fleet.listed, vm]
+        self.fleet.side[vm] = 0
+        self.fleet.start(vm)
+        for number in knowing:
+            self._adopt_list(self.vm(number))
+
+    @stateful.precondition(lambda self: len(self.fleet.ledgers) > 3)
+    @stateful.rule(number=DAEMONS)
+    def leave(self, number):
+        vm = self.vm(number)
+        del self.fleet.ledgers[vm]
+        self.fleet.listed = [each for each in self.fleet.listed if each != vm]
+
+    @stateful.rule()
+    def adopt_list(self):
+        for vm in self.fleet.ledgers:
+            self._adopt_list(vm)
+
+    def _adopt_list(self, vm):
+        self.fleet.ledgers[vm].office.set_listed(self.fleet.listed)
+
+    @stateful.invariant()
+    def check(self):
+        self.retired = [
+            (until_ms, cap)
+            for until_ms, cap in self.retired
+            if until_ms >= self.checked_ms
+        ]
+        self.checked_ms = self.fleet.now_ms
+        bound = TOLERANCE.bound(self._greatest_cap())
+        assert self.fleet.most <= bound
+        self.fleet.forget_old()
+        self.fleet.most = len(self.fleet.admitted_ms)
+
+
+Faults.TestCase.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=40, deadline=None
+)
+TestFaults = Faults.TestCase
