--- a/mustardloom/deployment/configuration.py
+++ b/mustardloom/deployment/configuration.py
@@ -1,23 +1,29 @@
-"""Routes and services that operators declared."""
+"""Routes, services and organisations that operators declared."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import enum
 import functools
+import hashlib
 
 from mustardloom import ids
 
 __all__ = [
     "CallerLimits",
     "Configuration",
+    "Organisation",
     "RequestKind",
     "Route",
     "Service",
     "Share",
+    "key_digest",
 ]
 
 
 _DEFAULT_OBJECTIVE_MS = 300
+_DIGEST_BYTES = 16
+_DIGEST_PURPOSE = b"api-key"
 
 
 class RequestKind(enum.Enum):
@@ -60,6 +66,7 @@
       max_attempts: Maximum number of targets that a request is sent to.
       priority: Rank, 0 is the most urgent.
       home_regions: Regions that may serve; empty allows all.
+      is_exempt: Whether its requests need no API key.
     """
 
     name: ids.RouteId
@@ -72,6 +79,7 @@
     max_attempts: int
     priority: int
     home_regions: frozenset[ids.RegionId]
+    is_exempt: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -118,14 +126,44 @@
     idle_timeout_ms: int = 15_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation whose callers share API keys and a usage cap.
+
+    Attributes:
+      name: Name, unique in the configuration.
+      priority: Rank of its requests, 0 is the most urgent; it replaces the
+        priority of the route.
+      rate_per_s: Cap on its requests a second; None for no cap.
+      burst: Requests that it may send at once above that rate.
+      home_regions: Regions that may serve; empty allows all.
+    """
+
+    name: ids.OrganisationId
+    priority: int
+    rate_per_s: float | None
+    burst: float
+    home_regions: frozenset[ids.RegionId]
+
+
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One version of everything that operators declared."""
+    """One version of everything that operators declared.
+
+    Attributes:
+      organisation_by_key_digest: Organisations by `key_digest` of their API
+        keys. The keys themselves are not kept.
+      has_organisations: Whether requests need an API key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[ids.ServiceId, Service]
     limits: CallerLimits = CallerLimits()
+    organisation_by_key_digest: Mapping[bytes, Organisation] = (
+        dataclasses.field(default_factory=dict, repr=False)
+    )
+    has_organisations: bool = False
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Returns the route of the longest matching prefix, None if none."""
@@ -156,5 +194,22 @@
         return by_host
 
 
+def key_digest(key: bytes) -> bytes:
+    """Returns the digest by which an API key is known; all daemons have one.
+
+    Comparing digests takes a time that says nothing about the keys. A short key
+    can be found from its digest by trying, so digests are not public.
+
+    Example:
+      >>> key_digest(b"k1") == key_digest(b"k1")
+      True
+      >>> key_digest(b"k1") == key_digest(b"k2")
+      False
+    """
+    return hashlib.blake2b(
+        key, digest_size=_DIGEST_BYTES, person=_DIGEST_PURPOSE
+    ).digest()
+
+
 def _longest_first(routes: Iterable[Route]) -> list[Route]:
     return sorted(routes, key=lambda route: -len(route.prefix))
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -1,6 +1,9 @@
 """Decodes the configuration object that operators write."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
+import re
+import types
 from typing import Annotated
 
 import msgspec
@@ -11,14 +14,23 @@
 from mustardloom.deployment import stored
 from mustardloom.platform import durations
 
-__all__ = ["KEY", "decode", "version_of"]
+__all__ = ["KEY", "decode", "hide_keys", "version_of"]
 
 # The object that holds the configuration; others of its kind mean nothing.
 KEY = stored.key(stored.Kind.CONFIGURATION, "main")
 
 _Positive = Annotated[int, msgspec.Meta(ge=1)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Rate = Annotated[float, msgspec.Meta(ge=0)]
 _IDEMPOTENT_KIND = "safe"
+_TENANTS = "tenants"
+_API_KEYS = "api_keys"
+_DIGESTS = "api_key_digests"
+_NULL = b"null"
+_INVALID = msgspec.Raw(b'"invalid"')
+# Characters that a header cannot carry, so that a name with one of them could
+# add headers to a request.
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 
 
 class _WeightedCluster(msgspec.Struct):
@@ -45,6 +57,7 @@
     action: _Action
     target_latency: str = ""
     priority: int = 0
+    auth_exempt: bool = False
 
 
 class _Listener(msgspec.Struct):
@@ -69,11 +82,27 @@
     idle_timeout: str
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # What `hide_keys` puts in their place.
+    api_key_digests: list[str] = []
+    priority: int = 0
+    rate_per_s: _Rate = 0.0
+    burst: _Rate = 0.0
+    allowed_regions: list[str] = []
+
+    def __repr__(self) -> str:
+        """Returns a text without the API keys."""
+        return f"_Tenant(name={self.name!r})"
+
+
 class _Configuration(msgspec.Struct):
     version: int
     listeners: list[_Listener]
     clusters: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class _Versioned(msgspec.Struct):
@@ -89,6 +118,47 @@
     return decoding.decode_json(value, _Versioned).version
 
 
+def hide_keys(value: bytes) -> bytes:
+    """Returns a configuration object with digests in place of its API keys.
+
+    Daemons send each other the object, and no frame may contain a key. An
+    object without organisations is returned as it is. If those it has are not
+    valid, the result is not valid either, so that it is reported.
+    """
+    try:
+        members = decoding.decode_json(value, dict[str, msgspec.Raw])
+    except decoding.Undecodable:
+        # It is no object, so it has no organisations.
+        return value
+    tenants = bytes(members.get(_TENANTS, _NULL))
+    if tenants == _NULL:
+        return value
+    try:
+        hidden = [
+            _hide_keys_of(each)
+            for each in decoding.decode_json(
+                tenants, list[dict[str, msgspec.Raw]]
+            )
+        ]
+        members[_TENANTS] = msgspec.Raw(msgspec.json.encode(hidden))
+    except ValueError:
+        members[_TENANTS] = _INVALID
+    return msgspec.json.encode(members)
+
+
+def _hide_keys_of(tenant: dict[str, msgspec.Raw]) -> dict[str, msgspec.Raw]:
+    known = _Tenant.__struct_fields__
+    shown = {name: value for name, value in tenant.items() if name in known}
+    keys = shown.pop(_API_KEYS, None)
+    if keys is not None:
+        digests = [
+            configuration.key_digest(key.encode()).hex()
+            for key in decoding.decode_json(bytes(keys), list[str])
+        ]
+        shown[_DIGESTS] = msgspec.Raw(msgspec.json.encode(digests))
+    return shown
+
+
 def decode(value: bytes) -> configuration.Configuration:
     """Decodes the value of the configuration object.
 
@@ -102,6 +172,9 @@
         tuple(_routes(wire.listeners)),
         {service.name: service for service in services},
         _limits(wire.limits),
+        _organisations(wire.tenants or []),
+        # An empty list declares no organisations, like an absent one.
+        bool(wire.tenants),
     )
 
 
@@ -133,6 +206,7 @@
         max_attempts=action.max_attempts,
         priority=rule.priority,
         home_regions=frozenset(map(ids.RegionId, action.allowed_regions)),
+        is_exempt=rule.auth_exempt,
     )
 
 
@@ -145,6 +219,56 @@
     return (configuration.Share(ids.ServiceId(action.service), 1.0),)
 
 
+def _organisations(
+    tenants: list[_Tenant],
+) -> Mapping[bytes, configuration.Organisation]:
+    """Returns organisations by the digests of their keys.
+
+    Errors name organisations, never a key.
+    """
+    names: set[str] = set()
+    found: dict[bytes, configuration.Organisation] = {}
+    for tenant in tenants:
+        organisation = _organisation(tenant)
+        if tenant.name in names:
+            raise ValueError(f"two organisations are named {tenant.name!r}")
+        names.add(tenant.name)
+        for digest in _digests(tenant):
+            other = found.setdefault(digest, organisation)
+            if other.name != organisation.name:
+                raise ValueError(
+                    f"organisations {other.name!r} and {tenant.name!r}"
+                    " have an API key in common"
+                )
+    return types.MappingProxyType(found)
+
+
+def _organisation(tenant: _Tenant) -> configuration.Organisation:
+    name = tenant.name
+    if not name or name != name.strip() or _CONTROL.search(name):
+        raise ValueError(f"{name!r} cannot be sent as an organisation's name")
+    name.encode()  # Fails for a lone surrogate.
+    return configuration.Organisation(
+        name=ids.OrganisationId(name),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s or None,
+        burst=tenant.burst,
+        home_regions=frozenset(map(ids.RegionId, tenant.allowed_regions)),
+    )
+
+
+def _digests(tenant: _Tenant) -> Iterator[bytes]:
+    try:
+        for key in tenant.api_keys:
+            yield configuration.key_digest(key.encode())
+        for digest in tenant.api_key_digests:
+            yield bytes.fromhex(digest)
+    except ValueError:
+        # The error of the codec contains a part of the key.
+        message = f"organisation {tenant.name!r} has an invalid key"
+        raise ValueError(message) from None
+
+
 def _service(wire: _Service) -> configuration.Service:
     return configuration.Service(
         name=ids.ServiceId(wire.name),
