Admit the requests of organisations by their usage caps

The ingress takes a token per request, answers 429 with Retry-After above the cap, and gives the token back if no target was offered the request. Daemons ask trustees for tokens by links that exist anyway. The limits quota_window, quota_overage and quota_slack come from the bounds line. Deployments without caps send no frame for this.

--- a/mustardloom/deployment/settings.py
+++ b/mustardloom/deployment/settings.py
@@ -23,6 +23,9 @@
       cold_factor: Multiple of a cold target's rate that is tolerated.
       cold_slack: Requests a second tolerated above that.
       hold_limit_ms: Longest time for which keys may be granted.
+      quota_window_ms: Window over which usage caps of organisations count.
+      quota_overage: Share of a cap's requests in a window tolerated above it.
+      quota_slack: Requests in a window tolerated above that.
     """
 
     drain_ms: int = 2_500
@@ -33,6 +36,9 @@
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     hold_limit_ms: int = 10_000
+    quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardloom/platform/settings_file.py
+++ b/mustardloom/platform/settings_file.py
@@ -228,4 +228,15 @@
             hold_limit_ms=self._get(
                 "bounds.hold_max", ms, defaults.hold_limit_ms
             ),
+            quota_window_ms=self._get(
+                "bounds.quota_window", ms, defaults.quota_window_ms
+            ),
+            quota_overage=self._get(
+                "bounds.quota_overage",
+                numbers.parse_number,
+                defaults.quota_overage,
+            ),
+            quota_slack=self._get(
+                "bounds.quota_slack", numbers.parse_number, defaults.quota_slack
+            ),
         )
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -59,6 +59,7 @@
 from mustardloom.sidecar import target_selection
 from mustardloom.sidecar import transfers as transfers_lib
 from mustardloom.sidecar import unreadable_objects
+from mustardloom.sidecar import usage_caps
 
 __all__ = ["Daemon", "Ports"]
 
@@ -260,6 +261,17 @@
             self._log,
             self._start,
         )
+        self._caps = usage_caps.UsageCaps(
+            self._fleet,
+            self._links,
+            lambda: self._adoption.configuration,
+            own_settings.bounds,
+            clock,
+            self._log,
+            self._metrics,
+            self._start,
+        )
+        self._adoption.on_adopted = self._caps.adopt
         self._peer_frames = peer_frames.PeerFrames(
             self._fleet,
             self._target_memory,
@@ -271,6 +283,7 @@
             self._quarantine,
             self._keyspace_by_service,
             keyspaces.planner_by_service,
+            self._caps,
             clock,
         )
         self._links.make_pong = self._peer_frames.make_pong
@@ -304,6 +317,7 @@
             clock,
             self._log,
             self._metrics,
+            self._caps,
         )
         self._caller_server = self._new_server(
             self._ingress.handle,
@@ -333,6 +347,7 @@
                 **self._report.gauges(),
                 **self._memory.gauges(),
                 **self._descriptor_report.gauges(),
+                **self._caps.gauges(),
             },
         )
         self._metrics_server = self._new_server(
@@ -569,6 +584,7 @@
         self._settings = dataclasses.replace(self._settings, bounds=new.bounds)
         self._local_target.bounds = new.bounds
         self._router.set_bounds(new.bounds)
+        self._caps.set_bounds(new.bounds)
         self._gate.set_cold_factor(new.bounds.cold_factor)
         for keyspace in self._keyspace_by_service.values():
             keyspace.bounds = new.bounds
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -101,6 +101,7 @@
     Attributes:
       own_record: Record of this daemon.
       by_vm: The daemons by their VMs.
+      listed_vms: VMs of the store's list, empty before it is known.
     """
 
     def __init__(
@@ -120,11 +121,14 @@
         # Records of daemons that connected, but are not in the store's list.
         self._unlisted_by_vm: dict[ids.VmId, stored.DaemonRecord] = {}
         self._listed: list[stored.DaemonRecord] = []
+        self.listed_vms: tuple[ids.VmId, ...] = ()
         self._planner: ids.VmId | None = None
         self._planner_until_ms = 0
         self._links = links
         self._clock = clock
         self.set_listed([own])
+        # This daemon alone is no list of the store.
+        self.listed_vms = ()
 
     @property
     def evacuated_zones(self) -> set[ids.AvailabilityZoneId]:
@@ -139,6 +143,7 @@
     def set_listed(self, records: list[stored.DaemonRecord]) -> None:
         """Adopts the store's list of daemons."""
         self._listed = records
+        self.listed_vms = tuple(record.vm for record in records)
         for record in records:
             self._unlisted_by_vm.pop(record.vm, None)
         self._rebuild()
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -23,6 +23,8 @@
     "Goodbye",
     "Hello",
     "KeyLoad",
+    "ListingQuery",
+    "ListingReply",
     "LoadQuery",
     "LoadReply",
     "Ping",
@@ -35,6 +37,8 @@
     "Suspect",
     "TargetLeft",
     "TargetLimited",
+    "TokenQuery",
+    "TokenReply",
     "Transfer",
     "encode",
 ]
@@ -393,6 +397,47 @@
     last_number: int
 
 
+class TokenQuery(_Base, frozen=True, tag=22):
+    """Asks a trustee for tokens of an organisation.
+
+    Attributes:
+      needed: Tokens for requests that wait.
+      ahead: Tokens for later ones, if there are enough.
+    """
+
+    number: int
+    organisation: str
+    needed: int
+    ahead: int
+
+
+class TokenReply(_Base, frozen=True, tag=23):
+    """Tokens that the sender gives.
+
+    Attributes:
+      retry_ms: Time until there may be more, 0 if there are now.
+      is_trustee: Whether the sender fills a place of the organisation.
+    """
+
+    number: int
+    tokens: int
+    retry_ms: int
+    is_trustee: bool
+
+
+class ListingQuery(_Base, frozen=True, tag=24):
+    """Asks whether the receiver's list of daemons contains the sender."""
+
+    number: int
+
+
+class ListingReply(_Base, frozen=True, tag=25):
+    """Whether the list of daemons that the sender uses contains the asker."""
+
+    number: int
+    is_listed: bool
+
+
 Frame = (
     Hello
     | Forward
@@ -416,6 +461,10 @@
     | TargetLeft
     | TargetLimited
     | Goodbye
+    | TokenQuery
+    | TokenReply
+    | ListingQuery
+    | ListingReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+from typing import Protocol
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -18,12 +19,13 @@
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import work
 
-__all__ = ["Ingress"]
+__all__ = ["Caps", "Ingress", "NoCaps"]
 
 _MS_PER_S = 1_000
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
 _UNAUTHORISED = 401
+_TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMEOUT = 504
@@ -35,6 +37,32 @@
 _RETRY_AFTER_DIVISOR = 3
 
 
+class Caps(Protocol):
+    """Usage caps of organisations; see `usage_caps.UsageCaps`."""
+
+    async def admit(
+        self, organisation: ids.OrganisationId, deadline_ms: int
+    ) -> int | None:
+        """Returns None for a request that is admitted, else when to retry."""
+
+    def give_back(self, organisation: ids.OrganisationId) -> None:
+        """Takes back what a request that was not offered to a target used."""
+
+
+class NoCaps:
+    """Admits all requests."""
+
+    async def admit(
+        self, organisation: ids.OrganisationId, deadline_ms: int
+    ) -> int | None:
+        """See `Caps`."""
+        del organisation, deadline_ms
+        return None
+
+    def give_back(self, organisation: ids.OrganisationId) -> None:
+        """See `Caps`."""
+
+
 class Ingress:
     """Matches requests to routes and turns outcomes into responses."""
 
@@ -46,7 +74,9 @@
         clock: clock_lib.Clock,
         log: events.EventLog,
         metrics: metrics_lib.Metrics,
+        caps: Caps | None = None,
     ):
+        self._caps = caps or NoCaps()
         self._router = router
         self._service = service
         self._current_configuration = current
@@ -59,9 +89,9 @@
         """Runs a caller's request and returns the response to it.
 
         The status is 404 without a matching route, 401 without a valid API key
-        where one is needed, 400 without a request id, 503 if the request was
-        certainly not run, and 502 or 504 if it may have run; otherwise the
-        response is that of the target.
+        where one is needed, 400 without a request id, 429 above the cap of the
+        organisation, 503 if the request was certainly not run, and 502 or 504
+        if it may have run; otherwise the response is that of the target.
         """
         fields = headers.read_request(request)
         current = self._current_configuration()
@@ -216,6 +246,12 @@
         left_ms = request.deadline_ms - started_ms
         try:
             async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
+                if request.organisation is not None:
+                    retry_ms = await self._caps.admit(
+                        request.organisation, request.deadline_ms
+                    )
+                    if retry_ms is not None:
+                        return self._refuse_over_cap(request, retry_ms)
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
@@ -231,6 +267,8 @@
             case work.Answered(response):
                 return response
             case work.Refused() as refused:
+                if request.organisation is not None and not refused.was_offered:
+                    self._caps.give_back(request.organisation)
                 return self._refuse(request.request_id, refused, request)
             case work.Failed(reason):
                 return self._fail(request, reason, started_ms)
@@ -246,6 +284,23 @@
             left_ms=request.deadline_ms - now_ms,
         )
 
+    def _refuse_over_cap(
+        self, request: work.Work, retry_ms: int
+    ) -> messages.Response:
+        self._metrics.increment("ingress.over_cap")
+        self._log.write(
+            events.Event.REQUEST_OVER_CAP,
+            request=request.request_id,
+            route=request.route,
+            organisation=request.organisation,
+            reason="usage-cap",
+            retry_after_ms=retry_ms,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
+        )
+        return headers.refusal(
+            _TOO_MANY_REQUESTS, request.request_id, retry_ms, "usage cap"
+        )
+
     def _refuse(
         self,
         request_id: str,
--- a/mustardloom/sidecar/peer_frames.py
+++ b/mustardloom/sidecar/peer_frames.py
@@ -20,6 +20,7 @@
 from mustardloom.sidecar import shared_state
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import target_memory as target_memory_lib
+from mustardloom.sidecar import usage_caps as usage_caps_lib
 
 __all__ = ["PeerFrames"]
 
@@ -38,6 +39,7 @@
       quarantine: Requests that are suspected to crash targets.
       keyspace_by_service: The key spaces, also those that open later.
       planner_by_service: Their planners, likewise.
+      caps: Usage caps of organisations.
       clock: Source of time.
     """
 
@@ -53,6 +55,7 @@
         quarantine: quarantine_lib.Quarantine,
         keyspace_by_service: Mapping[ids.ServiceId, keyspace_lib.Keyspace],
         planner_by_service: Mapping[ids.ServiceId, planner_lib.Planner],
+        caps: usage_caps_lib.UsageCaps,
         clock: clock_lib.Clock,
     ):
         self._fleet = fleet
@@ -65,6 +68,7 @@
         self._quarantine = quarantine
         self._keyspace_by_service = keyspace_by_service
         self._planner_by_service = planner_by_service
+        self._caps = caps
         self._clock = clock
 
     def receive(
@@ -86,6 +90,10 @@
                     return keyspace.on_release_query(frame)
             case frames.LoadQuery():
                 return self._report.load_reply(frame)
+            case frames.TokenQuery():
+                return self._caps.on_token_query(frame)
+            case frames.ListingQuery():
+                return self._caps.on_listing_query(vm, frame)
             case _:
                 self._note(vm, frame)
         return None
@@ -107,6 +115,7 @@
 
     def on_pong(self, vm: ids.VmId, asked_ms: int, pong: frames.Pong) -> None:
         """Processes a peer's answer to a status or ping sent at `asked_ms`."""
+        self._caps.on_peer_clock(vm, pong.clock_ms)
         for service, version, is_voter in pong.words:
             keyspace = self._keyspace_of(service)
             if keyspace is not None:
--- a/mustardloom/sidecar/state_adoption.py
+++ b/mustardloom/sidecar/state_adoption.py
@@ -39,6 +39,7 @@
 
     Attributes:
       configuration: The configuration in force, None before the first one.
+      on_adopted: Called after the configuration or the list has changed.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         start: Callable[[Coroutine[Any, Any, None]], None],
     ):
         self.configuration: deployed.Configuration | None = None
+        self.on_adopted: Callable[[], None] = lambda: None
         self._own_record = own_record
         self._state = state
         self._fleet = fleet
@@ -102,6 +104,7 @@
             routes=len(new.routes),
         )
         self._adopt_services(new)
+        self.on_adopted()
 
     def _adopt_services(self, new: deployed.Configuration) -> None:
         own_service = new.service_by_name.get(self._own_record.service)
@@ -140,3 +143,4 @@
                 continue
             by_address[record.ip, record.port] = record
         self._fleet.set_listed(list(by_address.values()))
+        self.on_adopted()
--- /dev/null
+++ b/mustardloom/sidecar/tests/test_usage_caps.py
@@ -0,0 +1,335 @@
+"""Tests of usage caps between daemons whose links are on loopback."""
+
+import asyncio
+import contextlib
+import os
+
+import msgspec
+
+from mustardloom import clock as clock_lib
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import configuration
+from mustardloom.deployment import settings
+from mustardloom.deployment import stored
+from mustardloom.sidecar import events
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import usage_caps
+
+HOST = "127.0.0.1"
+NAME = ids.OrganisationId("o")
+OTHER = ids.OrganisationId("other")
+LONG_MS = 5_000
+
+
+def organisation(rate_per_s, burst, name=NAME):
+    """Returns an organisation with a cap, or without one if None."""
+    return configuration.Organisation(name, 1, rate_per_s, burst, frozenset())
+
+
+def configured(*organisations):
+    """Returns a configuration with these organisations."""
+    return configuration.Configuration(
+        1,
+        (),
+        {},
+        organisation_by_key_digest={
+            each.name.encode(): each for each in organisations
+        },
+        has_organisations=bool(organisations),
+    )
+
+
+class Daemon:
+    """What of a daemon handles usage caps.
+
+    Attributes:
+      received: Frames of other daemons about caps.
+      is_silent: Whether questions of other daemons get no answer.
+    """
+
+    def __init__(self, name, current, bounds):
+        self.clock = clock_lib.SystemClock()
+        self.metrics = metrics_lib.Metrics()
+        self.current = current
+        self.received = []
+        self.is_silent = False
+        self.null = os.open(os.devnull, os.O_WRONLY)
+        self.record = stored.DaemonRecord(
+            ids.VmId(name),
+            HOST,
+            0,
+            ids.AvailabilityZoneId("z"),
+            ids.RegionId("r"),
+            ids.ServiceId("s"),
+        )
+        self.links = links_lib.Links(self.record, self.clock, self._on_frame)
+        self.links.on_pong = lambda vm, _, pong: self.caps.on_peer_clock(
+            vm, pong.clock_ms
+        )
+        self.fleet = fleet_lib.Fleet(self.record, self.links, self.clock)
+        self.caps = usage_caps.UsageCaps(
+            self.fleet,
+            self.links,
+            lambda: self.current,
+            bounds,
+            self.clock,
+            events.EventLog(name, self.clock, self.metrics, self.null),
+            self.metrics,
+            lambda call: asyncio.ensure_future(call),
+        )
+        self.port = self.links.listen(HOST, 0)
+
+    def _on_frame(self, vm, frame):
+        match frame:
+            case frames.TokenQuery():
+                self.received.append(frame)
+                return (
+                    None
+                    if self.is_silent
+                    else (self.caps.on_token_query(frame))
+                )
+            case frames.ListingQuery():
+                self.received.append(frame)
+                return self.caps.on_listing_query(vm, frame)
+        return None
+
+    def count(self, name):
+        """Returns a counter."""
+        return self.metrics.counters[f"usage_caps.{name}"]
+
+    def admit(self, name=NAME, left_ms=LONG_MS):
+        """Returns the coroutine that admits a request."""
+        return self.caps.admit(name, self.clock.now_ms() + left_ms)
+
+    def close(self):
+        """Closes the links."""
+        self.links.close()
+        os.close(self.null)
+
+
+@contextlib.asynccontextmanager
+async def started(count, current, bounds):
+    """Starts daemons that know each other, and yields them."""
+    daemons = [Daemon(f"vm-{n}", current, bounds) for n in range(count)]
+    records = [
+        msgspec.structs.replace(each.record, port=each.port) for each in daemons
+    ]
+    for each in daemons:
+        each.fleet.set_listed(records)
+        each.caps.adopt()
+    vms = {each.record.vm for each in daemons}
+    while not all(
+        each.links.is_up(vm)
+        for each in daemons
+        for vm in vms - {each.record.vm}
+    ):
+        await asyncio.sleep(0.01)
+    try:
+        yield daemons
+    finally:
+        for each in daemons:
+            each.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def play(scenario, count, current, bounds=None):
+    """Runs a scenario with a fleet."""
+
+    async def run():
+        limits = bounds or settings.Bounds()
+        async with asyncio.timeout(30):
+            async with started(count, current, limits) as daemons:
+                return await scenario(daemons)
+
+    return asyncio.run(run())
+
+
+async def filled(daemons):
+    """Returns once all places are filled and hold tokens."""
+    while any(each.caps._ledger.office.unconfirmed() for each in daemons):
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.5)
+
+
+def test_nothing_is_sent_or_kept_without_caps():
+    """Guards against a cost for deployments without organisations."""
+
+    async def scenario(daemons):
+        await asyncio.sleep(0.4)
+        for each in daemons:
+            assert await each.admit() is None
+            each.caps.give_back(NAME)
+        assert not any(each.received for each in daemons)
+        assert not any(each.metrics.counters for each in daemons)
+        assert all(
+            each.caps.gauges()["usage_caps_organisations"] == 0
+            for each in daemons
+        )
+
+    play(scenario, 3, configured())
+    play(scenario, 3, configured(organisation(None, 0.0)))
+
+
+def test_requests_below_the_cap_are_admitted_at_each_daemon():
+    """Guards against refusals where a share of the cap is not one request."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        await asyncio.sleep(0.5)
+        for _ in range(3):
+            for each in daemons:
+                assert await each.admit() is None
+            await asyncio.sleep(0.7)
+        assert sum(each.count("refused") for each in daemons) == 0
+
+    # 9 requests in 0.7 s.
+    play(scenario, 9, configured(organisation(20.0, 10.0)))
+
+
+def test_sum_over_all_daemons_keeps_the_bound():
+    """Guards against a cap that each daemon grants by itself."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        end_ms = daemons[0].clock.now_ms() + 2_000
+        admitted = 0
+
+        async def demand(daemon):
+            nonlocal admitted
+            while daemon.clock.now_ms() < end_ms:
+                retry_ms = await daemon.admit(left_ms=300)
+                if retry_ms is None:
+                    admitted += 1
+                else:
+                    assert retry_ms > 0
+                await asyncio.sleep(0.01)
+
+        await asyncio.gather(*map(demand, daemons))
+        questions = sum(each.count("questions") for each in daemons)
+        refused = sum(each.count("refused") for each in daemons)
+        return admitted, questions, refused
+
+    admitted, questions, refused = play(
+        scenario, 5, configured(organisation(20.0, 10.0))
+    )
+    # Minted in 2 s, the stock, and what wallets hold.
+    assert 35 <= admitted <= 2 * 20 + 20 + 6 + 1
+    # Above the cap, few questions are asked.
+    assert questions < refused
+
+
+def test_trustee_that_does_not_answer_is_passed_over():
+    """Guards against requests that are refused as one trustee is frozen."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        trustees = daemons[0].caps._ledger.trustees(NAME)
+        silent = next(
+            each for each in daemons[1:] if each.record.vm in trustees
+        )
+        silent.is_silent = True
+        asker = next(each for each in daemons if each is not silent)
+        for _ in range(6):
+            assert await asker.admit() is None
+        assert asker.count("questions_failed") <= 1
+
+    play(scenario, 4, configured(organisation(20.0, 20.0)))
+
+
+def test_burst_at_one_daemon_gets_tokens_of_all_trustees():
+    """Guards against a burst that only one trustee serves."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        await asyncio.sleep(1.0)
+        results = await asyncio.gather(*(daemons[0].admit() for _ in range(20)))
+        assert results == [None] * 20
+
+    play(scenario, 6, configured(organisation(20.0, 20.0)))
+
+
+def test_requests_that_a_daemon_will_send_are_paid_ahead():
+    """Guards against a question for each request of a busy organisation."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        for _ in range(100):
+            assert await daemons[0].admit() is None
+            await asyncio.sleep(0.005)
+        return daemons[0].count("questions")
+
+    assert play(scenario, 4, configured(organisation(2_000.0, 500.0))) < 50
+
+
+def test_daemon_without_trustees_uses_its_allowance():
+    """Guards against refusing all, or admitting all, when cut off alone."""
+    bounds = settings.Bounds(quota_window_ms=300, quota_slack=40.0)
+
+    async def scenario(daemons):
+        await filled(daemons)
+        alone = next(
+            each
+            for each in daemons
+            if each.record.vm not in each.caps._ledger.trustees(NAME)
+        )
+        for each in daemons:
+            each.is_silent = True
+        results = [await alone.admit(left_ms=900) for _ in range(10)]
+        admitted = results.count(None)
+        assert 1 <= admitted < 10
+        assert alone.count("admitted_by_allowance") == admitted
+
+    play(scenario, 9, configured(organisation(2.0, 2.0)), bounds)
+
+
+def test_refused_request_gives_its_token_back():
+    """Guards against a cap that is used up by requests that never ran."""
+
+    async def scenario(daemons):
+        (daemon,) = daemons
+        await asyncio.sleep(0.3)
+        for _ in range(10):
+            assert await daemon.admit() is None
+            daemon.caps.give_back(NAME)
+        return daemon.count("given_back")
+
+    assert play(scenario, 1, configured(organisation(4.0, 1.0))) == 10
+
+
+def test_organisation_above_its_cap_does_not_delay_others():
+    """Guards against one organisation's requests that block another's."""
+
+    async def scenario(daemons):
+        await filled(daemons)
+        flood = [asyncio.ensure_future(daemons[0].admit()) for _ in range(300)]
+        await asyncio.sleep(0)
+        assert await daemons[0].admit(OTHER) is None
+        results = await asyncio.gather(*flood)
+        assert 0 < results.count(None) < 60
+
+    play(
+        scenario,
+        4,
+        configured(organisation(10.0, 10.0), organisation(10.0, 10.0, OTHER)),
+    )
+
+
+def test_removed_cap_lets_waiting_requests_pass():
+    """Guards against requests that wait for tokens that nobody mints."""
+
+    async def scenario(daemons):
+        for each in daemons:
+            each.is_silent = True
+        waiting = asyncio.ensure_future(daemons[0].admit())
+        await asyncio.sleep(0.05)
+        daemons[0].current = configured(organisation(None, 0.0))
+        daemons[0].caps.adopt()
+        return await waiting
+
+    assert play(scenario, 4, configured(organisation(0.1, 0.0))) is None
--- /dev/null
+++ b/mustardloom/sidecar/usage_caps.py
@@ -0,0 +1,512 @@
+"""Admits the requests of organisations with a cap; see `load_control`.
+
+Load pattern: requests of many organisations arrive at each daemon, most of them
+below their caps. Each needs a token, which this daemon has or buys from one of
+the organisation's trustees while the request waits.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+from typing import Any
+
+from mustardloom import clock as clock_lib
+from mustardloom import ids
+from mustardloom import metrics as metrics_lib
+from mustardloom.deployment import configuration
+from mustardloom.deployment import settings
+from mustardloom.load_control import placement
+from mustardloom.load_control import usage_caps
+from mustardloom.load_control import usage_ledger
+from mustardloom.sidecar import events
+from mustardloom.sidecar import fleet as fleet_lib
+from mustardloom.sidecar import frames
+from mustardloom.sidecar import links as links_lib
+
+__all__ = ["UsageCaps"]
+
+_MS_PER_S = 1_000
+# Long enough for a question to another region and a second one elsewhere.
+_MAX_WAIT_MS = 400
+# A request that waits must leave its target the larger part of the time.
+_WAIT_DIVISOR = 3
+_ANSWER_TIMEOUT_MS = 250
+# So many requests of one organisation wait at a daemon for a token that is
+# about to be minted; more of them mean that it is above its cap.
+_MAX_AWAITING_MINT = 4
+_MAX_MINT_WAIT_MS = 250
+# A trustee that did not answer is not asked again for this long.
+_FAILED_MS = 1_000
+# More requests than this of one organisation do not wait at one daemon.
+_MAX_WAITING = 512
+_CONFIRM_INTERVAL_MS = 250
+# Followers that are cut off are asked less often.
+_MAX_CONFIRM_INTERVAL_MS = 2_000
+_UNKNOWN_RETRY_MS = 100
+# Spreads the retries of requests that are refused together.
+_RETRY_SPREAD = 0.2
+_DISTANCES = tuple(placement.Distance)
+
+
+class _Line:
+    """Requests of one organisation that wait, and what its trustees said.
+
+    Attributes:
+      waiting: The requests; the result is None or the time until a retry.
+      task: Buys tokens for them, None if none does.
+      denied_until_ms: Local time until which a trustee has no tokens.
+      failed_until_ms: Local time until which a trustee counts as cut off.
+    """
+
+    __slots__ = ("denied_until_ms", "failed_until_ms", "task", "waiting")
+
+    def __init__(self) -> None:
+        self.waiting: collections.deque[asyncio.Future[int | None]] = (
+            collections.deque()
+        )
+        self.task: asyncio.Task[None] | None = None
+        self.denied_until_ms: dict[ids.VmId, int] = {}
+        self.failed_until_ms: dict[ids.VmId, int] = {}
+
+    def drop_done(self) -> None:
+        """Forgets requests that no longer wait."""
+        while self.waiting and self.waiting[0].done():
+            self.waiting.popleft()
+
+    def need(self) -> int:
+        """Returns the number of requests that wait."""
+        self.drop_done()
+        return sum(1 for each in self.waiting if not each.done())
+
+    def answer_first(self, result: int | None) -> None:
+        """Ends the wait of the first request."""
+        self.drop_done()
+        if self.waiting:
+            self.waiting.popleft().set_result(result)
+
+
+class UsageCaps:
+    """Admits requests, and answers the questions of other daemons for tokens.
+
+    Without organisations that have a cap it sends and does nothing.
+
+    Args:
+      fleet: The daemons.
+      links: Links to the other daemons.
+      current: Returns the configuration in force, None before the first one.
+      bounds: Limits on the behaviour of the fleet.
+      clock: Source of time.
+      log: Log of this daemon.
+      metrics: Metrics of this daemon.
+      start: Runs a coroutine as a task.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        links: links_lib.Links,
+        current: Callable[[], configuration.Configuration | None],
+        bounds: settings.Bounds,
+        clock: clock_lib.Clock,
+        log: events.EventLog,
+        metrics: metrics_lib.Metrics,
+        start: Callable[[Coroutine[Any, Any, None]], None],
+    ):
+        self._fleet = fleet
+        self._links = links
+        self._current = current
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._start = start
+        self._adopted: configuration.Configuration | None = None
+        self._has_caps = False
+        self._listed: tuple[ids.VmId, ...] = ()
+        self._line_by_organisation: dict[ids.OrganisationId, _Line] = {}
+        self._is_confirming = False
+        self._watch = usage_caps.ClockWatch()
+        self._random = random.Random()
+        self._ledger = usage_ledger.Ledger(
+            fleet.own_record.vm, _tolerance(bounds), clock.now_ms()
+        )
+
+    def set_bounds(self, bounds: settings.Bounds) -> None:
+        """Adopts new limits."""
+        self._ledger.tolerance = _tolerance(bounds)
+
+    def adopt(self) -> None:
+        """Adopts the configuration in force and the list of daemons."""
+        current = self._current()
+        if current is not self._adopted:
+            self._adopted = current
+            caps = _caps_of(current)
+            self._has_caps = bool(caps)
+            self._ledger.set_caps(caps)
+            for name in self._line_by_organisation.keys() - caps.keys():
+                line = self._line_by_organisation.pop(name)
+                for _ in range(line.need()):
+                    line.answer_first(None)
+        if not self._has_caps:
+            return
+        listed = self._fleet.listed_vms
+        if listed != self._listed:
+            self._listed = listed
+            self._ledger.office.set_listed(listed)
+            self._watch.keep(frozenset(listed))
+        self._ledger.open_buckets(self._clock.now_ms())
+        if not self._is_confirming and self._ledger.office.unconfirmed():
+            self._is_confirming = True
+            self._start(self._confirm())
+
+    async def admit(
+        self, organisation: ids.OrganisationId, deadline_ms: int
+    ) -> int | None:
+        """Takes a token for a request, once for all its attempts.
+
+        Args:
+          organisation: Organisation of the request.
+          deadline_ms: Local time by which the request must be answered.
+
+        Returns:
+          None if it is admitted, else the time until a retry may succeed.
+        """
+        if self._current() is not self._adopted:
+            self.adopt()
+        if not self._ledger.has_cap(organisation):
+            return None
+        now_ms = self._clock.now_ms()
+        self._ledger.record_request(organisation, now_ms)
+        line = self._line_by_organisation.get(organisation)
+        if line is None:
+            line = self._line_by_organisation[organisation] = _Line()
+        line.drop_done()
+        if not line.waiting and self._ledger.spend(organisation, now_ms):
+            self._metrics.increment("usage_caps.admitted_at_once")
+            self._buy_ahead(organisation, line, now_ms)
+            return None
+        retry_ms = await self._wait(organisation, line, deadline_ms)
+        if retry_ms is None:
+            self._metrics.increment("usage_caps.admitted_after_wait")
+            return None
+        self._metrics.increment("usage_caps.refused")
+        spread = 1 + self._random.uniform(0, _RETRY_SPREAD)
+        return max(1, round(retry_ms * spread))
+
+    def give_back(self, organisation: ids.OrganisationId) -> None:
+        """Returns the token of a request that was not offered to a target."""
+        if self._ledger.give_back(organisation, self._clock.now_ms()):
+            self._metrics.increment("usage_caps.given_back")
+
+    def on_token_query(self, query: frames.TokenQuery) -> frames.TokenReply:
+        """Gives tokens to another daemon."""
+        self._metrics.increment("usage_caps.questions_answered")
+        grant = self._ledger.grant(
+            ids.OrganisationId(query.organisation),
+            max(0, query.needed),
+            max(0, query.ahead),
+            self._clock.now_ms(),
+        )
+        return frames.TokenReply(
+            query.number, grant.tokens, grant.retry_ms, grant.is_trustee
+        )
+
+    def on_listing_query(
+        self, vm: ids.VmId, query: frames.ListingQuery
+    ) -> frames.ListingReply:
+        """Tells a daemon whether it is in the list that is used here."""
+        # Without caps nothing is minted here, so the newest list counts.
+        if self._has_caps:
+            self.adopt()
+            is_listed = self._ledger.office.knows(vm)
+        else:
+            is_listed = vm in self._fleet.listed_vms
+        return frames.ListingReply(query.number, is_listed)
+
+    def on_peer_clock(self, vm: ids.VmId, peer_ms: int) -> None:
+        """Drops the tokens held if a peer's clock shows that this one stood."""
+        if not self._has_caps:
+            return
+        lifetime_ms = self._ledger.tolerance.lifetime_ms()
+        now_ms = self._clock.now_ms()
+        if self._watch.stood_still(vm, peer_ms, now_ms, lifetime_ms):
+            self._ledger.drop_tokens()
+            self._metrics.increment("usage_caps.clock_jumps")
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the gauges of the metrics page by name."""
+        return {
+            "usage_caps_organisations": self._ledger.accounts,
+            "usage_caps_waiting_requests": sum(
+                len(line.waiting)
+                for line in self._line_by_organisation.values()
+            ),
+        }
+
+    # Waiting requests.
+
+    async def _wait(
+        self, organisation: ids.OrganisationId, line: _Line, deadline_ms: int
+    ) -> int | None:
+        now_ms = self._clock.now_ms()
+        wait_ms = min(_MAX_WAIT_MS, (deadline_ms - now_ms) // _WAIT_DIVISOR)
+        if wait_ms <= 0 or len(line.waiting) >= _MAX_WAITING:
+            return self._retry_ms(organisation, line, now_ms)
+        if (
+            line.task is None
+            and not self._sources(organisation, line, now_ms)
+            and not self._mint_wait_ms(organisation, line, now_ms)
+        ):
+            return self._without_token(organisation, line, now_ms)
+        future: asyncio.Future[int | None] = asyncio.Future()
+        line.waiting.append(future)
+        self._buy(organisation, line)
+        try:
+            async with asyncio.timeout(wait_ms / _MS_PER_S):
+                return await future
+        except TimeoutError:
+            return self._retry_ms(organisation, line, self._clock.now_ms())
+
+    def _without_token(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> int | None:
+        """Admits a request by the allowance if trustees are cut off."""
+        if not self._is_cut_off(organisation, line, now_ms):
+            return self._retry_ms(organisation, line, now_ms)
+        if self._ledger.spend_allowance(organisation, now_ms):
+            self._metrics.increment("usage_caps.admitted_by_allowance")
+            self._log.write(
+                events.Event.CAP_TRUSTEES_LOST, organisation=organisation
+            )
+            return None
+        return min(
+            self._retry_ms(organisation, line, now_ms),
+            self._ledger.allowance_retry_ms(organisation, now_ms),
+        )
+
+    def _is_cut_off(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> bool:
+        """Returns whether any trustee cannot be asked."""
+        trustees = self._ledger.trustees(organisation)
+        return not trustees or any(
+            line.failed_until_ms.get(vm, 0) > now_ms
+            or not self._fleet.is_reachable(vm)
+            for vm in trustees
+        )
+
+    def _retry_ms(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> int:
+        """Returns the time until a trustee may have tokens again."""
+        due_ms = [
+            until_ms
+            for until_ms in line.denied_until_ms.values()
+            if until_ms > now_ms
+        ]
+        grant = self._ledger.grant(organisation, 0, 0, now_ms)
+        if grant.is_trustee and not due_ms:
+            return _UNKNOWN_RETRY_MS
+        return max(1, min(due_ms, default=now_ms + _UNKNOWN_RETRY_MS) - now_ms)
+
+    # Tokens from trustees.
+
+    def _buy_ahead(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> None:
+        if (
+            line.task is None
+            and self._ledger.ahead(organisation, now_ms)
+            and self._sources(organisation, line, now_ms)
+        ):
+            self._buy(organisation, line)
+
+    def _buy(self, organisation: ids.OrganisationId, line: _Line) -> None:
+        if line.task is None:
+            line.task = asyncio.ensure_future(self._buy_all(organisation, line))
+
+    async def _buy_all(
+        self, organisation: ids.OrganisationId, line: _Line
+    ) -> None:
+        """Buys tokens until no request waits or no trustee has any."""
+        try:
+            while self._ledger.has_cap(organisation):
+                now_ms = self._clock.now_ms()
+                need = self._serve(organisation, line, now_ms)
+                ahead = self._ledger.ahead(organisation, now_ms)
+                sources = self._sources(organisation, line, now_ms)
+                mint_ms = self._mint_wait_ms(organisation, line, now_ms)
+                if need and not sources and mint_ms:
+                    await self._clock.sleep_ms(mint_ms)
+                    continue
+                if need and not sources:
+                    self._end_waits(organisation, line, now_ms)
+                if not sources or not (need or ahead):
+                    return
+                await self._ask(organisation, line, sources, need, ahead)
+                if not need:
+                    return
+        finally:
+            line.task = None
+            for _ in range(line.need()):
+                line.answer_first(_UNKNOWN_RETRY_MS)
+
+    def _mint_wait_ms(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> int:
+        """Returns how long to wait for a trustee's next token, 0 for not."""
+        if line.need() > _MAX_AWAITING_MINT:
+            return 0
+        if self._is_cut_off(organisation, line, now_ms):
+            return 0
+        retry_ms = self._retry_ms(organisation, line, now_ms)
+        return retry_ms if retry_ms <= _MAX_MINT_WAIT_MS else 0
+
+    def _serve(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> int:
+        """Gives the tokens held to waiting requests; returns how many wait."""
+        need = line.need()
+        while need and self._ledger.spend(organisation, now_ms):
+            line.answer_first(None)
+            need -= 1
+        return need
+
+    def _end_waits(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> None:
+        for _ in range(line.need()):
+            line.answer_first(self._without_token(organisation, line, now_ms))
+
+    def _sources(
+        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    ) -> list[ids.VmId]:
+        """Returns the other trustees that may have tokens, nearest first."""
+        own = self._fleet.own_record.vm
+        found = [
+            vm
+            for vm in self._ledger.trustees(organisation)
+            if vm != own
+            and line.denied_until_ms.get(vm, 0) <= now_ms
+            and line.failed_until_ms.get(vm, 0) <= now_ms
+            and self._fleet.is_reachable(vm)
+        ]
+        if len(found) > 1:
+            found.sort(key=self._preference)
+        return found
+
+    def _preference(self, vm: ids.VmId) -> tuple[int, float]:
+        peer = self._fleet.by_vm.get(vm)
+        if peer is None:
+            return len(_DISTANCES), 0.0
+        # Those at the same distance are asked in turn.
+        distance = _DISTANCES.index(peer.view.distance)
+        return distance, self._random.random()
+
+    async def _ask(
+        self,
+        organisation: ids.OrganisationId,
+        line: _Line,
+        sources: list[ids.VmId],
+        need: int,
+        ahead: int,
+    ) -> None:
+        """Asks one trustee for one token, several for many at once."""
+        chosen = sources[: max(1, need)]
+        each, rest = divmod(need, len(chosen))
+        questions = [
+            self._ask_one(
+                organisation,
+                line,
+                vm,
+                each + int(index < rest),
+                0 if index else ahead,
+            )
+            for index, vm in enumerate(chosen)
+        ]
+        await asyncio.gather(*questions)
+
+    async def _ask_one(
+        self,
+        organisation: ids.OrganisationId,
+        line: _Line,
+        vm: ids.VmId,
+        needed: int,
+        ahead: int,
+    ) -> None:
+        self._metrics.increment("usage_caps.questions")
+        asked_ms = self._clock.now_ms()
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT_MS / _MS_PER_S):
+                reply = await self._links.call(
+                    vm,
+                    lambda number: frames.TokenQuery(
+                        number, organisation, needed, ahead
+                    ),
+                )
+        except (links_lib.PeerLost, links_lib.PeerUnreachable, TimeoutError):
+            reply = None
+        now_ms = self._clock.now_ms()
+        if not isinstance(reply, frames.TokenReply):
+            self._metrics.increment("usage_caps.questions_failed")
+            line.failed_until_ms[vm] = now_ms + _FAILED_MS
+            return
+        tokens = min(reply.tokens, needed + ahead)
+        self._ledger.receive(organisation, tokens, asked_ms, now_ms)
+        line.failed_until_ms.pop(vm, None)
+        line.denied_until_ms.pop(vm, None)
+        if not reply.is_trustee:
+            line.failed_until_ms[vm] = now_ms + reply.retry_ms
+        elif tokens < needed:
+            line.denied_until_ms[vm] = now_ms + reply.retry_ms
+
+    # Places of this daemon.
+
+    async def _confirm(self) -> None:
+        """Asks the followers of this daemon's points until all have confirmed.
+
+        The first start of a fleet is the only time at which many ask.
+        """
+        interval_ms = _CONFIRM_INTERVAL_MS
+        try:
+            while self._has_caps:
+                open_vms = self._ledger.office.unconfirmed()
+                if not open_vms:
+                    return
+                await asyncio.gather(*map(self._confirm_one, open_vms))
+                self._ledger.open_buckets(self._clock.now_ms())
+                await self._clock.sleep_ms(interval_ms)
+                interval_ms = min(_MAX_CONFIRM_INTERVAL_MS, 2 * interval_ms)
+        finally:
+            self._is_confirming = False
+
+    async def _confirm_one(self, vm: ids.VmId) -> None:
+        try:
+            async with asyncio.timeout(_ANSWER_TIMEOUT_MS / _MS_PER_S):
+                reply = await self._links.call(vm, frames.ListingQuery)
+        except (links_lib.PeerLost, links_lib.PeerUnreachable, TimeoutError):
+            return
+        if isinstance(reply, frames.ListingReply) and reply.is_listed:
+            self._ledger.office.on_confirmed(vm)
+
+
+def _caps_of(
+    current: configuration.Configuration | None,
+) -> dict[ids.OrganisationId, usage_caps.Cap]:
+    """Returns the caps of the organisations that have one."""
+    if current is None or not current.has_organisations:
+        return {}
+    return {
+        organisation.name: usage_caps.Cap(
+            organisation.rate_per_s, organisation.burst
+        )
+        for organisation in current.organisation_by_key_digest.values()
+        if organisation.rate_per_s is not None
+    }
+
+
+def _tolerance(bounds: settings.Bounds) -> usage_caps.Tolerance:
+    return usage_caps.Tolerance(
+        bounds.quota_window_ms, bounds.quota_overage, bounds.quota_slack
+    )
