Test usage caps at the ingress, under faults and with uneven demand

Scenarios complement the state machine where it rarely gets: restarts of all daemons, answers that come late together, daemons that join during a cut, and clocks that stand still. The replay compares the refusals below the cap with those of equal shares.

--- a/mustardloom/load_control/tests/test_usage_caps.py
+++ b/mustardloom/load_control/tests/test_usage_caps.py
@@ -510,3 +510,141 @@
     max_examples=100, stateful_step_count=40, deadline=None
 )
 TestFaults = Faults.TestCase
+
+
+CAP = usage_caps.Cap(20.0, 10.0)
+
+
+def flood(fleet, duration_ms, count):
+    """Lets all daemons get more requests than the cap for some time."""
+    for _ in range(duration_ms // 100):
+        fleet.advance(100)
+        for vm in list(fleet.ledgers):
+            fleet.request(vm, count)
+
+
+def test_restarts_of_all_daemons_add_no_requests():
+    """Guards against tokens or allowances that each restart renews."""
+    fleet = Fleet(COUNT, CAP)
+    for number, vm in enumerate(fleet.listed):
+        fleet.side[vm] = number
+    for _ in range(12):
+        for vm in fleet.listed:
+            fleet.start(vm)
+            fleet.side[vm] = fleet.listed.index(vm)
+        flood(fleet, 500, 40)
+    assert fleet.most <= TOLERANCE.bound(CAP)
+
+
+def test_late_answers_add_no_requests():
+    """Guards against tokens that count from the arrival of their answer."""
+    fleet = Fleet(COUNT, CAP)
+    fleet.delay_ms = 4_000
+    flood(fleet, 10_000, 10)
+    # The answers of some seconds arrive at once.
+    fleet.delay_ms = 5
+    flood(fleet, 8_000, 10)
+    assert fleet.most <= TOLERANCE.bound(CAP)
+
+
+def test_daemons_that_join_during_a_cut_add_no_requests():
+    """Guards against places that both sides of a partition fill."""
+    fleet = Fleet(COUNT, CAP)
+    for vm in fleet.listed[:5]:
+        fleet.side[vm] = 1
+    # Only the smaller side learns of the new ones.
+    for number in range(3):
+        vm = ids.VmId(f"new-{number}")
+        fleet.listed = [*fleet.listed, vm]
+        fleet.start(vm)
+        for other in (*fleet.listed[5:COUNT], vm):
+            fleet.ledgers[other].office.set_listed(fleet.listed)
+    flood(fleet, 12_000, 20)
+    assert fleet.most <= TOLERANCE.bound(CAP)
+
+
+def test_clocks_that_stand_still_add_no_requests():
+    """Guards against tokens that a daemon keeps over a freeze of its VM."""
+    fleet = Fleet(COUNT, usage_caps.Cap(200.0, 100.0))
+    for _ in range(8):
+        flood(fleet, 500, 10)
+        for vm in fleet.listed[:4]:
+            fleet.frozen.add(vm)
+            fleet.stands_still.add(vm)
+        fleet.advance(2_000)
+        fleet.resume()
+        for vm in fleet.listed:
+            fleet.request(vm, 200)
+    assert fleet.most <= TOLERANCE.bound(usage_caps.Cap(200.0, 100.0))
+
+
+def test_cap_is_used_up_under_a_flood():
+    """Guards against a bound that holds only because little is admitted."""
+    fleet = Fleet(COUNT, CAP)
+    flood(fleet, 10_000, 10)
+    assert fleet.most >= 20 * 5
+
+
+def uneven_arrivals(count, rate_per_s, duration_ms, seed):
+    """Yields time and daemon of requests, in bursts, few daemons have most."""
+    chance = random.Random(seed)
+    weights = [1 / (1 + number) for number in range(count)]
+    now_ms = 0.0
+    while now_ms < duration_ms:
+        # Two in five requests come in pairs at the same daemon.
+        now_ms += chance.expovariate(rate_per_s / 1.4 / 1_000)
+        (vm,) = chance.choices(range(count), weights)
+        for _ in range(2 if chance.random() < 0.4 else 1):
+            yield round(now_ms), vm
+
+
+def refused_by_trustees(count, cap, arrivals):
+    """Returns the refused share; questions take no time."""
+    listed = vms(count)
+    caps = {ORGANISATION: cap}
+    ledgers = {vm: confirmed(vm, listed, -5_000, caps) for vm in listed}
+    requests = refused = 0
+    for now_ms, number in arrivals:
+        requests += 1
+        vm = listed[number]
+        ledger = ledgers[vm]
+        is_admitted = ledger.spend(ORGANISATION, now_ms)
+        for trustee in sorted(ledger.trustees(ORGANISATION)):
+            if not is_admitted:
+                grant = ledgers[trustee].grant(ORGANISATION, 1, 0, now_ms)
+                ledger.receive(ORGANISATION, grant.tokens, now_ms, now_ms)
+                is_admitted = ledger.spend(ORGANISATION, now_ms)
+        refused += not is_admitted
+    return refused / requests
+
+
+def refused_by_equal_shares(count, cap, arrivals):
+    """Returns the refused share if each daemon has a part of the cap.
+
+    Each holds at least one whole token, which already exceeds the bound.
+    """
+    buckets = [usage_caps.Trustee(-100_000) for _ in range(count)]
+    requests = refused = 0
+    for now_ms, number in arrivals:
+        requests += 1
+        capacity = max(1.0, cap.burst / count)
+        rate_per_s = cap.rate_per_s / count
+        grant = buckets[number].grant(1, 0, rate_per_s, capacity, now_ms)
+        refused += not grant.tokens
+    return refused / requests
+
+
+def test_uneven_demand_below_the_cap_is_rarely_refused():
+    """Guards against refusals as tokens lie where no requests are.
+
+    Demand is cap / 1.6; the daemons' shares of it differ by up to 68 times.
+    """
+    for rate_per_s in (10.0, 16.0, 127.0):
+        cap = usage_caps.Cap(rate_per_s, rate_per_s)
+        arrivals = list(uneven_arrivals(68, rate_per_s / 1.6, 120_000, 3))
+        by_trustees = refused_by_trustees(68, cap, arrivals)
+        by_shares = refused_by_equal_shares(68, cap, arrivals)
+        print(f"{rate_per_s}: {by_trustees:.4f} against {by_shares:.4f}")
+        assert by_trustees < 0.01
+        assert by_shares > 10 * by_trustees
+        assert by_shares > 0.1
--- a/mustardloom/platform/tests/test_settings_file.py
+++ b/mustardloom/platform/tests/test_settings_file.py
@@ -26,12 +26,15 @@
     "budget_min_retries": "retry_minimum",
     "cold_over": "cold_factor",
     "cold_slack": "cold_slack",
+    "quota_overage": "quota_overage",
+    "quota_slack": "quota_slack",
 }
 _DURATION_BY_KEY = {
     "drain": "drain_ms",
     "grace": "grace_ms",
     "budget_window": "retry_window_ms",
     "hold_max": "hold_limit_ms",
+    "quota_window": "quota_window_ms",
 }
 _values = strategies.floats(min_value=0, max_value=1e9)
 _formats = strategies.sampled_from(("{:.0f}", "{:.3f}", "{!r}", "{:e}", "{:E}"))
--- a/mustardloom/sidecar/tests/test_usage_caps.py
+++ b/mustardloom/sidecar/tests/test_usage_caps.py
@@ -17,6 +17,7 @@
 from mustardloom.sidecar import frames
 from mustardloom.sidecar import links as links_lib
 from mustardloom.sidecar import usage_caps
+from mustardloom.sidecar.tests import small_fleet
 
 HOST = "127.0.0.1"
 NAME = ids.OrganisationId("o")
@@ -333,3 +334,105 @@
         return await waiting
 
     assert play(scenario, 4, configured(organisation(0.1, 0.0))) is None
+
+
+class FakeCaps:
+    """Caps that answer as a test says, and record what the ingress does."""
+
+    def __init__(self, retry_ms):
+        self.retry_ms = retry_ms
+        self.calls = []
+
+    async def admit(self, organisation, deadline_ms):
+        self.calls.append(("admit", organisation))
+        return self.retry_ms
+
+    def give_back(self, organisation):
+        self.calls.append(("give back", organisation))
+
+
+def ingress_answer(caps, path="/plain", serve=None, choices=("b",)):
+    """Returns the answer to a request of the organisation, and the runs."""
+    key = b"key-of-o"
+    routes = tuple(
+        configuration.Route(
+            name=ids.RouteId(prefix),
+            host="a",
+            prefix=prefix,
+            shares=(configuration.Share(small_fleet.SERVICE, 1),),
+            kind=configuration.RequestKind.AT_MOST_ONCE,
+            timeout_ms=2_000,
+            objective_ms=2_000,
+            max_attempts=3,
+            priority=0,
+            home_regions=frozenset(),
+            is_exempt=prefix == "/exempt",
+        )
+        for prefix in ("/plain", "/exempt")
+    )
+    current = configuration.Configuration(
+        1,
+        routes,
+        {},
+        organisation_by_key_digest={
+            configuration.key_digest(key): organisation(5.0, 5.0)
+        },
+        has_organisations=True,
+    )
+    head = b"\r\n".join(
+        (
+            b"GET " + path.encode() + b" HTTP/1.1",
+            b"Host: a",
+            b"X-Request-Id: r",
+            b"X-Deadline-Ms: 2000",
+            b"X-Credential: " + key,
+            b"",
+            b"",
+        )
+    )
+
+    async def scenario(daemons, targets):
+        near = daemons[0]
+        near.configuration = current
+        near.ingress._caps = caps
+        status, answer, _ = await small_fleet.send(near, head)
+        log = near.log()
+        return status, answer.lower(), targets[1].whole, log
+
+    return small_fleet.play(scenario, (None, serve), choices)
+
+
+def test_request_above_the_cap_gets_429_and_a_log_line():
+    """Guards against a refusal without a time to retry or without a cause."""
+    caps = FakeCaps(1_250)
+    status, answer, runs, log = ingress_answer(caps)
+    assert status == 429
+    assert small_fleet.value(answer, b"retry-after") == b"1.25"
+    assert not runs
+    assert caps.calls == [("admit", NAME)]
+    assert b'"event":"request-over-cap"' in log
+    assert b'"organisation":"o"' in log
+
+
+def test_admitted_request_takes_one_token():
+    """Guards against a token for each attempt, or one that comes back."""
+    caps = FakeCaps(None)
+    status, _, runs, _ = ingress_answer(caps)
+    assert (status, len(runs)) == (200, 1)
+    assert caps.calls == [("admit", NAME)]
+
+
+def test_request_that_no_target_is_offered_gives_its_token_back():
+    """Guards against a cap that is used up while no target is available."""
+    caps = FakeCaps(None)
+    status, _, runs, _ = ingress_answer(caps, choices=())
+    assert (status, len(runs)) == (503, 0)
+    assert caps.calls == [("admit", NAME), ("give back", NAME)]
+
+
+def test_exempt_route_takes_no_token():
+    """Guards against calls of targets that count as an organisation's."""
+    caps = FakeCaps(0)
+    status, _, runs, _ = ingress_answer(caps, "/exempt")
+    assert (status, len(runs)) == (200, 1)
+    assert not caps.calls
