Keep heads as raw bytes until they are complete

Callers saw connections reset and readiness checks fail, and the process was killed by its limit of 300 MB, when many callers sent heads of very many short fields. The parser reported each field as it came, and a field of four bytes took some 60 as objects (240 KB for a head of 16,000 bytes) that the memory account did not know; the fields of an answered request also stayed with its connection until the next one.

The parser now only checks and frames a head; its raw bytes are kept, and their fields are created once it is complete, up to the end of one request at a time. Heads in part have a share of the account of their own, from which the caller that was silent the longest is evicted with 408.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -19,6 +19,7 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
+from mustardloom.http1 import request_heads
 from mustardloom.http1 import sockets
 
 __all__ = [
@@ -42,6 +43,8 @@
 _HEAD_READ_BYTES = 8_192
 # A caller closes a connection that has ended within this time.
 _END_TIMEOUT_MS = 1_000
+# The request line without its target, and the end of a head.
+_MAX_LINE_BYTES = 64
 # Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
 # chunk of one byte needs five.
 _MAX_FRAMING_RATIO = 7
@@ -110,10 +113,6 @@
     return _RequestRejected(_UNAVAILABLE, _NO_ROOM_HEADERS)
 
 
-class _AfterLastRequest(Exception):
-    """A request after the last one that this connection serves."""
-
-
 class _Phase(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -128,6 +127,7 @@
       is_chunk_known: Whether the client understands a body in chunks.
       task: Result of the handler.
       hold: Room for the request and its response.
+      fields_hold: Room for an unusual number of header fields.
       upload: Its body, if that passes in pieces.
     """
 
@@ -136,6 +136,7 @@
         method: str,
         task: "asyncio.Future[messages.Response]",
         hold: memory_budget.Hold | None = None,
+        fields_hold: memory_budget.Hold | None = None,
         is_chunk_known: bool = True,
         upload: bodies.Body | None = None,
     ):
@@ -143,12 +144,15 @@
         self.is_chunk_known = is_chunk_known
         self.task = task
         self.hold = hold
+        self.fields_hold = fields_hold
         self.upload = upload
 
     def release(self) -> None:
         """Gives back the room; drops what is left of the body."""
         if self.hold is not None:
             self.hold.release()
+        if self.fields_hold is not None:
+            self.fields_hold.release()
         if self.upload is not None:
             self.upload.close()
 
@@ -176,10 +180,12 @@
         self._waiting_since_ms = owner.clock.now_ms()
         self._received_ms = self._waiting_since_ms
         self._unparsed_bytes = 0
-        # Bytes that are being parsed, and as many if a request in them is not
-        # the first one.
-        self._parsing_bytes = 0
-        self._shared_bytes = 0
+        # Raw bytes of a head that is incomplete.
+        self._head = bytearray()
+        self._head_hold: memory_budget.EvictableHold | None = None
+        # A complete head, while it is parsed.
+        self._whole_head = b""
+        self._chunks_end = request_heads.MessageEnd()
         self._closes_after_pending = False
         self._is_finishing = False
         # Local time at which the end was sent, None before.
@@ -191,6 +197,8 @@
         self._has_room = asyncio.Event()
         # Room for the request that is being read.
         self._hold: memory_budget.Hold | None = None
+        # Room for its header fields, if their number is unusual.
+        self._fields_hold: memory_budget.Hold | None = None
         # Room for what the socket receives, once a long body has arrived.
         self._window: memory_budget.Hold | None = None
         # The last request, while its body passes in pieces.
@@ -200,6 +208,7 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._length: int | None = 0
+        self._headers: list[messages.Header] = []
         self._reset()
         stream.set_close_callback(self._on_closed)
 
@@ -258,7 +267,8 @@
         self._has_room.set()
 
     def _release_all(self) -> None:
-        for hold in (self._hold, self._window):
+        holds = (self._hold, self._fields_hold, self._head_hold, self._window)
+        for hold in holds:
             if hold is not None:
                 hold.release()
         if self._uploading is not None and self._uploading.upload is not None:
@@ -382,38 +392,36 @@
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
-        """Starts a request, unless the last one was read already."""
-        if self._closes_after_pending:
-            # This request is not run and gets no response.
-            raise _AfterLastRequest
+        """Starts a request."""
         self._reset()
         self._phase = _Phase.HEAD
-        # What was read along with an earlier request does not count.
-        self._unparsed_bytes = -self._shared_bytes
-        self._shared_bytes = self._parsing_bytes
+        self._unparsed_bytes = 0
         self._waiting_since_ms = self._owner.clock.now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Adds a piece of the request target."""
         self._url += url
-        self._count_header_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
-        self._headers.append((name, value))
-        self._count_header_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Checks the announced length; sends `100 Continue` if expected."""
+        """Reads the fields; sends `100 Continue` if expected."""
         self._phase = _Phase.BODY
-        length = messages.find_header(self._headers, b"content-length")
-        coding = messages.find_header(self._headers, b"transfer-encoding")
-        self._length = None if coding is not None else int(length or b"0")
+        head, self._whole_head = self._whole_head, b""
+        if not head:
+            # The head has another end than it should have.
+            raise _RequestRejected(_BAD_REQUEST)
+        self._header_bytes = request_heads.counted_bytes(head, self._url)
+        if self._header_bytes > self._limits.max_header_bytes:
+            self._headers = request_heads.fields_in_part(head)
+            raise _RequestRejected(_HEADERS_TOO_LARGE)
+        self._headers = request_heads.fields(head)
+        framing = request_heads.framing(self._headers)
+        self._length = framing.length
+        if framing.length is None:
+            self._chunks_end = request_heads.MessageEnd()
         if (self._length or 0) > self._limits.max_body_bytes:
             raise _RequestRejected(_BODY_TOO_LARGE)
         self._hold_for_request()
-        expect = messages.find_header(self._headers, b"expect") or b""
-        if expect.lower() == b"100-continue" and not self.pending:
+        if framing.expects_continue and not self.pending:
             self._write(_CONTINUE)
 
     def on_body(self, data: bytes) -> None:
@@ -461,6 +469,13 @@
             + bodies.INLINE_BYTES
         )
         self._resize_hold(size)
+        if len(self._headers) > request_heads.USUAL_FIELDS:
+            excess_bytes = request_heads.excess_bytes(self._headers)
+            self._fields_hold = self._owner.budget.try_hold(
+                excess_bytes, memory_budget.HoldKind.HEADER_FIELDS
+            )
+            if self._fields_hold is None:
+                raise _no_room()
 
     def _resize_hold(self, size: int) -> None:
         if self._hold is None:
@@ -518,9 +533,15 @@
             upload,
         )
         task = asyncio.ensure_future(self._owner.handler(request))
+        if upload is None:
+            # They would be kept until the next request.
+            self._headers = []
         is_chunk_known = self._parser.get_http_version() != _WITHOUT_CHUNKS
         hold, self._hold = self._hold, None
-        pending = _PendingResponse(method, task, hold, is_chunk_known, upload)
+        fields_hold, self._fields_hold = self._fields_hold, None
+        pending = _PendingResponse(
+            method, task, hold, fields_hold, is_chunk_known, upload
+        )
         self.pending.append(pending)
         task.add_done_callback(self._on_done)
         return pending
@@ -547,47 +568,118 @@
 
     def _reset(self) -> None:
         self._url = b""
-        self._headers: list[messages.Header] = []
+        self._headers = []
         self._header_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
         self._length = 0
         self._began_ms = self._owner.clock.now_ms()
 
-    def _count_header_bytes(self, count: int) -> None:
-        self._header_bytes += count
-        if self._header_bytes > self._limits.max_header_bytes:
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
+    def _count_framing(self, count: int) -> None:
+        """Limits the bytes of a body that lead to no byte of its content.
 
-    def _count_unparsed(self, count: int) -> None:
-        """Limits the bytes that lead to no complete header and no body.
+        The parser does not report the size of a chunk, the end of its line, and
+        the fields after the last chunk.
+        """
+        self._unparsed_bytes += count
+        limit = self._limits.max_header_bytes + READ_BYTES
+        limit += _MAX_FRAMING_RATIO * self._body_bytes
+        if self._phase is _Phase.BODY and self._unparsed_bytes > limit:
+            raise _RequestRejected(_BAD_REQUEST)
+
+    def _feed(self, data: bytes) -> None:
+        """Parses bytes; no more of them at a time than belong to one request.
 
-        The parser reports a header only once its line has ended, and the size
-        of a chunk and the end of its line not at all.
+        The parser would create the fields of further ones before there is room
+        for them.
         """
-        limit = self._limits.max_header_bytes
-        match self._phase:
-            case _Phase.IDLE:
-                self._unparsed_bytes = 0
-            case _Phase.HEAD:
-                self._unparsed_bytes += count
-                if self._unparsed_bytes > limit:
-                    raise _RequestRejected(_HEADERS_TOO_LARGE)
-                self._resize_hold(max(0, self._unparsed_bytes))
-            case _Phase.BODY:
-                self._unparsed_bytes += count
-                limit += READ_BYTES + _MAX_FRAMING_RATIO * self._body_bytes
-                if self._unparsed_bytes > limit:
-                    raise _RequestRejected(_BAD_REQUEST)
+        position = 0
+        while position < len(data):
+            if self._closes_after_pending and self._uploading is None:
+                # What follows is not run and gets no response.
+                return
+            if self._phase is _Phase.BODY:
+                position += self._feed_body(data, position)
+            else:
+                position += self._feed_head(data, position)
+
+    def _feed_head(self, data: bytes, start: int) -> int:
+        """Parses bytes of a head; returns how many they are."""
+        if self._head:
+            return self._feed_rest_of_head(data, start)
+        end = data.find(request_heads.END, start) + len(request_heads.END)
+        # Empty lines may come before a request.
+        empty = request_heads.empty_lines_size(data, start)
+        if empty:
+            return empty
+        if end < len(request_heads.END):
+            self._keep_head(data[start:])
+            return len(data) - start
+        self._whole_head = data[start:end]
+        self._parser.feed_data(self._whole_head)
+        return end - start
+
+    def _feed_rest_of_head(self, data: bytes, start: int) -> int:
+        # The end may have arrived in part.
+        tail = bytes(self._head[1 - len(request_heads.END) :])
+        size = request_heads.size_to_end(tail, data, start)
+        if size is None:
+            self._keep_head(data[start:])
+            return len(data) - start
+        part = data[start : start + size]
+        self._whole_head = bytes(self._head) + part
+        self._drop_head()
+        self._parser.feed_data(part)
+        return size
+
+    def _keep_head(self, part: bytes) -> None:
+        """Keeps bytes of an incomplete head; checks whether they are valid."""
+        self._head += part
+        limit = self._limits.max_header_bytes + _MAX_LINE_BYTES
+        if len(self._head) > limit:
+            raise _RequestRejected(_HEADERS_TOO_LARGE)
+        budget = self._owner.budget
+        if self._head_hold is None:
+            self._head_hold = budget.try_hold_evictable(
+                len(self._head),
+                memory_budget.HoldKind.PARTIAL_HEAD,
+                self._on_head_evicted,
+            )
+            has_room = self._head_hold is not None
+        else:
+            has_room = self._head_hold.resize(len(self._head))
+        if not has_room:
+            raise _no_room()
+        self._parser.feed_data(part)
+
+    def _drop_head(self) -> None:
+        self._head = bytearray()
+        if self._head_hold is not None:
+            self._head_hold.release()
+            self._head_hold = None
+
+    def _on_head_evicted(self) -> None:
+        """Ends a request whose sender was silent while others need room."""
+        self._reject(messages.Response(_TIMEOUT))
+
+    def _feed_body(self, data: bytes, start: int) -> int:
+        """Parses bytes of a body; returns how many they are."""
+        length = self._length
+        if length is None:
+            size = self._chunks_end.next_size(data, start)
+            self._parser.feed_data(data[start : start + size])
+            self._count_framing(size)
+            return size
+        end = start + length - self._body_bytes
+        part = data[start:end]
+        self._parser.feed_data(part)
+        return len(part)
 
     def _parse(self, data: bytes) -> None:
         if self._closes_after_pending and self._uploading is None:
             return
-        self._parsing_bytes = len(data)
-        self._shared_bytes = 0 if self._phase is _Phase.IDLE else len(data)
         try:
-            self._parser.feed_data(data)
-            self._count_unparsed(len(data))
+            self._feed(data)
         except _RequestRejected as rejected:
             self._reject(rejected.response)
         except httptools.HttpParserUpgrade:
@@ -597,7 +689,7 @@
             cause = error.__context__
             if isinstance(cause, _RequestRejected):
                 self._reject(cause.response)
-            elif not isinstance(cause, _AfterLastRequest):
+            else:
                 self._reject(messages.Response(_BAD_REQUEST))
 
     def _reject(self, response: messages.Response) -> None:
@@ -607,10 +699,16 @@
             return
         self._closes_after_pending = True
         self._body = bytearray()
+        if self._head:
+            self._headers = request_heads.fields_in_part(self._head)
+        self._drop_head()
         self._owner.on_rejected(self._headers, response)
+        self._headers = []
         done: asyncio.Future[messages.Response] = asyncio.Future()
         done.set_result(response)
         hold, self._hold = self._hold, None
+        if self._fields_hold is not None:
+            self._fields_hold.release()
         self.pending.append(_PendingResponse("", done, hold))
         self._flush()
 
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -14,6 +14,8 @@
 from mustardloom import clock as clock_lib
 
 __all__ = [
+    "EVICTED_KINDS",
+    "EvictableHold",
     "Hold",
     "HoldKind",
     "MemoryBudget",
@@ -37,6 +39,10 @@
 class HoldKind(enum.Enum):
     """What the bytes belong to."""
 
+    # Members are compared by identity; the hash of `Enum` is that of the name,
+    # computed in Python for each look-up of the account.
+    __hash__ = object.__hash__
+
     # Heads, bodies and answers that travel in one frame.
     MESSAGE = "message"
     # Bodies that pass through in pieces.
@@ -47,6 +53,11 @@
     RECEIVE_WINDOW = "receive_window"
     # Frames that wait until another daemon reads them.
     UNWRITTEN_FRAME = "unwritten_frame"
+    # Heads of requests that have arrived in part, and requests that wait until
+    # their caller reads earlier answers, as raw bytes.
+    PARTIAL_HEAD = "partial_head"
+    # Header fields of a request beyond a number that is usual.
+    HEADER_FIELDS = "header_fields"
 
 
 # Share of the capacity that bodies in pieces may take, so that small messages
@@ -58,7 +69,20 @@
     HoldKind.PARTIAL_FRAME: 0.25,
     HoldKind.RECEIVE_WINDOW: 0.25,
     HoldKind.UNWRITTEN_FRAME: 0.5,
+    HoldKind.PARTIAL_HEAD: 0.25,
+    HoldKind.HEADER_FIELDS: 0.25,
 }
+# Kinds whose holds may be taken away for others.
+EVICTED_KINDS = (HoldKind.STREAM, HoldKind.PARTIAL_HEAD)
+# Kinds whose lack of room is reported to a caller as a refusal.
+_REFUSED_KINDS = frozenset(
+    (
+        HoldKind.MESSAGE,
+        HoldKind.STREAM,
+        HoldKind.PARTIAL_HEAD,
+        HoldKind.HEADER_FIELDS,
+    )
+)
 
 
 class Hold:
@@ -111,6 +135,23 @@
         self.moved_ms = self._budget.clock.now_ms()
 
 
+class EvictableHold(Hold):
+    """Room for bytes of a sender that may stop.
+
+    If other bytes of its kind need room, the hold whose sender has been silent
+    for the longest time is taken away, through `on_evicted`.
+    """
+
+    def __init__(
+        self,
+        budget: "MemoryBudget",
+        kind: HoldKind,
+        on_evicted: Callable[[], None],
+    ):
+        super().__init__(budget, 0, kind)
+        self.on_evicted = on_evicted
+
+
 class MemoryBudget:
     """Grants room for bytes up to a capacity.
 
@@ -124,6 +165,7 @@
       held_by_kind: The same by what they belong to.
       peak_bytes: Most bytes of messages and bodies so far.
       refused: Number of messages and bodies for which there was no room.
+      evicted_by_kind: Number of holds that were taken away for others.
     """
 
     def __init__(self, capacity_bytes: int, clock: clock_lib.Clock):
@@ -133,7 +175,12 @@
         self.held_by_kind: collections.Counter[HoldKind] = collections.Counter()
         self.peak_bytes = 0
         self.refused = 0
+        self.evicted_by_kind: collections.Counter[HoldKind] = (
+            collections.Counter()
+        )
         self._holds: set[Hold] = set()
+        # By kind, in the order in which their senders were last heard of.
+        self._evictable: dict[HoldKind, dict[EvictableHold, None]] = {}
         # In the order in which they were taken.
         self._streams: dict[StreamHold, None] = {}
         # Those who wait for room for a body, in order.
@@ -150,6 +197,23 @@
         self._holds.discard(hold)
         return None
 
+    def try_hold_evictable(
+        self, size: int, kind: HoldKind, on_evicted: Callable[[], None]
+    ) -> EvictableHold | None:
+        """Returns room for bytes of a sender that may stop, None if none.
+
+        Args:
+          size: Number of bytes.
+          kind: What the bytes belong to; it has a share of its own.
+          on_evicted: Called when the room was taken away.
+        """
+        hold = EvictableHold(self, kind, on_evicted)
+        self._holds.add(hold)
+        if self.resize(hold, size):
+            return hold
+        self._holds.discard(hold)
+        return None
+
     def try_hold_stream(self, size: int) -> StreamHold | None:
         """Returns room for a body in pieces, None if there is none.
 
@@ -170,10 +234,11 @@
     def resize(self, hold: Hold, size: int) -> bool:
         """Changes the size of a hold; returns False if there is no room."""
         grown = size - hold.size
+        if isinstance(hold, EvictableHold):
+            self._make_evictable_room(hold, grown)
         if grown > 0 and not self._has_room(grown, hold.kind):
-            if hold.kind not in _OWN_SHARE_BY_KIND:
-                # Without the others nobody is refused; they wait or do without.
-                self.refused += 1
+            # Without the others nobody is refused; they wait or do without.
+            self.refused += hold.kind in _REFUSED_KINDS
             return False
         self._set_size(hold, size)
         return True
@@ -186,6 +251,25 @@
         self._holds.discard(hold)
         if isinstance(hold, StreamHold):
             self._streams.pop(hold, None)
+        if isinstance(hold, EvictableHold):
+            self._evictable[hold.kind].pop(hold, None)
+
+    def _make_evictable_room(self, hold: EvictableHold, grown: int) -> None:
+        """Takes room from the senders that have been silent the longest."""
+        others = self._evictable.setdefault(hold.kind, {})
+        others.pop(hold, None)
+        if grown > self.capacity_bytes * _OWN_SHARE_BY_KIND[hold.kind]:
+            # It would not fit if it were alone.
+            others[hold] = None
+            return
+        while others and not self._has_room(grown, hold.kind):
+            self._evict(next(iter(others)))
+        others[hold] = None
+
+    def _evict(self, hold: StreamHold | EvictableHold) -> None:
+        hold.release()
+        self.evicted_by_kind[hold.kind] += 1
+        hold.on_evicted()
 
     def _set_size(self, hold: Hold, size: int) -> None:
         if hold not in self._holds:
@@ -228,8 +312,7 @@
                 or self.clock.now_ms() - stalled.moved_ms < _STALLED_MS
             ):
                 return False
-            stalled.release()
-            stalled.on_evicted()
+            self._evict(stalled)
         return True
 
 
--- a/mustardloom/sidecar/memory_report.py
+++ b/mustardloom/sidecar/memory_report.py
@@ -108,4 +108,8 @@
                 f"held_{kind.value}_bytes": budget.held_by_kind[kind]
                 for kind in memory_budget.HoldKind
             },
+            **{
+                f"held_{kind.value}_evictions": budget.evicted_by_kind[kind]
+                for kind in memory_budget.EVICTED_KINDS
+            },
         }
