--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -148,13 +148,13 @@
         return await self._respond(routed, route, service)
 
     def answer_malformed(
-        self, request: messages.Request, data: bytes
+        self, request: messages.Request, head: bytes
     ) -> messages.Response | None:
         """Returns the answer to a request whose head is not valid.
 
         Args:
           request: The request as far as it was read.
-          data: The latest bytes.
+          head: The bytes of its head that have arrived.
 
         Returns:
           The answer if the fault is an API key on several lines, else None.
@@ -162,7 +162,7 @@
         current = self._current_configuration()
         if current is None or not current.has_organisations:
             return None
-        if not headers.has_folded_credential(data):
+        if not headers.has_folded_credential(head):
             return None
         fields = headers.read_request(request)
         route = current.route_for(fields.host, request.target)
--- a/mustardloom/sidecar/tests/test_organisations.py
+++ b/mustardloom/sidecar/tests/test_organisations.py
@@ -219,6 +219,23 @@
     _play(scenario, _configuration())
 
 
+def test_key_that_is_folded_between_two_reads_gets_401():
+    """Guards against another answer where the head arrives in pieces."""
+
+    async def scenario(near, far, target):
+        first, rest = _request(_INVALID["folded"]).split(b"\r\n ", 1)
+        reader, writer = await asyncio.open_connection(
+            small_fleet.HOST, near.port
+        )
+        writer.write(first + b"\r\n")
+        await asyncio.sleep(0.05)
+        writer.write(b" " + rest)
+        assert _status(await reader.readuntil(b"\r\n\r\n")) == 401
+        writer.close()
+
+    _play(scenario, _configuration())
+
+
 def test_exempt_route_passes_on_neither_key_nor_organisation():
     """Guards against a target that trusts a name set by a caller."""
 
