Report the place of an invalid organisation

The replica of a configuration keeps where its organisations are not valid, so that object-unreadable names the entry and not only the list.

--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -122,8 +122,8 @@
     """Returns a configuration object with digests in place of its API keys.
 
     Daemons send each other the object, and no frame may contain a key. An
-    object without organisations is returned as it is. If those it has are not
-    valid, the result is not valid either, so that it is reported.
+    object without organisations is returned as it is. What is not valid in the
+    others is not valid in the result, so that it is reported with its place.
     """
     try:
         members = decoding.decode_json(value, dict[str, msgspec.Raw])
@@ -134,31 +134,51 @@
     if tenants == _NULL:
         return value
     try:
-        hidden = [
-            _hide_keys_of(each)
-            for each in decoding.decode_json(
-                tenants, list[dict[str, msgspec.Raw]]
-            )
-        ]
-        members[_TENANTS] = msgspec.Raw(msgspec.json.encode(hidden))
-    except ValueError:
+        items = decoding.decode_json(tenants, list[msgspec.Raw])
+        members[_TENANTS] = _encode([_hide_keys_of(each) for each in items])
+    except decoding.Undecodable:
         members[_TENANTS] = _INVALID
     return msgspec.json.encode(members)
 
 
-def _hide_keys_of(tenant: dict[str, msgspec.Raw]) -> dict[str, msgspec.Raw]:
+def _hide_keys_of(tenant: msgspec.Raw) -> dict[str, msgspec.Raw] | None:
+    """Returns an organisation without keys, None if it is no object.
+
+    Fields that are not known are left out, as they might contain a key.
+    """
+    try:
+        fields = decoding.decode_json(bytes(tenant), dict[str, msgspec.Raw])
+    except decoding.Undecodable:
+        return None
     known = _Tenant.__struct_fields__
-    shown = {name: value for name, value in tenant.items() if name in known}
+    shown = {name: value for name, value in fields.items() if name in known}
     keys = shown.pop(_API_KEYS, None)
     if keys is not None:
-        digests = [
-            configuration.key_digest(key.encode()).hex()
-            for key in decoding.decode_json(bytes(keys), list[str])
-        ]
-        shown[_DIGESTS] = msgspec.Raw(msgspec.json.encode(digests))
+        shown[_DIGESTS] = _encode(_digests_of(keys))
     return shown
 
 
+def _digests_of(keys: msgspec.Raw) -> list[str | None] | None:
+    """Returns the digests of keys, with None for what is no key."""
+    try:
+        items = decoding.decode_json(bytes(keys), list[msgspec.Raw])
+    except decoding.Undecodable:
+        return None
+    return [_digest_of(item) for item in items]
+
+
+def _digest_of(item: msgspec.Raw) -> str | None:
+    try:
+        key = decoding.decode_json(bytes(item), str).encode()
+    except ValueError:
+        return None
+    return configuration.key_digest(key).hex()
+
+
+def _encode(value: object) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(value))
+
+
 def decode(value: bytes) -> configuration.Configuration:
     """Decodes the value of the configuration object.
 
--- a/mustardloom/sidecar/tests/test_organisations.py
+++ b/mustardloom/sidecar/tests/test_organisations.py
@@ -404,24 +404,35 @@
 
 
 @pytest.mark.parametrize(
-    "tenants",
+    ("tenants", "place"),
     [
-        {"a": {"api_keys": [_KEY.decode()]}},
-        [[_KEY.decode()]],
-        [{"name": "a", "api_keys": _KEY.decode()}],
-        [{"name": "a", "api_keys": [_KEY.decode(), 5]}],
-        _KEY.decode(),
+        ({"a": {"api_keys": [_KEY.decode()]}}, "$.tenants`"),
+        ([{"name": "a"}, [_KEY.decode()]], "$.tenants[1]`"),
+        (
+            [{"name": "a", "api_keys": _KEY.decode()}],
+            "$.tenants[0].api_key_digests`",
+        ),
+        (
+            [{"name": "a", "api_keys": [_KEY.decode(), 5]}],
+            "$.tenants[0].api_key_digests[1]`",
+        ),
+        (
+            [{"name": "a", "api_key": _KEY.decode(), "burst": "x"}],
+            "$.tenants[0].burst`",
+        ),
+        (_KEY.decode(), "$.tenants`"),
     ],
 )
-def test_invalid_organisations_stay_invalid_without_their_keys(tenants):
+def test_invalid_organisations_stay_invalid_without_their_keys(tenants, place):
     """Guards against keys in replicas, and faults that are not reported."""
     wire = msgspec.json.decode(standins.configuration(7))
     wire["tenants"] = tenants
     hidden = configuration.hide_keys(msgspec.json.encode(wire))
     assert _KEY not in hidden
     assert configuration.version_of(hidden) == 7
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError) as caught:
         configuration.decode(hidden)
+    assert str(caught.value).endswith(f"at `{place}")
 
 
 @pytest.mark.parametrize(
