Require API keys where the list of organisations is empty

A configuration whose last organisation was removed let every caller in without a key. The test expected that; it now expects that a key is needed.

--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -193,8 +193,9 @@
         {service.name: service for service in services},
         _limits(wire.limits),
         _organisations(wire.tenants or []),
-        # An empty list declares no organisations, like an absent one.
-        bool(wire.tenants),
+        # An empty list leaves no valid key. Taking it for an absent one would
+        # open a deployment whose last organisation was removed.
+        wire.tenants is not None,
     )
 
 
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -150,11 +150,16 @@
     assert not found.route_for("a.example", "/plain/x").is_exempt
 
 
-@pytest.mark.parametrize("tenants", [None, []])
-def test_configuration_without_organisations_needs_no_keys(tenants):
+def test_configuration_without_organisations_needs_no_keys():
     """Guards against a 401 in a deployment that declares no organisations."""
-    found = configuration.decode(_with_tenants(tenants))
+    found = configuration.decode(_with_tenants(None))
     assert not found.has_organisations
+
+
+def test_empty_list_of_organisations_needs_keys():
+    """Guards against a deployment that its last organisation leaves open."""
+    found = configuration.decode(_with_tenants([]))
+    assert found.has_organisations
     assert not found.organisation_by_key_digest
 
 
