--- a/mustardloom/load_control/unanswered.py
+++ b/mustardloom/load_control/unanswered.py
@@ -9,12 +9,14 @@
 
 import collections
 
-__all__ = ["AnswerHistory", "has_time_for_retry"]
+__all__ = ["MIN_WAIT_MS", "AnswerHistory", "has_time_for_retry"]
 
 # A request may take twice the mean, and a burst of slowness may hit it: 0.4 s
 # at a third of the speed add 0.27 s.
 _SLOW_FACTOR = 2.0
 _SLOW_BURST_MS = 270
+# No request that has waited less is presumed to stay without an answer.
+MIN_WAIT_MS = _SLOW_BURST_MS
 # In the replay, 4 leaves too little time for another attempt within 1.4 s, and
 # below 3 nothing is gained.
 _MIN_FACTOR = 3.0
@@ -96,7 +98,7 @@
           now_ms: Local time.
           expected_ms: Mean service time of its route.
         """
-        if waited_ms <= _SLOW_BURST_MS:
+        if waited_ms <= MIN_WAIT_MS:
             return False
         factor = max(_MIN_FACTOR, _SLOWEST_FACTOR * self._slowest(now_ms))
         return waited_ms >= max(
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -332,7 +332,10 @@
 
     def _give_up_unanswered(self, now_ms: int) -> None:
         """Gives up requests without an answer that may be tried elsewhere."""
-        for ticket in list(self._dispatcher.running):
+        latest_ms = now_ms - unanswered.MIN_WAIT_MS
+        for ticket in self._dispatcher.running:
+            if ticket.started_ms >= latest_ms:
+                continue
             request = ticket.request
             expected_ms = self._limits.service_times.measured_ms(request.route)
             if (
