--- a/mustardloom/load_control/tests/test_returns.py
+++ b/mustardloom/load_control/tests/test_returns.py
@@ -24,6 +24,8 @@
 _SLOWNESS = 3.0
 _MAX_RETRIES = 2
 _URGENT_SHARE = 0.2
+# How much more an urgent answer is worth.
+_URGENT_WORTH = 6
 _REFUSAL_DELAY_MS = 40
 _MIN_LEFT_MS = 100
 _ROUTE = "r"
@@ -82,6 +84,7 @@
       in_time: Those answered within their objective.
       refusals: Refusals of attempts.
       held: Attempts that waited until no time was left.
+      payoff: Value of the answers by kind, where a late one counts half.
     """
 
     def __init__(
@@ -94,7 +97,7 @@
         seed=1,
     ):
         self.arrived = self.answered = self.in_time = 0
-        self.refusals = self.held = 0
+        self.refusals = self.held = self.payoff = 0
         self._load = load
         self._spreads = spreads
         self._returning = returning.ReturningRequests()
@@ -273,8 +276,12 @@
         self._times.record(_ROUTE, now_ms - started_ms, round(now_ms))
         if not self._is_outdated(request, attempt):
             request.is_over = True
-            self.answered += now_ms <= request.deadline_ms
-            self.in_time += now_ms <= request.arrived_ms + request.objective_ms
+            is_answered = now_ms <= request.deadline_ms
+            is_in_time = now_ms <= request.arrived_ms + request.objective_ms
+            self.answered += is_answered
+            self.in_time += is_in_time
+            worth = 1 if request.priority else _URGENT_WORTH
+            self.payoff += worth * (is_answered + is_in_time) / 2
         self._expire()
         self._start()
 
@@ -331,6 +338,7 @@
     assert _sum(now, "refusals") <= _sum(before, "refusals") * 0.9
     assert _sum(now, "in_time") >= _sum(before, "in_time")
     assert _sum(now, "value") >= _sum(before, "value")
+    assert _sum(now, "payoff") >= _sum(before, "payoff")
 
 
 @pytest.mark.parametrize("rate", [0.75, 0.95, 1.2])
