--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -657,3 +657,25 @@
         await _until(has_unreachable_keys)
 
     _run(scenario)
+
+
+def test_calls_of_a_target_end_when_nobody_waits_for_its_run():
+    """Guards against calls that go on for a request whose caller has left."""
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        vm = vms[0]
+        key = vm.target.held[0][0]
+        await _get_until_answered(vm, "/keyed/a", "warm", key)
+        vm.target._work_ms = 900
+        run = asyncio.ensure_future(vm.get("/keyed/a", "x", key))
+        call = asyncio.ensure_future(vm.get("/keyed/b", "c.x", key))
+
+        async def are_running():
+            return {"x", "c.x"} <= {each.request_id for each in vm.target.runs}
+
+        await _until(are_running)
+        run.cancel()
+        return (await call).status
+
+    assert _run(scenario) == 504
