--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -154,6 +154,7 @@
     """Guards against a 401 in a deployment that declares no organisations."""
     found = configuration.decode(_with_tenants(None))
     assert not found.has_organisations
+    assert not found.organisation_by_key_digest
 
 
 def test_empty_list_of_organisations_needs_keys():
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -359,7 +359,10 @@
         """
         if self._stop.is_stopping():
             return
-        for ticket in list(self._dispatcher.running):
+        latest_ms = now_ms - unanswered.MIN_WAIT_MS
+        for ticket in self._dispatcher.running:
+            if ticket.started_ms >= latest_ms:
+                continue
             request = ticket.request
             expected_ms = self._limits.service_times.measured_ms(request.route)
             if (
