Reply to calls without callbacks of tasks and ask for load without tasks

The task of a call writes its reply itself, and questions for the load of several targets are calls without a task for each. The fake links of test_target_selection return such calls; what it checks is unchanged.

--- a/mustardloom/sidecar/incoming_link.py
+++ b/mustardloom/sidecar/incoming_link.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
-import functools
 import socket
 from typing import Protocol
 
@@ -42,6 +42,30 @@
     on_fault: Callable[[ids.VmId, Exception], None]
 
 
+class _RunningCall:
+    """A call of the peer without a reply so far.
+
+    Attributes:
+      result: What returns the reply.
+      task: Runs it.
+      has_begun: Whether the task has begun.
+    """
+
+    def __init__(self, result: Awaitable[frames.Frame | None]):
+        self.result = result
+        self.task: asyncio.Task[None] | None = None
+        self.has_begun = False
+
+    def cancel(self) -> bool:
+        """Cancels the call; returns whether it had begun."""
+        if self.task is not None:
+            self.task.cancel()
+        if not self.has_begun and isinstance(self.result, Coroutine):
+            # The task will not await it any more.
+            self.result.close()
+        return self.has_begun
+
+
 class IncomingLink:
     """A link that a peer dialled.
 
@@ -54,7 +78,7 @@
         self._stream = stream
         self._writer = frame_writer.FrameWriter(stream, owner.budget)
         self.vm: ids.VmId | None = None
-        self._tasks: dict[int, asyncio.Future[frames.Frame | None]] = {}
+        self._calls: dict[int, _RunningCall] = {}
         # Highest number of a call so far.
         self._last_number = 0
         self._is_ending = False
@@ -72,7 +96,7 @@
 
     def _end_when_replied(self, limit_ms: int) -> None:
         """Sends the end, and which calls were read before it."""
-        if self._tasks and self._owner.clock.now_ms() < limit_ms:
+        if self._calls and self._owner.clock.now_ms() < limit_ms:
             loop = asyncio.get_running_loop()
             loop.call_later(_END_POLL_S, self._end_when_replied, limit_ms)
             return
@@ -111,8 +135,8 @@
             self._owner.on_fault(self.vm or ids.VmId(""), error)
         finally:
             self._stream.close()
-            for task in list(self._tasks.values()):
-                task.cancel()
+            for number in list(self._calls):
+                self._cancel(number)
 
     def _receive(self, frame: frames.Frame) -> None:
         if self._is_ending:
@@ -128,9 +152,7 @@
         if self.vm is None:
             raise ValueError("first frame of the link is not a Hello")
         if isinstance(frame, frames.Cancel):
-            task = self._tasks.get(frame.number)
-            if task is not None:
-                task.cancel()
+            self._cancel(frame.number)
             return
         if isinstance(frame, frames.Status | frames.Ping):
             self._reply(self._owner.make_pong())
@@ -142,29 +164,35 @@
             return
         number: int = getattr(frame, "number", 0)
         self._last_number = max(self._last_number, number)
-        task = asyncio.ensure_future(result)
-        self._tasks[number] = task
-        task.add_done_callback(
-            functools.partial(self._on_done, self.vm, number)
-        )
+        call = _RunningCall(result)
+        self._calls[number] = call
+        call.task = asyncio.ensure_future(self._run_call(self.vm, number, call))
 
-    def _on_done(
-        self,
-        vm: ids.VmId,
-        number: int,
-        task: "asyncio.Future[frames.Frame | None]",
+    async def _run_call(
+        self, vm: ids.VmId, number: int, call: "_RunningCall"
     ) -> None:
-        self._tasks.pop(number, None)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if isinstance(error, Exception):
+        """Runs a call and replies.
+
+        Nothing is left for a callback of the task, which would take a further
+        iteration of the event loop.
+        """
+        call.has_begun = True
+        reply: frames.Frame | None = None
+        try:
+            reply = await call.result
+        except Exception as error:
             self._owner.on_fault(vm, error)
-            return
-        reply = task.result()
+        finally:
+            self._calls.pop(number, None)
         if reply is not None:
             self._reply(reply)
 
+    def _cancel(self, number: int) -> None:
+        call = self._calls.get(number)
+        if call is not None and not call.cancel():
+            # It has not begun, so it does not end by itself.
+            del self._calls[number]
+
     def _reply(self, frame: frames.Frame) -> None:
         # A peer that has closed its link waits for no reply.
         self._writer.write(frame)
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -21,12 +21,14 @@
 __all__ = [
     "FrameHandler",
     "Links",
+    "OpenCall",
     "PeerLost",
     "PeerUnreachable",
 ]
 
 Address = settings.Address
 FrameHandler = incoming_link.FrameHandler
+OpenCall = outgoing_link.OpenCall
 PeerLost = outgoing_link.PeerLost
 PeerUnreachable = outgoing_link.PeerUnreachable
 
@@ -181,11 +183,26 @@
           PeerUnreachable: The frame was certainly not sent.
           PeerLost: It was sent, but no reply came.
         """
+        return await self.begin_call(vm, make, may_repeat).result()
+
+    def begin_call(
+        self,
+        vm: ids.VmId,
+        make: Callable[[int], frames.Frame],
+        may_repeat: bool = True,
+    ) -> OpenCall:
+        """Sends a frame and returns the call, which the caller has to end.
+
+        Takes no task for each of several calls at once; see `call`.
+
+        Raises:
+          PeerUnreachable: The frame was certainly not sent.
+        """
         link = self._link_by_vm.get(vm)
         if link is None:
             raise PeerUnreachable(vm)
         number = link.next_number()
-        return await link.call(number, make(number), may_repeat)
+        return link.begin_call(number, make(number), may_repeat)
 
     async def check_links(self) -> None:
         """Checks all links for silent peers, until cancelled."""
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -27,7 +27,13 @@
 from mustardloom.sidecar import frame_writer
 from mustardloom.sidecar import frames
 
-__all__ = ["LinkOwner", "OutgoingLink", "PeerLost", "PeerUnreachable"]
+__all__ = [
+    "LinkOwner",
+    "OpenCall",
+    "OutgoingLink",
+    "PeerLost",
+    "PeerUnreachable",
+]
 
 _CONNECT_TIMEOUT_MS = 400
 _MIN_RECONNECT_MS = 250
@@ -176,6 +182,37 @@
         self.ended.set()
 
 
+class OpenCall:
+    """A call that was sent.
+
+    Attributes:
+      reply: The reply, or `PeerLost` or `PeerUnreachable`.
+    """
+
+    def __init__(
+        self,
+        reply: "asyncio.Future[frames.Frame]",
+        on_end: Callable[[bool], None],
+    ):
+        self.reply = reply
+        self._on_end = on_end
+
+    async def result(self) -> frames.Frame:
+        """Returns the reply; a cancelled call is cancelled at the peer."""
+        try:
+            return await self.reply
+        finally:
+            self.end()
+
+    def end(self) -> None:
+        """Ends the call; the peer is told if it has not replied."""
+        is_dropped = self.reply.cancel() or self.reply.cancelled()
+        if not is_dropped:
+            # Marks an error as retrieved, which asyncio would log otherwise.
+            self.reply.exception()
+        self._on_end(is_dropped)
+
+
 class OutgoingLink:
     """The streams that this daemon dials to one peer.
 
@@ -221,22 +258,21 @@
             return False
         return self._current.write(frame, self._owner.clock.now_ms())
 
-    async def call(
+    def begin_call(
         self, number: int, frame: frames.Frame, may_repeat: bool
-    ) -> frames.Frame:
-        """Sends a frame and returns its reply; see `Links.call`."""
+    ) -> "OpenCall":
+        """Sends a frame that gets a reply; see `Links.begin_call`."""
         stream = self._current
         if stream is None or not self.notify(frame):
             raise PeerUnreachable(self._vm)
         reply: asyncio.Future[frames.Frame] = asyncio.Future()
         stream.calls[number] = _Call(reply, may_repeat)
-        try:
-            return await reply
-        except asyncio.CancelledError:
+        return OpenCall(reply, functools.partial(self._end, stream, number))
+
+    def _end(self, stream: _Stream, number: int, is_dropped: bool) -> None:
+        stream.calls.pop(number, None)
+        if is_dropped:
             stream.write(frames.Cancel(number), self._owner.clock.now_ms())
-            raise
-        finally:
-            stream.calls.pop(number, None)
 
     def check(self, now_ms: int) -> None:
         """Finds out whether the peer is silent, and pings it while calls wait.
--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import random
 
 from mustardloom import clock as clock_lib
@@ -145,33 +146,41 @@
         self, peers: list[fleet_lib.Peer]
     ) -> list[fleet_lib.Peer]:
         """Returns the peers that told their load in time, or are this VM."""
-        asked = [
-            asyncio.ensure_future(self._ask(peer))
-            for peer in peers
-            if peer.vm != self._fleet.own_record.vm
-        ]
-        if not asked:
-            return peers
-        done, late = await asyncio.wait(
-            asked, timeout=_ANSWER_TIMEOUT_MS / _MS_PER_S
-        )
-        for task in late:
-            task.cancel()
-        answered = {task.result() for task in done} - {None}
-        return [
-            peer
-            for peer in peers
-            if peer.vm in answered or peer.vm == self._fleet.own_record.vm
-        ]
-
-    async def _ask(self, peer: fleet_lib.Peer) -> ids.VmId | None:
-        """Asks for the load of a target; returns its VM if it can be used."""
+        call_by_vm: dict[ids.VmId, links_lib.OpenCall] = {}
+        for peer in peers:
+            if peer.vm != self._fleet.own_record.vm:
+                with contextlib.suppress(links_lib.PeerUnreachable):
+                    call_by_vm[peer.vm] = self._links.begin_call(
+                        peer.vm, frames.LoadQuery
+                    )
         try:
-            reply = await self._links.call(peer.vm, frames.LoadQuery)
-        except (links_lib.PeerLost, links_lib.PeerUnreachable):
-            return None
+            if call_by_vm:
+                await asyncio.wait(
+                    [call.reply for call in call_by_vm.values()],
+                    timeout=_ANSWER_TIMEOUT_MS / _MS_PER_S,
+                )
+            return [
+                peer
+                for peer in peers
+                if peer.vm == self._fleet.own_record.vm
+                or (
+                    peer.vm in call_by_vm
+                    and self._may_use(peer, call_by_vm[peer.vm].reply)
+                )
+            ]
+        finally:
+            for call in call_by_vm.values():
+                call.end()
+
+    def _may_use(
+        self, peer: fleet_lib.Peer, answer: "asyncio.Future[frames.Frame]"
+    ) -> bool:
+        """Records the load that a peer has told; returns whether it is open."""
+        if not answer.done() or answer.exception() is not None:
+            return False
+        reply = answer.result()
         if not isinstance(reply, frames.LoadReply) or not reply.is_open:
-            return None
+            return False
         view = peer.view
         view.limit = max(1, reply.limit)
         view.running = reply.running
@@ -180,4 +189,4 @@
         view.failure_share = reply.failure_percent / _PERCENT
         view.reported_in_flight = view.in_flight
         view.rate_limit_per_s = reply.rate_limit_per_s
-        return peer.vm
+        return True
--- a/mustardloom/sidecar/tests/test_target_selection.py
+++ b/mustardloom/sidecar/tests/test_target_selection.py
@@ -109,16 +109,21 @@
     def is_up(self, vm):
         return True
 
-    async def call(self, vm, make):
+    def begin_call(self, vm, make):
         self.asked += 1
+        reply = asyncio.Future()
+        call = links_lib.OpenCall(reply, lambda _: None)
         if vm in self.silent:
-            await asyncio.sleep(60)
+            return call
         if vm not in self.target_by_vm:
             raise links_lib.PeerUnreachable(vm)
         running, waiting = self.target_by_vm[vm].load(self.now_ms)
-        return frames.LoadReply(
-            make(1).number, True, _PLACES, running, waiting, 100, 0
+        reply.set_result(
+            frames.LoadReply(
+                make(1).number, True, _PLACES, running, waiting, 100, 0
+            )
         )
+        return call
 
 
 def _fleet(links, targets=_TARGETS):
