--- a/mustardloom/tests/test_ticks.py
+++ b/mustardloom/tests/test_ticks.py
@@ -1,6 +1,7 @@
 """Tests that periodic loops share wake-ups without losing their periods."""
 
 import asyncio
+from unittest import mock
 
 from mustardloom import clock as clock_lib
 
@@ -44,17 +45,10 @@
     async def run():
         clock = clock_lib.SystemClock()
         loop = asyncio.get_running_loop()
-        due_s = []
-        call_at = loop.call_at
-
-        def record(when, *arguments, **options):
-            due_s.append(when)
-            return call_at(when, *arguments, **options)
-
-        loop.call_at = record
-        for period_ms in (10, 25, 50):
-            await clock.tick_ms(period_ms)
-        return due_s
+        with mock.patch.object(loop, "call_at", wraps=loop.call_at) as call_at:
+            for period_ms in (10, 25, 50):
+                await clock.tick_ms(period_ms)
+        return [call.args[0] for call in call_at.call_args_list]
 
     first, *others = asyncio.run(run())
     for other in others:
