--- a/mustardloom/keys/authority.py
+++ b/mustardloom/keys/authority.py
@@ -8,8 +8,6 @@
 authority of the earlier owner has expired.
 """
 
-from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 
 from mustardloom import ids
@@ -88,29 +86,13 @@
 
     def excludes_stale_majority(self, version: int, daemons: int) -> bool:
         """Returns whether no majority of daemons can still lack `version`."""
-        return not self.missing_reports(version, daemons)
-
-    def missing_reports(self, version: int, daemons: int) -> int:
-        """Returns how many more daemons must report that they know a map.
-
-        Only then can no majority of daemons lack it.
-        """
         informed = 1 + sum(
             1
             for report in self._report_by_vm.values()
             if report.version >= version
         )
         total = self._daemon_count(daemons)
-        return max(0, total - total // 2 - informed)
-
-    def uninformed(
-        self, version: int, vms: Iterable[ids.VmId]
-    ) -> Iterator[ids.VmId]:
-        """Yields those of the daemons whose last report lacks `version`."""
-        for vm in vms:
-            report = self._report_by_vm.get(vm)
-            if report is None or report.version < version:
-                yield vm
+        return informed >= total - total // 2
 
     def newest_reported(self) -> int:
         """Returns the highest version of a map that any daemon reported."""
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -42,12 +42,10 @@
 _RELEASE_INTERVAL_MS = 60
 _RELEASE_TIMEOUT_MS = 400
 # Earlier owners usually answer within this time. Without an answer, the time at
-# which the keys become free depends on how many daemons know the map, so these
+# which the keys become free depends on how many daemons know the map, so all
 # are pinged.
 _PING_AFTER_MS = 300
 _PING_INTERVAL_MS = 400
-# One in so many more than needed, as some may not have the newest map yet.
-_SPARE_PING_DIVISOR = 4
 # Weight of the newest second in the rate of keyed requests.
 _RATE_SMOOTHING = 0.6
 _LOAD_INTERVAL_MS = 1_000
@@ -122,8 +120,6 @@
         self._own_rows_changed_ms = 0
         self.on_settled: Callable[[ids.VmId], None] = lambda _: None
         self._pinged_ms = 0
-        # Version of the map for which daemons were last pinged.
-        self._pinged_version = 0
         self._adopted_ms = 0
         self._has_pending = asyncio.Event()
         self.on_range_loads: Callable[[RangeLoads], None] = lambda _: None
@@ -436,7 +432,7 @@
         """Ends waits for earlier owners whose grants have run out.
 
         When they run out is unknown until enough daemons know the map by which
-        the keys moved, so daemons are pinged until then.
+        the keys moved, so all daemons are pinged until then.
         """
         now_ms = self._clock.now_ms()
         self._authority.retain(set(self._fleet.by_vm))
@@ -453,34 +449,7 @@
             and now_ms - self._adopted_ms >= _PING_AFTER_MS
         ):
             self._pinged_ms = now_ms
-            self._links.ping(self._vms_to_ping())
-
-    def _vms_to_ping(self) -> list[ids.VmId]:
-        """Returns the daemons to be asked which map they know.
-
-        These are at first about as many as are missing for a majority, those
-        of this region before others, as every daemon that receives keys asks.
-        They are all that may lack the map if one of the earlier owners cannot
-        be reached, or if the first ones were not enough.
-        """
-        waits = [
-            pending
-            for pending in self._claims.pending_ranges
-            if pending.grants_expire_ms is None
-        ]
-        version = max(pending.version for pending in waits)
-        near_first = (*self._fleet.same_region(), *self._fleet.other_regions())
-        uninformed = list(self._authority.uninformed(version, near_first))
-        is_first = version != self._pinged_version
-        self._pinged_version = version
-        if not is_first or not all(
-            self._fleet.is_reachable(pending.previous) for pending in waits
-        ):
-            return uninformed
-        missing = self._authority.missing_reports(
-            version, len(self._fleet.by_vm)
-        )
-        return uninformed[: missing + missing // _SPARE_PING_DIVISOR + 1]
+            self._links.ping_all()
 
     def _excludes_stale_majority(self, version: int) -> bool:
         return self._authority.excludes_stale_majority(
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -151,11 +151,6 @@
         """Pings all peers; their answers also tell which key maps they know."""
         self.broadcast(frames.Ping())
 
-    def ping(self, vms: Iterable[ids.VmId]) -> None:
-        """Pings some of the peers; see `ping_all`."""
-        for vm in vms:
-            self.notify(vm, frames.Ping())
-
     def ping_quiet(self, vms: Iterable[ids.VmId], quiet_ms: int) -> None:
         """Pings those of the VMs that have sent nothing for `quiet_ms`."""
         now_ms = self.clock.now_ms()
