--- a/bench/daemon_cost/__main__.py
+++ b/bench/daemon_cost/__main__.py
@@ -52,6 +52,7 @@
 # Interval of the heartbeats of a keyed target, which its daemon asks for early
 # while it is busy, and of other targets.
 _HEARTBEAT_S_BY_SERVICE = {"keyed": 0.16, "plain": 0.4}
+_BROKEN = (client.ConnectFailed, client.ClosedEarly, client.Incomplete)
 _COUNTED = pathlib.Path(counted.__file__)
 
 
@@ -133,7 +134,7 @@
             await asyncio.sleep(0.1)
 
     async def _is_ready(self) -> bool:
-        with contextlib.suppress(client.ConnectFailed, client.Incomplete):
+        with contextlib.suppress(*_BROKEN):
             connection = await client.connect((self.host, _READY_PORT), 500)
             data = b"GET /readiness HTTP/1.1\r\nHost: a\r\n\r\n"
             try:
@@ -154,7 +155,7 @@
     async def _send_heartbeats(self) -> None:
         interval_s = _HEARTBEAT_S_BY_SERVICE[self.service]
         while True:
-            with contextlib.suppress(client.ConnectFailed, client.Incomplete):
+            with contextlib.suppress(*_BROKEN):
                 await self._target.send_heartbeat()
             await asyncio.sleep(interval_s)
 
@@ -255,9 +256,7 @@
             f"{host}-{number}", path, b"", key, _DEADLINE_MS
         )
         status = 0
-        with contextlib.suppress(
-            client.ConnectFailed, client.Incomplete, TimeoutError
-        ):
+        with contextlib.suppress(*_BROKEN, TimeoutError):
             async with asyncio.timeout(_ANSWER_LIMIT_S):
                 idle = self._idle.setdefault(host, [])
                 connection = idle.pop() if idle else None
