Limit requests at the sockets that serve only small ones

A daemon with a limit of 300 MB used 517 MB, and would have been killed, when 60 connections at the port for other daemons asked for a body and sent 8 MiB less a byte: the server of bodies had no account at all. At the ready, control and metrics ports the same crowd took 92 to 100 MB, as each body up to 8 MiB was kept whole and took the room of callers.

A request whose body has not ended loses its room to others when its sender was silent the longest; among callers, once it was silent for 0.5 s. Room for a body that is kept whole grows in steps, not with each piece.

Without the steps of room an ordinary request beside chunks of one byte at the control port got 503; it gets 200.

--- a/deploy/tests/test_untrusted_callers.py
+++ b/deploy/tests/test_untrusted_callers.py
@@ -29,8 +29,12 @@
 _STAND_S = 2.0
 # Longer than the interval of the target's heartbeats.
 _HEARTBEAT_S = 1.0
+# Fewer than there are bodies in a crowd.
+_FEW_SLOTS = 9
 _ANSWER_LIMIT_S = 25.0
 _DEADLINE_MS = 20_000
+# A request that waits for seconds misses it.
+_SHORT_DEADLINE_MS = 3_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -188,3 +192,57 @@
     """Guards against requests that wait for answers that nobody reads."""
     data = to.preface + (_head(to, "GET") + b"\r\n") * 2_000
     asyncio.run(_play(tmp_path, to, 60, [data], _bound_mb(to)))
+
+
+@pytest.mark.parametrize("to", _SOCKETS[1:])
+def test_bodies_that_stop_short_delay_others(tmp_path, to):
+    """Guards against bodies without their end that occupy the target."""
+    size = 8 * _MIB
+    head = to.preface + _head(to, "POST", f"Content-Length: {size}", "")
+    pieces = [head + bytes(size - 1)]
+    asyncio.run(
+        _play(
+            tmp_path,
+            to,
+            60,
+            pieces,
+            _bound_mb(to),
+            deadline_ms=_SHORT_DEADLINE_MS,
+            slots=_FEW_SLOTS,
+        )
+    )
+
+
+def test_short_bodies_that_stop_short_take_the_room_of_others(tmp_path):
+    """Guards against many bodies, each held whole, that never end."""
+    size = 15_000
+    head = _head(_ROUTE, "POST", f"Content-Length: {size}", "")
+    pieces = [head + bytes(size - 1)]
+    asyncio.run(_play(tmp_path, _ROUTE, 1_800, pieces, _ACCOUNT_MB))
+
+
+@pytest.mark.parametrize("to", _SOCKETS)
+def test_chunks_of_one_byte_take_memory(tmp_path, to):
+    """Guards against chunks that cost more than their bytes."""
+    head = to.preface + _head(to, "POST", "Transfer-Encoding: chunked", "")
+    pieces = [head, *[b"1\r\na\r\n" * 8_192] * 8]
+    asyncio.run(_play(tmp_path, to, 60, pieces, _bound_mb(to)))
+
+
+@pytest.mark.parametrize("to", _SOCKETS)
+def test_bodies_over_the_limit_take_memory(tmp_path, to):
+    """Guards against bodies that are kept although they are refused."""
+    head = to.preface + _head(
+        to, "POST", f"Content-Length: {4 * 1_024 * _MIB}", ""
+    )
+    asyncio.run(
+        _play(tmp_path, to, 60, [head + bytes(2 * _MIB)], _bound_mb(to))
+    )
+
+
+@pytest.mark.parametrize("to", _SOCKETS)
+def test_slow_callers_take_memory(tmp_path, to):
+    """Guards against what a connection costs while its head is incomplete."""
+    data = to.preface + _head(to, "POST")
+    pieces = [data[index : index + 1] for index in range(len(data))]
+    asyncio.run(_play(tmp_path, to, 1_000, pieces, _bound_mb(to), pause_s=0.2))
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -91,6 +91,7 @@
     handler: Handler
     clock: clock_lib.Clock
     budget: memory_budget.MemoryBudget
+    kind: memory_budget.HoldKind
     turns: bodies.Turns | None
     is_draining: bool
     on_fault: Callable[[BaseException], None]
@@ -477,10 +478,11 @@
             return
         if self._owner.turns is not None:
             self._start_upload(self._owner.turns)
-        elif self._hold is not None and not self._hold.resize(
-            self._header_bytes + self._body_bytes + bodies.INLINE_BYTES
-        ):
-            raise _no_room()
+            return
+        size = self._header_bytes + self._body_bytes + bodies.INLINE_BYTES
+        if self._hold is not None and size > self._hold.size:
+            # In steps, as a piece may be a single byte.
+            self._resize_hold(size + bodies.INLINE_BYTES)
 
     def on_message_complete(self) -> None:
         """Runs the request, unless it runs already."""
@@ -516,15 +518,25 @@
 
     def _resize_hold(self, size: int) -> None:
         if self._hold is None:
-            kind = memory_budget.HoldKind.MESSAGE
+            budget = self._owner.budget
             if self._open:
                 kind = memory_budget.HoldKind.PIPELINED
-            self._hold = self._owner.budget.try_hold(size, kind)
+                self._hold = budget.try_hold(size, kind)
+            elif self._length == 0:
+                self._hold = budget.try_hold(size, self._owner.kind)
+            else:
+                self._hold = budget.try_hold_evictable(
+                    size, self._owner.kind, self._on_body_evicted
+                )
             if self._hold is None:
                 raise _no_room()
         elif not self._hold.resize(size):
             raise _no_room()
 
+    def _on_body_evicted(self) -> None:
+        """Ends a request whose sender was silent while others need its room."""
+        self._reject(messages.Response(_TIMEOUT))
+
     def _start_upload(self, turns: bodies.Turns) -> None:
         """Runs a request whose body passes in pieces."""
         hold = self._owner.budget.try_hold_stream(bodies.STREAM_BYTES)
@@ -578,6 +590,8 @@
             self._headers = []
         is_chunk_known = self._parser.get_http_version() != _WITHOUT_CHUNKS
         hold, self._hold = self._hold, None
+        if isinstance(hold, memory_budget.EvictableHold):
+            hold.pin()
         fields_hold, self._fields_hold = self._fields_hold, None
         pending = _PendingResponse(
             method, task, hold, fields_hold, is_chunk_known, upload
@@ -769,6 +783,8 @@
         done: asyncio.Future[messages.Response] = asyncio.Future()
         done.set_result(response)
         hold, self._hold = self._hold, None
+        if isinstance(hold, memory_budget.EvictableHold):
+            hold.pin()
         if self._fields_hold is not None:
             self._fields_hold.release()
         self.pending.append(_PendingResponse("", done, hold))
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -53,6 +53,7 @@
       share: Descriptors for its connections.
       patience: How long a connection may stand still while another needs its
         descriptor.
+      kind: What the bytes of its requests belong to in the budget.
     """
 
     def __init__(
@@ -66,10 +67,12 @@
         on_rejected: RejectedCallback = lambda *_: None,
         share: descriptor_budget.Share | None = None,
         patience: idle_eviction.Patience = _PATIENCE,
+        kind: memory_budget.HoldKind = memory_budget.HoldKind.MESSAGE,
     ):
         self.handler = handler
         self.clock = clock
         self.budget = budget or memory_budget.unlimited(clock)
+        self.kind = kind
         self.turns = turns
         self.on_rejected = on_rejected
         self.limits = limits
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -59,10 +59,15 @@
     # Requests that follow others without an answer on one connection, and their
     # answers.
     PIPELINED = "pipelined"
+    # Requests at the sockets that serve only small ones.
+    SERVICE = "service"
     # Header fields of a request beyond a number that is usual.
     HEADER_FIELDS = "header_fields"
 
 
+# A sender that has been silent for this long loses its room to others; without
+# an entry, the one that has been silent the longest loses it at once.
+_SILENT_MS_BY_KIND = {HoldKind.MESSAGE: 500}
 # Share of the capacity that bodies in pieces may take, so that small messages
 # get past any number of them.
 _STREAM_SHARE = 0.75
@@ -74,10 +79,16 @@
     HoldKind.UNWRITTEN_FRAME: 0.5,
     HoldKind.PARTIAL_HEAD: 0.25,
     HoldKind.PIPELINED: 0.25,
+    HoldKind.SERVICE: 0.25,
     HoldKind.HEADER_FIELDS: 0.25,
 }
 # Kinds whose holds may be taken away for others.
-EVICTED_KINDS = (HoldKind.STREAM, HoldKind.PARTIAL_HEAD)
+EVICTED_KINDS = (
+    HoldKind.MESSAGE,
+    HoldKind.STREAM,
+    HoldKind.PARTIAL_HEAD,
+    HoldKind.SERVICE,
+)
 # Kinds whose lack of room is reported to a caller as a refusal.
 _REFUSED_KINDS = frozenset(
     (
@@ -85,6 +96,7 @@
         HoldKind.STREAM,
         HoldKind.PARTIAL_HEAD,
         HoldKind.HEADER_FIELDS,
+        HoldKind.SERVICE,
     )
 )
 
@@ -154,6 +166,13 @@
     ):
         super().__init__(budget, 0, kind)
         self.on_evicted = on_evicted
+        self.heard_ms = 0
+        self.is_pinned = False
+
+    def pin(self) -> None:
+        """Keeps the room from now on, as the bytes are complete."""
+        self.is_pinned = True
+        self._budget.pin(self)
 
 
 class MemoryBudget:
@@ -245,15 +264,21 @@
     def resize(self, hold: Hold, size: int) -> bool:
         """Changes the size of a hold; returns False if there is no room."""
         grown = size - hold.size
-        if isinstance(hold, EvictableHold):
-            self._make_evictable_room(hold, grown)
+        if isinstance(hold, EvictableHold) and not hold.is_pinned:
+            self._mark_heard(hold)
         if grown > 0 and not self._has_room(grown, hold.kind):
-            # Without the others nobody is refused; they wait or do without.
-            self.refused += hold.kind in _REFUSED_KINDS
-            return False
+            self._make_evictable_room(hold, grown)
+            if not self._has_room(grown, hold.kind):
+                # Without the others nobody is refused; they wait or do without.
+                self.refused += hold.kind in _REFUSED_KINDS
+                return False
         self._set_size(hold, size)
         return True
 
+    def pin(self, hold: EvictableHold) -> None:
+        """See `EvictableHold.pin`."""
+        self._evictable[hold.kind].pop(hold, None)
+
     def release(self, hold: Hold) -> None:
         """Takes the room of a hold back."""
         if hold not in self._holds:
@@ -266,17 +291,26 @@
         if isinstance(hold, EvictableHold):
             self._evictable[hold.kind].pop(hold, None)
 
-    def _make_evictable_room(self, hold: EvictableHold, grown: int) -> None:
-        """Takes room from the senders that have been silent the longest."""
+    def _mark_heard(self, hold: EvictableHold) -> None:
+        """Moves a hold behind those whose senders have been silent longer."""
+        hold.heard_ms = self.clock.now_ms()
         others = self._evictable.setdefault(hold.kind, {})
         others.pop(hold, None)
-        if grown > self.capacity_bytes * _OWN_SHARE_BY_KIND[hold.kind]:
+        others[hold] = None
+
+    def _make_evictable_room(self, hold: Hold, grown: int) -> None:
+        """Takes room from the senders that have been silent the longest."""
+        share = _OWN_SHARE_BY_KIND.get(hold.kind, 1)
+        if grown > self.capacity_bytes * share:
             # It would not fit if it were alone.
-            others[hold] = None
             return
-        while others and not self._has_room(grown, hold.kind):
-            self._evict(next(iter(others)))
-        others[hold] = None
+        others = self._evictable.get(hold.kind, {})
+        latest_ms = self.clock.now_ms() - _SILENT_MS_BY_KIND.get(hold.kind, 0)
+        while not self._has_room(grown, hold.kind):
+            oldest = next(iter(others), None)
+            if oldest is None or oldest is hold or oldest.heard_ms > latest_ms:
+                return
+            self._evict(oldest)
 
     def _evict(self, hold: StreamHold | EvictableHold) -> None:
         hold.release()
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -50,6 +50,7 @@
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import self_report
 from mustardloom.sidecar import shared_state
+from mustardloom.sidecar import small_requests
 from mustardloom.sidecar import state_adoption
 from mustardloom.sidecar import state_exchange as state_exchange_lib
 from mustardloom.sidecar import status_sender
@@ -310,6 +311,7 @@
             descriptor_budget.User.CALLERS,
             self._limits,
             passage.turns,
+            memory_budget.HoldKind.MESSAGE,
         )
         self._graceful_stop = graceful_stop.GracefulStop(
             stop,
@@ -321,7 +323,9 @@
             self._on_stop_waiting,
         )
         self._notice_server = self._new_server(
-            self._local_target.handle, descriptor_budget.User.ANNOUNCEMENTS
+            self._local_target.handle,
+            descriptor_budget.User.ANNOUNCEMENTS,
+            lambda: small_requests.HEARTBEAT_LIMITS,
         )
         self._readiness_server = self._new_server(
             self._answer_readiness, descriptor_budget.User.READINESS
@@ -406,8 +410,11 @@
         self,
         handler: server.Handler,
         user: descriptor_budget.User,
-        limits: Any = server.ServerLimits,
+        limits: Callable[[], server.ServerLimits] = (
+            lambda: small_requests.LIMITS
+        ),
         turns: bodies.Turns | None = None,
+        kind: memory_budget.HoldKind = memory_budget.HoldKind.SERVICE,
     ) -> server.HttpServer:
         return server.HttpServer(
             handler,
@@ -419,6 +426,7 @@
             self._on_rejected,
             self._descriptors.share(user),
             _PATIENCE_BY_USER.get(user, _SMALL_PATIENCE),
+            kind,
         )
 
     def _on_rejected(
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -21,6 +21,7 @@
 from mustardloom.http1 import server
 from mustardloom.http1 import sockets
 from mustardloom.sidecar import frames
+from mustardloom.sidecar import small_requests
 
 __all__ = ["PREFACE", "FetchedBody", "Transfers"]
 
@@ -56,7 +57,14 @@
         fetch_share: descriptor_budget.Share | None = None,
         accept_share: descriptor_budget.Share | None = None,
     ):
-        self.server = server.HttpServer(self._serve, clock, share=accept_share)
+        self.server = server.HttpServer(
+            self._serve,
+            clock,
+            lambda: small_requests.LIMITS,
+            budget=passage.budget,
+            share=accept_share,
+            kind=memory_budget.HoldKind.SERVICE,
+        )
         self._fetch_share = fetch_share
         self._passage = passage
         self._clock = clock
--- a/mustardloom/tests/test_memory_budget.py
+++ b/mustardloom/tests/test_memory_budget.py
@@ -150,7 +150,8 @@
     assert budget.try_hold(_CAPACITY // 4, kinds.PARTIAL_HEAD) is not None
     assert budget.try_hold(_CAPACITY // 4, kinds.HEADER_FIELDS) is not None
     assert budget.try_hold(_CAPACITY // 4, kinds.PIPELINED) is not None
-    assert budget.held_bytes == 2.75 * _CAPACITY
+    assert budget.try_hold(_CAPACITY // 4, kinds.SERVICE) is not None
+    assert budget.held_bytes == 3 * _CAPACITY
     assert all(budget.try_hold(1, kind) is None for kind in kinds)
 
 
@@ -159,5 +160,6 @@
     _, budget = _budget()
     for kind in memory_budget.HoldKind:
         assert budget.try_hold(2 * _CAPACITY, kind) is None
-    # Messages, bodies, heads in part and header fields are those of callers.
-    assert budget.refused == 4
+    # Messages, bodies, heads in part, header fields and requests at the small
+    # sockets are those of callers.
+    assert budget.refused == 5
