--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -56,10 +56,18 @@
     # Heads of requests that have arrived in part, and requests that wait until
     # their caller reads earlier answers, as raw bytes.
     PARTIAL_HEAD = "partial_head"
+    # Requests that follow others without an answer on one connection, and their
+    # answers.
+    PIPELINED = "pipelined"
+    # Requests at the sockets that serve only small ones.
+    SERVICE = "service"
     # Header fields of a request beyond a number that is usual.
     HEADER_FIELDS = "header_fields"
 
 
+# A sender that has been silent for this long loses its room to others; without
+# an entry, the one that has been silent the longest loses it at once.
+_SILENT_MS_BY_KIND = {HoldKind.MESSAGE: 500}
 # Share of the capacity that bodies in pieces may take, so that small messages
 # get past any number of them.
 _STREAM_SHARE = 0.75
@@ -70,10 +78,17 @@
     HoldKind.RECEIVE_WINDOW: 0.25,
     HoldKind.UNWRITTEN_FRAME: 0.5,
     HoldKind.PARTIAL_HEAD: 0.25,
+    HoldKind.PIPELINED: 0.25,
+    HoldKind.SERVICE: 0.25,
     HoldKind.HEADER_FIELDS: 0.25,
 }
 # Kinds whose holds may be taken away for others.
-EVICTED_KINDS = (HoldKind.STREAM, HoldKind.PARTIAL_HEAD)
+EVICTED_KINDS = (
+    HoldKind.MESSAGE,
+    HoldKind.STREAM,
+    HoldKind.PARTIAL_HEAD,
+    HoldKind.SERVICE,
+)
 # Kinds whose lack of room is reported to a caller as a refusal.
 _REFUSED_KINDS = frozenset(
     (
@@ -81,6 +96,7 @@
         HoldKind.STREAM,
         HoldKind.PARTIAL_HEAD,
         HoldKind.HEADER_FIELDS,
+        HoldKind.SERVICE,
     )
 )
 
@@ -150,6 +166,13 @@
     ):
         super().__init__(budget, 0, kind)
         self.on_evicted = on_evicted
+        self.heard_ms = 0
+        self.is_pinned = False
+
+    def pin(self) -> None:
+        """Keeps the room from now on, as the bytes are complete."""
+        self.is_pinned = True
+        self._budget.pin(self)
 
 
 class MemoryBudget:
@@ -163,6 +186,7 @@
     Attributes:
       held_bytes: Bytes for which room is given now.
       held_by_kind: The same by what they belong to.
+      holds_by_kind: Number of holds by what they belong to.
       peak_bytes: Most bytes of messages and bodies so far.
       refused: Number of messages and bodies for which there was no room.
       evicted_by_kind: Number of holds that were taken away for others.
@@ -173,6 +197,9 @@
         self.clock = clock
         self.held_bytes = 0
         self.held_by_kind: collections.Counter[HoldKind] = collections.Counter()
+        self.holds_by_kind: collections.Counter[HoldKind] = (
+            collections.Counter()
+        )
         self.peak_bytes = 0
         self.refused = 0
         self.evicted_by_kind: collections.Counter[HoldKind] = (
@@ -193,6 +220,7 @@
         hold = Hold(self, 0, kind)
         self._holds.add(hold)
         if self.resize(hold, size):
+            self.holds_by_kind[kind] += 1
             return hold
         self._holds.discard(hold)
         return None
@@ -210,8 +238,10 @@
         hold = EvictableHold(self, kind, on_evicted)
         self._holds.add(hold)
         if self.resize(hold, size):
+            self.holds_by_kind[kind] += 1
             return hold
         self._holds.discard(hold)
+        self._evictable[kind].pop(hold, None)
         return None
 
     def try_hold_stream(self, size: int) -> StreamHold | None:
@@ -234,37 +264,53 @@
     def resize(self, hold: Hold, size: int) -> bool:
         """Changes the size of a hold; returns False if there is no room."""
         grown = size - hold.size
-        if isinstance(hold, EvictableHold):
-            self._make_evictable_room(hold, grown)
+        if isinstance(hold, EvictableHold) and not hold.is_pinned:
+            self._mark_heard(hold)
         if grown > 0 and not self._has_room(grown, hold.kind):
-            # Without the others nobody is refused; they wait or do without.
-            self.refused += hold.kind in _REFUSED_KINDS
-            return False
+            self._make_evictable_room(hold, grown)
+            if not self._has_room(grown, hold.kind):
+                # Without the others nobody is refused; they wait or do without.
+                self.refused += hold.kind in _REFUSED_KINDS
+                return False
         self._set_size(hold, size)
         return True
 
+    def pin(self, hold: EvictableHold) -> None:
+        """See `EvictableHold.pin`."""
+        self._evictable[hold.kind].pop(hold, None)
+
     def release(self, hold: Hold) -> None:
         """Takes the room of a hold back."""
         if hold not in self._holds:
             return
         self._set_size(hold, 0)
         self._holds.discard(hold)
+        self.holds_by_kind[hold.kind] -= 1
         if isinstance(hold, StreamHold):
             self._streams.pop(hold, None)
         if isinstance(hold, EvictableHold):
             self._evictable[hold.kind].pop(hold, None)
 
-    def _make_evictable_room(self, hold: EvictableHold, grown: int) -> None:
-        """Takes room from the senders that have been silent the longest."""
+    def _mark_heard(self, hold: EvictableHold) -> None:
+        """Moves a hold behind those whose senders have been silent longer."""
+        hold.heard_ms = self.clock.now_ms()
         others = self._evictable.setdefault(hold.kind, {})
         others.pop(hold, None)
-        if grown > self.capacity_bytes * _OWN_SHARE_BY_KIND[hold.kind]:
+        others[hold] = None
+
+    def _make_evictable_room(self, hold: Hold, grown: int) -> None:
+        """Takes room from the senders that have been silent the longest."""
+        share = _OWN_SHARE_BY_KIND.get(hold.kind, 1)
+        if grown > self.capacity_bytes * share:
             # It would not fit if it were alone.
-            others[hold] = None
             return
-        while others and not self._has_room(grown, hold.kind):
-            self._evict(next(iter(others)))
-        others[hold] = None
+        others = self._evictable.get(hold.kind, {})
+        latest_ms = self.clock.now_ms() - _SILENT_MS_BY_KIND.get(hold.kind, 0)
+        while not self._has_room(grown, hold.kind):
+            oldest = next(iter(others), None)
+            if oldest is None or oldest is hold or oldest.heard_ms > latest_ms:
+                return
+            self._evict(oldest)
 
     def _evict(self, hold: StreamHold | EvictableHold) -> None:
         hold.release()
@@ -283,6 +329,7 @@
     def _add_stream(self, size: int) -> StreamHold:
         hold = StreamHold(self, 0, self.clock.now_ms())
         self._holds.add(hold)
+        self.holds_by_kind[hold.kind] += 1
         self._streams[hold] = None
         self._set_size(hold, size)
         return hold
--- a/mustardloom/sidecar/tests/test_organisations.py
+++ b/mustardloom/sidecar/tests/test_organisations.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from mustardloom import clock as clock_lib
 from mustardloom import ids
 from mustardloom.deployment import configuration as deployed
 from mustardloom.http1 import messages
@@ -506,7 +507,9 @@
             except (OSError, asyncio.IncompleteReadError):
                 continue
         for each in (near, far):
-            page = metrics_page.MetricsPage(each.metrics, dict)
+            page = metrics_page.MetricsPage(
+                each.metrics, dict, clock_lib.SystemClock()
+            )
             answer = await page.handle(
                 messages.Request("GET", "/metrics", (), b"")
             )
