Give up no unanswered request of a daemon that stops

The daemon at which a request entered may be stopping while the target's daemon is not. Giving the request up there makes the stopping one answer in place of the target, as it tries no other. Requests name the VM at which they entered, and statuses tell whether its daemon is stopping. The test failed without the check.

--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -322,6 +322,7 @@
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
+        self._gate.is_origin_stopping = self._fleet.is_stopping
         self._caller_server = self._new_server(
             self._ingress.handle,
             descriptor_budget.User.CALLERS,
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -217,6 +217,7 @@
             frame.is_call,
             self._body_of(vm, frame, deadline_ms),
             ids.OrganisationId(frame.organisation) or None,
+            vm,
         )
 
     def _body_of(
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -50,6 +50,8 @@
       on_statement: Called with what the target states when that changes.
       on_cancelled: Called with the id of a request whose run was ended, as
         nobody waits for it any more.
+      is_origin_stopping: Returns whether the daemon of a VM at which requests
+        enter the fleet is stopping.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         )
         self.on_statement: Callable[[targets.Statement], None] = lambda _: None
         self.on_cancelled: Callable[[str], None] = lambda _: None
+        self.is_origin_stopping: Callable[[ids.VmId], bool] = lambda _: False
         self._service = service
         self._connections = connections
         self._quarantine = quarantine
@@ -360,7 +363,8 @@
     def _give_up_unanswered(self, now_ms: int) -> None:
         """Gives up requests without an answer that may be tried elsewhere.
 
-        A stop leaves no other daemon to try, and must not cut a request short.
+        A stop of this daemon, or of the one at which a request entered, leaves
+        no other target to try, and must not cut the request short.
         """
         if self._stop.is_stopping():
             return
@@ -375,6 +379,7 @@
                 or not request.is_idempotent
                 or request.rest is not None
                 or expected_ms is None
+                or self.is_origin_stopping(request.origin)
             ):
                 continue
             left_ms = request.deadline_ms - now_ms
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -550,13 +550,15 @@
     assert _run(scenario, capacity=4) == 4
 
 
-async def _leave_one_unanswered(harness):
+async def _leave_one_unanswered(harness, **changes):
     """Returns the task of a request that the target has not answered.
 
     It has answered others meanwhile.
     """
     now_ms = harness.clock.now_ms()
-    (missing,) = await harness.start("missing", deadline_ms=now_ms + 10_000)
+    (missing,) = await harness.start(
+        "missing", deadline_ms=now_ms + 10_000, **changes
+    )
     for _ in range(10):
         (other,) = await harness.start("other")
         await harness.clock.advance(100)
@@ -593,6 +595,22 @@
     assert isinstance(outcome, work.Answered)
 
 
+def test_request_from_a_daemon_that_stops_is_not_given_up():
+    """Guards against a stop that answers in place of a target at work."""
+
+    async def scenario(harness):
+        origin = ids.VmId("stopping")
+        harness.gate.is_origin_stopping = {origin}.__contains__
+        missing = await _leave_one_unanswered(harness, origin=origin)
+        is_given_up = missing.done()
+        harness.connections.answer(_OK)
+        return is_given_up, await missing
+
+    is_given_up, outcome = _run(scenario)
+    assert not is_given_up
+    assert isinstance(outcome, work.Answered)
+
+
 def test_organisation_whose_requests_were_refused_goes_first():
     """Guards against an urgent organisation that takes the whole target.
 
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -103,6 +103,7 @@
       is_call: Whether a running request waits for the answer.
       rest: The body if it passes in pieces, else None.
       organisation: Organisation of the caller, None if it has none.
+      origin: VM at which the request entered the fleet; `NO_VM` for this one.
     """
 
     service: ids.ServiceId
@@ -122,6 +123,7 @@
     is_call: bool
     rest: bodies.BodySource | None = None
     organisation: ids.OrganisationId | None = None
+    origin: ids.VmId = NO_VM
 
     def is_whole(self) -> bool:
         """Returns whether it can still be sent from its first byte."""
