--- a/deploy/tests/test_usage_caps_of_daemons.py
+++ b/deploy/tests/test_usage_caps_of_daemons.py
@@ -109,7 +109,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             assert {"200", "429"} <= statuses <= {"200", "429", "503"}
-            # Each side goes on with the tokens of its own trustees.
+            # Each side goes on with the tokens of its own owners.
             assert samples[-1][1] - cut_runs >= _RATE_PER_S
             assert _most_in_a_window(samples) <= _BOUND
             assert not any(vm.has_ended() for vm in fleet.vms)
--- a/mustardloom/load_control/tests/test_usage_caps.py
+++ b/mustardloom/load_control/tests/test_usage_caps.py
@@ -23,12 +23,12 @@
 
 
 def confirmed(vm, listed, now_ms=0, caps=None):
-    """Returns a ledger that fills all places its list gives it."""
+    """Returns a ledger that serves all shards its list gives it."""
     ledger = usage_ledger.Ledger(vm, TOLERANCE, now_ms)
     ledger.set_caps(caps or {ORGANISATION: usage_caps.Cap(10.0, 10.0)})
-    ledger.office.set_listed(listed)
-    for other in ledger.office.unconfirmed():
-        ledger.office.on_confirmed(other)
+    ledger.ownership.set_listed(listed)
+    for other in ledger.ownership.unconfirmed():
+        ledger.ownership.on_confirmed(other)
     ledger.open_buckets(now_ms)
     return ledger
 
@@ -51,19 +51,19 @@
 def test_buckets_of_small_caps_hold_whole_tokens():
     """Guards against shares that never reach a whole request."""
     cap = usage_caps.Cap(0.5, 0.0)
-    assert TOLERANCE.stock(cap) / TOLERANCE.places() >= 1.5
+    assert TOLERANCE.stock(cap) / TOLERANCE.shards() >= 1.5
 
 
 def test_places_are_spread_over_daemons():
     """Guards against a daemon that is asked for most organisations."""
     ring = usage_caps.Ring(vms(68))
-    places = collections.Counter()
+    shards = collections.Counter()
     for number in range(680):
         organisation = ids.OrganisationId(f"o-{number}")
-        places.update(map(ring.owner, ring.places(organisation, 6)))
+        shards.update(map(ring.owner, ring.shards(organisation, 6)))
     mean = 680 * 6 / 68
-    assert len(places) == 68
-    assert max(places.values()) < 4 * mean
+    assert len(shards) == 68
+    assert max(shards.values()) < 4 * mean
 
 
 def test_allowances_of_all_daemons_add_up():
@@ -78,44 +78,44 @@
 
 
 def test_joined_daemon_fills_places_once_the_earlier_holders_know_it():
-    """Guards against places that are filled on both sides of a partition."""
+    """Guards against shards that are served on both sides of a partition."""
     listed = vms(8)
     joined = listed[-1]
-    office = usage_caps.Office(joined)
-    office.set_listed(listed)
-    places = office.ring.places(ORGANISATION, 200)
-    assert office.filled(places) == 0
-    asked = office.unconfirmed()
+    ownership = usage_caps.ShardOwnership(joined)
+    ownership.set_listed(listed)
+    shards = ownership.ring.shards(ORGANISATION, 200)
+    assert ownership.served(shards) == 0
+    asked = ownership.unconfirmed()
     before = usage_caps.Ring(listed[:-1])
-    for place, earlier in zip(
-        places, before.places(ORGANISATION, 200), strict=True
+    for shard, earlier in zip(
+        shards, before.shards(ORGANISATION, 200), strict=True
     ):
-        if office.ring.owner(place) == joined:
+        if ownership.ring.owner(shard) == joined:
             assert before.owner(earlier) in asked
     for other in asked:
-        office.on_confirmed(other)
-    assert office.filled(places) > 0
-    office.set_listed(listed[:-1])
-    office.set_listed(listed)
-    assert office.filled(places) == 0
+        ownership.on_confirmed(other)
+    assert ownership.served(shards) > 0
+    ownership.set_listed(listed[:-1])
+    ownership.set_listed(listed)
+    assert ownership.served(shards) == 0
 
 
 def test_filled_place_stays_filled_when_others_join_during_a_cut():
-    """Guards against places that nobody fills as a new daemon is cut off."""
+    """Guards against shards that nobody serves as a new daemon is cut off."""
     listed = vms(8)
     for vm in listed:
-        office = usage_caps.Office(vm)
-        office.set_listed(listed)
-        for other in office.unconfirmed():
-            office.on_confirmed(other)
-        office.set_listed([*listed, ids.VmId("new")])
-        places = office.ring.places(ORGANISATION, 200)
-        owners = [office.ring.owner(place) for place in places]
-        assert office.filled(places) == owners.count(vm)
-        assert not office.unconfirmed()
-
-
-def test_restarted_trustee_has_no_tokens():
+        ownership = usage_caps.ShardOwnership(vm)
+        ownership.set_listed(listed)
+        for other in ownership.unconfirmed():
+            ownership.on_confirmed(other)
+        ownership.set_listed([*listed, ids.VmId("new")])
+        shards = ownership.ring.shards(ORGANISATION, 200)
+        owners = [ownership.ring.owner(shard) for shard in shards]
+        assert ownership.served(shards) == owners.count(vm)
+        assert not ownership.unconfirmed()
+
+
+def test_restarted_owner_has_no_tokens():
     """Guards against a burst after each restart."""
     own = vms(1)
     ledger = confirmed(own[0], own, now_ms=1_000)
@@ -126,41 +126,41 @@
 
 def test_tokens_expire_by_the_time_of_the_question():
     """Guards against tokens of a late answer that add to later ones."""
-    wallet = usage_caps.Wallet()
-    wallet.add(2, 300, now_ms=300)
-    assert not wallet.take(300)
-    wallet.add(2, 600, now_ms=400)
-    assert wallet.take(599)
-    assert not wallet.take(600)
+    cache = usage_caps.TokenCache()
+    cache.add(2, 300, now_ms=300)
+    assert not cache.take(300)
+    cache.add(2, 600, now_ms=400)
+    assert cache.take(599)
+    assert not cache.take(600)
 
 
 def test_token_is_given_back_only_while_valid():
     """Guards against a token that is revived after it was minted again."""
-    wallet = usage_caps.Wallet()
-    wallet.add(1, 300, now_ms=0)
-    assert not wallet.give_back(0)
-    assert wallet.take(0)
-    assert wallet.give_back(299)
-    assert not wallet.give_back(299)
-    assert wallet.take(299)
-    assert not wallet.give_back(300)
+    cache = usage_caps.TokenCache()
+    cache.add(1, 300, now_ms=0)
+    assert not cache.give_back(0)
+    assert cache.take(0)
+    assert cache.give_back(299)
+    assert not cache.give_back(299)
+    assert cache.take(299)
+    assert not cache.give_back(300)
 
 
 def test_tokens_ahead_come_from_the_upper_half_only():
     """Guards against daemons that take tokens ahead while others wait."""
-    trustee = usage_caps.Trustee(0)
-    assert trustee.grant(0, 100, 10.0, 20.0, 10_000).tokens == 10
-    assert trustee.grant(0, 100, 10.0, 20.0, 10_000).tokens == 0
-    assert trustee.grant(4, 100, 10.0, 20.0, 10_000).tokens == 4
-    short = trustee.grant(7, 0, 10.0, 20.0, 10_000)
+    bucket = usage_caps.TokenBucket(0)
+    assert bucket.grant(0, 100, 10.0, 20.0, 10_000).tokens == 10
+    assert bucket.grant(0, 100, 10.0, 20.0, 10_000).tokens == 0
+    assert bucket.grant(4, 100, 10.0, 20.0, 10_000).tokens == 4
+    short = bucket.grant(7, 0, 10.0, 20.0, 10_000)
     assert short.tokens == 6
     assert 100 <= short.retry_ms <= 1_000
 
 
 def test_waits_grow_with_the_denied_requests():
     """Guards against an organisation above its cap that asks all the time."""
-    trustee = usage_caps.Trustee(0)
-    waits = [trustee.grant(1, 0, 4.0, 2.0, 0).retry_ms for _ in range(5)]
+    bucket = usage_caps.TokenBucket(0)
+    waits = [bucket.grant(1, 0, 4.0, 2.0, 0).retry_ms for _ in range(5)]
     assert waits == [250, 500, 750, 1_000, 1_000]
 
 
@@ -199,7 +199,7 @@
 
 
 class Fleet:
-    """Daemons that buy tokens from each other over a faulty network.
+    """Daemons that fetch tokens from each other over a faulty network.
 
     Time is in ms. Each message is delayed, lost or repeated as a test says.
     A frozen daemon does nothing; its messages arrive when it goes on.
@@ -243,7 +243,7 @@
         self.watches[vm] = usage_caps.ClockWatch()
         ledger.set_caps(dict(self.caps))
         self.lists[vm] = list(self.listed)
-        ledger.office.set_listed(self.listed)
+        ledger.ownership.set_listed(self.listed)
 
     def later(self, delay_ms, call, vm):
         due_ms = self.now_ms + delay_ms
@@ -302,19 +302,19 @@
             if vm in self.frozen:
                 continue
             ledger.open_buckets(self.clock(vm))
-            for other in ledger.office.unconfirmed():
+            for other in ledger.ownership.unconfirmed():
                 if other in self.ledgers:
                     self.send(vm, other, self._listing_query(vm, other))
 
     def _listing_query(self, vm, other):
         def ask():
-            if self.ledgers[other].office.knows(vm):
+            if self.ledgers[other].ownership.knows(vm):
                 self.send(other, vm, answer)
 
         ledger = self.ledgers[vm]
 
         def answer():
-            ledger.office.on_confirmed(other)
+            ledger.ownership.on_confirmed(other)
 
         return ask
 
@@ -327,7 +327,7 @@
         self.inbox.clear()
 
     def request(self, vm, count=1):
-        """Admits what the daemon holds, and asks all trustees for the rest."""
+        """Admits what the daemon holds, and asks all owners for the rest."""
         ledger = self.ledgers.get(vm)
         if ledger is None or vm in self.frozen:
             return
@@ -345,11 +345,11 @@
         ledger = self.ledgers[vm]
         asked_ms = self.clock(vm)
 
-        def ask(trustee):
-            grant = self.ledgers[trustee].grant(
-                ORGANISATION, 1, 2, self.clock(trustee)
+        def ask(owner):
+            grant = self.ledgers[owner].grant(
+                ORGANISATION, 1, 2, self.clock(owner)
             )
-            self.send(trustee, vm, lambda: receive(grant.tokens))
+            self.send(owner, vm, lambda: receive(grant.tokens))
 
         def receive(tokens):
             now_ms = self.clock(vm)
@@ -357,9 +357,9 @@
             if ledger.spend(ORGANISATION, now_ms):
                 self._admit()
 
-        for trustee in ledger.trustees(ORGANISATION) - {vm}:
-            if trustee in self.ledgers:
-                self.send(vm, trustee, lambda trustee=trustee: ask(trustee))
+        for owner in ledger.owners(ORGANISATION) - {vm}:
+            if owner in self.ledgers:
+                self.send(vm, owner, lambda owner=owner: ask(owner))
 
     def _admit(self):
         self.admitted_ms.append(self.now_ms)
@@ -505,7 +505,7 @@
             self._adopt_list(vm)
 
     def _adopt_list(self, vm):
-        self.fleet.ledgers[vm].office.set_listed(self.fleet.listed)
+        self.fleet.ledgers[vm].ownership.set_listed(self.fleet.listed)
 
     @stateful.invariant()
     def check(self):
@@ -575,7 +575,7 @@
 
 
 def test_daemons_that_join_during_a_cut_add_no_requests():
-    """Guards against places that both sides of a partition fill."""
+    """Guards against shards that both sides of a partition serve."""
     fleet = Fleet(COUNT, CAP)
     for vm in fleet.listed[:5]:
         fleet.side[vm] = 1
@@ -585,7 +585,7 @@
         fleet.listed = [*fleet.listed, vm]
         fleet.start(vm)
         for other in (*fleet.listed[5:COUNT], vm):
-            fleet.ledgers[other].office.set_listed(fleet.listed)
+            fleet.ledgers[other].ownership.set_listed(fleet.listed)
     flood(fleet, 12_000, 20)
     assert fleet.most <= TOLERANCE.bound(CAP)
 
@@ -625,8 +625,8 @@
             yield round(now_ms), vm
 
 
-def refused_by_trustees(count, cap, arrivals):
-    """Returns the refused share; questions take no time."""
+def refused_by_owners(count, cap, arrivals):
+    """Returns the refused share; queries take no time."""
     listed = vms(count)
     caps = {ORGANISATION: cap}
     ledgers = {vm: confirmed(vm, listed, -5_000, caps) for vm in listed}
@@ -636,9 +636,9 @@
         vm = listed[number]
         ledger = ledgers[vm]
         is_admitted = ledger.spend(ORGANISATION, now_ms)
-        for trustee in sorted(ledger.trustees(ORGANISATION)):
+        for owner in sorted(ledger.owners(ORGANISATION)):
             if not is_admitted:
-                grant = ledgers[trustee].grant(ORGANISATION, 1, 0, now_ms)
+                grant = ledgers[owner].grant(ORGANISATION, 1, 0, now_ms)
                 ledger.receive(ORGANISATION, grant.tokens, now_ms, now_ms)
                 is_admitted = ledger.spend(ORGANISATION, now_ms)
         refused += not is_admitted
@@ -650,7 +650,7 @@
 
     Each holds at least one whole token, which already exceeds the bound.
     """
-    buckets = [usage_caps.Trustee(-100_000) for _ in range(count)]
+    buckets = [usage_caps.TokenBucket(-100_000) for _ in range(count)]
     requests = refused = 0
     for now_ms, number in arrivals:
         requests += 1
@@ -669,9 +669,9 @@
     for rate_per_s in (10.0, 16.0, 127.0):
         cap = usage_caps.Cap(rate_per_s, rate_per_s)
         arrivals = list(uneven_arrivals(68, rate_per_s / 1.6, 120_000, 3))
-        by_trustees = refused_by_trustees(68, cap, arrivals)
+        by_owners = refused_by_owners(68, cap, arrivals)
         by_shares = refused_by_equal_shares(68, cap, arrivals)
-        print(f"{rate_per_s}: {by_trustees:.4f} against {by_shares:.4f}")
-        assert by_trustees < 0.01
-        assert by_shares > 10 * by_trustees
+        print(f"{rate_per_s}: {by_owners:.4f} against {by_shares:.4f}")
+        assert by_owners < 0.01
+        assert by_shares > 10 * by_owners
         assert by_shares > 0.1
--- a/mustardloom/load_control/usage_caps.py
+++ b/mustardloom/load_control/usage_caps.py
@@ -3,8 +3,8 @@
 Load pattern: an organisation sends a few requests a second to each of many
 daemons, unevenly and in bursts, and stays below its cap most of the time. An
 equal share of its cap for each daemon would often be less than one request, so
-the tokens of an organisation gather at a few daemons, its trustees, and the
-other daemons buy them when a request arrives.
+each cap is divided into a few shards, whose owners mint the tokens, and the
+other daemons fetch them when a request arrives.
 
 `docs/design/usage-caps.md` describes the whole and derives the bound.
 """
@@ -25,24 +25,24 @@
     "ClockWatch",
     "Demand",
     "Grant",
-    "Office",
     "Ring",
+    "ShardOwnership",
+    "TokenBucket",
+    "TokenCache",
     "Tolerance",
-    "Trustee",
-    "Wallet",
 ]
 
 _MS_PER_S = 1_000
-# Trustee places of an organisation. With six, a lost daemon costs a sixth of
-# the cap, and buckets of small caps still hold a whole token.
-_MAX_PLACES = 6
+# Shards of each cap. With six, a lost daemon costs a sixth of the cap, and
+# buckets of small caps still hold a whole token.
+_MAX_SHARDS = 6
 # A bucket needs this share of the slack to hold more than one whole token.
-_SLACK_PER_PLACE = 1.5
-# Each daemon has several points on the ring, so that places spread evenly.
+_SLACK_PER_SHARD = 1.5
+# Each daemon has several points on the ring, so that shards spread evenly.
 _POINTS_PER_DAEMON = 4
-# A daemon that joins takes places over from one that follows it on the ring.
+# A daemon that joins takes shards over from one that follows it on the ring.
 # Three are asked, as several daemons may join at once.
-_FOLLOWERS = 3
+_SUCCESSORS = 3
 # Parts of the tolerance; a quarter of the slack and some overage remain for
 # requests that run later than they were admitted.
 _BUCKET_SHARE_OF_SLACK = 0.5
@@ -51,9 +51,9 @@
 _MIN_LIFETIME_MS = 50
 _MAX_LIFETIME_MS = 400
 _DEMAND_MEAN_MS = 1_000
-# Share of the lifetime for which tokens are bought ahead.
+# Share of the lifetime for which tokens are fetched ahead.
 _AHEAD_SHARE = 0.6
-# A daemon that was denied asks again after the trustee's estimate, within
+# A daemon that was denied asks again after the owner's estimate, within
 # these limits.
 _MIN_RETRY_MS = 50
 _MAX_RETRY_MS = 1_000
@@ -90,18 +90,18 @@
         """
         return self._plain(cap) * (1 + self.overage) + self.slack
 
-    def places(self) -> int:
-        """Returns the number of trustee places of each organisation.
+    def shards(self) -> int:
+        """Returns the number of shards of each cap.
 
         Example:
-          >>> Tolerance().places(), Tolerance(slack=0.0).places()
+          >>> Tolerance().shards(), Tolerance(slack=0.0).shards()
           (6, 1)
         """
         bucket_slack = self.slack * _BUCKET_SHARE_OF_SLACK
-        return max(1, min(_MAX_PLACES, int(bucket_slack / _SLACK_PER_PLACE)))
+        return max(1, min(_MAX_SHARDS, int(bucket_slack / _SLACK_PER_SHARD)))
 
     def stock(self, cap: Cap) -> float:
-        """Returns the capacity of the buckets of all trustees together."""
+        """Returns the capacity of the buckets of all owners together."""
         return cap.burst + self.slack * _BUCKET_SHARE_OF_SLACK
 
     def lifetime_ms(self) -> int:
@@ -120,17 +120,17 @@
 
 
 class Ring:
-    """Places organisations at listed daemons, by consistent hashing.
+    """Assigns the shards of caps to listed daemons, by consistent hashing.
 
-    All daemons with the same list compute the same places. One that joins
-    takes places over only from those that follow its points.
+    All daemons with the same list compute the same owners. One that joins
+    takes shards over only from those that follow its points.
 
     Args:
       vms: VMs of the store's list of daemons.
 
     Example:
       >>> ring = Ring([ids.VmId("a"), ids.VmId("b")])
-      >>> len(ring.places(ids.OrganisationId("o"), 6))
+      >>> len(ring.shards(ids.OrganisationId("o"), 6))
       6
     """
 
@@ -146,21 +146,21 @@
         self._order = sorted(self.vms, key=_hash)
         self._hashes = [_hash(vm) for vm in self._order]
 
-    def places(
+    def shards(
         self, organisation: ids.OrganisationId, count: int
     ) -> tuple[int, ...]:
-        """Returns the points that hold the places of an organisation.
+        """Returns the points that hold the shards of an organisation.
 
-        Points are given by their indices; a point may hold several places.
+        Points are given by their indices; a point may hold several shards.
         """
         if not self._positions:
             return ()
         return tuple(
             bisect.bisect_left(
-                self._positions, _hash(f"{place} {organisation}")
+                self._positions, _hash(f"{shard} {organisation}")
             )
             % len(self._positions)
-            for place in range(count)
+            for shard in range(count)
         )
 
     def owner(self, point: int) -> ids.VmId:
@@ -177,14 +177,14 @@
             index for index, owner in enumerate(self._owners) if owner == vm
         )
 
-    def followers(self, point: int) -> set[ids.VmId]:
+    def successors(self, point: int) -> set[ids.VmId]:
         """Returns the daemons of which one held a point before its owner."""
         found: set[ids.VmId] = set()
         for step in range(1, len(self._owners)):
             vm = self._owners[(point + step) % len(self._owners)]
             if vm != self._owners[point]:
                 found.add(vm)
-            if len(found) == _FOLLOWERS:
+            if len(found) == _SUCCESSORS:
                 break
         return found
 
@@ -204,11 +204,11 @@
         return each + int((own - first) % len(self._order) < rest)
 
 
-class Office:
-    """Decides which places this daemon may fill.
+class ShardOwnership:
+    """Decides which shards this daemon may serve.
 
-    A daemon may have joined while the one that held its places is cut off and
-    still fills them. So each process fills a place only once the daemons of
+    A daemon may have joined while the one that held its shards is cut off and
+    still serves them. So each process serves a shard only once the daemons of
     which one held it have confirmed that their lists contain this daemon.
     """
 
@@ -225,7 +225,7 @@
         """Adopts the store's list of daemons."""
         self.ring = Ring(vms)
         if self._vm not in self.ring.vms:
-            # Once listed again, the places may have been filled by others.
+            # Once listed again, the shards may have been served by others.
             self._confirmed.clear()
             self._open_positions = frozenset()
         self._confirmed &= self.ring.vms
@@ -236,7 +236,7 @@
         found: set[ids.VmId] = set()
         for point in self.ring.points(self._vm):
             if point not in self._open_points:
-                found |= self.ring.followers(point)
+                found |= self.ring.successors(point)
         return found - self._confirmed
 
     def on_confirmed(self, vm: ids.VmId) -> None:
@@ -249,16 +249,16 @@
         """Returns whether this daemon's list contains another one."""
         return vm in self.ring.vms
 
-    def filled(self, places: tuple[int, ...]) -> int:
-        """Returns how many of the places of an organisation it fills."""
-        return sum(1 for point in places if point in self._open_points)
+    def served(self, shards: tuple[int, ...]) -> int:
+        """Returns how many of the shards of an organisation it serves."""
+        return sum(1 for point in shards if point in self._open_points)
 
     def _update(self) -> None:
         self._open_points = frozenset(
             point
             for point in self.ring.points(self._vm)
             if self.ring.position(point) in self._open_positions
-            or self.ring.followers(point) <= self._confirmed
+            or self.ring.successors(point) <= self._confirmed
         )
         self._open_positions = frozenset(
             map(self.ring.position, self._open_points)
@@ -267,21 +267,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """Tokens that a trustee gives.
+    """Tokens that an owner gives.
 
     Attributes:
       tokens: Their number.
       retry_ms: Time until there may be more; 0 if the bucket holds more now.
-      is_trustee: Whether the daemon fills a place of the organisation.
+      is_owner: Whether the daemon serves a shard of the organisation.
     """
 
     tokens: int
     retry_ms: int
-    is_trustee: bool = True
+    is_owner: bool = True
 
 
-class Trustee:
-    """Bucket of one organisation at one of its trustees.
+class TokenBucket:
+    """Bucket of one organisation at one of its owners.
 
     It is empty at first, so that a restart never restores tokens.
     """
@@ -331,7 +331,7 @@
         self._denied = max(0.0, self._denied - minted)
 
 
-class Wallet:
+class TokenCache:
     """Tokens that a daemon holds for one organisation."""
 
     def __init__(self) -> None:
@@ -389,7 +389,7 @@
 
 
 class Allowance:
-    """Requests that a daemon admits without tokens when trustees are cut off.
+    """Requests that a daemon admits without tokens when owners are cut off.
 
     A daemon that starts may have used its part before, so it gets none for a
     window.
--- a/mustardloom/load_control/usage_ledger.py
+++ b/mustardloom/load_control/usage_ledger.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Ledger"]
 
-# A trustee that does not know of an organisation, or has not taken its place
+# An owner that does not know of an organisation, or has not taken its shard
 # yet, will soon.
 _NOT_READY_MS = 200
 
@@ -17,19 +17,19 @@
     """What a daemon holds of one organisation.
 
     Attributes:
-      wallet: Tokens to spend.
+      cache: Tokens to spend.
       demand: Estimate of the requests at this daemon.
       allowance: Requests that need no token.
-      trustee: The bucket if this daemon fills a place, else None.
+      bucket: The token bucket if this daemon serves a shard, else None.
     """
 
-    __slots__ = ("allowance", "demand", "trustee", "wallet")
+    __slots__ = ("allowance", "bucket", "cache", "demand")
 
     def __init__(self, started_ms: int, window_ms: int, now_ms: int):
-        self.wallet = usage_caps.Wallet()
+        self.cache = usage_caps.TokenCache()
         self.demand = usage_caps.Demand(now_ms)
         self.allowance = usage_caps.Allowance(started_ms, window_ms)
-        self.trustee: usage_caps.Trustee | None = None
+        self.bucket: usage_caps.TokenBucket | None = None
 
 
 class Ledger:
@@ -44,25 +44,25 @@
 
     Attributes:
       tolerance: Limits on the excess over a cap.
-      office: Places that this daemon fills.
+      ownership: Shards that this daemon serves.
     """
 
     def __init__(
         self, vm: ids.VmId, tolerance: usage_caps.Tolerance, now_ms: int
     ):
         self.tolerance = tolerance
-        self.office = usage_caps.Office(vm)
+        self.ownership = usage_caps.ShardOwnership(vm)
         self._vm = vm
         self._started_ms = now_ms
         self._cap_by_organisation: Mapping[
             ids.OrganisationId, usage_caps.Cap
         ] = {}
         self._account_by_organisation: dict[ids.OrganisationId, _Account] = {}
-        # Computed for one ring and one number of places.
-        self._places_by_organisation: dict[
+        # Computed for one ring and one number of shards.
+        self._shards_by_organisation: dict[
             ids.OrganisationId, tuple[int, ...]
         ] = {}
-        self._places_of: tuple[usage_caps.Ring, int] | None = None
+        self._shards_of: tuple[usage_caps.Ring, int] | None = None
 
     @property
     def accounts(self) -> int:
@@ -76,7 +76,7 @@
         self._cap_by_organisation = caps
         for organisation in self._account_by_organisation.keys() - caps.keys():
             del self._account_by_organisation[organisation]
-        self._places_by_organisation.clear()
+        self._shards_by_organisation.clear()
 
     def has_cap(self, organisation: ids.OrganisationId) -> bool:
         """Returns whether the requests of an organisation need tokens."""
@@ -86,10 +86,10 @@
         """Yields the organisations that have a cap."""
         yield from self._cap_by_organisation
 
-    def trustees(self, organisation: ids.OrganisationId) -> set[ids.VmId]:
+    def owners(self, organisation: ids.OrganisationId) -> set[ids.VmId]:
         """Returns the daemons that may have tokens of an organisation."""
-        ring = self.office.ring
-        return {ring.owner(point) for point in self._places(organisation)}
+        ring = self.ownership.ring
+        return {ring.owner(point) for point in self._shards(organisation)}
 
     def grant(
         self,
@@ -100,19 +100,19 @@
     ) -> usage_caps.Grant:
         """Gives tokens of the bucket of this daemon."""
         cap = self._cap_by_organisation.get(organisation)
-        places = () if cap is None else self._places(organisation)
-        filled = self.office.filled(places)
-        if cap is None or not filled:
+        shards = () if cap is None else self._shards(organisation)
+        served = self.ownership.served(shards)
+        if cap is None or not served:
             known = self._account_by_organisation.get(organisation)
             if known is not None:
-                # Once the place is filled again, the bucket starts empty.
-                known.trustee = None
-            return usage_caps.Grant(0, _NOT_READY_MS, is_trustee=False)
+                # Once the shard is served again, the bucket starts empty.
+                known.bucket = None
+            return usage_caps.Grant(0, _NOT_READY_MS, is_owner=False)
         account = self._account(organisation, now_ms)
-        if account.trustee is None:
-            account.trustee = usage_caps.Trustee(now_ms)
-        share = filled / len(places)
-        return account.trustee.grant(
+        if account.bucket is None:
+            account.bucket = usage_caps.TokenBucket(now_ms)
+        share = served / len(shards)
+        return account.bucket.grant(
             needed,
             ahead,
             cap.rate_per_s * share,
@@ -121,15 +121,15 @@
         )
 
     def open_buckets(self, now_ms: int) -> None:
-        """Starts the buckets of the places that this daemon fills.
+        """Starts the buckets of the shards that this daemon serves.
 
         Otherwise a bucket would begin to fill only when first asked for.
         """
         for organisation in self._cap_by_organisation:
-            if self.office.filled(self._places(organisation)):
+            if self.ownership.served(self._shards(organisation)):
                 account = self._account(organisation, now_ms)
-                if account.trustee is None:
-                    account.trustee = usage_caps.Trustee(now_ms)
+                if account.bucket is None:
+                    account.bucket = usage_caps.TokenBucket(now_ms)
 
     def record_request(
         self, organisation: ids.OrganisationId, now_ms: int
@@ -139,21 +139,21 @@
 
     def spend(self, organisation: ids.OrganisationId, now_ms: int) -> bool:
         """Spends a token that this daemon holds; whether there was one."""
-        wallet = self._account(organisation, now_ms).wallet
-        if wallet.take(now_ms):
+        cache = self._account(organisation, now_ms).cache
+        if cache.take(now_ms):
             return True
         grant = self.grant(organisation, 1, 0, now_ms)
         self.receive(organisation, grant.tokens, now_ms, now_ms)
-        return wallet.take(now_ms)
+        return cache.take(now_ms)
 
     def ahead(self, organisation: ids.OrganisationId, now_ms: int) -> int:
-        """Returns how many tokens to buy for requests still to come.
+        """Returns how many tokens to fetch for requests still to come.
 
         Returns 0 while at least half of them are held.
         """
         account = self._account(organisation, now_ms)
         wanted = account.demand.ahead(self.tolerance.lifetime_ms(), now_ms)
-        held = account.wallet.count(now_ms)
+        held = account.cache.count(now_ms)
         return 0 if 2 * held >= wanted else wanted - held
 
     def receive(
@@ -165,12 +165,12 @@
     ) -> None:
         """Adds tokens that were asked for at a local time.
 
-        They expire by that time, as the trustee gave them later.
+        They expire by that time, as the owner gave them later.
         """
         if organisation in self._cap_by_organisation:
             expires_ms = asked_ms + self.tolerance.lifetime_ms()
-            wallet = self._account(organisation, now_ms).wallet
-            wallet.add(tokens, expires_ms, now_ms)
+            cache = self._account(organisation, now_ms).cache
+            cache.add(tokens, expires_ms, now_ms)
 
     def spend_allowance(
         self, organisation: ids.OrganisationId, now_ms: int
@@ -191,31 +191,31 @@
     def give_back(self, organisation: ids.OrganisationId, now_ms: int) -> bool:
         """Returns the token of a request that was not offered to a target."""
         account = self._account_by_organisation.get(organisation)
-        return account is not None and account.wallet.give_back(now_ms)
+        return account is not None and account.cache.give_back(now_ms)
 
     def drop_tokens(self) -> None:
         """Drops all tokens to spend, after the local clock stood still."""
         for account in self._account_by_organisation.values():
-            account.wallet.clear()
+            account.cache.clear()
 
     def _allowance_limit(self, organisation: ids.OrganisationId) -> int:
         cap = self._cap_by_organisation.get(organisation)
         if cap is None:
             return 0
         total = self.tolerance.allowance(cap)
-        return self.office.ring.allowance(organisation, self._vm, total)
-
-    def _places(self, organisation: ids.OrganisationId) -> tuple[int, ...]:
-        basis = (self.office.ring, self.tolerance.places())
-        if self._places_of != basis:
-            self._places_of = basis
-            self._places_by_organisation.clear()
-        places = self._places_by_organisation.get(organisation)
-        if places is None:
-            places = self.office.ring.places(organisation, basis[1])
+        return self.ownership.ring.allowance(organisation, self._vm, total)
+
+    def _shards(self, organisation: ids.OrganisationId) -> tuple[int, ...]:
+        basis = (self.ownership.ring, self.tolerance.shards())
+        if self._shards_of != basis:
+            self._shards_of = basis
+            self._shards_by_organisation.clear()
+        shards = self._shards_by_organisation.get(organisation)
+        if shards is None:
+            shards = self.ownership.ring.shards(organisation, basis[1])
             if organisation in self._cap_by_organisation:
-                self._places_by_organisation[organisation] = places
-        return places
+                self._shards_by_organisation[organisation] = shards
+        return shards
 
     def _account(
         self, organisation: ids.OrganisationId, now_ms: int
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -54,7 +54,7 @@
     KEYS_RELEASED = "keys-released"
     AUTHORITY_LOST = "authority-lost"
     AUTHORITY_BACK = "authority-back"
-    CAP_TRUSTEES_LOST = "cap-trustees-lost"
+    CAP_OWNERS_LOST = "cap-owners-lost"
     REQUEST_REJECTED = "request-rejected"
     REQUEST_UNAUTHORISED = "request-unauthorised"
     REQUEST_OVER_CAP = "request-over-cap"
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -398,7 +398,7 @@
 
 
 class TokenQuery(_Base, frozen=True, tag=22):
-    """Asks a trustee for tokens of an organisation.
+    """Asks an owner for tokens of an organisation.
 
     Attributes:
       needed: Tokens for requests that wait.
@@ -416,13 +416,13 @@
 
     Attributes:
       retry_ms: Time until there may be more, 0 if there are now.
-      is_trustee: Whether the sender fills a place of the organisation.
+      is_owner: Whether the sender serves a shard of the organisation.
     """
 
     number: int
     tokens: int
     retry_ms: int
-    is_trustee: bool
+    is_owner: bool
 
 
 class ListingQuery(_Base, frozen=True, tag=24):
--- a/mustardloom/sidecar/tests/test_usage_caps.py
+++ b/mustardloom/sidecar/tests/test_usage_caps.py
@@ -54,7 +54,7 @@
 
     Attributes:
       received: Frames of other daemons about caps.
-      is_silent: Whether questions of other daemons get no answer.
+      is_silent: Whether queries of other daemons get no answer.
     """
 
     def __init__(self, name, current, bounds):
@@ -166,7 +166,7 @@
 
 
 def test_daemon_that_connects_is_known_before_the_list_has_it():
-    """Guards against places that both the first and the last daemon fill.
+    """Guards against shards that both the first and the last daemon serve.
 
     The list of a daemon that started first may be older than the others'.
     """
@@ -175,10 +175,13 @@
         while any(len(each.fleet.by_vm) < 2 for each in daemons):
             await asyncio.sleep(0.02)
         await filled(daemons)
-        offices = [each.caps._ledger.office for each in daemons]
-        places = [office.ring.places(NAME, 6) for office in offices]
-        assert places[0] == places[1]
-        assert sum(map(usage_caps_lib.Office.filled, offices, places)) == 6
+        ownerships = [each.caps._ledger.ownership for each in daemons]
+        shards = [ownership.ring.shards(NAME, 6) for ownership in ownerships]
+        assert shards[0] == shards[1]
+        assert (
+            sum(map(usage_caps_lib.ShardOwnership.served, ownerships, shards))
+            == 6
+        )
 
     async def run():
         current = configured(organisation(10.0, 10.0))
@@ -190,8 +193,8 @@
 
 
 async def filled(daemons):
-    """Returns once all places are filled and hold tokens."""
-    while any(each.caps._ledger.office.unconfirmed() for each in daemons):
+    """Returns once all shards are filled and hold tokens."""
+    while any(each.caps._ledger.ownership.unconfirmed() for each in daemons):
         await asyncio.sleep(0.02)
     await asyncio.sleep(0.5)
 
@@ -251,39 +254,37 @@
                 await asyncio.sleep(0.01)
 
         await asyncio.gather(*map(demand, daemons))
-        questions = sum(each.count("questions") for each in daemons)
+        queries = sum(each.count("queries") for each in daemons)
         refused = sum(each.count("refused") for each in daemons)
-        return admitted, questions, refused
+        return admitted, queries, refused
 
-    admitted, questions, refused = play(
+    admitted, queries, refused = play(
         scenario, 5, configured(organisation(20.0, 10.0))
     )
-    # Minted in 2 s, the stock, and what wallets hold.
+    # Minted in 2 s, the stock, and what caches hold.
     assert 35 <= admitted <= 2 * 20 + 20 + 6 + 1
-    # Above the cap, few questions are asked.
-    assert questions < refused
+    # Above the cap, few queries are asked.
+    assert queries < refused
 
 
-def test_trustee_that_does_not_answer_is_passed_over():
-    """Guards against requests that are refused as one trustee is frozen."""
+def test_owner_that_does_not_answer_is_passed_over():
+    """Guards against requests that are refused as one owner is frozen."""
 
     async def scenario(daemons):
         await filled(daemons)
-        trustees = daemons[0].caps._ledger.trustees(NAME)
-        silent = next(
-            each for each in daemons[1:] if each.record.vm in trustees
-        )
+        owners = daemons[0].caps._ledger.owners(NAME)
+        silent = next(each for each in daemons[1:] if each.record.vm in owners)
         silent.is_silent = True
         asker = next(each for each in daemons if each is not silent)
         for _ in range(6):
             assert await asker.admit() is None
-        assert asker.count("questions_failed") <= 1
+        assert asker.count("queries_failed") <= 1
 
     play(scenario, 4, configured(organisation(20.0, 20.0)))
 
 
-def test_burst_at_one_daemon_gets_tokens_of_all_trustees():
-    """Guards against a burst that only one trustee serves."""
+def test_burst_at_one_daemon_gets_tokens_of_all_owners():
+    """Guards against a burst that only one owner serves."""
 
     async def scenario(daemons):
         await filled(daemons)
@@ -295,19 +296,19 @@
 
 
 def test_requests_that_a_daemon_will_send_are_paid_ahead():
-    """Guards against a question for each request of a busy organisation."""
+    """Guards against a query for each request of a busy organisation."""
 
     async def scenario(daemons):
         await filled(daemons)
         for _ in range(100):
             assert await daemons[0].admit() is None
             await asyncio.sleep(0.005)
-        return daemons[0].count("questions")
+        return daemons[0].count("queries")
 
     assert play(scenario, 4, configured(organisation(2_000.0, 500.0))) < 50
 
 
-def test_daemon_without_trustees_uses_its_allowance():
+def test_daemon_without_owners_uses_its_allowance():
     """Guards against refusing all, or admitting all, when cut off alone."""
     bounds = settings.Bounds(quota_window_ms=300, quota_slack=40.0)
 
@@ -316,7 +317,7 @@
         alone = next(
             each
             for each in daemons
-            if each.record.vm not in each.caps._ledger.trustees(NAME)
+            if each.record.vm not in each.caps._ledger.owners(NAME)
         )
         for each in daemons:
             each.is_silent = True
--- a/mustardloom/sidecar/usage_caps.py
+++ b/mustardloom/sidecar/usage_caps.py
@@ -1,8 +1,8 @@
 """Admits the requests of organisations with a cap; see `load_control`.
 
 Load pattern: requests of many organisations arrive at each daemon, most of them
-below their caps. Each needs a token, which this daemon has or buys from one of
-the organisation's trustees while the request waits.
+below their caps. Each needs a token, which this daemon has or fetches from an
+owner of a shard of the organisation's cap while the request waits.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
 __all__ = ["UsageCaps"]
 
 _MS_PER_S = 1_000
-# Long enough for a question to another region and a second one elsewhere.
+# Long enough for a query to another region and a second one elsewhere.
 _MAX_WAIT_MS = 400
 # A request that waits must leave its target the larger part of the time.
 _WAIT_DIVISOR = 3
@@ -37,14 +37,14 @@
 # about to be minted; more of them mean that it is above its cap.
 _MAX_AWAITING_MINT = 4
 _MAX_MINT_WAIT_MS = 250
-# A trustee that did not answer is not asked again for this long.
+# An owner that did not answer is not asked again for this long.
 _FAILED_MS = 1_000
 # More requests than this of one organisation do not wait at one daemon.
 _MAX_WAITING = 512
 # A change of the daemons takes effect after this, with those that follow it.
 _ADOPT_DELAY_MS = 100
 _CONFIRM_INTERVAL_MS = 250
-# Followers that are cut off are asked less often.
+# Successors that are cut off are asked less often.
 _MAX_CONFIRM_INTERVAL_MS = 2_000
 _UNKNOWN_RETRY_MS = 100
 # Shorter times would bring callers back before anything has changed, and are
@@ -55,14 +55,14 @@
 _DISTANCES = tuple(placement.Distance)
 
 
-class _Line:
-    """Requests of one organisation that wait, and what its trustees said.
+class _Queue:
+    """Requests of one organisation that wait, and what its owners said.
 
     Attributes:
       waiting: The requests; the result is None or the time until a retry.
-      task: Buys tokens for them, None if none does.
-      denied_until_ms: Local time until which a trustee has no tokens.
-      failed_until_ms: Local time until which a trustee counts as cut off.
+      task: Fetches tokens for them, None if none does.
+      denied_until_ms: Local time until which an owner has no tokens.
+      failed_until_ms: Local time until which an owner counts as cut off.
     """
 
     __slots__ = ("denied_until_ms", "failed_until_ms", "task", "waiting")
@@ -93,7 +93,7 @@
 
 
 class UsageCaps:
-    """Admits requests, and answers the questions of other daemons for tokens.
+    """Admits requests, and answers the queries of other daemons for tokens.
 
     Without organisations that have a cap it sends and does nothing.
 
@@ -128,7 +128,7 @@
         self._start = start
         self._adopted: configuration.Configuration | None = None
         self._has_caps = False
-        self._line_by_organisation: dict[ids.OrganisationId, _Line] = {}
+        self._queue_by_organisation: dict[ids.OrganisationId, _Queue] = {}
         self._is_confirming = False
         self._is_adopting = False
         self._watch = usage_caps.ClockWatch()
@@ -154,10 +154,10 @@
             caps = _caps_of(current)
             self._has_caps = bool(caps)
             self._ledger.set_caps(caps)
-            for name in self._line_by_organisation.keys() - caps.keys():
-                line = self._line_by_organisation.pop(name)
-                for _ in range(line.need()):
-                    line.answer_first(None)
+            for name in self._queue_by_organisation.keys() - caps.keys():
+                queue = self._queue_by_organisation.pop(name)
+                for _ in range(queue.need()):
+                    queue.answer_first(None)
         if not self._has_caps:
             return
         vms = (
@@ -165,11 +165,11 @@
             if self._fleet.has_list
             else frozenset()
         )
-        if vms != self._ledger.office.ring.vms:
-            self._ledger.office.set_listed(vms)
-            self._watch.keep(self._ledger.office.ring.vms)
+        if vms != self._ledger.ownership.ring.vms:
+            self._ledger.ownership.set_listed(vms)
+            self._watch.keep(self._ledger.ownership.ring.vms)
         self._ledger.open_buckets(self._clock.now_ms())
-        if not self._is_confirming and self._ledger.office.unconfirmed():
+        if not self._is_confirming and self._ledger.ownership.unconfirmed():
             self._is_confirming = True
             self._start(self._confirm())
 
@@ -202,15 +202,15 @@
             return None
         now_ms = self._clock.now_ms()
         self._ledger.record_request(organisation, now_ms)
-        line = self._line_by_organisation.get(organisation)
-        if line is None:
-            line = self._line_by_organisation[organisation] = _Line()
-        line.drop_done()
-        if not line.waiting and self._ledger.spend(organisation, now_ms):
+        queue = self._queue_by_organisation.get(organisation)
+        if queue is None:
+            queue = self._queue_by_organisation[organisation] = _Queue()
+        queue.drop_done()
+        if not queue.waiting and self._ledger.spend(organisation, now_ms):
             self._metrics.increment("usage_caps.admitted_at_once")
-            self._buy_ahead(organisation, line, now_ms)
+            self._prefetch(organisation, queue, now_ms)
             return None
-        retry_ms = await self._wait(organisation, line, deadline_ms)
+        retry_ms = await self._wait(organisation, queue, deadline_ms)
         if retry_ms is None:
             self._metrics.increment("usage_caps.admitted_after_wait")
             return None
@@ -225,7 +225,7 @@
 
     def on_token_query(self, query: frames.TokenQuery) -> frames.TokenReply:
         """Gives tokens to another daemon."""
-        self._metrics.increment("usage_caps.questions_answered")
+        self._metrics.increment("usage_caps.queries_answered")
         grant = self._ledger.grant(
             ids.OrganisationId(query.organisation),
             max(0, query.needed),
@@ -233,7 +233,7 @@
             self._clock.now_ms(),
         )
         return frames.TokenReply(
-            query.number, grant.tokens, grant.retry_ms, grant.is_trustee
+            query.number, grant.tokens, grant.retry_ms, grant.is_owner
         )
 
     def on_listing_query(
@@ -243,7 +243,7 @@
         # Without caps nothing is minted here, so those known later count.
         if self._has_caps:
             self.adopt()
-            is_listed = self._ledger.office.knows(vm)
+            is_listed = self._ledger.ownership.knows(vm)
         else:
             is_listed = vm in self._fleet.by_vm
         return frames.ListingReply(query.number, is_listed)
@@ -263,157 +263,159 @@
         return {
             "usage_caps_organisations": self._ledger.accounts,
             "usage_caps_waiting_requests": sum(
-                len(line.waiting)
-                for line in self._line_by_organisation.values()
+                len(queue.waiting)
+                for queue in self._queue_by_organisation.values()
             ),
         }
 
     # Waiting requests.
 
     async def _wait(
-        self, organisation: ids.OrganisationId, line: _Line, deadline_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, deadline_ms: int
     ) -> int | None:
         now_ms = self._clock.now_ms()
         wait_ms = min(_MAX_WAIT_MS, (deadline_ms - now_ms) // _WAIT_DIVISOR)
-        if wait_ms <= 0 or len(line.waiting) >= _MAX_WAITING:
-            return self._retry_ms(organisation, line, now_ms)
+        if wait_ms <= 0 or len(queue.waiting) >= _MAX_WAITING:
+            return self._retry_ms(organisation, queue, now_ms)
         if (
-            line.task is None
-            and not self._sources(organisation, line, now_ms)
-            and not self._mint_wait_ms(organisation, line, now_ms)
+            queue.task is None
+            and not self._sources(organisation, queue, now_ms)
+            and not self._mint_wait_ms(organisation, queue, now_ms)
         ):
-            return self._without_token(organisation, line, now_ms)
+            return self._without_token(organisation, queue, now_ms)
         future: asyncio.Future[int | None] = asyncio.Future()
-        line.waiting.append(future)
-        self._buy(organisation, line)
+        queue.waiting.append(future)
+        self._fetch(organisation, queue)
         try:
             async with asyncio.timeout(wait_ms / _MS_PER_S):
                 return await future
         except TimeoutError:
-            return self._retry_ms(organisation, line, self._clock.now_ms())
+            return self._retry_ms(organisation, queue, self._clock.now_ms())
 
     def _without_token(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> int | None:
-        """Admits a request by the allowance if trustees are cut off."""
-        if not self._is_cut_off(organisation, line, now_ms):
-            return self._retry_ms(organisation, line, now_ms)
+        """Admits a request by the allowance if owners are cut off."""
+        if not self._is_cut_off(organisation, queue, now_ms):
+            return self._retry_ms(organisation, queue, now_ms)
         if self._ledger.spend_allowance(organisation, now_ms):
             self._metrics.increment("usage_caps.admitted_by_allowance")
             self._log.write(
-                events.Event.CAP_TRUSTEES_LOST, organisation=organisation
+                events.Event.CAP_OWNERS_LOST, organisation=organisation
             )
             return None
         return min(
-            self._retry_ms(organisation, line, now_ms),
+            self._retry_ms(organisation, queue, now_ms),
             self._ledger.allowance_retry_ms(organisation, now_ms),
         )
 
     def _is_cut_off(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> bool:
-        """Returns whether any trustee cannot be asked."""
-        trustees = self._ledger.trustees(organisation)
-        return not trustees or any(
-            line.failed_until_ms.get(vm, 0) > now_ms
+        """Returns whether any owner cannot be asked."""
+        owners = self._ledger.owners(organisation)
+        return not owners or any(
+            queue.failed_until_ms.get(vm, 0) > now_ms
             or not self._fleet.is_reachable(vm)
-            for vm in trustees
+            for vm in owners
         )
 
     def _retry_ms(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> int:
-        """Returns the time until a trustee may have tokens again."""
+        """Returns the time until an owner may have tokens again."""
         due_ms = [
             until_ms
-            for until_ms in line.denied_until_ms.values()
+            for until_ms in queue.denied_until_ms.values()
             if until_ms > now_ms
         ]
         grant = self._ledger.grant(organisation, 0, 0, now_ms)
-        if grant.is_trustee and not due_ms:
+        if grant.is_owner and not due_ms:
             return _UNKNOWN_RETRY_MS
         return max(1, min(due_ms, default=now_ms + _UNKNOWN_RETRY_MS) - now_ms)
 
-    # Tokens from trustees.
+    # Tokens from owners.
 
-    def _buy_ahead(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+    def _prefetch(
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> None:
         if (
-            line.task is None
+            queue.task is None
             and self._ledger.ahead(organisation, now_ms)
-            and self._sources(organisation, line, now_ms)
+            and self._sources(organisation, queue, now_ms)
         ):
-            self._buy(organisation, line)
+            self._fetch(organisation, queue)
 
-    def _buy(self, organisation: ids.OrganisationId, line: _Line) -> None:
-        if line.task is None:
-            line.task = asyncio.ensure_future(self._buy_all(organisation, line))
+    def _fetch(self, organisation: ids.OrganisationId, queue: _Queue) -> None:
+        if queue.task is None:
+            queue.task = asyncio.ensure_future(
+                self._fetch_all(organisation, queue)
+            )
 
-    async def _buy_all(
-        self, organisation: ids.OrganisationId, line: _Line
+    async def _fetch_all(
+        self, organisation: ids.OrganisationId, queue: _Queue
     ) -> None:
-        """Buys tokens until no request waits or no trustee has any."""
+        """Fetches tokens until no request waits or no owner has any."""
         try:
             while self._ledger.has_cap(organisation):
                 now_ms = self._clock.now_ms()
-                need = self._serve(organisation, line, now_ms)
+                need = self._serve(organisation, queue, now_ms)
                 ahead = self._ledger.ahead(organisation, now_ms)
-                sources = self._sources(organisation, line, now_ms)
-                mint_ms = self._mint_wait_ms(organisation, line, now_ms)
+                sources = self._sources(organisation, queue, now_ms)
+                mint_ms = self._mint_wait_ms(organisation, queue, now_ms)
                 if need and not sources and mint_ms:
                     await self._clock.sleep_ms(mint_ms)
                     continue
                 if need and not sources:
-                    self._end_waits(organisation, line, now_ms)
+                    self._end_waits(organisation, queue, now_ms)
                 if not sources or not (need or ahead):
                     return
-                await self._ask(organisation, line, sources, need, ahead)
+                await self._ask(organisation, queue, sources, need, ahead)
                 if not need:
                     return
         finally:
-            line.task = None
-            for _ in range(line.need()):
-                line.answer_first(_UNKNOWN_RETRY_MS)
+            queue.task = None
+            for _ in range(queue.need()):
+                queue.answer_first(_UNKNOWN_RETRY_MS)
 
     def _mint_wait_ms(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> int:
-        """Returns how long to wait for a trustee's next token, 0 for not."""
-        if line.need() > _MAX_AWAITING_MINT:
+        """Returns how long to wait for an owner's next token, 0 for not."""
+        if queue.need() > _MAX_AWAITING_MINT:
             return 0
-        if self._is_cut_off(organisation, line, now_ms):
+        if self._is_cut_off(organisation, queue, now_ms):
             return 0
-        retry_ms = self._retry_ms(organisation, line, now_ms)
+        retry_ms = self._retry_ms(organisation, queue, now_ms)
         return retry_ms if retry_ms <= _MAX_MINT_WAIT_MS else 0
 
     def _serve(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> int:
         """Gives the tokens held to waiting requests; returns how many wait."""
-        need = line.need()
+        need = queue.need()
         while need and self._ledger.spend(organisation, now_ms):
-            line.answer_first(None)
+            queue.answer_first(None)
             need -= 1
         return need
 
     def _end_waits(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> None:
-        for _ in range(line.need()):
-            line.answer_first(self._without_token(organisation, line, now_ms))
+        for _ in range(queue.need()):
+            queue.answer_first(self._without_token(organisation, queue, now_ms))
 
     def _sources(
-        self, organisation: ids.OrganisationId, line: _Line, now_ms: int
+        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> list[ids.VmId]:
-        """Returns the other trustees that may have tokens, nearest first."""
+        """Returns the other owners that may have tokens, nearest first."""
         own = self._fleet.own_record.vm
         found = [
             vm
-            for vm in self._ledger.trustees(organisation)
+            for vm in self._ledger.owners(organisation)
             if vm != own
-            and line.denied_until_ms.get(vm, 0) <= now_ms
-            and line.failed_until_ms.get(vm, 0) <= now_ms
+            and queue.denied_until_ms.get(vm, 0) <= now_ms
+            and queue.failed_until_ms.get(vm, 0) <= now_ms
             and self._fleet.is_reachable(vm)
         ]
         if len(found) > 1:
@@ -431,35 +433,35 @@
     async def _ask(
         self,
         organisation: ids.OrganisationId,
-        line: _Line,
+        queue: _Queue,
         sources: list[ids.VmId],
         need: int,
         ahead: int,
     ) -> None:
-        """Asks one trustee for one token, several for many at once."""
+        """Asks one owner for one token, several for many at once."""
         chosen = sources[: max(1, need)]
         each, rest = divmod(need, len(chosen))
-        questions = [
+        queries = [
             self._ask_one(
                 organisation,
-                line,
+                queue,
                 vm,
                 each + int(index < rest),
                 0 if index else ahead,
             )
             for index, vm in enumerate(chosen)
         ]
-        await asyncio.gather(*questions)
+        await asyncio.gather(*queries)
 
     async def _ask_one(
         self,
         organisation: ids.OrganisationId,
-        line: _Line,
+        queue: _Queue,
         vm: ids.VmId,
         needed: int,
         ahead: int,
     ) -> None:
-        self._metrics.increment("usage_caps.questions")
+        self._metrics.increment("usage_caps.queries")
         asked_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_MS / _MS_PER_S):
@@ -473,29 +475,29 @@
             reply = None
         now_ms = self._clock.now_ms()
         if not isinstance(reply, frames.TokenReply):
-            self._metrics.increment("usage_caps.questions_failed")
-            line.failed_until_ms[vm] = now_ms + _FAILED_MS
+            self._metrics.increment("usage_caps.queries_failed")
+            queue.failed_until_ms[vm] = now_ms + _FAILED_MS
             return
         tokens = min(reply.tokens, needed + ahead)
         self._ledger.receive(organisation, tokens, asked_ms, now_ms)
-        line.failed_until_ms.pop(vm, None)
-        line.denied_until_ms.pop(vm, None)
-        if not reply.is_trustee:
-            line.failed_until_ms[vm] = now_ms + reply.retry_ms
+        queue.failed_until_ms.pop(vm, None)
+        queue.denied_until_ms.pop(vm, None)
+        if not reply.is_owner:
+            queue.failed_until_ms[vm] = now_ms + reply.retry_ms
         elif tokens < needed:
-            line.denied_until_ms[vm] = now_ms + reply.retry_ms
+            queue.denied_until_ms[vm] = now_ms + reply.retry_ms
 
-    # Places of this daemon.
+    # Shards of this daemon.
 
     async def _confirm(self) -> None:
-        """Asks the followers of this daemon's points until all have confirmed.
+        """Asks the successors of this daemon's points until all have confirmed.
 
         The first start of a fleet is the only time at which many ask.
         """
         interval_ms = _CONFIRM_INTERVAL_MS
         try:
             while self._has_caps:
-                open_vms = self._ledger.office.unconfirmed()
+                open_vms = self._ledger.ownership.unconfirmed()
                 if not open_vms:
                     return
                 await asyncio.gather(*map(self._confirm_one, open_vms))
@@ -512,7 +514,7 @@
         except (links_lib.PeerLost, links_lib.PeerUnreachable, TimeoutError):
             return
         if isinstance(reply, frames.ListingReply) and reply.is_listed:
-            self._ledger.office.on_confirmed(vm)
+            self._ledger.ownership.on_confirmed(vm)
 
 
 def _caps_of(
