--- a/mustardloom/load_control/tests/test_usage_caps.py
+++ b/mustardloom/load_control/tests/test_usage_caps.py
@@ -100,7 +100,7 @@
     assert ownership.served(shards) == 0
 
 
-def test_filled_place_stays_filled_when_others_join_during_a_cut():
+def test_served_shard_stays_served_when_others_join_during_a_cut():
     """Guards against shards that nobody serves as a new daemon is cut off."""
     listed = vms(8)
     for vm in listed:
