Make the limits on untrusted callers settings of the process

The numbers of pipelined requests, and the shares of the memory account for pipelined requests, heads in part, header fields and small requests, are read from the settings file, with the values so far as defaults.

--- a/mustardloom/deployment/settings.py
+++ b/mustardloom/deployment/settings.py
@@ -37,10 +37,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessLimits:
-    """Limits of the VM on the resources of this process."""
+    """Limits of the VM on the resources of this process.
+
+    Attributes:
+      max_descriptors: Maximum number of open descriptors.
+      memory_mb: Maximum memory.
+      pipelined_requests: Maximum number of requests of a caller's connection
+        whose answers have not left.
+      pipelined_requests_sum: Maximum number of requests of all connections that
+        follow one without an answer.
+      pipelined_percent: Room for these, of the memory account, beside it.
+      partial_heads_percent: Room for heads in part, likewise.
+      header_fields_percent: Room for unusually many header fields, likewise.
+      small_requests_percent: Room for requests at the sockets that serve only
+        small ones, likewise.
+    """
 
     max_descriptors: int = 1_024
     memory_mb: int = 256
+    pipelined_requests: int = 8
+    pipelined_requests_sum: int = 32
+    pipelined_percent: int = 25
+    partial_heads_percent: int = 25
+    header_fields_percent: int = 25
+    small_requests_percent: int = 25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 
 from mustardloom import clock as clock_lib
@@ -182,6 +183,8 @@
       capacity_bytes: Most bytes of messages and bodies at a time; frames and
         receive windows have as much beside it, each kind its own share.
       clock: Source of time.
+      own_share_by_kind: Room of kinds beside the capacity, as shares of it,
+        where it differs from the default.
 
     Attributes:
       held_bytes: Bytes for which room is given now.
@@ -192,7 +195,16 @@
       evicted_by_kind: Number of holds that were taken away for others.
     """
 
-    def __init__(self, capacity_bytes: int, clock: clock_lib.Clock):
+    def __init__(
+        self,
+        capacity_bytes: int,
+        clock: clock_lib.Clock,
+        own_share_by_kind: Mapping[HoldKind, float] | None = None,
+    ):
+        self._own_share_by_kind = {
+            **_OWN_SHARE_BY_KIND,
+            **(own_share_by_kind or {}),
+        }
         self.capacity_bytes = capacity_bytes
         self.clock = clock
         self.held_bytes = 0
@@ -300,7 +312,7 @@
 
     def _make_evictable_room(self, hold: Hold, grown: int) -> None:
         """Takes room from the senders that have been silent the longest."""
-        share = _OWN_SHARE_BY_KIND.get(hold.kind, 1)
+        share = self._own_share_by_kind.get(hold.kind, 1)
         if grown > self.capacity_bytes * share:
             # It would not fit if it were alone.
             return
@@ -336,7 +348,7 @@
 
     def _has_room(self, size: int, kind: HoldKind) -> bool:
         held = self.held_by_kind
-        own_share = _OWN_SHARE_BY_KIND.get(kind)
+        own_share = self._own_share_by_kind.get(kind)
         if own_share is not None:
             return held[kind] + size <= self.capacity_bytes * own_share
         if kind is HoldKind.STREAM:
--- a/mustardloom/platform/settings_file.py
+++ b/mustardloom/platform/settings_file.py
@@ -16,6 +16,15 @@
 
 ENVIRONMENT_VARIABLE = "MUSTARDLOOM_CONFIG"
 
+# Limits that are not the platform's; see `settings.ProcessLimits`.
+_OWN_LIMITS = (
+    "pipelined_requests",
+    "pipelined_requests_sum",
+    "pipelined_percent",
+    "partial_heads_percent",
+    "header_fields_percent",
+    "small_requests_percent",
+)
 _ZONE_PREFIX = "zones."
 _REQUIRED_KEYS = (
     "node_id",
@@ -192,6 +201,14 @@
             self._get(
                 "limits.memory_mb", numbers.parse_count, defaults.memory_mb
             ),
+            **{
+                name: self._get(
+                    f"limits.{name}",
+                    numbers.parse_count,
+                    getattr(defaults, name),
+                )
+                for name in _OWN_LIMITS
+            },
         )
 
     def _bounds(self) -> settings.Bounds:
--- a/mustardloom/platform/tests/test_settings_file.py
+++ b/mustardloom/platform/tests/test_settings_file.py
@@ -85,7 +85,17 @@
 
 @hypothesis.given(
     strategies.sampled_from(
-        ("limits.max_fds", "limits.memory_mb", "platform.value_bytes")
+        (
+            "limits.max_fds",
+            "limits.memory_mb",
+            "limits.pipelined_requests",
+            "limits.pipelined_requests_sum",
+            "limits.pipelined_percent",
+            "limits.partial_heads_percent",
+            "limits.header_fields_percent",
+            "limits.small_requests_percent",
+            "platform.value_bytes",
+        )
     ),
     _values,
     _formats,
@@ -97,6 +107,12 @@
     by_key = {
         "limits.max_fds": read.limits.max_descriptors,
         "limits.memory_mb": read.limits.memory_mb,
+        "limits.pipelined_requests": read.limits.pipelined_requests,
+        "limits.pipelined_requests_sum": read.limits.pipelined_requests_sum,
+        "limits.pipelined_percent": read.limits.pipelined_percent,
+        "limits.partial_heads_percent": read.limits.partial_heads_percent,
+        "limits.header_fields_percent": read.limits.header_fields_percent,
+        "limits.small_requests_percent": read.limits.small_requests_percent,
         "platform.value_bytes": read.store.value_bytes,
     }
     assert by_key[key] == int(float(text))
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -75,6 +75,7 @@
 # connected.
 _SMALL_PATIENCE = idle_eviction.Patience(idle_ms=20, slow_ms=200)
 _PATIENCE_BY_USER = {descriptor_budget.User.CALLERS: idle_eviction.Patience()}
+_PERCENT = 100
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -93,6 +94,19 @@
     peer_listen: int
 
 
+def _own_shares(
+    limits: settings.ProcessLimits,
+) -> dict[memory_budget.HoldKind, float]:
+    """Returns the room of kinds beside the memory account, as shares of it."""
+    kinds = memory_budget.HoldKind
+    return {
+        kinds.PIPELINED: limits.pipelined_percent / _PERCENT,
+        kinds.PARTIAL_HEAD: limits.partial_heads_percent / _PERCENT,
+        kinds.HEADER_FIELDS: limits.header_fields_percent / _PERCENT,
+        kinds.SERVICE: limits.small_requests_percent / _PERCENT,
+    }
+
+
 class Daemon:
     """One daemon, from start to shutdown."""
 
@@ -111,7 +125,9 @@
         self._ports = ports
         self._metrics = metrics_lib.Metrics()
         self._budget = memory_budget.MemoryBudget(
-            memory_budget.capacity_for(own_settings.limits.memory_mb), clock
+            memory_budget.capacity_for(own_settings.limits.memory_mb),
+            clock,
+            _own_shares(own_settings.limits),
         )
         descriptor_budget.raise_system_limit(
             own_settings.limits.max_descriptors
@@ -520,14 +536,20 @@
 
     def _limits(self) -> server.ServerLimits:
         current = self._adoption.configuration
+        own = self._settings.limits
         if current is None:
-            return server.ServerLimits()
+            return server.ServerLimits(
+                max_pipelined=own.pipelined_requests,
+                max_pipelined_sum=own.pipelined_requests_sum,
+            )
         limits = current.limits
         return server.ServerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
+            own.pipelined_requests,
+            own.pipelined_requests_sum,
         )
 
     def check(self, key: int) -> gate_lib.KeyCheck:
