Move the limits and the pending responses of a connection to modules

connection.py keeps reading, parsing and writing; its limits and the requests whose responses are not written are modules of their own. No change of behaviour.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -19,7 +19,9 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
+from mustardloom.http1 import pending_responses
 from mustardloom.http1 import request_heads
+from mustardloom.http1 import server_limits
 from mustardloom.http1 import sockets
 
 __all__ = [
@@ -28,7 +30,6 @@
     "ConnectionOwner",
     "Handler",
     "RejectedCallback",
-    "ServerLimits",
 ]
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
@@ -61,30 +62,6 @@
 _NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits on the size of requests and on waiting times.
-
-    Attributes:
-      max_header_bytes: Maximum size of all headers and the request target.
-      max_body_bytes: Maximum size of the body.
-      header_timeout_ms: Maximum time until all headers are read.
-      idle_timeout_ms: Maximum time until the body is read, or until the next
-        request begins.
-      max_pipelined: Maximum number of requests of one connection whose answers
-        have not left; further ones are parsed when there are fewer.
-      max_pipelined_sum: Maximum number of requests of all connections that
-        follow one without an answer.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 8 * 1024 * 1024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
-    max_pipelined: int = 8
-    max_pipelined_sum: int = 32
-
-
 class ConnectionOwner(Protocol):
     """What a connection needs of its server; see `server.HttpServer`."""
 
@@ -97,7 +74,7 @@
     on_fault: Callable[[BaseException], None]
     on_rejected: RejectedCallback
 
-    def limits(self) -> ServerLimits:
+    def limits(self) -> server_limits.ServerLimits:
         """Returns the limits now in force."""
 
 
@@ -123,60 +100,14 @@
     BODY = "body"
 
 
-class _PendingResponse:
-    """A request whose response is not written yet.
-
-    Attributes:
-      is_head: Whether its response has no body.
-      is_chunk_known: Whether the client understands a body in chunks.
-      task: Result of the handler.
-      hold: Room for the request and its response.
-      fields_hold: Room for an unusual number of header fields.
-      upload: Its body, if that passes in pieces.
-    """
-
-    def __init__(
-        self,
-        method: str,
-        task: "asyncio.Future[messages.Response]",
-        hold: memory_budget.Hold | None = None,
-        fields_hold: memory_budget.Hold | None = None,
-        is_chunk_known: bool = True,
-        upload: bodies.Body | None = None,
-    ):
-        self.is_head = method == "HEAD"
-        self.is_chunk_known = is_chunk_known
-        self.task = task
-        self.hold = hold
-        self.fields_hold = fields_hold
-        self.upload = upload
-
-    def release(self) -> None:
-        """Gives back the room; drops what is left of the body."""
-        if self.hold is not None:
-            self.hold.release()
-        if self.fields_hold is not None:
-            self.fields_hold.release()
-        if self.upload is not None:
-            self.upload.close()
-
-    def drop(self) -> None:
-        """Cancels the handler; nobody awaits its result any more."""
-        if not self.task.done():
-            self.task.cancel()
-        elif not self.task.cancelled() and self.task.exception() is None:
-            rest = self.task.result().rest
-            if rest is not None:
-                rest.close()
-        self.release()
-
-
 class Connection:
     """One connection of a client."""
 
     def __init__(self, owner: ConnectionOwner, stream: iostream.IOStream):
         self.stream = stream
-        self.pending: collections.deque[_PendingResponse] = collections.deque()
+        self.pending: collections.deque[pending_responses.PendingResponse] = (
+            collections.deque()
+        )
         self._owner = owner
         self._limits = owner.limits()
         self._parser = httptools.HttpRequestParser(self)
@@ -212,7 +143,7 @@
         # Room for what the socket receives, once a long body has arrived.
         self._window: memory_budget.Hold | None = None
         # The last request, while its body passes in pieces.
-        self._uploading: _PendingResponse | None = None
+        self._uploading: pending_responses.PendingResponse | None = None
         # Writes a body that passes in pieces.
         self._sending: asyncio.Task[None] | None = None
         self._body = bytearray()
@@ -384,7 +315,7 @@
             self.stream.close()
         return self.stream.closed()
 
-    def enforce_time_limits(self, limits: ServerLimits) -> None:
+    def enforce_time_limits(self, limits: server_limits.ServerLimits) -> None:
         """Adopts new limits; ends a connection that exceeds a time limit."""
         self._limits = limits
         now_ms = self._owner.clock.now_ms()
@@ -579,7 +510,7 @@
 
     def _run_request(
         self, body: bytes, upload: bodies.Body | None
-    ) -> _PendingResponse:
+    ) -> pending_responses.PendingResponse:
         method = self._parser.get_method().decode("latin1")
         request = messages.Request(
             method,
@@ -598,7 +529,7 @@
         if isinstance(hold, memory_budget.EvictableHold):
             hold.pin()
         fields_hold, self._fields_hold = self._fields_hold, None
-        pending = _PendingResponse(
+        pending = pending_responses.PendingResponse(
             method, task, hold, fields_hold, is_chunk_known, upload
         )
         self.pending.append(pending)
@@ -607,7 +538,9 @@
         return pending
 
     def _break_upload(
-        self, broken: _PendingResponse, response: messages.Response
+        self,
+        broken: pending_responses.PendingResponse,
+        response: messages.Response,
     ) -> None:
         """Ends a body that will not be read to its end.
 
@@ -793,7 +726,7 @@
             hold.pin()
         if self._fields_hold is not None:
             self._fields_hold.release()
-        self.pending.append(_PendingResponse("", done, hold))
+        self.pending.append(pending_responses.PendingResponse("", done, hold))
         self._open += 1
         self._flush()
 
@@ -815,7 +748,7 @@
         self._waiting_since_ms = self._owner.clock.now_ms()
         self._has_room.set()
 
-    def _respond(self, pending: _PendingResponse) -> None:
+    def _respond(self, pending: pending_responses.PendingResponse) -> None:
         if pending.task.cancelled() or pending.task.exception() is not None:
             response = messages.Response(_INTERNAL_ERROR)
         else:
@@ -864,7 +797,7 @@
         is_idle = self._phase is _Phase.IDLE and not self._waiting
         return self._owner.is_draining and is_idle
 
-    def _release(self, answered: _PendingResponse) -> None:
+    def _release(self, answered: pending_responses.PendingResponse) -> None:
         """Gives back the room of a request whose answer has left."""
         answered.release()
         self._open -= 1
@@ -875,7 +808,7 @@
         rest: bodies.BodySource,
         is_chunked: bool,
         closes: bool,
-        pending: _PendingResponse,
+        pending: pending_responses.PendingResponse,
     ) -> None:
         """Writes a body in pieces, each one after the last one has left.
 
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -15,12 +15,13 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import connection as connection_lib
 from mustardloom.http1 import idle_eviction
+from mustardloom.http1 import server_limits
 
 __all__ = ["Handler", "HttpServer", "RejectedCallback", "ServerLimits"]
 
 Handler = connection_lib.Handler
 RejectedCallback = connection_lib.RejectedCallback
-ServerLimits = connection_lib.ServerLimits
+ServerLimits = server_limits.ServerLimits
 
 _TIME_CHECK_INTERVAL_MS = 500
 _PATIENCE = idle_eviction.Patience()
