Keep no copy of a body that arrived in one piece

A body that arrives whole is passed on as the parser reports it, without a buffer, and is not kept with its connection until the next request.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -405,6 +405,9 @@
             assert upload is not None
             upload.feed(data)
             return
+        if len(data) == self._length and len(data) <= bodies.INLINE_BYTES:
+            self._whole_body = data
+            return
         # One buffer, as a piece of a few bytes is a large object.
         self._body += data
         if self._body_bytes <= bodies.INLINE_BYTES:
@@ -423,7 +426,11 @@
         if not self._parser.should_keep_alive():
             self._closes_after_pending = True
         if self._uploading is None:
-            self._run_request(bytes(self._body), None)
+            body = self._whole_body or bytes(self._body)
+            # Not kept until the next request.
+            self._whole_body = b""
+            self._body = bytearray()
+            self._run_request(body, None)
             return
         upload = self._uploading.upload
         self._uploading = None
@@ -564,6 +571,8 @@
         self._headers = []
         self._header_bytes = 0
         self._body = bytearray()
+        # The body, if it has arrived in one piece.
+        self._whole_body = b""
         self._body_bytes = 0
         self._length = 0
         self._began_ms = self._owner.clock.now_ms()
@@ -801,7 +810,8 @@
         """Gives back the room of a request whose answer has left."""
         answered.release()
         self._open -= 1
-        self._has_room.set()
+        if self._waiting:
+            self._has_room.set()
 
     async def _send_rest(
         self,
