--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -19,7 +19,9 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
+from mustardloom.http1 import pending_responses
 from mustardloom.http1 import request_heads
+from mustardloom.http1 import server_limits
 from mustardloom.http1 import sockets
 
 __all__ = [
@@ -29,7 +31,6 @@
     "Handler",
     "MalformedCallback",
     "RejectedCallback",
-    "ServerLimits",
 ]
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
@@ -67,30 +68,6 @@
 _NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits on the size of requests and on waiting times.
-
-    Attributes:
-      max_header_bytes: Maximum size of all headers and the request target.
-      max_body_bytes: Maximum size of the body.
-      header_timeout_ms: Maximum time until all headers are read.
-      idle_timeout_ms: Maximum time until the body is read, or until the next
-        request begins.
-      max_pipelined: Maximum number of requests of one connection whose answers
-        have not left; further ones are parsed when there are fewer.
-      max_pipelined_sum: Maximum number of requests of all connections that
-        follow one without an answer.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 8 * 1024 * 1024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
-    max_pipelined: int = 8
-    max_pipelined_sum: int = 32
-
-
 class ConnectionOwner(Protocol):
     """What a connection needs of its server; see `server.HttpServer`."""
 
@@ -104,7 +81,7 @@
     on_rejected: RejectedCallback
     on_malformed: MalformedCallback
 
-    def limits(self) -> ServerLimits:
+    def limits(self) -> server_limits.ServerLimits:
         """Returns the limits now in force."""
 
 
@@ -130,60 +107,14 @@
     BODY = "body"
 
 
-class _PendingResponse:
-    """A request whose response is not written yet.
-
-    Attributes:
-      is_head: Whether its response has no body.
-      is_chunk_known: Whether the client understands a body in chunks.
-      task: Result of the handler.
-      hold: Room for the request and its response.
-      fields_hold: Room for an unusual number of header fields.
-      upload: Its body, if that passes in pieces.
-    """
-
-    def __init__(
-        self,
-        method: str,
-        task: "asyncio.Future[messages.Response]",
-        hold: memory_budget.Hold | None = None,
-        fields_hold: memory_budget.Hold | None = None,
-        is_chunk_known: bool = True,
-        upload: bodies.Body | None = None,
-    ):
-        self.is_head = method == "HEAD"
-        self.is_chunk_known = is_chunk_known
-        self.task = task
-        self.hold = hold
-        self.fields_hold = fields_hold
-        self.upload = upload
-
-    def release(self) -> None:
-        """Gives back the room; drops what is left of the body."""
-        if self.hold is not None:
-            self.hold.release()
-        if self.fields_hold is not None:
-            self.fields_hold.release()
-        if self.upload is not None:
-            self.upload.close()
-
-    def drop(self) -> None:
-        """Cancels the handler; nobody awaits its result any more."""
-        if not self.task.done():
-            self.task.cancel()
-        elif not self.task.cancelled() and self.task.exception() is None:
-            rest = self.task.result().rest
-            if rest is not None:
-                rest.close()
-        self.release()
-
-
 class Connection:
     """One connection of a client."""
 
     def __init__(self, owner: ConnectionOwner, stream: iostream.IOStream):
         self.stream = stream
-        self.pending: collections.deque[_PendingResponse] = collections.deque()
+        self.pending: collections.deque[pending_responses.PendingResponse] = (
+            collections.deque()
+        )
         self._owner = owner
         self._limits = owner.limits()
         self._parser = httptools.HttpRequestParser(self)
@@ -198,6 +129,8 @@
         self._waiting = b""
         # Requests whose answers have not left.
         self._open = 0
+        # Bytes that have arrived after the head that is parsed.
+        self._arrived_bytes = 0
         # A complete head, while it is parsed.
         self._whole_head = b""
         self._chunks_end = request_heads.MessageEnd()
@@ -217,7 +150,7 @@
         # Room for what the socket receives, once a long body has arrived.
         self._window: memory_budget.Hold | None = None
         # The last request, while its body passes in pieces.
-        self._uploading: _PendingResponse | None = None
+        self._uploading: pending_responses.PendingResponse | None = None
         # Writes a body that passes in pieces.
         self._sending: asyncio.Task[None] | None = None
         self._body = bytearray()
@@ -389,7 +322,7 @@
             self.stream.close()
         return self.stream.closed()
 
-    def enforce_time_limits(self, limits: ServerLimits) -> None:
+    def enforce_time_limits(self, limits: server_limits.ServerLimits) -> None:
         """Adopts new limits; ends a connection that exceeds a time limit."""
         self._limits = limits
         now_ms = self._owner.clock.now_ms()
@@ -441,7 +374,7 @@
         self._reset()
         self._phase = _Phase.HEAD
         self._unparsed_bytes = 0
-        self._waiting_since_ms = self._owner.clock.now_ms()
+        self._waiting_since_ms = self._began_ms
 
     def on_url(self, url: bytes) -> None:
         """Adds a piece of the request target."""
@@ -479,6 +412,9 @@
             assert upload is not None
             upload.feed(data)
             return
+        if len(data) == self._length and len(data) <= bodies.INLINE_BYTES:
+            self._whole_body = data
+            return
         # One buffer, as a piece of a few bytes is a large object.
         self._body += data
         if self._body_bytes <= bodies.INLINE_BYTES:
@@ -497,7 +433,11 @@
         if not self._parser.should_keep_alive():
             self._closes_after_pending = True
         if self._uploading is None:
-            self._run_request(bytes(self._body), None)
+            body = self._whole_body or bytes(self._body)
+            # Not kept until the next request.
+            self._whole_body = b""
+            self._body = bytearray()
+            self._run_request(body, None)
             return
         upload = self._uploading.upload
         self._uploading = None
@@ -529,7 +469,10 @@
             if self._open:
                 kind = memory_budget.HoldKind.PIPELINED
                 self._hold = budget.try_hold(size, kind)
-            elif self._length == 0:
+            elif self._length is not None and (
+                self._length <= self._arrived_bytes
+            ):
+                # The whole body has arrived, or there is none.
                 self._hold = budget.try_hold(size, self._owner.kind)
             else:
                 self._hold = budget.try_hold_evictable(
@@ -581,7 +524,7 @@
 
     def _run_request(
         self, body: bytes, upload: bodies.Body | None
-    ) -> _PendingResponse:
+    ) -> pending_responses.PendingResponse:
         method = self._parser.get_method().decode("latin1")
         request = messages.Request(
             method,
@@ -600,7 +543,7 @@
         if isinstance(hold, memory_budget.EvictableHold):
             hold.pin()
         fields_hold, self._fields_hold = self._fields_hold, None
-        pending = _PendingResponse(
+        pending = pending_responses.PendingResponse(
             method, task, hold, fields_hold, is_chunk_known, upload
         )
         self.pending.append(pending)
@@ -609,7 +552,9 @@
         return pending
 
     def _break_upload(
-        self, broken: _PendingResponse, response: messages.Response
+        self,
+        broken: pending_responses.PendingResponse,
+        response: messages.Response,
     ) -> None:
         """Ends a body that will not be read to its end.
 
@@ -633,6 +578,8 @@
         self._headers = []
         self._header_bytes = 0
         self._body = bytearray()
+        # The body, if it has arrived in one piece.
+        self._whole_body = b""
         self._body_bytes = 0
         self._length = 0
         self._began_ms = self._owner.clock.now_ms()
@@ -674,14 +621,14 @@
         """Parses bytes of a head; returns how many they are."""
         if self._head:
             return self._feed_rest_of_head(data, start)
+        if data[start] in b"\r\n":
+            # Empty lines may come before a request.
+            return request_heads.empty_lines_size(data, start)
         end = data.find(request_heads.END, start) + len(request_heads.END)
-        # Empty lines may come before a request.
-        empty = request_heads.empty_lines_size(data, start)
-        if empty:
-            return empty
         if end < len(request_heads.END):
             self._keep_head(data[start:])
             return len(data) - start
+        self._arrived_bytes = len(data) - end
         self._whole_head = data[start:end]
         self._parser.feed_data(self._whole_head)
         return end - start
@@ -704,6 +651,7 @@
         part = data[start : start + size]
         self._whole_head = bytes(self._head) + part
         self._drop_head()
+        self._arrived_bytes = len(data) - start - size
         self._parser.feed_data(part)
         return size
 
@@ -810,7 +758,7 @@
             hold.pin()
         if self._fields_hold is not None:
             self._fields_hold.release()
-        self.pending.append(_PendingResponse("", done, hold))
+        self.pending.append(pending_responses.PendingResponse("", done, hold))
         self._open += 1
         self._flush()
 
@@ -832,7 +780,7 @@
         self._waiting_since_ms = self._owner.clock.now_ms()
         self._has_room.set()
 
-    def _respond(self, pending: _PendingResponse) -> None:
+    def _respond(self, pending: pending_responses.PendingResponse) -> None:
         if pending.task.cancelled() or pending.task.exception() is not None:
             response = messages.Response(_INTERNAL_ERROR)
         else:
@@ -881,18 +829,19 @@
         is_idle = self._phase is _Phase.IDLE and not self._waiting
         return self._owner.is_draining and is_idle
 
-    def _release(self, answered: _PendingResponse) -> None:
+    def _release(self, answered: pending_responses.PendingResponse) -> None:
         """Gives back the room of a request whose answer has left."""
         answered.release()
         self._open -= 1
-        self._has_room.set()
+        if self._waiting:
+            self._has_room.set()
 
     async def _send_rest(
         self,
         rest: bodies.BodySource,
         is_chunked: bool,
         closes: bool,
-        pending: _PendingResponse,
+        pending: pending_responses.PendingResponse,
     ) -> None:
         """Writes a body in pieces, each one after the last one has left.
 
