Name retries, learned limits and underserved organisations in usual terms

Renames without a change of behaviour: TargetRoom to LearnedLimit, ReturningRequests to RefusedRequests, return_after_ms to spread_retry_ms, honoured_ms to honoured_retry_ms, is_owed to is_underserved, and private names. Comments give reasons; the servers of the daemon and the part of Ingress.handle after identification are functions of their own.

--- a/bench/daemon_cost/__main__.py
+++ b/bench/daemon_cost/__main__.py
@@ -239,13 +239,13 @@
 
     async def load(self, rate_per_s: float, seconds: float, seed: int) -> None:
         """Sends requests at a steady rate, half of them with a key."""
-        chance = random.Random(seed)
+        generator = random.Random(seed)
         began_s = time.monotonic()
         for number in range(round(rate_per_s * seconds)):
             due_s = began_s + number / rate_per_s
             await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            host = chance.choice(self._vms).host
-            key = chance.randrange(_KEYS) if number % 2 else None
+            host = generator.choice(self._vms).host
+            key = generator.randrange(_KEYS) if number % 2 else None
             sent = asyncio.ensure_future(self._send(host, number, key))
             self._requests.add(sent)
             sent.add_done_callback(self._requests.discard)
--- a/mustardloom/clock.py
+++ b/mustardloom/clock.py
@@ -14,6 +14,7 @@
 # Differs between processes, so that those of one machine, or daemons that send
 # each other something at each tick, do not all wake at the same moment.
 _TICK_PHASE_S = random.random()
+# A timer may fire early by the resolution of the event loop's clock.
 _TICK_TOLERANCE_S = 0.001
 # Iterations of the event loop in which tasks can proceed after a fake wake-up.
 _ITERATIONS_PER_WAKE_UP = 20
@@ -37,8 +38,8 @@
     async def tick_ms(self, period_ms: int) -> None:
         """Suspends the calling task until the next multiple of `period_ms`.
 
-        Loops that run for good use this: those with the same period, or a
-        multiple of it, share the wake-ups of the process, each of which costs
+        Periodic loops use this: loops with the same period, or a multiple of
+        it, share the wake-ups of the process, each of which costs
         system calls. The first wait may be shorter than the period.
         """
         await self.sleep_ms(period_ms)
@@ -64,7 +65,7 @@
         loop = asyncio.get_running_loop()
         wake: asyncio.Future[None] = loop.create_future()
         period_s = period_ms / _MS_PER_S
-        # A timer may fire a little early; the next tick is then a period away.
+        # After a timer that fired early, the next tick is a period away.
         passed_s = loop.time() + _TICK_TOLERANCE_S - _TICK_PHASE_S
         ticks = math.floor(passed_s / period_s) + 1
         timer = loop.call_at(_TICK_PHASE_S + ticks * period_s, _wake_up, wake)
--- a/mustardloom/deployment/configuration.py
+++ b/mustardloom/deployment/configuration.py
@@ -195,10 +195,11 @@
 
 
 def key_digest(key: bytes) -> bytes:
-    """Returns the digest by which an API key is known; all daemons have one.
+    """Returns the digest of an API key, the same at all daemons.
 
-    Comparing digests takes a time that says nothing about the keys. A short key
-    can be found from its digest by trying, so digests are not public.
+    The time that a comparison of digests takes does not depend on how much of
+    a key is right. Short keys can be found from their digests by brute force,
+    so digests must not be published.
 
     Example:
       >>> key_digest(b"k1") == key_digest(b"k1")
--- a/mustardloom/http1/sockets.py
+++ b/mustardloom/http1/sockets.py
@@ -99,7 +99,7 @@
     written: "asyncio.Future[None]",
     call: Callable[["asyncio.Future[None]"], object],
 ) -> None:
-    """Calls once a write has ended, at once if it has ended already.
+    """Calls `call` once a write has ended, at once if it has ended already.
 
     A callback that is added to a future that is done costs an iteration of the
     event loop, and most writes are done when they return.
--- a/mustardloom/http1/streams.py
+++ b/mustardloom/http1/streams.py
@@ -61,9 +61,10 @@
         on_data: Callable[[bytes], None],
         on_closed: Callable[[], None],
     ) -> None:
-        """Passes on what arrives in the iteration in which it arrives.
+        """Calls `on_data` in the iteration of the event loop of each arrival.
 
-        The future of `read_bytes` takes one more. Neither function may raise.
+        `read_bytes` would take a further iteration, for the callbacks of its
+        future. Neither function may raise.
 
         Args:
           on_data: Called with what has arrived.
@@ -94,7 +95,7 @@
         try:
             self._read_to_buffer()
         except (OSError, iostream.StreamBufferFullError):
-            # The base class has closed the stream, which `on_closed` tells.
+            # The base class has closed the stream, so `on_closed` is called.
             return
         self._pass_on()
 
--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -155,7 +155,7 @@
           now_ms: Local time.
         """
         grants_expire_ms = now_ms + AUTHORITY_MS + _MARGIN_MS
-        known_versions = {
+        confirmed_versions = {
             version
             for version in {
                 pending.version
@@ -164,12 +164,12 @@
             }
             if excludes_stale_majority(version)
         }
-        if not known_versions:
+        if not confirmed_versions:
             return
         self._pending_ranges = [
             msgspec.structs.replace(pending, grants_expire_ms=grants_expire_ms)
             if pending.grants_expire_ms is None
-            and pending.version in known_versions
+            and pending.version in confirmed_versions
             else pending
             for pending in self._pending_ranges
         ]
@@ -292,13 +292,18 @@
     def _free(
         self,
         freed: ranges.KeyRanges,
-        is_meant: Callable[[PendingRange], bool],
+        applies: Callable[[PendingRange], bool],
     ) -> None:
-        """Removes keys from those of the pending ranges that are meant."""
+        """Removes keys from pending ranges.
+
+        Args:
+          freed: The keys.
+          applies: Returns whether a pending range is to be changed.
+        """
         is_changed = False
         left: list[PendingRange] = []
         for pending in self._pending_ranges:
-            if not freed.overlap(pending.first, pending.last) or not is_meant(
+            if not freed.overlap(pending.first, pending.last) or not applies(
                 pending
             ):
                 left.append(pending)
@@ -313,12 +318,12 @@
             self._record_free()
 
     def _record_free(self) -> None:
-        """Notes which keys this VM may grant after a change."""
+        """Records which keys this VM may grant after a change."""
         before = set(self._grantable)
         self._grantable = tuple(self._free_rows())
         for row in self._grantable:
-            # Rows that were free already were noted then, and no other row can
-            # have been noted for their keys since.
+            # Fences of rows that were free before are recorded already, and
+            # no other row can have overwritten them since.
             if row not in before:
                 fences = array.array("I", [row.fence]) * row.width
                 self._free_fence[row.first : row.last + 1] = fences
--- a/mustardloom/load_control/fair_shares.py
+++ b/mustardloom/load_control/fair_shares.py
@@ -8,7 +8,7 @@
 Two decisions prevent this. Of equally urgent requests, those of an
 organisation that has few of them waiting go first (`level`), so that a short
 wait is expected for them however long the queue is. And an organisation whose
-requests are started much less often than those of all together is owed service:
+requests are started much less often than those of all together is underserved:
 its next request goes first whatever its priority (`ServedShares`).
 """
 
@@ -18,14 +18,15 @@
 
 __all__ = ["ServedShares", "level"]
 
-# What is required is a quarter; the rest is a margin for what is refused
-# between two requests that are owed service.
+# The requirement is a quarter; the rest is a margin for the requests that are
+# refused between two that go first.
 _MIN_RELATIVE_SHARE = 0.3
 # An organisation has a few requests a minute at one of many targets, and each
 # of its refusals has to be remembered until the next one.
 _HALF_LIFE_MS = 10_000
-# Half-lives after which one request is no longer remembered.
-_FORGOTTEN_OFFERS = 1 / 32
+# Decayed number of requests below which an organisation is forgotten; a single
+# request is kept for five half-lives.
+_MIN_OFFERED = 1 / 32
 
 
 def level(waiting: int, capacity: int) -> int:
@@ -76,8 +77,8 @@
       >>> for _ in range(10):
       ...     shares.record("a", was_started=True, now_ms=0)
       >>> shares.record("b", was_started=False, now_ms=0)
-      >>> shares.is_owed("a"), shares.is_owed("b"), shares.is_owed("new")
-      (False, True, False)
+      >>> [shares.is_underserved(name) for name in ("a", "b", "new")]
+      [False, True, False]
     """
 
     def __init__(self) -> None:
@@ -102,7 +103,7 @@
         if now_ms - self._swept_ms > _HALF_LIFE_MS:
             self._sweep(now_ms)
 
-    def is_owed(self, organisation: ids.OrganisationId | None) -> bool:
+    def is_underserved(self, organisation: ids.OrganisationId | None) -> bool:
         """Returns whether its next request goes before those of others."""
         if organisation is None:
             return False
@@ -118,5 +119,5 @@
         self._swept_ms = now_ms
         for organisation, counts in list(self._counts_by_organisation.items()):
             counts.decay(now_ms)
-            if counts.offered < _FORGOTTEN_OFFERS:
+            if counts.offered < _MIN_OFFERED:
                 del self._counts_by_organisation[organisation]
--- a/mustardloom/load_control/target_room.py
+++ b/mustardloom/load_control/learned_limit.py
@@ -1,32 +1,33 @@
-"""Learns how many requests a target can hold besides those that are not ours.
+"""Learns how many requests a target can hold besides those of others.
 
 Load pattern: a target runs a number of requests at once, queues a few more and
 refuses or never answers the rest. It may still be at work on requests of an
 earlier daemon process, or on requests whose callers have left, which the gate
-does not count. Filled up to its places by the gate, it then loses requests.
+does not count. If the gate then sends as many requests as the target has
+places, the target refuses some of them or leaves them unanswered.
 """
 
-__all__ = ["TargetRoom"]
+__all__ = ["LearnedLimit"]
 
 _MIN_LIMIT = 1.0
 
 
-class TargetRoom:
-    """Limit on the requests that run at once, by what the target could hold.
+class LearnedLimit:
+    """Limit on the requests that run at once, learned from overflows.
 
     Example:
-      >>> room = TargetRoom()
-      >>> room.record_overflow(started_ms=0, running=4, now_ms=10)
-      >>> room.limit(5)
+      >>> limit = LearnedLimit()
+      >>> limit.record_overflow(started_ms=0, running=4, now_ms=10)
+      >>> limit.limit(5)
       3
       >>> for _ in range(8):
-      ...     room.record_answer()
-      >>> room.limit(5)
+      ...     limit.record_answer()
+      >>> limit.limit(5)
       5
     """
 
     def __init__(self) -> None:
-        # None while no limit below the places was learned.
+        # None unless a limit below the number of places was learned.
         self._limit: float | None = None
         self._lowered_ms = 0
 
@@ -41,12 +42,12 @@
     ) -> None:
         """Records a request that the target could not hold.
 
-        Requests that were started before the latest one of these was noticed
-        tell nothing new.
+        Requests that were started before the limit was last lowered are
+        ignored, as the lower limit had no effect on them yet.
 
         Args:
           started_ms: Local time at which it was started.
-          running: Requests that ran then, with this one.
+          running: Requests that ran then, including this one.
           now_ms: Local time.
         """
         if self._limit is not None and started_ms < self._lowered_ms:
@@ -63,5 +64,5 @@
             self._limit += 1.0 / self._limit
 
     def clear(self) -> None:
-        """Forgets the limit, as that of an earlier instance."""
+        """Forgets the limit, which does not apply to a new instance."""
         self._limit = None
--- a/mustardloom/load_control/returning.py
+++ b/mustardloom/load_control/refused_requests.py
@@ -1,38 +1,38 @@
-"""Recognises requests whose callers were refused before and have returned.
+"""Recognises retries of requests that were refused before.
 
 Load pattern: more requests arrive than the targets can finish, and refused
-callers return within the time that they have left. A request that returns
-counted as a new one: its objective began anew, so that it displaced requests
-that could still be in time, and it was refused again as often as any other.
+callers retry within the time that they have left. If a retry counted as a new
+request, its objective would begin anew: it would displace requests that can
+still be in time, and would be refused as often as any other.
 """
 
 import collections
 from collections.abc import Hashable
 
-__all__ = ["ReturningRequests"]
+__all__ = ["RefusedRequests"]
 
 # Refusals that are remembered; a daemon under the heaviest measured load
 # refuses some hundred requests a second, for seconds each.
 _MAX_REFUSED = 4_096
-# Refusals of equal requests that are remembered.
+# Refusals of equal requests that are remembered, which bounds the search.
 _MAX_EQUAL = 8
-# A caller states anew how long it waits, in whole milliseconds and before the
-# request is on its way.
+# The deadline of a retry differs, as the caller states the time that is left
+# in whole milliseconds, and the requests take different times to arrive.
 _DEADLINE_TOLERANCE_MS = 250
 
 
-class ReturningRequests:
+class RefusedRequests:
     """Requests that were refused and whose callers still have time.
 
-    Each refusal stands for one return, so that callers who send the same
-    request share the entries without more returns than refusals.
+    Each refusal is matched with one retry, so that callers who send the same
+    request share the entries, but no more retries than refusals are recognised.
 
     Example:
-      >>> returning = ReturningRequests()
-      >>> returning.record_refusal(7, objective_ms=300, deadline_ms=1_200)
-      >>> returning.objective_ms(7, objective_ms=700, deadline_ms=1_203)
+      >>> refused = RefusedRequests()
+      >>> refused.record_refusal(7, objective_ms=300, deadline_ms=1_200)
+      >>> refused.objective_ms(7, objective_ms=700, deadline_ms=1_203)
       300
-      >>> returning.objective_ms(7, objective_ms=700, deadline_ms=1_203)
+      >>> refused.objective_ms(7, objective_ms=700, deadline_ms=1_203)
       700
     """
 
--- a/mustardloom/load_control/tests/test_target_room.py
+++ b/mustardloom/load_control/tests/test_learned_limit.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mustardloom.load_control import target_room
+from mustardloom.load_control import learned_limit
 
 _PLACES = 5
 _QUEUED = 5
@@ -40,7 +40,7 @@
     def __init__(self, learns, refuses, foreign, leaving, load=0.9, seed=1):
         self.arrived = self.in_time = self.lost = 0
         self._rng = random.Random(seed)
-        self._room = target_room.TargetRoom()
+        self._limit = learned_limit.LearnedLimit()
         self._learns = learns
         self._refuses = refuses
         self._foreign = foreign
@@ -78,7 +78,7 @@
         self._start()
 
     def _start(self):
-        limit = self._room.limit(_PLACES) if self._learns else _PLACES
+        limit = self._limit.limit(_PLACES) if self._learns else _PLACES
         while self._queue and len(self._running) < limit:
             request = self._queue.pop(0)
             latest_ms = request.arrived_ms + _DEADLINE_MS - _MEAN_MS
@@ -98,7 +98,7 @@
 
     def _overflow(self, request):
         if request in self._running:
-            self._room.record_overflow(
+            self._limit.record_overflow(
                 request.started_ms, request.running, self._now_ms
             )
             self._end(request)
@@ -112,7 +112,7 @@
         if request in self._running:
             deadline_ms = request.arrived_ms + _DEADLINE_MS
             self.in_time += self._now_ms <= deadline_ms
-            self._room.record_answer()
+            self._limit.record_answer()
             self._end(request)
 
     # The target.
@@ -176,20 +176,20 @@
 
 def test_signs_that_belong_together_lower_the_limit_once():
     """Guards against a limit that falls to one place by one late wave."""
-    room = target_room.TargetRoom()
+    limit = learned_limit.LearnedLimit()
     for _ in range(4):
-        room.record_overflow(started_ms=0, running=6, now_ms=100)
-    assert room.limit(6) == 5
-    room.record_overflow(started_ms=101, running=5, now_ms=120)
-    assert room.limit(6) == 4
+        limit.record_overflow(started_ms=0, running=6, now_ms=100)
+    assert limit.limit(6) == 5
+    limit.record_overflow(started_ms=101, running=5, now_ms=120)
+    assert limit.limit(6) == 4
 
 
 def test_limit_never_falls_below_one_place():
     """Guards against a target that gets no request whose answer would help."""
-    room = target_room.TargetRoom()
+    limit = learned_limit.LearnedLimit()
     for now_ms in range(10):
-        room.record_overflow(started_ms=now_ms, running=1, now_ms=now_ms)
-    assert room.limit(6) == 1
+        limit.record_overflow(started_ms=now_ms, running=1, now_ms=now_ms)
+    assert limit.limit(6) == 1
     for _ in range(21):
-        room.record_answer()
-    assert room.limit(6) == 6
+        limit.record_answer()
+    assert limit.limit(6) == 6
--- a/mustardloom/load_control/tests/test_returns.py
+++ b/mustardloom/load_control/tests/test_returns.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from mustardloom.load_control import returning
+from mustardloom.load_control import refused_requests
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 
@@ -100,7 +100,7 @@
         self.refusals = self.held = self.payoff = 0
         self._load = load
         self._spreads = spreads
-        self._returning = returning.ReturningRequests()
+        self._refused_requests = refused_requests.RefusedRequests()
         self._knows_returns = knows_returns
         self._refuses_early = refuses_early
         self._queue = waiting.WaitingQueue()
@@ -110,7 +110,7 @@
         self._empty_ms = 0.0
         self._events = []
         self._count = 0
-        self._chance = random.Random(seed)
+        self._random = random.Random(seed)
         self._make_requests(random.Random(seed), rate)
         while self._events:
             self._now_ms, _, call, args = heapq.heappop(self._events)
@@ -170,13 +170,13 @@
     def _refuse(self, request, retry_ms):
         self.refusals += 1
         request.refusals += 1
-        self._returning.record_refusal(
+        self._refused_requests.record_refusal(
             id(request), request.known_objective_ms, round(request.deadline_ms)
         )
         left_ms = request.deadline_ms - self._now_ms
         if self._spreads:
-            retry_ms = waiting.honoured_ms(
-                round(retry_ms), round(left_ms), self._chance.random()
+            retry_ms = waiting.honoured_retry_ms(
+                round(retry_ms), round(left_ms), self._random.random()
             )
         self._retry(request, max(10, min(retry_ms, left_ms / 3)))
 
@@ -199,7 +199,7 @@
     def _demand(self, request):
         objective_ms = round(self._now_ms + request.objective_ms)
         if self._knows_returns:
-            objective_ms = self._returning.objective_ms(
+            objective_ms = self._refused_requests.objective_ms(
                 id(request), objective_ms, round(request.deadline_ms)
             )
         request.known_objective_ms = objective_ms
@@ -236,8 +236,8 @@
             return True
         retry_ms = decision.retry_after_ms
         if self._spreads:
-            retry_ms = waiting.return_after_ms(
-                decision.room_ms, decision.wait_ms, self._chance.random()
+            retry_ms = waiting.spread_retry_ms(
+                decision.room_ms, decision.wait_ms, self._random.random()
             )
         self._refuse(request, retry_ms)
         return False
@@ -254,8 +254,8 @@
             end_ms, self._load.places
         ):
             if not self._is_outdated(request, attempt):
-                retry_ms = waiting.return_after_ms(
-                    0.0, wait_ms, self._chance.random()
+                retry_ms = waiting.spread_retry_ms(
+                    0.0, wait_ms, self._random.random()
                 )
                 self._refuse(request, retry_ms)
 
@@ -366,7 +366,7 @@
 
 def test_equal_requests_of_other_callers_are_not_taken_for_returns():
     """Guards against new requests that count as late."""
-    known = returning.ReturningRequests()
+    known = refused_requests.RefusedRequests()
     known.record_refusal(7, objective_ms=300, deadline_ms=1_200)
     assert known.objective_ms(7, objective_ms=900, deadline_ms=1_800) == 900
     assert known.objective_ms(8, objective_ms=900, deadline_ms=1_200) == 900
@@ -375,7 +375,7 @@
 
 def test_remembered_refusals_are_bounded():
     """Guards against memory that grows with each refusal of an overload."""
-    known = returning.ReturningRequests()
+    known = refused_requests.RefusedRequests()
     for number in range(10_000):
         known.record_refusal(number, 300, 1_200)
         known.record_refusal(0, 300, number)
@@ -386,7 +386,7 @@
     """Guards against the next crowd at the moment that ends this one."""
     rng = random.Random(1)
     times = [
-        waiting.return_after_ms(100.0, 800.0, rng.random()) for _ in range(90)
+        waiting.spread_retry_ms(100.0, 800.0, rng.random()) for _ in range(90)
     ]
     assert min(times) >= 400
     assert max(times) <= 800
@@ -395,10 +395,10 @@
 
 
 @pytest.mark.parametrize("left_ms", [0, 30, 400, 1_200, 9_000])
-@pytest.mark.parametrize("chance", [0.0, 0.5, 0.999])
-def test_time_to_return_is_within_a_third_of_what_is_left(left_ms, chance):
+@pytest.mark.parametrize("fraction", [0.0, 0.5, 0.999])
+def test_time_to_return_is_within_a_third_of_what_is_left(left_ms, fraction):
     """Guards against callers that return too late to be answered."""
     for retry_ms in (0, 50, 300, 5_000):
-        told_ms = waiting.honoured_ms(retry_ms, left_ms, chance)
+        told_ms = waiting.honoured_retry_ms(retry_ms, left_ms, fraction)
         assert 0 <= told_ms <= left_ms / 3
         assert told_ms <= retry_ms
--- a/mustardloom/load_control/unanswered.py
+++ b/mustardloom/load_control/unanswered.py
@@ -1,4 +1,4 @@
-"""Tells requests that a target will not answer from those that it runs slowly.
+"""Distinguishes requests that a target will not answer from slow ones.
 
 Load pattern: a target that cannot queue a request never answers it, nor any
 later request on that connection, but goes on to answer others. Targets are also
@@ -15,7 +15,7 @@
 # at a third of the speed add 0.27 s.
 _SLOW_FACTOR = 2.0
 _SLOW_BURST_MS = 270
-# No request that has waited less is presumed to stay without an answer.
+# A request that has waited less is never presumed to stay unanswered.
 MIN_WAIT_MS = _SLOW_BURST_MS
 # In the replay, 4 leaves too little time for another attempt within 1.4 s, and
 # below 3 nothing is gained.
@@ -24,15 +24,15 @@
 # more than that.
 _SLOWEST_FACTOR = 1.2
 _SLOWEST_HALF_LIFE_MS = 30_000
-# Multiple of the mean that has to be left for another attempt, with the times
-# that it takes to fail and to be sent.
+# Time that must be left for another attempt: a multiple of the mean, plus the
+# time to report the failure and to send the request again.
 _RETRY_FACTOR = 1.2
 _RETRY_OVERHEAD_MS = 60
 _MAX_ANSWERS = 256
 
 
 class AnswerHistory:
-    """Answers of one target, as far as they tell which others are missing.
+    """Recent answers of one target, from which missing ones are found.
 
     Example:
       >>> history = AnswerHistory()
@@ -72,10 +72,10 @@
     def is_unanswered(
         self, started_ms: int, now_ms: int, expected_ms: float, places: int
     ) -> bool:
-        """Returns whether a request is presumed to stay without an answer.
+        """Returns whether a request is presumed to stay unanswered.
 
-        A target that is slow or stands still answers no later requests either,
-        so as many of them as it has places must have been answered.
+        A target that is slow or frozen answers no later requests either, so as
+        many later requests as it has places must have been answered.
 
         Args:
           started_ms: Local time at which the request was started.
@@ -91,7 +91,7 @@
     def is_overdue(
         self, waited_ms: int, now_ms: int, expected_ms: float
     ) -> bool:
-        """Returns whether a target at work answers no request so late.
+        """Returns whether a request has waited longer than slow requests take.
 
         Args:
           waited_ms: Time since the request was started.
--- a/mustardloom/load_control/waiting.py
+++ b/mustardloom/load_control/waiting.py
@@ -22,8 +22,8 @@
     "ServiceTimes",
     "WaitingQueue",
     "decide_admission",
-    "honoured_ms",
-    "return_after_ms",
+    "honoured_retry_ms",
+    "spread_retry_ms",
 ]
 
 _Item = TypeVar("_Item")
@@ -34,18 +34,17 @@
 # time is this multiple of the mean.
 _LATE_SERVICE_FACTOR = 1.3
 _MIN_RETRY_AFTER_MS = 50
-# Callers honour a time to return up to a third of the time they have left, so
-# that the retry can still be answered.
+# Callers honour `Retry-After` up to a third of the time they have left.
 _HONOURED_DIVISOR = 3
-# Callers return within this last part of the time until there is room.
-_RETURN_SPREAD = 0.5
+# Retries are spread over this last part of the time until there is room.
+_RETRY_SPREAD = 0.5
 # Queue length, as a multiple of the target's concurrency, from which on late
 # requests are refused: in a burst and with a standing queue.
 _BURST_LATE_QUEUE_RATIO = 1.5
 _STANDING_LATE_QUEUE_RATIO = 0.5
-# The same for requests that have missed their objective before they arrive, in
-# relation to the late ones in the queue.
-_RETURNED_LATE_QUEUE_RATIO = 3.0
+# The same for requests that arrive after their objective, mostly retries; only
+# the late requests in the queue count, as others go first in any case.
+_RETRIED_LATE_QUEUE_RATIO = 3.0
 # A queue that has not been empty for this long is standing, no longer a burst.
 STANDING_QUEUE_MS = 400
 _DEFAULT_SERVICE_MS = 30.0
@@ -69,7 +68,7 @@
       service_ms: Expected service time at the target.
       organisation: Organisation of the caller, None if it has none.
       level: See `fair_shares.level`.
-      is_owed: See `fair_shares.ServedShares.is_owed`.
+      is_underserved: See `fair_shares.ServedShares.is_underserved`.
     """
 
     priority: int
@@ -79,7 +78,7 @@
     service_ms: float
     organisation: ids.OrganisationId | None = None
     level: int = 0
-    is_owed: bool = False
+    is_underserved: bool = False
 
     @property
     def rank(self) -> urgency.Rank:
@@ -93,7 +92,7 @@
         """
         is_late = now_ms + self.service_ms > self.objective_ms
         return (
-            not self.is_owed,
+            not self.is_underserved,
             is_late,
             not self.is_call,
             self.priority,
@@ -244,11 +243,11 @@
     def take_blocked(
         self, now_ms: float, places: float
     ) -> list[tuple[_Item, float]]:
-        """Removes requests that those ahead keep from meeting their deadline.
+        """Removes late requests that would start too late for their deadline.
 
-        More urgent ones that arrived later are ahead of them, or they became
-        late and go after all that can still be in time. Another target may
-        still answer them, and their callers have time to return.
+        More urgent requests that arrived later are ahead of them, or they
+        became late and go after all requests that can still be in time. If
+        they are refused now, their callers still have time to retry.
 
         Args:
           now_ms: Local time.
@@ -343,8 +342,8 @@
         late_queue_ratio = _STANDING_LATE_QUEUE_RATIO
     is_short = waiting < limit * late_queue_ratio
     if demand.objective_ms <= now_ms:
-        # It was refused before; requests that can be in time go first.
-        is_short = late_waiting < limit * _RETURNED_LATE_QUEUE_RATIO
+        # Mostly a retry; requests that can be in time go first.
+        is_short = late_waiting < limit * _RETRIED_LATE_QUEUE_RATIO
     if is_short and now_ms + late_latency_ms <= demand.deadline_ms:
         return AdmissionDecision(True, wait_ms)
     retry_ms = max(_MIN_RETRY_AFTER_MS, round(wait_ms))
@@ -356,37 +355,39 @@
     return AdmissionDecision(False, wait_ms, retry_ms, room_ms)
 
 
-def return_after_ms(room_ms: float, wait_ms: float, chance: float) -> int:
-    """Returns after which time the caller of a refused request is to return.
+def spread_retry_ms(room_ms: float, wait_ms: float, fraction: float) -> int:
+    """Returns the time after which a refused request is to be retried.
 
-    Callers that one queue refuses return spread over a range that ends when the
-    present queue has been run.
+    The retries of requests that one queue refuses are spread over a range that
+    ends when the present queue has been run, so that they do not come at once.
 
     Args:
       room_ms: Time after which there may be room for the request.
       wait_ms: Time until the present queue has been run.
-      chance: Random number from 0 to 1.
+      fraction: Random number from 0 to 1.
     """
     latest_ms = max(wait_ms, _MIN_RETRY_AFTER_MS)
-    earliest_ms = max(room_ms, wait_ms * _RETURN_SPREAD, _MIN_RETRY_AFTER_MS)
+    earliest_ms = max(room_ms, wait_ms * _RETRY_SPREAD, _MIN_RETRY_AFTER_MS)
     earliest_ms = min(earliest_ms, latest_ms)
-    return round(earliest_ms + chance * (latest_ms - earliest_ms))
+    return round(earliest_ms + fraction * (latest_ms - earliest_ms))
 
 
-def honoured_ms(retry_after_ms: int, left_ms: int, chance: float) -> int:
-    """Returns a time to return that the caller honours.
+def honoured_retry_ms(
+    retry_after_ms: int, left_ms: int, fraction: float
+) -> int:
+    """Returns a time until a retry that the caller honours.
 
-    Those that would return later are spread over the end of the time allowed.
+    Later retries are spread over the last part of the time that it honours.
 
     Args:
       retry_after_ms: Time after which a retry may succeed.
       left_ms: Time that the caller has left.
-      chance: Random number from 0 to 1.
+      fraction: Random number from 0 to 1.
     """
     latest_ms = max(0, left_ms // _HONOURED_DIVISOR)
     if retry_after_ms <= latest_ms:
         return retry_after_ms
-    share = _RETURN_SPREAD + chance * (1.0 - _RETURN_SPREAD)
+    share = _RETRY_SPREAD + fraction * (1.0 - _RETRY_SPREAD)
     return int(latest_ms * share)
 
 
--- a/mustardloom/platform/configuration.py
+++ b/mustardloom/platform/configuration.py
@@ -28,8 +28,7 @@
 _DIGESTS = "api_key_digests"
 _NULL = b"null"
 _INVALID = msgspec.Raw(b'"invalid"')
-# Characters that a header cannot carry, so that a name with one of them could
-# add headers to a request.
+# Control characters, with which a name could add headers to a request.
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -85,7 +84,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    # What `hide_keys` puts in their place.
+    # Set by `hide_keys` in place of `api_keys`.
     api_key_digests: list[str] = []
     priority: int = 0
     rate_per_s: _Rate = 0.0
@@ -122,8 +121,8 @@
     """Returns a configuration object with digests in place of its API keys.
 
     Daemons send each other the object, and no frame may contain a key. An
-    object without organisations is returned as it is. What is not valid in the
-    others is not valid in the result, so that it is reported with its place.
+    object without organisations is returned as it is. Fields that are invalid
+    stay invalid in the result, so that `decode` can report where they are.
     """
     try:
         members = decoding.decode_json(value, dict[str, msgspec.Raw])
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -322,11 +322,17 @@
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
+        self._make_servers(passage.turns, stop)
+
+    def _make_servers(
+        self, turns: bodies.Turns, stop: stop_admission.StopAdmission
+    ) -> None:
+        """Creates the servers of the listening sockets, and their stop."""
         self._caller_server = self._new_server(
             self._ingress.handle,
             descriptor_budget.User.CALLERS,
             self._limits,
-            passage.turns,
+            turns,
             memory_budget.HoldKind.MESSAGE,
         )
         self._caller_server.on_malformed = self._ingress.answer_malformed
@@ -336,7 +342,7 @@
             self._gate,
             self._forwarder,
             self._links,
-            clock,
+            self._clock,
             self._on_stop_waiting,
         )
         self._notice_server = self._new_server(
@@ -355,7 +361,7 @@
                 **self._descriptor_report.gauges(),
                 **self._caps.gauges(),
             },
-            clock,
+            self._clock,
         )
         self._metrics_server = self._new_server(
             page.handle, descriptor_budget.User.METRICS
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -83,8 +83,8 @@
     )
 )
 
-# Each has a limit of its own: callers may cause as many of them as they like,
-# and must not hide the lines about requests of others.
+# Each has its own limit, as callers may cause any number of these events and
+# must not hide the lines about requests of others.
 _CALLER_EVENTS = frozenset((Event.REQUEST_UNAUTHORISED, Event.REQUEST_OVER_CAP))
 _REQUEST_LINES_PER_S = 20
 _REQUEST_BURST_LINES = 60
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -130,7 +130,7 @@
         self._links = links
         self._clock = clock
         self.set_listed([own])
-        # This daemon alone is no list of the store.
+        # That list was not read from the store.
         self.has_list = False
 
     @property
@@ -146,7 +146,7 @@
     def set_listed(self, records: list[stored.DaemonRecord]) -> None:
         """Adopts the store's list of daemons."""
         self._listed = records
-        # An older list may lack daemons that this one must know of.
+        # A list from before this daemon was added may lack other daemons, too.
         own = self.own_record.vm
         self.has_list |= any(record.vm == own for record in records)
         for record in records:
--- a/mustardloom/sidecar/frame_reader.py
+++ b/mustardloom/sidecar/frame_reader.py
@@ -33,7 +33,7 @@
     """Decompresses and collects frames; accounts for those in part.
 
     Frames are passed on in the iteration of the event loop in which their bytes
-    arrive.
+    arrive, as each further iteration costs a system call.
 
     Args:
       stream: The stream.
@@ -59,11 +59,11 @@
         self._writer = writer
         self._decompressor = compression.Decompressor()
         self._buffer = frames.FrameBuffer()
-        # What has arrived and is not processed yet.
+        # Decompressed bytes that are not processed yet.
         self._parts: Iterator[bytes] = iter(())
-        # Set when reading pauses or ends; None while it does not go on.
+        # Done when reading pauses or ends; None while nothing is read.
         self._paused: asyncio.Future[None] | None = None
-        self._stalled: asyncio.TimerHandle | None = None
+        self._stall_timer: asyncio.TimerHandle | None = None
         hold = budget.try_hold(0, memory_budget.HoldKind.PARTIAL_FRAME)
         assert hold is not None
         self._hold = hold
@@ -125,9 +125,9 @@
     def _pause(self, error: Exception | None = None) -> None:
         """Reads nothing more for now, or nothing at all after an error."""
         self._stream.stop_reading()
-        if self._stalled is not None:
-            self._stalled.cancel()
-            self._stalled = None
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
         if self._paused is None or self._paused.done():
             return
         if error is None:
@@ -136,12 +136,12 @@
             self._paused.set_exception(error)
 
     def _watch_stall(self) -> None:
-        """Limits the time until more of a frame in part arrives."""
-        if self._stalled is not None:
-            self._stalled.cancel()
-            self._stalled = None
+        """Restarts the timer for the next bytes of a frame in part."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
         if self._hold.size:
-            self._stalled = asyncio.get_running_loop().call_later(
+            self._stall_timer = asyncio.get_running_loop().call_later(
                 _STALLED_S, self._on_stalled
             )
 
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -74,7 +74,7 @@
         self._metrics.increment("gate.started")
         self._metrics.observe("gate.wait_ms", now_ms - ticket.arrived_ms)
         self.running.add(ticket)
-        ticket.running = len(self.running)
+        ticket.running_at_start = len(self.running)
         task = asyncio.ensure_future(self._dispatch(ticket))
         self._task_by_ticket[ticket] = task
         task.add_done_callback(lambda done: self._finish(ticket, done))
@@ -89,22 +89,22 @@
     def give_up(self, ticket: ticket_lib.Ticket) -> None:
         """Ends a running request that the target will not answer.
 
-        Its connection is closed, so that a target that has the request after
-        all ends it.
+        Its connection is closed, so that a target that does run the request
+        can end it.
         """
         self._recorder.record_unanswered(ticket, self._target.instance)
         ticket.resolve(work.Failed(work.FailureReason.DEADLINE))
         self._task_by_ticket[ticket].cancel()
 
-    def end_starved(self, limit_ms: int) -> None:
+    def end_stalled_uploads(self, limit_ms: int) -> None:
         """Ends requests whose callers stopped in the middle of the body.
 
-        They keep a place at the target from those that wait. The target may
-        have begun with them, so that they have failed.
+        They occupy places at the target for which other requests wait. The
+        target may have begun to run them, so they fail and are not refused.
         """
         for ticket in list(self.running):
             rest = ticket.request.rest
-            # Most requests have none, and a check of a protocol takes long.
+            # Checked first, as `isinstance` is slow for a protocol.
             if rest is None:
                 continue
             if isinstance(rest, bodies.StarvableBody) and (
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -27,7 +27,7 @@
 __all__ = ["Gate"]
 
 _EXPIRY_INTERVAL_MS = 20
-# Refusals of requests that the target would have run if it had got fewer.
+# Refusals of requests that the target would have run under a lower load.
 _CONTENTION_REASONS = frozenset(
     (
         work.RefusalReason.OVERLOADED,
@@ -35,10 +35,10 @@
         work.RefusalReason.DEADLINE,
     )
 )
-# A body whose sender pauses for longer loses its place at the target while
-# other requests wait for one. A sender that is still there pauses for a few
-# round trips between regions, of 40 ms each.
-_STARVED_MS = 500
+# A request whose body has stopped for this long loses its place at the target
+# while others wait for one. Senders that go on pause for at most a few round
+# trips between regions, of 40 ms each.
+_STALLED_UPLOAD_MS = 500
 
 
 class Gate:
@@ -88,7 +88,7 @@
         )
         self._recorder = results.ResultRecorder(
             self._limits.service_times,
-            self._limits.room,
+            self._limits.learned_limit,
             self._meter,
             quarantine,
             clock,
@@ -123,7 +123,7 @@
             self._connections.close()
             self._meter.forget_failures()
             self._limits.rate.clear()
-            self._limits.room.clear()
+            self._limits.learned_limit.clear()
             self.target.start_instance(instance)
         self._limits.capacity = capacity
         self._set_reachability(target_state.Reachability.UP)
@@ -241,7 +241,7 @@
                 await self._has_waiting.wait()
             await self._clock.sleep_ms(_EXPIRY_INTERVAL_MS)
             self._refuse_unservable()
-            self._dispatcher.end_starved(_STARVED_MS)
+            self._dispatcher.end_stalled_uploads(_STALLED_UPLOAD_MS)
             self._start_waiting()
 
     # Admission.
@@ -307,7 +307,7 @@
     def _record_unserved(
         self, request: work.Work, reason: work.RefusalReason
     ) -> None:
-        """Counts a request that was refused as others took the target."""
+        """Counts a request that was refused because the target was taken."""
         if reason in _CONTENTION_REASONS:
             self._limits.shares.record(
                 request.organisation, False, self._clock.now_ms()
@@ -353,7 +353,7 @@
             self._dispatcher.start(ticket, now_ms)
 
     def _on_end(self) -> None:
-        # Answers to later requests tell which earlier ones are missing.
+        # Answers to later requests show which earlier ones are unanswered.
         self._give_up_unanswered(self._clock.now_ms())
         self._start_waiting()
 
--- a/mustardloom/sidecar/gate/limits.py
+++ b/mustardloom/sidecar/gate/limits.py
@@ -4,8 +4,8 @@
 
 from mustardloom.load_control import cold_start
 from mustardloom.load_control import fair_shares
+from mustardloom.load_control import learned_limit
 from mustardloom.load_control import rate_limit as rate_limit_lib
-from mustardloom.load_control import target_room
 from mustardloom.load_control import urgency
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import work
@@ -23,7 +23,7 @@
       service_times: Service times of its requests.
       cold: Limit while it is cold.
       rate: Limit that it states in its responses.
-      room: Limit learned from requests that it could not hold.
+      learned_limit: Limit learned from requests that it could not hold.
       shares: How often requests of each organisation are started.
     """
 
@@ -38,15 +38,15 @@
         self.service_times = waiting.ServiceTimes()
         self.cold = cold_start.ColdStartLimit(cold_factor)
         self.rate = rate_limit_lib.RateLimit()
-        self.room = target_room.TargetRoom()
+        self.learned_limit = learned_limit.LearnedLimit()
         self.shares = fair_shares.ServedShares()
-        self._chance = random.Random()
+        self._random = random.Random()
         self._urgent_load = urgency.UrgentLoad()
         self._queue_last_empty_ms = now_ms
 
     def places(self) -> int:
         """Returns how many requests may run at once, as far as is known."""
-        return self.room.limit(self.capacity)
+        return self.learned_limit.limit(self.capacity)
 
     def concurrency(self, now_ms: int) -> float:
         """Returns how many requests run at once at the target's full rate."""
@@ -79,7 +79,7 @@
             self.service_times.expected_ms(request.route),
             organisation,
             level,
-            self.shares.is_owed(organisation),
+            self.shares.is_underserved(organisation),
         )
 
     def refusal(
@@ -102,8 +102,8 @@
         demand = self.demand_of(request, queue)
         concurrency = self._concurrency(self.places(), now_ms)
         ahead = len(queue)
-        if demand.is_owed:
-            # How long the rest of the queue is does not matter to it.
+        if demand.is_underserved:
+            # It goes before the rest of the queue.
             ahead = queue.count_ahead(demand, now_ms)
         decision = waiting.decide_admission(
             demand,
@@ -120,8 +120,8 @@
         )
         reasons = work.RefusalReason
         if not decision.admitted:
-            retry_ms = waiting.return_after_ms(
-                decision.room_ms, decision.wait_ms, self._chance.random()
+            retry_ms = waiting.spread_retry_ms(
+                decision.room_ms, decision.wait_ms, self._random.random()
             )
             return work.Refused(reasons.OVERLOADED, retry_ms)
         if not self.cold.has_room(now_ms, ahead):
@@ -131,7 +131,7 @@
     def blocked(
         self, queue: waiting.WaitingQueue[ticket_lib.Ticket], now_ms: int
     ) -> list[tuple[ticket_lib.Ticket, work.Refused]]:
-        """Removes requests that will not be run in time; returns refusals."""
+        """Removes requests that would not run in time, with their refusals."""
         reason = work.RefusalReason.OVERLOADED
         places = self._concurrency(self.places(), now_ms)
         return [
@@ -139,8 +139,8 @@
                 ticket,
                 work.Refused(
                     reason,
-                    waiting.return_after_ms(
-                        0.0, wait_ms, self._chance.random()
+                    waiting.spread_retry_ms(
+                        0.0, wait_ms, self._random.random()
                     ),
                 ),
             )
--- a/mustardloom/sidecar/gate/results.py
+++ b/mustardloom/sidecar/gate/results.py
@@ -3,8 +3,8 @@
 from mustardloom import clock as clock_lib
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import targets
+from mustardloom.load_control import learned_limit
 from mustardloom.load_control import quarantine as quarantine_lib
-from mustardloom.load_control import target_room
 from mustardloom.load_control import unanswered
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import events
@@ -25,13 +25,13 @@
 
     Attributes:
       last_answer_ms: Local time of the target's last answer, 0 if none.
-      answers: Answers of the target, to tell which others are missing.
+      answers: Recent answers of the target, to find unanswered requests.
     """
 
     def __init__(
         self,
         service_times: waiting.ServiceTimes,
-        room: target_room.TargetRoom,
+        limit: learned_limit.LearnedLimit,
         meter: load_lib.LoadMeter,
         quarantine: quarantine_lib.Quarantine,
         clock: clock_lib.Clock,
@@ -41,7 +41,7 @@
         self.last_answer_ms = 0
         self.answers = unanswered.AnswerHistory()
         self._service_times = service_times
-        self._room = room
+        self._learned_limit = limit
         self._meter = meter
         self._quarantine = quarantine
         self._clock = clock
@@ -75,7 +75,7 @@
                     self._service_times.expected_ms(request.route),
                     now_ms,
                 )
-                self._room.record_answer()
+                self._learned_limit.record_answer()
                 is_error = response.status >= _FIRST_ERROR_STATUS
                 self._meter.record_failure(is_error)
                 self._quarantine.record_success(
@@ -108,7 +108,7 @@
     ) -> None:
         """Records a request that a target at work did not answer.
 
-        It is no failure of the target, which others would avoid for it.
+        It does not count as a failure, as routers would avoid the target then.
         """
         self._record_if_overdue(ticket)
         duration_ms = self._clock.now_ms() - ticket.started_ms
@@ -117,14 +117,14 @@
     def record_cancelled(self, ticket: ticket_lib.Ticket) -> None:
         """Records a run that was ended because nobody waits any more.
 
-        If it had time until its deadline, it may be an unanswered request.
+        If it lasted until its deadline, the target may have left it unanswered.
         """
         latest_ms = ticket.request.deadline_ms - timing.REFUSAL_DELAY_MS
         if self._clock.now_ms() >= latest_ms:
             self._record_if_overdue(ticket)
 
     def _record_if_overdue(self, ticket: ticket_lib.Ticket) -> None:
-        """Records a request without an answer if the target did not hold it."""
+        """Records an overflow if a request has waited too long."""
         now_ms = self._clock.now_ms()
         expected_ms = self._service_times.measured_ms(ticket.request.route)
         waited_ms = now_ms - ticket.started_ms
@@ -135,8 +135,8 @@
 
     def _record_overflow(self, ticket: ticket_lib.Ticket) -> None:
         self._metrics.increment("gate.overflows")
-        self._room.record_overflow(
-            ticket.started_ms, ticket.running, self._clock.now_ms()
+        self._learned_limit.record_overflow(
+            ticket.started_ms, ticket.running_at_start, self._clock.now_ms()
         )
 
     def _log_failure(
--- a/mustardloom/sidecar/gate/ticket.py
+++ b/mustardloom/sidecar/gate/ticket.py
@@ -19,14 +19,14 @@
       outcome: Its outcome; cancelled if the caller has left.
       arrived_ms: Local time of its admission.
       started_ms: Local time at which it was sent to the target.
-      running: Requests that ran at the target then, with this one.
+      running_at_start: Requests that ran at the target then, including it.
     """
 
     request: work.Work
     outcome: "asyncio.Future[work.Outcome]"
     arrived_ms: int
     started_ms: int = _NOT_STARTED_MS
-    running: int = 0
+    running_at_start: int = 0
 
     def resolve(self, outcome: work.Outcome) -> None:
         """Sets the outcome, unless there is one or the caller has left."""
--- a/mustardloom/sidecar/incoming_link.py
+++ b/mustardloom/sidecar/incoming_link.py
@@ -46,7 +46,7 @@
     """A call of the peer without a reply so far.
 
     Attributes:
-      result: What returns the reply.
+      result: Awaited for the reply.
       task: Runs it.
       has_begun: Whether the task has begun.
     """
@@ -173,7 +173,7 @@
     ) -> None:
         """Runs a call and replies.
 
-        Nothing is left for a callback of the task, which would take a further
+        It replies itself, as a callback of the task would take a further
         iteration of the event loop.
         """
         call.has_begun = True
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -14,7 +14,7 @@
 from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
 from mustardloom.load_control import organisations
-from mustardloom.load_control import returning
+from mustardloom.load_control import refused_requests
 from mustardloom.load_control import waiting
 from mustardloom.load_control import weighted_round_robin
 from mustardloom.platform import headers
@@ -82,7 +82,7 @@
         self._current_configuration = current
         # Timers of the open calls of targets, by the request that they run.
         self._timers_by_parent: dict[str, set[asyncio.Timeout]] = {}
-        self._returning = returning.ReturningRequests()
+        self._refused_requests = refused_requests.RefusedRequests()
         self._service_choice = weighted_round_robin.WeightedRoundRobin()
         self._clock = clock
         self._log = log
@@ -123,6 +123,19 @@
             request = dataclasses.replace(
                 request, headers=headers.without_identity(request.headers)
             )
+        return await self._handle_identified(
+            request, fields, current, route, organisation
+        )
+
+    async def _handle_identified(
+        self,
+        request: messages.Request,
+        fields: headers.CallerFields,
+        current: configuration.Configuration,
+        route: configuration.Route,
+        organisation: configuration.Organisation | None,
+    ) -> messages.Response:
+        """Runs a request whose route and organisation are known."""
         if not fields.request_id:
             return headers.refusal(_BAD_REQUEST, "", None, "no request id")
         wait_ms = route.timeout_ms
@@ -178,7 +191,7 @@
         route: configuration.Route | None,
         rejection: organisations.Rejection,
     ) -> messages.Response:
-        """Logs why a request has no valid API key; the caller isn't told."""
+        """Logs why a request has no valid API key; the response omits it."""
         self._metrics.increment(f"ingress.unauthorised.{rejection.value}")
         self._log.write(
             events.Event.REQUEST_UNAUTHORISED,
@@ -247,8 +260,8 @@
             first_bytes,
         )
         deadline_ms = request.received_ms + wait_ms
-        # A caller that was refused and returns has waited longer already.
-        objective_ms = self._returning.objective_ms(
+        # A retry keeps the objective of the attempt that was refused.
+        objective_ms = self._refused_requests.objective_ms(
             fingerprint, request.received_ms + route.objective_ms, deadline_ms
         )
         return work.Work(
@@ -348,10 +361,12 @@
         left_ms = None
         if request is not None:
             left_ms = request.deadline_ms - self._clock.now_ms()
-            self._returning.record_refusal(
+            self._refused_requests.record_refusal(
                 request.fingerprint, request.objective_ms, request.deadline_ms
             )
-            retry_ms = waiting.honoured_ms(retry_ms, left_ms, random.random())
+            retry_ms = waiting.honoured_retry_ms(
+                retry_ms, left_ms, random.random()
+            )
         self._log.write(
             events.Event.REQUEST_REFUSED,
             request=request_id,
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -36,7 +36,7 @@
 # Called with the VM, the local time of the status or ping, and its answer.
 PongCallback = Callable[[ids.VmId, int, frames.Pong], None]
 
-# Half of the interval at which statuses are sent, whose wake-ups it shares.
+# Half of the interval at which statuses are sent, so that ticks coincide.
 _CHECK_INTERVAL_MS = 125
 
 
@@ -193,7 +193,7 @@
     ) -> OpenCall:
         """Sends a frame and returns the call, which the caller has to end.
 
-        Takes no task for each of several calls at once; see `call`.
+        Several calls can be awaited together without a task for each.
 
         Raises:
           PeerUnreachable: The frame was certainly not sent.
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -23,7 +23,7 @@
 # The target counts as silent after this many heartbeat intervals without a
 # heartbeat or an answer.
 _SILENT_AFTER_HEARTBEATS = 2.6
-# The interval at which links are checked, whose wake-ups it shares.
+# The interval at which links are checked, so that ticks coincide.
 _CHECK_INTERVAL_MS = 125
 
 # Returns the grant that answers a heartbeat, None to renew nothing.
--- a/mustardloom/sidecar/metrics_page.py
+++ b/mustardloom/sidecar/metrics_page.py
@@ -12,8 +12,8 @@
 
 _OK = 200
 _NOT_FOUND = 404
-# Writing the page takes milliseconds of processor time, whoever asks for it.
-_REWRITE_INTERVAL_MS = 200
+# Rendering the page takes milliseconds of processor time, whoever asks for it.
+_RENDER_INTERVAL_MS = 200
 _PREFIX = "mustardloom_"
 
 
@@ -36,7 +36,7 @@
         self._gauges = gauges
         self._clock = clock
         self._response: messages.Response | None = None
-        self._written_ms = 0
+        self._rendered_ms = 0
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Returns the page, or status 404 for paths other than /metrics."""
@@ -45,13 +45,13 @@
         now_ms = self._clock.now_ms()
         if (
             self._response is None
-            or now_ms - self._written_ms >= _REWRITE_INTERVAL_MS
+            or now_ms - self._rendered_ms >= _RENDER_INTERVAL_MS
         ):
-            self._response = self._write()
-            self._written_ms = now_ms
+            self._response = self._render()
+            self._rendered_ms = now_ms
         return self._response
 
-    def _write(self) -> messages.Response:
+    def _render(self) -> messages.Response:
         """Returns the page as it is now."""
         # Imported at the first scrape, as most daemons are never scraped.
         import prometheus_client
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -16,7 +16,8 @@
 
 # Each watch is billed, and a longer wait means fewer watches.
 _WATCH_WAIT_MS = 10_000
-# How often a daemon that does not watch checks whether it is to watch.
+# How often a daemon that does not watch checks whether it is to watch; a
+# multiple of the interval at which links are checked, so that ticks coincide.
 _IDLE_CHECK_MS = 375
 # Back-off while the store is unavailable.
 _MIN_BACKOFF_MS = 200
--- a/mustardloom/sidecar/target_selection.py
+++ b/mustardloom/sidecar/target_selection.py
@@ -165,17 +165,17 @@
                 if peer.vm == self._fleet.own_record.vm
                 or (
                     peer.vm in call_by_vm
-                    and self._may_use(peer, call_by_vm[peer.vm].reply)
+                    and self._record_reply(peer, call_by_vm[peer.vm].reply)
                 )
             ]
         finally:
             for call in call_by_vm.values():
                 call.end()
 
-    def _may_use(
+    def _record_reply(
         self, peer: fleet_lib.Peer, answer: "asyncio.Future[frames.Frame]"
     ) -> bool:
-        """Records the load that a peer has told; returns whether it is open."""
+        """Records the load in a reply; returns whether the target is open."""
         if not answer.done() or answer.exception() is not None:
             return False
         reply = answer.result()
--- a/mustardloom/sidecar/tests/test_fair_shares.py
+++ b/mustardloom/sidecar/tests/test_fair_shares.py
@@ -46,7 +46,7 @@
     def __init__(self, loop, seed):
         self.offered = collections.Counter()
         self.started = collections.Counter()
-        self._chance = random.Random(seed)
+        self._random = random.Random(seed)
         self._limits = limits_lib.TargetLimits(1.5, 0)
         self._limits.capacity = _CAPACITY
         self._queue = waiting.WaitingQueue()
@@ -59,7 +59,7 @@
             at_ms = 0.0
             while at_ms < _END_MS:
                 mean_ms = 1_000 * load.burst / load.per_s
-                at_ms += self._chance.expovariate(1 / mean_ms)
+                at_ms += self._random.expovariate(1 / mean_ms)
                 arrivals.extend([(at_ms, load)] * load.burst)
         arrivals.sort(key=lambda each: each[0])
         for at_ms, load in arrivals:
@@ -117,7 +117,7 @@
         while len(self._queue) and len(self._ends) < _CAPACITY:
             ticket = self._queue.take(now_ms)
             name = ticket.request.organisation
-            service_ms = self._chance.expovariate(1 / _MEAN_SERVICE_MS)
+            service_ms = self._random.expovariate(1 / _MEAN_SERVICE_MS)
             heapq.heappush(self._ends, now_ms + service_ms)
             self._limits.service_times.record("r", service_ms, round(now_ms))
             self._limits.shares.record(name, True, now_ms)
@@ -200,7 +200,7 @@
     """Guards against a change where no organisations are configured."""
     limits = limits_lib.TargetLimits(1.5, 0)
     limits.shares.record(None, False, 0)
-    assert not limits.shares.is_owed(None)
+    assert not limits.shares.is_underserved(None)
     queue = waiting.WaitingQueue()
     for number, demand in enumerate(demands):
         queue.push(demand, number, 0)
