Keep tokens from returning late and buckets from outliving their shards

A request that was refused after its token had expired returned a token that another request had spent, and a shard that moved away and back gave its old stock once more, though another daemon had filled the shard meanwhile. Both could take an organisation above its cap. The two new tests failed before.

Room that was released or evicted can no longer be resized.

--- a/mustardloom/load_control/tests/test_usage_caps.py
+++ b/mustardloom/load_control/tests/test_usage_caps.py
@@ -195,7 +195,36 @@
     assert ledger.accounts == 1
     ledger.set_caps({})
     assert ledger.accounts == 0
-    assert not ledger.give_back(ORGANISATION, 0)
+    assert not ledger.give_back(ORGANISATION, 0, 0)
+
+
+def test_token_returns_only_while_that_of_its_request_can_be_valid():
+    """Guards against tokens that refusals carry into later windows."""
+    own = vms(1)
+    ledger = confirmed(own[0], own)
+    lifetime_ms = ledger.tolerance.lifetime_ms()
+    later_ms = lifetime_ms - 1
+    ledger.receive(ORGANISATION, 1, 0, 0)
+    assert ledger.spend(ORGANISATION, 0)
+    ledger.receive(ORGANISATION, 1, later_ms, later_ms)
+    assert ledger.spend(ORGANISATION, later_ms)
+    # The second token is valid, but not the one of the request of time 0.
+    assert not ledger.give_back(ORGANISATION, 0, lifetime_ms)
+    assert ledger.give_back(ORGANISATION, later_ms, lifetime_ms)
+
+
+def test_bucket_ends_when_its_shard_moves_to_another_daemon():
+    """Guards against a stock that two daemons give when a shard comes back."""
+    own, other = vms(2)
+    ledger = confirmed(own, [own])
+    cap = usage_caps.Cap(60.0, 60.0)
+    ledger.set_caps({ORGANISATION: cap})
+    ledger.open_buckets(0)
+    ledger.ownership.set_listed([other])
+    ledger.open_buckets(1_000)
+    ledger.ownership.set_listed([own])
+    ledger.open_buckets(5_000)
+    assert ledger.grant(ORGANISATION, 50, 0, 5_000).tokens == 0
 
 
 class Fleet:
--- a/mustardloom/load_control/usage_caps.py
+++ b/mustardloom/load_control/usage_caps.py
@@ -366,12 +366,13 @@
         """Returns a spent token that is still valid; whether there was one.
 
         A request that is refused later than its token expires loses it, as
-        returned tokens would otherwise add to those minted meanwhile.
+        returned tokens would otherwise add to those minted meanwhile. Which
+        token a request has spent is not known, so the first to expire returns.
         """
         self._expire(now_ms)
         if not self._spent:
             return False
-        self._held.append([self._spent.pop(), 1])
+        self._held.append([self._spent.popleft(), 1])
         return True
 
     def clear(self) -> None:
--- a/mustardloom/load_control/usage_ledger.py
+++ b/mustardloom/load_control/usage_ledger.py
@@ -123,13 +123,16 @@
     def open_buckets(self, now_ms: int) -> None:
         """Starts the buckets of the shards that this daemon serves.
 
-        Otherwise a bucket would begin to fill only when first asked for.
+        Otherwise a bucket would begin to fill only when first asked for. The
+        buckets of shards that moved away end, as their next owner fills others.
         """
         for organisation in self._cap_by_organisation:
             if self.ownership.served(self._shards(organisation)):
                 account = self._account(organisation, now_ms)
                 if account.bucket is None:
                     account.bucket = usage_caps.TokenBucket(now_ms)
+            elif organisation in self._account_by_organisation:
+                self._account_by_organisation[organisation].bucket = None
 
     def record_request(
         self, organisation: ids.OrganisationId, now_ms: int
@@ -188,10 +191,23 @@
         account = self._account(organisation, now_ms)
         return account.allowance.retry_ms(limit, now_ms)
 
-    def give_back(self, organisation: ids.OrganisationId, now_ms: int) -> bool:
-        """Returns the token of a request that was not offered to a target."""
+    def give_back(
+        self, organisation: ids.OrganisationId, admitted_ms: int, now_ms: int
+    ) -> bool:
+        """Returns the token of a request that was not offered to a target.
+
+        Args:
+          organisation: Organisation of the request.
+          admitted_ms: Local time at which the token was spent; once it cannot
+            be valid any more, nothing is returned.
+          now_ms: Local time.
+        """
         account = self._account_by_organisation.get(organisation)
-        return account is not None and account.cache.give_back(now_ms)
+        if account is None or (
+            now_ms - admitted_ms >= self.tolerance.lifetime_ms()
+        ):
+            return False
+        return account.cache.give_back(now_ms)
 
     def drop_tokens(self) -> None:
         """Drops all tokens to spend, after the local clock stood still."""
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -276,7 +276,12 @@
             return self._add_stream(size)
 
     def resize(self, hold: Hold, size: int) -> bool:
-        """Changes the size of a hold; returns False if there is no room."""
+        """Changes the size of a hold; returns False if there is no room.
+
+        A hold that was released or evicted has none.
+        """
+        if hold not in self._holds:
+            return False
         grown = size - hold.size
         if isinstance(hold, EvictableHold) and not hold.is_pinned:
             self._mark_heard(hold)
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -45,7 +45,9 @@
     ) -> int | None:
         """Returns None for a request that is admitted, else when to retry."""
 
-    def give_back(self, organisation: ids.OrganisationId) -> None:
+    def give_back(
+        self, organisation: ids.OrganisationId, admitted_ms: int
+    ) -> None:
         """Takes back what a request that was not offered to a target used."""
 
 
@@ -59,7 +61,9 @@
         del organisation, deadline_ms
         return None
 
-    def give_back(self, organisation: ids.OrganisationId) -> None:
+    def give_back(
+        self, organisation: ids.OrganisationId, admitted_ms: int
+    ) -> None:
         """See `Caps`."""
 
 
@@ -290,7 +294,7 @@
         route: configuration.Route,
         service: configuration.Service,
     ) -> messages.Response:
-        started_ms = self._clock.now_ms()
+        started_ms = admitted_ms = self._clock.now_ms()
         timer = self._start_timer(request)
         try:
             async with timer:
@@ -300,6 +304,7 @@
                     )
                     if retry_ms is not None:
                         return self._refuse_over_cap(request, retry_ms)
+                    admitted_ms = self._clock.now_ms()
                 outcome = await self._router.route(request, route, service)
         except TimeoutError:
             outcome = work.Failed(work.FailureReason.DEADLINE)
@@ -318,7 +323,7 @@
                 return response
             case work.Refused() as refused:
                 if request.organisation is not None and not refused.was_offered:
-                    self._caps.give_back(request.organisation)
+                    self._caps.give_back(request.organisation, admitted_ms)
                 return self._refuse(request.request_id, refused, request)
             case work.Failed(reason):
                 return self._fail(request, reason, started_ms)
--- a/mustardloom/sidecar/tests/test_usage_caps.py
+++ b/mustardloom/sidecar/tests/test_usage_caps.py
@@ -206,7 +206,7 @@
         await asyncio.sleep(0.4)
         for each in daemons:
             assert await each.admit() is None
-            each.caps.give_back(NAME)
+            each.caps.give_back(NAME, each.clock.now_ms())
         assert not any(each.received for each in daemons)
         assert not any(each.metrics.counters for each in daemons)
         assert all(
@@ -337,7 +337,7 @@
         await asyncio.sleep(0.3)
         for _ in range(10):
             assert await daemon.admit() is None
-            daemon.caps.give_back(NAME)
+            daemon.caps.give_back(NAME, daemon.clock.now_ms())
         return daemon.count("given_back")
 
     assert play(scenario, 1, configured(organisation(4.0, 1.0))) == 10
@@ -387,7 +387,7 @@
         self.calls.append(("admit", organisation))
         return self.retry_ms
 
-    def give_back(self, organisation):
+    def give_back(self, organisation, admitted_ms):
         self.calls.append(("give back", organisation))
 
 
--- a/mustardloom/sidecar/usage_caps.py
+++ b/mustardloom/sidecar/usage_caps.py
@@ -218,9 +218,12 @@
         spread = 1 + self._random.uniform(0, _RETRY_SPREAD)
         return round(max(_MIN_RETRY_MS, retry_ms) * spread)
 
-    def give_back(self, organisation: ids.OrganisationId) -> None:
+    def give_back(
+        self, organisation: ids.OrganisationId, admitted_ms: int
+    ) -> None:
         """Returns the token of a request that was not offered to a target."""
-        if self._ledger.give_back(organisation, self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if self._ledger.give_back(organisation, admitted_ms, now_ms):
             self._metrics.increment("usage_caps.given_back")
 
     def on_token_query(self, query: frames.TokenQuery) -> frames.TokenReply:
