--- a/deploy/tests/crowd.py
+++ b/deploy/tests/crowd.py
@@ -7,7 +7,7 @@
 import resource
 import socket
 
-__all__ = ["standing"]
+__all__ = ["connected_callers"]
 
 # The system drops few opening packets at this pace.
 _CONNECTS_AT_ONCE = 100
@@ -28,7 +28,7 @@
 
 
 @contextlib.asynccontextmanager
-async def standing(
+async def connected_callers(
     address: tuple[str, int],
     count: int,
     pieces: Sequence[bytes],
--- a/deploy/tests/test_untrusted_callers.py
+++ b/deploy/tests/test_untrusted_callers.py
@@ -144,7 +144,9 @@
         print(f"{idle_mb:.0f} MB when idle")
         if is_above_idle:
             bound_mb += idle_mb
-        async with crowd.standing((vm.host, to.port), count, pieces, pause_s):
+        async with crowd.connected_callers(
+            (vm.host, to.port), count, pieces, pause_s
+        ):
             await asyncio.sleep(_STAND_S)
             beside = await _ordinary(vm, deadline_ms)
             ready = await vm.is_ready()
--- a/mustardloom/http1/bodies.py
+++ b/mustardloom/http1/bodies.py
@@ -20,7 +20,7 @@
     "BodyBroken",
     "BodySource",
     "BrokenBody",
-    "StarvableBody",
+    "StallableBody",
     "Turns",
     "WholeBody",
     "encode_chunk",
@@ -65,10 +65,10 @@
 
 
 @runtime_checkable
-class StarvableBody(BodySource, Protocol):
+class StallableBody(BodySource, Protocol):
     """A body whose source may stop."""
 
-    def starved_s(self) -> float:
+    def stalled_s(self) -> float:
         """Returns for how long its consumer has waited for its source."""
 
 
@@ -168,7 +168,7 @@
         self._is_dropped = False
         self._passed_bytes = 0
         # Time of the event loop since which its consumer waits, if it does.
-        self._starved_since_s: float | None = None
+        self._stalled_since_s: float | None = None
         self._unread = bytearray()
         self._has_changed = asyncio.Event()
         self._has_room = asyncio.Event()
@@ -211,22 +211,22 @@
         """Returns the first bytes that have arrived, without taking them."""
         return bytes(self._unread[:size])
 
-    def starved_s(self) -> float:
+    def stalled_s(self) -> float:
         """Returns for how long its consumer has waited for its source."""
-        if self._starved_since_s is None:
+        if self._stalled_since_s is None:
             return 0.0
-        return asyncio.get_running_loop().time() - self._starved_since_s
+        return asyncio.get_running_loop().time() - self._stalled_since_s
 
     async def read(self) -> bytes:
         """See `BodySource`."""
         self.is_taken = True
         while not (self._unread or self._is_dropped or self.ended.done()):
-            if self._starved_since_s is None:
+            if self._stalled_since_s is None:
                 loop = asyncio.get_running_loop()
-                self._starved_since_s = loop.time()
+                self._stalled_since_s = loop.time()
             self._has_changed.clear()
             await self._has_changed.wait()
-        self._starved_since_s = None
+        self._stalled_since_s = None
         self.on_ready()
         await self._turns.next(self._left_bytes())
         if self._is_dropped:
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -132,7 +132,7 @@
         # Bytes that have arrived after the head that is parsed.
         self._arrived_bytes = 0
         # A complete head, while it is parsed.
-        self._whole_head = b""
+        self._complete_head = b""
         self._chunks_end = request_heads.MessageEnd()
         self._closes_after_pending = False
         self._is_finishing = False
@@ -199,7 +199,7 @@
         while not (
             self.stream.closed()
             or self._closes_after_pending
-            or self._take_room()
+            or self._try_hold_pipelined()
         ):
             self._has_room.clear()
             await self._has_room.wait()
@@ -210,7 +210,7 @@
             raise iostream.StreamClosedError
         self._parse(data)
 
-    def _take_room(self) -> bool:
+    def _try_hold_pipelined(self) -> bool:
         """Takes room for a request that follows one without an answer.
 
         Such requests have a share of their own, and wait if there is no room,
@@ -383,13 +383,13 @@
     def on_headers_complete(self) -> None:
         """Reads the fields; sends `100 Continue` if expected."""
         self._phase = _Phase.BODY
-        head, self._whole_head = self._whole_head, b""
+        head, self._complete_head = self._complete_head, b""
         if not head:
             # The head has another end than it should have.
             raise _RequestRejected(_BAD_REQUEST)
-        self._header_bytes = request_heads.counted_bytes(head, self._url)
+        self._header_bytes = request_heads.limited_size(head, self._url)
         if self._header_bytes > self._limits.max_header_bytes:
-            self._headers = request_heads.fields_in_part(head)
+            self._headers = request_heads.partial_fields(head)
             raise _RequestRejected(_HEADERS_TOO_LARGE)
         self._headers = request_heads.fields(head)
         framing = request_heads.framing(self._headers)
@@ -456,9 +456,9 @@
         )
         self._resize_hold(size)
         if len(self._headers) > request_heads.USUAL_FIELDS:
-            excess_bytes = request_heads.excess_bytes(self._headers)
+            extra_fields_bytes = request_heads.extra_fields_bytes(self._headers)
             self._fields_hold = self._owner.budget.try_hold(
-                excess_bytes, memory_budget.HoldKind.HEADER_FIELDS
+                extra_fields_bytes, memory_budget.HoldKind.HEADER_FIELDS
             )
             if self._fields_hold is None:
                 raise _no_room()
@@ -610,7 +610,7 @@
             if self._phase is _Phase.BODY:
                 position += self._feed_body(data, position)
             elif self._open and self._must_wait():
-                self._keep_waiting(data[position:])
+                self._defer_requests(data[position:])
                 return
             else:
                 position += self._feed_head(data, position)
@@ -629,15 +629,15 @@
             self._keep_head(data[start:])
             return len(data) - start
         self._arrived_bytes = len(data) - end
-        self._whole_head = data[start:end]
-        self._parser.feed_data(self._whole_head)
+        self._complete_head = data[start:end]
+        self._parser.feed_data(self._complete_head)
         return end - start
 
     def _must_wait(self) -> bool:
         """Returns whether there is no room for another request yet."""
-        return not self._head and not self._take_room()
+        return not self._head and not self._try_hold_pipelined()
 
-    def _keep_waiting(self, data: bytes) -> None:
+    def _defer_requests(self, data: bytes) -> None:
         self._waiting = data
         self._hold_head(len(data))
 
@@ -649,7 +649,7 @@
             self._keep_head(data[start:])
             return len(data) - start
         part = data[start : start + size]
-        self._whole_head = bytes(self._head) + part
+        self._complete_head = bytes(self._head) + part
         self._drop_head()
         self._arrived_bytes = len(data) - start - size
         self._parser.feed_data(part)
@@ -727,12 +727,12 @@
         """Returns the answer to bytes that are not a valid request."""
         response = None
         if self._phase is _Phase.HEAD:
-            head = bytes(self._head) or self._whole_head
+            head = bytes(self._head) or self._complete_head
             response = self._owner.on_malformed(
                 messages.Request(
                     "",
                     self._url.decode("latin1"),
-                    tuple(request_heads.fields_in_part(head)),
+                    tuple(request_heads.partial_fields(head)),
                     b"",
                 ),
                 head,
@@ -747,7 +747,7 @@
         self._closes_after_pending = True
         self._body = bytearray()
         if self._head:
-            self._headers = request_heads.fields_in_part(self._head)
+            self._headers = request_heads.partial_fields(self._head)
         self._drop_head()
         self._owner.on_rejected(self._headers, response)
         self._headers = []
--- a/mustardloom/http1/request_heads.py
+++ b/mustardloom/http1/request_heads.py
@@ -14,12 +14,12 @@
     "USUAL_FIELDS",
     "Framing",
     "MessageEnd",
-    "counted_bytes",
     "empty_lines_size",
-    "excess_bytes",
+    "extra_fields_bytes",
     "fields",
-    "fields_in_part",
     "framing",
+    "limited_size",
+    "partial_fields",
     "size_to_end",
 ]
 
@@ -74,7 +74,7 @@
     return Framing(length, expects_continue)
 
 
-def excess_bytes(headers: list[messages.Header]) -> int:
+def extra_fields_bytes(headers: list[messages.Header]) -> int:
     """Returns the memory of the fields of a head beyond a usual number."""
     return max(0, len(headers) - USUAL_FIELDS) * FIELD_BYTES
 
@@ -136,14 +136,14 @@
     return [(name, value.lstrip(b" \t")) for name, _, value in parts]
 
 
-def fields_in_part(head: bytes | bytearray) -> list[messages.Header]:
+def partial_fields(head: bytes | bytearray) -> list[messages.Header]:
     """Returns the first whole fields of a head that was not accepted."""
     lines = bytes(head[:_LOGGED_BYTES]).split(_LINE_END)[1:-1]
     parts = [line.partition(b":") for line in lines]
     return [(name, value.strip(b" \t")) for name, _, value in parts]
 
 
-def counted_bytes(head: bytes, target: bytes) -> int:
+def limited_size(head: bytes, target: bytes) -> int:
     """Returns the size of a head by which it is limited.
 
     Method, version and the end of the head do not count.
--- a/mustardloom/http1/tests/test_bodies.py
+++ b/mustardloom/http1/tests/test_bodies.py
@@ -132,14 +132,14 @@
         body = bodies.Body(4, bodies.Turns())
         body.feed(b"ab")
         await asyncio.sleep(0.01)
-        assert body.starved_s() == 0
+        assert body.stalled_s() == 0
         await body.read()
-        assert body.starved_s() == 0
+        assert body.stalled_s() == 0
         reading = asyncio.create_task(body.read())
         await asyncio.sleep(0.02)
-        assert body.starved_s() > 0
+        assert body.stalled_s() > 0
         body.feed(b"cd")
         assert await reading == b"cd"
-        return body.starved_s()
+        return body.stalled_s()
 
     assert asyncio.run(run()) == 0
--- a/mustardloom/http1/tests/test_request_heads.py
+++ b/mustardloom/http1/tests/test_request_heads.py
@@ -70,8 +70,8 @@
 def test_fields_of_usual_heads_are_charged():
     """Guards against ordinary requests that need a share for large heads."""
     headers = [(b"name", b"value")] * 64
-    assert request_heads.excess_bytes(headers) == 0
-    assert request_heads.excess_bytes([*headers, (b"a", b"")]) > 0
+    assert request_heads.extra_fields_bytes(headers) == 0
+    assert request_heads.extra_fields_bytes([*headers, (b"a", b"")]) > 0
 
 
 def test_size_differs_by_the_parts_in_which_a_head_arrives():
--- a/mustardloom/memory_budget.py
+++ b/mustardloom/memory_budget.py
@@ -167,7 +167,7 @@
     ):
         super().__init__(budget, 0, kind)
         self.on_evicted = on_evicted
-        self.heard_ms = 0
+        self.last_received_ms = 0
         self.is_pinned = False
 
     def pin(self) -> None:
@@ -284,7 +284,7 @@
             return False
         grown = size - hold.size
         if isinstance(hold, EvictableHold) and not hold.is_pinned:
-            self._mark_heard(hold)
+            self._mark_received(hold)
         if grown > 0 and not self._has_room(grown, hold.kind):
             self._make_evictable_room(hold, grown)
             if not self._has_room(grown, hold.kind):
@@ -310,9 +310,9 @@
         if isinstance(hold, EvictableHold):
             self._evictable[hold.kind].pop(hold, None)
 
-    def _mark_heard(self, hold: EvictableHold) -> None:
+    def _mark_received(self, hold: EvictableHold) -> None:
         """Moves a hold behind those whose senders have been silent longer."""
-        hold.heard_ms = self.clock.now_ms()
+        hold.last_received_ms = self.clock.now_ms()
         others = self._evictable.setdefault(hold.kind, {})
         others.pop(hold, None)
         others[hold] = None
@@ -327,7 +327,11 @@
         latest_ms = self.clock.now_ms() - _SILENT_MS_BY_KIND.get(hold.kind, 0)
         while not self._has_room(grown, hold.kind):
             oldest = next(iter(others), None)
-            if oldest is None or oldest is hold or oldest.heard_ms > latest_ms:
+            if (
+                oldest is None
+                or oldest is hold
+                or oldest.last_received_ms > latest_ms
+            ):
                 return
             self._evict(oldest)
 
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -107,15 +107,15 @@
             # Checked first, as `isinstance` is slow for a protocol.
             if rest is None:
                 continue
-            if isinstance(rest, bodies.StarvableBody) and (
-                rest.starved_s() * _MS_PER_S >= limit_ms
+            if isinstance(rest, bodies.StallableBody) and (
+                rest.stalled_s() * _MS_PER_S >= limit_ms
             ):
                 self._metrics.increment("gate.bodies_stopped")
                 self._log.write(
                     events.Event.GATE_FAILED,
                     request=ticket.request.request_id,
                     reason=work.FailureReason.UPLOAD_BROKEN.value,
-                    waited_ms=round(rest.starved_s() * _MS_PER_S),
+                    waited_ms=round(rest.stalled_s() * _MS_PER_S),
                 )
                 rest.close()
 
--- a/mustardloom/sidecar/transfers.py
+++ b/mustardloom/sidecar/transfers.py
@@ -187,10 +187,10 @@
         if isinstance(self._source, bodies.Body):
             self._source.released.add_done_callback(lambda _: timer.cancel())
 
-    def starved_s(self) -> float:
+    def stalled_s(self) -> float:
         """Returns for how long its consumer has waited for its source."""
         if isinstance(self._source, bodies.Body):
-            return self._source.starved_s()
+            return self._source.stalled_s()
         return 0.0
 
     async def read(self) -> bytes:
