Skip empty lines before a request takes room of pipelined ones

An empty line behind a request in progress took room of pipelined requests and kept it while the connection was idle; 32 such connections delayed the pipelined requests of all others. The new test failed before.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -609,6 +609,9 @@
                 return
             if self._phase is _Phase.BODY:
                 position += self._feed_body(data, position)
+            elif not self._head and data[position] in b"\r\n":
+                # Empty lines may come before a request.
+                position += request_heads.empty_lines_size(data, position)
             elif self._open and self._must_wait():
                 self._defer_requests(data[position:])
                 return
@@ -621,9 +624,6 @@
         """Parses bytes of a head; returns how many they are."""
         if self._head:
             return self._feed_rest_of_head(data, start)
-        if data[start] in b"\r\n":
-            # Empty lines may come before a request.
-            return request_heads.empty_lines_size(data, start)
         end = data.find(request_heads.END, start) + len(request_heads.END)
         if end < len(request_heads.END):
             self._keep_head(data[start:])
--- a/mustardloom/http1/tests/test_streaming.py
+++ b/mustardloom/http1/tests/test_streaming.py
@@ -686,3 +686,26 @@
         return response.body, connection.is_reusable
 
     assert _exchange(serve, scenario) == (b"ok", False)
+
+
+def test_empty_line_behind_a_request_takes_no_room_of_pipelined_ones():
+    """Guards against idle connections that keep the room of pipelined requests.
+
+    Some clients send an empty line after a body.
+    """
+
+    async def scenario(serving, reader, writer):
+        writer.write(_upload(1, b"a") + b"\r\n")
+        held = []
+
+        async def handler(request):
+            await asyncio.sleep(0.05)
+            kind = memory_budget.HoldKind.PIPELINED
+            held.append(serving.budget.holds_by_kind[kind])
+            return await _digest(request)
+
+        serving.http.handler = handler
+        await _head(reader)
+        return held
+
+    assert _run(_digest, scenario) == [0]
