Report faults of the task that fetches tokens, and give reasons for limits

An error in that task left no line in the log. The time until a retry asked the ledger for nothing, whose answer changed nothing. Two constants were explained by how they had been tuned.

--- a/mustardloom/load_control/refused_requests.py
+++ b/mustardloom/load_control/refused_requests.py
@@ -11,8 +11,8 @@
 
 __all__ = ["RefusedRequests"]
 
-# Refusals that are remembered; a daemon under the heaviest measured load
-# refuses some hundred requests a second, for seconds each.
+# Refusals that are remembered at most; the oldest are forgotten first, and
+# their callers count as new ones.
 _MAX_REFUSED = 4_096
 # Refusals of equal requests that are remembered, which bounds the search.
 _MAX_EQUAL = 8
--- a/mustardloom/load_control/unanswered.py
+++ b/mustardloom/load_control/unanswered.py
@@ -17,8 +17,9 @@
 _SLOW_BURST_MS = 270
 # A request that has waited less is never presumed to stay unanswered.
 MIN_WAIT_MS = _SLOW_BURST_MS
-# In the replay, 4 leaves too little time for another attempt within 1.4 s, and
-# below 3 nothing is gained.
+# Multiple of the mean that a request must have waited. It covers requests that
+# take twice the mean, and leaves time for another attempt before deadlines of a
+# few means.
 _MIN_FACTOR = 3.0
 # Multiple of the slowest recent answer, for loads whose service times vary
 # more than that.
--- a/mustardloom/sidecar/usage_caps.py
+++ b/mustardloom/sidecar/usage_caps.py
@@ -279,7 +279,7 @@
         now_ms = self._clock.now_ms()
         wait_ms = min(_MAX_WAIT_MS, (deadline_ms - now_ms) // _WAIT_DIVISOR)
         if wait_ms <= 0 or len(queue.waiting) >= _MAX_WAITING:
-            return self._retry_ms(organisation, queue, now_ms)
+            return self._retry_ms(queue, now_ms)
         if (
             queue.task is None
             and not self._sources(organisation, queue, now_ms)
@@ -293,14 +293,14 @@
             async with asyncio.timeout(wait_ms / _MS_PER_S):
                 return await future
         except TimeoutError:
-            return self._retry_ms(organisation, queue, self._clock.now_ms())
+            return self._retry_ms(queue, self._clock.now_ms())
 
     def _without_token(
         self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
     ) -> int | None:
         """Admits a request by the allowance if owners are cut off."""
         if not self._is_cut_off(organisation, queue, now_ms):
-            return self._retry_ms(organisation, queue, now_ms)
+            return self._retry_ms(queue, now_ms)
         if self._ledger.spend_allowance(organisation, now_ms):
             self._metrics.increment("usage_caps.admitted_by_allowance")
             self._log.write(
@@ -308,7 +308,7 @@
             )
             return None
         return min(
-            self._retry_ms(organisation, queue, now_ms),
+            self._retry_ms(queue, now_ms),
             self._ledger.allowance_retry_ms(organisation, now_ms),
         )
 
@@ -323,18 +323,13 @@
             for vm in owners
         )
 
-    def _retry_ms(
-        self, organisation: ids.OrganisationId, queue: _Queue, now_ms: int
-    ) -> int:
+    def _retry_ms(self, queue: _Queue, now_ms: int) -> int:
         """Returns the time until an owner may have tokens again."""
         due_ms = [
             until_ms
             for until_ms in queue.denied_until_ms.values()
             if until_ms > now_ms
         ]
-        grant = self._ledger.grant(organisation, 0, 0, now_ms)
-        if grant.is_owner and not due_ms:
-            return _UNKNOWN_RETRY_MS
         return max(1, min(due_ms, default=now_ms + _UNKNOWN_RETRY_MS) - now_ms)
 
     # Tokens from owners.
@@ -354,6 +349,11 @@
             queue.task = asyncio.ensure_future(
                 self._fetch_all(organisation, queue)
             )
+            queue.task.add_done_callback(self._report_fault)
+
+    def _report_fault(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.write_fault(error)
 
     async def _fetch_all(
         self, organisation: ids.OrganisationId, queue: _Queue
@@ -389,7 +389,7 @@
             return 0
         if self._is_cut_off(organisation, queue, now_ms):
             return 0
-        retry_ms = self._retry_ms(organisation, queue, now_ms)
+        retry_ms = self._retry_ms(queue, now_ms)
         return retry_ms if retry_ms <= _MAX_MINT_WAIT_MS else 0
 
     def _serve(
