Show that a keyed service ends when its machines are replaced in turn

CONFIG is broken: the records of machines that are gone are never deleted, and once there are as many of them as of those that are there, nobody plans the keys any more. Keys of removed machines get no owner, and in the end no request for a key is served although all backends are healthy; a route that is added to the service is never served.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -229,6 +229,7 @@
             )
         ]
         self._configuration = configuration
+        self._version = configuration["version"]
         self._store: subprocess.Popen[bytes] | None = None
 
     async def __aenter__(self) -> "Deployment":
@@ -271,6 +272,24 @@
                     return
                 await asyncio.sleep(0.05)
 
+    async def replace_configuration(self, configuration: dict) -> None:
+        """Replaces `config/main`, as the operator does with a new version."""
+        self._version += 1
+        body = {
+            "metadata": {"name": "main"},
+            "spec": {**configuration, "version": self._version},
+        }
+        data = json.dumps(body).encode()
+        head = (
+            "PUT /objects/config/main HTTP/1.1\r\nHost: store\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        answer = await http.exchange(
+            (self.store_host, _STORE_PORT), head.encode() + data, 2.0
+        )
+        if answer is None or answer.status // 100 != 2:
+            raise OSError("the store did not take the configuration")
+
     async def __aexit__(self, *_: object) -> None:
         """Ends all processes and removes the folder."""
         for machine in self.machines:
