Refuse an answer of the object API that only the connection ends

Change: an answer without a length and without chunks is `NoAnswer`. The new case of `test_truncated_or_malformed_response_is_no_answer` failed before.

--- a/mustardloom/store/http_pool.py
+++ b/mustardloom/store/http_pool.py
@@ -13,6 +13,7 @@
 _MAX_IDLE_CONNECTIONS = 8
 _MAX_BODY_BYTES = 256 * 1024 * 1024
 _DEFAULT_PORT = 80
+_NO_BODY_STATUSES = (204, 304)
 
 
 class NoAnswer(Exception):
@@ -154,6 +155,10 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if not _has_end(start_line.code, headers):
+            # It would end with the connection, where tornado takes a reset for
+            # a regular end.
+            raise httputil.HTTPInputError("response without a length")
         self.status = start_line.code
         self.must_close = headers.get("Connection") == "close"
 
@@ -164,6 +169,15 @@
         self.is_complete = True
 
 
+def _has_end(status: int, headers: httputil.HTTPHeaders) -> bool:
+    """Returns whether the end of a response is told by the response itself."""
+    return (
+        status in _NO_BODY_STATUSES
+        or "Content-Length" in headers
+        or "Transfer-Encoding" in headers
+    )
+
+
 def _no_answer_from(error: Exception) -> NoAnswer:
     cause = getattr(error, "real_error", None) or error
     return NoAnswer(str(cause))
--- a/mustardloom/store/tests/test_http_pool.py
+++ b/mustardloom/store/tests/test_http_pool.py
@@ -62,7 +62,15 @@
 
 
 @pytest.mark.parametrize(
-    "sent", [b"", _OK[:20], _OK, _OK + b"ab", b"no HTTP\r\n\r\n"]
+    "sent",
+    [
+        b"",
+        _OK[:20],
+        _OK,
+        _OK + b"ab",
+        b"HTTP/1.1 200 OK\r\n\r\nab",
+        b"no HTTP\r\n\r\n",
+    ],
 )
 def test_truncated_or_malformed_response_is_no_answer(sent):
     """Guards against a truncated object taken for a complete one."""
