Let each key map name its voters, and change them by two majorities

Cause: every majority (to plan, to grant without the store, to take an earlier owner for outvoted) was counted over the records of daemons in the store. Nobody ends a record, so a VM that is gone counts as absent for good; and a record that is added counts at once, so a fleet that more than doubles beyond a partition had a majority on both sides (the open point of docs/incidents/delayed-heartbeat-after-restart.md).

Change: a key map names its voters (`keys/voters.py`, docs/design/voters.md). The planner adds daemons that it reaches and leaves out those that it has not reached for 10 s and that no row names. A change needs a majority of the set before it and of the new one, and begins only when the last one is known so widely that no majority lacks it. Maps of earlier releases, which name no voters, count all known daemons until the planner has written the next one.

Why it works: two maps either share a set of voters, whose majorities have a member in common, or a change between them is known to a member of each majority of the older sets, which then reports the newer map.

--- a/mustardloom/keys/authority.py
+++ b/mustardloom/keys/authority.py
@@ -8,9 +8,11 @@
 authority of the earlier owner has expired.
 """
 
+from collections.abc import Iterator
 import dataclasses
 
 from mustardloom import ids
+from mustardloom.keys import voters as voters_lib
 
 __all__ = ["Authority", "MapReport"]
 
@@ -24,7 +26,6 @@
       version: Version of the newest map that it knew.
       is_voter: Whether its process has read the map from the store since its
         start, so that it knows at least the maps it knew before a restart.
-      daemons: Number of daemons that it knows.
       era: Latest era of the store in which it knows of a map; it adopts no
         maps of earlier eras any more.
     """
@@ -32,25 +33,28 @@
     asked_ms: int
     version: int
     is_voter: bool
-    daemons: int
     era: int = 0
 
 
 class Authority:
     """Collects confirmations of one key map by the store and other daemons.
 
+    Args:
+      vm: The VM of this daemon.
+
     Attributes:
       is_voter: Whether this process has read the map from the store.
 
     Example:
-      >>> authority = Authority()
+      >>> authority = Authority(ids.VmId("a"))
       >>> authority.record_store_read(100)
-      >>> authority.confirmed_ms(version=1, daemons=3)
+      >>> authority.confirmed_ms(version=1, voters=voters_lib.of("abc"))
       100
     """
 
-    def __init__(self) -> None:
+    def __init__(self, vm: ids.VmId) -> None:
         self.is_voter = False
+        self._vm = vm
         self._store_ms: int | None = None
         self._report_by_vm: dict[ids.VmId, MapReport] = {}
 
@@ -69,30 +73,31 @@
         for vm in set(self._report_by_vm) - vms:
             del self._report_by_vm[vm]
 
-    def confirmed_ms(self, version: int, daemons: int) -> int | None:
+    def confirmed_ms(
+        self, version: int, voters: voters_lib.Voters
+    ) -> int | None:
         """Returns when `version` was last confirmed as the newest, in local ms.
 
         Args:
           version: Version of the map that this daemon knows.
-          daemons: Number of daemons that it knows, itself included.
+          voters: Voters of that map.
 
         Returns:
           The local time in ms; None if neither the store nor a majority has
           confirmed it.
         """
-        times = [self._store_ms, self._confirmed_by_majority(version, daemons)]
+        times = [self._store_ms, self._confirmed_by_majority(version, voters)]
         known = [time for time in times if time is not None]
         return max(known) if known else None
 
-    def excludes_stale_majority(self, version: int, daemons: int) -> bool:
-        """Returns whether no majority of daemons can still lack `version`."""
-        informed = 1 + sum(
-            1
-            for report in self._report_by_vm.values()
+    def informed(self, version: int) -> set[ids.VmId]:
+        """Returns the daemons that know a map or a newer one, this included."""
+        others = (
+            vm
+            for vm, report in self._report_by_vm.items()
             if report.version >= version
         )
-        total = self._daemon_count(daemons)
-        return informed >= total - total // 2
+        return {self._vm, *others}
 
     def newest_reported(self) -> int:
         """Returns the highest version of a map that any daemon reported."""
@@ -100,13 +105,13 @@
         return max(versions, default=0)
 
     def owners_without_newer_map(
-        self, version: int, daemons: int, era: int
+        self, version: int, voters: voters_lib.Voters, era: int
     ) -> set[ids.VmId] | None:
         """Returns the daemons that know a map and no newer one.
 
         Args:
           version: Version of the map.
-          daemons: Number of daemons that this daemon knows, itself included.
+          voters: Voters of the map.
           era: Era of the store; reports from before it don't count.
 
         Returns:
@@ -115,34 +120,52 @@
         """
         if self.newest_reported() > version:
             return None
-        voters = {
+        report_by_vm = {
             vm: report
             for vm, report in self._report_by_vm.items()
             if report.is_voter and report.era >= era
         }
-        needed = self._daemon_count(daemons) // 2 + 1 - int(self.is_voter)
-        if len(voters) < needed:
+        if not voters.has_majority({*report_by_vm, *self._own_vote()}):
             return None
         return {
-            vm for vm, report in voters.items() if report.version == version
+            vm
+            for vm, report in report_by_vm.items()
+            if report.version == version
         }
 
-    def _confirmed_by_majority(self, version: int, daemons: int) -> int | None:
-        reports = [
-            report for report in self._report_by_vm.values() if report.is_voter
-        ]
-        if any(report.version > version for report in reports):
-            return None
-        times = sorted((report.asked_ms for report in reports), reverse=True)
-        needed = self._daemon_count(daemons) // 2 + 1 - int(self.is_voter)
-        if needed <= 0 or len(times) < needed:
+    def _own_vote(self) -> Iterator[ids.VmId]:
+        if self.is_voter:
+            yield self._vm
+
+    def _confirmed_by_majority(
+        self, version: int, voters: voters_lib.Voters
+    ) -> int | None:
+        """Returns the time as of which a majority of each set confirms it."""
+        asked_ms_by_vm = {
+            vm: report.asked_ms
+            for vm, report in self._report_by_vm.items()
+            if report.is_voter
+        }
+        if any(
+            report.version > version
+            for report in self._report_by_vm.values()
+            if report.is_voter
+        ):
             return None
-        return times[needed - 1]
-
-    def _daemon_count(self, daemons: int) -> int:
-        return max(
-            [
-                daemons,
-                *(report.daemons for report in self._report_by_vm.values()),
-            ]
-        )
+        times: list[int] = []
+        for voting in voters.sets():
+            others = sorted(
+                (
+                    asked_ms
+                    for vm, asked_ms in asked_ms_by_vm.items()
+                    if vm in voting
+                ),
+                reverse=True,
+            )
+            own_votes = len(voting.intersection(self._own_vote()))
+            needed = voters_lib.majority_of(voting) - own_votes
+            if len(others) < needed:
+                return None
+            if needed > 0:
+                times.append(others[needed - 1])
+        return min(times, default=None)
--- a/mustardloom/keys/key_map.py
+++ b/mustardloom/keys/key_map.py
@@ -4,6 +4,7 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Set
 import dataclasses
 import functools
 import itertools
@@ -14,6 +15,7 @@
 from mustardloom import decoding
 from mustardloom import ids
 from mustardloom.deployment import targets
+from mustardloom.keys import voters as voters_lib
 
 __all__ = [
     "KEY_COUNT",
@@ -78,12 +80,15 @@
         issued.
       era: Era of the store in which the map was written; None if it was
         written by an earlier release.
+      voters: VMs that vote on whether this map is the newest one; None if it
+        was written by an earlier release.
     """
 
     version: int
     rows: tuple[Row, ...]
     instance_by_vm: dict[ids.VmId, targets.TargetInstance]
     era: int | None = None
+    voters: voters_lib.Voters | None = None
 
     def row_of(self, key: int) -> Row:
         """Returns the row that covers a key."""
@@ -101,6 +106,14 @@
         """Returns the VMs that own at least one key."""
         return {vm for vm in self._rows_by_owner if vm}
 
+    def names_in_rows(self, vm: ids.VmId) -> bool:
+        """Returns whether a VM owns keys, or is an earlier owner of some."""
+        return vm in self._rows_by_owner or vm in self._previous_owners
+
+    @functools.cached_property
+    def _previous_owners(self) -> frozenset[ids.VmId]:
+        return frozenset(row.previous for row in self.rows)
+
     @functools.cached_property
     def _rows_by_owner(self) -> dict[ids.VmId, tuple[Row, ...]]:
         rows_by_owner: dict[ids.VmId, list[Row]] = {}
@@ -113,7 +126,9 @@
     """Compact form of the map: one column for each field of the rows.
 
     A column compresses far better than rows, as its values repeat. VMs are
-    indices into `vms`. The last key of a row follows from the next row.
+    indices into `vms`. The last key of a row follows from the next row. Nearly
+    all VMs are voters, so those that are not are listed; earlier releases do
+    not write and skip these fields.
     """
 
     version: int
@@ -125,6 +140,8 @@
     fences: list[int]
     previous: list[int]
     previous_fences: list[int]
+    nonvoters: list[int] | None = None
+    nonvoters_before: list[int] | None = None
 
 
 _packed_decoder = msgspec.msgpack.Decoder(_PackedMap)
@@ -181,10 +198,12 @@
 
 def encode(key_map: KeyMap) -> bytes:
     """Returns the stored value of a map."""
+    voters = key_map.voters
     vms = sorted(
         {_NO_VM, *key_map.instance_by_vm}
         | {row.owner for row in key_map.rows}
         | {row.previous for row in key_map.rows}
+        | (frozenset() if voters is None else voters.all())
     )
     index_by_vm = {vm: index for index, vm in enumerate(vms)}
     packed_map = _PackedMap(
@@ -199,6 +218,8 @@
         [row.fence for row in key_map.rows],
         [index_by_vm[row.previous] for row in key_map.rows],
         [row.previous_fence for row in key_map.rows],
+        None if voters is None else _missing(vms, voters.latest),
+        None if voters is None else _missing(vms, voters.before),
     )
     compressed = zlib.compress(msgspec.msgpack.encode(packed_map), 9)
     packed = base64.b85encode(compressed).decode()
@@ -311,7 +332,26 @@
         Row(first, after - 1, owner, fence, earlier, earlier_fence)
         for first, after, owner, fence, earlier, earlier_fence in columns
     )
-    return KeyMap(packed_map.version, rows, instance_by_vm, era)
+    voters = None
+    if packed_map.nonvoters is not None:
+        voters = voters_lib.Voters(
+            _without(vms, packed_map.nonvoters),
+            _without(vms, packed_map.nonvoters_before or []),
+        )
+    return KeyMap(packed_map.version, rows, instance_by_vm, era, voters)
+
+
+def _missing(vms: list[ids.VmId], members: Set[ids.VmId]) -> list[int]:
+    """Returns the indices of the VMs that are no members."""
+    return [index for index, vm in enumerate(vms) if vm not in members]
+
+
+def _without(vms: list[ids.VmId], missing: list[int]) -> frozenset[ids.VmId]:
+    """Returns the VMs but those with these indices."""
+    left_out = set(missing)
+    return frozenset(
+        vm for index, vm in enumerate(vms) if index not in left_out
+    )
 
 
 def _first(row: Row) -> int:
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -154,11 +154,11 @@
         for row in current.rows
     )
     instance_by_vm = {**current.instance_by_vm, vm: instance}
-    return key_map.KeyMap(
-        version,
-        tuple(key_map.merge_adjacent(rows)),
-        instance_by_vm,
-        current.era,
+    return dataclasses.replace(
+        current,
+        version=version,
+        rows=tuple(key_map.merge_adjacent(rows)),
+        instance_by_vm=instance_by_vm,
     )
 
 
@@ -475,9 +475,9 @@
     for owner in owners:
         if owner.vm in receiver_vms and owner.vm not in instance_by_vm:
             instance_by_vm[owner.vm] = owner.instance
-    return key_map.KeyMap(
-        version,
-        tuple(key_map.merge_adjacent(changed)),
-        instance_by_vm,
-        current.era,
+    return dataclasses.replace(
+        current,
+        version=version,
+        rows=tuple(key_map.merge_adjacent(changed)),
+        instance_by_vm=instance_by_vm,
     )
--- a/mustardloom/keys/restoration.py
+++ b/mustardloom/keys/restoration.py
@@ -72,4 +72,5 @@
         tuple(key_map.merge_adjacent(rows)),
         basis.instance_by_vm,
         era,
+        basis.voters,
     )
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -21,6 +21,7 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
 from mustardloom.keys import restoration
+from mustardloom.keys import voters
 
 _VMS = [ids.VmId(f"vm-{number}") for number in range(3)]
 _HOLD_MS = 2_000
@@ -74,7 +75,7 @@
         self.vm = vm
         self.grants = grants.Grants(vm)
         self.claims = self.grants.claims
-        self.authority = authority.Authority()
+        self.authority = authority.Authority(vm)
         self.sequence_by_instance = {}
         # Latest era of the store of which the daemon knows a map.
         self.era = 0
@@ -83,6 +84,9 @@
     def version(self):
         return self.claims.map.version
 
+    def voters(self):
+        return self.claims.map.voters or voters.of(_VMS)
+
     def adopt(self, new):
         """Adopts a map from the store or another daemon, as `Keyspace` does."""
         is_present = restoration.is_established(new.era, self.era)
@@ -105,7 +109,10 @@
         self.latest_born_ms = 1
         self.targets = {vm: _Target(self._new_instance(vm)) for vm in _VMS}
         self.era = 1
-        self.map = planning.initial_map(self._candidates(_VMS), self.era)
+        self.map = dataclasses.replace(
+            planning.initial_map(self._candidates(_VMS), self.era),
+            voters=voters.of(_VMS),
+        )
         # Maps that the store has held, for restores from a copy.
         self.past = []
         # Highest fencing token of each key, and the target that had it.
@@ -165,7 +172,6 @@
                 self.now_ms,
                 peer.version(),
                 peer.is_voter(),
-                len(_VMS),
                 peer.era,
             )
             daemon.authority.record_report(other, report)
@@ -288,7 +294,7 @@
         unmoved = None
         if basis.version:
             unmoved = daemon.authority.owners_without_newer_map(
-                basis.version, len(_VMS), self.era
+                basis.version, basis.voters, self.era
             )
         else:
             basis = self.map
@@ -335,7 +341,7 @@
         )
         daemon.grants.observe(announcement, self.now_ms)
         confirmed_ms = daemon.authority.confirmed_ms(
-            daemon.version(), len(_VMS)
+            daemon.version(), daemon.voters()
         )
         if confirmed_ms is None:
             return
@@ -389,8 +395,8 @@
     def _count_down(self, vm):
         daemon = self.daemons[vm]
         daemon.claims.start_countdowns(
-            lambda version: daemon.authority.excludes_stale_majority(
-                version, len(_VMS)
+            lambda version: daemon.voters().needs_one_of(
+                daemon.authority.informed(version)
             ),
             self.now_ms,
         )
--- a/mustardloom/keys/tests/test_restoration.py
+++ b/mustardloom/keys/tests/test_restoration.py
@@ -7,10 +7,13 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
 from mustardloom.keys import restoration
+from mustardloom.keys import voters
 
 _VMS = [ids.VmId(f"vm-{number}") for number in range(5)]
 _ERA = 2
 
+_VOTERS = voters.of(_VMS)
+
 
 def _candidate(vm):
     instance = targets.TargetInstance(targets.TargetId(f"t-{vm}"), 1)
@@ -22,11 +25,11 @@
 
 
 def _report(version, era=_ERA, is_voter=True):
-    return authority.MapReport(100, version, is_voter, len(_VMS), era)
+    return authority.MapReport(100, version, is_voter, era)
 
 
 def _authority(*reports):
-    found = authority.Authority()
+    found = authority.Authority(_VMS[0])
     found.is_voter = True
     for vm, report in zip(_VMS[1:], reports, strict=False):
         found.record_report(vm, report)
@@ -55,22 +58,22 @@
 def test_newer_map_that_any_daemon_reports_holds_the_plan_back():
     """Guards against a plan by an older map than a daemon grants by."""
     found = _authority(_report(1), _report(1), _report(2))
-    assert found.owners_without_newer_map(1, len(_VMS), _ERA) is None
+    assert found.owners_without_newer_map(1, _VOTERS, _ERA) is None
 
 
 def test_reports_from_before_the_restore_count_for_nothing():
     """Guards against an owner that adopts a lost map after its report."""
     found = _authority(_report(1), _report(1, era=1), _report(1, era=1))
-    assert found.owners_without_newer_map(1, len(_VMS), _ERA) is None
+    assert found.owners_without_newer_map(1, _VOTERS, _ERA) is None
     found = _authority(_report(1), _report(1), _report(1, era=1))
-    confirmed = found.owners_without_newer_map(1, len(_VMS), _ERA)
+    confirmed = found.owners_without_newer_map(1, _VOTERS, _ERA)
     assert confirmed == {_VMS[1], _VMS[2]}
 
 
 def test_restarted_daemons_are_no_witnesses_of_the_newest_map():
     """Guards against daemons that forgot the map by which they granted."""
     found = _authority(_report(1), _report(1, is_voter=False))
-    assert found.owners_without_newer_map(1, len(_VMS), _ERA) is None
+    assert found.owners_without_newer_map(1, _VOTERS, _ERA) is None
 
 
 def test_era_of_a_map_survives_the_store():
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -311,10 +311,9 @@
         if peer is not None:
             peer.avoid_until_ms = self._clock.now_ms() + _AVOID_MS
 
-    def has_majority(self) -> bool:
-        """Returns whether a majority of the daemons is reachable."""
-        reachable = sum(1 for vm in self.by_vm if self.is_reachable(vm))
-        return 2 * reachable > len(self.by_vm)
+    def reachable(self) -> set[ids.VmId]:
+        """Returns the VMs whose daemons are reachable, this one included."""
+        return {vm for vm in self.by_vm if self.is_reachable(vm)}
 
     def same_region(self) -> Iterator[ids.VmId]:
         """Yields the reachable other daemons of this daemon's region."""
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -18,6 +18,7 @@
 from mustardloom.keys import ledger as ledger_lib
 from mustardloom.keys import planning
 from mustardloom.keys import restoration
+from mustardloom.keys import voters as voters_lib
 from mustardloom.platform import announcements
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -112,7 +113,9 @@
         self._grants = grants_lib.Grants(own_settings.vm)
         self._claims = self._grants.claims
         self._version = ids.NO_VERSION
-        self._authority = authority_lib.Authority()
+        self._authority = authority_lib.Authority(own_settings.vm)
+        # Version of the first known map with its voters.
+        self._voters_version = 0
         self._has_authority = False
         self._hits: collections.Counter[int] = collections.Counter()
         self._hits_since_ms = clock.now_ms()
@@ -210,6 +213,28 @@
         """Counts a request for a key that the local target holds."""
         self._hits[key] += 1
 
+    # Voters.
+
+    @property
+    def voters(self) -> voters_lib.Voters:
+        """Returns the VMs that vote on the known map."""
+        return self._voters_of(self._claims.map)
+
+    def informed_voters(self) -> set[ids.VmId]:
+        """Returns the VMs that know a map with the present voters."""
+        self._authority.retain(set(self._fleet.by_vm))
+        return self._authority.informed(self._voters_version)
+
+    def names(self, vm: ids.VmId) -> bool:
+        """Returns whether the map names a VM as owner, earlier one or voter."""
+        known = self._claims.map
+        is_voter = known.voters is not None and vm in known.voters.all()
+        return is_voter or known.names_in_rows(vm)
+
+    def _voters_of(self, known: key_map.KeyMap) -> voters_lib.Voters:
+        """Returns the voters of a map, all known VMs if it names none."""
+        return known.voters or voters_lib.of(self._fleet.by_vm)
+
     # The local target.
 
     def on_heartbeat(
@@ -245,7 +270,7 @@
         """Returns for how long keys may be granted now; not at all if <= 0."""
         self._authority.retain(set(self._fleet.by_vm))
         confirmed_ms = self._authority.confirmed_ms(
-            self._claims.map.version, len(self._fleet.by_vm)
+            self._claims.map.version, self.voters
         )
         if confirmed_ms is None:
             return 0
@@ -292,6 +317,8 @@
         now_ms = self._clock.now_ms()
         old = self._claims.map
         self._claims.adopt(new)
+        if new.voters != old.voters:
+            self._voters_version = new.version
         self._adopted_ms = now_ms
         if self._claims.pending_ranges:
             self._has_pending.set()
@@ -344,7 +371,9 @@
             return other, True
         return current, True
 
-    def owners_without_newer_map(self, version: int) -> set[ids.VmId] | None:
+    def owners_without_newer_map(
+        self, basis: key_map.KeyMap
+    ) -> set[ids.VmId] | None:
         """Returns the daemons that know a map and surely no newer one.
 
         Returns None if too few daemons have reported since the restore of the
@@ -352,10 +381,10 @@
         """
         self._authority.retain(set(self._fleet.by_vm))
         known = self._authority.owners_without_newer_map(
-            version, len(self._fleet.by_vm), self.store_era
+            basis.version, self._voters_of(basis), self.store_era
         )
         current = self.current_map
-        is_known_here = current is not None and current.version == version
+        is_known_here = current is not None and current.version == basis.version
         if known is not None and is_known_here:
             known.add(self._settings.vm)
         return known
@@ -452,9 +481,7 @@
             self._links.ping_all()
 
     def _excludes_stale_majority(self, version: int) -> bool:
-        return self._authority.excludes_stale_majority(
-            version, len(self._fleet.by_vm)
-        )
+        return self.voters.needs_one_of(self._authority.informed(version))
 
     def on_map_report(
         self, vm: ids.VmId, report: authority_lib.MapReport
--- a/mustardloom/sidecar/map_restoration.py
+++ b/mustardloom/sidecar/map_restoration.py
@@ -63,7 +63,7 @@
             return None
         unmoved = None
         if was_in_use:
-            unmoved = self._keyspace.owners_without_newer_map(basis.version)
+            unmoved = self._keyspace.owners_without_newer_map(basis)
         is_waiting = now_ms - self._since_ms < _REPORT_TIMEOUT_MS
         if is_waiting and not self._is_complete(basis, unmoved):
             self._ask(now_ms)
--- a/mustardloom/sidecar/peer_frames.py
+++ b/mustardloom/sidecar/peer_frames.py
@@ -120,7 +120,7 @@
             keyspace = self._keyspace_of(service)
             if keyspace is not None:
                 report = authority.MapReport(
-                    asked_ms, version, is_voter, pong.daemons, pong.map_era
+                    asked_ms, version, is_voter, pong.map_era
                 )
                 keyspace.on_map_report(vm, report)
 
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Set
 import dataclasses
 
 from mustardloom import clock as clock_lib
@@ -12,6 +13,7 @@
 from mustardloom.deployment import targets
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
+from mustardloom.keys import voters as voters_lib
 from mustardloom.load_control import rate_limit
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
@@ -41,6 +43,12 @@
 # Earlier owners that are no longer needed are removed from a map that has not
 # changed for this long.
 _CLEANUP_DELAY_MS = 3_000
+# A daemon that is not reachable for this long votes no more, unless it may
+# hold keys. Restarts and most pauses are shorter.
+_VOTER_LOSS_MS = 10_000
+# Shortest time between two pings of voters that have not reported that they
+# know the map.
+_VOTER_PING_INTERVAL_MS = 1_000
 _DEFAULT_OBJECTIVE_MS = 300
 
 
@@ -98,6 +106,7 @@
         # last moved away from it.
         self._received_version: dict[ids.VmId, int] = {}
         self._moved_away_ms: dict[ids.VmId, int] = {}
+        self._voters_pinged_ms = 0
         keyspace.on_range_loads = self._report_loads
 
     def on_key_load(self, vm: ids.VmId, loads: keyspace_lib.RangeLoads) -> None:
@@ -146,7 +155,7 @@
     def _planned(self) -> key_map.KeyMap | None:
         if self._fleet.planner() != self._vm:
             return None
-        if not self._fleet.has_majority():
+        if not self._has_majority():
             return None
         if not self._keyspace.is_established:
             return self._restoration.plan()
@@ -155,10 +164,11 @@
         if known is None:
             return self._first_map(candidates)
         cleaned = self._without_previous(known)
+        voters = self._next_voters(cleaned)
         leaving = {vm for vm in cleaned.owners() if self._is_lost(vm)}
         planned = planning.reassign(cleaned, candidates, leaving)
         if planned is not None:
-            return planned
+            return dataclasses.replace(planned, voters=voters)
         now_ms = self._clock.now_ms()
         if now_ms - self._rebalanced_ms < _REBALANCE_INTERVAL_MS:
             return None
@@ -167,9 +177,62 @@
         planned = planning.include_new_targets(
             cleaned, candidates
         ) or planning.rebalance(cleaned, candidates, loads, self.objective_ms)
-        if planned is None and self._is_cleanup_due(known, cleaned):
-            return dataclasses.replace(cleaned, version=known.version + 1)
-        return planned
+        if planned is None and (
+            self._is_cleanup_due(known, cleaned)
+            or _must_write(cleaned.voters, voters)
+        ):
+            planned = dataclasses.replace(cleaned, version=known.version + 1)
+        if planned is None:
+            return None
+        return dataclasses.replace(planned, voters=voters)
+
+    def _has_majority(self) -> bool:
+        """Returns whether this daemon reaches a majority of the voters.
+
+        Before the first map no daemon holds keys, so those that are lost don't
+        count.
+        """
+        voters = self._keyspace.voters
+        if self._keyspace.current_map is None:
+            voters = voters_lib.of(
+                vm
+                for vm in self._fleet.by_vm
+                if self._links.unreachable_ms(vm) < _VOTER_LOSS_MS
+            )
+        return voters.has_majority(self._fleet.reachable())
+
+    def _next_voters(self, known: key_map.KeyMap) -> voters_lib.Voters:
+        """Returns the voters of the map that follows the known one."""
+        if known.voters is None:
+            return self._keyspace.voters
+        voters = known.voters
+        wanted = set(self._wanted_voters(known, voters))
+        informed = self._keyspace.informed_voters()
+        changed = voters_lib.change(voters, wanted, informed)
+        is_due = wanted != voters.latest or not voters.before <= voters.latest
+        if is_due and changed is voters:
+            self._ping_uninformed(voters.all() - informed)
+        return changed
+
+    def _wanted_voters(
+        self, known: key_map.KeyMap, voters: voters_lib.Voters
+    ) -> Iterator[ids.VmId]:
+        for vm in self._fleet.by_vm:
+            if self._fleet.is_reachable(vm) or (
+                vm in voters.latest
+                and (
+                    self._links.unreachable_ms(vm) < _VOTER_LOSS_MS
+                    or known.names_in_rows(vm)
+                )
+            ):
+                yield vm
+
+    def _ping_uninformed(self, vms: Set[ids.VmId]) -> None:
+        """Asks voters whether they know the map, as a change waits for it."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._voters_pinged_ms >= _VOTER_PING_INTERVAL_MS:
+            self._voters_pinged_ms = now_ms
+            self._links.ping_quiet(vms, 0)
 
     def _without_previous(self, known: key_map.KeyMap) -> key_map.KeyMap:
         """Returns the map without the earlier owners of settled rows."""
@@ -243,9 +306,10 @@
         ):
             return None
         era = max(self._keyspace.store_era, self._store.era)
-        return planning.initial_map(
+        first = planning.initial_map(
             candidates, era, not self._keyspace.is_first_start
         )
+        return dataclasses.replace(first, voters=self._keyspace.voters)
 
     def _is_lost(self, vm: ids.VmId) -> bool:
         peer = self._fleet.by_vm.get(vm)
@@ -303,3 +367,16 @@
             result=type(result).__name__.lower(),
             rows=len(planned.rows),
         )
+
+
+def _must_write(
+    known: voters_lib.Voters | None, changed: voters_lib.Voters
+) -> bool:
+    """Returns whether a change of the voters is worth a map of its own.
+
+    Voters that were added may stay out of the set before for longer: a majority
+    of both sets is one of reachable daemons, too.
+    """
+    if known is None or changed.latest != known.latest:
+        return True
+    return not known.before <= known.latest and changed != known
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -244,6 +244,39 @@
     _run(scenario)
 
 
+def test_keys_move_beside_more_records_than_daemons():
+    """Guards against lost VMs that count as absent for good.
+
+    Once there were as many records of them as daemons, no key map was planned.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for number in range(len(vms) + 1):
+            lost = stored.DaemonRecord(
+                ids.VmId(f"lost-{number}"),
+                _HOST,
+                _free_ports(1)[0],
+                ids.AvailabilityZoneId("za"),
+                ids.RegionId("ra"),
+                ids.ServiceId("keyed"),
+            )
+            store.put("mustardloom-daemons", lost.vm, msgspec.json.encode(lost))
+
+        async def are_known():
+            return len(vms[1].daemon._fleet.by_vm) == 2 * len(vms) + 1
+
+        await _until(are_known)
+        store.put("evacuations", "za", b"{}")
+
+        async def has_moved():
+            return sum(r[1] - r[0] for r in vms[1].target.held) > 65_000
+
+        await _until(has_moved)
+
+    _run(scenario)
+
+
 def test_older_or_unreadable_configuration_changes_nothing():
     """Guards against a configuration that reverts to an older version."""
 
