Remove the records of daemons that are gone for good

Change: a daemon deletes its own record at the end of a stop if its target has ended and no key map names its VM. Both are conditional on the record's version. A daemon that runs and finds its record missing registers again.

--- a/mustardloom/platform/object_api.py
+++ b/mustardloom/platform/object_api.py
@@ -28,6 +28,7 @@
 _OK_STATUSES = (200, 201)
 _NOT_FOUND = 404
 _CONFLICT = 409
+_DELETED_STATUSES = (200, 202, 204, _NOT_FOUND)
 _GONE = 410
 _JSON_HEADER = (b"Content-Type", b"application/json")
 # Rises each time the store comes back from an older copy of its data.
@@ -187,6 +188,30 @@
             stored.version_of(answer.era, written.metadata.revision)
         )
 
+    async def delete(self, key: str, expected: ids.Version) -> bool:
+        """Deletes an object if its version is still the expected one.
+
+        Args:
+          key: Key of the object.
+          expected: Version to delete. One of an earlier era is never sent, as
+            the store may have given out its revision again.
+
+        Returns:
+          Whether the store does not have the object any more.
+        """
+        if stored.era_of(expected) < self.era:
+            return False
+        query = {"revision": str(stored.revision_of(expected))}
+        path = f"{_object_path(key)}?{urllib.parse.urlencode(query)}"
+        status = (await self._call("DELETE", path)).response.status
+        if status == _CONFLICT:
+            return False
+        if status not in _DELETED_STATUSES:
+            raise objects.PlatformUnavailable(
+                f"the store answered with status {status}"
+            )
+        return True
+
     def close(self) -> None:
         """Closes the idle connections; those in use stay open."""
         while self._idle:
--- a/mustardloom/platform/tests/standins.py
+++ b/mustardloom/platform/tests/standins.py
@@ -159,6 +159,8 @@
             return self._create(kind, wanted["metadata"]["name"], request.body)
         if request.method == "PUT":
             return self._replace(kind, name, request.body)
+        if request.method == "DELETE":
+            return self._delete(kind, name, fields.get("revision"))
         if name:
             return self._get(kind, name)
         if "watch" in fields:
@@ -179,6 +181,15 @@
             return _json(409, found)
         return _json(200, self.put(kind, name, _spec(body)))
 
+    def _delete(self, kind, name, expected):
+        found = self.by_path.get((kind, name))
+        if found is None:
+            return messages.Response(404)
+        if expected not in (None, str(found["metadata"]["revision"])):
+            return _json(409, found)
+        self.delete(kind, name)
+        return _json(200, found)
+
     def _get(self, kind, name):
         found = self.by_path.get((kind, name))
         return messages.Response(404) if found is None else _json(200, found)
--- a/mustardloom/platform/tests/test_adapter.py
+++ b/mustardloom/platform/tests/test_adapter.py
@@ -367,6 +367,27 @@
     _with_store(scenario, status=status)
 
 
+def test_conditional_delete_keeps_a_newer_version():
+    """Guards against the removal of what another daemon has just written."""
+
+    async def scenario(api, store):
+        key = stored.key(stored.Kind.DAEMON, "a")
+        first = await api.write(key, b"1", ids.NO_VERSION)
+        second = await api.write(key, b"2", first.version)
+        assert not await api.delete(key, first.version)
+        assert (await api.get(key)).value == b"2"
+        assert await api.delete(key, second.version)
+        assert await api.get(key) is None
+        assert await api.delete(key, second.version)
+        third = await api.write(key, b"3", ids.NO_VERSION)
+        store.restore(store.copy())
+        await api.get(key)
+        assert not await api.delete(key, third.version)
+        assert (await api.get(key)).value == b"3"
+
+    _with_store(scenario)
+
+
 def test_lost_history_is_reported():
     """Guards against a watch that misses changes without notice."""
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -16,6 +16,7 @@
 from mustardloom import ids
 from mustardloom import memory_budget
 from mustardloom import metrics as metrics_lib
+from mustardloom import objects
 from mustardloom import process_signals
 from mustardloom.deployment import settings
 from mustardloom.deployment import stored
@@ -46,6 +47,7 @@
 from mustardloom.sidecar import memory_report
 from mustardloom.sidecar import metrics_page
 from mustardloom.sidecar import peer_frames
+from mustardloom.sidecar import record_removal
 from mustardloom.sidecar import registration
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import self_report
@@ -76,6 +78,9 @@
 # connected.
 _SMALL_PATIENCE = idle_eviction.Patience(idle_ms=20, slow_ms=200)
 _PATIENCE_BY_USER = {descriptor_budget.User.CALLERS: idle_eviction.Patience()}
+# A call of the store at the end of a stop takes no longer.
+_END_REGISTRATION_MS = 300
+_MS_PER_S = 1_000
 _PERCENT = 100
 _OK = 200
 _UNAVAILABLE = 503
@@ -278,6 +283,15 @@
             self._log,
             self._start,
         )
+        self._record_removal = record_removal.RecordRemoval(
+            store,
+            self._shared_state,
+            self._fleet,
+            self._links,
+            self._keyspace_by_service,
+            clock,
+            self._log,
+        )
         self._caps = usage_caps.UsageCaps(
             self._fleet,
             self._links,
@@ -503,6 +517,7 @@
             self._follow_settings,
             self._memory.watch,
             self._descriptor_report.watch,
+            self._record_removal.run,
         ]
 
     async def _keep_running(self, loop_call: _LoopCall) -> None:
@@ -653,10 +668,29 @@
         abandoned = await self._caller_server.abandon_requests(
             round(grace_ms * _LAST_WORDS_SHARE)
         )
+        if self._clock.now_ms() - began_ms <= grace_ms // 2:
+            await self._end_registration()
         self._close()
         stop_ms = self._clock.now_ms() - began_ms
         return ending.Stop(self._stop_signal, stop_ms, cut, abandoned)
 
+    async def _end_registration(self) -> None:
+        """Removes this daemon's record if its VM is removed as well.
+
+        Its target has ended then, and the keys have other owners.
+        """
+        owns_keys = any(
+            keyspace.names_owner(self._settings.vm)
+            for keyspace in self._keyspace_by_service.values()
+        )
+        try:
+            async with asyncio.timeout(_END_REGISTRATION_MS / _MS_PER_S):
+                if not owns_keys and await self._connections.is_refused():
+                    await self._registration.end()
+        except (TimeoutError, objects.PlatformUnavailable):
+            # Other daemons remove the record later.
+            return
+
     def _on_stop_waiting(self, step: graceful_stop.Step) -> None:
         load = self._gate.load()
         self._log.write(
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -39,6 +39,7 @@
     STORE_ANSWER_IGNORED = "store-answer-ignored"
     PEER_LOST = "peer-lost"
     PEER_BACK = "peer-back"
+    DAEMON_REMOVED = "daemon-removed"
     CONFIGURATION_ADOPTED = "configuration-adopted"
     OBJECT_UNREADABLE = "object-unreadable"
     OBJECTS_LEFT_OUT = "objects-left-out"
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Set
 import dataclasses
 import enum
 import itertools
@@ -159,6 +160,14 @@
             self._unlisted_by_vm[record.vm] = record
             self._rebuild()
 
+    def forget_unlisted(self, vms: Set[ids.VmId]) -> None:
+        """Drops those of the daemons that are not in the store's list."""
+        forgotten = vms & self._unlisted_by_vm.keys()
+        for vm in forgotten:
+            del self._unlisted_by_vm[vm]
+        if forgotten:
+            self._rebuild()
+
     def _rebuild(self) -> None:
         records_by_vm = {
             record.vm: record
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -227,9 +227,12 @@
 
     def names(self, vm: ids.VmId) -> bool:
         """Returns whether the map names a VM as owner, earlier one or voter."""
-        known = self._claims.map
-        is_voter = known.voters is not None and vm in known.voters.all()
-        return is_voter or known.names_in_rows(vm)
+        is_voter = self.current_map is not None and vm in self.voters.all()
+        return is_voter or self.names_owner(vm)
+
+    def names_owner(self, vm: ids.VmId) -> bool:
+        """Returns whether the map names a VM as owner or earlier one."""
+        return self._claims.map.names_in_rows(vm)
 
     def _voters_of(self, known: key_map.KeyMap) -> voters_lib.Voters:
         """Returns the voters of a map, all known VMs if it names none."""
--- a/mustardloom/sidecar/registration.py
+++ b/mustardloom/sidecar/registration.py
@@ -41,6 +41,8 @@
         self._clock = clock
         # Era of the store in which it held the record, None before that.
         self._registered_era: int | None = None
+        # Whether the store's list has had the record since then.
+        self._was_listed = False
 
     async def join(self) -> None:
         """Registers this daemon and lists the others.
@@ -57,22 +59,44 @@
 
     async def register(self) -> None:
         """Returns once the store holds the record of this daemon."""
+        self._was_listed = False
         version = await register(self._store, self._record, self._clock)
         self._registered_era = stored.era_of(version)
 
     def is_lost(self) -> bool:
         """Returns whether the store has lost the record since `register`.
 
-        A store that was restored from an older copy may lack it. The answer is
-        true once for each restore.
+        A store that was restored from an older copy may lack it, and another
+        daemon removes it if it cannot reach this one for long. The answer is
+        true once for each loss.
         """
-        replica = self._state.by_kind[stored.Kind.DAEMON]
-        registered_era = self._registered_era
-        if registered_era is None or replica.era <= registered_era:
+        if self._registered_era is None:
             return False
-        self._registered_era = replica.era
+        replica = self._state.by_kind[stored.Kind.DAEMON]
+        is_listed = self._version_in_store() != ids.NO_VERSION
+        is_lost = not is_listed and (
+            self._was_listed or replica.era > self._registered_era
+        )
+        self._was_listed = is_listed
+        self._registered_era = max(self._registered_era, replica.era)
+        return is_lost
+
+    async def end(self) -> None:
+        """Deletes the record of this daemon, which is not to start again.
+
+        Raises:
+          PlatformUnavailable: The store did not answer.
+        """
+        self._registered_era = None
+        version = self._version_in_store()
+        if version != ids.NO_VERSION:
+            key = stored.key(stored.Kind.DAEMON, self._record.vm)
+            await self._store.delete(key, version)
+
+    def _version_in_store(self) -> ids.Version:
+        replica = self._state.by_kind[stored.Kind.DAEMON]
         key = stored.key(stored.Kind.DAEMON, self._record.vm)
-        return replica.version_in_store(key) == ids.NO_VERSION
+        return replica.version_in_store(key)
 
     async def _list_daemons(self, registering: "asyncio.Future[None]") -> None:
         """Lists the daemons until a list has begun after the registration."""
--- a/mustardloom/sidecar/shared_state.py
+++ b/mustardloom/sidecar/shared_state.py
@@ -69,6 +69,13 @@
           The new version, or what the store holds instead.
         """
 
+    async def delete(self, key: str, expected: ids.Version) -> bool:
+        """Deletes an object if its version in the store is `expected`.
+
+        Returns:
+          Whether the store does not have the object any more.
+        """
+
 
 @dataclasses.dataclass(slots=True)
 class _Refresh:
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -133,6 +133,17 @@
         while self._idle:
             self._idle.pop().connection.close()
 
+    async def is_refused(self) -> bool:
+        """Returns whether no process listens on the target's address."""
+        try:
+            connection = await client.connect(
+                self._address, _CONNECT_TIMEOUT_MS, share=self._share
+            )
+        except client.ConnectFailed as error:
+            return error.refused
+        connection.close()
+        return False
+
     async def send(
         self,
         request: work.Work,
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -538,6 +538,31 @@
     _run(scenario)
 
 
+def test_record_ends_with_a_stop_only_if_the_target_has_ended():
+    """Guards against lists of VMs that were removed, or lack one that restarts.
+
+    A daemon that is restarted alone finds its target running.
+    """
+
+    async def scenario(store, vms):
+        await _start_and_await_keys(store, vms)
+        for vm in vms:
+            await _until(vm.is_ready)
+        await vms[0].restart_daemon()
+        assert ("mustardloom-daemons", "vm-0") in store.by_path
+        vms[2].target.close()
+        vms[2].daemon.stop()
+        await vms[2]._tasks[0]
+        assert ("mustardloom-daemons", "vm-2") not in store.by_path
+
+        async def is_forgotten():
+            return vms[2].own_settings.vm not in vms[1].daemon._fleet.by_vm
+
+        await _until(is_forgotten)
+
+    _run(scenario)
+
+
 def test_daemon_that_cannot_register_still_finds_the_others():
     """Guards against a daemon that is alone while the store refuses writes."""
 
--- a/mustardloom/sidecar/tests/test_planner.py
+++ b/mustardloom/sidecar/tests/test_planner.py
@@ -60,7 +60,6 @@
         self.links = _Links(self.clock)
         self.fleet = fleet_lib.Fleet(_record(_VMS[0]), self.links, self.clock)
         self.fleet.set_listed([_record(vm) for vm in _VMS[:3]])
-        self.fleet.planner = lambda: _VMS[0]
         candidates = [
             planning.Candidate(
                 vm, targets.TargetInstance(targets.TargetId(vm), 1), 6
@@ -83,8 +82,6 @@
             events.EventLog("a", self.clock, metrics, null),
             metrics,
         )
-        # Owners stay owners, so that only the voters change.
-        self.planner._is_lost = lambda _: False
 
     # What the planner needs of a key space.
 
