--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -470,7 +470,14 @@
         else row
         for row in rows
     )
-    instance_by_vm = dict(current.instance_by_vm)
+    changed_rows = tuple(key_map.merge_adjacent(changed))
+    # VMs without keys are left out, as they may be gone for good.
+    owner_vms = {row.owner for row in changed_rows}
+    instance_by_vm = {
+        vm: instance
+        for vm, instance in current.instance_by_vm.items()
+        if vm in owner_vms
+    }
     receiver_vms = set(moves.values())
     for owner in owners:
         if owner.vm in receiver_vms and owner.vm not in instance_by_vm:
@@ -478,6 +485,6 @@
     return dataclasses.replace(
         current,
         version=version,
-        rows=tuple(key_map.merge_adjacent(changed)),
+        rows=changed_rows,
         instance_by_vm=instance_by_vm,
     )
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -249,3 +249,15 @@
         )
         planned = planning.rebalance(planned, measured, loads, 300) or planned
     assert _rate_by_vm(planned, hits)[_VMS[0]] <= limited_per_s
+
+
+def test_map_does_not_grow_with_targets_that_are_replaced():
+    """Guards against a map that names each VM that ever owned keys."""
+    planned = planning.initial_map(_candidates()[:3])
+    vms = list(_VMS[:3])
+    for number in range(20):
+        new = ids.VmId(f"new-{number}")
+        old, *vms = *vms, new
+        candidates = [_candidate(vm) for vm in vms]
+        planned = planning.reassign(planned, candidates, {old})
+    assert set(planned.instance_by_vm) == planned.owners() == set(vms)
