--- a/mustardloom/sidecar/record_removal.py
+++ b/mustardloom/sidecar/record_removal.py
@@ -21,9 +21,9 @@
 __all__ = ["RecordRemoval"]
 
 _CHECK_INTERVAL_MS = 60_000
-# A daemon that cannot be reached for this long is gone. One that is only cut off
-# still serves its shards of usage caps, which others take over from a daemon
-# without a record, and regions may lose each other for an hour.
+# A daemon that cannot be reached for this long is gone. One that is only cut
+# off still serves its shards of usage caps, which others take over from a
+# daemon without a record, and regions may lose each other for an hour.
 _GONE_MS = 2 * 60 * 60 * 1_000
 
 
