Take nothing for an answer that has no valid status

Cause: completeness was decided at the end of an answer, by several ways (short, long, in chunks, without a length, to HEAD), of which one looked at the status, and only for a lower bound.

Change: `messages.is_final_status` and `is_interim_status` say what a status is (RFC 9110, section 15: 100 to 599). The parser asks them once, at the end of each head, before anything else is done with it; an invalid one, or 101, for which no request asks, makes the answer no answer (502). A daemon asks again for an answer that came over a link, and so does the client of the project's own fleet.

--- a/mustardloom/forwarding/connections.py
+++ b/mustardloom/forwarding/connections.py
@@ -10,6 +10,7 @@
 from tornado import iostream
 
 from mustardloom import outcomes
+from mustardloom.http1 import messages
 from mustardloom.http1 import sockets
 
 __all__ = [
@@ -28,8 +29,6 @@
 # The target is on the same VM, so only a full accept queue delays a connect.
 _CONNECT_TIMEOUT_S = 0.25
 _MAX_HEADER_BYTES = 65_536
-# Statuses below, such as 100 Continue, precede the final response.
-_FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
 _HOP_BY_HOP = frozenset(
     (
@@ -161,8 +160,10 @@
     ) -> None:
         """See base class."""
         assert isinstance(start_line, httputil.ResponseStartLine)
-        if start_line.code < _FIRST_FINAL_STATUS:
+        if messages.is_interim_status(start_line.code):
             return
+        if not messages.is_final_status(start_line.code):
+            raise httputil.HTTPInputError(f"status {start_line.code}")
         self.phase = _Phase.HEADERS
         self.status = start_line.code
         self.headers = headers
--- a/mustardloom/forwarding/tests/test_target_client.py
+++ b/mustardloom/forwarding/tests/test_target_client.py
@@ -144,6 +144,8 @@
         b"HTTP/1.1 200 OK\r\n\r\nno length",
         b"HTTP/1.1 200 OK\r\nContent-Le",
         b"nonsense\r\n\r\n",
+        b"HTTP/1.1 000 Zero\r\nContent-Length: 4\r\n\r\nhalf",
+        b"HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\nhalf",
         b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2_000,
         b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000 + b"\r\n\r\n",
     ],
--- a/mustardloom/http1/messages.py
+++ b/mustardloom/http1/messages.py
@@ -14,6 +14,8 @@
     "encode_request",
     "encode_response",
     "find_header",
+    "is_final_status",
+    "is_interim_status",
 ]
 
 Header = tuple[bytes, bytes]
@@ -37,6 +39,11 @@
     int(status): status.phrase.encode() for status in http.HTTPStatus
 }
 _BODILESS_STATUSES = (204, 304)
+_FIRST_INTERIM_STATUS = 100
+# No request asks for a change of the protocol.
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +97,24 @@
     return None
 
 
+def is_interim_status(status: int) -> bool:
+    """Returns whether a status announces that the response follows."""
+    is_interim = _FIRST_INTERIM_STATUS <= status < _FIRST_FINAL_STATUS
+    return is_interim and status != _SWITCHING_PROTOCOLS
+
+
+def is_final_status(status: int) -> bool:
+    """Returns whether a status is that of a response.
+
+    Those outside 100 to 599 are invalid (RFC 9110, section 15).
+
+    Example:
+      >>> [is_final_status(status) for status in (0, 100, 404, 600)]
+      [False, False, True, False]
+    """
+    return _FIRST_FINAL_STATUS <= status <= _LAST_STATUS
+
+
 def encode_request(request: Request) -> bytes:
     """Encodes a request and adds the framing of its body.
 
--- a/mustardloom/http1/response_parser.py
+++ b/mustardloom/http1/response_parser.py
@@ -20,7 +20,6 @@
 # Bytes of chunk sizes and line ends for each byte of a body; a chunk of one
 # byte needs five.
 _MAX_FRAMING_RATIO = 6
-_FIRST_FINAL_STATUS = 200
 # Late responses to earlier requests that may precede the expected one.
 _MAX_SKIPPED_RESPONSES = 4
 
@@ -55,6 +54,7 @@
         self._on_head = on_head
         self._parser = httptools.HttpResponseParser(self)
         self._response: messages.Response | None = None
+        # Whether the head of a response is complete that is no interim one.
         self._has_head = False
         # Whether this is the response to an earlier request.
         self._is_other = False
@@ -191,25 +191,26 @@
             self._header_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
-        """Determines whether the body ends with the connection."""
+        """Determines whether the body ends with the connection.
+
+        Raises:
+          ValueError: The status is not valid.
+        """
         if self._response is not None:
             return
+        self._status = self._parser.get_status_code()
+        if messages.is_interim_status(self._status):
+            return
+        if not messages.is_final_status(self._status):
+            raise ValueError(f"status {self._status}")
         self._has_head = True
         self._is_other = self._answers_other_request()
-        self._status = self._parser.get_status_code()
         length = messages.find_header(self._headers, b"content-length")
         coding = messages.find_header(self._headers, b"transfer-encoding")
         self._ends_with_connection = (
-            length is None
-            and coding is None
-            and self._status >= _FIRST_FINAL_STATUS
-            and self._status not in (204, 304)
+            length is None and coding is None and self._status not in (204, 304)
         )
-        if (
-            self._on_head is not None
-            and self._status >= _FIRST_FINAL_STATUS
-            and not self._is_other
-        ):
+        if self._on_head is not None and not self._is_other:
             self._on_head(self._headers)
         if self._is_head:
             self._finish()
@@ -226,7 +227,7 @@
 
     def on_message_complete(self) -> None:
         """Ends a response, unless it is an interim one (status 1xx)."""
-        if self._response is None and self._status >= _FIRST_FINAL_STATUS:
+        if self._response is None and self._has_head:
             self._finish()
             self._is_kept_alive = (
                 not self._is_head and self._parser.should_keep_alive()
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -259,5 +259,7 @@
         new = ids.VmId(f"new-{number}")
         old, *vms = *vms, new
         candidates = [_candidate(vm) for vm in vms]
-        planned = planning.reassign(planned, candidates, {old})
+        moved = planning.reassign(planned, candidates, {old})
+        assert moved is not None
+        planned = moved
     assert set(planned.instance_by_vm) == planned.owners() == set(vms)
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -102,6 +102,8 @@
             if transfer is not None:
                 self._transfers.withdraw(transfer)
         if isinstance(reply, frames.Answer):
+            if not messages.is_final_status(reply.status):
+                return work.Failed(work.FailureReason.INCOMPLETE)
             peer.view.running = reply.running
             peer.view.waiting = reply.waiting
             peer.view.reported_in_flight = peer.view.in_flight
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.offset_ms: int | None = _OFFSET_MS
         self.calls = []
+        self.reply: frames.Frame = frames.Failure(1, "internal")
 
     def clock_offset_ms(self, vm):
         return self.offset_ms
@@ -45,7 +46,7 @@
     async def call(self, vm, make, may_repeat):
         frame = make(1)
         self.calls.append((frame, may_repeat))
-        return frames.Failure(1, "internal")
+        return self.reply
 
 
 def _forwarder(clock, links, gate, budget=None):
@@ -144,3 +145,16 @@
     assert reply.reason == work.RefusalReason.NO_ROOM.value
     assert not gate.requests
     assert not budget.held_bytes
+
+
+def test_answer_of_a_daemon_without_a_valid_status_is_a_failure():
+    """Guards against a status such as 000 that another daemon passes on."""
+
+    async def send():
+        clock = clock_lib.FakeClock(now_ms=5_000)
+        links = _Links()
+        links.reply = frames.Answer(1, 0, (), b"", 0, 0)
+        forwarder = _forwarder(clock, links, _Gate())
+        return await forwarder.send(_VM, _request(5_000), False)
+
+    assert asyncio.run(send()) == work.Failed(work.FailureReason.INCOMPLETE)
--- a/mustardloom/sidecar/tests/test_record_removal.py
+++ b/mustardloom/sidecar/tests/test_record_removal.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import types
+import typing
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -93,7 +94,7 @@
         )
         self.fleet = fleet_lib.Fleet(_record(_OWN), links, self.clock)
         null = os.open(os.devnull, os.O_WRONLY)
-        keyspace = types.SimpleNamespace(
+        keyspace: typing.Any = types.SimpleNamespace(
             is_established=True, names=lambda _: self.is_named
         )
         self.removal = record_removal.RecordRemoval(
