Ignore what a request offers in place of HTTP/1.1

A body of such a request was not read either, so it ran with an empty one.

Cause: httptools ends a request that offers another protocol at its head and raises; the connection had run it by then, and rejected the exception.

Change: at the end of such a head a new parser gets the head without the field. CONNECT is rejected before it runs. `HTTP2-Settings` is not passed on.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -55,6 +55,8 @@
 # Bytes of chunk sizes and line ends for each byte of a body, plus the byte; a
 # chunk of one byte needs five.
 _MAX_FRAMING_RATIO = 7
+# Asks for a tunnel, whose bytes are no requests.
+_CONNECT = b"CONNECT"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
 _TIMEOUT = 408
@@ -97,6 +99,13 @@
         self.response = messages.Response(status, headers)
 
 
+class _UpgradeOffered(Exception):
+    """A request offers another protocol, which is not used.
+
+    The parser would take what follows its head for that protocol.
+    """
+
+
 def _no_room() -> _RequestRejected:
     return _RequestRejected(_UNAVAILABLE, _NO_ROOM_HEADERS)
 
@@ -383,6 +392,10 @@
     def on_headers_complete(self) -> None:
         """Reads the fields; sends `100 Continue` if expected."""
         self._phase = _Phase.BODY
+        if self._parser.get_method() == _CONNECT:
+            raise _RequestRejected(_BAD_REQUEST)
+        if self._parser.should_upgrade():
+            raise _UpgradeOffered
         head, self._complete_head = self._complete_head, b""
         if not head:
             # The head has another end than it should have.
@@ -630,9 +643,21 @@
             return len(data) - start
         self._arrived_bytes = len(data) - end
         self._complete_head = data[start:end]
-        self._parser.feed_data(self._complete_head)
+        self._feed_parser(self._complete_head)
         return end - start
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parses bytes of one request, no more than it has."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not isinstance(error.__context__, _UpgradeOffered):
+                raise
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(
+                request_heads.without_upgrade(self._complete_head)
+            )
+
     def _must_wait(self) -> bool:
         """Returns whether there is no room for another request yet."""
         return not self._head and not self._try_hold_pipelined()
@@ -652,7 +677,7 @@
         self._complete_head = bytes(self._head) + part
         self._drop_head()
         self._arrived_bytes = len(data) - start - size
-        self._parser.feed_data(part)
+        self._feed_parser(part)
         return size
 
     def _keep_head(self, part: bytes) -> None:
@@ -662,7 +687,7 @@
         if len(self._head) > limit:
             raise _RequestRejected(_HEADERS_TOO_LARGE)
         self._hold_head(len(self._head))
-        self._parser.feed_data(part)
+        self._feed_parser(part)
 
     def _hold_head(self, size: int) -> None:
         """Takes room for raw bytes of heads."""
@@ -698,12 +723,12 @@
         length = self._length
         if length is None:
             size = self._chunks_end.next_size(data, start)
-            self._parser.feed_data(data[start : start + size])
+            self._feed_parser(data[start : start + size])
             self._count_framing(size)
             return size
         end = start + length - self._body_bytes
         part = data[start:end]
-        self._parser.feed_data(part)
+        self._feed_parser(part)
         return len(part)
 
     def _parse(self, data: bytes) -> None:
@@ -713,8 +738,6 @@
             self._feed(data)
         except _RequestRejected as rejected:
             self._reject(rejected.response)
-        except httptools.HttpParserUpgrade:
-            self._reject(messages.Response(_BAD_REQUEST))
         except httptools.HttpParserError as error:
             # httptools wraps the exceptions of callbacks in its own.
             cause = error.__context__
--- a/mustardloom/http1/messages.py
+++ b/mustardloom/http1/messages.py
@@ -33,6 +33,7 @@
         b"upgrade",
         b"content-length",
         b"expect",
+        b"http2-settings",
     )
 )
 _REASON_BY_STATUS = {
--- a/mustardloom/http1/request_heads.py
+++ b/mustardloom/http1/request_heads.py
@@ -21,6 +21,7 @@
     "limited_size",
     "partial_fields",
     "size_to_end",
+    "without_upgrade",
 ]
 
 # What ends a head, and also a body in chunks.
@@ -31,6 +32,7 @@
 # Requests with more fields than this are charged for each further one.
 USUAL_FIELDS = 64
 _LINE_END = b"\r\n"
+_UPGRADE = b"upgrade:"
 _LINE_ENDS = (b"\r", b"\n")
 # Sizes of the names of the fields that say something of the body.
 _FRAMING_SIZES = frozenset(
@@ -143,6 +145,18 @@
     return [(name, value.strip(b" \t")) for name, _, value in parts]
 
 
+def without_upgrade(head: bytes) -> bytes:
+    r"""Returns a complete head without its offer of another protocol.
+
+    Example:
+      >>> without_upgrade(b"GET / HTTP/1.1\r\nUpgrade: h2c\r\nA: b\r\n\r\n")
+      b'GET / HTTP/1.1\r\nA: b\r\n\r\n'
+    """
+    first, *lines = head.split(_LINE_END)
+    kept = (line for line in lines if not line.lower().startswith(_UPGRADE))
+    return _LINE_END.join((first, *kept))
+
+
 def limited_size(head: bytes, target: bytes) -> int:
     """Returns the size of a head by which it is limited.
 
--- a/mustardloom/http1/tests/test_server.py
+++ b/mustardloom/http1/tests/test_server.py
@@ -414,6 +414,64 @@
     assert _run(_echo, scenario, clock) == 200
 
 
+@pytest.mark.parametrize(
+    ("method", "more", "body", "content"),
+    [
+        (b"GET", b"", b"", b""),
+        (b"POST", b"Content-Length: 3\r\n", b"abc", b"abc"),
+        (
+            b"POST",
+            b"Transfer-Encoding: chunked\r\n",
+            b"3\r\nabc\r\n0\r\n\r\n",
+            b"abc",
+        ),
+    ],
+)
+@pytest.mark.parametrize("is_in_parts", [False, True])
+def test_offer_of_another_protocol_is_ignored(
+    method, more, body, content, is_in_parts
+):
+    """Guards against a 400 that belongs to no request (review/9)."""
+    offer = (
+        b"%b /0 HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\n"
+        b"Connection: Upgrade, HTTP2-Settings\r\n"
+        b"HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n%b\r\n%b"
+    ) % (method, more, body)
+    sent = offer + b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" + offer
+
+    async def scenario(http_server, reader, writer):
+        size = 1 if is_in_parts else len(sent)
+        for start in range(0, len(sent), size):
+            writer.write(sent[start : start + size])
+            await asyncio.sleep(0)
+        return await _responses(reader, 3)
+
+    found = _run(_echo, scenario)
+    bodies = [body for _, body, _ in found]
+    assert bodies == [b"/0" + content, b"/1", b"/0" + content]
+
+
+def test_request_for_a_tunnel_is_rejected_and_not_run():
+    """Guards against bytes of a tunnel that are taken for requests."""
+    targets = []
+
+    async def handler(request):
+        targets.append(request.target)
+        return messages.Response(200)
+
+    async def scenario(http_server, reader, writer):
+        writer.write(
+            b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"
+            b"GET /in-the-tunnel HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        return await reader.read()
+
+    answer = _run(handler, scenario)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.1") == 1
+    assert not targets
+
+
 def test_cancelled_handler_is_answered():
     """Guards against a connection that ends without an answer."""
 
