Notice a crash of the target also if no other request comes

Cause: a lost connection counted as a crash only if a later connection was refused, or the next instance reported, within 4 s. At a quiet time nobody dials.

Change: 100 ms after a connection with a request was lost the gate dials the target. A target that merely closed a connection accepts, and the next request uses the new one.

--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -19,6 +19,9 @@
 __all__ = ["Dispatcher"]
 
 _MS_PER_S = 1_000
+# The system closes the connections of a process that ends before it stops to
+# listen.
+_CRASH_CHECK_DELAY_MS = 100
 
 
 class Dispatcher:
@@ -62,6 +65,7 @@
         self._log = log
         self._metrics = metrics
         self._task_by_ticket: dict[ticket_lib.Ticket, asyncio.Task[None]] = {}
+        self._crash_check: asyncio.Task[None] | None = None
 
     def start(self, ticket: ticket_lib.Ticket, now_ms: int) -> None:
         """Starts a request at the target.
@@ -132,10 +136,27 @@
         self._recorder.record(ticket, result, instance)
         if result.is_connection_lost:
             self._suspects.record_lost_connection(ticket.request.fingerprint)
+            self._start_crash_check(instance)
         if result.is_connection_refused and instance == self._target.instance:
             self._suspects.record_crash()
             self.on_refused_connection()
 
+    def _start_crash_check(self, instance: targets.TargetInstance) -> None:
+        if self._crash_check is None or self._crash_check.done():
+            self._crash_check = asyncio.ensure_future(
+                self._check_for_crash(instance)
+            )
+
+    async def _check_for_crash(self, instance: targets.TargetInstance) -> None:
+        """Notices a crash, also if no further request comes for the target."""
+        await self._clock.sleep_ms(_CRASH_CHECK_DELAY_MS)
+        if instance != self._target.instance:
+            return
+        is_refused = await self._connections.is_refused()
+        if is_refused and instance == self._target.instance:
+            self._suspects.record_crash()
+            self.on_refused_connection()
+
     def _finish(
         self, ticket: ticket_lib.Ticket, task: "asyncio.Task[None]"
     ) -> None:
--- a/mustardloom/sidecar/target_connections.py
+++ b/mustardloom/sidecar/target_connections.py
@@ -134,14 +134,15 @@
             self._idle.pop().connection.close()
 
     async def is_refused(self) -> bool:
-        """Returns whether no process listens on the target's address."""
+        """Returns whether no process listens on the target's address.
+
+        If one does, the next request uses the connection.
+        """
         try:
-            connection = await client.connect(
-                self._address, _CONNECT_TIMEOUT_MS, share=self._share
-            )
+            kept = await self._open()
         except client.ConnectFailed as error:
             return error.refused
-        connection.close()
+        self._release(kept, None)
         return False
 
     async def send(
@@ -299,6 +300,9 @@
             if kept.is_usable(now_ms):
                 return kept
             kept.connection.close()
+        return await self._open()
+
+    async def _open(self) -> _KeptConnection:
         self.opened += 1
         self._metrics.increment("target.connections_opened")
         connection = await client.connect(
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -33,6 +33,10 @@
 
     def __init__(self):
         self.open = []
+        self.has_process = True
+
+    async def is_refused(self):
+        return not self.has_process
 
     async def send(self, request, target, on_statement):
         del target
@@ -366,6 +370,47 @@
     assert _run(scenario) is work.RefusalReason.QUARANTINED
 
 
+def test_request_that_crashes_its_target_is_quarantined_at_a_quiet_time():
+    """Guards against crashes that no other request notices (review/10)."""
+
+    async def scenario(harness):
+        for born_ms in range(2, 5):
+            (poison,) = await harness.start("poison")
+            harness.connections.has_process = False
+            harness.connections.answer(_CONNECTION_LOST)
+            await poison
+            # The target is back only after the crash would have been forgotten.
+            await harness.clock.advance(20_000)
+            assert (
+                harness.gate.target.reachability is gate_lib.Reachability.DOWN
+            )
+            harness.connections.has_process = True
+            harness.gate.on_heartbeat(
+                targets.TargetInstance(_INSTANCE.target, born_ms), 2
+            )
+        (poison,) = await harness.start("poison")
+        return _reason(await poison)
+
+    assert _run(scenario) is work.RefusalReason.QUARANTINED
+
+
+def test_target_that_resets_a_connection_has_not_crashed():
+    """Guards against sound requests that are refused after a reset."""
+
+    async def scenario(harness):
+        for _ in range(4):
+            (request,) = await harness.start("sound")
+            harness.connections.answer(_CONNECTION_LOST)
+            await request
+            await harness.clock.advance(1_000)
+            assert harness.gate.target.reachability is gate_lib.Reachability.UP
+        (request,) = await harness.start("sound")
+        harness.connections.answer(_OK)
+        return await request
+
+    assert _run(scenario) == _OK.outcome
+
+
 def test_silent_target_does_not_count_as_down():
     """Guards against keys that move while a frozen target still holds them."""
 
