Give a server connection's writes and its room modules of their own

What is written to the client, and when that has left, is now `response_writer.py`; the room of the request that is read, and of heads in part, is `request_room.py`.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -5,10 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
 import dataclasses
 import enum
-import socket
 from typing import Protocol
 
 import httptools
@@ -21,6 +19,8 @@
 from mustardloom.http1 import messages
 from mustardloom.http1 import pending_responses
 from mustardloom.http1 import request_heads
+from mustardloom.http1 import request_room
+from mustardloom.http1 import response_writer
 from mustardloom.http1 import server_limits
 from mustardloom.http1 import sockets
 
@@ -133,7 +133,9 @@
         self._unparsed_bytes = 0
         # Raw bytes of a head that is incomplete.
         self._head = bytearray()
-        self._head_hold: memory_budget.EvictableHold | None = None
+        self._head_room = request_room.HeadRoom(
+            owner.budget, self._on_head_evicted
+        )
         # Raw bytes of requests that wait until earlier ones are answered.
         self._waiting = b""
         # Requests whose answers have not left.
@@ -145,17 +147,11 @@
         self._chunks_end = request_heads.MessageEnd()
         self._closes_after_pending = False
         self._is_finishing = False
-        # Local time at which the end was sent, None before.
-        self._ended_ms: int | None = None
-        # Write of the latest bytes.
-        self._written: asyncio.Future[None] | None = None
-        # Local time since which none of the bytes to write has left.
-        self._written_since_ms = 0
+        self._writer = response_writer.ResponseWriter(stream, owner.clock)
         self._has_room = asyncio.Event()
-        # Room for the request that is being read.
-        self._hold: memory_budget.Hold | None = None
-        # Room for its header fields, if their number is unusual.
-        self._fields_hold: memory_budget.Hold | None = None
+        self._room = request_room.RequestRoom(
+            owner.budget, owner.kind, self._on_body_evicted
+        )
         # Room for what the socket receives, once a long body has arrived.
         self._window: memory_budget.Hold | None = None
         # The last request, while its body passes in pieces.
@@ -220,23 +216,14 @@
         self._parse(data)
 
     def _try_hold_pipelined(self) -> bool:
-        """Takes room for a request that follows one without an answer.
-
-        Such requests have a share of their own, and wait if there is no room,
-        so that they take none from requests that come alone.
-        """
+        """Takes room for a request that follows one without an answer."""
         if not self._open:
             return True
         if self._open >= self._limits.max_pipelined:
             return False
-        if self._hold is None:
-            budget = self._owner.budget
-            kind = memory_budget.HoldKind.PIPELINED
-            if budget.holds_by_kind[kind] >= self._limits.max_pipelined_sum:
-                return False
-            size = self._limits.max_header_bytes + 2 * bodies.INLINE_BYTES
-            self._hold = budget.try_hold(size, kind)
-        return self._hold is not None
+        return self._room.try_hold_pipelined(
+            self._limits.max_header_bytes, self._limits.max_pipelined_sum
+        )
 
     async def _await_reader(self) -> None:
         """Returns once the reader of a body wants more of it."""
@@ -254,10 +241,10 @@
         self._has_room.set()
 
     def _release_all(self) -> None:
-        holds = (self._hold, self._fields_hold, self._head_hold, self._window)
-        for hold in holds:
-            if hold is not None:
-                hold.release()
+        self._room.release()
+        self._head_room.release()
+        if self._window is not None:
+            self._window.release()
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         for pending in self.pending:
@@ -267,7 +254,7 @@
 
     def is_busy(self) -> bool:
         """Returns whether a request is being read, run or answered."""
-        if self.stream.closed() or self._ended_ms is not None:
+        if self.stream.closed() or self._writer.ended_ms is not None:
             return False
         is_last_awaited = self._is_finishing and not self._closes_after_pending
         return (
@@ -294,23 +281,23 @@
             return
         if sockets.is_open_and_empty(self.stream.socket):
             self._closes_after_pending = True
-            if self._written is None or self._written.done():
+            if self._writer.is_done:
                 self.stream.close()
             else:
-                self._after_written(self._end)
+                self._writer.after_written(self._writer.end)
 
     def standstill(self) -> tuple[idle_eviction.Standstill, int] | None:
         """See `idle_eviction.Evictable`."""
         if self.stream.closed():
             return None
-        if self._ended_ms is not None:
-            return idle_eviction.Standstill.ENDED, self._ended_ms
+        if self._writer.ended_ms is not None:
+            return idle_eviction.Standstill.ENDED, self._writer.ended_ms
         if self._closes_after_pending or self.pending or self._is_finishing:
             return None
         if self._sending is not None or self.stream.writing():
             return None
         match self._phase:
-            case _Phase.IDLE if self._written is None:
+            case _Phase.IDLE if not self._writer.is_used:
                 reason = idle_eviction.Standstill.UNUSED
             case _Phase.IDLE:
                 reason = idle_eviction.Standstill.IDLE
@@ -335,16 +322,16 @@
         """Adopts new limits; ends a connection that exceeds a time limit."""
         self._limits = limits
         now_ms = self._owner.clock.now_ms()
-        if self._ended_ms is not None:
+        if self._writer.ended_ms is not None:
             # A caller that is still sending sees the answer only afterwards.
             is_sending = now_ms - self._received_ms <= _END_TIMEOUT_MS
             limit_ms = limits.idle_timeout_ms if is_sending else _END_TIMEOUT_MS
-            if now_ms - self._ended_ms > limit_ms:
+            if now_ms - self._writer.ended_ms > limit_ms:
                 self.stream.close()
             return
         waited_ms = now_ms - self._waiting_since_ms
         if self.stream.writing():
-            if now_ms - self._written_since_ms > limits.idle_timeout_ms:
+            if self._writer.stuck_ms(now_ms) > limits.idle_timeout_ms:
                 # The caller does not read its answer.
                 self.stream.close()
             return
@@ -413,7 +400,7 @@
             raise _RequestRejected(_BODY_TOO_LARGE)
         self._hold_for_request()
         if framing.expects_continue and not self.pending:
-            self._write(_CONTINUE)
+            self._writer.write(_CONTINUE)
 
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
@@ -436,7 +423,7 @@
             self._start_upload(self._owner.turns)
             return
         size = self._header_bytes + self._body_bytes + bodies.INLINE_BYTES
-        if self._hold is not None and size > self._hold.size:
+        if 0 < self._room.size < size:
             # In steps, as a piece may be a single byte.
             self._resize_hold(size + bodies.INLINE_BYTES)
 
@@ -468,32 +455,15 @@
             + bodies.INLINE_BYTES
         )
         self._resize_hold(size)
-        if len(self._headers) > request_heads.USUAL_FIELDS:
-            extra_fields_bytes = request_heads.extra_fields_bytes(self._headers)
-            self._fields_hold = self._owner.budget.try_hold(
-                extra_fields_bytes, memory_budget.HoldKind.HEADER_FIELDS
-            )
-            if self._fields_hold is None:
-                raise _no_room()
+        if not self._room.try_hold_fields(self._headers):
+            raise _no_room()
 
     def _resize_hold(self, size: int) -> None:
-        if self._hold is None:
-            budget = self._owner.budget
-            if self._open:
-                kind = memory_budget.HoldKind.PIPELINED
-                self._hold = budget.try_hold(size, kind)
-            elif self._length is not None and (
-                self._length <= self._arrived_bytes
-            ):
-                # The whole body has arrived, or there is none.
-                self._hold = budget.try_hold(size, self._owner.kind)
-            else:
-                self._hold = budget.try_hold_evictable(
-                    size, self._owner.kind, self._on_body_evicted
-                )
-            if self._hold is None:
-                raise _no_room()
-        elif not self._hold.resize(size):
+        # If there is no body, it has arrived.
+        has_arrived = (
+            self._length is not None and self._length <= self._arrived_bytes
+        )
+        if not self._room.try_hold(size, bool(self._open), has_arrived):
             raise _no_room()
 
     def _on_body_evicted(self) -> None:
@@ -552,10 +522,7 @@
             # They would be kept until the next request.
             self._headers = []
         is_chunk_known = self._parser.get_http_version() != _WITHOUT_CHUNKS
-        hold, self._hold = self._hold, None
-        if isinstance(hold, memory_budget.EvictableHold):
-            hold.pin()
-        fields_hold, self._fields_hold = self._fields_hold, None
+        hold, fields_hold = self._room.hand_on()
         pending = pending_responses.PendingResponse(
             method, task, hold, fields_hold, is_chunk_known, upload
         )
@@ -691,23 +658,12 @@
 
     def _hold_head(self, size: int) -> None:
         """Takes room for raw bytes of heads."""
-        if self._head_hold is None:
-            self._head_hold = self._owner.budget.try_hold_evictable(
-                size,
-                memory_budget.HoldKind.PARTIAL_HEAD,
-                self._on_head_evicted,
-            )
-            has_room = self._head_hold is not None
-        else:
-            has_room = self._head_hold.resize(size)
-        if not has_room:
+        if not self._head_room.try_hold(size):
             raise _no_room()
 
     def _drop_head(self) -> None:
         self._head = bytearray()
-        if self._head_hold is not None:
-            self._head_hold.release()
-            self._head_hold = None
+        self._head_room.release()
 
     def _on_head_evicted(self) -> None:
         """Ends a connection that stands still while others need its room."""
@@ -776,11 +732,9 @@
         self._headers = []
         done: asyncio.Future[messages.Response] = asyncio.Future()
         done.set_result(response)
-        hold, self._hold = self._hold, None
-        if isinstance(hold, memory_budget.EvictableHold):
-            hold.pin()
-        if self._fields_hold is not None:
-            self._fields_hold.release()
+        hold, fields_hold = self._room.hand_on()
+        if fields_hold is not None:
+            fields_hold.release()
         self.pending.append(pending_responses.PendingResponse("", done, hold))
         self._open += 1
         self._flush()
@@ -829,7 +783,7 @@
             or self._may_close_idle()
         )
         self._closes_after_pending = self._closes_after_pending or closes
-        self._write(
+        self._writer.write(
             messages.encode_response(
                 response, closes, pending.is_head, pending.is_chunk_known
             )
@@ -843,9 +797,9 @@
             self._sending.add_done_callback(lambda _: rest.close())
             self._sending.add_done_callback(lambda _: self._release(pending))
             return
-        self._after_written(lambda: self._release(pending))
+        self._writer.after_written(lambda: self._release(pending))
         if closes:
-            self._after_written(self._end)
+            self._writer.after_written(self._writer.end)
 
     def _may_close_idle(self) -> bool:
         """Returns whether no further request is read because of a stop."""
@@ -874,11 +828,11 @@
         is_complete = False
         try:
             while piece := await rest.read():
-                await self._write_piece(
+                await self._writer.write_piece(
                     bodies.encode_chunk(piece) if is_chunked else piece
                 )
             if is_chunked:
-                await self._write_piece(bodies.encode_last_chunk())
+                await self._writer.write_piece(bodies.encode_last_chunk())
             is_complete = True
         except (bodies.BodyBroken, iostream.StreamClosedError):
             pass
@@ -889,7 +843,7 @@
             if not is_complete:
                 sockets.reset(self.stream)
         if closes or (self._closes_after_pending and not self.pending):
-            self._end()
+            self._writer.end()
         else:
             self._flush()
 
@@ -897,41 +851,3 @@
         """Reads no more of a body whose request is answered already."""
         self._uploading = None
         self._phase = _Phase.IDLE
-
-    async def _write_piece(self, data: bytes) -> None:
-        self._write(data)
-        if self._written is not None:
-            await self._written
-
-    def _after_written(self, call: Callable[[], None]) -> None:
-        """Calls once the latest bytes are written, or the connection failed."""
-        if self._written is None or self._written.done():
-            call()
-        else:
-            self._written.add_done_callback(lambda _: call())
-
-    def _end(self) -> None:
-        """Ends the connection after the last response, which was written.
-
-        The caller closes it. A close on this side would drop what is still on
-        its way if something has arrived meanwhile and was not read.
-        """
-        if self.stream.closed():
-            return
-        # It fails if the caller has reset the connection, as is noticed soon.
-        with contextlib.suppress(OSError):
-            self.stream.socket.shutdown(socket.SHUT_WR)
-        self._ended_ms = self._owner.clock.now_ms()
-
-    def _on_written(self, written: "asyncio.Future[None]") -> None:
-        self._written_since_ms = self._owner.clock.now_ms()
-        sockets.ignore_write_error(written)
-
-    def _write(self, data: bytes) -> None:
-        if not self.stream.writing():
-            self._written_since_ms = self._owner.clock.now_ms()
-        try:
-            self._written = self.stream.write(data)
-        except iostream.StreamClosedError:
-            return
-        sockets.when_written(self._written, self._on_written)
