Keep the rows of an owner within what a heartbeat's answer can list

Cause: only moves by load knew the limit. Reassigned rows did not adjoin, and adjoining rows with different fencing tokens were never merged. A request that its owner's target refused was sent there again without the retry budget.

Change: reassigned rows adjoin if there are many; adjoining rows of an owner with many are merged under a higher token; an answer lists only what fits; wide rows can be split for targets that join; a repeat at the owner takes from the retry budget.

--- a/mustardloom/keys/grants.py
+++ b/mustardloom/keys/grants.py
@@ -22,6 +22,10 @@
 # How long the target may hold granted keys: long enough to outlast a few lost
 # heartbeats or a short restart of the daemon.
 HOLD_MS = 4_000
+# Of the 4 KiB that an answer to a heartbeat has, what its rows may take.
+_MAX_RANGES_BYTES = 3_840
+# Brackets, commas and quotes around the values of a range.
+_RANGE_FRAME_BYTES = len('[,,,""],')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +111,7 @@
             rows = list(self.claims.grantable())
         if withholds:
             rows = self._without_idle_key(rows, is_idle)
+        rows = self._fitting(rows, ledger)
         ledger.grant(rows, hold_ms, now_ms)
         return self.claims.granted(rows)
 
@@ -141,6 +146,31 @@
         if is_target_gone or ledger.holds_none(first, last, now_ms):
             yield from ledger.handovers(first, last)
 
+    def _fitting(
+        self, rows: list[key_map.Row], ledger: ledger_lib.GrantLedger
+    ) -> list[key_map.Row]:
+        """Returns the rows that an answer can list, first those listed before.
+
+        A target drops an answer that is too long, and loses all its keys.
+        """
+        if self._answer_bytes(rows) <= _MAX_RANGES_BYTES:
+            return rows
+        left_bytes = _MAX_RANGES_BYTES
+        fitting: list[key_map.Row] = []
+        for row in sorted(rows, key=lambda row: not ledger.lists(row)):
+            size = self._answer_bytes([row])
+            if size <= left_bytes:
+                left_bytes -= size
+                fitting.append(row)
+        return sorted(fitting, key=lambda row: row.first)
+
+    def _answer_bytes(self, rows: list[key_map.Row]) -> int:
+        return sum(
+            _RANGE_FRAME_BYTES
+            + len(f"{each.first}{each.last}{each.fence}{each.handover}")
+            for each in self.claims.granted(rows)
+        )
+
     def _new_ledger(
         self, instance: targets.TargetInstance, now_ms: int
     ) -> ledger_lib.GrantLedger:
--- a/mustardloom/keys/ledger.py
+++ b/mustardloom/keys/ledger.py
@@ -117,6 +117,10 @@
             first <= each.last and each.first <= last for each in self._held
         )
 
+    def lists(self, row: key_map.Row) -> bool:
+        """Returns whether the latest grant lists keys of a row."""
+        return self._listed_ranges.overlap(row.first, row.last)
+
     def holds(self, row: key_map.Row) -> bool:
         """Returns whether the target reported that it holds the whole row."""
         return any(
--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -29,6 +29,7 @@
     "clear_previous_owners",
     "include_new_targets",
     "initial_map",
+    "merge_rows",
     "reassign",
     "rebalance",
     "split_by_load",
@@ -38,6 +39,12 @@
 # The answer to a heartbeat lists all rows of a target in at most 4 KiB.
 _MAX_ROWS_PER_OWNER = 130
 _MAX_STRIPES_PER_OWNER = 64
+# Above this number of rows, those of one owner are merged.
+_MERGED_ROWS = 100
+# Parts of this width move to targets that join.
+_STRIPE_KEYS = key_map.KEY_COUNT // _MAX_STRIPES_PER_OWNER
+# Share by which an owner may exceed its fair share so that its rows adjoin.
+_MAX_SHARE_BESIDE = 1.1
 # Each daemon keeps the whole map, so its rows must not grow with the fleet.
 _MAX_STRIPES = 4_096
 # Moved keys have a cold cache; smaller differences are not worth that.
@@ -217,8 +224,11 @@
     old_owners = leaving | {ids.VmId("")}
     if not receivers or not (old_owners & {row.owner for row in current.rows}):
         return None
+    if len(current.rows) > _MERGED_ROWS * len(receivers):
+        moves = dict(_moves_beside(current, receivers, old_owners))
+        return _with_moves(current, current.rows, moves, receivers)
     counts = _row_counts(current)
-    moves: dict[int, ids.VmId] = {}
+    moves = {}
     for row in current.rows:
         if row.owner not in old_owners:
             continue
@@ -234,6 +244,74 @@
     return _with_moves(current, current.rows, moves, receivers)
 
 
+def _moves_beside(
+    current: key_map.KeyMap,
+    receivers: list[Candidate],
+    old_owners: Set[ids.VmId],
+) -> Iterator[tuple[int, ids.VmId]]:
+    """Yields the receivers of rows, most often the owner of the row before.
+
+    Load pattern: most owners are lost, and those that are left would get more
+    separate rows than the answer to a heartbeat can list.
+    """
+    by_vm = {each.vm: each for each in receivers}
+    total = sum(each.capacity for each in receivers)
+    keys_by_vm = dict.fromkeys(by_vm, 0)
+    for row in current.rows:
+        if row.owner in keys_by_vm:
+            keys_by_vm[row.owner] += row.width
+
+    def share(vm: ids.VmId, width: int) -> float:
+        """Returns the part that a VM would have of its fair share."""
+        fair_keys = key_map.KEY_COUNT * by_vm[vm].capacity / total
+        return (keys_by_vm[vm] + width) / fair_keys
+
+    before = ids.VmId("")
+    for row in current.rows:
+        receiver = row.owner
+        if receiver in old_owners:
+            receiver = before
+            if (
+                before not in by_vm
+                or share(before, row.width) > _MAX_SHARE_BESIDE
+            ):
+                receiver = min(by_vm, key=lambda vm: (share(vm, row.width), vm))
+            keys_by_vm[receiver] += row.width
+            yield row.first, receiver
+        before = receiver
+
+
+def merge_rows(current: key_map.KeyMap) -> key_map.KeyMap | None:
+    """Merges adjacent rows of owners that have very many.
+
+    They differ in their fencing tokens, so the merged ones get a new one. Rows
+    whose earlier owner may still hold keys are left as they are.
+
+    Returns:
+      The new map; None if no rows can be merged.
+    """
+    counts = _row_counts(current)
+    crowded = {vm for vm, count in counts.items() if count > _MERGED_ROWS}
+    version = current.version + 1
+    merged: list[key_map.Row] = []
+    for row in current.rows:
+        if (
+            merged
+            and row.owner in crowded
+            and row.owner == merged[-1].owner
+            and not row.previous
+            and not merged[-1].previous
+        ):
+            merged[-1] = msgspec.structs.replace(
+                merged[-1], last=row.last, fence=version
+            )
+        else:
+            merged.append(row)
+    if len(merged) == len(current.rows):
+        return None
+    return dataclasses.replace(current, version=version, rows=tuple(merged))
+
+
 def include_new_targets(
     current: key_map.KeyMap, candidates: Iterable[Candidate]
 ) -> key_map.KeyMap | None:
@@ -254,7 +332,8 @@
         if row.owner in keys_by_vm:
             keys_by_vm[row.owner] += row.width
     moves: dict[int, ids.VmId] = {}
-    for row in _scattered_order(current.rows):
+    rows = tuple(_split_wide(current.rows))
+    for row in _scattered_order(rows):
         receiver = min(
             vms_without_keys,
             key=lambda vm: keys_by_vm[vm] / by_vm[vm].capacity,
@@ -277,7 +356,7 @@
         moves[row.first] = receiver
     if not moves:
         return None
-    return _with_moves(current, current.rows, moves, by_vm.values())
+    return _with_moves(current, rows, moves, by_vm.values())
 
 
 def rebalance(
@@ -385,6 +464,14 @@
     yield RowLoad(first, row.last, weight)
 
 
+def _split_wide(rows: Iterable[key_map.Row]) -> Iterator[key_map.Row]:
+    """Yields rows in parts that are no wider than a stripe of the first map."""
+    for row in rows:
+        for first in range(row.first, row.last + 1, _STRIPE_KEYS):
+            last = min(row.last, first + _STRIPE_KEYS - 1)
+            yield msgspec.structs.replace(row, first=first, last=last)
+
+
 def _scattered_order(rows: tuple[key_map.Row, ...]) -> Iterator[key_map.Row]:
     """Yields all rows in an order that separates adjacent ones."""
     for offset in range(_SCATTER_STRIDE):
--- a/mustardloom/keys/tests/test_claims.py
+++ b/mustardloom/keys/tests/test_claims.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import claims
@@ -125,3 +127,34 @@
     own.claims.adopt(_map(2, _OTHER, _OWN, 1))
     assert list(own.released(0, _LAST, 1, 100, False)) == []
     assert list(own.released(0, _LAST, 1, 5_000, False))
+
+
+def _striped_map(version, count):
+    """Returns a map in which every other stripe is owned here."""
+    width = key_map.KEY_COUNT // (2 * count)
+    rows = []
+    for first in range(0, key_map.KEY_COUNT, width):
+        vm = _OWN if first // width % 2 else _OTHER
+        rows.append(key_map.Row(first, first + width - 1, vm, 123_456))
+    return key_map.KeyMap(version, tuple(rows), {_OWN: _INSTANCE})
+
+
+def test_answer_with_too_many_rows_lists_those_that_fit():
+    """Guards against an answer that the target drops, and all keys with it.
+
+    Rows that it lists already stay, so that no key is given back for another.
+    """
+    own = grants.Grants(_OWN)
+    own.claims.adopt(_striped_map(1, 64))
+    own.observe(_heartbeat(1), 0)
+    before = own.grant(1_000, 0, False, lambda _: True)
+    assert len(before) == 64
+    own.claims.adopt(_striped_map(2, 512))
+    own.observe(_heartbeat(2), 100)
+    listed = own.grant(1_000, 100, False, lambda _: True)
+    rows = [list(dataclasses.astuple(each)) for each in listed]
+    answer = msgspec.json.encode({"holds": rows, "hold_time": "4000ms"})
+    assert 100 < len(listed) < 512
+    assert len(answer) <= 4_096
+    again = own.grant(1_000, 200, False, lambda _: True)
+    assert again == listed
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from mustardloom import ids
 from mustardloom.deployment import targets
@@ -263,3 +264,55 @@
         assert moved is not None
         planned = moved
     assert set(planned.instance_by_vm) == planned.owners() == set(vms)
+
+
+def _survive(remaining):
+    """Returns the map once all but the last owners are lost for good."""
+    planned = planning.initial_map(_candidates())
+    candidates = _candidates()[-remaining:]
+    vms = {each.vm for each in candidates}
+    for lost in _VMS[:-remaining]:
+        moved = planning.reassign(planned, candidates, {lost})
+        assert moved is not None
+        planned = moved
+    settled = planning.clear_previous_owners(planned, vms)
+    merged = planning.merge_rows(settled) or settled
+    assert planning.merge_rows(merged) is None
+    _assert_covers_all(merged)
+    return merged
+
+
+def _keys_by_owner(planned):
+    keys = collections.Counter[ids.VmId]()
+    for row in planned.rows:
+        keys[row.owner] += row.width
+    return keys
+
+
+@pytest.mark.parametrize("remaining", [1, 2, 3])
+def test_last_owners_have_no_more_rows_than_an_answer_lists(remaining):
+    """Guards against answers to heartbeats that targets drop (review/2)."""
+    merged = _survive(remaining)
+    rows = collections.Counter(row.owner for row in merged.rows)
+    assert max(rows.values()) <= 130
+    keys = _keys_by_owner(merged)
+    assert len(keys) == remaining
+    assert max(keys.values()) <= 1.3 * key_map.KEY_COUNT / remaining
+
+
+def test_rows_that_may_be_held_by_an_earlier_owner_are_not_merged():
+    """Guards against a wait for an earlier owner that a merge forgets."""
+    planned = planning.initial_map(_candidates())
+    moved = planning.reassign(planned, _candidates()[-1:], set(_VMS[:-1]))
+    assert moved is not None
+    kept = planning.merge_rows(moved) or moved
+    for row in moved.rows:
+        assert kept.row_of(row.first).previous == row.previous
+
+
+def test_targets_that_join_the_last_owner_get_a_fair_share():
+    """Guards against a row that is too wide to move."""
+    joined = planning.include_new_targets(_survive(1), _candidates())
+    assert joined is not None
+    keys = _keys_by_owner(joined)
+    assert min(keys[vm] for vm in _VMS) >= 0.7 * key_map.KEY_COUNT / len(_VMS)
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -174,9 +174,11 @@
             return None
         self._rebalanced_ms = now_ms
         loads = [load for loads in self._loads_by_vm.values() for load in loads]
-        planned = planning.include_new_targets(
-            cleaned, candidates
-        ) or planning.rebalance(cleaned, candidates, loads, self.objective_ms)
+        planned = (
+            planning.merge_rows(cleaned)
+            or planning.include_new_targets(cleaned, candidates)
+            or planning.rebalance(cleaned, candidates, loads, self.objective_ms)
+        )
         if planned is None and (
             self._is_cleanup_due(known, cleaned)
             or _must_write(cleaned.voters, voters)
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -151,22 +151,28 @@
             return False
         if not self._may_be_sent(request):
             return False
-        daemons = len(self._fleet.by_vm)
-        now_ms = self._clock.now_ms()
-        if not self._retry_budget(service).try_take(now_ms, daemons):
-            self._metrics.increment("router.repeats_denied")
+        if not self._take_retry(service):
             return False
-        self._metrics.increment("router.repeats")
         self._log.write(
             events.Event.REQUEST_REPEATED,
             request=request.request_id,
             service=service,
             after=_describe(outcome),
             offered=attempts.offered,
-            left_ms=request.deadline_ms - now_ms,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
         )
         return True
 
+    def _take_retry(self, service: ids.ServiceId) -> bool:
+        """Takes a repeat from the budget of a service, if one is left."""
+        daemons = len(self._fleet.by_vm)
+        now_ms = self._clock.now_ms()
+        if not self._retry_budget(service).try_take(now_ms, daemons):
+            self._metrics.increment("router.repeats_denied")
+            return False
+        self._metrics.increment("router.repeats")
+        return True
+
     # Services with keys.
 
     async def _to_owner(
@@ -206,6 +212,8 @@
                 attempts.merged = _merge_outcomes(attempts.merged, outcome)
                 if outcome.was_offered:
                     attempts.offered += 1
+                    if not self._take_retry(service.name):
+                        break
                 asked_earlier = hint != work.NO_VM
                 hint = work.NO_VM if asked_earlier else outcome.owner
                 if attempts.offered >= route.max_attempts:
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -219,6 +219,18 @@
     assert (outcome, asked) == (_OK, [owner, earlier])
 
 
+def test_target_that_refuses_its_keys_takes_no_more_than_the_retry_budget():
+    """Guards against requests sent again and again to a target (review/2)."""
+    harness = _Harness()
+    harness.router.set_bounds(settings.Bounds(retry_ratio=0.0, retry_minimum=0))
+    owner = harness.map.row_of(0).owner
+    refused = work.Refused(work.RefusalReason.NOT_OWNER, was_offered=True)
+    harness.forwarder.outcomes = {owner: [refused, refused]}
+    outcome, asked = harness.ask(is_keyed=True)
+    assert asked == [owner]
+    assert isinstance(outcome, work.Refused)
+
+
 def test_key_of_an_evacuated_owner_is_awaited_at_the_new_owner():
     """Guards against refusals while an availability zone is evacuated."""
     harness = _Harness()
