Plan voters once a map is due, and count reports of the present era only

Found by reading the diff: the voters were compared on each tick of the planner, reports from before a restore of the store counted as known changes, and the first map of a service could name voters that are lost.

--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -215,7 +215,8 @@
       words: For each keyed service its name, the version of the newest key map
         that the sender knows, and whether the sender has read the map from the
         store since its process began.
-      daemons: Number of daemons that the sender knows.
+      daemons: Number of daemons that the sender knows, which earlier releases
+        count majorities by.
       clock_ms: The sender's clock.
       map_era: Latest era of the store in which the sender knows of key maps.
     """
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -320,7 +320,8 @@
         now_ms = self._clock.now_ms()
         old = self._claims.map
         self._claims.adopt(new)
-        if new.voters != old.voters:
+        # What others knew in an earlier era of the store may be lost.
+        if new.voters != old.voters or new.era != old.era:
             self._voters_version = new.version
         self._adopted_ms = now_ms
         if self._claims.pending_ranges:
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -164,45 +164,61 @@
         if known is None:
             return self._first_map(candidates)
         cleaned = self._without_previous(known)
-        voters = self._next_voters(cleaned)
         leaving = {vm for vm in cleaned.owners() if self._is_lost(vm)}
         planned = planning.reassign(cleaned, candidates, leaving)
-        if planned is not None:
-            return dataclasses.replace(planned, voters=voters)
         now_ms = self._clock.now_ms()
-        if now_ms - self._rebalanced_ms < _REBALANCE_INTERVAL_MS:
+        is_due = now_ms - self._rebalanced_ms >= _REBALANCE_INTERVAL_MS
+        if planned is None and is_due:
+            self._rebalanced_ms = now_ms
+            planned = self._rebalanced(known, cleaned, candidates)
+        if planned is None:
             return None
-        self._rebalanced_ms = now_ms
+        return dataclasses.replace(planned, voters=self._next_voters(cleaned))
+
+    def _rebalanced(
+        self,
+        known: key_map.KeyMap,
+        cleaned: key_map.KeyMap,
+        candidates: list[planning.Candidate],
+    ) -> key_map.KeyMap | None:
+        """Returns the map after a change that does not hurry."""
         loads = [load for loads in self._loads_by_vm.values() for load in loads]
         planned = (
             planning.merge_rows(cleaned)
             or planning.include_new_targets(cleaned, candidates)
             or planning.rebalance(cleaned, candidates, loads, self.objective_ms)
         )
-        if planned is None and (
-            self._is_cleanup_due(known, cleaned)
-            or _must_write(cleaned.voters, voters)
+        if planned is not None:
+            return planned
+        if self._is_cleanup_due(known, cleaned) or _must_write(
+            cleaned.voters, self._next_voters(cleaned)
         ):
-            planned = dataclasses.replace(cleaned, version=known.version + 1)
-        if planned is None:
-            return None
-        return dataclasses.replace(planned, voters=voters)
+            return dataclasses.replace(cleaned, version=known.version + 1)
+        return None
 
-    def _has_majority(self) -> bool:
-        """Returns whether this daemon reaches a majority of the voters.
+    # Voters.
 
-        Before the first map no daemon holds keys, so those that are lost don't
-        count.
-        """
+    def _has_majority(self) -> bool:
+        """Returns whether this daemon reaches a majority of the voters."""
         voters = self._keyspace.voters
         if self._keyspace.current_map is None:
-            voters = voters_lib.of(
-                vm
-                for vm in self._fleet.by_vm
-                if self._links.unreachable_ms(vm) < _VOTER_LOSS_MS
-            )
+            voters = self._first_voters()
         return voters.has_majority(self._fleet.reachable())
 
+    def _first_voters(self) -> voters_lib.Voters:
+        """Returns the voters of the first map.
+
+        Those that are lost do not vote, unless targets may hold keys by a map
+        that the store has lost.
+        """
+        if not self._keyspace.is_first_start:
+            return self._keyspace.voters
+        return voters_lib.of(
+            vm
+            for vm in self._fleet.by_vm
+            if self._links.unreachable_ms(vm) < _VOTER_LOSS_MS
+        )
+
     def _next_voters(self, known: key_map.KeyMap) -> voters_lib.Voters:
         """Returns the voters of the map that follows the known one."""
         if known.voters is None:
@@ -236,6 +252,8 @@
             self._voters_pinged_ms = now_ms
             self._links.ping_quiet(vms, 0)
 
+    # Earlier owners.
+
     def _without_previous(self, known: key_map.KeyMap) -> key_map.KeyMap:
         """Returns the map without the earlier owners of settled rows."""
         settled = self._settled_owners(known)
@@ -311,7 +329,7 @@
         first = planning.initial_map(
             candidates, era, not self._keyspace.is_first_start
         )
-        return dataclasses.replace(first, voters=self._keyspace.voters)
+        return dataclasses.replace(first, voters=self._first_voters())
 
     def _is_lost(self, vm: ids.VmId) -> bool:
         peer = self._fleet.by_vm.get(vm)
