--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -204,6 +204,16 @@
                 dataclasses.replace(cleared, version=self.map.version + 1)
             )
 
+    @stateful.rule(owner=strategies.sampled_from(_VMS), settled=_SOME_VMS)
+    def merge_rows(self, owner, settled):
+        """Leaves one owner, whose rows then get a common fencing token."""
+        if not self._can_write():
+            return
+        self.reassign(set(_VMS) - {owner})
+        self.work(settled, settled, settled, settled, settled)
+        self.clear_previous_owners(settled)
+        self._write(planning.merge_rows(self.map))
+
     @stateful.rule(
         vm=strategies.sampled_from(_VMS), sink=strategies.sampled_from(_VMS)
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
     "Kind",
     "PlannedFault",
     "plan_faults",
+    "plan_losses",
     "plan_statements",
     "plan_work",
 ]
@@ -39,6 +40,7 @@
     STORE_RESTORED = "store-restored"
     TARGET_LIMITED = "target-limited"
     TARGET_LEAVES_QUIETLY = "target-leaves-quietly"
+    VM_LOST = "vm-lost"
 
 
 # Relative frequency of each kind.
@@ -70,6 +72,8 @@
 _MAX_STOP_PAUSE_MS = 1_500
 # Grace period that a reload of planned work sets.
 _GRACE_MS = 5_900
+# VMs that join during a run, and are lost for good.
+_LOSSES = 3
 # Changes of settings or configuration for each stop.
 _CHANGES_PER_STOP = 0.5
 
@@ -145,6 +149,23 @@
     return sorted(planned, key=lambda each: each.at_ms)
 
 
+def plan_losses(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
+    """Returns VMs that join beside one of the others and are lost for good.
+
+    They are drawn apart from the other faults, so that a seed keeps its plan.
+
+    Args:
+      seed: The same seed and arguments give the same plan.
+      length_ms: Time over which they join.
+      vms: Number of VMs.
+    """
+    source = random.Random(f"losses {seed}")
+    planned = [
+        _draw(source, Kind.VM_LOST, length_ms, vms) for _ in range(_LOSSES)
+    ]
+    return sorted(planned, key=lambda each: each.at_ms)
+
+
 def plan_work(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
     """Returns planned work only: stops in turn, reloads and configurations.
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -25,6 +25,8 @@
 # Longer than the time after which a limit, or the end of a drain, is checked.
 _LIMITED_S = 10
 _QUIET_LEAVE_S = 6
+# A VM that has joined has got keys within this time.
+_JOIN_S = 4
 # Operators write again what a restored store has lost, within this time.
 _REWRITE_S = 0.5
 _UNAVAILABLE = 503
@@ -38,6 +40,7 @@
 
     Attributes:
       callers: Callers that send faster during a burst.
+      add_vm: Returns a new VM that resembles the one with this index.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         seed: int,
     ):
         self.callers: list[callers_lib.Caller] = []
+        self.add_vm: Callable[[int], processes.Vm] = lambda index: vms[index]
         self._vms = vms
         self._store = store
         self._evidence = evidence
@@ -117,6 +121,13 @@
                     vm.signal_target(signal.SIGUSR2)
                     await asyncio.sleep(_QUIET_LEAVE_S)
                     await vm.replace_target(signal.SIGKILL)
+            case faults.Kind.VM_LOST:
+                added = self.add_vm(planned.vm)
+                await added.start()
+                await asyncio.sleep(_JOIN_S + for_s)
+                with self._recorded(planned.kind.value, added.name):
+                    await added.lose()
+                    await asyncio.sleep(_RESTART_WAIT_S)
 
     async def _record_while(
         self,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -118,6 +118,17 @@
         for proxy in self.proxy_by_link.values():
             proxy.close()
 
+    async def lose(self) -> None:
+        """Kills daemon and target, which are not started again."""
+        self._is_closing = True
+        for process in (self._daemon, self._target):
+            _signal(process, signal.SIGKILL)
+        for process in (self._daemon, self._target):
+            if process is not None:
+                await process.wait()
+        for proxy in self.proxy_by_link.values():
+            proxy.close()
+
     def write_settings(self, grace_ms: int) -> None:
         """Replaces the settings file atomically, as the platform does."""
         host = self._host
--- a/soak/run.py
+++ b/soak/run.py
@@ -114,27 +114,41 @@
         self._evidence = evidence_lib.Evidence(
             {f"vm-{index}": row[0] for index, row in enumerate(layout)}
         )
+        self._store_port = store_port
         self._vms = [
-            processes.Vm(
-                f"vm-{index}",
-                f"127.{options.network}.0.{index + 1}",
-                row[1:],
-                row[0],
-                store_port,
-                options.folder,
-                self._evidence,
-                self._clock,
-                options.work_ms,
-            )
-            for index, row in enumerate(layout)
+            self._new_vm(index, row) for index, row in enumerate(layout)
         ]
+        # VMs that join during the run.
+        self._added: list[processes.Vm] = []
         self._evidence.is_planned_work = options.is_planned_work
         self._tasks: list[asyncio.Task[None]] = []
         self._injector = injector_lib.Injector(
             self._vms, self._store, self._evidence, self._clock, options.seed
         )
+        self._injector.add_vm = self._add_vm
         self._planned = self._plan(options.length_s * _MS_PER_S)
 
+    def _new_vm(self, index: int, row: tuple[str, str, str]) -> processes.Vm:
+        return processes.Vm(
+            f"vm-{index}",
+            f"127.{self._options.network}.0.{index + 1}",
+            row[1:],
+            row[0],
+            self._store_port,
+            self._options.folder,
+            self._evidence,
+            self._clock,
+            self._options.work_ms,
+        )
+
+    def _add_vm(self, index: int) -> processes.Vm:
+        """Returns a new VM with a target of the service of another one."""
+        row = _VM_LAYOUT[index % len(_VM_LAYOUT)]
+        vm = self._new_vm(len(self._vms) + len(self._added), row)
+        self._evidence.service_by_vm[vm.name] = vm.service
+        self._added.append(vm)
+        return vm
+
     def _plan(self, length_ms: int) -> list[faults.PlannedFault]:
         options = self._options
         if options.is_planned_work:
@@ -144,6 +158,7 @@
                 options.seed, options.faults, length_ms, options.vms
             ),
             *faults.plan_statements(options.seed, length_ms, options.vms),
+            *faults.plan_losses(options.seed, length_ms, options.vms),
         ]
 
     async def play(self) -> None:
@@ -169,7 +184,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for vm in self._vms:
+        for vm in (*self._vms, *self._added):
             await vm.stop()
         self._store.close()
 
@@ -211,7 +226,7 @@
                 raise error
 
     def _read_daemon_logs(self) -> None:
-        for vm in self._vms:
+        for vm in (*self._vms, *self._added):
             for line in vm.log.read_bytes().splitlines():
                 if _FAULT_EVENT_FIELD in line or not line.startswith(b"{"):
                     self._evidence.errors.append(f"{vm.name}: {line!r}")
