--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -206,13 +206,25 @@
 
     @stateful.rule(owner=strategies.sampled_from(_VMS), settled=_SOME_VMS)
     def merge_rows(self, owner, settled):
-        """Leaves one owner, whose rows then get a common fencing token."""
+        """Leaves one owner, whose rows then get a common fencing token.
+
+        All targets hold keys before, and some daemons never know the map by
+        which the owner got them.
+        """
         if not self._can_write():
             return
-        self.reassign(set(_VMS) - {owner})
+        everywhere = set(_VMS)
+        for _ in range(2):
+            self.work(
+                everywhere, everywhere, everywhere, everywhere, everywhere
+            )
+            self.now_ms += 50
+        self.reassign(everywhere - {owner})
         self.work(settled, settled, settled, settled, settled)
         self.clear_previous_owners(settled)
         self._write(planning.merge_rows(self.map))
+        self.now_ms += 50
+        self.work({owner}, {owner}, set(), {owner}, {owner})
 
     @stateful.rule(
         vm=strategies.sampled_from(_VMS), sink=strategies.sampled_from(_VMS)
