--- a/mustardloom/keys/planning.py
+++ b/mustardloom/keys/planning.py
@@ -1,12 +1,11 @@
-"""Plans which VM owns which keys; pure functions of a map and measured load.
+"""Plans which VM owns which keys; pure functions of a map.
 
-Load pattern: a few adjacent keys carry much of the traffic, the set of hot keys
-changes within seconds, and targets differ in speed. The first map assigns keys
-in narrow stripes, so that adjacent ranges have different owners from the start.
-Later, rows move from the busiest target to the least busy one by measured load.
+Load pattern: a few adjacent keys carry much of the traffic. The first map
+assigns keys in narrow stripes, so that adjacent ranges have different owners
+from the start. Later, rows move when targets are lost or join, and by measured
+load (see `balancing`).
 """
 
-import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -24,22 +23,20 @@
 
 __all__ = [
     "Candidate",
-    "RowLoad",
     "adopt_instance",
     "clear_previous_owners",
     "include_new_targets",
     "initial_map",
     "merge_rows",
     "reassign",
-    "rebalance",
-    "split_by_load",
+    "row_counts",
     "with_instance",
+    "with_moves",
 ]
 
-# The answer to a heartbeat lists all rows of a target in at most 4 KiB.
-_MAX_ROWS_PER_OWNER = 130
 _MAX_STRIPES_PER_OWNER = 64
-# Above this number of rows, those of one owner are merged.
+# Above this number of rows, those of one owner are merged, as an answer to a
+# heartbeat lists few more.
 _MERGED_ROWS = 100
 # Parts of this width move to targets that join.
 _STRIPE_KEYS = key_map.KEY_COUNT // _MAX_STRIPES_PER_OWNER
@@ -47,23 +44,11 @@
 _MAX_SHARE_BESIDE = 1.1
 # Each daemon keeps the whole map, so its rows must not grow with the fleet.
 _MAX_STRIPES = 4_096
-# Moved keys have a cold cache; smaller differences are not worth that.
-_MIN_UTILISATION_GAP = 0.2
-# Below this utilisation requests don't queue at a target.
-_QUEUEING_UTILISATION = 0.55
-_MAX_MOVES = 24
-# Added to the utilisation of a target whose service time exceeds the fastest
-# one by the whole objective.
-_SLOWNESS_WEIGHT = 1.2
 _MS_PER_S = 1_000
 # An owner keeps at least this part of its fair share when targets join.
 _MIN_KEPT_SHARE = 0.8
 # Number of passes over the rows; adjacent rows are visited in different ones.
 _SCATTER_STRIDE = 7
-# The load of a target is split into about this many segments.
-_SEGMENTS_PER_TARGET = 40
-# Segments of up to this many hits are not split.
-_MIN_SEGMENT_HITS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,15 +76,6 @@
         return self.service_ms / _MS_PER_S / self.capacity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RowLoad:
-    """Requests per second for the keys `first` to `last`."""
-
-    first: int
-    last: int
-    rate: float
-
-
 def initial_map(
     candidates: Iterable[Candidate],
     era: int | None = None,
@@ -226,8 +202,8 @@
         return None
     if len(current.rows) > _MERGED_ROWS * len(receivers):
         moves = dict(_moves_beside(current, receivers, old_owners))
-        return _with_moves(current, current.rows, moves, receivers)
-    counts = _row_counts(current)
+        return with_moves(current, current.rows, moves, receivers)
+    counts = row_counts(current)
     moves = {}
     for row in current.rows:
         if row.owner not in old_owners:
@@ -241,7 +217,7 @@
         )
         counts[receiver.vm] = counts.get(receiver.vm, 0) + 1
         moves[row.first] = receiver.vm
-    return _with_moves(current, current.rows, moves, receivers)
+    return with_moves(current, current.rows, moves, receivers)
 
 
 def _moves_beside(
@@ -290,7 +266,7 @@
     Returns:
       The new map; None if no rows can be merged.
     """
-    counts = _row_counts(current)
+    counts = row_counts(current)
     crowded = {vm for vm, count in counts.items() if count > _MERGED_ROWS}
     version = current.version + 1
     merged: list[key_map.Row] = []
@@ -356,112 +332,7 @@
         moves[row.first] = receiver
     if not moves:
         return None
-    return _with_moves(current, rows, moves, by_vm.values())
-
-
-def rebalance(
-    current: key_map.KeyMap,
-    candidates: Iterable[Candidate],
-    loads: Iterable[RowLoad],
-    objective_ms: float,
-) -> key_map.KeyMap | None:
-    """Moves rows from busy or slow targets to less busy or faster ones.
-
-    A slow target answers late even if it has no queue, so its utilisation is
-    raised in proportion to its extra service time relative to the objective.
-
-    Args:
-      current: The map.
-      candidates: Targets with their service time and rate.
-      loads: Rates of rows or parts of rows; all other keys count as idle.
-      objective_ms: Latency objective.
-
-    Returns:
-      The new map; None if no move is worth its cost.
-    """
-    by_vm = {each.vm: each for each in candidates}
-    if len(by_vm) < 2:
-        return None
-    fastest_ms = min(each.service_ms for each in by_vm.values())
-    utilisation = {
-        vm: each.rate * each.utilisation_per_rps
-        + _SLOWNESS_WEIGHT * (each.service_ms - fastest_ms) / objective_ms
-        for vm, each in by_vm.items()
-    }
-    if max(utilisation.values()) < _QUEUEING_UTILISATION:
-        return None
-    rows = list(_split_at_borders(current.rows, loads))
-    counts = _row_counts(dataclasses.replace(current, rows=tuple(rows)))
-    rate_by_first = _rate_by_first(rows, loads)
-    moves: dict[int, ids.VmId] = {}
-    for _ in range(_MAX_MOVES):
-        sources = [vm for vm, each in by_vm.items() if each.can_release_keys]
-        if not sources:
-            break
-        source = max(sources, key=lambda vm: utilisation[vm])
-        sink = min(utilisation, key=lambda vm: (utilisation[vm], vm))
-        gap = utilisation[source] - utilisation[sink]
-        if (
-            utilisation[source] < _QUEUEING_UTILISATION
-            or gap < _MIN_UTILISATION_GAP
-        ):
-            break
-        if counts.get(sink, 0) >= _MAX_ROWS_PER_OWNER:
-            break
-        # Moving exactly this rate would make both equally busy.
-        wanted_rate = gap / (
-            by_vm[source].utilisation_per_rps + by_vm[sink].utilisation_per_rps
-        )
-        row = _best_row(rows, moves, rate_by_first, source, wanted_rate)
-        if row is None:
-            break
-        moved_rate = rate_by_first[row.first]
-        utilisation[source] -= moved_rate * by_vm[source].utilisation_per_rps
-        utilisation[sink] += moved_rate * by_vm[sink].utilisation_per_rps
-        counts[sink] = counts.get(sink, 0) + 1
-        moves[row.first] = sink
-    if not moves:
-        return None
-    return _with_moves(current, rows, moves, by_vm.values())
-
-
-def split_by_load(
-    rows: Iterable[key_map.Row], hits: Mapping[int, int]
-) -> Iterator[RowLoad]:
-    """Yields the parts of rows that have load, each small enough to move.
-
-    Args:
-      rows: Rows of the map.
-      hits: Number of requests by key; `rate` of the results is in the same
-        unit.
-    """
-    max_hits = max(_MIN_SEGMENT_HITS, sum(hits.values()) / _SEGMENTS_PER_TARGET)
-    keys = sorted(hits)
-    index = 0
-    for row in rows:
-        row_keys = []
-        while index < len(keys) and keys[index] <= row.last:
-            row_keys.append(keys[index])
-            index += 1
-        if row_keys:
-            yield from _split_row(row, row_keys, hits, max_hits)
-
-
-def _split_row(
-    row: key_map.Row,
-    keys: list[int],
-    hits: Mapping[int, int],
-    max_hits: float,
-) -> Iterator[RowLoad]:
-    """Splits a row so that only parts with one hit key exceed `max_hits`."""
-    first = row.first
-    weight = 0
-    for key in keys:
-        if weight and weight + hits[key] > max_hits:
-            yield RowLoad(first, key - 1, weight)
-            first, weight = key, 0
-        weight += hits[key]
-    yield RowLoad(first, row.last, weight)
+    return with_moves(current, rows, moves, by_vm.values())
 
 
 def _split_wide(rows: Iterable[key_map.Row]) -> Iterator[key_map.Row]:
@@ -478,72 +349,28 @@
         yield from rows[offset::_SCATTER_STRIDE]
 
 
-def _best_row(
-    rows: list[key_map.Row],
-    moves: Mapping[int, ids.VmId],
-    rate_by_first: Mapping[int, float],
-    source: ids.VmId,
-    wanted_rate: float,
-) -> key_map.Row | None:
-    """Returns the row of `source` with the highest rate up to `wanted_rate`."""
-    fitting = [
-        row
-        for row in rows
-        if row.owner == source
-        and row.first not in moves
-        and 0 < rate_by_first[row.first] <= wanted_rate
-    ]
-    return max(fitting, key=lambda row: rate_by_first[row.first], default=None)
-
-
-def _split_at_borders(
-    rows: Iterable[key_map.Row], loads: Iterable[RowLoad]
-) -> Iterator[key_map.Row]:
-    """Splits rows at the borders of the loads inside them."""
-    borders = sorted(
-        {load.first for load in loads} | {load.last + 1 for load in loads}
-    )
-    index = 0
-    for row in rows:
-        first = row.first
-        while index < len(borders) and borders[index] <= row.last:
-            if borders[index] > first:
-                yield msgspec.structs.replace(
-                    row, first=first, last=borders[index] - 1
-                )
-                first = borders[index]
-            index += 1
-        yield msgspec.structs.replace(row, first=first)
-
-
-def _rate_by_first(
-    rows: list[key_map.Row], loads: Iterable[RowLoad]
-) -> dict[int, float]:
-    """Returns the rate of each row; a load is split evenly among its rows."""
-    rate_by_first = dict.fromkeys((row.first for row in rows), 0.0)
-    starts = sorted(rate_by_first)
-    for load in loads:
-        begin = bisect.bisect_left(starts, load.first)
-        end = bisect.bisect_right(starts, load.last)
-        covered = starts[begin:end]
-        for start in covered:
-            rate_by_first[start] += load.rate / len(covered)
-    return rate_by_first
-
-
-def _row_counts(current: key_map.KeyMap) -> dict[ids.VmId, int]:
+def row_counts(current: key_map.KeyMap) -> dict[ids.VmId, int]:
+    """Returns the number of rows of each owner."""
     counts: dict[ids.VmId, int] = {}
     for row in current.rows:
         counts[row.owner] = counts.get(row.owner, 0) + 1
     return counts
 
 
-def _with_moves(
+def with_moves(
     current: key_map.KeyMap,
     rows: Iterable[key_map.Row],
     moves: Mapping[int, ids.VmId],
     owners: Iterable[Candidate],
 ) -> key_map.KeyMap:
+    """Returns the map after moves.
+
+    Args:
+      current: The map.
+      rows: Its rows, or parts of them.
+      moves: New owner of each row that moves, by the first key of the row.
+      owners: Targets among which the new owners are.
+    """
     version = current.version + 1
     changed = (
         msgspec.structs.replace(
--- a/mustardloom/keys/tests/test_exclusive.py
+++ b/mustardloom/keys/tests/test_exclusive.py
@@ -16,6 +16,7 @@
 from mustardloom import ids
 from mustardloom.deployment import targets
 from mustardloom.keys import authority
+from mustardloom.keys import balancing
 from mustardloom.keys import claims
 from mustardloom.keys import grants
 from mustardloom.keys import key_map
@@ -233,7 +234,7 @@
         if not self._can_write() or vm == sink:
             return
         loads = [
-            planning.RowLoad(row.first, row.last, 5.0)
+            balancing.RowLoad(row.first, row.last, 5.0)
             for row in self.map.owned_by(vm)[:8]
         ]
         candidates = [
@@ -246,7 +247,7 @@
             )
             for each in {vm, sink}
         ]
-        self._write(planning.rebalance(self.map, candidates, loads, 300))
+        self._write(balancing.rebalance(self.map, candidates, loads, 300))
 
     def _adopt_instance(self, vm):
         if self._can_write():
--- a/mustardloom/keys/tests/test_key_map.py
+++ b/mustardloom/keys/tests/test_key_map.py
@@ -51,7 +51,7 @@
             row.first: owners[(version + row.first) % 103].vm
             for row in current.rows[version :: len(current.rows) // 24]
         }
-        current = planning._with_moves(current, current.rows, moves, owners)
+        current = planning.with_moves(current, current.rows, moves, owners)
     value = key_map.encode(current)
     assert len(value) <= _MAX_VALUE_BYTES
     assert key_map.decode(value) == current
--- a/mustardloom/keys/tests/test_planning.py
+++ b/mustardloom/keys/tests/test_planning.py
@@ -9,6 +9,7 @@
 
 from mustardloom import ids
 from mustardloom.deployment import targets
+from mustardloom.keys import balancing
 from mustardloom.keys import claims
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
@@ -79,8 +80,8 @@
     hits = collections.Counter(dict.fromkeys(range(30000, 30060), 2))
     hits.update(dict.fromkeys(range(0, key_map.KEY_COUNT, 410), 1))
     for _ in range(4):
-        loads = list(planning.split_by_load(planned.rows, hits))
-        moved = planning.rebalance(
+        loads = list(balancing.split_by_load(planned.rows, hits))
+        moved = balancing.rebalance(
             planned, _measured_candidates(planned, hits), loads, 300
         )
         planned = moved or planned
@@ -104,8 +105,10 @@
             )
             for each in _measured_candidates(planned, hits)
         ]
-        loads = list(planning.split_by_load(planned.rows, hits))
-        planned = planning.rebalance(planned, candidates, loads, 300) or planned
+        loads = list(balancing.split_by_load(planned.rows, hits))
+        planned = (
+            balancing.rebalance(planned, candidates, loads, 300) or planned
+        )
     rates = _rate_by_vm(planned, hits)
     assert rates[slow] < 0.7 * min(rates[vm] for vm in _VMS[1:])
 
@@ -116,9 +119,9 @@
     hits = collections.Counter(
         dict.fromkeys(range(0, key_map.KEY_COUNT, 4000), 1)
     )
-    loads = list(planning.split_by_load(planned.rows, hits))
+    loads = list(balancing.split_by_load(planned.rows, hits))
     assert (
-        planning.rebalance(
+        balancing.rebalance(
             planned, _measured_candidates(planned, hits), loads, 300
         )
         is None
@@ -135,8 +138,8 @@
         dataclasses.replace(each, can_release_keys=False)
         for each in _measured_candidates(planned, hits)
     ]
-    loads = list(planning.split_by_load(planned.rows, hits))
-    assert planning.rebalance(planned, candidates, loads, 300) is None
+    loads = list(balancing.split_by_load(planned.rows, hits))
+    assert balancing.rebalance(planned, candidates, loads, 300) is None
 
 
 def test_keys_of_leaving_targets_go_to_all_others():
@@ -212,7 +215,7 @@
 def test_parts_of_rows_carry_all_hits(hits):
     """Guards against load that the planner does not see."""
     planned = planning.initial_map(_candidates())
-    parts = list(planning.split_by_load(planned.rows, hits))
+    parts = list(balancing.split_by_load(planned.rows, hits))
     assert sum(part.rate for part in parts) == sum(hits.values())
     for part in parts:
         row = planned.row_of(part.first)
@@ -240,7 +243,7 @@
     )
     limited_per_s, service_ms = 20.0, 60.0
     for _ in range(4):
-        loads = list(planning.split_by_load(planned.rows, hits))
+        loads = list(balancing.split_by_load(planned.rows, hits))
         measured = _measured_candidates(planned, hits, service_ms)
         measured[0] = dataclasses.replace(
             measured[0],
@@ -248,7 +251,7 @@
                 6, service_ms, limited_per_s
             ),
         )
-        planned = planning.rebalance(planned, measured, loads, 300) or planned
+        planned = balancing.rebalance(planned, measured, loads, 300) or planned
     assert _rate_by_vm(planned, hits)[_VMS[0]] <= limited_per_s
 
 
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -12,11 +12,11 @@
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
 from mustardloom.keys import authority as authority_lib
+from mustardloom.keys import balancing
 from mustardloom.keys import claims as claims_lib
 from mustardloom.keys import grants as grants_lib
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger as ledger_lib
-from mustardloom.keys import planning
 from mustardloom.keys import restoration
 from mustardloom.keys import voters as voters_lib
 from mustardloom.platform import announcements
@@ -573,7 +573,7 @@
         self._key_rate += _RATE_SMOOTHING * (total / passed_s - self._key_rate)
         # Only rows with load, so that the work does not grow with the fleet.
         rows = {self._claims.map.row_of(key): None for key in sorted(hits)}
-        segments = planning.split_by_load(rows, hits)
+        segments = balancing.split_by_load(rows, hits)
         for segment in segments:
             rate = round(segment.rate / passed_s, 1)
             yield segment.first, segment.last, rate
--- a/mustardloom/sidecar/planner.py
+++ b/mustardloom/sidecar/planner.py
@@ -11,6 +11,7 @@
 from mustardloom import objects
 from mustardloom.deployment import stored
 from mustardloom.deployment import targets
+from mustardloom.keys import balancing
 from mustardloom.keys import key_map
 from mustardloom.keys import planning
 from mustardloom.keys import voters as voters_lib
@@ -91,7 +92,7 @@
         self._restoration = map_restoration.MapRestoration(
             keyspace, fleet, links, clock, lambda: self.publish_maps()
         )
-        self._loads_by_vm: dict[ids.VmId, tuple[planning.RowLoad, ...]] = {}
+        self._loads_by_vm: dict[ids.VmId, tuple[balancing.RowLoad, ...]] = {}
         self._instances_seen: dict[ids.VmId, targets.TargetInstance] = {}
         self._instances_seen_ms = clock.now_ms()
         self._rebalanced_ms = 0
@@ -111,7 +112,9 @@
 
     def on_key_load(self, vm: ids.VmId, loads: keyspace_lib.RangeLoads) -> None:
         """Records the busy key ranges that an owner reports."""
-        self._loads_by_vm[vm] = tuple(planning.RowLoad(*load) for load in loads)
+        self._loads_by_vm[vm] = tuple(
+            balancing.RowLoad(*load) for load in loads
+        )
 
     def _report_loads(self, loads: keyspace_lib.RangeLoads) -> None:
         """Sends the local target's load to the planner.
@@ -186,7 +189,9 @@
         planned = (
             planning.merge_rows(cleaned)
             or planning.include_new_targets(cleaned, candidates)
-            or planning.rebalance(cleaned, candidates, loads, self.objective_ms)
+            or balancing.rebalance(
+                cleaned, candidates, loads, self.objective_ms
+            )
         )
         if planned is not None:
             return planned
