Show that a daemon hangs on a long list of released keys

A backend that leaves and reports 4,096 released rows in a heartbeat keeps the daemon beside it busy for good: each row is searched for in a list, on the event loop, and the heartbeat comes again as it is not acknowledged in time. No caller of that machine is answered any more.

--- a/review/stand_ins_3/backend.py
+++ b/review/stand_ins_3/backend.py
@@ -1,6 +1,7 @@
 """A backend that follows the pages: heartbeats, keys, answers."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import time
@@ -31,6 +32,9 @@
       acked: Loop time of the first acknowledged heartbeat that reported
         `draining`, None before.
       holds: Rows that it holds: first key, last key, fence.
+      cold_until: Loop time until which it is cold.
+      most_per_s: Requests in one second at which it crashes while it is cold.
+      keys_per_token: Keys that one handover token covers at most.
     """
 
     def __init__(
@@ -51,6 +55,10 @@
         self.is_leaving = False
         self.acked: float | None = None
         self.holds: list[list[int]] = []
+        self.keys_per_token = 65_536
+        self.cold_until = 0.0
+        self.most_per_s = 0
+        self._cold_runs: collections.deque[float] = collections.deque()
         self._freed: list[list[Any]] = []
         self._held_until = 0.0
         self._service = service
@@ -123,7 +131,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "cold_left": "0ms",
+            "cold_left": f"{max(0, round((self.cold_until - sent) * 1_000))}ms",
             "sequence": self._sequence,
             "born": self._born,
             "holds": self.holds,
@@ -159,8 +167,10 @@
         hold_s = float(answer["hold_time"].removesuffix("ms")) / 1_000
         released = [row for row in self.holds if row not in listed]
         for first, last, fence in released:
-            token = f"{self.name}-{first}-{fence}"
-            self._freed.append([first, last, token])
+            for start in range(first, last + 1, self.keys_per_token):
+                end = min(last, start + self.keys_per_token - 1)
+                token = f"{self.name}-{start}-{fence}"
+                self._freed.append([start, end, token])
         self.holds = listed
         self._held_until = sent + hold_s
         return 0.05 if released else _HEARTBEAT_S
@@ -194,6 +204,20 @@
             self._tasks.discard(task)
             writer.close()
 
+    def _crash_if_overrun(self) -> None:
+        """Crashes if it is cold and gets too many requests in a second."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.cold_until:
+            return
+        self._cold_runs.append(now)
+        while self._cold_runs[0] <= now - 1.0:
+            self._cold_runs.popleft()
+        if self.most_per_s and len(self._cold_runs) > self.most_per_s:
+            self._record.write(
+                "crash", backend=self.name, in_one_second=len(self._cold_runs)
+            )
+            self.stop()
+
     async def _answer(self, request: http.Message) -> bytes:
         headers = request.headers
         request_id = headers.get("x-request-id", "")
@@ -214,6 +238,7 @@
         self._record.write(
             "run", backend=self.name, id=request_id, line=request.first
         )
+        self._crash_if_overrun()
         await asyncio.sleep(self.work_s)
         told.append(("X-Response-Signature", f"{self.name}.{request_id}"))
         return http.encode("HTTP/1.1 200 OK", told, self.answer)
--- a/review/stand_ins_3/fleet.py
+++ b/review/stand_ins_3/fleet.py
@@ -288,6 +288,8 @@
                 "name": service,
                 "health_path": "/health",
                 "max_connections": 120,
+                "cold_start": "3000ms",
+                "cold_per_s": 24.0,
                 "sharded": service in sharded,
             }
             for service in sorted(set(services))
