--- a/review/13/case.py
+++ b/review/13/case.py
@@ -77,7 +77,9 @@
 ) -> list[str]:
     rules = [("plans", "/plans/", "unsafe", "archive", "2000ms")]
     services = ["desk", "archive", "billing"]
-    async with fleet_lib.Fleet(folder, record, services, (), rules) as fleet:
+    async with fleet_lib.Fleet(
+        folder, record, services, (), rules, ("ra", "rb", "rc")
+    ) as fleet:
         desk = fleet.machines[0]
         async with asyncio.timeout(30):
             await waiting.until_answered(lambda: _is_served(desk, record))
--- a/review/stand_ins_3/fleet.py
+++ b/review/stand_ins_3/fleet.py
@@ -53,16 +53,17 @@
     """
 
     def __init__(
-        self, fleet: "Fleet", name: str, host: str, service: str, zone: str
+        self, fleet: "Fleet", name: str, host: str, service: str, region: str
     ):
         self.name = name
         self.host = host
         self.service = service
-        self.zone = zone
+        self.region = region
+        self.zone = f"{region}-a"
         self.backend = backend_lib.Backend(
             f"i-{name}",
             service,
-            zone,
+            self.zone,
             host,
             fleet.record,
             service in fleet.sharded,
@@ -151,7 +152,9 @@
 
     def _settings(self) -> list[str]:
         host = self.host
-        zones = sorted({each.zone for each in self._fleet.machines})
+        region_by_zone = {
+            each.zone: each.region for each in self._fleet.machines
+        }
         return [
             f"node_id={self.name}",
             "role=mustardloom-sidecar",
@@ -159,8 +162,11 @@
             "serves=sidecar",
             f"ip={host}",
             f"zone={self.zone}",
-            "region=ra",
-            *(f"zones.{zone}=ra" for zone in zones),
+            f"region={self.region}",
+            *(
+                f"zones.{zone}={region_by_zone[zone]}"
+                for zone in region_by_zone
+            ),
             f"listen.inbound={host}:8300",
             f"listen.outbound={host}:{CALLER_PORT}",
             f"listen.ready={host}:{_READY_PORT}",
@@ -197,6 +203,7 @@
       services: Service of each machine.
       sharded: Services that are divided by key.
       rules: Routes: name, prefix, kind, service and timeout.
+      regions: Region of each machine; one for all if empty.
 
     Attributes:
       configuration: The first configuration.
@@ -211,15 +218,20 @@
         services: list[str],
         sharded: tuple[str, ...],
         rules: list[tuple[str, str, str, str, str]],
+        regions: tuple[str, ...] = (),
     ):
         self.folder = folder
         self.record = record
         self.sharded = sharded
         self.store = store_lib.Store()
         self.machines: list[Machine] = []
-        for index, host in enumerate(_free_hosts(len(services))):
+        hosts = _free_hosts(len(services))
+        placed = zip(
+            hosts, services, regions or ("ra",) * len(services), strict=True
+        )
+        for index, (host, service, region) in enumerate(placed):
             self.machines.append(
-                Machine(self, f"m{index}", host, services[index], "za")
+                Machine(self, f"m{index}", host, service, region)
             )
         self.configuration = _configuration(services, sharded, rules)
 
