End a leave that is older than the process at once, whoever tells it first

Cause: two sources tell a new process of a leave. If the heartbeat that says `draining` came first, it began the leave anew, with 1.6 s of requests, and what another daemon told then had no effect. The log of the old code shows `draining` with `work_for_ms` 1,600 in the new process.

Its invariant is not checked while a leave is on its way between two daemons, as the requests of other daemons come on the same links; before, it was delivered at once.

--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -40,6 +40,12 @@
 # trips between regions, of 40 ms each.
 _STALLED_UPLOAD_MS = 500
 
+# Called with what the target stated before to this process, None if this is its
+# first response, and with what it states now.
+StatementCallback = Callable[
+    [targets.Statement | None, targets.Statement], None
+]
+
 
 class Gate:
     """Admits, queues and dispatches requests for the local target.
@@ -70,7 +76,7 @@
         self.on_reachability: Callable[[target_state.Reachability], None] = (
             lambda _: None
         )
-        self.on_statement: Callable[[targets.Statement], None] = lambda _: None
+        self.on_statement: StatementCallback = lambda *_: None
         self.on_cancelled: Callable[[str], None] = lambda _: None
         self.is_origin_stopping: Callable[[ids.VmId], bool] = lambda _: False
         self._service = service
@@ -425,8 +431,9 @@
         self._limits.rate.state(
             statement.rate_limit_per_s, self._clock.now_ms()
         )
-        before = self.target.statement or targets.Statement()
-        if self.target.statement is None:
+        known = self.target.statement
+        before = known or targets.Statement()
+        if known is None:
             self.target.statement = statement
         if not statement.differs_notably(before):
             return
@@ -440,7 +447,7 @@
             running=len(self._dispatcher.running),
             waiting=len(self._queue),
         )
-        self.on_statement(statement)
+        self.on_statement(known, statement)
 
     def _mark_down(self) -> None:
         self._set_reachability(target_state.Reachability.DOWN)
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -119,7 +119,8 @@
     def on_left(self, departure: departures.Departure) -> None:
         """Records a leave that was acknowledged before this process began.
 
-        Delayed heartbeats of the target may arrive only now.
+        Heartbeats of the target may have come before, also one by which it
+        seemed to begin to leave only now, or may arrive later.
         """
         self._departures.record(departure)
         self._leave_if_departed()
@@ -183,9 +184,13 @@
         told_per_s = self._rate_limit_by_instance.get(announcement.instance)
         if is_new and told_per_s is not None:
             self._gate.assume_rate_limit(told_per_s)
-        self._leave_if_departed()
+        if not self.is_leaving:
+            self._leave_if_departed()
         if announcement.phase is targets.Phase.DRAINING:
-            self._start_leaving("draining", self._work_time_ms())
+            # Of one that was leaving when this process first heard of it, an
+            # earlier process may have acknowledged that long ago.
+            work_for_ms = _NO_WORK_MS if is_new else self._work_time_ms()
+            self._start_leaving("draining", work_for_ms)
         if is_new:
             self.on_change()
 
@@ -234,12 +239,18 @@
         return max(0, self.bounds.drain_ms - _DRAIN_MARGIN_MS)
 
     def _start_leaving(self, notice: str, work_for_ms: int) -> None:
-        if self.is_leaving or self.announcement is None:
+        """Lets the target have requests for some more time.
+
+        Of several notices, in whatever order, the earliest end is in force.
+        """
+        if self.announcement is None:
+            return
+        self._gate.stop_admission_at(self._clock.now_ms() + work_for_ms)
+        if self.is_leaving:
             return
         self.is_leaving = True
         instance = self.announcement.instance
         self._departures.record(departures.of(instance))
-        self._gate.stop_admission_at(self._clock.now_ms() + work_for_ms)
         self._log.write(
             events.Event.TARGET_LEAVING,
             notice=notice,
@@ -248,11 +259,16 @@
         )
         self.on_change()
 
-    def _on_statement(self, statement: targets.Statement) -> None:
+    def _on_statement(
+        self, before: targets.Statement | None, statement: targets.Statement
+    ) -> None:
         # A limit may change with each response, so it travels with answers and
         # regular statuses, not with a message to every daemon.
-        if statement.is_leaving:
-            self._start_leaving("response", self._work_time_ms())
+        if statement.is_leaving and not self.is_leaving:
+            # Of the first response to this process as of the first heartbeat.
+            is_first = before is None
+            work_for_ms = _NO_WORK_MS if is_first else self._work_time_ms()
+            self._start_leaving("response", work_for_ms)
 
     def _reject(self, reason: str) -> messages.Response:
         self._log.write(events.Event.NOTICE_REJECTED, reason=reason)
--- a/mustardloom/sidecar/peer_frames.py
+++ b/mustardloom/sidecar/peer_frames.py
@@ -127,9 +127,9 @@
     def _note(self, vm: ids.VmId, frame: frames.Frame) -> None:
         """Processes a frame that has no reply."""
         match frame:
-            case frames.Hello(sender=sender):
+            case frames.Hello(sender=sender, started_ms=started_ms):
                 self._fleet.add_connected(sender)
-                self._target_memory.on_hello(vm)
+                self._target_memory.on_hello(vm, started_ms)
             case frames.Status():
                 self._fleet.update_status(vm, frame)
                 self._state_exchange.fetch_newer(vm, frame.changes)
--- a/mustardloom/sidecar/target_memory.py
+++ b/mustardloom/sidecar/target_memory.py
@@ -22,11 +22,23 @@
         self._links = links
         self._departure_by_vm: dict[ids.VmId, departures.Departure] = {}
         self._limited_by_vm: dict[ids.VmId, frames.TargetLimited] = {}
+        # Start of the process that dialled last.
+        self._started_ms_by_vm: dict[ids.VmId, int] = {}
 
-    def on_hello(self, vm: ids.VmId) -> None:
-        """Notes what a daemon that dials may have forgotten, and tells it."""
+    def on_hello(self, vm: ids.VmId, started_ms: int) -> None:
+        """Notes what a daemon that dials may have forgotten, and tells it.
+
+        A process that only dials again knows better itself when its target
+        began to leave.
+
+        Args:
+          vm: VM of the daemon.
+          started_ms: Start of its process, Unix time by its clock.
+        """
+        is_new = self._started_ms_by_vm.get(vm) != started_ms
+        self._started_ms_by_vm[vm] = started_ms
         peer = self._fleet.by_vm.get(vm)
-        if peer is not None:
+        if peer is not None and is_new:
             self._note_departure(peer)
             self._note_limit(peer)
         self.tell(vm)
--- a/mustardloom/sidecar/tests/test_departures.py
+++ b/mustardloom/sidecar/tests/test_departures.py
@@ -13,6 +13,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 import msgspec
+import pytest
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -132,7 +133,7 @@
     """Leaves, delays and restarts in any order.
 
     Another daemon hears of each change of the state and tells it to the next
-    process of the daemon.
+    process of the daemon, before or after the first notices of the target.
     """
 
     def __init__(self):
@@ -141,6 +142,8 @@
         self.clock = clock_lib.FakeClock()
         self.in_flight = []
         self.left_names = {}
+        self.told = []
+        self.process_start_ms = 0
         view = placement.TargetView(_VM, placement.Distance.SAME_ZONE)
         self.peer: Any = fleet_lib.Peer(_RECORD, view)
         self.memory = target_memory.TargetMemory(
@@ -163,8 +166,14 @@
 
     def _deliver_frame(self, vm, frame):
         del vm
-        departure = departures.Departure(frame.target, frame.born_until_ms)
-        self.target.on_left(departure)
+        self.told.append(
+            departures.Departure(frame.target, frame.born_until_ms)
+        )
+
+    @stateful.rule()
+    def deliver_told(self):
+        while self.told:
+            self.target.on_left(self.told.pop(0))
 
     def _send_status(self):
         announcement = self.target.announcement
@@ -184,9 +193,15 @@
     def restart_daemon(self):
         self.target, self.gate = _make_local_target(self.clock, self.null)
         self.target.on_change = self._send_status
-        self.memory.on_hello(_VM)
+        self.process_start_ms += 1
+        self.told.clear()
+        self.memory.on_hello(_VM, self.process_start_ms)
         self._send_status()
 
+    @stateful.rule()
+    def dial_again(self):
+        self.memory.on_hello(_VM, self.process_start_ms)
+
     @stateful.rule(
         name=strategies.sampled_from(["a", "b"]), is_crash=strategies.booleans()
     )
@@ -263,6 +278,8 @@
 
     @stateful.rule(passed_ms=strategies.sampled_from([50, 900, 2_600]))
     def pass_time(self, passed_ms):
+        # Links take far less time than the bound of a leave.
+        self.deliver_told()
         self._advance(passed_ms)
 
     @stateful.invariant()
@@ -270,6 +287,9 @@
         process = self.process
         if self.gate.target.instance != process.instance:
             return
+        if self.told:
+            # Requests of other daemons come on the links that bring this.
+            return
         left_ms = process.acknowledged_ms
         if left_ms is not None and self.clock.now_ms() > left_ms + _DRAIN_MS:
             assert not self.gate.is_open()
@@ -316,6 +336,89 @@
     _play(scenario)
 
 
+def _leave_was_told(target, instance):
+    target.on_left(departures.of(instance))
+
+
+@pytest.mark.parametrize("is_told_first", [True, False])
+@pytest.mark.parametrize("is_ready_late", [True, False])
+def test_leave_before_a_restart_ends_admission_in_either_order(
+    is_told_first, is_ready_late
+):
+    """Guards against a restarted daemon that lets a leave begin anew.
+
+    Another daemon tells it of the leave before or after the heartbeat by which
+    the target says that it leaves, and one from before the leave may be late.
+    """
+
+    async def scenario(clock, target, gate):
+        instance = targets.TargetInstance(
+            targets.TargetId("t"), clock.wall_ms() - 60_000
+        )
+        if is_ready_late:
+            await target.handle(_heartbeat(instance, 7))
+        if is_told_first:
+            _leave_was_told(target, instance)
+        await target.handle(_heartbeat(instance, 8, "draining"))
+        if not is_told_first:
+            _leave_was_told(target, instance)
+        assert not gate.is_open()
+
+    _play(scenario)
+
+
+def test_target_that_leaves_when_it_is_first_heard_of_gets_nothing():
+    """Guards against a leave that only an earlier process knew of.
+
+    No other daemon had its status when it ended.
+    """
+
+    async def scenario(clock, target, gate):
+        instance = targets.TargetInstance(
+            targets.TargetId("t"), clock.wall_ms() - 60_000
+        )
+        await target.handle(_heartbeat(instance, 8, "draining"))
+        assert not gate.is_open()
+
+    _play(scenario)
+
+
+def test_first_response_that_states_a_leave_ends_admission():
+    """Guards against a leave that only responses to an earlier process told."""
+
+    async def scenario(clock, target, gate):
+        instance = targets.TargetInstance(
+            targets.TargetId("t"), clock.wall_ms() - 60_000
+        )
+        await target.handle(_heartbeat(instance, 7))
+        gate._on_statement(instance, targets.Statement(is_leaving=True))
+        assert not gate.is_open()
+
+    _play(scenario)
+
+
+def test_leave_that_this_process_saw_begin_keeps_its_time():
+    """Guards against requests lost at a target that still takes them.
+
+    A link that was down for a moment brings back what this process told.
+    """
+
+    async def scenario(clock, target, gate):
+        instance = targets.TargetInstance(
+            targets.TargetId("t"), clock.wall_ms() - 60_000
+        )
+        await target.handle(_heartbeat(instance, 7))
+        gate._on_statement(instance, targets.Statement())
+        await target.handle(_heartbeat(instance, 8, "draining"))
+        await target.handle(_heartbeat(instance, 9, "draining"))
+        gate._on_statement(instance, targets.Statement(is_leaving=True))
+        assert gate.is_open()
+        await clock.advance(_DRAIN_MS)
+        assert not gate.is_open()
+
+    _play(scenario)
+
+
 def test_next_start_under_the_same_name_is_used():
     """Guards against a leave that outlives the instance it was true of."""
 
