Count the second before a process began as used by a cold target

Cause: the starts of the last second are in the memory of a process only, and a new one took the whole rate for unused.

Change: for 1.05 s after a process began, a cold target gets nothing, and its requests are refused at once, so that other targets take them. The starts of the earlier process are older by then.

The new test, which restarts the limit at any moment, fails without the change. Tests of load_control, http1, gate and daemon passed.

--- a/mustardloom/load_control/cold_start.py
+++ b/mustardloom/load_control/cold_start.py
@@ -21,7 +21,7 @@
     """Limits the requests per second while the target is cold.
 
     Example:
-      >>> limit = ColdStartLimit(overload_factor=1.0)
+      >>> limit = ColdStartLimit(overload_factor=1.0, began_ms=-2_000)
       >>> limit.set_rate_per_s(2)
       >>> limit.set_cold_until(5_000)
       >>> limit.record_start(0)
@@ -30,17 +30,21 @@
       (False, True)
     """
 
-    def __init__(self, overload_factor: float):
+    def __init__(self, overload_factor: float, began_ms: int):
         """Creates a limit that is not active.
 
         Args:
           overload_factor: Multiple of the rate that a cold target can run
             beyond which it counts as overloaded.
+          began_ms: Local time at which this process began.
         """
         self.set_overload_factor(overload_factor)
         self._cold_until_ms = 0
         self._rate_per_s: float | None = None
         self._starts_ms: collections.deque[int] = collections.deque()
+        # Until then the starts of an earlier process still count, and it may
+        # have used its whole rate.
+        self._unknown_until_ms = began_ms + _WINDOW_MS
 
     def set_overload_factor(self, overload_factor: float) -> None:
         """Sets the multiple of the rate beyond which it is overloaded."""
@@ -65,6 +69,8 @@
         """Returns whether one more request may start now."""
         if not self.is_cold(now_ms):
             return True
+        if now_ms < self._unknown_until_ms:
+            return False
         self._expire(now_ms)
         return len(self._starts_ms) < self._max_starts()
 
--- a/mustardloom/load_control/tests/test_load.py
+++ b/mustardloom/load_control/tests/test_load.py
@@ -3,6 +3,8 @@
 import heapq
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from mustardloom import ids
@@ -303,7 +305,7 @@
 
 def test_rate_of_a_cold_target_is_bounded():
     """Replays a returning zone: each second of a cold target is bounded."""
-    limit = cold_start.ColdStartLimit(overload_factor=1.5)
+    limit = cold_start.ColdStartLimit(overload_factor=1.5, began_ms=-2_000)
     limit.set_rate_per_s(24)
     limit.set_cold_until(5_000)
     starts = []
@@ -317,9 +319,32 @@
     assert len(starts) > 5 * 24
 
 
+@hypothesis.given(
+    killed_ms=strategies.integers(0, 2_500),
+    away_ms=strategies.integers(0, 1_500),
+)
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_restart_does_not_double_the_rate_of_a_cold_target(killed_ms, away_ms):
+    """Guards against a process that takes the last second for unused."""
+    restarted_ms = killed_ms + away_ms
+    starts = []
+    for began_ms, end_ms in ((-2_000, killed_ms), (restarted_ms, 6_000)):
+        limit = cold_start.ColdStartLimit(1.5, began_ms)
+        limit.set_rate_per_s(24)
+        limit.set_cold_until(6_000)
+        for now_ms in range(max(0, began_ms), end_ms, 5):
+            if limit.may_start(now_ms):
+                limit.record_start(now_ms)
+                starts.append(now_ms)
+    for first in starts:
+        inside = [s for s in starts if first <= s < first + 1_000]
+        assert len(inside) <= 24 * 1.5
+    assert starts[-1] > restarted_ms
+
+
 def test_cold_target_of_unknown_capacity_gets_few_requests():
     """Guards against full load before the configuration is known."""
-    limit = cold_start.ColdStartLimit(overload_factor=1.5)
+    limit = cold_start.ColdStartLimit(overload_factor=1.5, began_ms=-2_000)
     limit.set_cold_until(5_000)
     started = 0
     for now_ms in range(0, 1_000, 10):
--- a/mustardloom/sidecar/gate/limits.py
+++ b/mustardloom/sidecar/gate/limits.py
@@ -32,11 +32,11 @@
 
         Args:
           cold_factor: Multiple of a cold target's rate that is tolerated.
-          now_ms: Local time.
+          now_ms: Local time at which this process begins.
         """
         self.capacity = 1
         self.service_times = waiting.ServiceTimes()
-        self.cold = cold_start.ColdStartLimit(cold_factor)
+        self.cold = cold_start.ColdStartLimit(cold_factor, now_ms)
         self.rate = rate_limit_lib.RateLimit()
         self.learned_limit = learned_limit.LearnedLimit()
         self.shares = fair_shares.ServedShares()
