Write an interim response only in its turn

Cause: the interim response was written when the head was read and no request was pending; an answer that is written in pieces is pending no more.

Change: it is a state of the request that is read, and is written once the responses to all earlier requests are, while the body is still awaited. So a request that waits behind others gets it in its turn, too, and requests without a body, with one that has come, and clients of HTTP/1.0 get none.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -63,8 +63,8 @@
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
-# Version of HTTP whose clients know no chunks.
-_WITHOUT_CHUNKS = "1.0"
+# Its clients know no chunks and no interim responses (RFC 9110, 10.1.1).
+_HTTP_1_0 = "1.0"
 _UNAVAILABLE = 503
 # Told to callers for whose bytes there is no room.
 _NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
@@ -161,6 +161,8 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._length: int | None = 0
+        # Whether the client waits with the body for an interim response.
+        self._expects_continue = False
         self._headers: list[messages.Header] = []
         self._reset()
         stream.set_close_callback(self._on_closed)
@@ -377,7 +379,7 @@
         self._url += url
 
     def on_headers_complete(self) -> None:
-        """Reads the fields; sends `100 Continue` if expected."""
+        """Reads the fields."""
         self._phase = _Phase.BODY
         if self._parser.get_method() == _CONNECT:
             raise _RequestRejected(_BAD_REQUEST)
@@ -399,11 +401,27 @@
         if (self._length or 0) > self._limits.max_body_bytes:
             raise _RequestRejected(_BODY_TOO_LARGE)
         self._hold_for_request()
-        if framing.expects_continue and not self.pending:
+        is_known = self._parser.get_http_version() != _HTTP_1_0
+        self._expects_continue = framing.expects_continue and is_known
+        self._continue_if_due()
+
+    def _continue_if_due(self) -> None:
+        """Sends `100 Continue` to a client that waits for it with its body.
+
+        Not before the responses to earlier requests are written, so this is
+        called again after those.
+        """
+        if self.pending or self._sending or self._closes_after_pending:
+            return
+        is_awaited = self._expects_continue and self._phase is _Phase.BODY
+        self._expects_continue = False
+        if is_awaited and not self._has_body_arrived():
             self._writer.write(_CONTINUE)
 
     def on_body(self, data: bytes) -> None:
         """Adds a piece of the body."""
+        # The client has not waited.
+        self._expects_continue = False
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.max_body_bytes:
             raise _RequestRejected(_BODY_TOO_LARGE)
@@ -459,13 +477,14 @@
             raise _no_room()
 
     def _resize_hold(self, size: int) -> None:
-        # If there is no body, it has arrived.
-        has_arrived = (
-            self._length is not None and self._length <= self._arrived_bytes
-        )
+        has_arrived = self._has_body_arrived()
         if not self._room.try_hold(size, bool(self._open), has_arrived):
             raise _no_room()
 
+    def _has_body_arrived(self) -> bool:
+        """Returns whether the body has arrived; one of no bytes has."""
+        return self._length is not None and self._length <= self._arrived_bytes
+
     def _on_body_evicted(self) -> None:
         """Ends a request whose sender was silent while others need its room."""
         self._reject(messages.Response(_TIMEOUT))
@@ -521,7 +540,7 @@
         if upload is None:
             # They would be kept until the next request.
             self._headers = []
-        is_chunk_known = self._parser.get_http_version() != _WITHOUT_CHUNKS
+        is_chunk_known = self._parser.get_http_version() != _HTTP_1_0
         hold, fields_hold = self._room.hand_on()
         pending = pending_responses.PendingResponse(
             method, task, hold, fields_hold, is_chunk_known, upload
@@ -562,6 +581,7 @@
         self._whole_body = b""
         self._body_bytes = 0
         self._length = 0
+        self._expects_continue = False
         self._began_ms = self._owner.clock.now_ms()
 
     def _count_framing(self, count: int) -> None:
@@ -754,6 +774,7 @@
         ):
             pending = self.pending.popleft()
             self._respond(pending)
+        self._continue_if_due()
         self._waiting_since_ms = self._owner.clock.now_ms()
         self._has_room.set()
 
