Record a long list of released keys in parts, and free long lists as they are read

Change: rows are cut out of the text where an item ends, recorded in parts while the next heartbeat waits, and freed as they are merged; lookups index.

The heartbeats of the tests of keys have one module.

--- a/mustardloom/decoding.py
+++ b/mustardloom/decoding.py
@@ -22,9 +22,9 @@
 
 _Value = TypeVar("_Value")
 _Item = TypeVar("_Item")
-# Items of a long list that are decoded in one step.
-_ITEMS_IN_PART = 2_048
-_raw_items_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+# Of a long list of arrays, about this much is decoded in one step.
+_PART_BYTES = 64 * 1_024
+_ITEM_END = b"],"
 # Whole numbers with more digits are taken for a mistake.
 _MAX_DIGITS = 15
 # What separates the parts of a JSON text, and its strings.
@@ -146,16 +146,19 @@
     """
     # Each item opens an array, so that a list that is far too long is refused
     # before memory is taken for its items.
-    count = data.count(b"[") - 1
-    if count > most_items:
+    if data.count(b"[") - 1 > most_items:
         raise Undecodable(f"the list has more than {most_items} items")
-    if count <= _ITEMS_IN_PART:
-        yield _decode_list(data, decoder)
-        return
-    items = _decode_list(data, _raw_items_decoder)
-    for first in range(0, len(items), _ITEMS_IN_PART):
-        part = b",".join(items[first : first + _ITEMS_IN_PART])
-        yield _decode_list(b"[" + part + b"]", decoder)
+    start = 0
+    while (end := data.find(_ITEM_END, start + _PART_BYTES)) >= 0:
+        part = data[start : end + 1] + b"]"
+        try:
+            yield _decode_list(part if start == 0 else b"[" + part, decoder)
+        except Undecodable:
+            # Perhaps inside a string, which then has no end in this part.
+            break
+        start = end + len(_ITEM_END)
+    rest = data[start:]
+    yield _decode_list(rest if start == 0 else b"[" + rest, decoder)
 
 
 def _decode_list(
--- a/mustardloom/keys/claims.py
+++ b/mustardloom/keys/claims.py
@@ -102,6 +102,11 @@
         """Returns the ranges that may not be granted yet."""
         return tuple(self._pending_ranges)
 
+    @property
+    def has_handovers(self) -> bool:
+        """Returns whether there are handover tokens for the next grant."""
+        return bool(self._handovers)
+
     def pending_at(self, key: int) -> PendingRange | None:
         """Returns a pending range that has a key, None if there is none."""
         index = bisect.bisect_right(self._pending_firsts, key)
@@ -262,11 +267,11 @@
             if each.first > each.last:
                 continue
             index = bisect.bisect_left(own_rows, each.first, key=_last_of_row)
-            for row in itertools.islice(own_rows, index, None):
-                if row.first > each.last:
-                    break
+            while index < len(own_rows) and own_rows[index].first <= each.last:
+                row = own_rows[index]
                 if each.fence >= row.fence:
                     yield max(each.first, row.first), min(each.last, row.last)
+                index += 1
 
     def grantable(self) -> Iterator[key_map.Row]:
         """Yields this VM's rows that no other target can hold, in order."""
@@ -284,7 +289,9 @@
         index = bisect.bisect_left(
             self._handovers, row.first, key=_first_of_handover
         )
-        for kept in itertools.islice(self._handovers, index, None):
+        # Not by `islice`, which would pass over all those before.
+        for position in range(index, len(self._handovers)):
+            kept = self._handovers[position]
             part = kept.part
             if part.first > row.last:
                 break
--- a/mustardloom/keys/grants.py
+++ b/mustardloom/keys/grants.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
+from mustardloom import clock as clock_lib
 from mustardloom import ids
+from mustardloom import slices
 from mustardloom.deployment import targets
 from mustardloom.keys import claims as claims_lib
 from mustardloom.keys import key_map
@@ -72,11 +74,24 @@
         """Returns whether the latest grant lists a key and has not expired."""
         return self._ledger is not None and self._ledger.is_granted(key, now_ms)
 
+    async def observe_paced(
+        self, announcement: targets.Announcement, clock: clock_lib.Clock
+    ) -> None:
+        """Records what a heartbeat reports, while other work runs in between.
+
+        The heartbeat must be the newest one until this returns.
+        """
+        freed = announcement.freed
+        if len(freed) > slices.ITEMS_IN_SLICE:
+            ledger = self._ledger_of(announcement.instance, clock.now_ms())
+            async for part in slices.paced(slices.split(freed)):
+                ledger.record_freed(part)
+            announcement = dataclasses.replace(announcement, freed=())
+        self.observe(announcement, clock.now_ms())
+
     def observe(self, announcement: targets.Announcement, now_ms: int) -> None:
         """Records what a heartbeat reports as held and released."""
-        ledger = self._ledger
-        if ledger is None or ledger.instance != announcement.instance:
-            ledger = self._new_ledger(announcement.instance, now_ms)
+        ledger = self._ledger_of(announcement.instance, now_ms)
         ledger.observe(announcement, now_ms)
         self.claims.expire(now_ms)
         if self._is_known_to_map(ledger):
@@ -172,6 +187,9 @@
 
         The target serves keys without a token, too, if more slowly at first.
         """
+        if not self.claims.has_handovers:
+            yield from (_plain(row, row.first) for row in rows)
+            return
         left_bytes = _MAX_RANGES_BYTES - sum(map(_row_bytes, rows))
         for row in rows:
             rest: targets.GrantedRange | None = _plain(row, row.first)
@@ -188,6 +206,15 @@
             if rest is not None:
                 yield rest
 
+    def _ledger_of(
+        self, instance: targets.TargetInstance, now_ms: int
+    ) -> ledger_lib.GrantLedger:
+        """Returns the ledger of the instance that sent the latest heartbeat."""
+        ledger = self._ledger
+        if ledger is None or ledger.instance != instance:
+            ledger = self._new_ledger(instance, now_ms)
+        return ledger
+
     def _new_ledger(
         self, instance: targets.TargetInstance, now_ms: int
     ) -> ledger_lib.GrantLedger:
@@ -255,5 +282,5 @@
 
 
 def _range_bytes(granted: targets.GrantedRange) -> int:
-    fields = (granted.first, granted.last, granted.fence, granted.handover)
-    return _RANGE_FRAME_BYTES + sum(len(str(field)) for field in fields)
+    fields = f"{granted.first}{granted.last}{granted.fence}{granted.handover}"
+    return _RANGE_FRAME_BYTES + len(fields)
--- a/mustardloom/keys/handover_tokens.py
+++ b/mustardloom/keys/handover_tokens.py
@@ -41,10 +41,8 @@
             if each.first == each.last:
                 token_by_key[each.first] = each.handover
             elif each.first < each.last:
-                width = each.last + 1 - each.first
-                token_by_key[each.first : each.last + 1] = [
-                    each.handover
-                ] * width
+                tokens = [each.handover] * (each.last + 1 - each.first)
+                token_by_key[each.first : each.last + 1] = tokens
 
     def drop(self, ranges: Iterable[tuple[int, int]]) -> None:
         """Forgets the tokens of keys."""
--- a/mustardloom/keys/ledger.py
+++ b/mustardloom/keys/ledger.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 import itertools
 
@@ -65,12 +66,16 @@
             self._held_ranges = ranges.KeyRanges(
                 (each.first, each.last) for each in announcement.held
             )
-        self._tokens.record(announcement.freed)
+        self.record_freed(announcement.freed)
         if not self._held_until_ms:
             # Grants of an earlier process of the daemon are covered by
             # `assume_held_until`; otherwise no earlier grant is valid.
             self._held_until_ms = now_ms
 
+    def record_freed(self, freed: Sequence[targets.FreedRange]) -> None:
+        """Records keys that the target reports as released."""
+        self._tokens.record(freed)
+
     def assume_held_until(self, until_ms: int) -> None:
         """Assumes that the target may hold any key until `until_ms`.
 
--- a/mustardloom/keys/tests/test_claims.py
+++ b/mustardloom/keys/tests/test_claims.py
@@ -10,29 +10,15 @@
 from mustardloom.keys import grants
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
+from mustardloom.keys.tests import heartbeats
 
 _OWN, _OTHER, _THIRD = (ids.VmId(f"vm-{number}") for number in range(3))
 _LAST = key_map.KEY_COUNT - 1
-_INSTANCE = targets.TargetInstance(targets.TargetId("t"), 1)
 
 
 def _map(version, owner, previous="", previous_fence=0):
     row = key_map.Row(0, _LAST, owner, version, previous, previous_fence)
-    return key_map.KeyMap(version, (row,), {_OWN: _INSTANCE})
-
-
-def _heartbeat(sequence, held=(), freed=()):
-    return targets.Announcement(
-        _INSTANCE,
-        ids.ServiceId("s"),
-        ids.AvailabilityZoneId("z"),
-        4,
-        targets.Phase.READY,
-        0,
-        sequence,
-        held,
-        freed,
-    )
+    return key_map.KeyMap(version, (row,), {_OWN: heartbeats.INSTANCE})
 
 
 def _granted_keys(granted):
@@ -52,13 +38,13 @@
     """
     own = grants.Grants(_OWN)
     own.claims.adopt(_map(1, _OWN))
-    own.observe(_heartbeat(1), 0)
+    own.observe(heartbeats.heartbeat(1), 0)
     granted = own.grant(1_000, 0, True, lambda _: True)
     assert _granted_keys(granted) == _LAST
     own.claims.adopt(_map(2, _OTHER, _OWN, 1))
     own.claims.adopt(_map(3, _OWN, _OTHER, 2))
     freed = (targets.FreedRange(_LAST, _LAST, "token"),)
-    own.observe(_heartbeat(2, freed=freed), 2_500)
+    own.observe(heartbeats.heartbeat(2, freed=freed), 2_500)
     assert own.grant(1_000, 2_500, False, lambda _: True) == ()
     assert own.claims.pending_ranges
 
@@ -106,7 +92,7 @@
     """
     own = grants.Grants(_OWN)
     own.claims.adopt(_map(1, _OWN))
-    own.observe(_heartbeat(1), 0)
+    own.observe(heartbeats.heartbeat(1), 0)
     own.claims.adopt(_map(2, _OTHER, _OWN, 1))
     assert list(own.released(0, _LAST, 1, 100, False)) == []
     assert list(own.released(0, _LAST, 1, 100, True))
@@ -122,8 +108,8 @@
     own = grants.Grants(_OWN)
     own.claims.adopt(_map(1, _OWN))
     ended = targets.TargetInstance(targets.TargetId("t"), 0)
-    own.observe(dataclasses.replace(_heartbeat(9), instance=ended), 0)
-    own.observe(_heartbeat(1), 10)
+    own.observe(dataclasses.replace(heartbeats.heartbeat(9), instance=ended), 0)
+    own.observe(heartbeats.heartbeat(1), 10)
     own.claims.adopt(_map(2, _OTHER, _OWN, 1))
     assert list(own.released(0, _LAST, 1, 100, False)) == []
     assert list(own.released(0, _LAST, 1, 5_000, False))
@@ -136,7 +122,7 @@
     for first in range(0, key_map.KEY_COUNT, width):
         vm = _OWN if first // width % 2 else _OTHER
         rows.append(key_map.Row(first, first + width - 1, vm, 123_456))
-    return key_map.KeyMap(version, tuple(rows), {_OWN: _INSTANCE})
+    return key_map.KeyMap(version, tuple(rows), {_OWN: heartbeats.INSTANCE})
 
 
 def test_answer_with_too_many_rows_lists_those_that_fit():
@@ -146,11 +132,11 @@
     """
     own = grants.Grants(_OWN)
     own.claims.adopt(_striped_map(1, 64))
-    own.observe(_heartbeat(1), 0)
+    own.observe(heartbeats.heartbeat(1), 0)
     before = own.grant(1_000, 0, False, lambda _: True)
     assert len(before) == 64
     own.claims.adopt(_striped_map(2, 512))
-    own.observe(_heartbeat(2), 100)
+    own.observe(heartbeats.heartbeat(2), 100)
     listed = own.grant(1_000, 100, False, lambda _: True)
     rows = [list(dataclasses.astuple(each)) for each in listed]
     answer = msgspec.json.encode({"holds": rows, "hold_time": "4000ms"})
--- a/mustardloom/keys/tests/test_claims_by_lookup.py
+++ b/mustardloom/keys/tests/test_claims_by_lookup.py
@@ -17,11 +17,11 @@
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
 from mustardloom.keys import ranges
+from mustardloom.keys.tests import heartbeats
 from mustardloom.keys.tests import plain_claims
 
 _VMS = [ids.VmId(f"vm-{number}") for number in range(3)]
 _OWN = _VMS[0]
-_INSTANCE = targets.TargetInstance(targets.TargetId("t"), 1)
 _STEP = key_map.KEY_COUNT // 16
 # Few bounds, so that ranges often overlap, touch or are equal.
 _BOUNDS = strategies.integers(0, 15)
@@ -35,19 +35,6 @@
     return first * _STEP, (last + 1) * _STEP - 1
 
 
-def _heartbeat(sequence, held):
-    return targets.Announcement(
-        _INSTANCE,
-        ids.ServiceId("s"),
-        ids.AvailabilityZoneId("z"),
-        4,
-        targets.Phase.READY,
-        0,
-        sequence,
-        tuple(held),
-    )
-
-
 class Lookups(stateful.RuleBasedStateMachine):
     """Maps, releases and heartbeats in any order."""
 
@@ -58,7 +45,7 @@
         self.now_ms = 1
         self.sequence = 0
         self.plain_ledger = plain_claims.PlainLedger()
-        self.ledger = ledger.GrantLedger(_INSTANCE)
+        self.ledger = ledger.GrantLedger(heartbeats.INSTANCE)
 
     def both(self, call):
         for each in (self.plain, self.fast):
@@ -97,7 +84,7 @@
             rows.append(row)
         if is_merged:
             rows = list(key_map.merge_adjacent(rows))
-        new = key_map.KeyMap(version, tuple(rows), {_OWN: _INSTANCE})
+        new = key_map.KeyMap(version, tuple(rows), {_OWN: heartbeats.INSTANCE})
         self.both(lambda each: each.adopt(new))
 
     @stateful.rule(
@@ -142,7 +129,9 @@
         self.both(lambda each: each.record_held(held))
         self.plain_ledger.held = tuple(held)
         self.sequence += 1
-        self.ledger.observe(_heartbeat(self.sequence, held), self.now_ms)
+        self.ledger.observe(
+            heartbeats.heartbeat(self.sequence, held), self.now_ms
+        )
 
     @stateful.rule(passed_ms=strategies.integers(0, 3_000))
     def expire(self, passed_ms):
--- a/mustardloom/platform/announcements.py
+++ b/mustardloom/platform/announcements.py
@@ -1,6 +1,7 @@
 """Decodes heartbeats and deregistrations of targets, encodes answers."""
 
 import asyncio
+from collections.abc import Iterator
 import dataclasses
 import heapq
 from typing import Annotated
@@ -213,12 +214,13 @@
     """
     parts = decoding.json_list_parts(bytes(rows), _held_decoder, _MAX_ROWS)
     ordered = [
-        sorted(targets.HeldRange(*row) for row in part)
+        sorted((targets.HeldRange(*row) for row in part), reverse=True)
         async for part in slices.paced(parts)
     ]
+    merged = heapq.merge(*map(_drain, ordered))
     held: list[targets.HeldRange] = []
     listed_keys = 0
-    async for part in slices.paced(slices.split(heapq.merge(*ordered))):
+    async for part in slices.paced(slices.split(merged)):
         listed_keys += sum(map(_width, part))
         _check_listed(listed_keys)
         for each in part:
@@ -245,6 +247,17 @@
     return tuple(freed)
 
 
+def _drain(
+    descending: list[targets.HeldRange],
+) -> Iterator[targets.HeldRange]:
+    """Yields the last range first; each is freed once it has been used.
+
+    To free all of a long list at the end would be a long step of its own.
+    """
+    while descending:
+        yield descending.pop()
+
+
 def _width(listed: targets.HeldRange | targets.FreedRange) -> int:
     return max(0, listed.last + 1 - listed.first)
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -605,11 +605,13 @@
         if keyspace is not None:
             keyspace.count_request(key)
 
-    def _grant_keys(
+    async def _grant_keys(
         self, announcement: targets.Announcement
     ) -> announcements.Grant | None:
         keyspace = self._keyspace_of(self._settings.service)
-        return None if keyspace is None else keyspace.on_heartbeat(announcement)
+        if keyspace is None:
+            return None
+        return await keyspace.on_heartbeat(announcement)
 
     def _key_map_of(self, service: ids.ServiceId) -> Any:
         keyspace = self._keyspace_of(service)
--- a/mustardloom/sidecar/keyspace.py
+++ b/mustardloom/sidecar/keyspace.py
@@ -241,17 +241,17 @@
 
     # The local target.
 
-    def on_heartbeat(
+    async def on_heartbeat(
         self, announcement: targets.Announcement
     ) -> announcements.Grant | None:
-        """Adopts a heartbeat of the local target and returns its grant.
+        """Adopts the newest heartbeat of the local target; returns its grant.
 
         Returns:
           All keys that the target is to hold; None, which renews no grant, if
           the authority to grant has run out.
         """
+        await self._grants.observe_paced(announcement, self._clock)
         now_ms = self._clock.now_ms()
-        self._grants.observe(announcement, now_ms)
         hold_ms = self._hold_ms(now_ms)
         if hold_ms <= 0:
             return None
--- a/mustardloom/sidecar/local_target.py
+++ b/mustardloom/sidecar/local_target.py
@@ -1,5 +1,7 @@
 """State of the local target, by its heartbeats, notices and responses."""
 
+import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from mustardloom import clock as clock_lib
@@ -27,7 +29,9 @@
 _CHECK_INTERVAL_MS = 125
 
 # Returns the grant that answers a heartbeat, None to renew nothing.
-GrantKeys = Callable[[targets.Announcement], announcements.Grant | None]
+GrantKeys = Callable[
+    [targets.Announcement], Awaitable[announcements.Grant | None]
+]
 
 
 class LocalTarget:
@@ -58,6 +62,7 @@
         self._clock = clock
         self._log = log
         self._last_heartbeat_ms = 0
+        self._heartbeat_lock = asyncio.Lock()
         self._departures = departures.Departures()
         # Whether a target left of which this process has no heartbeat.
         self._has_left_unseen = False
@@ -99,7 +104,9 @@
             return self._reject(str(error))
         match notice:
             case announcements.Heartbeat(announcement, address):
-                return self._on_heartbeat(announcement, address)
+                # One that takes several steps is the newest one to its end.
+                async with self._heartbeat_lock:
+                    return await self._on_heartbeat(announcement, address)
             case announcements.Deregistration(target, born_ms):
                 return self._on_deregistration(target, born_ms)
 
@@ -137,7 +144,7 @@
         if known is not None and known.instance == instance:
             self._gate.assume_rate_limit(rate_per_s)
 
-    def _on_heartbeat(
+    async def _on_heartbeat(
         self, announcement: targets.Announcement, address: str
     ) -> messages.Response:
         host, port = self._settings.target_address
@@ -154,7 +161,8 @@
         if self._is_outdated(announcement):
             return announcements.answer_heartbeat(None)
         self._adopt(announcement)
-        return announcements.answer_heartbeat(self._grant_keys(announcement))
+        grant = await self._grant_keys(announcement)
+        return announcements.answer_heartbeat(grant)
 
     def _is_outdated(self, announcement: targets.Announcement) -> bool:
         """Returns whether a later heartbeat or instance is known."""
--- a/mustardloom/sidecar/tests/test_departures.py
+++ b/mustardloom/sidecar/tests/test_departures.py
@@ -62,6 +62,10 @@
         pass
 
 
+async def _grant_nothing(_):
+    return None
+
+
 def _make_local_target(clock, descriptor):
     metrics = metrics_lib.Metrics()
     log = events.EventLog("vm", clock, metrics, descriptor)
@@ -77,7 +81,7 @@
         stop_admission.StopAdmission(clock),
     )
     target = local_target.LocalTarget(
-        _SETTINGS, gate, lambda _: None, clock, log
+        _SETTINGS, gate, _grant_nothing, clock, log
     )
     return target, gate
 
--- a/mustardloom/sidecar/tests/test_long_lists.py
+++ b/mustardloom/sidecar/tests/test_long_lists.py
@@ -9,12 +9,12 @@
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
-from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.keys import claims
 from mustardloom.keys import grants
 from mustardloom.keys import key_map
 from mustardloom.keys import ledger
+from mustardloom.keys.tests import heartbeats
 from mustardloom.platform import announcements
 from mustardloom.sidecar.tests import test_departures
 
@@ -24,13 +24,14 @@
 _HEARTBEAT_LIMIT_S = 1.0
 _LAST = key_map.KEY_COUNT - 1
 _OWN, _NEXT = ids.VmId("vm"), ids.VmId("next")
-_INSTANCE = targets.TargetInstance(targets.TargetId("t"), 1)
 _MAX_ANSWER_BYTES = 4_096
 
 
 def _map(version, owner, previous="", previous_fence=0):
     row = key_map.Row(0, _LAST, owner, version, previous, previous_fence)
-    return key_map.KeyMap(version, (row,), {_OWN: _INSTANCE, _NEXT: _INSTANCE})
+    return key_map.KeyMap(
+        version, (row,), {_OWN: heartbeats.INSTANCE, _NEXT: heartbeats.INSTANCE}
+    )
 
 
 def _token(key):
@@ -45,41 +46,28 @@
         "slots": 4,
         "state": "draining",
         "sequence": sequence,
-        "born": _INSTANCE.born_ms,
+        "born": heartbeats.INSTANCE.born_ms,
         "holds": held,
         "freed": freed,
     }
-    path = f"/rpc?call=instances.heartbeat&of={_INSTANCE.target}"
+    path = f"/rpc?call=instances.heartbeat&of={heartbeats.INSTANCE.target}"
     return messages.Request("POST", path, (), msgspec.json.encode(body), 0)
 
 
-def _announcement(sequence, held=()):
-    return targets.Announcement(
-        _INSTANCE,
-        ids.ServiceId("s"),
-        ids.AvailabilityZoneId("z"),
-        4,
-        targets.Phase.READY,
-        0,
-        sequence,
-        held,
-    )
-
-
 class _Daemon:
     """The part of a daemon that answers the heartbeats of its target."""
 
     def __init__(self):
         self.grants = grants.Grants(_OWN)
         self.grants.claims.adopt(_map(1, _OWN))
-        clock = clock_lib.FakeClock()
+        self.clock = clock_lib.FakeClock(now_ms=0)
         self.target, _ = test_departures._make_local_target(
-            clock, os.open(os.devnull, os.O_WRONLY)
+            self.clock, os.open(os.devnull, os.O_WRONLY)
         )
         self.target._grant_keys = self._grant
 
-    def _grant(self, announcement):
-        self.grants.observe(announcement, 0)
+    async def _grant(self, announcement):
+        await self.grants.observe_paced(announcement, self.clock)
         granted = self.grants.grant(4_000, 0, False, lambda _: True)
         return announcements.Grant(granted, 4_000)
 
@@ -137,7 +125,7 @@
     """Returns the grants of the next owner after a release in these parts."""
     own = grants.Grants(_NEXT)
     own.claims.adopt(_map(2, _NEXT, _OWN, 1))
-    own.observe(_announcement(1), 0)
+    own.observe(heartbeats.heartbeat(1), 0)
     own.claims.record_release(claims.Release(_OWN, 2, tuple(parts)))
     return own
 
--- a/mustardloom/slices.py
+++ b/mustardloom/slices.py
@@ -7,10 +7,10 @@
 import itertools
 from typing import TypeVar
 
-__all__ = ["paced", "split"]
+__all__ = ["ITEMS_IN_SLICE", "paced", "split"]
 
 _Item = TypeVar("_Item")
-_ITEMS_IN_SLICE = 2_048
+ITEMS_IN_SLICE = 2_048
 
 
 def split(items: Iterable[_Item]) -> Iterator[list[_Item]]:
@@ -21,7 +21,7 @@
       [2048, 952]
     """
     iterator = iter(items)
-    while part := list(itertools.islice(iterator, _ITEMS_IN_SLICE)):
+    while part := list(itertools.islice(iterator, ITEMS_IN_SLICE)):
         yield part
 
 
--- a/mustardloom/tests/test_decoding.py
+++ b/mustardloom/tests/test_decoding.py
@@ -185,3 +185,33 @@
     headers.read_request(messages.Request("GET", "/", fields, b""))
     headers.read_response(messages.Response(200, fields))
     headers.read_statement(fields)
+
+
+def test_long_list_is_split_between_its_items_only():
+    """Guards against rows lost or changed where a text is cut into parts.
+
+    Strings may contain what ends an item, also at each place of a cut.
+    """
+    decoder = msgspec.json.Decoder(list[tuple[int, str]])
+    for text in ("", 'a"],["b', "],[", "[" + "]," * 20_000):
+        rows = [(number, text) for number in range(1_000)]
+        data = msgspec.json.encode(rows)
+        parts = list(decoding.json_list_parts(data, decoder, len(data)))
+        assert [row for part in parts for row in part] == rows
+
+
+@pytest.mark.parametrize("text", [b"", b"[", b"[[1]", b"[[1],]", b"{}", b"1"])
+def test_incomplete_list_of_rows_is_refused(text):
+    """Guards against a list that is taken for a shorter one."""
+    decoder = msgspec.json.Decoder(list[list[int]])
+    with pytest.raises(decoding.Undecodable):
+        list(decoding.json_list_parts(text, decoder, 10))
+
+
+def test_long_list_takes_many_parts():
+    """Guards against a long text that is decoded in one step."""
+    decoder = msgspec.json.Decoder(list[list[int]])
+    data = msgspec.json.encode([[number] for number in range(100_000)])
+    assert len(list(decoding.json_list_parts(data, decoder, 100_000))) > 5
+    with pytest.raises(decoding.Undecodable):
+        list(decoding.json_list_parts(data, decoder, 99_999))
