--- a/soak/faults.py
+++ b/soak/faults.py
@@ -164,10 +164,7 @@
       vms: Number of VMs.
     """
     source = random.Random(f"losses {seed}")
-    planned = [
-        _draw(source, Kind.VM_LOST, length_ms, vms) for _ in range(_LOSSES)
-    ]
-    return sorted(planned, key=lambda each: each.at_ms)
+    return _draw_repeated(source, Kind.VM_LOST, _LOSSES, length_ms, vms)
 
 
 def plan_silences(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
@@ -181,11 +178,7 @@
       vms: Number of VMs.
     """
     source = random.Random(f"silences {seed}")
-    planned = [
-        _draw(source, Kind.STORE_SILENT, length_ms, vms)
-        for _ in range(_SILENCES)
-    ]
-    return sorted(planned, key=lambda each: each.at_ms)
+    return _draw_repeated(source, Kind.STORE_SILENT, _SILENCES, length_ms, vms)
 
 
 def plan_work(seed: int, length_ms: int, vms: int) -> list[PlannedFault]:
@@ -210,6 +203,13 @@
     return sorted(planned, key=lambda each: each.at_ms)
 
 
+def _draw_repeated(
+    source: random.Random, kind: Kind, count: int, length_ms: int, vms: int
+) -> list[PlannedFault]:
+    planned = [_draw(source, kind, length_ms, vms) for _ in range(count)]
+    return sorted(planned, key=lambda each: each.at_ms)
+
+
 def _draw(
     source: random.Random, kind: Kind, length_ms: int, vms: int
 ) -> PlannedFault:
