Count what a daemon ended itself, by cause and step of its stop

Logs and metrics could not tell at which step of a stop an answer was made in place of a target's, whether a gate had the request then, and why a run at a target was ended.

ends.answer.* and ends.run.* count them; request-failed and request-expired tell the time left, the gates and the step. No logic is changed.

--- a/mustardloom/load_control/stop_admission.py
+++ b/mustardloom/load_control/stop_admission.py
@@ -8,10 +8,11 @@
 """
 
 import dataclasses
+import enum
 
 from mustardloom import clock as clock_lib
 
-__all__ = ["StopAdmission", "StopPlan"]
+__all__ = ["Step", "StopAdmission", "StopPlan"]
 
 # Callers notice within this time that the daemon is no longer ready, and go to
 # other daemons.
@@ -25,6 +26,26 @@
 _LINK_END_SHARE = 1 / 20
 
 
+class Step(enum.Enum):
+    """Steps of a daemon's life, those of its stop in order.
+
+    Attributes:
+      SERVING: No stop has begun.
+      NOTICE: Callers learn of the stop; any request may still start.
+      CALLERS: Requests of callers that have arrived are answered.
+      OTHER_DAEMONS: Requests of other daemons are answered.
+      REPLIES: The last replies to other daemons are written.
+      LINKS: Other daemons close their links.
+    """
+
+    SERVING = "serving"
+    NOTICE = "notice"
+    CALLERS = "callers"
+    OTHER_DAEMONS = "other-daemons"
+    REPLIES = "replies"
+    LINKS = "links"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPlan:
     """Times of one stop, all by the local clock.
@@ -73,15 +94,20 @@
       >>> clock.jump(2_500)
       >>> admission.may_start(5_000), admission.may_start(60_000)
       (True, False)
+
+    Attributes:
+      step: What the daemon does at present.
     """
 
     def __init__(self, clock: clock_lib.Clock):
+        self.step = Step.SERVING
         self._clock = clock
         self._plan: StopPlan | None = None
         self._is_closed = False
 
     def begin(self, grace_ms: int) -> StopPlan:
         """Begins a stop; the grace period does not change any more."""
+        self.step = Step.NOTICE
         self._plan = StopPlan.within(grace_ms, self._clock.now_ms())
         return self._plan
 
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -49,6 +49,7 @@
 from mustardloom.sidecar import peer_frames
 from mustardloom.sidecar import record_removal
 from mustardloom.sidecar import registration
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import self_report
 from mustardloom.sidecar import shared_state
@@ -349,6 +350,7 @@
             clock,
             self._log,
             self._metrics,
+            request_ends.RequestEnds(self._metrics, stop),
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -9,6 +9,7 @@
 from mustardloom.http1 import bodies
 from mustardloom.sidecar import crash_suspects
 from mustardloom.sidecar import events
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import work
 from mustardloom.sidecar.gate import load as load_lib
@@ -48,6 +49,7 @@
         clock: clock_lib.Clock,
         log: events.EventLog,
         metrics: metrics_lib.Metrics,
+        ends: request_ends.RequestEnds,
     ):
         self.running: set[ticket_lib.Ticket] = set()
         self.on_statement: Callable[
@@ -64,6 +66,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._ends = ends
         self._task_by_ticket: dict[ticket_lib.Ticket, asyncio.Task[None]] = {}
         self._crash_check: asyncio.Task[None] | None = None
 
@@ -96,6 +99,7 @@
         Its connection is closed, so that a target that does run the request
         can end it.
         """
+        self._ends.count_run(request_ends.RunEnd.UNANSWERED)
         self._recorder.record_unanswered(ticket, self._target.instance)
         ticket.resolve(work.Failed(work.FailureReason.DEADLINE))
         self._task_by_ticket[ticket].cancel()
@@ -115,6 +119,7 @@
                 rest.stalled_s() * _MS_PER_S >= limit_ms
             ):
                 self._metrics.increment("gate.bodies_stopped")
+                self._ends.count_run(request_ends.RunEnd.UPLOAD_STALLED)
                 self._log.write(
                     events.Event.GATE_FAILED,
                     request=ticket.request.request_id,
@@ -131,6 +136,8 @@
             instance.target,
             lambda statement: self.on_statement(instance, statement),
         )
+        if result.outcome == work.Failed(work.FailureReason.DEADLINE):
+            self._ends.count_run(request_ends.RunEnd.DEADLINE)
         ticket.resolve(result.outcome)
         result = await result.after_body()
         self._recorder.record(ticket, result, instance)
@@ -164,6 +171,8 @@
         self.running.discard(ticket)
         self._meter.record_end(ticket.started_ms, self._clock.now_ms())
         if task.cancelled():
+            if ticket.outcome.cancelled():
+                self._ends.count_run(request_ends.RunEnd.NOT_AWAITED)
             self._recorder.record_cancelled(ticket)
             self._report_cancelled(ticket.request.request_id)
         elif (error := task.exception()) is not None:
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -13,6 +13,7 @@
 from mustardloom.load_control import waiting
 from mustardloom.sidecar import crash_suspects
 from mustardloom.sidecar import events
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import work
 from mustardloom.sidecar.gate import dispatcher as dispatcher_lib
@@ -114,6 +115,7 @@
             clock,
             log,
             metrics,
+            request_ends.RequestEnds(metrics, stop),
         )
         self._dispatcher.on_statement = self._on_statement
         self._dispatcher.on_refused_connection = self._mark_down
--- a/mustardloom/sidecar/graceful_stop.py
+++ b/mustardloom/sidecar/graceful_stop.py
@@ -8,7 +8,6 @@
 """
 
 from collections.abc import Callable
-import enum
 
 from mustardloom import clock as clock_lib
 from mustardloom.http1 import server
@@ -23,13 +22,7 @@
 _REPORT_INTERVAL_MS = 1_000
 
 
-class Step(enum.Enum):
-    """What a stop waits for, in the order of its steps."""
-
-    CALLERS = "callers"
-    OTHER_DAEMONS = "other-daemons"
-    REPLIES = "replies"
-    LINKS = "links"
+Step = stop_admission.Step
 
 
 class GracefulStop:
@@ -98,6 +91,7 @@
     async def _await(
         self, step: Step, is_busy: Callable[[], bool], limit_ms: int
     ) -> None:
+        self._admission.step = step
         while is_busy():
             if self._clock.now_ms() >= limit_ms:
                 self._cut.append(step)
--- a/mustardloom/sidecar/ingress.py
+++ b/mustardloom/sidecar/ingress.py
@@ -19,6 +19,7 @@
 from mustardloom.load_control import weighted_round_robin
 from mustardloom.platform import headers
 from mustardloom.sidecar import events
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import work
 
@@ -78,9 +79,11 @@
         clock: clock_lib.Clock,
         log: events.EventLog,
         metrics: metrics_lib.Metrics,
+        ends: request_ends.RequestEnds,
         caps: Caps | None = None,
     ):
         self._caps = caps or NoCaps()
+        self._ends = ends
         self._router = router
         self._service = service
         self._current_configuration = current
@@ -322,12 +325,16 @@
             case work.Answered(response):
                 return response
             case work.Refused() as refused:
+                self._count_own_answer(request, _UNAVAILABLE)
                 if request.organisation is not None and not refused.was_offered:
                     self._caps.give_back(request.organisation, admitted_ms)
                 return self._refuse(request.request_id, refused, request)
             case work.Failed(reason):
                 return self._fail(request, reason, started_ms)
 
+    def _count_own_answer(self, request: work.Work, status: int) -> None:
+        self._ends.count_answer(status, request.progress.gates > 0)
+
     def _log_abandoned(self, request: work.Work, started_ms: int) -> None:
         now_ms = self._clock.now_ms()
         self._metrics.increment("ingress.abandoned")
@@ -400,6 +407,10 @@
             route=request.route,
             reason=reason.value,
             waited_ms=self._clock.now_ms() - started_ms,
+            left_ms=request.deadline_ms - self._clock.now_ms(),
+            gates=request.progress.gates,
+            step=self._ends.step.value,
         )
         status = _TIMEOUT if is_expired else _BAD_GATEWAY
+        self._count_own_answer(request, status)
         return headers.refusal(status, request.request_id, None, reason.value)
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -96,6 +96,15 @@
             return work.Refused(work.RefusalReason.NO_KEY)
         return await self._to_owner(request, route, service)
 
+    async def _send(
+        self, vm: ids.VmId, request: work.Work, may_wait: bool
+    ) -> work.Outcome:
+        request.progress.gates += 1
+        outcome = await self._forwarder.send(vm, request, may_wait)
+        if isinstance(outcome, work.Refused) and not outcome.was_offered:
+            request.progress.gates -= 1
+        return outcome
+
     # Services without keys.
 
     async def _to_any(
@@ -114,7 +123,7 @@
             if vm is None:
                 break
             tried.add(vm)
-            outcome = await self._forwarder.send(vm, request, False)
+            outcome = await self._send(vm, request, False)
             if not self._may_retry(
                 request, route, service.name, outcome, attempts
             ):
@@ -202,7 +211,7 @@
             # The owner in the map waits for a key that is being handed over
             # only after the earlier owner was asked.
             may_wait = hint == work.NO_VM and attempts.merged is not None
-            outcome = await self._forwarder.send(owner, request, may_wait)
+            outcome = await self._send(owner, request, may_wait)
             is_not_owner = (
                 isinstance(outcome, work.Refused)
                 and outcome.reason is work.RefusalReason.NOT_OWNER
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -31,6 +31,7 @@
 from mustardloom.sidecar import gate as gate_lib
 from mustardloom.sidecar import ingress as ingress_lib
 from mustardloom.sidecar import links as links_lib
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import target_connections
 from mustardloom.sidecar import transfers as transfers_lib
@@ -126,7 +127,13 @@
             metrics,
         )
         self.ingress = ingress_lib.Ingress(
-            router, SERVICE, self._configuration, self.clock, log, metrics
+            router,
+            SERVICE,
+            self._configuration,
+            self.clock,
+            log,
+            metrics,
+            request_ends.RequestEnds(metrics, self.stop),
         )
         self.http = server.HttpServer(
             self.ingress.handle,
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -84,7 +84,7 @@
         self.connections = _Connections()
         self.keys = _Keys()
         self.stop = stop_admission.StopAdmission(self.clock)
-        metrics = metrics_lib.Metrics()
+        self.metrics = metrics = metrics_lib.Metrics()
         self.null = os.open(os.devnull, os.O_WRONLY)
         log = events.EventLog("vm", self.clock, metrics, self.null)
         self.gate = gate_lib.Gate(
@@ -656,6 +656,30 @@
     assert isinstance(outcome, work.Answered)
 
 
+def test_runs_that_the_gate_ended_are_counted_by_cause_and_step():
+    """Guards against runs that end early for a cause that nobody can tell."""
+
+    async def scenario(harness):
+        (left,) = await harness.start("left")
+        left.cancel()
+        await harness.clock.advance(0)
+        harness.stop.begin(6_000)
+        (late,) = await harness.start("late")
+        failed = work.Failed(work.FailureReason.DEADLINE)
+        harness.connections.answer(target_connections.SendResult(failed))
+        await late
+        return {
+            name: count
+            for name, count in harness.metrics.counters.items()
+            if name.startswith("ends.")
+        }
+
+    assert _run(scenario) == {
+        "ends.run.not-awaited.serving": 1,
+        "ends.run.deadline.notice": 1,
+    }
+
+
 def test_organisation_whose_requests_were_refused_goes_first():
     """Guards against an urgent organisation that takes the whole target.
 
--- a/mustardloom/sidecar/tests/test_ingress.py
+++ b/mustardloom/sidecar/tests/test_ingress.py
@@ -8,8 +8,10 @@
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import configuration
 from mustardloom.http1 import messages
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import events
 from mustardloom.sidecar import ingress as ingress_lib
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import work
 
 _SERVICE = ids.ServiceId("s")
@@ -21,15 +23,18 @@
     """Fake router; `outcome` is that of the next requests.
 
     Attributes:
+      gates: Gates that have the next requests.
       routed: Requests so far.
     """
 
     def __init__(self):
         self.outcome: work.Outcome = _OVERLOADED
+        self.gates = 0
         self.routed = []
 
     async def route(self, request, route, service):
         self.routed.append(request)
+        request.progress.gates = self.gates
         return self.outcome
 
 
@@ -43,7 +48,8 @@
         self.clock = clock_lib.FakeClock()
         self.router = _Router()
         null = os.open(os.devnull, os.O_WRONLY)
-        metrics = metrics_lib.Metrics()
+        self.metrics = metrics = metrics_lib.Metrics()
+        self.stop = stop_admission.StopAdmission(self.clock)
         self.ingress = ingress_lib.Ingress(
             self.router,
             _SERVICE,
@@ -51,6 +57,7 @@
             self.clock,
             events.EventLog("vm", self.clock, metrics, null),
             metrics,
+            request_ends.RequestEnds(metrics, self.stop),
         )
 
     def _configuration(self):
@@ -122,3 +129,25 @@
     assert max(times) <= 300
     assert min(times) >= 140
     assert len(set(times)) > 5
+
+
+def test_own_answers_are_counted_by_step_of_the_stop_and_by_progress():
+    """Guards against answers of our own whose moment nobody can tell."""
+
+    async def scenario():
+        harness = _Harness()
+        await harness.ask(1_200)
+        harness.stop.begin(6_000)
+        harness.router.outcome = work.Failed(work.FailureReason.DEADLINE)
+        harness.router.gates = 1
+        await harness.ask(1_200)
+        return {
+            name: count
+            for name, count in harness.metrics.counters.items()
+            if name.startswith("ends.")
+        }
+
+    assert asyncio.run(scenario()) == {
+        "ends.answer.503.not-passed-on.serving": 1,
+        "ends.answer.504.passed-on.notice": 1,
+    }
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -13,6 +13,7 @@
     "Failed",
     "FailureReason",
     "Outcome",
+    "Progress",
     "RefusalReason",
     "Refused",
     "Work",
@@ -85,6 +86,17 @@
     INTERNAL = "internal"
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a request has come at this daemon.
+
+    Attributes:
+      gates: Gates that have had the request and have not refused it.
+    """
+
+    gates: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
     """One request, matched to a route and a service.
@@ -104,6 +116,7 @@
       rest: The body if it passes in pieces, else None.
       organisation: Organisation of the caller, None if it has none.
       origin: VM at which the request entered the fleet; `NO_VM` for this one.
+      progress: How far it has come.
     """
 
     service: ids.ServiceId
@@ -124,6 +137,9 @@
     rest: bodies.BodySource | None = None
     organisation: ids.OrganisationId | None = None
     origin: ids.VmId = NO_VM
+    progress: Progress = dataclasses.field(
+        default_factory=Progress, compare=False
+    )
 
     def is_whole(self) -> bool:
         """Returns whether it can still be sent from its first byte."""
