Let a presumption end no attempt: try elsewhere beside it

Cause: a gate that had seen as many later requests answered as its target has places took an earlier one for unanswered and ended its run, before anyone knew whether another target had a place. A run in the tail of the service times looks the same. If no other target took the request, nothing was left but an answer of our own. The exceptions for stops (of the gate's daemon, of the entering daemon) could not help, as the stop begins after the run was ended. And as runs in the tail never ended with an answer, the history of the target never learned that they exist.

Change: the gate tells that a request is overdue and goes on with it. The daemon at which it entered tries another target beside it, within attempts, time and retry budget as before; the first answer counts, and the other attempt ends then. An overdue request occupies no place. The two exceptions for stops are gone, as nothing is ended any more.

The three tests of giving up in test_gate.py are replaced: they asserted that the run is ended, or not ended around a stop; now it is never ended while someone waits for it.

--- a/deploy/tests/raw_http.py
+++ b/deploy/tests/raw_http.py
@@ -8,6 +8,7 @@
 __all__ = [
     "HOST",
     "PATH",
+    "SAFE_PATH",
     "Caller",
     "read_headers",
     "skip_body",
@@ -17,6 +18,8 @@
 
 HOST = "a.example"
 PATH = "/scans/1"
+# Its requests may be repeated.
+SAFE_PATH = "/plans/1"
 _PIECE = bytes(65_536)
 
 
--- a/deploy/tests/test_stops_of_daemons.py
+++ b/deploy/tests/test_stops_of_daemons.py
@@ -13,6 +13,7 @@
 from deploy.tests import daemons
 from deploy.tests import memory_watch
 from deploy.tests import raw_http
+from deploy.tests import raw_target
 
 _SEED = 39
 _REQUESTS = 150
@@ -23,6 +24,15 @@
 _BODY_BYTES = 100
 _DEADLINE_MS = 8_000
 _ANSWER_LIMIT_S = 12.0
+_POLL_S = 0.001
+_SHORT_WORK_S = 0.02
+# More than both targets have places.
+_BURST = 12
+# Longer than the test.
+_ENDLESS_S = 60.0
+_LONG_WORK_S = 3.0
+_TIME_TO_REPEAT_S = 1.0
+_LONG_DEADLINE_MS = 20_000
 
 
 async def _request_in_parts(
@@ -62,6 +72,42 @@
     ]
 
 
+async def _ask(
+    vm: daemons.Vm, status_by_id: dict[str, int], deadline_ms: int
+) -> None:
+    """Sends a request that may be repeated and awaits its answer."""
+    with contextlib.suppress(OSError):
+        caller = await raw_http.Caller.connect(vm.caller_address)
+        with contextlib.closing(caller):
+            request_id = caller.send_head(
+                "GET", raw_http.SAFE_PATH, 0, deadline_ms
+            )
+            status_by_id[request_id] = 0
+            status_by_id[request_id] = await caller.read_status()
+
+
+async def _ask_often(
+    vm: daemons.Vm, status_by_id: dict[str, int], deadline_ms: int
+) -> None:
+    """Sends requests at a constant rate until the daemon ends."""
+    async with asyncio.TaskGroup() as group:
+        while not vm.has_ended():
+            group.create_task(_ask(vm, status_by_id, deadline_ms))
+            await asyncio.sleep(_PAUSE_S)
+
+
+async def _await_run(
+    target: raw_target.Target, status_by_id: dict[str, int]
+) -> str:
+    """Returns the id of the first of these requests that a target runs."""
+    async with asyncio.timeout(_ANSWER_LIMIT_S):
+        while True:
+            for request_id in target.runs:
+                if request_id in status_by_id:
+                    return request_id
+            await asyncio.sleep(_POLL_S)
+
+
 async def _stop(vm: daemons.Vm, grace_ms: int) -> None:
     await asyncio.sleep(_BEFORE_STOP * _PAUSE_S)
     vm.send_signal(signal.SIGTERM)
@@ -150,3 +196,36 @@
             assert await vm.wait() == 0
 
     asyncio.run(play())
+
+
+def test_stop_answers_what_a_target_at_work_would_answer(tmp_path):
+    """Guards against a run that is ended for an attempt without a place (LOST).
+
+    Later requests at its target were answered long before it, and the other
+    target has no place.
+    """
+
+    async def play() -> int:
+        fleet = daemons.Fleet(tmp_path, ["desk", "archive", "archive"])
+        caller, at_work, full = fleet.vms
+        at_work.target.slots, full.target.slots = 4, 1
+        async with fleet, asyncio.TaskGroup() as callers:
+            full.target.work_s = _ENDLESS_S
+            early: dict[str, int] = {}
+            for _ in range(_BURST):
+                callers.create_task(_ask(caller, early, _LONG_DEADLINE_MS))
+            await _await_run(full.target, early)
+            # The other target answers its part of these.
+            await asyncio.sleep(_TIME_TO_REPEAT_S)
+
+            at_work.target.work_s = _LONG_WORK_S
+            status_by_id: dict[str, int] = {}
+            callers.create_task(_ask_often(caller, status_by_id, _DEADLINE_MS))
+            request_id = await _await_run(at_work.target, status_by_id)
+            at_work.target.work_s = _SHORT_WORK_S
+            await asyncio.sleep(_TIME_TO_REPEAT_S)
+            caller.send_signal(signal.SIGTERM)
+            assert await caller.wait() == 0
+        return status_by_id[request_id]
+
+    assert asyncio.run(play()) == 200
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -354,7 +354,6 @@
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
-        self._gate.is_origin_stopping = self._fleet.is_stopping
         self._make_servers(passage.turns, stop)
 
     def _make_servers(
--- a/mustardloom/sidecar/events.py
+++ b/mustardloom/sidecar/events.py
@@ -65,6 +65,7 @@
     REQUEST_EXPIRED = "request-expired"
     REQUEST_ABANDONED = "request-abandoned"
     GATE_REFUSED = "gate-refused"
+    GATE_OVERDUE = "gate-overdue"
     GATE_FAILED = "gate-failed"
     FAULT = "fault"
 
@@ -78,6 +79,7 @@
         Event.REQUEST_EXPIRED,
         Event.REQUEST_ABANDONED,
         Event.GATE_REFUSED,
+        Event.GATE_OVERDUE,
         Event.GATE_FAILED,
         # A target may state something else with each response.
         Event.TARGET_STATEMENT,
--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -220,15 +220,6 @@
         """Returns whether the link to a daemon is up; true for this one."""
         return vm == self.own_record.vm or self._links.is_up(vm)
 
-    def is_stopping(self, vm: ids.VmId) -> bool:
-        """Returns whether the daemon of a VM has said that it is stopping."""
-        peer = self.by_vm.get(vm)
-        return (
-            peer is not None
-            and peer.status is not None
-            and peer.status.is_stopping
-        )
-
     def is_evacuated(self, vm: ids.VmId) -> bool:
         """Returns whether the availability zone of a VM is evacuated."""
         peer = self.by_vm.get(vm)
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards requests to gates of other daemons and runs those they forward."""
 
+import asyncio
 import collections
 from collections.abc import Callable
 
@@ -24,6 +25,11 @@
 _ENDING_RETRY_MS = 300
 
 
+_UNREACHABLE = work.Refused(
+    work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
+)
+
+
 class Forwarder:
     """Forwards requests between daemons.
 
@@ -60,7 +66,7 @@
 
     async def send(
         self, vm: ids.VmId, request: work.Work, may_wait: bool
-    ) -> work.Outcome:
+    ) -> work.Attempt:
         """Runs a request at the gate of a VM, local or not.
 
         Args:
@@ -70,7 +76,8 @@
 
         Returns:
           The outcome; a refusal if the VM cannot be reached, a failure if the
-          link is lost while the gate has the request.
+          link is lost while the gate has the request. Of a request that the
+          target may leave unanswered, the rest of the attempt.
         """
         if vm == self._fleet.own_record.vm:
             return await self._gate.run(request, may_wait)
@@ -78,29 +85,77 @@
             return work.Refused(work.RefusalReason.ENDING, _ENDING_RETRY_MS)
         peer = self._fleet.by_vm.get(vm)
         if peer is None:
-            return work.Refused(
-                work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
-            )
-        peer.view.in_flight += 1
+            return _UNREACHABLE
         transfer = None
         if request.rest is not None:
             transfer = self._transfers.offer(request.rest)
+        make_frame = self._frame_factory(vm, request, may_wait, transfer)
+        # Another target cannot run a request with a key, and must not run one
+        # that is not idempotent, so a late reply is the only one.
+        may_repeat = request.is_idempotent and request.key is None
+        peer.view.in_flight += 1
+
+        def end() -> None:
+            peer.view.in_flight -= 1
+            if transfer is not None:
+                self._transfers.withdraw(transfer)
+
+        is_open = False
         try:
-            make_frame = self._frame_factory(vm, request, may_wait, transfer)
-            # Another target cannot run a request with a key, and must not run
-            # one that is not idempotent, so a late reply is the only one.
-            may_repeat = request.is_idempotent and request.key is None
-            reply = await self._links.call(vm, make_frame, may_repeat)
+            call = self._links.begin_call(vm, make_frame, may_repeat)
+            attempt = await self._outcome_of(call, peer, request)
+            if attempt is None:
+                is_open = True
+                return self._rest_of(call, peer, request, end)
+            return attempt
         except links_lib.PeerUnreachable:
-            return work.Refused(
-                work.RefusalReason.UNREACHABLE, _UNREACHABLE_RETRY_MS
-            )
+            return _UNREACHABLE
+        finally:
+            if not is_open:
+                end()
+
+    def _rest_of(
+        self,
+        call: links_lib.OpenCall,
+        peer: fleet_lib.Peer,
+        request: work.Work,
+        end: Callable[[], None],
+    ) -> work.Unanswered:
+        """Returns the rest of an attempt that is overdue.
+
+        Args:
+          call: The call to the gate.
+          peer: The VM of the gate.
+          request: The request.
+          end: Called once the attempt has ended.
+        """
+
+        async def rest() -> work.Outcome:
+            # The gate tells only once that a request is overdue.
+            outcome = await self._outcome_of(call, peer, request)
+            return outcome or work.Failed(work.FailureReason.INTERNAL)
+
+        def on_done(_: "asyncio.Future[work.Outcome]") -> None:
+            # Also if it was cancelled before it began.
+            call.end()
+            end()
+
+        task = asyncio.ensure_future(rest())
+        task.add_done_callback(on_done)
+        return work.Unanswered(task)
+
+    async def _outcome_of(
+        self, call: links_lib.OpenCall, peer: fleet_lib.Peer, request: work.Work
+    ) -> work.Outcome | None:
+        """Returns the outcome of a call, None once it is overdue."""
+        try:
+            reply = await call.result()
+        except links_lib.PeerUnreachable:
+            return _UNREACHABLE
         except links_lib.PeerLost:
             return work.Failed(work.FailureReason.PEER_LOST)
-        finally:
-            peer.view.in_flight -= 1
-            if transfer is not None:
-                self._transfers.withdraw(transfer)
+        if isinstance(reply, frames.Overdue):
+            return None
         if isinstance(reply, frames.Answer):
             if not messages.is_final_status(reply.status):
                 return work.Failed(work.FailureReason.INCOMPLETE)
@@ -110,10 +165,14 @@
             peer.view.rate_limit_per_s = reply.rate_limit_per_s
             if reply.transfer is not None:
                 return await self._open_answer(
-                    vm, reply, reply.transfer, request.deadline_ms
+                    peer.vm, reply, reply.transfer, request.deadline_ms
                 )
         return _decode_outcome(reply)
 
+    def on_overdue(self, vm: ids.VmId, frame: frames.Overdue) -> None:
+        """Processes that the target of a VM may leave a request unanswered."""
+        self._links.mark_overdue(vm, frame)
+
     async def receive(
         self, vm: ids.VmId, frame: frames.Forward
     ) -> frames.Frame:
@@ -127,12 +186,23 @@
         self.open_by_vm[vm] += 1
         try:
             request = self._decode(vm, frame)
-            outcome = await self._gate.run(request, frame.may_wait)
+            outcome = await self._run(vm, request, frame)
         finally:
             self.open_by_vm[vm] -= 1
             hold.release()
         return self._encode_outcome(frame.number, outcome)
 
+    async def _run(
+        self, vm: ids.VmId, request: work.Work, frame: frames.Forward
+    ) -> work.Outcome:
+        """Runs a request at the local gate; tells if it becomes overdue."""
+        attempt = await self._gate.run(request, frame.may_wait)
+        if not isinstance(attempt, work.Unanswered):
+            return attempt
+        if frame.hears_overdue:
+            self._links.notify(vm, frames.Overdue(frame.number))
+        return await attempt.rest
+
     def _hold_for(self, frame: frames.Forward) -> memory_budget.Hold | None:
         """Returns room for a request and a short answer, None without room.
 
@@ -194,6 +264,7 @@
             expires_ms,
             transfer,
             request.organisation or "",
+            hears_overdue=True,
         )
 
     def _decode(self, vm: ids.VmId, frame: frames.Forward) -> work.Work:
@@ -219,7 +290,6 @@
             frame.is_call,
             self._body_of(vm, frame, deadline_ms),
             ids.OrganisationId(frame.organisation) or None,
-            vm,
         )
 
     def _body_of(
--- a/mustardloom/sidecar/frames.py
+++ b/mustardloom/sidecar/frames.py
@@ -27,6 +27,7 @@
     "ListingReply",
     "LoadQuery",
     "LoadReply",
+    "Overdue",
     "Ping",
     "Pong",
     "Refusal",
@@ -93,6 +94,7 @@
         is delayed gets no more time; 0 if that clock is not known.
       transfer: The body if it is not in the frame.
       organisation: Organisation of the caller, empty if it has none.
+      hears_overdue: Whether the sender understands `Overdue`.
     """
 
     number: int
@@ -115,6 +117,7 @@
     expires_ms: int = 0
     transfer: Transfer | None = None
     organisation: str = ""
+    hears_overdue: bool = False
 
 
 class Answer(_Base, frozen=True, tag=2):
@@ -167,6 +170,16 @@
     number: int
 
 
+class Overdue(_Base, frozen=True, tag=26):
+    """The target may leave a request unanswered; its call goes on.
+
+    Attributes:
+      number: Number of the call on the link that the receiver dialled.
+    """
+
+    number: int
+
+
 class Status(_Base, frozen=True, tag=6):
     """State of a daemon and its target.
 
@@ -466,6 +479,7 @@
     | TokenReply
     | ListingQuery
     | ListingReply
+    | Overdue
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 
 from mustardloom import clock as clock_lib
 from mustardloom import metrics as metrics_lib
@@ -29,7 +30,9 @@
     """Runs admitted requests at the target.
 
     Attributes:
-      running: Requests that the target runs now.
+      running: Requests that the target runs now, as far as is known.
+      overdue: Requests that it is presumed to leave unanswered. They occupy no
+        place, but it may be at work on them.
       on_statement: Called with what an instance of the target states in a
         response.
       on_refused_connection: Called when the current instance of the target
@@ -52,6 +55,7 @@
         ends: request_ends.RequestEnds,
     ):
         self.running: set[ticket_lib.Ticket] = set()
+        self.overdue: set[ticket_lib.Ticket] = set()
         self.on_statement: Callable[
             [targets.TargetInstance, targets.Statement], None
         ] = lambda *_: None
@@ -85,24 +89,33 @@
         task = asyncio.ensure_future(self._dispatch(ticket))
         self._task_by_ticket[ticket] = task
         task.add_done_callback(lambda done: self._finish(ticket, done))
-        if ticket.request.is_idempotent:
-            # Nobody waits for the answer of a cancelled call any more, so the
-            # run may end. A run that is not idempotent goes on, as half of its
-            # effects could remain.
-            ticket.outcome.add_done_callback(
-                lambda outcome: task.cancel() if outcome.cancelled() else None
-            )
+        self._end_if_not_awaited(ticket)
+
+    def mark_overdue(self, ticket: ticket_lib.Ticket) -> None:
+        """Tells that the target may leave a running request unanswered.
+
+        The run goes on: if the target is at work on it after all, its answer
+        may be the only one that the caller gets.
+        """
+        self.running.discard(ticket)
+        self.overdue.add(ticket)
+        self._meter.record_end(ticket.started_ms, self._clock.now_ms())
+        self._recorder.record_overdue(ticket, self._target.instance)
+        ticket.mark_overdue()
+        self._end_if_not_awaited(ticket)
 
-    def give_up(self, ticket: ticket_lib.Ticket) -> None:
-        """Ends a running request that the target will not answer.
+    def _end_if_not_awaited(self, ticket: ticket_lib.Ticket) -> None:
+        """Ends the run of an idempotent request once nobody waits for it.
 
-        Its connection is closed, so that a target that does run the request
-        can end it.
+        A run that is not idempotent goes on, as half of its effects could
+        remain.
         """
-        self._ends.count_run(request_ends.RunEnd.UNANSWERED)
-        self._recorder.record_unanswered(ticket, self._target.instance)
-        ticket.resolve(work.Failed(work.FailureReason.DEADLINE))
-        self._task_by_ticket[ticket].cancel()
+        if not ticket.request.is_idempotent:
+            return
+        task = self._task_by_ticket[ticket]
+        ticket.outcome.add_done_callback(
+            lambda outcome: task.cancel() if outcome.cancelled() else None
+        )
 
     def end_stalled_uploads(self, limit_ms: int) -> None:
         """Ends requests whose callers stopped in the middle of the body.
@@ -168,8 +181,11 @@
         self, ticket: ticket_lib.Ticket, task: "asyncio.Task[None]"
     ) -> None:
         self._task_by_ticket.pop(ticket, None)
-        self.running.discard(ticket)
-        self._meter.record_end(ticket.started_ms, self._clock.now_ms())
+        if ticket.is_overdue:
+            self.overdue.discard(ticket)
+        else:
+            self.running.discard(ticket)
+            self._meter.record_end(ticket.started_ms, self._clock.now_ms())
         if task.cancelled():
             if ticket.outcome.cancelled():
                 self._ends.count_run(request_ends.RunEnd.NOT_AWAITED)
@@ -183,5 +199,6 @@
 
     def _report_cancelled(self, request_id: str) -> None:
         """Reports a run that was ended, unless its caller has sent it again."""
-        if all(each.request.request_id != request_id for each in self.running):
+        others = itertools.chain(self.running, self.overdue)
+        if all(each.request.request_id != request_id for each in others):
             self.on_cancelled(request_id)
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -57,8 +57,6 @@
       on_statement: Called with what the target states when that changes.
       on_cancelled: Called with the id of a request whose run was ended, as
         nobody waits for it any more.
-      is_origin_stopping: Returns whether the daemon of a VM at which requests
-        enter the fleet is stopping.
     """
 
     def __init__(
@@ -79,7 +77,6 @@
         )
         self.on_statement: StatementCallback = lambda *_: None
         self.on_cancelled: Callable[[str], None] = lambda _: None
-        self.is_origin_stopping: Callable[[ids.VmId], bool] = lambda _: False
         self._service = service
         self._connections = connections
         self._quarantine = quarantine
@@ -199,15 +196,16 @@
 
     def is_idle(self) -> bool:
         """Returns whether nothing runs or waits."""
-        return not self._dispatcher.running and not len(self._queue)
+        is_running = self._dispatcher.running or self._dispatcher.overdue
+        return not is_running and not len(self._queue)
 
     def sample_utilisation(self) -> None:
         """Samples the service time and the utilisation since the last call.
 
-        Also gives up requests that the target will not answer.
+        Also finds requests that the target may leave unanswered.
         """
         now_ms = self._clock.now_ms()
-        self._give_up_unanswered(now_ms)
+        self._find_overdue(now_ms)
         self._meter.sample(
             (ticket.started_ms for ticket in self._dispatcher.running),
             len(self._queue),
@@ -215,7 +213,7 @@
             now_ms,
         )
 
-    async def run(self, request: work.Work, may_wait: bool) -> work.Outcome:
+    async def run(self, request: work.Work, may_wait: bool) -> work.Attempt:
         """Runs a request at the target, after a wait in the queue if needed.
 
         Cancelling the call removes a waiting request from the queue and ends a
@@ -226,7 +224,8 @@
           may_wait: Whether to wait for a key that is being handed over.
 
         Returns:
-          The outcome; a refusal if the request was not admitted.
+          The outcome; a refusal if the request was not admitted. Of a request
+          that the target may leave unanswered, the rest of the attempt.
         """
         refusal = self._refusal_on_arrival(request)
         refusal = refusal or await keys_lib.await_key(
@@ -326,8 +325,8 @@
 
     # Queue.
 
-    async def _run_admitted(self, request: work.Work) -> work.Outcome:
-        outcome: asyncio.Future[work.Outcome] = asyncio.Future()
+    async def _run_admitted(self, request: work.Work) -> work.Attempt:
+        outcome: asyncio.Future[work.Attempt] = asyncio.Future()
         now_ms = self._clock.now_ms()
         ticket = ticket_lib.Ticket(request, outcome, now_ms)
         demand = self._limits.demand_of(request, self._queue)
@@ -340,6 +339,8 @@
             return await outcome
         except asyncio.CancelledError:
             self._queue.remove(ticket)
+            # It is another one if the request was found overdue just before.
+            ticket.outcome.cancel()
             raise
 
     def _start_waiting(self) -> None:
@@ -365,38 +366,37 @@
 
     def _on_end(self) -> None:
         # Answers to later requests show which earlier ones are unanswered.
-        self._give_up_unanswered(self._clock.now_ms())
+        self._find_overdue(self._clock.now_ms())
         self._start_waiting()
 
-    def _give_up_unanswered(self, now_ms: int) -> None:
-        """Gives up requests without an answer that may be tried elsewhere.
-
-        A stop of this daemon, or of the one at which a request entered, leaves
-        no other target to try, and must not cut the request short.
-        """
-        if self._stop.is_stopping():
-            return
+    def _find_overdue(self, now_ms: int) -> None:
+        """Marks requests that may stay unanswered and be tried elsewhere."""
         latest_ms = now_ms - unanswered.MIN_WAIT_MS
-        for ticket in self._dispatcher.running:
-            if ticket.started_ms >= latest_ms:
-                continue
-            request = ticket.request
-            expected_ms = self._limits.service_times.measured_ms(request.route)
-            if (
-                ticket.outcome.done()
-                or not request.is_idempotent
-                or request.rest is not None
-                or expected_ms is None
-                or self.is_origin_stopping(request.origin)
-            ):
-                continue
-            left_ms = request.deadline_ms - now_ms
-            if unanswered.has_time_for_retry(
-                left_ms, expected_ms
-            ) and self._recorder.answers.is_unanswered(
-                ticket.started_ms, now_ms, expected_ms, self._limits.capacity
-            ):
-                self._dispatcher.give_up(ticket)
+        found = [
+            ticket
+            for ticket in self._dispatcher.running
+            if ticket.started_ms < latest_ms
+            and self._is_overdue(ticket, now_ms)
+        ]
+        for ticket in found:
+            self._dispatcher.mark_overdue(ticket)
+
+    def _is_overdue(self, ticket: ticket_lib.Ticket, now_ms: int) -> bool:
+        request = ticket.request
+        expected_ms = self._limits.service_times.measured_ms(request.route)
+        if (
+            ticket.outcome.done()
+            or not request.is_idempotent
+            or request.rest is not None
+            or expected_ms is None
+        ):
+            return False
+        left_ms = request.deadline_ms - now_ms
+        return unanswered.has_time_for_retry(
+            left_ms, expected_ms
+        ) and self._recorder.answers.is_unanswered(
+            ticket.started_ms, now_ms, expected_ms, self._limits.capacity
+        )
 
     def _refuse_unservable(self) -> None:
         if self._stop.is_stopping():
--- a/mustardloom/sidecar/gate/results.py
+++ b/mustardloom/sidecar/gate/results.py
@@ -65,6 +65,9 @@
         request = ticket.request
         duration_ms = now_ms - ticket.started_ms
         self._metrics.observe("gate.service_ms", duration_ms)
+        if ticket.is_overdue:
+            outcome_name = type(result.outcome).__name__.lower()
+            self._metrics.increment(f"gate.overdue.{outcome_name}")
         match result.outcome:
             case work.Answered(response):
                 self.last_answer_ms = now_ms
@@ -101,6 +104,23 @@
                 self._meter.record_failure(True)
                 self._log_failure(request, reason.value, duration_ms, instance)
 
+    def record_overdue(
+        self,
+        ticket: ticket_lib.Ticket,
+        instance: targets.TargetInstance | None,
+    ) -> None:
+        """Records that a target at work may leave a request unanswered."""
+        self._record_if_overdue(ticket)
+        now_ms = self._clock.now_ms()
+        self._metrics.increment("gate.overdue")
+        self._log.write(
+            events.Event.GATE_OVERDUE,
+            request=ticket.request.request_id,
+            target=None if instance is None else instance.target,
+            duration_ms=now_ms - ticket.started_ms,
+            left_ms=ticket.request.deadline_ms - now_ms,
+        )
+
     def record_unanswered(
         self,
         ticket: ticket_lib.Ticket,
@@ -110,7 +130,8 @@
 
         It does not count as a failure, as routers would avoid the target then.
         """
-        self._record_if_overdue(ticket)
+        if not ticket.is_overdue:
+            self._record_if_overdue(ticket)
         duration_ms = self._clock.now_ms() - ticket.started_ms
         self._log_failure(ticket.request, _UNANSWERED, duration_ms, instance)
 
@@ -120,7 +141,7 @@
         If it lasted until its deadline, the target may have left it unanswered.
         """
         latest_ms = ticket.request.deadline_ms - timing.REFUSAL_DELAY_MS
-        if self._clock.now_ms() >= latest_ms:
+        if self._clock.now_ms() >= latest_ms and not ticket.is_overdue:
             self._record_if_overdue(ticket)
 
     def _record_if_overdue(self, ticket: ticket_lib.Ticket) -> None:
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -208,6 +208,12 @@
         number = link.next_number()
         return link.begin_call(number, make(number), may_repeat)
 
+    def mark_overdue(self, vm: ids.VmId, frame: frames.Overdue) -> None:
+        """Tells who waits for a call to a VM that it may stay unanswered."""
+        link = self._link_by_vm.get(vm)
+        if link is not None:
+            link.mark_overdue(frame)
+
     async def check_links(self) -> None:
         """Checks all links for silent peers, until cancelled."""
         while True:
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import dataclasses
 import functools
 import itertools
 from typing import Protocol
@@ -83,19 +82,6 @@
         """Returns the first frame of a stream."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Call:
-    """A call without a reply so far.
-
-    Attributes:
-      may_repeat: Whether it may be repeated elsewhere at once if the peer falls
-        silent; others go on waiting, and all do once a stop refuses requests.
-    """
-
-    reply: "asyncio.Future[frames.Frame]"
-    may_repeat: bool
-
-
 class _Stream:
     """One stream to the peer, with the calls that were sent on it.
 
@@ -116,7 +102,7 @@
         now_ms: int,
         budget: memory_budget.MemoryBudget,
     ):
-        self.calls: dict[int, _Call] = {}
+        self.calls: dict[int, OpenCall] = {}
         self.received_ms = now_ms
         self.ended = asyncio.Event()
         self.silent_since_ms: int | None = None
@@ -186,26 +172,43 @@
     """A call that was sent.
 
     Attributes:
-      reply: The reply, or `PeerLost` or `PeerUnreachable`.
+      reply: The reply, or `PeerLost` or `PeerUnreachable`. That of an overdue
+        call is `Overdue`, and then the next one.
+      may_repeat: Whether it may be repeated elsewhere at once if the peer falls
+        silent; others go on waiting, and all do once a stop refuses requests.
     """
 
-    def __init__(
-        self,
-        reply: "asyncio.Future[frames.Frame]",
-        on_end: Callable[[bool], None],
-    ):
-        self.reply = reply
+    def __init__(self, may_repeat: bool, on_end: Callable[[bool], None]):
+        self.reply: asyncio.Future[frames.Frame] = asyncio.Future()
+        self.may_repeat = may_repeat
         self._on_end = on_end
+        self._has_ended = False
 
     async def result(self) -> frames.Frame:
-        """Returns the reply; a cancelled call is cancelled at the peer."""
+        """Returns the reply; a cancelled call is cancelled at the peer.
+
+        After `Overdue` the call goes on, and this is to be called again.
+        """
+        is_open = False
         try:
-            return await self.reply
+            frame = await self.reply
+            is_open = isinstance(frame, frames.Overdue)
+            return frame
         finally:
-            self.end()
+            if not is_open:
+                self.end()
+
+    def mark_overdue(self, frame: frames.Overdue) -> None:
+        """Tells who waits that the target may not answer; goes on."""
+        if not self.reply.done():
+            waiting, self.reply = self.reply, asyncio.Future()
+            waiting.set_result(frame)
 
     def end(self) -> None:
         """Ends the call; the peer is told if it has not replied."""
+        if self._has_ended:
+            return
+        self._has_ended = True
         is_dropped = self.reply.cancel() or self.reply.cancelled()
         if not is_dropped:
             # Marks an error as retrieved, which asyncio would log otherwise.
@@ -265,9 +268,18 @@
         stream = self._current
         if stream is None or not self.notify(frame):
             raise PeerUnreachable(self._vm)
-        reply: asyncio.Future[frames.Frame] = asyncio.Future()
-        stream.calls[number] = _Call(reply, may_repeat)
-        return OpenCall(reply, functools.partial(self._end, stream, number))
+        call = OpenCall(
+            may_repeat, functools.partial(self._end, stream, number)
+        )
+        stream.calls[number] = call
+        return call
+
+    def mark_overdue(self, frame: frames.Overdue) -> None:
+        """Tells who waits for a call that its target may not answer."""
+        for stream in (self._current, *self._silent):
+            call = None if stream is None else stream.calls.get(frame.number)
+            if call is not None:
+                call.mark_overdue(frame)
 
     def _end(self, stream: _Stream, number: int, is_dropped: bool) -> None:
         stream.calls.pop(number, None)
--- a/mustardloom/sidecar/peer_frames.py
+++ b/mustardloom/sidecar/peer_frames.py
@@ -150,6 +150,8 @@
                 planner = self._planner_by_service.get(ids.ServiceId(service))
                 if planner is not None:
                     planner.on_key_load(vm, loads)
+            case frames.Overdue():
+                self._forwarder.on_overdue(vm, frame)
             case frames.Suspect(fingerprint=fingerprint, crashes=crashes):
                 self._quarantine.record_peer_report(fingerprint, crashes)
             case _:
--- a/mustardloom/sidecar/request_ends.py
+++ b/mustardloom/sidecar/request_ends.py
@@ -16,14 +16,12 @@
     """Why a run at the target was ended before its answer.
 
     Attributes:
-      UNANSWERED: The target was presumed not to answer it.
       DEADLINE: Its deadline has passed.
       NOT_AWAITED: Nobody waits for it: the caller has left, has its answer or
         is answered otherwise, or the link to its daemon was lost.
       UPLOAD_STALLED: The rest of its body did not come.
     """
 
-    UNANSWERED = "unanswered"
     DEADLINE = "deadline"
     NOT_AWAITED = "not-awaited"
     UPLOAD_STALLED = "upload-stalled"
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -10,6 +11,7 @@
 from mustardloom.deployment import settings
 from mustardloom.keys import key_map
 from mustardloom.load_control import retry_budget
+from mustardloom.sidecar import attempts as attempts_lib
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import forwarder as forwarder_lib
@@ -25,25 +27,12 @@
 _OWNER_RETRY_MS = 60
 _RETRY_AFTER_MS = 250
 
+_NO_TARGET = work.Refused(work.RefusalReason.NO_TARGET, _RETRY_AFTER_MS)
+
 # Returns the newest key map of a service, None if there is none.
 KeyMapLookup = Callable[[ids.ServiceId], key_map.KeyMap | None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Attempts:
-    """Attempts at one request so far.
-
-    Attributes:
-      offered: Targets that the request was offered to.
-      merged: Outcome that the caller gets if no other attempt follows.
-      may_have_run: Whether one of the targets may have run the request.
-    """
-
-    offered: int = 0
-    merged: work.Outcome | None = None
-    may_have_run: bool = False
-
-
 class Router:
     """Routes requests to gates."""
 
@@ -89,31 +78,38 @@
           and the retry budget of the service allow.
         """
         self._retry_budget(service.name).record_request(self._clock.now_ms())
-        if not service.is_keyed:
-            request = dataclasses.replace(request, key=None)
-            return await self._to_any(request, route, service)
-        if request.key is None:
+        if service.is_keyed and request.key is None:
             return work.Refused(work.RefusalReason.NO_KEY)
-        return await self._to_owner(request, route, service)
+        attempts = attempts_lib.Attempts()
+        try:
+            if service.is_keyed:
+                await self._try_owners(request, route, service, attempts)
+            else:
+                request = dataclasses.replace(request, key=None)
+                await self._try_any(request, route, service, attempts)
+            outcome = await attempts.final_outcome()
+        finally:
+            attempts.end()
+        return outcome or _NO_TARGET
 
     async def _send(
         self, vm: ids.VmId, request: work.Work, may_wait: bool
-    ) -> work.Outcome:
+    ) -> work.Attempt:
         request.progress.gates += 1
-        outcome = await self._forwarder.send(vm, request, may_wait)
-        if isinstance(outcome, work.Refused) and not outcome.was_offered:
+        attempt = await self._forwarder.send(vm, request, may_wait)
+        if isinstance(attempt, work.Refused) and not attempt.was_offered:
             request.progress.gates -= 1
-        return outcome
+        return attempt
 
     # Services without keys.
 
-    async def _to_any(
+    async def _try_any(
         self,
         request: work.Work,
         route: configuration.Route,
         service: configuration.Service,
-    ) -> work.Outcome:
-        attempts = _Attempts()
+        attempts: attempts_lib.Attempts,
+    ) -> None:
         tried: set[ids.VmId] = set()
         max_gates = self._selection.max_gates(service.name, route.home_regions)
         while len(tried) < max_gates and self._may_be_sent(request):
@@ -123,37 +119,35 @@
             if vm is None:
                 break
             tried.add(vm)
-            outcome = await self._send(vm, request, False)
+            attempt = await attempts.begin(
+                functools.partial(self._send, vm, request, False)
+            )
             if not self._may_retry(
-                request, route, service.name, outcome, attempts
+                request, route, service.name, attempt, attempts
             ):
                 break
             self._fleet.deprioritise(vm)
-        return _final_outcome(attempts)
 
     def _may_retry(
         self,
         request: work.Work,
         route: configuration.Route,
         service: ids.ServiceId,
-        outcome: work.Outcome,
-        attempts: _Attempts,
+        attempt: work.Attempt,
+        attempts: attempts_lib.Attempts,
     ) -> bool:
-        """Records an outcome; returns whether to ask another target."""
-        attempts.merged = _merge_outcomes(attempts.merged, outcome)
-        match outcome:
+        """Counts an attempt; returns whether to ask another target."""
+        match attempt:
             case work.Answered(response):
                 attempts.offered += 1
-                attempts.may_have_run = True
                 if response.status < 500 or not request.is_idempotent:
                     return False
             case work.Refused(was_offered=True):
                 attempts.offered += 1
             case work.Refused(reason):
                 return reason not in _NON_RETRYABLE_REASONS
-            case work.Failed():
+            case work.Failed() | work.Unanswered():
                 attempts.offered += 1
-                attempts.may_have_run = True
                 if not request.is_idempotent:
                     return False
         if attempts.offered >= route.max_attempts:
@@ -166,7 +160,7 @@
             events.Event.REQUEST_REPEATED,
             request=request.request_id,
             service=service,
-            after=_describe(outcome),
+            after=_describe(attempt),
             offered=attempts.offered,
             left_ms=request.deadline_ms - self._clock.now_ms(),
         )
@@ -184,13 +178,13 @@
 
     # Services with keys.
 
-    async def _to_owner(
+    async def _try_owners(
         self,
         request: work.Work,
         route: configuration.Route,
         service: configuration.Service,
-    ) -> work.Outcome:
-        attempts = _Attempts()
+        attempts: attempts_lib.Attempts,
+    ) -> None:
         # Earlier owner to ask next, as named in the last refusal.
         hint = work.NO_VM
         for _ in range(_MAX_OWNER_HOPS):
@@ -203,41 +197,40 @@
                 hint = work.NO_VM
             owner = hint or mapped
             if not owner or not self._is_allowed(owner, route):
-                attempts.merged = _merge_outcomes(
-                    attempts.merged,
-                    work.Refused(work.RefusalReason.NO_OWNER, _RETRY_AFTER_MS),
+                attempts.merge(
+                    work.Refused(work.RefusalReason.NO_OWNER, _RETRY_AFTER_MS)
                 )
                 break
             # The owner in the map waits for a key that is being handed over
             # only after the earlier owner was asked.
             may_wait = hint == work.NO_VM and attempts.merged is not None
-            outcome = await self._send(owner, request, may_wait)
+            attempt = await attempts.begin(
+                functools.partial(self._send, owner, request, may_wait)
+            )
             is_not_owner = (
-                isinstance(outcome, work.Refused)
-                and outcome.reason is work.RefusalReason.NOT_OWNER
+                isinstance(attempt, work.Refused)
+                and attempt.reason is work.RefusalReason.NOT_OWNER
             )
             if is_not_owner:
-                assert isinstance(outcome, work.Refused)
-                attempts.merged = _merge_outcomes(attempts.merged, outcome)
-                if outcome.was_offered:
+                assert isinstance(attempt, work.Refused)
+                if attempt.was_offered:
                     attempts.offered += 1
                     if not self._take_retry(service.name):
                         break
                 asked_earlier = hint != work.NO_VM
-                hint = work.NO_VM if asked_earlier else outcome.owner
+                hint = work.NO_VM if asked_earlier else attempt.owner
                 if attempts.offered >= route.max_attempts:
                     break
                 if not hint and not asked_earlier and may_wait:
                     await self._clock.sleep_ms(_OWNER_RETRY_MS)
                 continue
             if not self._may_retry(
-                request, route, service.name, outcome, attempts
+                request, route, service.name, attempt, attempts
             ):
                 break
-            if isinstance(outcome, work.Refused) and not outcome.was_offered:
+            if isinstance(attempt, work.Refused) and not attempt.was_offered:
                 break
             hint = work.NO_VM
-        return _final_outcome(attempts)
 
     def _owner_in_map(
         self, request: work.Work, service: ids.ServiceId
@@ -284,42 +277,13 @@
 )
 
 
-def _merge_outcomes(
-    before: work.Outcome | None, latest: work.Outcome
-) -> work.Outcome:
-    """Returns which of two outcomes the caller gets.
-
-    A refusal promises that the request was not run, so it must not replace an
-    answer or a failure, after which the request may have run.
-    """
-    match before, latest:
-        case None, _:
-            return latest
-        case _, work.Answered():
-            work.discard(before)
-            return latest
-        case ((work.Answered() | work.Failed()), _):
-            return before
-        case work.Refused(reason=work.RefusalReason.NOT_OWNER), _:
-            return latest
-        case work.Refused(), work.Refused():
-            retry_ms = min(before.retry_after_ms, latest.retry_after_ms)
-            return dataclasses.replace(latest, retry_after_ms=retry_ms)
-        case _:
-            return latest
-
-
-def _final_outcome(attempts: _Attempts) -> work.Outcome:
-    if attempts.merged is not None:
-        return attempts.merged
-    return work.Refused(work.RefusalReason.NO_TARGET, _RETRY_AFTER_MS)
-
-
-def _describe(outcome: work.Outcome) -> str:
-    match outcome:
+def _describe(attempt: work.Attempt) -> str:
+    match attempt:
         case work.Answered(response):
             return f"status {response.status}"
         case work.Refused(reason):
             return reason.value
         case work.Failed(reason):
             return reason.value
+        case work.Unanswered():
+            return "unanswered"
--- a/mustardloom/sidecar/tests/small_fleet.py
+++ b/mustardloom/sidecar/tests/small_fleet.py
@@ -183,6 +183,8 @@
         if isinstance(frame, frames.Forward):
             self.frames.append(frames.encode(frame))
             return self.forwarder.receive(vm, frame)
+        if isinstance(frame, frames.Overdue):
+            self.forwarder.on_overdue(vm, frame)
         return None
 
     def log(self):
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import forwarder as forwarder_lib
 from mustardloom.sidecar import frames
+from mustardloom.sidecar import outgoing_link
 from mustardloom.sidecar import transfers
 from mustardloom.sidecar import work
 
@@ -43,10 +44,12 @@
     def clock_offset_ms(self, vm):
         return self.offset_ms
 
-    async def call(self, vm, make, may_repeat):
+    def begin_call(self, vm, make, may_repeat):
         frame = make(1)
         self.calls.append((frame, may_repeat))
-        return self.reply
+        call = outgoing_link.OpenCall(may_repeat, lambda _: None)
+        call.reply.set_result(self.reply)
+        return call
 
 
 def _forwarder(clock, links, gate, budget=None):
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -615,45 +615,84 @@
     return missing
 
 
-def test_request_that_a_target_at_work_leaves_unanswered_is_given_up():
-    """Guards against a check of stops that never lets a gate give up."""
+async def _overdue(harness):
+    """Returns the rest of a request that the target has not answered."""
+    missing = await _leave_one_unanswered(harness)
+    assert missing.done()
+    attempt = await missing
+    assert isinstance(attempt, work.Unanswered)
+    return attempt.rest
+
+
+def test_answer_that_was_not_expected_any_more_still_counts():
+    """Guards against a guess that ends work and replaces its answer (LOST)."""
 
     async def scenario(harness):
-        missing = await _leave_one_unanswered(harness)
-        return missing.done()
+        rest = await _overdue(harness)
+        assert not harness.gate.is_idle()
+        harness.connections.answer(_OK)
+        return await rest, harness.metrics.counters["gate.overdue.answered"]
 
-    assert _run(scenario)
+    assert _run(scenario) == (_OK.outcome, 1)
 
 
-def test_stopping_daemon_gives_up_no_request_that_its_target_may_run():
+def test_stop_goes_on_with_a_request_that_may_stay_unanswered():
     """Guards against answers of our own in place of the target's in a stop."""
 
     async def scenario(harness):
         harness.stop.begin(60_000)
-        missing = await _leave_one_unanswered(harness)
-        is_given_up = missing.done()
+        rest = await _overdue(harness)
+        assert not harness.gate.is_idle()
         harness.connections.answer(_OK)
-        return is_given_up, await missing
+        return await rest
 
-    is_given_up, outcome = _run(scenario)
-    assert not is_given_up
-    assert isinstance(outcome, work.Answered)
+    assert _run(scenario) == _OK.outcome
 
 
-def test_request_from_a_daemon_that_stops_is_not_given_up():
-    """Guards against a stop that answers in place of a target at work."""
+def test_request_that_may_stay_unanswered_leaves_its_place_to_others():
+    """Guards against places that silent connections occupy until a deadline."""
 
     async def scenario(harness):
-        origin = ids.VmId("stopping")
-        harness.gate.is_origin_stopping = {origin}.__contains__
-        missing = await _leave_one_unanswered(harness, origin=origin)
-        is_given_up = missing.done()
-        harness.connections.answer(_OK)
-        return is_given_up, await missing
+        await _overdue(harness)
+        assert harness.gate.load().running == 0
+        await harness.start("a", "b")
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=2) == 3
+
+
+def test_run_of_a_request_that_may_stay_unanswered_ends_with_its_caller():
+    """Guards against targets that work on for callers who have left."""
+
+    async def scenario(harness):
+        rest = await _overdue(harness)
+        rest.cancel()
+        await harness.clock.advance(0)
+        assert not harness.connections.open
+        return harness.gate.is_idle()
+
+    assert _run(scenario)
+
+
+def test_caller_that_leaves_as_its_request_becomes_overdue_ends_the_run():
+    """Guards against a run that nobody awaits and nobody ends."""
+
+    async def scenario(harness):
+        deadline_ms = harness.clock.now_ms() + 10_000
+        (missing,) = await harness.start("missing", deadline_ms=deadline_ms)
+        for _ in range(3):
+            (other,) = await harness.start("other")
+            await harness.clock.advance(100)
+            harness.connections.answer(_OK, number=-1)
+            await other
+        harness.clock.jump(1_000)
+        harness.gate.sample_utilisation()
+        # Before the waiting call has run on.
+        missing.cancel()
+        await harness.clock.advance(0)
+        return missing.cancelled(), harness.gate.is_idle()
 
-    is_given_up, outcome = _run(scenario)
-    assert not is_given_up
-    assert isinstance(outcome, work.Answered)
+    assert _run(scenario) == (True, True)
 
 
 def test_runs_that_the_gate_ended_are_counted_by_cause_and_step():
--- a/mustardloom/sidecar/work.py
+++ b/mustardloom/sidecar/work.py
@@ -1,5 +1,6 @@
 """A request that is routed through the fleet, and its possible outcomes."""
 
+import asyncio
 import dataclasses
 import enum
 
@@ -10,12 +11,14 @@
 __all__ = [
     "NO_VM",
     "Answered",
+    "Attempt",
     "Failed",
     "FailureReason",
     "Outcome",
     "Progress",
     "RefusalReason",
     "Refused",
+    "Unanswered",
     "Work",
     "discard",
 ]
@@ -115,7 +118,6 @@
       is_call: Whether a running request waits for the answer.
       rest: The body if it passes in pieces, else None.
       organisation: Organisation of the caller, None if it has none.
-      origin: VM at which the request entered the fleet; `NO_VM` for this one.
       progress: How far it has come.
     """
 
@@ -136,7 +138,6 @@
     is_call: bool
     rest: bodies.BodySource | None = None
     organisation: ids.OrganisationId | None = None
-    origin: ids.VmId = NO_VM
     progress: Progress = dataclasses.field(
         default_factory=Progress, compare=False
     )
@@ -182,6 +183,24 @@
 Outcome = Answered | Refused | Failed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """An attempt that may stay without an answer, and goes on.
+
+    Nobody knows whether the target is at work on it. So another attempt may
+    begin beside it, and it ends once one of them is answered.
+
+    Attributes:
+      rest: Awaited for the outcome; cancelling it ends the attempt.
+    """
+
+    rest: "asyncio.Future[Outcome]"
+
+
+# What is known of an attempt: its outcome, or that there may be none.
+Attempt = Outcome | Unanswered
+
+
 def discard(outcome: Outcome | None) -> None:
     """Ends the body of an answer that nobody is going to read."""
     if isinstance(outcome, Answered) and outcome.response.rest is not None:
