Let the silence of a daemon end no request that it may be running

What callers saw: 502 (peer-lost) for a request at which a target was at work, if the daemon beside it answered no ping for 0.7 s and no other target had a place; in a stop of the entering daemon this breaks LOST.

A call that may be repeated elsewhere was failed at the first sign of silence, before anyone knew of another place; only the second step of a stop prevented it.

Change: who waits for such a call is told that it is overdue, and the call goes on beside the next attempt, as on the silent stream of other calls. Queries between daemons fail as before. The exception for stops is gone.

--- a/deploy/tests/test_stops_of_daemons.py
+++ b/deploy/tests/test_stops_of_daemons.py
@@ -33,6 +33,8 @@
 _LONG_WORK_S = 3.0
 _TIME_TO_REPEAT_S = 1.0
 _LONG_DEADLINE_MS = 20_000
+# Links count as silent before, and are not ended yet.
+_PAUSE_OF_A_DAEMON_S = 1.5
 
 
 async def _request_in_parts(
@@ -229,3 +231,29 @@
         return status_by_id[request_id]
 
     assert asyncio.run(play()) == 200
+
+
+def test_stop_answers_what_a_daemon_that_was_silent_would_answer(tmp_path):
+    """Guards against a call that is given up for another daemon (LOST).
+
+    The daemon beside the target was paused for a while, and there is no other.
+    """
+
+    async def play() -> int:
+        async with (
+            daemons.Fleet(tmp_path, ["desk", "archive"]) as fleet,
+            asyncio.TaskGroup() as callers,
+        ):
+            caller, busy = fleet.vms
+            busy.target.work_s = _LONG_WORK_S
+            status_by_id: dict[str, int] = {}
+            callers.create_task(_ask(caller, status_by_id, _DEADLINE_MS))
+            request_id = await _await_run(busy.target, status_by_id)
+            busy.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(_PAUSE_OF_A_DAEMON_S)
+            caller.send_signal(signal.SIGTERM)
+            busy.send_signal(signal.SIGCONT)
+            assert await caller.wait() == 0
+        return status_by_id[request_id]
+
+    assert asyncio.run(play()) == 200
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -189,7 +189,6 @@
         self._links.on_change = self._on_link_change
         self._links.on_fault = self._on_peer_fault
         self._links.on_transfer = self._transfers.server.adopt
-        self._links.is_limited = stop.is_limited
         self._fleet = fleet_lib.Fleet(self._record, self._links, clock)
         self._target_memory = target_memory.TargetMemory(
             self._fleet, self._links
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -93,6 +93,8 @@
         # Another target cannot run a request with a key, and must not run one
         # that is not idempotent, so a late reply is the only one.
         may_repeat = request.is_idempotent and request.key is None
+        silence = links_lib.OnSilence
+        on_silence = silence.TELL if may_repeat else silence.WAIT
         peer.view.in_flight += 1
 
         def end() -> None:
@@ -102,7 +104,7 @@
 
         is_open = False
         try:
-            call = self._links.begin_call(vm, make_frame, may_repeat)
+            call = self._links.begin_call(vm, make_frame, on_silence)
             attempt = await self._outcome_of(call, peer, request)
             if attempt is None:
                 is_open = True
--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -21,6 +21,7 @@
 __all__ = [
     "FrameHandler",
     "Links",
+    "OnSilence",
     "OpenCall",
     "PeerLost",
     "PeerUnreachable",
@@ -28,6 +29,7 @@
 
 Address = settings.Address
 FrameHandler = incoming_link.FrameHandler
+OnSilence = outgoing_link.OnSilence
 OpenCall = outgoing_link.OpenCall
 PeerLost = outgoing_link.PeerLost
 PeerUnreachable = outgoing_link.PeerUnreachable
@@ -56,7 +58,6 @@
       on_fault: Called when a peer sends invalid bytes or the handler of its
         frame fails.
       on_transfer: Called with a connection on which a peer fetches a body.
-      is_limited: Whether a stop lets this daemon repeat calls no more.
     """
 
     def __init__(
@@ -81,7 +82,6 @@
         )
         self.on_pong: PongCallback = lambda *_: None
         self.on_transfer: TransferHandler = lambda stream: stream.close()
-        self.is_limited: Callable[[], bool] = lambda: False
         self._record = record
         self._started_ms = clock.wall_ms()
         self._link_by_vm: dict[ids.VmId, outgoing_link.OutgoingLink] = {}
@@ -172,33 +172,34 @@
         self,
         vm: ids.VmId,
         make: Callable[[int], frames.Frame],
-        may_repeat: bool = True,
     ) -> frames.Frame:
-        """Sends a frame and returns its reply.
+        """Sends a query and returns its reply.
 
         Args:
           vm: The receiver.
           make: Returns the frame for a call number.
-          may_repeat: Whether the call fails as soon as the peer falls silent,
-            so that it can be repeated elsewhere; otherwise, and once a
-            stop refuses requests, a late reply is awaited.
 
         Raises:
           PeerUnreachable: The frame was certainly not sent.
-          PeerLost: It was sent, but no reply came.
+          PeerLost: It was sent, but no reply came, or the peer fell silent.
         """
-        return await self.begin_call(vm, make, may_repeat).result()
+        return await self.begin_call(vm, make).result()
 
     def begin_call(
         self,
         vm: ids.VmId,
         make: Callable[[int], frames.Frame],
-        may_repeat: bool = True,
+        on_silence: OnSilence = OnSilence.FAIL,
     ) -> OpenCall:
         """Sends a frame and returns the call, which the caller has to end.
 
         Several calls can be awaited together without a task for each.
 
+        Args:
+          vm: The receiver.
+          make: Returns the frame for a call number.
+          on_silence: What becomes of the call if the peer falls silent.
+
         Raises:
           PeerUnreachable: The frame was certainly not sent.
         """
@@ -206,7 +207,7 @@
         if link is None:
             raise PeerUnreachable(vm)
         number = link.next_number()
-        return link.begin_call(number, make(number), may_repeat)
+        return link.begin_call(number, make(number), on_silence)
 
     def mark_overdue(self, vm: ids.VmId, frame: frames.Overdue) -> None:
         """Tells who waits for a call to a VM that it may stay unanswered."""
--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -1,14 +1,15 @@
 """The link that a daemon dials to one peer, over one stream after another.
 
 A peer that is paused or overloaded falls silent and goes on later. New requests
-avoid it, but the calls that it has already may be running, so they are neither
-repeated nor given up while it may still answer them: the silent stream is kept
-beside its successor until it is closed, or for `_SILENT_STREAM_MS`.
+avoid it, but the calls that it has already may be running, so they are not
+given up while it may still answer them: the silent stream is kept beside its
+successor until it is closed, or for `_SILENT_STREAM_MS`.
 """
 
 import asyncio
 import collections
 from collections.abc import Callable
+import enum
 import functools
 import itertools
 from typing import Protocol
@@ -28,6 +29,7 @@
 
 __all__ = [
     "LinkOwner",
+    "OnSilence",
     "OpenCall",
     "OutgoingLink",
     "PeerLost",
@@ -55,6 +57,20 @@
     """The frame was sent, but no reply came; the peer may have acted on it."""
 
 
+class OnSilence(enum.Enum):
+    """What becomes of a call whose peer falls silent.
+
+    Attributes:
+      FAIL: It fails; a query costs little and may be sent elsewhere.
+      TELL: It goes on, and who waits for it is told that it is overdue.
+      WAIT: It goes on; nobody else can reply.
+    """
+
+    FAIL = "fail"
+    TELL = "tell"
+    WAIT = "wait"
+
+
 class LinkOwner(Protocol):
     """What a link needs of the links of its daemon.
 
@@ -66,8 +82,6 @@
         time at which that was sent.
       on_change: Called when the link to a VM goes up or down.
       on_fault: Called when a peer sends invalid bytes.
-      is_limited: Whether a stop refuses requests, so that a call may have
-        nowhere else to go.
     """
 
     clock: clock_lib.Clock
@@ -76,7 +90,6 @@
     on_pong: Callable[[ids.VmId, int, frames.Pong], None]
     on_change: Callable[[ids.VmId, bool], None]
     on_fault: Callable[[ids.VmId, Exception], None]
-    is_limited: Callable[[], bool]
 
     def hello(self, receiver: ids.VmId) -> frames.Hello:
         """Returns the first frame of a stream."""
@@ -153,14 +166,26 @@
                 if not call.reply.done():
                     call.reply.set_exception(PeerUnreachable(vm))
 
-    def fail_calls(self, vm: ids.VmId, only_repeatable: bool = False) -> None:
-        """Ends the calls, all or those that may be repeated elsewhere."""
+    def on_silence(self, vm: ids.VmId) -> None:
+        """Fails or marks the calls that are not to wait for the peer."""
         for number, call in list(self.calls.items()):
-            if only_repeatable and not call.may_repeat:
-                continue
-            del self.calls[number]
-            if not call.reply.done():
-                call.reply.set_exception(PeerLost(vm))
+            match call.on_silence:
+                case OnSilence.FAIL:
+                    self._fail(vm, number)
+                case OnSilence.TELL:
+                    call.mark_overdue(frames.Overdue(number))
+                case OnSilence.WAIT:
+                    pass
+
+    def fail_calls(self, vm: ids.VmId) -> None:
+        """Ends all calls."""
+        for number in list(self.calls):
+            self._fail(vm, number)
+
+    def _fail(self, vm: ids.VmId, number: int) -> None:
+        call = self.calls.pop(number)
+        if not call.reply.done():
+            call.reply.set_exception(PeerLost(vm))
 
     def close(self) -> None:
         """Closes the stream."""
@@ -174,13 +199,14 @@
     Attributes:
       reply: The reply, or `PeerLost` or `PeerUnreachable`. That of an overdue
         call is `Overdue`, and then the next one.
-      may_repeat: Whether it may be repeated elsewhere at once if the peer falls
-        silent; others go on waiting, and all do once a stop refuses requests.
+      on_silence: What becomes of it if the peer falls silent.
+      is_overdue: Whether `Overdue` was its reply.
     """
 
-    def __init__(self, may_repeat: bool, on_end: Callable[[bool], None]):
+    def __init__(self, on_silence: OnSilence, on_end: Callable[[bool], None]):
         self.reply: asyncio.Future[frames.Frame] = asyncio.Future()
-        self.may_repeat = may_repeat
+        self.on_silence = on_silence
+        self.is_overdue = False
         self._on_end = on_end
         self._has_ended = False
 
@@ -199,8 +225,9 @@
                 self.end()
 
     def mark_overdue(self, frame: frames.Overdue) -> None:
-        """Tells who waits that the target may not answer; goes on."""
-        if not self.reply.done():
+        """Tells who waits, once, that there may be no answer; goes on."""
+        if not self.is_overdue and not self.reply.done():
+            self.is_overdue = True
             waiting, self.reply = self.reply, asyncio.Future()
             waiting.set_result(frame)
 
@@ -262,14 +289,14 @@
         return self._current.write(frame, self._owner.clock.now_ms())
 
     def begin_call(
-        self, number: int, frame: frames.Frame, may_repeat: bool
+        self, number: int, frame: frames.Frame, on_silence: OnSilence
     ) -> "OpenCall":
         """Sends a frame that gets a reply; see `Links.begin_call`."""
         stream = self._current
         if stream is None or not self.notify(frame):
             raise PeerUnreachable(self._vm)
         call = OpenCall(
-            may_repeat, functools.partial(self._end, stream, number)
+            on_silence, functools.partial(self._end, stream, number)
         )
         stream.calls[number] = call
         return call
@@ -410,8 +437,7 @@
 
     def _set_silent(self, stream: _Stream, now_ms: int) -> None:
         stream.silent_since_ms = now_ms
-        if not self._owner.is_limited():
-            stream.fail_calls(self._vm, only_repeatable=True)
+        stream.on_silence(self._vm)
         if stream.calls:
             self._silent.append(stream)
             stream.ended.set()
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -44,10 +44,10 @@
     def clock_offset_ms(self, vm):
         return self.offset_ms
 
-    def begin_call(self, vm, make, may_repeat):
+    def begin_call(self, vm, make, on_silence):
         frame = make(1)
-        self.calls.append((frame, may_repeat))
-        call = outgoing_link.OpenCall(may_repeat, lambda _: None)
+        self.calls.append((frame, on_silence))
+        call = outgoing_link.OpenCall(on_silence, lambda _: None)
         call.reply.set_result(self.reply)
         return call
 
@@ -123,17 +123,17 @@
     assert _receive(frame, 9_000).deadline_ms == 10_000
 
 
-def test_only_what_another_target_may_run_is_repeated_at_once():
+def test_only_what_another_target_may_run_is_repeated_beside_a_silent_one():
     """Guards against giving up what a silent daemon may be running."""
     clock = clock_lib.FakeClock(now_ms=5_000)
-    _, may_repeat = _send(_request(5_000), _Links(), clock)
-    assert may_repeat
+    _, on_silence = _send(_request(5_000), _Links(), clock)
+    assert on_silence is outgoing_link.OnSilence.TELL
     for request in (
         _request(5_000, is_idempotent=False),
         _request(5_000, key=7),
     ):
-        _, may_repeat = _send(request, _Links(), clock)
-        assert not may_repeat
+        _, on_silence = _send(request, _Links(), clock)
+        assert on_silence is outgoing_link.OnSilence.WAIT
 
 
 def test_request_of_another_daemon_without_room_is_not_run():
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -298,6 +298,9 @@
     return asyncio.sleep(30)
 
 
+_OnSilence = links_lib.OnSilence
+
+
 @contextlib.asynccontextmanager
 async def _through_proxy(near, port):
     """Links "near" to "far" through a proxy and watches the link."""
@@ -313,8 +316,8 @@
         await proxy.close()
 
 
-async def _start_call(links, vm, may_repeat):
-    call = asyncio.ensure_future(links.call(vm, _fetch, may_repeat))
+async def _start_call(links, vm, on_silence):
+    call = links.begin_call(vm, _fetch, on_silence)
     await asyncio.sleep(0.05)
     return call
 
@@ -337,20 +340,23 @@
 
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
-            waiting = await _start_call(near, vm, may_repeat=False)
-            repeatable = await _start_call(near, vm, may_repeat=True)
+            waiting = await _start_call(near, vm, _OnSilence.WAIT)
+            query = await _start_call(near, vm, _OnSilence.FAIL)
             await _pause(proxy, near, vm, also_ms=300)
             with pytest.raises(links_lib.PeerLost):
-                await repeatable
-            reply = await waiting
+                await query.result()
+            reply = await waiting.result()
             await _connected(near, vm)
             return reply.reason
 
     assert _run(scenario, handler) == "late"
 
 
-def test_stop_awaits_the_answer_of_a_peer_that_is_silent_for_a_while():
-    """Guards against work that is given up and cannot be repeated (LOST)."""
+def test_answer_of_a_silent_peer_arrives_although_another_was_asked():
+    """Guards against work that is given up for a place that nobody has (LOST).
+
+    Who waits learns of the silence, and may ask another peer meanwhile.
+    """
 
     def handler(vm, frame):
         if not isinstance(frame, frames.Fetch):
@@ -364,12 +370,13 @@
 
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
-            near.is_limited = lambda: True
-            repeatable = await _start_call(near, vm, may_repeat=True)
+            call = await _start_call(near, vm, _OnSilence.TELL)
+            waiting = asyncio.ensure_future(call.result())
             await _pause(proxy, near, vm, also_ms=300)
-            return (await repeatable).reason
+            assert waiting.done()
+            return type(await waiting), (await call.result()).reason
 
-    assert _run(scenario, handler) == "late"
+    assert _run(scenario, handler) == (frames.Overdue, "late")
 
 
 def test_calls_on_a_silent_stream_end_when_it_is_closed():
@@ -377,11 +384,11 @@
 
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
-            waiting = await _start_call(near, vm, may_repeat=False)
+            waiting = await _start_call(near, vm, _OnSilence.WAIT)
             await _pause(proxy, near, vm)
             far.close()
             with pytest.raises(links_lib.PeerLost):
-                await waiting
+                await waiting.result()
 
     _run(scenario, _never_answers)
 
@@ -396,11 +403,11 @@
 
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
-            waiting = await _start_call(near, vm, may_repeat=False)
+            waiting = await _start_call(near, vm, _OnSilence.WAIT)
             proxy.may_pass.clear()
             proxy.stop_listening()
             with pytest.raises(links_lib.PeerLost):
-                await waiting
+                await waiting.result()
 
     # Without the refusal the call would wait for longer than the test may take.
     monkeypatch.setattr(outgoing_link, "_SILENT_STREAM_MS", 60_000)
--- a/mustardloom/sidecar/tests/test_organisations.py
+++ b/mustardloom/sidecar/tests/test_organisations.py
@@ -403,7 +403,9 @@
         organisation="name",
     )
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(frame))
-    earlier = msgspec.msgpack.encode(fields[:-1])
+    # The type of the frame comes before its fields.
+    size = 1 + frame.__struct_fields__.index("organisation")
+    earlier = msgspec.msgpack.encode(fields[:size])
     assert msgspec.msgpack.decode(earlier, type=frames.Forward) == (
         msgspec.structs.replace(frame, organisation="")
     )
--- a/mustardloom/sidecar/tests/test_target_selection.py
+++ b/mustardloom/sidecar/tests/test_target_selection.py
@@ -111,14 +111,13 @@
 
     def begin_call(self, vm, make):
         self.asked += 1
-        reply = asyncio.Future()
-        call = links_lib.OpenCall(reply, lambda _: None)
+        call = links_lib.OpenCall(links_lib.OnSilence.FAIL, lambda _: None)
         if vm in self.silent:
             return call
         if vm not in self.target_by_vm:
             raise links_lib.PeerUnreachable(vm)
         running, waiting = self.target_by_vm[vm].load(self.now_ms)
-        reply.set_result(
+        call.reply.set_result(
             frames.LoadReply(
                 make(1).number, True, _PLACES, running, waiting, 100, 0
             )
