--- a/mustardloom/sidecar/attempts.py
+++ b/mustardloom/sidecar/attempts.py
@@ -31,11 +31,18 @@
         first one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_fault: Callable[[BaseException], None]):
+        """Creates an object without attempts.
+
+        Args:
+          on_fault: Called with the error of an attempt that is open.
+        """
         self.offered = 0
         self.merged: work.Outcome | None = None
+        self._on_fault = on_fault
         # Attempts that may stay unanswered.
         self._open: set[asyncio.Future[work.Outcome]] = set()
+        self._is_merged_taken = False
 
     async def begin(self, start: _Start) -> work.Attempt:
         """Begins an attempt; returns what is known of it.
@@ -45,26 +52,57 @@
         """
         if not self._open:
             return self._note(await start())
+        self._merge_done()
+        if self.merged is not None and is_served(self.merged):
+            return self.merged
         latest = asyncio.ensure_future(start())
         try:
-            while not latest.done():
-                waited: set[asyncio.Future[Any]] = {latest, *self._open}
-                await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-                self._merge_done()
-                if is_served(self.merged):
-                    assert self.merged is not None
-                    _end(latest)
-                    return self.merged
-        except asyncio.CancelledError:
+            served = await self._served_before(latest)
+        except BaseException:
             _end(latest)
             raise
+        if served is not None:
+            _end(latest)
+            return served
         return self._note(latest.result())
 
-    async def final_outcome(self) -> work.Outcome | None:
-        """Returns the answer to an attempt, else what all have come to."""
+    async def _served_before(
+        self, latest: "asyncio.Future[work.Attempt]"
+    ) -> work.Outcome | None:
+        """Returns the first answer to an earlier attempt.
+
+        Returns None once something is known of the latest attempt.
+        """
+        while not latest.done():
+            waited: set[asyncio.Future[Any]] = {latest, *self._open}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+            self._merge_done()
+            if is_served(self.merged):
+                return self.merged
+        return None
+
+    async def final_outcome(self, limit_s: float) -> work.Outcome | None:
+        """Returns the answer to an attempt, else what all have come to.
+
+        Args:
+          limit_s: Time after which the error of a target is returned, although
+            another attempt is open.
+        """
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + limit_s
         while self._open and not is_served(self.merged):
-            await asyncio.wait(self._open, return_when=asyncio.FIRST_COMPLETED)
+            timeout_s = None
+            if isinstance(self.merged, work.Answered):
+                timeout_s = max(0.0, ends_s - loop.time())
+            done, _ = await asyncio.wait(
+                self._open,
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
             self._merge_done()
+        self._is_merged_taken = True
         return self.merged
 
     def merge(self, outcome: work.Outcome) -> None:
@@ -72,10 +110,12 @@
         self.merged = _merge(self.merged, outcome)
 
     def end(self) -> None:
-        """Ends the attempts that are open."""
+        """Ends the attempts that are open; drops what was not returned."""
         for rest in self._open:
             _end(rest)
         self._open.clear()
+        if not self._is_merged_taken:
+            work.discard(self.merged)
 
     def _note(self, attempt: work.Attempt) -> work.Attempt:
         if isinstance(attempt, work.Unanswered):
@@ -88,7 +128,15 @@
         """Merges the outcomes of attempts that were open and have ended."""
         for rest in [each for each in self._open if each.done()]:
             self._open.discard(rest)
-            self.merge(rest.result())
+            self.merge(self._outcome_of(rest))
+
+    def _outcome_of(self, rest: "asyncio.Future[work.Outcome]") -> work.Outcome:
+        error = None if rest.cancelled() else rest.exception()
+        if error is not None:
+            self._on_fault(error)
+        if rest.cancelled() or error is not None:
+            return work.Failed(work.FailureReason.INTERNAL)
+        return rest.result()
 
 
 def is_served(outcome: work.Outcome | None) -> bool:
@@ -104,7 +152,7 @@
     if not attempt.done():
         attempt.cancel()
         return
-    if attempt.cancelled():
+    if attempt.cancelled() or attempt.exception() is not None:
         return
     outcome = attempt.result()
     if isinstance(outcome, work.Unanswered):
--- a/mustardloom/sidecar/router.py
+++ b/mustardloom/sidecar/router.py
@@ -26,6 +26,9 @@
 _MAX_OWNER_HOPS = 4
 _OWNER_RETRY_MS = 60
 _RETRY_AFTER_MS = 250
+# The error of a target is returned this long before the deadline.
+_ANSWER_MARGIN_MS = 20
+_MS_PER_S = 1_000
 
 _NO_TARGET = work.Refused(work.RefusalReason.NO_TARGET, _RETRY_AFTER_MS)
 
@@ -80,14 +83,17 @@
         self._retry_budget(service.name).record_request(self._clock.now_ms())
         if service.is_keyed and request.key is None:
             return work.Refused(work.RefusalReason.NO_KEY)
-        attempts = attempts_lib.Attempts()
+        attempts = attempts_lib.Attempts(self._log.write_fault)
         try:
             if service.is_keyed:
                 await self._try_owners(request, route, service, attempts)
             else:
                 request = dataclasses.replace(request, key=None)
                 await self._try_any(request, route, service, attempts)
-            outcome = await attempts.final_outcome()
+            left_ms = request.deadline_ms - self._clock.now_ms()
+            outcome = await attempts.final_outcome(
+                (left_ms - _ANSWER_MARGIN_MS) / _MS_PER_S
+            )
         finally:
             attempts.end()
         return outcome or _NO_TARGET
--- a/mustardloom/sidecar/tests/test_router.py
+++ b/mustardloom/sidecar/tests/test_router.py
@@ -4,6 +4,8 @@
 import dataclasses
 import os
 import random
+import types
+from typing import Any
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -14,9 +16,12 @@
 from mustardloom.deployment import targets
 from mustardloom.http1 import messages
 from mustardloom.keys import planning
+from mustardloom.load_control import stop_admission
 from mustardloom.sidecar import events
 from mustardloom.sidecar import fleet as fleet_lib
 from mustardloom.sidecar import frames
+from mustardloom.sidecar import ingress as ingress_lib
+from mustardloom.sidecar import request_ends
 from mustardloom.sidecar import router as router_lib
 from mustardloom.sidecar import target_selection
 from mustardloom.sidecar import work
@@ -117,7 +122,12 @@
             home_regions=frozenset(),
         )
 
-    def ask(self, is_keyed=False, is_idempotent=True, **route):
+    def ask(self, **changes):
+        outcome = asyncio.run(self.route_request(**changes))
+        return outcome, [vm for vm, _ in self.forwarder.asked]
+
+    def route_request(self, is_keyed=False, is_idempotent=True, **route):
+        """Returns the call that routes a request."""
         now_ms = self.clock.now_ms()
         request = work.Work(
             service=_SERVICE,
@@ -137,11 +147,9 @@
             is_call=False,
         )
         service = configuration.Service(_SERVICE, is_keyed=is_keyed)
-        call = self.router.route(
+        return self.router.route(
             request, dataclasses.replace(self.route, **route), service
         )
-        outcome = asyncio.run(call)
-        return outcome, [vm for vm, _ in self.forwarder.asked]
 
 
 def test_refusals_of_gates_do_not_count_as_attempts():
@@ -278,3 +286,52 @@
     harness = _Harness()
     harness.forwarder.outcomes = {_VMS[0]: [_UNANSWERED]}
     assert harness.ask(is_idempotent=False) == (_UNANSWERED, _VMS[:1])
+
+
+def test_error_of_a_target_is_returned_when_an_open_attempt_runs_out_of_time():
+    """Guards against an answer of our own in place of that of a target.
+
+    The first target may stay unanswered; the second one has answered with an
+    error. Then the caller's time passes.
+    """
+
+    async def scenario():
+        harness = _Harness()
+        rest: asyncio.Future[work.Outcome] = asyncio.Future()
+        error = work.Answered(messages.Response(500))
+        harness.forwarder.outcomes = {
+            _VMS[0]: [work.Unanswered(rest)],
+            _VMS[1]: [error],
+        }
+        route = dataclasses.replace(
+            harness.route, shares=(configuration.Share(_SERVICE, 1),)
+        )
+        current: Any = types.SimpleNamespace(
+            route_for=lambda *_: route,
+            service_by_name={},
+            has_organisations=False,
+        )
+        metrics = metrics_lib.Metrics()
+        null = os.open(os.devnull, os.O_WRONLY)
+        ingress = ingress_lib.Ingress(
+            harness.router,
+            _SERVICE,
+            lambda: current,
+            harness.clock,
+            events.EventLog("vm", harness.clock, metrics, null),
+            metrics,
+            request_ends.RequestEnds(
+                metrics, stop_admission.StopAdmission(harness.clock)
+            ),
+        )
+        fields = (
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"id"),
+            (b"X-Deadline-Ms", b"200"),
+        )
+        request = messages.Request(
+            "GET", "/", fields, b"", harness.clock.now_ms()
+        )
+        return (await ingress.handle(request)).status
+
+    assert asyncio.run(scenario()) == 500
