Bound the places that overdue requests leave to others

Overdue requests leave half of the places at most. An answer to one of them raises the learned limit above what the target has held. It does not count as the slowest answer, which would hide for long the requests that are missing.

--- a/mustardloom/load_control/learned_limit.py
+++ b/mustardloom/load_control/learned_limit.py
@@ -63,6 +63,14 @@
         if self._limit is not None:
             self._limit += 1.0 / self._limit
 
+    def record_held(self, running: int) -> None:
+        """Records that a target has held so many requests after all.
+
+        So it may hold one more, as before it seemed to have lost one of them.
+        """
+        if self._limit is not None:
+            self._limit = max(self._limit, running + 1.0)
+
     def clear(self) -> None:
         """Forgets the limit, which does not apply to a new instance."""
         self._limit = None
--- a/mustardloom/sidecar/gate/dispatcher.py
+++ b/mustardloom/sidecar/gate/dispatcher.py
@@ -31,8 +31,8 @@
 
     Attributes:
       running: Requests that the target runs now, as far as is known.
-      overdue: Requests that it is presumed to leave unanswered. They occupy no
-        place, but it may be at work on them.
+      overdue: Requests that it is presumed to leave unanswered, but may be at
+        work on.
       on_statement: Called with what an instance of the target states in a
         response.
       on_refused_connection: Called when the current instance of the target
@@ -125,8 +125,9 @@
         """
         for ticket in list(self.running):
             rest = ticket.request.rest
-            # Checked first, as `isinstance` is slow for a protocol.
-            if rest is None:
+            # Checked first, as `isinstance` is slow for a protocol. The end of
+            # a body would break off an answer that has begun.
+            if rest is None or ticket.outcome.done():
                 continue
             if isinstance(rest, bodies.StallableBody) and (
                 rest.stalled_s() * _MS_PER_S >= limit_ms
--- a/mustardloom/sidecar/gate/gate.py
+++ b/mustardloom/sidecar/gate/gate.py
@@ -40,6 +40,8 @@
 # while others wait for one. Senders that go on pause for at most a few round
 # trips between regions, of 40 ms each.
 _STALLED_UPLOAD_MS = 500
+# Overdue requests leave at most this part of the places to others.
+_FREED_DIVISOR = 2
 
 # Called with what the target stated before to this process, None if this is its
 # first response, and with what it states now.
@@ -173,7 +175,7 @@
     def load(self) -> load_lib.GateLoad:
         """Returns the current load; utilisation is that of the last sample."""
         now_ms = self._clock.now_ms()
-        running = len(self._dispatcher.running)
+        running = self._occupied_places()
         return load_lib.GateLoad(
             self._limits.capacity,
             running,
@@ -282,7 +284,7 @@
         now_ms = self._clock.now_ms()
         closed = self._refusal_if_closed(request, now_ms)
         return closed or self._limits.refusal(
-            request, self._queue, len(self._dispatcher.running), now_ms
+            request, self._queue, self._occupied_places(), now_ms
         )
 
     def _refusal_at_start(
@@ -345,8 +347,7 @@
 
     def _start_waiting(self) -> None:
         """Starts queued requests as capacity and rate limits allow."""
-        running = self._dispatcher.running
-        while len(self._queue) and len(running) < self._limits.places():
+        while len(self._queue) and self._has_place():
             now_ms = self._clock.now_ms()
             if not self._limits.may_start(now_ms):
                 return
@@ -364,6 +365,25 @@
             )
             self._dispatcher.start(ticket, now_ms)
 
+    def _occupied_places(self) -> int:
+        """Returns how many places of the target are taken.
+
+        Overdue requests leave theirs to others, but the target may be at work
+        on all of them, so they leave only some.
+        """
+        running = len(self._dispatcher.running)
+        open_count = running + len(self._dispatcher.overdue)
+        return max(running, open_count - self._freed_places())
+
+    def _freed_places(self) -> int:
+        return max(1, self._limits.capacity // _FREED_DIVISOR)
+
+    def _has_place(self) -> bool:
+        """Returns whether the target can hold one more request."""
+        if self._occupied_places() >= self._limits.capacity:
+            return False
+        return len(self._dispatcher.running) < self._limits.places()
+
     def _on_end(self) -> None:
         # Answers to later requests show which earlier ones are unanswered.
         self._find_overdue(self._clock.now_ms())
--- a/mustardloom/sidecar/gate/results.py
+++ b/mustardloom/sidecar/gate/results.py
@@ -72,13 +72,10 @@
             case work.Answered(response):
                 self.last_answer_ms = now_ms
                 self._service_times.record(request.route, duration_ms, now_ms)
-                self.answers.record(
-                    ticket.started_ms,
-                    duration_ms,
-                    self._service_times.expected_ms(request.route),
-                    now_ms,
-                )
+                self._record_answer(ticket, duration_ms, now_ms)
                 self._learned_limit.record_answer()
+                if ticket.is_overdue:
+                    self._learned_limit.record_held(ticket.running_at_start)
                 is_error = response.status >= _FIRST_ERROR_STATUS
                 self._meter.record_failure(is_error)
                 self._quarantine.record_success(
@@ -104,6 +101,19 @@
                 self._meter.record_failure(True)
                 self._log_failure(request, reason.value, duration_ms, instance)
 
+    def _record_answer(
+        self, ticket: ticket_lib.Ticket, duration_ms: int, now_ms: int
+    ) -> None:
+        """Records an answer, by which missing ones are found.
+
+        One that was overdue would hide for long those that are missing.
+        """
+        if not ticket.is_overdue:
+            expected_ms = self._service_times.expected_ms(ticket.request.route)
+            self.answers.record(
+                ticket.started_ms, duration_ms, expected_ms, now_ms
+            )
+
     def record_overdue(
         self,
         ticket: ticket_lib.Ticket,
--- a/mustardloom/sidecar/tests/test_gate.py
+++ b/mustardloom/sidecar/tests/test_gate.py
@@ -8,6 +8,7 @@
 from mustardloom import ids
 from mustardloom import metrics as metrics_lib
 from mustardloom.deployment import targets
+from mustardloom.http1 import bodies
 from mustardloom.http1 import messages
 from mustardloom.load_control import quarantine
 from mustardloom.load_control import stop_admission
@@ -800,3 +801,81 @@
         return list(ended)
 
     assert _run(scenario, capacity=3) == ["-", "a", "-"]
+
+
+def test_requests_that_may_stay_unanswered_free_a_bounded_number_of_places():
+    """Guards against a target that gets more and more than it can hold.
+
+    It is at work on all of them; beyond its queue and its connections it
+    refuses or resets requests, those that cannot be repeated among them.
+    """
+
+    async def scenario(harness):
+        async with asyncio.timeout(5):
+            for _ in range(5):
+                await _overdue(harness)
+        await harness.start(*"abcd")
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=4) == 6
+
+
+def test_answer_to_an_overdue_request_takes_back_the_learned_limit():
+    """Guards against a limit that is learned from an overflow that was none.
+
+    The answer shows that the target has held the request all the time.
+    """
+
+    async def scenario(harness):
+        late_ms = harness.clock.now_ms() + 20_000
+        await harness.start(*"abc", deadline_ms=late_ms, is_idempotent=False)
+        (overdue,) = await harness.start("overdue", deadline_ms=late_ms)
+        for _ in range(6):
+            (other,) = await harness.start("other")
+            await harness.clock.advance(100)
+            harness.connections.answer(_OK, number=-1)
+            await other
+        await harness.clock.advance(0)
+        harness.connections.answer(_OK, number=3)
+        await overdue.result().rest
+        await harness.clock.advance(0)
+        await harness.start(*"de", deadline_ms=late_ms)
+        return len(harness.connections.open)
+
+    assert _run(scenario, capacity=5) == 5
+
+
+def test_stalled_upload_is_not_ended_once_its_request_is_answered():
+    """Guards against an answer that breaks off as its request body pauses.
+
+    The end of the body takes the connection with it, on which the rest of the
+    answer arrives.
+    """
+
+    class Stalled(bodies.WholeBody):
+        is_closed = False
+
+        def stalled_s(self):
+            return 10.0
+
+        def close(self):
+            self.is_closed = True
+
+    async def scenario(harness):
+        upload = Stalled(b"")
+        (answered,) = await harness.start(
+            "early", rest=upload, is_idempotent=False
+        )
+        rest = bodies.Body(None, bodies.Turns())
+        response = messages.Response(200, rest=rest)
+        harness.connections.answer(
+            target_connections.SendResult(work.Answered(response))
+        )
+        assert (await answered).response is response
+        await harness.start("waits")
+        queue = asyncio.ensure_future(harness.gate.process_queue())
+        await harness.clock.advance(100)
+        queue.cancel()
+        return upload.is_closed
+
+    assert not _run(scenario, capacity=1)
