Await the calls of a peer that was silent until it is closed

Found by the review, by two tests that failed before: a stream that had been silent for a moment was closed 5 s later although its peer was back and at work on its calls; and replies on their way were dropped when the peer, at its end, accepted no more links. Silent streams are pinged now, the time counts from the last bytes, and a refused link leaves 1 s for the last replies.

--- a/mustardloom/sidecar/outgoing_link.py
+++ b/mustardloom/sidecar/outgoing_link.py
@@ -3,7 +3,7 @@
 A peer that is paused or overloaded falls silent and goes on later. New requests
 avoid it, but the calls that it has already may be running, so they are not
 given up while it may still answer them: the silent stream is kept beside its
-successor until it is closed, or for `_SILENT_STREAM_MS`.
+successor until it is closed, or has been silent for `_SILENT_STREAM_MS`.
 """
 
 import asyncio
@@ -46,6 +46,8 @@
 _PONG_TIMEOUT_MS = 700
 # The longest pause of a peer after which its answers are still awaited.
 _SILENT_STREAM_MS = 5_000
+# What a process that accepts no more streams has sent arrives within this time.
+_LAST_REPLIES_MS = 1_000
 _MS_PER_S = 1_000
 
 
@@ -104,6 +106,7 @@
         the stream was opened.
       ended: Set when the stream is closed or the peer is silent.
       silent_since_ms: Local time at which the peer was found silent, or None.
+      ends_ms: Local time at which it is closed, None if that is not known.
       offset_ms: The peer's clock minus the local one, less the shortest way
         back; None before the first pong.
       is_ending: Whether the peer reads nothing more on it.
@@ -119,6 +122,7 @@
         self.received_ms = now_ms
         self.ended = asyncio.Event()
         self.silent_since_ms: int | None = None
+        self.ends_ms: int | None = None
         self.offset_ms: int | None = None
         self.is_ending = False
         # Times of the statuses and pings without an answer so far, in order.
@@ -141,6 +145,13 @@
         latest_ms = max(self.unanswered_ms[0], self.received_ms)
         return now_ms - latest_ms > _PONG_TIMEOUT_MS
 
+    def has_ended(self, now_ms: int) -> bool:
+        """Returns whether nothing more is awaited from a silent peer."""
+        if self.ends_ms is not None and now_ms >= self.ends_ms:
+            return True
+        since_ms = max(self.silent_since_ms or now_ms, self.received_ms)
+        return now_ms - since_ms >= _SILENT_STREAM_MS
+
     def record_clock(self, peer_ms: int, now_ms: int) -> None:
         """Records the peer's clock as its pong tells it.
 
@@ -319,10 +330,12 @@
         Also closes silent streams on which nothing is awaited any more.
         """
         for stream in list(self._silent):
-            since_ms = stream.silent_since_ms or now_ms
-            if not stream.calls or now_ms - since_ms >= _SILENT_STREAM_MS:
+            if not stream.calls or stream.has_ended(now_ms):
                 self._silent.remove(stream)
                 stream.close()
+            elif not stream.unanswered_ms:
+                # A peer that is back answers it, and may answer the calls.
+                stream.write(frames.Ping(), now_ms)
         current = self._current
         if current is None:
             return
@@ -374,7 +387,7 @@
             cause = getattr(error, "real_error", None) or error
             if isinstance(cause, ConnectionRefusedError):
                 # A paused process still accepts connections, so this one ended.
-                self._end_silent_streams()
+                self._end_silent_streams_soon()
             return None
         except BaseException:
             dialled.close()
@@ -450,6 +463,12 @@
             stream.fail_calls(self._vm)
         self._silent.clear()
 
+    def _end_silent_streams_soon(self) -> None:
+        ends_ms = self._owner.clock.now_ms() + _LAST_REPLIES_MS
+        for stream in self._silent:
+            if stream.ends_ms is None:
+                stream.ends_ms = ends_ms
+
     def _set_down(self) -> None:
         was_up, self.is_up = self.is_up, False
         self._current = None
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -161,3 +161,36 @@
         return await forwarder.send(_VM, _request(5_000), False)
 
     assert asyncio.run(send()) == work.Failed(work.FailureReason.INCOMPLETE)
+
+
+def test_attempt_that_is_overdue_twice_goes_on():
+    """Guards against a failure in place of the answer of a target at work.
+
+    The link and the gate may both tell that an answer is overdue.
+    """
+
+    async def send():
+        call = outgoing_link.OpenCall(
+            outgoing_link.OnSilence.TELL, lambda _: None
+        )
+        links = types.SimpleNamespace(
+            begin_call=lambda *_: call, clock_offset_ms=lambda _: _OFFSET_MS
+        )
+        clock = clock_lib.FakeClock(now_ms=5_000)
+        forwarder = _forwarder(clock, links, _Gate())
+        sending = asyncio.ensure_future(
+            forwarder.send(_VM, _request(5_000), False)
+        )
+        await asyncio.sleep(0.01)
+        call.mark_overdue(frames.Overdue(1))
+        attempt = await sending
+        assert isinstance(attempt, work.Unanswered)
+        await asyncio.sleep(0.01)
+        call.mark_overdue(frames.Overdue(1))
+        await asyncio.sleep(0.01)
+        if attempt.rest.done():
+            return attempt.rest.result()
+        attempt.rest.cancel()
+        return None
+
+    assert asyncio.run(send()) is None
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -597,3 +597,65 @@
 
     with _full_queue() as address:
         asyncio.run(play(address))
+
+
+def test_answer_of_a_peer_that_is_back_arrives_however_long_it_takes(
+    monkeypatch,
+):
+    """Guards against calls that end because their peer was silent before.
+
+    The peer was silent for a moment, has answered since on a new stream, and
+    is at work on the call.
+    """
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+
+        async def answer():
+            await asyncio.sleep(2.5)
+            return frames.Failure(frame.number, "late")
+
+        return answer()
+
+    async def scenario(near, far, port):
+        async with _through_proxy(near, port) as (proxy, vm):
+            waiting = await _start_call(near, vm, _OnSilence.WAIT)
+            await _pause(proxy, near, vm)
+            await _connected(near, vm)
+            return (await waiting.result()).reason
+
+    monkeypatch.setattr(outgoing_link, "_SILENT_STREAM_MS", 1_000)
+    assert _run(scenario, handler) == "late"
+
+
+def test_reply_on_its_way_arrives_although_its_peer_accepts_no_more_links():
+    """Guards against an answer that is dropped because its sender has ended.
+
+    A daemon that stops accepts no more links once it has written its replies;
+    these may still be on their way then.
+    """
+
+    def handler(vm, frame):
+        if not isinstance(frame, frames.Fetch):
+            return None
+
+        async def answer():
+            await asyncio.sleep(0.2)
+            return frames.Failure(frame.number, "late")
+
+        return answer()
+
+    async def scenario(near, far, port):
+        async with _through_proxy(near, port) as (proxy, vm):
+            waiting = await _start_call(near, vm, _OnSilence.WAIT)
+            proxy.may_pass.clear()
+            while near.is_up(vm):
+                await asyncio.sleep(0.01)
+            # The reply has been written by now.
+            proxy.stop_listening()
+            await asyncio.sleep(0.4)
+            proxy.may_pass.set()
+            return (await waiting.result()).reason
+
+    assert _run(scenario, handler) == "late"
