Move the owner, rejections and receive window out of the connection

What a connection needs of its server, the requests that are answered before they are read, and the receive window that long bodies widen are modules of their own; no behaviour changes.

--- a/mustardloom/http1/acceptor.py
+++ b/mustardloom/http1/acceptor.py
@@ -7,13 +7,14 @@
 
 from mustardloom import descriptor_budget
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import connection_owner
 from mustardloom.http1 import listener
 from mustardloom.http1 import sockets
 
 __all__ = ["Acceptor", "AcceptorOwner"]
 
 
-class AcceptorOwner(connection_lib.ConnectionOwner, Protocol):
+class AcceptorOwner(connection_owner.ConnectionOwner, Protocol):
     """What an acceptor needs of its server; see `server.HttpServer`.
 
     Attributes:
--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -2,22 +2,19 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 import enum
-from typing import Protocol
 
 import httptools
 from tornado import iostream
 
-from mustardloom import clock as clock_lib
-from mustardloom import memory_budget
 from mustardloom.http1 import bodies
+from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
 from mustardloom.http1 import pending_responses
+from mustardloom.http1 import receive_window
+from mustardloom.http1 import rejections
 from mustardloom.http1 import request_body
 from mustardloom.http1 import request_heads
 from mustardloom.http1 import request_room
@@ -25,25 +22,7 @@
 from mustardloom.http1 import server_limits
 from mustardloom.http1 import sockets
 
-__all__ = [
-    "READ_BYTES",
-    "Connection",
-    "ConnectionOwner",
-    "Handler",
-    "MalformedCallback",
-    "RejectedCallback",
-]
-
-Handler = Callable[[messages.Request], Awaitable[messages.Response]]
-# Called with the headers of a request, as far as known, and its answer.
-RejectedCallback = Callable[
-    [Sequence[messages.Header], messages.Response], None
-]
-# Called with a request as far as its head was read, and with the bytes of that
-# head, which are not valid; returns the answer, None for status 400.
-MalformedCallback = Callable[
-    [messages.Request, bytes], messages.Response | None
-]
+__all__ = ["READ_BYTES", "Connection"]
 
 READ_BYTES = bodies.PIECE_BYTES
 # Nothing is held for a request before its head is complete, and all connections
@@ -56,45 +35,9 @@
 # Asks for a tunnel, whose bytes are no requests.
 _CONNECT = b"CONNECT"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_BAD_REQUEST = 400
-_TIMEOUT = 408
-_BODY_TOO_LARGE = 413
-_HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
 # Its clients know no chunks and no interim responses (RFC 9110, 10.1.1).
 _HTTP_1_0 = "1.0"
-_UNAVAILABLE = 503
-# Told to callers for whose bytes there is no room.
-_NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of its server; see `server.HttpServer`."""
-
-    handler: Handler
-    clock: clock_lib.Clock
-    budget: memory_budget.MemoryBudget
-    kind: memory_budget.HoldKind
-    turns: bodies.Turns | None
-    is_draining: bool
-    on_fault: Callable[[BaseException], None]
-    on_rejected: RejectedCallback
-    on_malformed: MalformedCallback
-
-    def limits(self) -> server_limits.ServerLimits:
-        """Returns the limits now in force."""
-
-
-class _RequestRejected(Exception):
-    """A request is answered with an error before it is read completely.
-
-    Attributes:
-      response: The answer.
-    """
-
-    def __init__(self, status: int, headers: tuple[messages.Header, ...] = ()):
-        super().__init__(str(status))
-        self.response = messages.Response(status, headers)
 
 
 class _UpgradeOffered(Exception):
@@ -104,10 +47,6 @@
     """
 
 
-def _no_room() -> _RequestRejected:
-    return _RequestRejected(_UNAVAILABLE, _NO_ROOM_HEADERS)
-
-
 class _Phase(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -117,7 +56,9 @@
 class Connection:
     """One connection of a client."""
 
-    def __init__(self, owner: ConnectionOwner, stream: iostream.IOStream):
+    def __init__(
+        self, owner: connection_owner.ConnectionOwner, stream: iostream.IOStream
+    ):
         self.stream = stream
         self.pending: collections.deque[pending_responses.PendingResponse] = (
             collections.deque()
@@ -148,8 +89,7 @@
         self._room = request_room.RequestRoom(
             owner.budget, owner.kind, self._on_body_evicted
         )
-        # Room for what the socket receives, once a long body has arrived.
-        self._window: memory_budget.Hold | None = None
+        self._window = receive_window.ReceiveWindow(stream, owner.budget)
         # The last request, while its body passes in pieces.
         self._uploading: pending_responses.PendingResponse | None = None
         # Writes a body that passes in pieces.
@@ -239,8 +179,7 @@
     def _release_all(self) -> None:
         self._room.release()
         self._head_room.release()
-        if self._window is not None:
-            self._window.release()
+        self._window.release()
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         for pending in self.pending:
@@ -309,7 +248,7 @@
             # What has arrived is read first.
             return False
         if self._phase is _Phase.HEAD:
-            self._reject(messages.Response(_TIMEOUT))
+            self._reject(messages.Response(rejections.TIMEOUT))
         if not self.stream.writing():
             self.stream.close()
         return self.stream.closed()
@@ -338,7 +277,9 @@
                     self.stream.close()
                 return
             if waited_ms > limits.idle_timeout_ms:
-                self._break_upload(self._uploading, messages.Response(_TIMEOUT))
+                self._break_upload(
+                    self._uploading, messages.Response(rejections.TIMEOUT)
+                )
             return
         if self.pending or self._closes_after_pending or self._sending:
             return
@@ -348,10 +289,10 @@
                     self._close_unless_request_waits()
             case _Phase.HEAD:
                 if waited_ms > limits.header_timeout_ms:
-                    self._reject(messages.Response(_TIMEOUT))
+                    self._reject(messages.Response(rejections.TIMEOUT))
             case _Phase.BODY:
                 if waited_ms > limits.idle_timeout_ms:
-                    self._reject(messages.Response(_TIMEOUT))
+                    self._reject(messages.Response(rejections.TIMEOUT))
 
     def _on_received(self) -> None:
         self._received_ms = self._owner.clock.now_ms()
@@ -375,22 +316,22 @@
         """Reads the fields."""
         self._phase = _Phase.BODY
         if self._parser.get_method() == _CONNECT:
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         if self._parser.should_upgrade():
             raise _UpgradeOffered
         head, self._complete_head = self._complete_head, b""
         if not head:
             # The head has another end than it should have.
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         self._header_bytes = request_heads.limited_size(head, self._url)
         if self._header_bytes > self._limits.max_header_bytes:
             self._headers = request_heads.partial_fields(head)
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.HEADERS_TOO_LARGE)
         self._headers = request_heads.fields(head)
         framing = request_heads.framing(self._headers)
         self._body.announce(framing.length)
         if (framing.length or 0) > self._limits.max_body_bytes:
-            raise _RequestRejected(_BODY_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.BODY_TOO_LARGE)
         self._hold_for_request()
         is_known = self._parser.get_http_version() != _HTTP_1_0
         self._expects_continue = framing.expects_continue and is_known
@@ -415,7 +356,7 @@
         self._expects_continue = False
         self._body.count(data)
         if self._body.size > self._limits.max_body_bytes:
-            raise _RequestRejected(_BODY_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.BODY_TOO_LARGE)
         if self._uploading is not None:
             upload = self._uploading.upload
             assert upload is not None
@@ -456,23 +397,23 @@
         )
         self._resize_hold(size)
         if not self._room.try_hold_fields(self._headers):
-            raise _no_room()
+            raise rejections.no_room()
 
     def _resize_hold(self, size: int) -> None:
         has_arrived = self._body.has_arrived(self._arrived_bytes)
         if not self._room.try_hold(size, bool(self._open), has_arrived):
-            raise _no_room()
+            raise rejections.no_room()
 
     def _on_body_evicted(self) -> None:
         """Ends a request whose sender was silent while others need its room."""
-        self._reject(messages.Response(_TIMEOUT))
+        self._reject(messages.Response(rejections.TIMEOUT))
 
     def _start_upload(self, turns: bodies.Turns) -> None:
         """Runs a request whose body passes in pieces."""
         hold = self._owner.budget.try_hold_stream(bodies.STREAM_BYTES)
         if hold is None:
-            raise _no_room()
-        self._widen_window()
+            raise rejections.no_room()
+        self._window.widen()
         upload = bodies.Body(self._body.length, turns)
         upload.on_ready = hold.mark_ready
         upload.on_moved = hold.mark_moved
@@ -483,23 +424,8 @@
         self._uploading = pending
         self._waiting_since_ms = self._owner.clock.now_ms()
         hold.on_evicted = lambda: self._break_upload(
-            pending, messages.Response(_TIMEOUT)
-        )
-
-    def _widen_window(self) -> None:
-        """Lets more of a long body arrive at a time, if there is room for it.
-
-        The connection keeps it: a window that became smaller would drop what
-        the client has sent meanwhile.
-        """
-        if self._window is not None:
-            return
-        size = sockets.WIDE_UNREAD_BYTES
-        self._window = self._owner.budget.try_hold(
-            size, memory_budget.HoldKind.RECEIVE_WINDOW
+            pending, messages.Response(rejections.TIMEOUT)
         )
-        if self._window is not None:
-            sockets.widen(self.stream.socket, size)
 
     def _run_request(
         self, body: bytes, upload: bodies.Body | None
@@ -633,14 +559,14 @@
         self._head += part
         limit = self._limits.max_header_bytes + _MAX_LINE_BYTES
         if len(self._head) > limit:
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.HEADERS_TOO_LARGE)
         self._hold_head(len(self._head))
         self._feed_parser(part)
 
     def _hold_head(self, size: int) -> None:
         """Takes room for raw bytes of heads."""
         if not self._head_room.try_hold(size):
-            raise _no_room()
+            raise rejections.no_room()
 
     def _drop_head(self) -> None:
         self._head = bytearray()
@@ -653,7 +579,7 @@
             self._waiting = b""
             sockets.reset(self.stream)
             return
-        self._reject(messages.Response(_TIMEOUT))
+        self._reject(messages.Response(rejections.TIMEOUT))
 
     def _feed_body(self, data: bytes, start: int) -> int:
         """Parses bytes of a body; returns how many they are."""
@@ -662,7 +588,7 @@
         allowed_bytes = self._limits.max_header_bytes + READ_BYTES
         is_read = self._phase is not _Phase.BODY
         if not is_read and self._body.is_mostly_framing(allowed_bytes):
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         return len(part)
 
     def _parse(self, data: bytes) -> None:
@@ -670,12 +596,12 @@
             return
         try:
             self._feed(data)
-        except _RequestRejected as rejected:
+        except rejections.RequestRejected as rejected:
             self._reject(rejected.response)
         except httptools.HttpParserError as error:
             # httptools wraps the exceptions of callbacks in its own.
             cause = error.__context__
-            if isinstance(cause, _RequestRejected):
+            if isinstance(cause, rejections.RequestRejected):
                 self._reject(cause.response)
             else:
                 self._reject(self._answer_malformed())
@@ -694,7 +620,7 @@
                 ),
                 head,
             )
-        return response or messages.Response(_BAD_REQUEST)
+        return response or messages.Response(rejections.BAD_REQUEST)
 
     def _reject(self, response: messages.Response) -> None:
         """Answers a request that cannot be read, after those before it."""
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -14,13 +14,14 @@
 from mustardloom.http1 import acceptor
 from mustardloom.http1 import bodies
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import server_limits
 
 __all__ = ["Handler", "HttpServer", "RejectedCallback", "ServerLimits"]
 
-Handler = connection_lib.Handler
-RejectedCallback = connection_lib.RejectedCallback
+Handler = connection_owner.Handler
+RejectedCallback = connection_owner.RejectedCallback
 ServerLimits = server_limits.ServerLimits
 
 _TIME_CHECK_INTERVAL_MS = 500
@@ -82,7 +83,7 @@
         self.on_rejected = on_rejected
         self.limits = limits
         self.on_fault = on_fault
-        self.on_malformed: connection_lib.MalformedCallback = lambda *_: None
+        self.on_malformed: connection_owner.MalformedCallback = lambda *_: None
         self.is_draining = False
         self.connections: set[connection_lib.Connection] = set()
         share = share or descriptor_budget.unlimited()
