Count why connections of callers ended, by progress and step of a stop

After a stop nobody could tell whether a connection was ended by its caller, by a limit, by the stop or by a lack of descriptors, nor whether a request on it had begun to run.

A connection reports its end once, with the first reason and the number of requests whose answers had not left, to a callback of its server; the daemon counts those of the callers' server as ends.connection.*. At the end of a stop the connections that are still open are reported before their handlers are cancelled, so that these do not look answered. No connection ends otherwise than before.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -9,6 +9,7 @@
 from tornado import iostream
 
 from mustardloom.http1 import bodies
+from mustardloom.http1 import connection_end
 from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
@@ -24,6 +25,8 @@
 
 __all__ = ["READ_BYTES", "Connection"]
 
+_EndReason = connection_end.EndReason
+
 READ_BYTES = bodies.PIECE_BYTES
 # Nothing is held for a request before its head is complete, and all connections
 # may become readable at once.
@@ -78,12 +81,15 @@
         self._waiting = b""
         # Requests whose answers have not left.
         self._open = 0
+        # Whether the last of them was not read, but rejected.
+        self._is_rejected = False
         # Bytes that have arrived after the head that is parsed.
         self._arrived_bytes = 0
         # A complete head, while it is parsed.
         self._complete_head = b""
         self._closes_after_pending = False
         self._is_finishing = False
+        self._end = connection_end.ConnectionEnd(owner.on_end)
         self._writer = response_writer.ResponseWriter(stream, owner.clock)
         self._has_room = asyncio.Event()
         self._room = request_room.RequestRoom(
@@ -119,9 +125,16 @@
                     await asyncio.sleep(0)
         except iostream.StreamClosedError:
             pass
+        except Exception:
+            self.report_end(_EndReason.FAULT)
+            raise
         finally:
             self._release_all()
 
+    def report_end(self, reason: _EndReason) -> None:
+        """Reports why the connection ends, unless that was reported before."""
+        self._end.report(reason, self._open - self._is_rejected)
+
     async def _read_part(self) -> int:
         """Reads and parses some bytes; returns how many.
 
@@ -172,6 +185,7 @@
 
     def _on_closed(self) -> None:
         """Wakes the reader, which may wait for something else than bytes."""
+        self.report_end(_EndReason.CALLER_CLOSED)
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         self._has_room.set()
@@ -208,18 +222,28 @@
         if self.pending or self._sending is not None:
             self._closes_after_pending = True
         else:
-            self._close_unless_request_waits()
+            self._close_unless_request_waits(_EndReason.IDLE_AT_STOP)
 
-    def _close_unless_request_waits(self) -> None:
+    def _close_unless_request_waits(self, reason: _EndReason) -> None:
         """Closes the connection; bytes that have arrived are read first."""
         if self.stream.closed():
             return
         if sockets.is_open_and_empty(self.stream.socket):
             self._closes_after_pending = True
             if self._writer.is_done:
-                self.stream.close()
+                self._close(reason)
             else:
-                self._writer.after_written(self._writer.end)
+                self._writer.after_written(self._end_after_answers)
+
+    def _close(self, reason: _EndReason) -> None:
+        self.report_end(reason)
+        self.stream.close()
+
+    def _end_after_answers(self) -> None:
+        """Ends the connection, whose answers have left unless it is closed."""
+        if not self.stream.closed():
+            self._end.report_planned()
+        self._writer.end()
 
     def standstill(self) -> tuple[idle_eviction.Standstill, int] | None:
         """See `idle_eviction.Evictable`."""
@@ -248,9 +272,9 @@
             # What has arrived is read first.
             return False
         if self._phase is _Phase.HEAD:
-            self._reject(messages.Response(rejections.TIMEOUT))
+            self._reject_late(_EndReason.EVICTED)
         if not self.stream.writing():
-            self.stream.close()
+            self._close(_EndReason.EVICTED)
         return self.stream.closed()
 
     def enforce_time_limits(self, limits: server_limits.ServerLimits) -> None:
@@ -267,8 +291,7 @@
         waited_ms = now_ms - self._waiting_since_ms
         if self.stream.writing():
             if self._writer.stuck_ms(now_ms) > limits.idle_timeout_ms:
-                # The caller does not read its answer.
-                self.stream.close()
+                self._close(_EndReason.UNREAD)
             return
         if self._uploading is not None:
             upload = self._uploading.upload
@@ -277,22 +300,20 @@
                     self.stream.close()
                 return
             if waited_ms > limits.idle_timeout_ms:
-                self._break_upload(
-                    self._uploading, messages.Response(rejections.TIMEOUT)
-                )
+                self._reject_late(_EndReason.SLOW)
             return
         if self.pending or self._closes_after_pending or self._sending:
             return
         match self._phase:
             case _Phase.IDLE:
                 if waited_ms > limits.idle_timeout_ms:
-                    self._close_unless_request_waits()
+                    self._close_unless_request_waits(_EndReason.IDLE)
             case _Phase.HEAD:
                 if waited_ms > limits.header_timeout_ms:
-                    self._reject(messages.Response(rejections.TIMEOUT))
+                    self._reject_late(_EndReason.SLOW)
             case _Phase.BODY:
                 if waited_ms > limits.idle_timeout_ms:
-                    self._reject(messages.Response(rejections.TIMEOUT))
+                    self._reject_late(_EndReason.SLOW)
 
     def _on_received(self) -> None:
         self._received_ms = self._owner.clock.now_ms()
@@ -457,6 +478,7 @@
         self,
         broken: pending_responses.PendingResponse,
         response: messages.Response,
+        reason: _EndReason = _EndReason.REJECTED,
     ) -> None:
         """Ends a body that will not be read to its end.
 
@@ -467,6 +489,7 @@
         if broken is self._uploading:
             self._uploading = None
             self._closes_after_pending = True
+            self._end.plan(reason)
         if not broken.upload.is_taken and not broken.task.done():
             self._owner.on_rejected(self._headers, response)
             broken.task.cancel()
@@ -577,6 +600,7 @@
         if self._waiting:
             # Its answers are not read.
             self._waiting = b""
+            self.report_end(_EndReason.UNREAD)
             sockets.reset(self.stream)
             return
         self._reject(messages.Response(rejections.TIMEOUT))
@@ -622,12 +646,22 @@
             )
         return response or messages.Response(rejections.BAD_REQUEST)
 
-    def _reject(self, response: messages.Response) -> None:
+    def _reject_late(self, reason: _EndReason) -> None:
+        """Rejects a request whose rest did not come in time."""
+        self._reject(messages.Response(rejections.TIMEOUT), reason)
+
+    def _reject(
+        self,
+        response: messages.Response,
+        reason: _EndReason = _EndReason.REJECTED,
+    ) -> None:
         """Answers a request that cannot be read, after those before it."""
         if self._uploading is not None:
-            self._break_upload(self._uploading, response)
+            self._break_upload(self._uploading, response, reason)
             return
         self._closes_after_pending = True
+        self._is_rejected = True
+        self._end.plan(reason)
         self._body.take()
         if self._head:
             self._headers = request_heads.partial_fields(self._head)
@@ -704,7 +738,7 @@
             return
         self._writer.after_written(lambda: self._release(pending))
         if closes:
-            self._writer.after_written(self._writer.end)
+            self._writer.after_written(self._end_after_answers)
 
     def _may_close_idle(self) -> bool:
         """Returns whether no further request is read because of a stop."""
@@ -713,6 +747,9 @@
 
     def _release(self, answered: pending_responses.PendingResponse) -> None:
         """Gives back the room of a request whose answer has left."""
+        if self.stream.closed():
+            # Before it counts as answered.
+            self.report_end(_EndReason.CALLER_CLOSED)
         answered.release()
         self._open -= 1
         if self._waiting:
@@ -745,10 +782,11 @@
             self._sending = None
             if pending is self._uploading:
                 self._drop_upload()
-            if not is_complete:
+            if not is_complete and not self.stream.closed():
+                self.report_end(_EndReason.BROKEN_OFF)
                 sockets.reset(self.stream)
         if closes or (self._closes_after_pending and not self.pending):
-            self._writer.end()
+            self._end_after_answers()
         else:
             self._flush()
 
--- a/mustardloom/http1/connection_owner.py
+++ b/mustardloom/http1/connection_owner.py
@@ -8,6 +8,7 @@
 from mustardloom import clock as clock_lib
 from mustardloom import memory_budget
 from mustardloom.http1 import bodies
+from mustardloom.http1 import connection_end
 from mustardloom.http1 import messages
 from mustardloom.http1 import server_limits
 
@@ -42,6 +43,7 @@
     on_fault: Callable[[BaseException], None]
     on_rejected: RejectedCallback
     on_malformed: MalformedCallback
+    on_end: connection_end.EndCallback
 
     def limits(self) -> server_limits.ServerLimits:
         """Returns the limits now in force."""
--- a/mustardloom/http1/server.py
+++ b/mustardloom/http1/server.py
@@ -14,6 +14,7 @@
 from mustardloom.http1 import acceptor
 from mustardloom.http1 import bodies
 from mustardloom.http1 import connection as connection_lib
+from mustardloom.http1 import connection_end
 from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import server_limits
@@ -60,6 +61,7 @@
     Attributes:
       on_malformed: Returns the answer to a request whose head is not valid,
         None for status 400.
+      on_end: Called when a connection ends.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.limits = limits
         self.on_fault = on_fault
         self.on_malformed: connection_owner.MalformedCallback = lambda *_: None
+        self.on_end: connection_end.EndCallback = lambda *_: None
         self.is_draining = False
         self.connections: set[connection_lib.Connection] = set()
         share = share or descriptor_budget.unlimited()
@@ -137,6 +140,8 @@
     async def abandon_requests(self, limit_ms: int) -> int:
         """Cancels the handlers of open requests, whose clients get status 500.
 
+        The process ends next, and so do the connections that are still open.
+
         Args:
           limit_ms: Time that it may take; what is open after it stays open.
 
@@ -144,6 +149,8 @@
           The number of requests that were open.
         """
         ends_ms = self.clock.now_ms() + limit_ms
+        for connection in self.connections:
+            connection.report_end(connection_end.EndReason.PROCESS_END)
         waiting = [
             pending for each in self.connections for pending in each.pending
         ]
--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -343,6 +343,7 @@
             self._log,
             self._metrics,
         )
+        ends = request_ends.RequestEnds(self._metrics, stop)
         self._ingress = ingress_lib.Ingress(
             self._router,
             own_settings.service,
@@ -350,14 +351,17 @@
             clock,
             self._log,
             self._metrics,
-            request_ends.RequestEnds(self._metrics, stop),
+            ends,
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
-        self._make_servers(passage.turns, stop)
+        self._make_servers(passage.turns, stop, ends)
 
     def _make_servers(
-        self, turns: bodies.Turns, stop: stop_admission.StopAdmission
+        self,
+        turns: bodies.Turns,
+        stop: stop_admission.StopAdmission,
+        ends: request_ends.RequestEnds,
     ) -> None:
         """Creates the servers of the listening sockets, and their stop."""
         self._caller_server = self._new_server(
@@ -368,6 +372,7 @@
             memory_budget.HoldKind.MESSAGE,
         )
         self._caller_server.on_malformed = self._ingress.answer_malformed
+        self._caller_server.on_end = ends.count_connection
         self._graceful_stop = graceful_stop.GracefulStop(
             stop,
             self._caller_server,
--- a/mustardloom/sidecar/request_ends.py
+++ b/mustardloom/sidecar/request_ends.py
@@ -1,12 +1,14 @@
 """Counts the requests that this daemon ended itself, by step of its stop.
 
 An operator asks after a stop which requests the daemon answered in place of a
-target, and which runs it ended before their targets had answered.
+target, which runs it ended before their targets had answered, and why the
+connections of callers ended.
 """
 
 import enum
 
 from mustardloom import metrics as metrics_lib
+from mustardloom.http1 import connection_end
 from mustardloom.load_control import stop_admission
 
 __all__ = ["RequestEnds", "RunEnd"]
@@ -68,5 +70,17 @@
         """Counts a run at the local target that ended without an answer."""
         self._count(f"run.{end.value}")
 
+    def count_connection(
+        self, reason: connection_end.EndReason, open_requests: int
+    ) -> None:
+        """Counts a connection of a caller that ended.
+
+        Args:
+          reason: Why it ended.
+          open_requests: Requests that were read and not answered whole.
+        """
+        progress = "request-open" if open_requests else "no-request"
+        self._count(f"connection.{reason.value}.{progress}")
+
     def _count(self, name: str) -> None:
         self._metrics.increment(f"ends.{name}.{self.step.value}")
--- a/mustardloom/sidecar/tests/test_daemon.py
+++ b/mustardloom/sidecar/tests/test_daemon.py
@@ -723,6 +723,37 @@
     _run(scenario)
 
 
+def test_only_ends_of_callers_connections_are_counted():
+    """Guards against a stop of which nobody can tell whom it disconnected."""
+
+    async def scenario(store, vms):
+        store.put("config", "main", standins.configuration(version=3))
+        vm = vms[0]
+        stopped = vm.start()
+        await _until(vm.is_ready)
+        await vm.get("/nowhere", "n")
+        closed = "ends.connection.caller-closed.no-request.serving"
+        while not vm.daemon._metrics.counters[closed]:
+            await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(
+            *vm.own_settings.caller_address
+        )
+        vm.daemon.stop()
+        assert await reader.read() == b""
+        writer.close()
+        await stopped
+        return {
+            name: count
+            for name, count in vm.daemon._metrics.counters.items()
+            if name.startswith("ends.connection.")
+        }
+
+    assert _run(scenario) == {
+        "ends.connection.caller-closed.no-request.serving": 1,
+        "ends.connection.idle-at-stop.no-request.notice": 1,
+    }
+
+
 def _with_keys(version, *api_keys):
     wire = msgspec.json.decode(standins.configuration(version))
     wire["tenants"] = [
