Keep the bytes and the room of a partial head in one module

The connection kept the raw bytes of a head and their room in two attributes, and its limits between its other jobs.

--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -13,6 +13,7 @@
 from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
+from mustardloom.http1 import partial_head
 from mustardloom.http1 import pending_responses
 from mustardloom.http1 import receive_window
 from mustardloom.http1 import rejections
@@ -33,8 +34,6 @@
 _HEAD_READ_BYTES = 8_192
 # A caller closes a connection that has ended within this time.
 _END_TIMEOUT_MS = 1_000
-# The request line without its target, and the end of a head.
-_MAX_LINE_BYTES = 64
 # Asks for a tunnel, whose bytes are no requests.
 _CONNECT = b"CONNECT"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -72,9 +71,7 @@
         self._phase = _Phase.IDLE
         self._waiting_since_ms = owner.clock.now_ms()
         self._received_ms = self._waiting_since_ms
-        # Raw bytes of a head that is incomplete.
-        self._head = bytearray()
-        self._head_room = request_room.HeadRoom(
+        self._head = partial_head.PartialHead(
             owner.budget, self._on_head_evicted
         )
         # Raw bytes of requests that wait until earlier ones are answered.
@@ -158,7 +155,7 @@
             self._has_room.clear()
             await self._has_room.wait()
         data, self._waiting = self._waiting, b""
-        self._drop_head()
+        self._head.drop()
         if self.stream.closed():
             # What the stream still holds follows bytes that are not parsed.
             raise iostream.StreamClosedError
@@ -192,7 +189,7 @@
 
     def _release_all(self) -> None:
         self._room.release()
-        self._head_room.release()
+        self._head.release()
         self._window.release()
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
@@ -519,7 +516,7 @@
                 return
             if self._phase is _Phase.BODY:
                 position += self._feed_body(data, position)
-            elif not self._head and data[position] in b"\r\n":
+            elif not self._head.data and data[position] in b"\r\n":
                 # Empty lines may come before a request.
                 position += request_heads.empty_lines_size(data, position)
             elif self._open and self._must_wait():
@@ -532,7 +529,7 @@
 
     def _feed_head(self, data: bytes, start: int) -> int:
         """Parses bytes of a head; returns how many they are."""
-        if self._head:
+        if self._head.data:
             return self._feed_rest_of_head(data, start)
         end = data.find(request_heads.END, start) + len(request_heads.END)
         if end < len(request_heads.END):
@@ -557,44 +554,28 @@
 
     def _must_wait(self) -> bool:
         """Returns whether there is no room for another request yet."""
-        return not self._head and not self._try_hold_pipelined()
+        return not self._head.data and not self._try_hold_pipelined()
 
     def _defer_requests(self, data: bytes) -> None:
         self._waiting = data
-        self._hold_head(len(data))
+        self._head.hold(len(data))
 
     def _feed_rest_of_head(self, data: bytes, start: int) -> int:
-        # The end may have arrived in part.
-        tail = bytes(self._head[1 - len(request_heads.END) :])
-        size = request_heads.size_to_end(tail, data, start)
+        size = self._head.size_to_end(data, start)
         if size is None:
             self._keep_head(data[start:])
             return len(data) - start
         part = data[start : start + size]
-        self._complete_head = bytes(self._head) + part
-        self._drop_head()
+        self._complete_head = self._head.complete(part)
         self._arrived_bytes = len(data) - start - size
         self._feed_parser(part)
         return size
 
     def _keep_head(self, part: bytes) -> None:
         """Keeps bytes of an incomplete head; checks whether they are valid."""
-        self._head += part
-        limit = self._limits.max_header_bytes + _MAX_LINE_BYTES
-        if len(self._head) > limit:
-            raise rejections.RequestRejected(rejections.HEADERS_TOO_LARGE)
-        self._hold_head(len(self._head))
+        self._head.add(part, self._limits.max_header_bytes)
         self._feed_parser(part)
 
-    def _hold_head(self, size: int) -> None:
-        """Takes room for raw bytes of heads."""
-        if not self._head_room.try_hold(size):
-            raise rejections.no_room()
-
-    def _drop_head(self) -> None:
-        self._head = bytearray()
-        self._head_room.release()
-
     def _on_head_evicted(self) -> None:
         """Ends a connection that stands still while others need its room."""
         if self._waiting:
@@ -634,7 +615,7 @@
         """Returns the answer to bytes that are not a valid request."""
         response = None
         if self._phase is _Phase.HEAD:
-            head = bytes(self._head) or self._complete_head
+            head = bytes(self._head.data) or self._complete_head
             response = self._owner.on_malformed(
                 messages.Request(
                     "",
@@ -663,9 +644,9 @@
         self._is_rejected = True
         self._end.plan(reason)
         self._body.take()
-        if self._head:
-            self._headers = request_heads.partial_fields(self._head)
-        self._drop_head()
+        if self._head.data:
+            self._headers = request_heads.partial_fields(self._head.data)
+        self._head.drop()
         self._owner.on_rejected(self._headers, response)
         self._headers = []
         done: asyncio.Future[messages.Response] = asyncio.Future()
--- a/mustardloom/http1/request_room.py
+++ b/mustardloom/http1/request_room.py
@@ -7,40 +7,7 @@
 from mustardloom.http1 import messages
 from mustardloom.http1 import request_heads
 
-__all__ = ["HeadRoom", "RequestRoom"]
-
-
-class HeadRoom:
-    """Room for raw bytes of heads that are incomplete or wait.
-
-    Args:
-      budget: The account.
-      on_evicted: Called when others need the room.
-    """
-
-    def __init__(
-        self,
-        budget: memory_budget.MemoryBudget,
-        on_evicted: Callable[[], None],
-    ):
-        self._budget = budget
-        self._on_evicted = on_evicted
-        self._hold: memory_budget.EvictableHold | None = None
-
-    def try_hold(self, size: int) -> bool:
-        """Takes room for so many bytes; returns whether there is any."""
-        if self._hold is not None:
-            return self._hold.resize(size)
-        self._hold = self._budget.try_hold_evictable(
-            size, memory_budget.HoldKind.PARTIAL_HEAD, self._on_evicted
-        )
-        return self._hold is not None
-
-    def release(self) -> None:
-        """Gives back the room."""
-        if self._hold is not None:
-            self._hold.release()
-            self._hold = None
+__all__ = ["RequestRoom"]
 
 
 class RequestRoom:
