--- a/mustardloom/sidecar/daemon.py
+++ b/mustardloom/sidecar/daemon.py
@@ -342,7 +342,7 @@
             self._log,
             self._metrics,
         )
-        ends = request_ends.RequestEnds(self._metrics, stop)
+        self._ends = request_ends.RequestEnds(self._metrics, stop)
         self._ingress = ingress_lib.Ingress(
             self._router,
             own_settings.service,
@@ -350,17 +350,14 @@
             clock,
             self._log,
             self._metrics,
-            ends,
+            self._ends,
             self._caps,
         )
         self._gate.on_cancelled = self._ingress.end_calls
-        self._make_servers(passage.turns, stop, ends)
+        self._make_servers(passage.turns, stop)
 
     def _make_servers(
-        self,
-        turns: bodies.Turns,
-        stop: stop_admission.StopAdmission,
-        ends: request_ends.RequestEnds,
+        self, turns: bodies.Turns, stop: stop_admission.StopAdmission
     ) -> None:
         """Creates the servers of the listening sockets, and their stop."""
         self._caller_server = self._new_server(
@@ -371,7 +368,7 @@
             memory_budget.HoldKind.MESSAGE,
         )
         self._caller_server.on_malformed = self._ingress.answer_malformed
-        self._caller_server.on_end = ends.count_connection
+        self._caller_server.on_end = self._ends.count_connection
         self._graceful_stop = graceful_stop.GracefulStop(
             stop,
             self._caller_server,
@@ -679,7 +676,9 @@
             await self._end_registration()
         self._close()
         stop_ms = self._clock.now_ms() - began_ms
-        return ending.Stop(self._stop_signal, stop_ms, cut, abandoned)
+        return ending.Stop(
+            self._stop_signal, stop_ms, cut, abandoned, self._ends.in_stop()
+        )
 
     async def _end_registration(self) -> None:
         """Removes this daemon's record if its VM is removed as well.
--- a/mustardloom/sidecar/ending.py
+++ b/mustardloom/sidecar/ending.py
@@ -28,12 +28,14 @@
       stop_ms: Time from the signal to the end.
       cut: Steps of the stop that the grace time cut short.
       abandoned: Requests of callers that were open at the end.
+      ends: What the daemon ended itself during the stop, by counter.
     """
 
     number: signal.Signals | None
     stop_ms: int = 0
     cut: tuple[graceful_stop.Step, ...] = ()
     abandoned: int = 0
+    ends: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +62,7 @@
 def write(ending: Ending, log: events.EventLog) -> ExitCode:
     """Writes the last line of a process and returns its exit code."""
     match ending:
-        case Stop(number, stop_ms, cut, abandoned):
+        case Stop(number, stop_ms, cut, abandoned, ends):
             code = ExitCode.STOPPED
             log.write(
                 events.Event.END,
@@ -70,6 +72,7 @@
                 stop_ms=stop_ms,
                 cut=[each.value for each in cut],
                 abandoned=abandoned,
+                ends=ends,
             )
         case InvalidSettings(message):
             code = ExitCode.INVALID_SETTINGS
--- a/mustardloom/sidecar/request_ends.py
+++ b/mustardloom/sidecar/request_ends.py
@@ -13,6 +13,8 @@
 
 __all__ = ["RequestEnds", "RunEnd"]
 
+_PREFIX = "ends."
+
 
 class RunEnd(enum.Enum):
     """Why a run at the target was ended before its answer.
@@ -82,5 +84,14 @@
         progress = "request-open" if open_requests else "no-request"
         self._count(f"connection.{reason.value}.{progress}")
 
+    def in_stop(self) -> dict[str, int]:
+        """Returns what was counted since the stop began, without `ends.`."""
+        serving = f".{stop_admission.Step.SERVING.value}"
+        return {
+            name.removeprefix(_PREFIX): count
+            for name, count in self._metrics.counters.items()
+            if name.startswith(_PREFIX) and not name.endswith(serving)
+        }
+
     def _count(self, name: str) -> None:
-        self._metrics.increment(f"ends.{name}.{self.step.value}")
+        self._metrics.increment(f"{_PREFIX}{name}.{self.step.value}")
--- a/mustardloom/sidecar/tests/test_request_ends.py
+++ b/mustardloom/sidecar/tests/test_request_ends.py
@@ -25,3 +25,15 @@
         "ends.connection.caller-closed.request-open.notice": 1,
         "ends.connection.process-end.request-open.links": 1,
     }
+
+
+def test_end_of_a_process_tells_what_it_ended_in_its_stop():
+    """Guards against counters that are gone when an operator asks for them."""
+    metrics = metrics_lib.Metrics()
+    stop = stop_admission.StopAdmission(clock_lib.FakeClock())
+    ends = request_ends.RequestEnds(metrics, stop)
+    ends.count_answer(504, True)
+    stop.begin(6_000)
+    ends.count_answer(502, True)
+    metrics.increment("gate.started")
+    assert ends.in_stop() == {"answer.502.passed-on.notice": 1}
