--- a/mustardloom/sidecar/tests/test_long_bodies.py
+++ b/mustardloom/sidecar/tests/test_long_bodies.py
@@ -7,10 +7,12 @@
 import pytest
 
 from mustardloom import descriptor_budget
+from mustardloom import ids
 from mustardloom.deployment import configuration
 from mustardloom.http1 import bodies
 from mustardloom.http1 import client
 from mustardloom.sidecar import transfers as transfers_lib
+from mustardloom.sidecar import work
 from mustardloom.sidecar.tests import small_fleet as fleet
 
 
@@ -409,3 +411,51 @@
             body.close()
 
     fleet.play(scenario)
+
+
+def test_answer_that_crosses_the_end_of_its_call_is_not_kept_for_a_fetch():
+    """Guards against a target that is busy with a body that nobody fetches.
+
+    The attempt ends, as another one was answered, when its own answer has
+    arrived and was not looked at.
+    """
+
+    async def scenario(daemons, found):
+        near, far = daemons
+        found[1].answer = fleet.BODY
+        begin_call = near.links.begin_call
+        sending: asyncio.Task[work.Attempt]
+
+        def begin(*arguments):
+            call = begin_call(*arguments)
+            call.reply.add_done_callback(lambda _: sending.cancel())
+            return call
+
+        near.links.begin_call = begin
+        now_ms = near.clock.now_ms()
+        request = work.Work(
+            service=fleet.SERVICE,
+            method="GET",
+            target="/x",
+            headers=((b"X-Request-Id", b"r"),),
+            body=b"",
+            request_id="r",
+            route=ids.RouteId("r"),
+            caller_service=fleet.SERVICE,
+            is_idempotent=True,
+            priority=0,
+            objective_ms=now_ms + 8_000,
+            deadline_ms=now_ms + 8_000,
+            key=None,
+            fingerprint=1,
+            is_call=False,
+        )
+        sending = asyncio.ensure_future(
+            near.forwarder.send(far.vm, request, False)
+        )
+        await asyncio.wait((sending,))
+        assert sending.cancelled()
+        await asyncio.sleep(0.5)
+        return far.transfers.offered(), far.gate.is_idle()
+
+    assert fleet.play(scenario) == (0, True)
--- a/mustardloom/sidecar/tests/test_planned_stops.py
+++ b/mustardloom/sidecar/tests/test_planned_stops.py
@@ -290,3 +290,49 @@
     statuses = fleet.play(scenario, (None, serve), ("b",))
     assert {name for name, status in statuses if status == 200} == set(runs)
     assert {status for _, status in statuses} <= {200, 503, None}
+
+
+def test_run_that_a_stop_awaits_can_still_make_its_calls():
+    """Guards against runs that fail as their target can call nobody.
+
+    The daemon beside the target stops and awaits a run for another daemon. The
+    target calls, on a new connection, after the last admission; the call ends
+    long before the daemon does.
+    """
+    statuses = []
+
+    async def scenario(daemons, found):
+        del found
+        caller, beside = daemons
+
+        async def call(number):
+            head = fleet.request(0, request_id=b"call").replace(
+                b"8000", b"%d" % number
+            )
+            try:
+                status, _, _ = await fleet.send(beside, head)
+            except OSError:
+                status = None
+            statuses.append(status)
+
+        calls.append(call)
+        asking = asyncio.ensure_future(
+            fleet.send(caller, fleet.request(0, request_id=b"run"))
+        )
+        await asyncio.sleep(0.1)
+        stopping = _stop(beside, 3_000)
+        status, _, _ = await asking
+        await asyncio.wait_for(stopping, 3)
+        return status
+
+    calls = []
+
+    async def serve(head, reader, writer):
+        if fleet.value(head, b"x-request-id") == b"run":
+            # Admission ends after 0.4 of the grace period.
+            await asyncio.sleep(1.6)
+            await calls[0](500)
+        writer.write(fleet.response(head, b"200 OK", b"ok"))
+
+    assert fleet.play(scenario, (None, serve)) == 200
+    assert statuses == [200]
