Read what peers have sent before they are taken for silent

Cause: the check of the links runs on a timer, which comes before the bytes that arrived while this process was paused or busy. The presumption of silence was about this daemon.

Change: a check that comes late waits for the next one, once.

Evidence: the test saw the link go down before the change; not after it.

--- a/mustardloom/sidecar/links.py
+++ b/mustardloom/sidecar/links.py
@@ -40,6 +40,7 @@
 
 # Half of the interval at which statuses are sent, so that ticks coincide.
 _CHECK_INTERVAL_MS = 125
+_LATE_CHECK_MS = 3 * _CHECK_INTERVAL_MS
 
 
 class Links:
@@ -217,9 +218,18 @@
 
     async def check_links(self) -> None:
         """Checks all links for silent peers, until cancelled."""
+        checked_ms = self.clock.now_ms()
+        has_waited = False
         while True:
             await self.clock.tick_ms(_CHECK_INTERVAL_MS)
             now_ms = self.clock.now_ms()
+            is_late = now_ms - checked_ms > _LATE_CHECK_MS
+            checked_ms = now_ms
+            has_waited = is_late and not has_waited
+            if has_waited:
+                # This process was paused or busy; what the peers have sent
+                # meanwhile is read first.
+                continue
             for link in list(self._link_by_vm.values()):
                 link.check(now_ms)
 
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -299,6 +299,8 @@
 
 
 _OnSilence = links_lib.OnSilence
+# Longer than a peer may take for its answer.
+_LATE_S = 0.9
 
 
 @contextlib.asynccontextmanager
@@ -379,6 +381,25 @@
     assert _run(scenario, handler) == (frames.Overdue, "late")
 
 
+def test_daemon_that_was_late_itself_takes_no_peer_for_silent():
+    """Guards against the loss of all links by a pause of this process."""
+
+    async def scenario(near, far, port):
+        vm = ids.VmId("far")
+        near.set_peers({vm: (_HOST, port)})
+        watch = asyncio.ensure_future(near.check_links())
+        await _connected(near, vm)
+        changes = []
+        near.on_change = lambda *change: changes.append(change)
+        near.ping(vm)
+        time.sleep(_LATE_S)  # noqa: ASYNC251
+        await asyncio.sleep(0.4)
+        watch.cancel()
+        return list(changes)
+
+    assert _run(scenario, _never_answers) == []
+
+
 def test_calls_on_a_silent_stream_end_when_it_is_closed():
     """Guards against callers that wait for a peer that was restarted."""
 
