--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -193,9 +193,12 @@
             caller.send_head("GET", "/readiness", 0)
             return await caller.read_status() == 200
 
-    def write_settings(self) -> None:
-        """Writes the settings file, whole."""
-        self._settings_path.write_text("\n".join(self._settings()) + "\n")
+    def write_settings(self, is_whole: bool = True) -> None:
+        """Writes the settings file, whole or only the first half of it."""
+        lines = self._settings()
+        if not is_whole:
+            lines = lines[: len(lines) // 2]
+        self._settings_path.write_text("\n".join(lines) + "\n")
 
     @property
     def _settings_path(self) -> pathlib.Path:
