--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -56,6 +56,7 @@
 _END_LIMIT_S = 10.0
 _POLL_S = 0.05
 _NET_TRIES = 50
+_UNAVAILABLE = 503
 
 
 class Vm:
@@ -329,6 +330,12 @@
         }
         self._store.put("config", "main", json.dumps(changed).encode())
 
+    def lose_store(self, is_gone: bool) -> None:
+        """Lets the store refuse all calls, or ends it for good."""
+        self._store.status = _UNAVAILABLE
+        if is_gone:
+            self._store.close()
+
     async def await_version(self, version: int) -> None:
         """Returns once all daemons have adopted a version."""
         async with asyncio.timeout(_START_LIMIT_S):
