Test two stops and a longer request with a key (fails)

The daemon beside the owner of the key stops first and takes the request 2.0 s later, as its gate expects the mean time of the route (0.3 s), and Router._is_allowed doesn't ask whether the owner stops (for services without keys Fleet._new_rings does). The run of 4.5 s ends with that daemon at 5.5 s; the entering daemon, 4.2 s into its own stop and so before the last sixth of its grace, gets peer-lost and answers 502.

--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -330,6 +330,14 @@
         }
         self._store.put("config", "main", json.dumps(changed).encode())
 
+    def write_keyed(self, version: int) -> None:
+        """Writes a version of the configuration whose services have keys."""
+        clusters = [
+            {**each, "sharded": True} for each in _CONFIGURATION["clusters"]
+        ]
+        changed = {**_CONFIGURATION, "version": version, "clusters": clusters}
+        self._store.put("config", "main", json.dumps(changed).encode())
+
     def lose_store(self, is_gone: bool) -> None:
         """Lets the store refuse all calls, or ends it for good."""
         self._store.status = _UNAVAILABLE
--- a/deploy/tests/raw_http.py
+++ b/deploy/tests/raw_http.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 import random
+from typing import Any
 from typing import Self
 
 __all__ = [
@@ -50,6 +52,7 @@
         length: int,
         deadline_ms: int = 20_000,
         parent: str = "",
+        key: int = 0,
     ) -> str:
         """Sends a request without its body; returns its id.
 
@@ -59,6 +62,7 @@
           length: Size of its body.
           deadline_ms: How long its caller waits.
           parent: Id of the request for which a target sends it, if any.
+          key: Its key, which matters for a service with keys.
         """
         request_id = f"{random.getrandbits(64):016x}"
         if parent:
@@ -66,7 +70,7 @@
         self.writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Request-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: {deadline_ms}\r\n"
+            f"X-Deadline-Ms: {deadline_ms}\r\nX-Shard-Key: {key}\r\n"
             f"Content-Length: {length}\r\n\r\n".encode()
         )
         return request_id
@@ -84,6 +88,13 @@
         """Reads an answer; returns its status, 0 if there is no whole one."""
         return status_of(await self.read_answer())
 
+    async def read_json(self) -> dict[str, Any]:
+        """Reads an answer; returns its body, an empty object without one."""
+        headers = await read_headers(self.reader)
+        length = int(headers.get("content-length", "0"))
+        body = await self.reader.readexactly(length)
+        return dict(json.loads(body)) if body else {}
+
     def close(self) -> None:
         """Closes the connection."""
         self.writer.close()
--- a/deploy/tests/raw_target.py
+++ b/deploy/tests/raw_target.py
@@ -56,6 +56,8 @@
         self._host = host
         self._born = round(time.time() * 1_000)
         self._sequence = 0
+        # First key, last key and fencing token of each range.
+        self._held_keys: list[list[int]] = []
         self._loop = asyncio.new_event_loop()
         self._stopped = asyncio.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -105,7 +107,7 @@
             "cold_left": "0ms",
             "sequence": self._sequence,
             "born": self._born,
-            "holds": [],
+            "holds": self._held_keys,
             "freed": [],
         }
         call = f"/rpc?call=instances.heartbeat&of={self.name}"
@@ -114,7 +116,10 @@
         with contextlib.closing(caller):
             caller.send_head("POST", call, len(data))
             caller.writer.write(data)
-            await caller.read_status()
+            answer = await caller.read_json()
+            # It never releases what it was granted.
+            granted = answer.get("holds", [])
+            self._held_keys = [row[:3] for row in granted] or self._held_keys
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
