--- a/deploy/tests/daemons.py
+++ b/deploy/tests/daemons.py
@@ -56,6 +56,7 @@
 _END_LIMIT_S = 10.0
 _POLL_S = 0.05
 _NET_TRIES = 50
+_UNAVAILABLE = 503
 
 
 class Vm:
@@ -150,6 +151,14 @@
         lines = self.log.read_text().split("\n")[:-1]
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def has_adopted(self, version: int) -> bool:
+        """Returns whether the daemon has adopted a version."""
+        return any(
+            event["event"] == "configuration-adopted"
+            and event["version"] == version
+            for event in self.events()
+        )
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the daemon."""
         assert self._process is not None
@@ -185,9 +194,12 @@
             caller.send_head("GET", "/readiness", 0)
             return await caller.read_status() == 200
 
-    def write_settings(self) -> None:
-        """Writes the settings file, whole."""
-        self._settings_path.write_text("\n".join(self._settings()) + "\n")
+    def write_settings(self, is_whole: bool = True) -> None:
+        """Writes the settings file, whole or only the first half of it."""
+        lines = self._settings()
+        if not is_whole:
+            lines = lines[: len(lines) // 2]
+        self._settings_path.write_text("\n".join(lines) + "\n")
 
     @property
     def _settings_path(self) -> pathlib.Path:
@@ -293,6 +305,51 @@
         }
         self._store.put("config", "main", json.dumps(changed).encode())
 
+    def write_times(
+        self, version: int, timeout_ms: int, idle_timeout_ms: int = 15_000
+    ) -> None:
+        """Writes a version of the configuration that has other times.
+
+        Args:
+          version: Its version.
+          timeout_ms: Timeout of all routes.
+          idle_timeout_ms: How long callers may keep connections idle.
+        """
+        (listener,) = _CONFIGURATION["listeners"]
+        timeout = {"timeout": f"{timeout_ms}ms"}
+        rules = [
+            {**rule, "action": {**rule["action"], **timeout}}
+            for rule in listener["rules"]
+        ]
+        idle_timeout = {"idle_timeout": f"{idle_timeout_ms}ms"}
+        changed = {
+            **_CONFIGURATION,
+            "version": version,
+            "limits": {**_CONFIGURATION["limits"], **idle_timeout},
+            "listeners": [{**listener, "rules": rules}],
+        }
+        self._store.put("config", "main", json.dumps(changed).encode())
+
+    def write_keyed(self, version: int) -> None:
+        """Writes a version of the configuration whose services have keys."""
+        clusters = [
+            {**each, "sharded": True} for each in _CONFIGURATION["clusters"]
+        ]
+        changed = {**_CONFIGURATION, "version": version, "clusters": clusters}
+        self._store.put("config", "main", json.dumps(changed).encode())
+
+    def lose_store(self, is_gone: bool) -> None:
+        """Lets the store refuse all calls, or ends it for good."""
+        self._store.status = _UNAVAILABLE
+        if is_gone:
+            self._store.close()
+
+    async def await_version(self, version: int) -> None:
+        """Returns once all daemons have adopted a version."""
+        async with asyncio.timeout(_START_LIMIT_S):
+            while not all(vm.has_adopted(version) for vm in self.vms):
+                await asyncio.sleep(_POLL_S)
+
     async def __aexit__(self, *_: object) -> None:
         """Ends everything."""
         for vm in self.vms:
