Pass nothing on from a stopping daemon to another one that stops

What callers saw: 502 for a request with a key, 4.2 s into the stop of the daemon that they had asked, while its target was at work on it.

Cause: the daemon beside the target stopped, too, and 1.3 s earlier. It admitted the request by the mean time of the route and cut it at its own end. Each kept its rule; the sum over both daemons broke LOST.

Change: such a request is refused at once, which tells that nothing was run. For services without keys, targets of stopping daemons were left out before.

Evidence: test_two_stops_cut_a_longer_request_with_a_key (real processes) failed in 3 of 3 runs before the change and passes after it (1 of 1).

--- a/mustardloom/sidecar/fleet.py
+++ b/mustardloom/sidecar/fleet.py
@@ -74,6 +74,11 @@
             self.status.left_born_until_ms,
         )
 
+    @property
+    def is_stopping(self) -> bool:
+        """Returns whether the daemon has said that it is stopping."""
+        return self.status is not None and self.status.is_stopping
+
     @property
     def phase(self) -> TargetPhase:
         """Returns the state of its target, `ABSENT` before the first status."""
@@ -267,7 +272,7 @@
                 peer.phase is TargetPhase.READY
                 and not self.is_evacuated(peer.vm)
                 and (not regions or peer.record.region in regions)
-                and not (peer.status is not None and peer.status.is_stopping)
+                and not peer.is_stopping
             ):
                 by_distance[peer.view.distance].append(peer)
         return Rings(
--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -86,6 +86,9 @@
         peer = self._fleet.by_vm.get(vm)
         if peer is None:
             return _UNREACHABLE
+        if self._stop.is_stopping() and peer.is_stopping:
+            # The peer may end before the request, and this daemon soon after.
+            return work.Refused(work.RefusalReason.STOPPING, _ENDING_RETRY_MS)
         transfer = None
         if request.rest is not None:
             transfer = self._transfers.offer(request.rest)
