--- a/mustardloom/sidecar/forwarder.py
+++ b/mustardloom/sidecar/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import functools
 
 from mustardloom import clock as clock_lib
 from mustardloom import ids
@@ -81,44 +82,58 @@
         """
         if vm == self._fleet.own_record.vm:
             return await self._gate.run(request, may_wait)
-        if not self._stop.may_start(request.deadline_ms):
-            return work.Refused(work.RefusalReason.ENDING, _ENDING_RETRY_MS)
         peer = self._fleet.by_vm.get(vm)
         if peer is None:
             return _UNREACHABLE
+        refusal = self._refusal_by_stop(peer, request)
+        if refusal is not None:
+            return refusal
+        return await self._forward(peer, request, may_wait)
+
+    def _refusal_by_stop(
+        self, peer: fleet_lib.Peer, request: work.Work
+    ) -> work.Refused | None:
+        """Returns why a stop keeps a request from a peer, None if none does."""
+        if not self._stop.may_start(request.deadline_ms):
+            return work.Refused(work.RefusalReason.ENDING, _ENDING_RETRY_MS)
         if self._stop.is_stopping() and peer.is_stopping:
             # The peer may end before the request, and this daemon soon after.
             return work.Refused(work.RefusalReason.STOPPING, _ENDING_RETRY_MS)
+        return None
+
+    async def _forward(
+        self, peer: fleet_lib.Peer, request: work.Work, may_wait: bool
+    ) -> work.Attempt:
+        """Runs a request at the gate of a peer; see `send`."""
         transfer = None
         if request.rest is not None:
             transfer = self._transfers.offer(request.rest)
-        make_frame = self._frame_factory(vm, request, may_wait, transfer)
-        # Another target cannot run a request with a key, and must not run one
-        # that is not idempotent, so a late reply is the only one.
-        may_repeat = request.is_idempotent and request.key is None
-        silence = links_lib.OnSilence
-        on_silence = silence.TELL if may_repeat else silence.WAIT
+        make_frame = self._frame_factory(peer.vm, request, may_wait, transfer)
+        end = functools.partial(self._end, peer, transfer)
         peer.view.in_flight += 1
-
-        def end() -> None:
-            peer.view.in_flight -= 1
-            if transfer is not None:
-                self._transfers.withdraw(transfer)
-
         is_open = False
         try:
-            call = self._links.begin_call(vm, make_frame, on_silence)
-            attempt = await self._outcome_of(call, peer, request)
-            if attempt is None:
+            call = self._links.begin_call(
+                peer.vm, make_frame, _on_silence(request)
+            )
+            outcome = await self._outcome_of(call, peer, request)
+            if outcome is None:
                 is_open = True
                 return self._rest_of(call, peer, request, end)
-            return attempt
+            return outcome
         except links_lib.PeerUnreachable:
             return _UNREACHABLE
         finally:
             if not is_open:
                 end()
 
+    def _end(
+        self, peer: fleet_lib.Peer, transfer: frames.Transfer | None
+    ) -> None:
+        peer.view.in_flight -= 1
+        if transfer is not None:
+            self._transfers.withdraw(transfer)
+
     def _rest_of(
         self,
         call: links_lib.OpenCall,
@@ -334,6 +349,17 @@
                 return frames.Failure(number, reason.value)
 
 
+def _on_silence(request: work.Work) -> links_lib.OnSilence:
+    """Returns what becomes of a request whose peer falls silent.
+
+    Another target cannot run a request with a key, and must not run one that is
+    not idempotent, so the late reply is the only one.
+    """
+    if request.is_idempotent and request.key is None:
+        return links_lib.OnSilence.TELL
+    return links_lib.OnSilence.WAIT
+
+
 def _decode_outcome(frame: frames.Frame) -> work.Outcome:
     match frame:
         case frames.Answer():
--- a/mustardloom/sidecar/tests/test_forwarder.py
+++ b/mustardloom/sidecar/tests/test_forwarder.py
@@ -53,7 +53,9 @@
 
 
 def _forwarder(clock, links, gate, budget=None):
-    peer = types.SimpleNamespace(view=types.SimpleNamespace(in_flight=0))
+    peer = types.SimpleNamespace(
+        vm=_VM, view=types.SimpleNamespace(in_flight=0), is_stopping=False
+    )
     fleet = types.SimpleNamespace(
         own_record=types.SimpleNamespace(vm=ids.VmId("near")),
         by_vm={_VM: peer},
--- a/mustardloom/sidecar/tests/test_links.py
+++ b/mustardloom/sidecar/tests/test_links.py
@@ -298,6 +298,18 @@
     return asyncio.sleep(30)
 
 
+def _answers_late(after_s=0.2):
+    """Returns a handler that answers after some time."""
+
+    async def answer(frame):
+        await asyncio.sleep(after_s)
+        return frames.Failure(frame.number, "late")
+
+    return lambda vm, frame: (
+        answer(frame) if isinstance(frame, frames.Fetch) else None
+    )
+
+
 _OnSilence = links_lib.OnSilence
 # Longer than a peer may take for its answer.
 _LATE_S = 0.9
@@ -330,16 +342,6 @@
     A daemon that was paused for a second has run the request and answers.
     """
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-
-        async def answer():
-            await asyncio.sleep(0.2)
-            return frames.Failure(frame.number, "late")
-
-        return answer()
-
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
             waiting = await _start_call(near, vm, _OnSilence.WAIT)
@@ -351,7 +353,7 @@
             await _connected(near, vm)
             return reply.reason
 
-    assert _run(scenario, handler) == "late"
+    assert _run(scenario, _answers_late()) == "late"
 
 
 def test_answer_of_a_silent_peer_arrives_although_another_was_asked():
@@ -360,16 +362,6 @@
     Who waits learns of the silence, and may ask another peer meanwhile.
     """
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-
-        async def answer():
-            await asyncio.sleep(0.2)
-            return frames.Failure(frame.number, "late")
-
-        return answer()
-
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
             call = await _start_call(near, vm, _OnSilence.TELL)
@@ -378,7 +370,7 @@
             assert waiting.done()
             return type(await waiting), (await call.result()).reason
 
-    assert _run(scenario, handler) == (frames.Overdue, "late")
+    assert _run(scenario, _answers_late()) == (frames.Overdue, "late")
 
 
 def test_daemon_that_was_late_itself_takes_no_peer_for_silent():
@@ -629,16 +621,6 @@
     is at work on the call.
     """
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-
-        async def answer():
-            await asyncio.sleep(2.5)
-            return frames.Failure(frame.number, "late")
-
-        return answer()
-
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
             waiting = await _start_call(near, vm, _OnSilence.WAIT)
@@ -647,7 +629,7 @@
             return (await waiting.result()).reason
 
     monkeypatch.setattr(outgoing_link, "_SILENT_STREAM_MS", 1_000)
-    assert _run(scenario, handler) == "late"
+    assert _run(scenario, _answers_late(2.5)) == "late"
 
 
 def test_reply_on_its_way_arrives_although_its_peer_accepts_no_more_links():
@@ -657,16 +639,6 @@
     these may still be on their way then.
     """
 
-    def handler(vm, frame):
-        if not isinstance(frame, frames.Fetch):
-            return None
-
-        async def answer():
-            await asyncio.sleep(0.2)
-            return frames.Failure(frame.number, "late")
-
-        return answer()
-
     async def scenario(near, far, port):
         async with _through_proxy(near, port) as (proxy, vm):
             waiting = await _start_call(near, vm, _OnSilence.WAIT)
@@ -679,4 +651,4 @@
             proxy.may_pass.set()
             return (await waiting.result()).reason
 
-    assert _run(scenario, handler) == "late"
+    assert _run(scenario, _answers_late()) == "late"
