--- a/mustardloom/http1/connection.py
+++ b/mustardloom/http1/connection.py
@@ -2,22 +2,21 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 import enum
-from typing import Protocol
 
 import httptools
 from tornado import iostream
 
-from mustardloom import clock as clock_lib
-from mustardloom import memory_budget
 from mustardloom.http1 import bodies
+from mustardloom.http1 import connection_end
+from mustardloom.http1 import connection_owner
 from mustardloom.http1 import idle_eviction
 from mustardloom.http1 import messages
+from mustardloom.http1 import partial_head
 from mustardloom.http1 import pending_responses
+from mustardloom.http1 import receive_window
+from mustardloom.http1 import rejections
 from mustardloom.http1 import request_body
 from mustardloom.http1 import request_heads
 from mustardloom.http1 import request_room
@@ -25,25 +24,9 @@
 from mustardloom.http1 import server_limits
 from mustardloom.http1 import sockets
 
-__all__ = [
-    "READ_BYTES",
-    "Connection",
-    "ConnectionOwner",
-    "Handler",
-    "MalformedCallback",
-    "RejectedCallback",
-]
-
-Handler = Callable[[messages.Request], Awaitable[messages.Response]]
-# Called with the headers of a request, as far as known, and its answer.
-RejectedCallback = Callable[
-    [Sequence[messages.Header], messages.Response], None
-]
-# Called with a request as far as its head was read, and with the bytes of that
-# head, which are not valid; returns the answer, None for status 400.
-MalformedCallback = Callable[
-    [messages.Request, bytes], messages.Response | None
-]
+__all__ = ["READ_BYTES", "Connection"]
+
+_EndReason = connection_end.EndReason
 
 READ_BYTES = bodies.PIECE_BYTES
 # Nothing is held for a request before its head is complete, and all connections
@@ -51,50 +34,12 @@
 _HEAD_READ_BYTES = 8_192
 # A caller closes a connection that has ended within this time.
 _END_TIMEOUT_MS = 1_000
-# The request line without its target, and the end of a head.
-_MAX_LINE_BYTES = 64
 # Asks for a tunnel, whose bytes are no requests.
 _CONNECT = b"CONNECT"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_BAD_REQUEST = 400
-_TIMEOUT = 408
-_BODY_TOO_LARGE = 413
-_HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
 # Its clients know no chunks and no interim responses (RFC 9110, 10.1.1).
 _HTTP_1_0 = "1.0"
-_UNAVAILABLE = 503
-# Told to callers for whose bytes there is no room.
-_NO_ROOM_HEADERS = ((b"Retry-After", b"0.50"),)
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of its server; see `server.HttpServer`."""
-
-    handler: Handler
-    clock: clock_lib.Clock
-    budget: memory_budget.MemoryBudget
-    kind: memory_budget.HoldKind
-    turns: bodies.Turns | None
-    is_draining: bool
-    on_fault: Callable[[BaseException], None]
-    on_rejected: RejectedCallback
-    on_malformed: MalformedCallback
-
-    def limits(self) -> server_limits.ServerLimits:
-        """Returns the limits now in force."""
-
-
-class _RequestRejected(Exception):
-    """A request is answered with an error before it is read completely.
-
-    Attributes:
-      response: The answer.
-    """
-
-    def __init__(self, status: int, headers: tuple[messages.Header, ...] = ()):
-        super().__init__(str(status))
-        self.response = messages.Response(status, headers)
 
 
 class _UpgradeOffered(Exception):
@@ -104,10 +49,6 @@
     """
 
 
-def _no_room() -> _RequestRejected:
-    return _RequestRejected(_UNAVAILABLE, _NO_ROOM_HEADERS)
-
-
 class _Phase(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -117,7 +58,9 @@
 class Connection:
     """One connection of a client."""
 
-    def __init__(self, owner: ConnectionOwner, stream: iostream.IOStream):
+    def __init__(
+        self, owner: connection_owner.ConnectionOwner, stream: iostream.IOStream
+    ):
         self.stream = stream
         self.pending: collections.deque[pending_responses.PendingResponse] = (
             collections.deque()
@@ -128,28 +71,28 @@
         self._phase = _Phase.IDLE
         self._waiting_since_ms = owner.clock.now_ms()
         self._received_ms = self._waiting_since_ms
-        # Raw bytes of a head that is incomplete.
-        self._head = bytearray()
-        self._head_room = request_room.HeadRoom(
+        self._head = partial_head.PartialHead(
             owner.budget, self._on_head_evicted
         )
         # Raw bytes of requests that wait until earlier ones are answered.
         self._waiting = b""
         # Requests whose answers have not left.
         self._open = 0
+        # Whether the last of them was not read, but rejected.
+        self._is_rejected = False
         # Bytes that have arrived after the head that is parsed.
         self._arrived_bytes = 0
         # A complete head, while it is parsed.
         self._complete_head = b""
         self._closes_after_pending = False
         self._is_finishing = False
+        self._end = connection_end.ConnectionEnd(owner.on_end)
         self._writer = response_writer.ResponseWriter(stream, owner.clock)
         self._has_room = asyncio.Event()
         self._room = request_room.RequestRoom(
             owner.budget, owner.kind, self._on_body_evicted
         )
-        # Room for what the socket receives, once a long body has arrived.
-        self._window: memory_budget.Hold | None = None
+        self._window = receive_window.ReceiveWindow(stream, owner.budget)
         # The last request, while its body passes in pieces.
         self._uploading: pending_responses.PendingResponse | None = None
         # Writes a body that passes in pieces.
@@ -179,9 +122,16 @@
                     await asyncio.sleep(0)
         except iostream.StreamClosedError:
             pass
+        except Exception:
+            self.report_end(_EndReason.FAULT)
+            raise
         finally:
             self._release_all()
 
+    def report_end(self, reason: _EndReason) -> None:
+        """Reports why the connection ends, unless that was reported before."""
+        self._end.report(reason, self._open - self._is_rejected)
+
     async def _read_part(self) -> int:
         """Reads and parses some bytes; returns how many.
 
@@ -205,7 +155,7 @@
             self._has_room.clear()
             await self._has_room.wait()
         data, self._waiting = self._waiting, b""
-        self._drop_head()
+        self._head.drop()
         if self.stream.closed():
             # What the stream still holds follows bytes that are not parsed.
             raise iostream.StreamClosedError
@@ -232,15 +182,15 @@
 
     def _on_closed(self) -> None:
         """Wakes the reader, which may wait for something else than bytes."""
+        self.report_end(_EndReason.CALLER_CLOSED)
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         self._has_room.set()
 
     def _release_all(self) -> None:
         self._room.release()
-        self._head_room.release()
-        if self._window is not None:
-            self._window.release()
+        self._head.release()
+        self._window.release()
         if self._uploading is not None and self._uploading.upload is not None:
             self._uploading.upload.fail()
         for pending in self.pending:
@@ -269,18 +219,28 @@
         if self.pending or self._sending is not None:
             self._closes_after_pending = True
         else:
-            self._close_unless_request_waits()
+            self._close_unless_request_waits(_EndReason.IDLE_AT_STOP)
 
-    def _close_unless_request_waits(self) -> None:
+    def _close_unless_request_waits(self, reason: _EndReason) -> None:
         """Closes the connection; bytes that have arrived are read first."""
         if self.stream.closed():
             return
         if sockets.is_open_and_empty(self.stream.socket):
             self._closes_after_pending = True
             if self._writer.is_done:
-                self.stream.close()
+                self._close(reason)
             else:
-                self._writer.after_written(self._writer.end)
+                self._writer.after_written(self._end_after_answers)
+
+    def _close(self, reason: _EndReason) -> None:
+        self.report_end(reason)
+        self.stream.close()
+
+    def _end_after_answers(self) -> None:
+        """Ends the connection, whose answers have left unless it is closed."""
+        if not self.stream.closed():
+            self._end.report_planned()
+        self._writer.end()
 
     def standstill(self) -> tuple[idle_eviction.Standstill, int] | None:
         """See `idle_eviction.Evictable`."""
@@ -309,9 +269,9 @@
             # What has arrived is read first.
             return False
         if self._phase is _Phase.HEAD:
-            self._reject(messages.Response(_TIMEOUT))
+            self._reject_late(_EndReason.EVICTED)
         if not self.stream.writing():
-            self.stream.close()
+            self._close(_EndReason.EVICTED)
         return self.stream.closed()
 
     def enforce_time_limits(self, limits: server_limits.ServerLimits) -> None:
@@ -328,8 +288,7 @@
         waited_ms = now_ms - self._waiting_since_ms
         if self.stream.writing():
             if self._writer.stuck_ms(now_ms) > limits.idle_timeout_ms:
-                # The caller does not read its answer.
-                self.stream.close()
+                self._close(_EndReason.UNREAD)
             return
         if self._uploading is not None:
             upload = self._uploading.upload
@@ -338,20 +297,20 @@
                     self.stream.close()
                 return
             if waited_ms > limits.idle_timeout_ms:
-                self._break_upload(self._uploading, messages.Response(_TIMEOUT))
+                self._reject_late(_EndReason.SLOW)
             return
         if self.pending or self._closes_after_pending or self._sending:
             return
         match self._phase:
             case _Phase.IDLE:
                 if waited_ms > limits.idle_timeout_ms:
-                    self._close_unless_request_waits()
+                    self._close_unless_request_waits(_EndReason.IDLE)
             case _Phase.HEAD:
                 if waited_ms > limits.header_timeout_ms:
-                    self._reject(messages.Response(_TIMEOUT))
+                    self._reject_late(_EndReason.SLOW)
             case _Phase.BODY:
                 if waited_ms > limits.idle_timeout_ms:
-                    self._reject(messages.Response(_TIMEOUT))
+                    self._reject_late(_EndReason.SLOW)
 
     def _on_received(self) -> None:
         self._received_ms = self._owner.clock.now_ms()
@@ -375,22 +334,22 @@
         """Reads the fields."""
         self._phase = _Phase.BODY
         if self._parser.get_method() == _CONNECT:
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         if self._parser.should_upgrade():
             raise _UpgradeOffered
         head, self._complete_head = self._complete_head, b""
         if not head:
             # The head has another end than it should have.
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         self._header_bytes = request_heads.limited_size(head, self._url)
         if self._header_bytes > self._limits.max_header_bytes:
             self._headers = request_heads.partial_fields(head)
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.HEADERS_TOO_LARGE)
         self._headers = request_heads.fields(head)
         framing = request_heads.framing(self._headers)
         self._body.announce(framing.length)
         if (framing.length or 0) > self._limits.max_body_bytes:
-            raise _RequestRejected(_BODY_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.BODY_TOO_LARGE)
         self._hold_for_request()
         is_known = self._parser.get_http_version() != _HTTP_1_0
         self._expects_continue = framing.expects_continue and is_known
@@ -415,7 +374,7 @@
         self._expects_continue = False
         self._body.count(data)
         if self._body.size > self._limits.max_body_bytes:
-            raise _RequestRejected(_BODY_TOO_LARGE)
+            raise rejections.RequestRejected(rejections.BODY_TOO_LARGE)
         if self._uploading is not None:
             upload = self._uploading.upload
             assert upload is not None
@@ -456,23 +415,23 @@
         )
         self._resize_hold(size)
         if not self._room.try_hold_fields(self._headers):
-            raise _no_room()
+            raise rejections.no_room()
 
     def _resize_hold(self, size: int) -> None:
         has_arrived = self._body.has_arrived(self._arrived_bytes)
         if not self._room.try_hold(size, bool(self._open), has_arrived):
-            raise _no_room()
+            raise rejections.no_room()
 
     def _on_body_evicted(self) -> None:
         """Ends a request whose sender was silent while others need its room."""
-        self._reject(messages.Response(_TIMEOUT))
+        self._reject(messages.Response(rejections.TIMEOUT))
 
     def _start_upload(self, turns: bodies.Turns) -> None:
         """Runs a request whose body passes in pieces."""
         hold = self._owner.budget.try_hold_stream(bodies.STREAM_BYTES)
         if hold is None:
-            raise _no_room()
-        self._widen_window()
+            raise rejections.no_room()
+        self._window.widen()
         upload = bodies.Body(self._body.length, turns)
         upload.on_ready = hold.mark_ready
         upload.on_moved = hold.mark_moved
@@ -483,23 +442,8 @@
         self._uploading = pending
         self._waiting_since_ms = self._owner.clock.now_ms()
         hold.on_evicted = lambda: self._break_upload(
-            pending, messages.Response(_TIMEOUT)
-        )
-
-    def _widen_window(self) -> None:
-        """Lets more of a long body arrive at a time, if there is room for it.
-
-        The connection keeps it: a window that became smaller would drop what
-        the client has sent meanwhile.
-        """
-        if self._window is not None:
-            return
-        size = sockets.WIDE_UNREAD_BYTES
-        self._window = self._owner.budget.try_hold(
-            size, memory_budget.HoldKind.RECEIVE_WINDOW
+            pending, messages.Response(rejections.TIMEOUT)
         )
-        if self._window is not None:
-            sockets.widen(self.stream.socket, size)
 
     def _run_request(
         self, body: bytes, upload: bodies.Body | None
@@ -531,6 +475,7 @@
         self,
         broken: pending_responses.PendingResponse,
         response: messages.Response,
+        reason: _EndReason = _EndReason.REJECTED,
     ) -> None:
         """Ends a body that will not be read to its end.
 
@@ -541,6 +486,7 @@
         if broken is self._uploading:
             self._uploading = None
             self._closes_after_pending = True
+            self._end.plan(reason)
         if not broken.upload.is_taken and not broken.task.done():
             self._owner.on_rejected(self._headers, response)
             broken.task.cancel()
@@ -570,7 +516,7 @@
                 return
             if self._phase is _Phase.BODY:
                 position += self._feed_body(data, position)
-            elif not self._head and data[position] in b"\r\n":
+            elif not self._head.data and data[position] in b"\r\n":
                 # Empty lines may come before a request.
                 position += request_heads.empty_lines_size(data, position)
             elif self._open and self._must_wait():
@@ -583,7 +529,7 @@
 
     def _feed_head(self, data: bytes, start: int) -> int:
         """Parses bytes of a head; returns how many they are."""
-        if self._head:
+        if self._head.data:
             return self._feed_rest_of_head(data, start)
         end = data.find(request_heads.END, start) + len(request_heads.END)
         if end < len(request_heads.END):
@@ -608,52 +554,37 @@
 
     def _must_wait(self) -> bool:
         """Returns whether there is no room for another request yet."""
-        return not self._head and not self._try_hold_pipelined()
+        return not self._head.data and not self._try_hold_pipelined()
 
     def _defer_requests(self, data: bytes) -> None:
         self._waiting = data
-        self._hold_head(len(data))
+        self._head.hold(len(data))
 
     def _feed_rest_of_head(self, data: bytes, start: int) -> int:
-        # The end may have arrived in part.
-        tail = bytes(self._head[1 - len(request_heads.END) :])
-        size = request_heads.size_to_end(tail, data, start)
+        size = self._head.size_to_end(data, start)
         if size is None:
             self._keep_head(data[start:])
             return len(data) - start
         part = data[start : start + size]
-        self._complete_head = bytes(self._head) + part
-        self._drop_head()
+        self._complete_head = self._head.complete(part)
         self._arrived_bytes = len(data) - start - size
         self._feed_parser(part)
         return size
 
     def _keep_head(self, part: bytes) -> None:
         """Keeps bytes of an incomplete head; checks whether they are valid."""
-        self._head += part
-        limit = self._limits.max_header_bytes + _MAX_LINE_BYTES
-        if len(self._head) > limit:
-            raise _RequestRejected(_HEADERS_TOO_LARGE)
-        self._hold_head(len(self._head))
+        self._head.add(part, self._limits.max_header_bytes)
         self._feed_parser(part)
 
-    def _hold_head(self, size: int) -> None:
-        """Takes room for raw bytes of heads."""
-        if not self._head_room.try_hold(size):
-            raise _no_room()
-
-    def _drop_head(self) -> None:
-        self._head = bytearray()
-        self._head_room.release()
-
     def _on_head_evicted(self) -> None:
         """Ends a connection that stands still while others need its room."""
         if self._waiting:
             # Its answers are not read.
             self._waiting = b""
+            self.report_end(_EndReason.UNREAD)
             sockets.reset(self.stream)
             return
-        self._reject(messages.Response(_TIMEOUT))
+        self._reject(messages.Response(rejections.TIMEOUT))
 
     def _feed_body(self, data: bytes, start: int) -> int:
         """Parses bytes of a body; returns how many they are."""
@@ -662,7 +593,7 @@
         allowed_bytes = self._limits.max_header_bytes + READ_BYTES
         is_read = self._phase is not _Phase.BODY
         if not is_read and self._body.is_mostly_framing(allowed_bytes):
-            raise _RequestRejected(_BAD_REQUEST)
+            raise rejections.RequestRejected(rejections.BAD_REQUEST)
         return len(part)
 
     def _parse(self, data: bytes) -> None:
@@ -670,12 +601,12 @@
             return
         try:
             self._feed(data)
-        except _RequestRejected as rejected:
+        except rejections.RequestRejected as rejected:
             self._reject(rejected.response)
         except httptools.HttpParserError as error:
             # httptools wraps the exceptions of callbacks in its own.
             cause = error.__context__
-            if isinstance(cause, _RequestRejected):
+            if isinstance(cause, rejections.RequestRejected):
                 self._reject(cause.response)
             else:
                 self._reject(self._answer_malformed())
@@ -684,7 +615,7 @@
         """Returns the answer to bytes that are not a valid request."""
         response = None
         if self._phase is _Phase.HEAD:
-            head = bytes(self._head) or self._complete_head
+            head = bytes(self._head.data) or self._complete_head
             response = self._owner.on_malformed(
                 messages.Request(
                     "",
@@ -694,18 +625,28 @@
                 ),
                 head,
             )
-        return response or messages.Response(_BAD_REQUEST)
+        return response or messages.Response(rejections.BAD_REQUEST)
 
-    def _reject(self, response: messages.Response) -> None:
+    def _reject_late(self, reason: _EndReason) -> None:
+        """Rejects a request whose rest did not come in time."""
+        self._reject(messages.Response(rejections.TIMEOUT), reason)
+
+    def _reject(
+        self,
+        response: messages.Response,
+        reason: _EndReason = _EndReason.REJECTED,
+    ) -> None:
         """Answers a request that cannot be read, after those before it."""
         if self._uploading is not None:
-            self._break_upload(self._uploading, response)
+            self._break_upload(self._uploading, response, reason)
             return
         self._closes_after_pending = True
+        self._is_rejected = True
+        self._end.plan(reason)
         self._body.take()
-        if self._head:
-            self._headers = request_heads.partial_fields(self._head)
-        self._drop_head()
+        if self._head.data:
+            self._headers = request_heads.partial_fields(self._head.data)
+        self._head.drop()
         self._owner.on_rejected(self._headers, response)
         self._headers = []
         done: asyncio.Future[messages.Response] = asyncio.Future()
@@ -778,7 +719,7 @@
             return
         self._writer.after_written(lambda: self._release(pending))
         if closes:
-            self._writer.after_written(self._writer.end)
+            self._writer.after_written(self._end_after_answers)
 
     def _may_close_idle(self) -> bool:
         """Returns whether no further request is read because of a stop."""
@@ -787,6 +728,9 @@
 
     def _release(self, answered: pending_responses.PendingResponse) -> None:
         """Gives back the room of a request whose answer has left."""
+        if self.stream.closed():
+            # Before it counts as answered.
+            self.report_end(_EndReason.CALLER_CLOSED)
         answered.release()
         self._open -= 1
         if self._waiting:
@@ -819,10 +763,11 @@
             self._sending = None
             if pending is self._uploading:
                 self._drop_upload()
-            if not is_complete:
+            if not is_complete and not self.stream.closed():
+                self.report_end(_EndReason.BROKEN_OFF)
                 sockets.reset(self.stream)
         if closes or (self._closes_after_pending and not self.pending):
-            self._writer.end()
+            self._end_after_answers()
         else:
             self._flush()
 
