--- a/deploy/tests/test_stops_of_daemons.py
+++ b/deploy/tests/test_stops_of_daemons.py
@@ -28,10 +28,11 @@
 _SHORT_WORK_S = 0.02
 # More than both targets have places.
 _BURST = 12
+_BURST_WORK_S = 0.2
 # Longer than the test.
 _ENDLESS_S = 60.0
 _LONG_WORK_S = 3.0
-_TIME_TO_REPEAT_S = 1.0
+_TIME_TO_REPEAT_S = 1.5
 _LONG_DEADLINE_MS = 20_000
 # Links count as silent before, and are not ended yet.
 _PAUSE_OF_A_DAEMON_S = 1.5
@@ -213,12 +214,15 @@
         at_work.target.slots, full.target.slots = 4, 1
         async with fleet, asyncio.TaskGroup() as callers:
             full.target.work_s = _ENDLESS_S
+            # So that its places are taken, and the burst needs those of both.
+            at_work.target.work_s = _BURST_WORK_S
             early: dict[str, int] = {}
-            for _ in range(_BURST):
-                callers.create_task(_ask(caller, early, _LONG_DEADLINE_MS))
-            await _await_run(full.target, early)
-            # The other target answers its part of these.
-            await asyncio.sleep(_TIME_TO_REPEAT_S)
+            # The entering daemon may not know both targets yet.
+            while early.keys().isdisjoint(full.target.runs):
+                for _ in range(_BURST):
+                    callers.create_task(_ask(caller, early, _LONG_DEADLINE_MS))
+                # The other target answers its part of these.
+                await asyncio.sleep(_BURST * _BURST_WORK_S)
 
             at_work.target.work_s = _LONG_WORK_S
             status_by_id: dict[str, int] = {}
